sardineknot: serve the whole path with separate processes

Cause: the repository was empty; nothing served a request.

Ruled out: the etcd client and API modules (the registry does not serve the API module), so the messages used are declared in internal/rpc/etcd. net/http repeats requests that carry an Idempotency-Key over reused connections, so unrepeatable calls use a transport without reuse.

Membership is the host list alone, the scheduler is round robin, claims are one key each: all three are baselines to be replaced.

Conclusion: the path holds end to end, also when one entry host is killed.

--- /dev/null
+++ b/backend.go
@@ -0,0 +1,73 @@
+package sardineknot
+
+import "net/netip"
+
+// BackendServerName identifies a backend server within a deployment.
+type BackendServerName string
+
+// BackendRole tells which work a backend server accepts.
+type BackendRole string
+
+// The roles of backend servers.
+const (
+	// RolePrefill computes the KV cache of prompts.
+	RolePrefill BackendRole = "Prefill"
+	// RoleDecode generates tokens from an imported KV cache.
+	RoleDecode BackendRole = "Decode"
+	// RolePlain answers plain service calls.
+	RolePlain BackendRole = "Plain"
+)
+
+// BackendState is the declared state of a backend server.
+type BackendState string
+
+// The declared states of backend servers.
+const (
+	// BackendJoining accepts new work.
+	BackendJoining BackendState = "Joining"
+	// BackendLeaving finishes its work and receives nothing new.
+	BackendLeaving BackendState = "Leaving"
+)
+
+// BackendServer is an engine or plain service that requests are routed to.
+type BackendServer struct {
+	// Name is unique within a Configuration.
+	Name BackendServerName
+	// Address is the address of the server's HTTP interface.
+	Address netip.AddrPort
+	// Zone is the availability zone of the server.
+	Zone AvailabilityZone
+	// Role is one of the declared roles.
+	Role BackendRole
+	// Model and Version name what an engine serves. They are empty for plain
+	// services.
+	Model   string
+	Version string
+	// Service names what a plain service offers. It is empty for engines.
+	Service string
+	// Slots is the number of requests that the server works on at once. It is
+	// positive.
+	Slots int
+	// ChecksFencing reports whether the server refuses orders that carry an
+	// old fencing number.
+	ChecksFencing bool
+	// State is the declared state. The zero value is not valid.
+	State BackendState
+}
+
+// PoolName identifies the engines that serve one version of one model.
+type PoolName string
+
+// Pool returns the name of the pool that s belongs to. Plain services form one
+// pool for each service.
+func (s BackendServer) Pool() PoolName {
+	if s.Role == RolePlain {
+		return PoolName("service/" + s.Service)
+	}
+	return EnginePool(s.Model, s.Version)
+}
+
+// EnginePool returns the name of the pool of engines for a version of a model.
+func EnginePool(model, version string) PoolName {
+	return PoolName("model/" + model + "@" + version)
+}
--- /dev/null
+++ b/cmd/sardineknot/main.go
@@ -0,0 +1,26 @@
+// Command sardineknot runs and operates a request router for separate prefill
+// and decode pools.
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/google/subcommands"
+
+	"sardineknot.example/sardineknot/internal/command/apply"
+	"sardineknot.example/sardineknot/internal/command/serve"
+)
+
+func main() {
+	subcommands.Register(subcommands.HelpCommand(), "")
+	subcommands.Register(&serve.Command{}, "")
+	subcommands.Register(&apply.Command{}, "")
+	flag.Parse()
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	os.Exit(int(subcommands.Execute(ctx)))
+}
--- /dev/null
+++ b/cmd/standin/engine.go
@@ -0,0 +1,58 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"os"
+	"time"
+
+	"github.com/google/subcommands"
+
+	"sardineknot.example/sardineknot/internal/standin/engine"
+	"sardineknot.example/sardineknot/internal/standin/fault"
+	"sardineknot.example/sardineknot/internal/standin/record"
+)
+
+// crashStatus is the exit status of an engine that crashes on demand.
+const crashStatus = 3
+
+// engineCommand runs a model engine.
+type engineCommand struct {
+	listen   string
+	name     string
+	slots    int
+	interval time.Duration
+	prefill  time.Duration
+	eviction time.Duration
+}
+
+func (*engineCommand) Name() string     { return "engine" }
+func (*engineCommand) Synopsis() string { return "run a model engine" }
+func (*engineCommand) Usage() string {
+	return "engine -name engine-1 -listen 127.0.0.1:7100\n  Serves completions that depend on the prompt only.\n"
+}
+
+func (c *engineCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.listen, "listen", "127.0.0.1:0", "address to listen on")
+	f.StringVar(&c.name, "name", "engine", "name of the engine")
+	f.IntVar(&c.slots, "slots", 20, "decodes at once")
+	f.DurationVar(&c.interval, "interval", 5*time.Millisecond, "time between tokens")
+	f.DurationVar(&c.prefill, "prefill", time.Millisecond, "prefill time for each prompt token")
+	f.DurationVar(&c.eviction, "eviction", 800*time.Millisecond, "life of a prefill's result")
+}
+
+func (c *engineCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	f := &fault.Control{}
+	s := &engine.Server{
+		Name:            c.name,
+		Address:         c.listen,
+		Slots:           c.slots,
+		TokenInterval:   c.interval,
+		PrefillPerToken: c.prefill,
+		Eviction:        c.eviction,
+		Faults:          f,
+		Log:             &record.Recorder{},
+		Crash:           func() { os.Exit(crashStatus) },
+	}
+	return serve(ctx, c.listen, f, s)
+}
--- /dev/null
+++ b/internal/caller/completions/deliver.go
@@ -0,0 +1,66 @@
+package completions
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/answer/buffer"
+	"sardineknot.example/sardineknot/internal/caller/reply"
+	api "sardineknot.example/sardineknot/internal/rpc/openai"
+)
+
+// Deliver writes the tokens of b from index offset on to the connection of r,
+// as delivery d. An answer that failed before its first token is written as
+// an HTTP answer of its own.
+func Deliver(w http.ResponseWriter, r *http.Request, b *buffer.Buffer, d, offset int) {
+	c := http.NewResponseController(w)
+	for n := offset; ; n++ {
+		t, err := b.Next(r.Context(), d, n)
+		if err != nil && n == offset && !errors.Is(err, io.EOF) {
+			reply.Error(w, err)
+			return
+		}
+		if n == offset {
+			w.Header().Set("Content-Type", "text/event-stream")
+		}
+		if err != nil {
+			writeEnd(w, n, err)
+			return
+		}
+		writeToken(w, t)
+		if c.Flush() != nil {
+			return
+		}
+	}
+}
+
+func writeToken(w io.Writer, t sardineknot.Token) {
+	m := &api.CompletionResponse{Choices: []*api.Choice{{Text: t.Text}}}
+	fmt.Fprintf(w, "id: %d\ndata: %s\n\n", t.Index, marshal(m))
+}
+
+// writeEnd writes the end of an answer of n tokens.
+func writeEnd(w io.Writer, n int, err error) {
+	if !errors.Is(err, io.EOF) {
+		fmt.Fprintf(w, "event: error\ndata: %s\n\n", reply.JSON(err))
+		return
+	}
+	m := &api.CompletionResponse{
+		Choices: []*api.Choice{{FinishReason: "length"}},
+		Usage:   &api.Usage{CompletionTokens: int32(n)},
+	}
+	fmt.Fprintf(w, "data: %s\n\ndata: [DONE]\n\n", marshal(m))
+}
+
+func marshal(m *api.CompletionResponse) []byte {
+	b, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
--- /dev/null
+++ b/internal/caller/services/handler.go
@@ -0,0 +1,76 @@
+// Package services serves calls of plain services to callers.
+//
+// Two calls with the same request identifier that reach this host while the
+// first one runs get the same answer.
+package services
+
+import (
+	"io"
+	"net/http"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sync/singleflight"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/answer/service"
+	"sardineknot.example/sardineknot/internal/caller/header"
+	"sardineknot.example/sardineknot/internal/caller/reply"
+)
+
+// MaxRequestBytes bounds the body of a call, in bytes.
+const MaxRequestBytes = 1 << 20
+
+// Handler is an http.Handler for POST /v1/services. All exported fields are
+// set before use.
+type Handler struct {
+	// Configuration gives the contracts.
+	Configuration sardineknot.ConfigurationSource
+	// Runner produces answers.
+	Runner *service.Runner
+	// Clock gives the time.
+	Clock sardineknot.Clock
+
+	// running joins calls with the same identifier.
+	running singleflight.Group
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c, err := h.read(w, r)
+	if err != nil {
+		reply.Error(w, err)
+		return
+	}
+	v, err, _ := h.running.Do(c.Key.String(), func() (any, error) {
+		return h.Runner.Run(r.Context(), c)
+	})
+	a, ok := v.(sardineknot.ServiceAnswer)
+	if err != nil || !ok {
+		reply.Error(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", a.ContentType)
+	w.WriteHeader(a.Status)
+	_, _ = w.Write(a.Body)
+}
+
+func (h *Handler) read(w http.ResponseWriter, r *http.Request) (sardineknot.ServiceCall, error) {
+	v, err := header.Read(r, h.Configuration.Current(), h.Clock.Now())
+	if err != nil {
+		return sardineknot.ServiceCall{}, err
+	}
+	if v.Work.Kind != sardineknot.WorkService {
+		return sardineknot.ServiceCall{}, errors.WithStack(&sardineknot.InvalidError{What: "X-Work", Got: string(v.Work.Name), Expected: "a plain service"})
+	}
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MaxRequestBytes))
+	if err != nil {
+		return sardineknot.ServiceCall{}, errors.WithStack(&sardineknot.InvalidError{What: "body", Got: err.Error(), Expected: "at most 1 MiB"})
+	}
+	return sardineknot.ServiceCall{
+		Key:         v.Key,
+		Work:        v.Work,
+		Body:        b,
+		ContentType: r.Header.Get("Content-Type"),
+		Deadline:    v.Deadline,
+	}, nil
+}
--- /dev/null
+++ b/internal/command/serve/command.go
@@ -0,0 +1,64 @@
+// Package serve is the command that runs an entry host.
+package serve
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+	"github.com/rs/zerolog"
+
+	"sardineknot.example/sardineknot/internal/host/logline"
+	"sardineknot.example/sardineknot/internal/host/process"
+	"sardineknot.example/sardineknot/internal/operator/settings"
+)
+
+// Command is the subcommand "serve".
+type Command struct {
+	path string
+}
+
+// Name implements subcommands.Command.
+func (*Command) Name() string { return "serve" }
+
+// Synopsis implements subcommands.Command.
+func (*Command) Synopsis() string { return "run an entry host" }
+
+// Usage implements subcommands.Command.
+func (*Command) Usage() string {
+	return "serve -settings FILE\n  Runs an entry host until SIGTERM or SIGINT.\n  Example: sardineknot serve -settings examples/akstursbok/entry-1.jsonc\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.path, "settings", "", "file with the settings of this entry host")
+}
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	s, err := settings.Load(c.path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	v, err := level(s.LogLevel)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	err = process.NewProcess(s, logline.NewLogger(os.Stderr, v)).Run(ctx)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func level(name string) (zerolog.Level, error) {
+	if name == "" {
+		return zerolog.InfoLevel, nil
+	}
+	return zerolog.ParseLevel(name)
+}
--- /dev/null
+++ b/internal/configuration/codec/codec.go
@@ -0,0 +1,52 @@
+// Package codec encodes compiled configurations as JSON.
+//
+// Durations are written as in "1.4s". Decoding is strict: unknown fields and
+// duplicate names are errors.
+package codec
+
+import (
+	"time"
+
+	"github.com/go-json-experiment/json"
+	"github.com/go-json-experiment/json/jsontext"
+	"github.com/pkg/errors"
+
+	"sardineknot.example/sardineknot"
+)
+
+// Durations are the options that encode and decode time.Duration as text.
+func Durations() json.Options {
+	return json.JoinOptions(
+		json.RejectUnknownMembers(true),
+		json.WithMarshalers(json.MarshalToFunc(func(e *jsontext.Encoder, d time.Duration) error {
+			return e.WriteToken(jsontext.String(d.String()))
+		})),
+		json.WithUnmarshalers(json.UnmarshalFromFunc(unmarshalDuration)),
+	)
+}
+
+// Encode returns c as JSON.
+func Encode(c *sardineknot.Configuration) ([]byte, error) {
+	b, err := json.Marshal(c, Durations())
+	return b, errors.WithStack(err)
+}
+
+// Decode returns the configuration in b.
+func Decode(b []byte) (*sardineknot.Configuration, error) {
+	var c sardineknot.Configuration
+	err := json.Unmarshal(b, &c, Durations())
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return &c, nil
+}
+
+func unmarshalDuration(d *jsontext.Decoder, p *time.Duration) error {
+	var s string
+	err := json.UnmarshalDecode(d, &s)
+	if err != nil {
+		return err
+	}
+	*p, err = time.ParseDuration(s)
+	return err
+}
--- /dev/null
+++ b/internal/host/logline/writer.go
@@ -0,0 +1,42 @@
+// Package logline writes log events as one line of key=value pairs.
+package logline
+
+import (
+	"fmt"
+	"io"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// NewLogger returns a logger that writes events of level l or higher to w.
+func NewLogger(w io.Writer, l zerolog.Level) zerolog.Logger {
+	c := zerolog.ConsoleWriter{
+		Out:                   w,
+		NoColor:               true,
+		TimeFormat:            time.RFC3339Nano,
+		PartsOrder:            []string{zerolog.TimestampFieldName, zerolog.LevelFieldName, "event"},
+		FieldsExclude:         []string{"event"},
+		FormatTimestamp:       pair("time"),
+		FormatLevel:           pair("level"),
+		FormatPartValueByName: func(v any, n string) string { return pair(n)(v) },
+		FormatFieldName:       func(v any) string { return fmt.Sprintf("%s=", v) },
+		FormatFieldValue:      value,
+	}
+	return zerolog.New(c).Level(l).With().Timestamp().Logger()
+}
+
+func pair(name string) zerolog.Formatter {
+	return func(v any) string { return name + "=" + value(v) }
+}
+
+// value returns v, quoted if it is not a plain word.
+func value(v any) string {
+	s := fmt.Sprint(v)
+	if s == "" || strings.ContainsAny(s, " \"=\n\t") {
+		return strconv.Quote(s)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/platform/etcd/client.go
@@ -0,0 +1,213 @@
+package etcd
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"sardineknot.example/sardineknot"
+	api "sardineknot.example/sardineknot/internal/rpc/etcd"
+)
+
+const (
+	defaultTimeout   = 2 * time.Second
+	maxResponseBytes = 64 << 20
+	peerName         = "key-value service"
+)
+
+// Client is a sardineknot.Store that calls the service at one address. It is
+// safe for concurrent use.
+type Client struct {
+	// base is the URL of the service, without a trailing slash.
+	base string
+	// timeout bounds every call but Watch. It is positive.
+	timeout time.Duration
+	// transport is shared by all calls.
+	transport *http.Transport
+}
+
+var _ sardineknot.Store = (*Client)(nil)
+
+// NewClient returns a client of the service at a. Zero timeout means two
+// seconds. It panics if a is not valid or timeout is negative.
+func NewClient(a netip.AddrPort, timeout time.Duration) *Client {
+	if !a.IsValid() || timeout < 0 {
+		panic(&sardineknot.InvalidError{What: "address or timeout", Got: a.String(), Expected: "a valid address and no negative timeout"})
+	}
+	if timeout == 0 {
+		timeout = defaultTimeout
+	}
+	return &Client{
+		base:      "http://" + a.String(),
+		timeout:   timeout,
+		transport: &http.Transport{MaxIdleConnsPerHost: 8},
+	}
+}
+
+// Get implements sardineknot.Store.
+func (c *Client) Get(ctx context.Context, key string) (sardineknot.StoreEntry, error) {
+	var r api.RangeResponse
+	err := c.call(ctx, "/v3/kv/range", &api.RangeRequest{Key: []byte(key)}, &r)
+	if err != nil {
+		return sardineknot.StoreEntry{}, err
+	}
+	if len(r.GetKvs()) == 0 {
+		return sardineknot.StoreEntry{Key: key}, nil
+	}
+	return entry(r.GetKvs()[0]), nil
+}
+
+// List implements sardineknot.Store.
+func (c *Client) List(ctx context.Context, prefix string) ([]sardineknot.StoreEntry, error) {
+	q := &api.RangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)}
+	var r api.RangeResponse
+	err := c.call(ctx, "/v3/kv/range", q, &r)
+	if err != nil {
+		return nil, err
+	}
+	l := make([]sardineknot.StoreEntry, 0, len(r.GetKvs()))
+	for _, v := range r.GetKvs() {
+		l = append(l, entry(v))
+	}
+	return l, nil
+}
+
+// CompareAndSwap implements sardineknot.Store.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, expected sardineknot.StoreRevision, value []byte, lease sardineknot.LeaseID) (sardineknot.StoreRevision, error) {
+	if len(value) > sardineknot.MaxStoreValueBytes {
+		return 0, errors.WithStack(&sardineknot.InvalidError{What: "value of " + key, Got: "too many bytes", Expected: "at most 1 MiB"})
+	}
+	p := &api.PutRequest{Key: []byte(key), Value: value, Lease: int64(lease)}
+	o := &api.RequestOp{Request: &api.RequestOp_RequestPut{RequestPut: p}}
+	return c.swap(ctx, key, expected, o)
+}
+
+// Delete implements sardineknot.Store.
+func (c *Client) Delete(ctx context.Context, key string, expected sardineknot.StoreRevision) error {
+	d := &api.DeleteRangeRequest{Key: []byte(key)}
+	o := &api.RequestOp{Request: &api.RequestOp_RequestDeleteRange{RequestDeleteRange: d}}
+	_, err := c.swap(ctx, key, expected, o)
+	return err
+}
+
+// Grant implements sardineknot.Store. The time to live is rounded up to whole
+// seconds.
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (sardineknot.LeaseID, error) {
+	s := int64((ttl + time.Second - 1) / time.Second)
+	var r api.LeaseGrantResponse
+	err := c.call(ctx, "/v3/lease/grant", &api.LeaseGrantRequest{TTL: s}, &r)
+	return sardineknot.LeaseID(r.GetID()), err
+}
+
+// KeepAlive implements sardineknot.Store. It fails with an UnknownError if the
+// lease has lapsed.
+func (c *Client) KeepAlive(ctx context.Context, id sardineknot.LeaseID) error {
+	var r api.LeaseKeepAliveResult
+	err := c.call(ctx, "/v3/lease/keepalive", &api.LeaseKeepAliveRequest{ID: int64(id)}, &r)
+	if err != nil {
+		return err
+	}
+	if r.GetResult().GetTTL() <= 0 {
+		return errors.WithStack(&sardineknot.UnknownError{What: "Lease"})
+	}
+	return nil
+}
+
+func (c *Client) swap(ctx context.Context, key string, expected sardineknot.StoreRevision, o *api.RequestOp) (sardineknot.StoreRevision, error) {
+	q := &api.TxnRequest{
+		Compare: []*api.Compare{{
+			Key:         []byte(key),
+			Target:      api.Compare_MOD,
+			Result:      api.Compare_EQUAL,
+			ModRevision: int64(expected),
+		}},
+		Success: []*api.RequestOp{o},
+	}
+	var r api.TxnResponse
+	err := c.call(ctx, "/v3/kv/txn", q, &r)
+	if err != nil {
+		return 0, err
+	}
+	if !r.GetSucceeded() {
+		return 0, errors.WithStack(&sardineknot.ConflictError{Key: key, Expected: expected})
+	}
+	return sardineknot.StoreRevision(r.GetHeader().GetRevision()), nil
+}
+
+// call posts q to path and decodes the answer into r.
+func (c *Client) call(ctx context.Context, path string, q, r proto.Message) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	p, err := c.post(ctx, path, q)
+	if err != nil {
+		return c.unavailable(err)
+	}
+	defer p.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(p.Body, maxResponseBytes))
+	if err != nil {
+		return c.unavailable(err)
+	}
+	err = unmarshaler.Unmarshal(b, r)
+	if err != nil {
+		return c.unavailable(err)
+	}
+	return nil
+}
+
+// post sends q and returns an answer with status 200.
+func (c *Client) post(ctx context.Context, path string, q proto.Message) (*http.Response, error) {
+	b, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(q)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	h, err := http.NewRequestWithContext(ctx, http.MethodPost, c.base+path, bytes.NewReader(b))
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	h.Header.Set("Content-Type", "application/json")
+	p, err := c.transport.RoundTrip(h)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if p.StatusCode != http.StatusOK {
+		p.Body.Close()
+		return nil, errors.Errorf("status %d of %s", p.StatusCode, path)
+	}
+	return p, nil
+}
+
+// unavailable wraps err and drops idle connections, which may be silent.
+func (c *Client) unavailable(err error) error {
+	c.transport.CloseIdleConnections()
+	return errors.WithStack(&sardineknot.UnavailableError{Peer: peerName, Cause: err})
+}
+
+var unmarshaler = protojson.UnmarshalOptions{DiscardUnknown: true}
+
+func entry(v *api.KeyValue) sardineknot.StoreEntry {
+	return sardineknot.StoreEntry{
+		Key:      string(v.GetKey()),
+		Value:    v.GetValue(),
+		Revision: sardineknot.StoreRevision(v.GetModRevision()),
+	}
+}
+
+// prefixEnd returns the first key after all keys that start with prefix. A
+// prefix of 0xff bytes only has no end, which etcd writes as one zero byte.
+func prefixEnd(prefix string) []byte {
+	b := []byte(prefix)
+	for i := len(b) - 1; i >= 0; i-- {
+		if b[i] < 0xff {
+			b[i]++
+			return b[:i+1]
+		}
+	}
+	return []byte{0}
+}
--- /dev/null
+++ b/internal/platform/etcd/watch.go
@@ -0,0 +1,61 @@
+package etcd
+
+import (
+	"bufio"
+	"context"
+	"io"
+
+	"sardineknot.example/sardineknot"
+	api "sardineknot.example/sardineknot/internal/rpc/etcd"
+)
+
+// watchBuffer is the number of entries that wait for a slow reader.
+const watchBuffer = 64
+
+// Watch implements sardineknot.Store. A deleted key is reported with a nil
+// value and revision zero. A connection that goes silent is not noticed here:
+// callers read the watched keys again from time to time.
+func (c *Client) Watch(ctx context.Context, prefix string, after sardineknot.StoreRevision) (<-chan sardineknot.StoreEntry, error) {
+	q := &api.WatchRequest{CreateRequest: &api.WatchCreateRequest{
+		Key:           []byte(prefix),
+		RangeEnd:      prefixEnd(prefix),
+		StartRevision: int64(after) + 1,
+	}}
+	p, err := c.post(ctx, "/v3/watch", q)
+	if err != nil {
+		return nil, c.unavailable(err)
+	}
+	e := make(chan sardineknot.StoreEntry, watchBuffer)
+	go func() {
+		defer close(e)
+		defer p.Body.Close()
+		readEvents(ctx, p.Body, e)
+	}()
+	return e, nil
+}
+
+// readEvents copies events from r to e until r ends or ctx is done.
+func readEvents(ctx context.Context, r io.Reader, e chan<- sardineknot.StoreEntry) {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, 2*sardineknot.MaxStoreValueBytes)
+	for s.Scan() {
+		var w api.WatchResult
+		if unmarshaler.Unmarshal(s.Bytes(), &w) != nil {
+			return
+		}
+		for _, v := range w.GetResult().GetEvents() {
+			select {
+			case e <- changed(v):
+			case <-ctx.Done():
+				return
+			}
+		}
+	}
+}
+
+func changed(v *api.Event) sardineknot.StoreEntry {
+	if v.GetType() == api.Event_DELETE {
+		return sardineknot.StoreEntry{Key: string(v.GetKv().GetKey())}
+	}
+	return entry(v.GetKv())
+}
--- /dev/null
+++ b/internal/platform/httpsd/client.go
@@ -0,0 +1,103 @@
+// Package httpsd reads the platform's host list in the format of the
+// Prometheus HTTP service discovery.
+//
+// The labels of a group are name, role ("entry" or "backend"), zone, state
+// ("live" or "leaving") and, for entry hosts, peer, the address for other
+// entry hosts.
+package httpsd
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sardineknot.example/sardineknot"
+)
+
+const (
+	timeout          = 2 * time.Second
+	maxResponseBytes = 8 << 20
+)
+
+// group is one entry of the format.
+type group struct {
+	Targets []netip.AddrPort `json:"targets"`
+	Labels  labels           `json:"labels"`
+}
+
+type labels struct {
+	Name  string                       `json:"name"`
+	Role  sardineknot.ListedRole       `json:"role"`
+	Zone  sardineknot.AvailabilityZone `json:"zone"`
+	State string                       `json:"state"`
+	Peer  netip.AddrPort               `json:"peer"`
+}
+
+// Client is a sardineknot.HostList. It is safe for concurrent use.
+type Client struct {
+	url       string
+	transport *http.Transport
+}
+
+var _ sardineknot.HostList = (*Client)(nil)
+
+// NewClient returns a client of the list at /hosts on a. It panics if a is not
+// valid.
+func NewClient(a netip.AddrPort) *Client {
+	if !a.IsValid() {
+		panic(&sardineknot.InvalidError{What: "address", Got: a.String(), Expected: "a valid address"})
+	}
+	return &Client{url: "http://" + a.String() + "/hosts", transport: &http.Transport{}}
+}
+
+// Fetch implements sardineknot.HostList.
+func (c *Client) Fetch(ctx context.Context) ([]sardineknot.ListedHost, error) {
+	l, err := c.fetch(ctx)
+	if err != nil {
+		c.transport.CloseIdleConnections()
+		return nil, errors.WithStack(&sardineknot.UnavailableError{Peer: "host list", Cause: err})
+	}
+	var r []sardineknot.ListedHost
+	for _, g := range l {
+		for _, t := range g.Targets {
+			r = append(r, listed(t, g.Labels))
+		}
+	}
+	return r, nil
+}
+
+func (c *Client) fetch(ctx context.Context) ([]group, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	h, err := http.NewRequestWithContext(ctx, http.MethodGet, c.url, nil)
+	if err != nil {
+		return nil, err
+	}
+	p, err := c.transport.RoundTrip(h)
+	if err != nil {
+		return nil, err
+	}
+	defer p.Body.Close()
+	if p.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("status %d", p.StatusCode)
+	}
+	var l []group
+	err = json.NewDecoder(io.LimitReader(p.Body, maxResponseBytes)).Decode(&l)
+	return l, err
+}
+
+func listed(t netip.AddrPort, l labels) sardineknot.ListedHost {
+	return sardineknot.ListedHost{
+		Name:        l.Name,
+		Role:        l.Role,
+		Address:     t,
+		PeerAddress: l.Peer,
+		Zone:        l.Zone,
+		Leaving:     l.State == "leaving",
+	}
+}
--- /dev/null
+++ b/internal/policy/roundrobin/scheduler.go
@@ -0,0 +1,66 @@
+// Package roundrobin is the baseline scheduler: it takes engines in turn and
+// starts every prefill at once, whatever their load.
+package roundrobin
+
+import (
+	"time"
+
+	"sardineknot.example/sardineknot"
+)
+
+// retryAfter is the time that callers wait for engines to join.
+const retryAfter = time.Second
+
+// Scheduler is a sardineknot.Scheduler. The zero value has no servers.
+type Scheduler struct {
+	prefill []sardineknot.BackendServerName
+	decode  []sardineknot.BackendServerName
+	// turn counts the jobs submitted.
+	turn int
+}
+
+var _ sardineknot.Scheduler = (*Scheduler)(nil)
+
+// SetServers implements sardineknot.Scheduler.
+func (s *Scheduler) SetServers(_ time.Time, l []sardineknot.BackendServer, _ []sardineknot.Link) []sardineknot.Decision {
+	s.prefill = s.prefill[:0]
+	s.decode = s.decode[:0]
+	for _, b := range l {
+		if b.Role == sardineknot.RolePrefill {
+			s.prefill = append(s.prefill, b.Name)
+		}
+		if b.Role == sardineknot.RoleDecode {
+			s.decode = append(s.decode, b.Name)
+		}
+	}
+	return nil
+}
+
+// Submit implements sardineknot.Scheduler.
+func (s *Scheduler) Submit(_ time.Time, j sardineknot.Job) []sardineknot.Decision {
+	if len(s.prefill) == 0 || len(s.decode) == 0 {
+		return []sardineknot.Decision{{
+			Key:        j.Key,
+			Action:     sardineknot.ActionRefuse,
+			Reason:     "no engine serves " + string(j.Pool),
+			RetryAfter: retryAfter,
+		}}
+	}
+	s.turn++
+	return []sardineknot.Decision{
+		{Key: j.Key, Action: sardineknot.ActionPrefill, Server: s.prefill[s.turn%len(s.prefill)]},
+		{Key: j.Key, Action: sardineknot.ActionDecode, Server: s.decode[s.turn%len(s.decode)]},
+	}
+}
+
+// Report implements sardineknot.Scheduler. It has no effect.
+func (s *Scheduler) Report(time.Time, sardineknot.JobEvent) []sardineknot.Decision { return nil }
+
+// Observe implements sardineknot.Scheduler. It has no effect.
+func (s *Scheduler) Observe(time.Time, sardineknot.LoadReport) {}
+
+// Wake implements sardineknot.Scheduler. It has no effect.
+func (s *Scheduler) Wake(time.Time) []sardineknot.Decision { return nil }
+
+// NextWake implements sardineknot.Scheduler. It returns the zero time.
+func (s *Scheduler) NextWake() time.Time { return time.Time{} }
--- /dev/null
+++ b/internal/standin/etcd/server.go
@@ -0,0 +1,273 @@
+// Package etcd is a stand-in of the platform's key-value service. It keeps all
+// keys in memory and serves the JSON form of the etcd v3 interface.
+package etcd
+
+import (
+	"io"
+	"maps"
+	"net/http"
+	"sort"
+	"sync"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	api "sardineknot.example/sardineknot/internal/rpc/etcd"
+	"sardineknot.example/sardineknot/internal/standin/fault"
+	"sardineknot.example/sardineknot/internal/standin/record"
+)
+
+const maxRequestBytes = 4 << 20
+
+// Server is an http.Handler that holds the keys. It is safe for concurrent
+// use.
+type Server struct {
+	faults *fault.Control
+	log    *record.Recorder
+	mux    *http.ServeMux
+
+	mu sync.Mutex
+	// revision grows with every change.
+	revision int64
+	// keys holds the present value of every key.
+	keys map[string]*api.KeyValue
+	// history holds every change, ordered by revision.
+	history []*api.Event
+	// leases holds the end of every lease by its identifier.
+	leases map[int64]lease
+	// changed is closed and replaced at every change.
+	changed chan struct{}
+	// saved and savedRevision are the last snapshot.
+	saved         map[string]*api.KeyValue
+	savedRevision int64
+}
+
+type lease struct {
+	ttl time.Duration
+	end time.Time
+}
+
+// NewServer returns an empty server that counts its calls in r and fails as c
+// says.
+func NewServer(c *fault.Control, r *record.Recorder) *Server {
+	s := &Server{
+		faults:  c,
+		log:     r,
+		mux:     http.NewServeMux(),
+		keys:    make(map[string]*api.KeyValue),
+		leases:  make(map[int64]lease),
+		changed: make(chan struct{}),
+	}
+	s.mux.HandleFunc("POST /v3/kv/range", s.serveRange)
+	s.mux.HandleFunc("POST /v3/kv/txn", s.serveTxn)
+	s.mux.HandleFunc("POST /v3/lease/grant", s.serveGrant)
+	s.mux.HandleFunc("POST /v3/lease/keepalive", s.serveKeepAlive)
+	s.mux.HandleFunc("POST /v3/watch", s.serveWatch)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mux.ServeHTTP(w, r)
+}
+
+// ServeSnapshot keeps a copy of all keys for ServeRestore.
+func (s *Server) ServeSnapshot(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.saved = maps.Clone(s.keys)
+	s.savedRevision = s.revision
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// ServeRestore goes back to the last snapshot, as a service does that is
+// restored from an old backup.
+func (s *Server) ServeRestore(w http.ResponseWriter, _ *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.keys = maps.Clone(s.saved)
+	s.revision = s.savedRevision
+	s.history = nil
+	s.notifyLocked()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) serveRange(w http.ResponseWriter, r *http.Request) {
+	var q api.RangeRequest
+	if !decode(w, r, &q) {
+		return
+	}
+	s.log.Count("read")
+	s.mu.Lock()
+	s.expireLocked()
+	l := s.rangeLocked(string(q.GetKey()), string(q.GetRangeEnd()))
+	h := s.headerLocked()
+	s.mu.Unlock()
+	encode(w, &api.RangeResponse{Header: h, Kvs: l, Count: int64(len(l))})
+}
+
+func (s *Server) serveTxn(w http.ResponseWriter, r *http.Request) {
+	var q api.TxnRequest
+	if !decode(w, r, &q) {
+		return
+	}
+	s.log.Count("write")
+	s.mu.Lock()
+	s.expireLocked()
+	ok := s.compareLocked(q.GetCompare())
+	if ok {
+		s.applyLocked(q.GetSuccess())
+	}
+	h := s.headerLocked()
+	s.mu.Unlock()
+	encode(w, &api.TxnResponse{Header: h, Succeeded: ok})
+}
+
+func (s *Server) serveGrant(w http.ResponseWriter, r *http.Request) {
+	var q api.LeaseGrantRequest
+	if !decode(w, r, &q) {
+		return
+	}
+	s.log.Count("lease")
+	d := time.Duration(q.GetTTL()) * time.Second
+	s.mu.Lock()
+	s.revision++
+	i := s.revision
+	s.leases[i] = lease{ttl: d, end: time.Now().Add(d)}
+	s.mu.Unlock()
+	encode(w, &api.LeaseGrantResponse{ID: i, TTL: q.GetTTL()})
+}
+
+func (s *Server) serveKeepAlive(w http.ResponseWriter, r *http.Request) {
+	var q api.LeaseKeepAliveRequest
+	if !decode(w, r, &q) {
+		return
+	}
+	s.log.Count("lease")
+	s.mu.Lock()
+	s.expireLocked()
+	l, ok := s.leases[q.GetID()]
+	if ok {
+		l.end = time.Now().Add(l.ttl)
+		s.leases[q.GetID()] = l
+	}
+	s.mu.Unlock()
+	p := &api.LeaseKeepAliveResponse{ID: q.GetID(), TTL: int64(l.ttl / time.Second)}
+	encode(w, &api.LeaseKeepAliveResult{Result: p})
+}
+
+func (s *Server) headerLocked() *api.ResponseHeader {
+	return &api.ResponseHeader{Revision: s.revision}
+}
+
+// rangeLocked returns the keys in [key, end), or the one key if end is empty.
+func (s *Server) rangeLocked(key, end string) []*api.KeyValue {
+	var l []*api.KeyValue
+	for k, v := range s.keys {
+		if inRange(k, key, end) {
+			l = append(l, v)
+		}
+	}
+	sort.Slice(l, func(i, j int) bool { return string(l[i].GetKey()) < string(l[j].GetKey()) })
+	return l
+}
+
+func inRange(k, key, end string) bool {
+	switch end {
+	case "":
+		return k == key
+	case "\x00":
+		return k >= key
+	default:
+		return k >= key && k < end
+	}
+}
+
+func (s *Server) compareLocked(l []*api.Compare) bool {
+	for _, c := range l {
+		if s.keys[string(c.GetKey())].GetModRevision() != c.GetModRevision() {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *Server) applyLocked(l []*api.RequestOp) {
+	for _, o := range l {
+		if p := o.GetRequestPut(); p != nil {
+			s.putLocked(p)
+		}
+		if d := o.GetRequestDeleteRange(); d != nil {
+			s.deleteLocked(string(d.GetKey()))
+		}
+	}
+}
+
+func (s *Server) putLocked(p *api.PutRequest) {
+	s.revision++
+	v := &api.KeyValue{Key: p.GetKey(), Value: p.GetValue(), ModRevision: s.revision, Lease: p.GetLease()}
+	s.keys[string(p.GetKey())] = v
+	s.appendLocked(&api.Event{Kv: v})
+}
+
+func (s *Server) deleteLocked(key string) {
+	if s.keys[key] == nil {
+		return
+	}
+	delete(s.keys, key)
+	s.revision++
+	v := &api.KeyValue{Key: []byte(key), ModRevision: s.revision}
+	s.appendLocked(&api.Event{Type: api.Event_DELETE, Kv: v})
+}
+
+func (s *Server) appendLocked(e *api.Event) {
+	s.history = append(s.history, e)
+	s.notifyLocked()
+}
+
+func (s *Server) notifyLocked() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expireLocked ends lapsed leases. The fault LapseLeases ends all of them.
+func (s *Server) expireLocked() {
+	t := time.Now()
+	a := s.faults.Take("LapseLeases")
+	for i, l := range s.leases {
+		if a || l.end.Before(t) {
+			delete(s.leases, i)
+			s.revokeLocked(i)
+		}
+	}
+}
+
+func (s *Server) revokeLocked(id int64) {
+	for k, v := range s.keys {
+		if v.GetLease() == id {
+			s.deleteLocked(k)
+		}
+	}
+}
+
+func decode(w http.ResponseWriter, r *http.Request, q proto.Message) bool {
+	b, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err == nil {
+		err = protojson.Unmarshal(b, q)
+	}
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
+
+func encode(w http.ResponseWriter, m proto.Message) {
+	w.Header().Set("Content-Type", "application/json")
+	b, err := protojson.MarshalOptions{UseProtoNames: true}.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	_, _ = w.Write(append(b, '\n'))
+}
--- /dev/null
+++ b/request.go
@@ -0,0 +1,69 @@
+package sardineknot
+
+import "time"
+
+// RequestID identifies a request of one client account. A caller that asks
+// again for the same answer uses the same identifier.
+type RequestID string
+
+// MaxRequestIDBytes is the longest accepted RequestID, in bytes.
+const MaxRequestIDBytes = 128
+
+// RequestKey identifies a request across client accounts.
+type RequestKey struct {
+	// Account is the client account of the caller.
+	Account ClientAccountName
+	// ID is unique within Account.
+	ID RequestID
+}
+
+// String returns the account and the identifier, separated by a slash.
+func (k RequestKey) String() string {
+	return string(k.Account) + "/" + string(k.ID)
+}
+
+// Request is a generation that a caller asks for.
+type Request struct {
+	// Key identifies the request.
+	Key RequestKey
+	// Work is the kind of work under the caller's contract.
+	Work Work
+	// Prompt is the text to continue. It is not empty.
+	Prompt string
+	// MaxTokens is positive and at most Work.MaxTokens.
+	MaxTokens int
+	// Deadline is the time by which the first token is useless to the caller.
+	Deadline time.Time
+}
+
+// Token is one generated token of an answer.
+type Token struct {
+	// Index counts from zero within an answer, without gaps.
+	Index int
+	// Text is the token's text.
+	Text string
+}
+
+// ServiceCall is a call to a plain service.
+type ServiceCall struct {
+	// Key identifies the request.
+	Key RequestKey
+	// Work is the kind of work under the caller's contract.
+	Work Work
+	// Body is the caller's body, passed on unchanged.
+	Body []byte
+	// ContentType is the media type of Body.
+	ContentType string
+	// Deadline is the time after which the answer is useless to the caller.
+	Deadline time.Time
+}
+
+// ServiceAnswer is the whole answer of a plain service.
+type ServiceAnswer struct {
+	// Status is the HTTP status code of the service.
+	Status int
+	// ContentType is the media type of Body.
+	ContentType string
+	// Body is the answer's body.
+	Body []byte
+}
--- /dev/null
+++ b/scenarios/scenarios_test.go
@@ -0,0 +1,65 @@
+package scenarios
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync/atomic"
+	"testing"
+
+	"github.com/rogpeppe/go-internal/testscript"
+)
+
+// programs is the directory of the built commands.
+var programs string
+
+func TestMain(m *testing.M) {
+	os.Exit(run(m))
+}
+
+func run(m *testing.M) int {
+	d, err := os.MkdirTemp("", "sardineknot")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(d)
+	programs = d
+	b, err := exec.Command("go", "build", "-o", d, "../cmd/...").CombinedOutput()
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "%s%v\n", b, err)
+		return 1
+	}
+	return m.Run()
+}
+
+// network numbers the scripts, so that each has loopback addresses of its own.
+var network atomic.Int32
+
+func TestScenarios(t *testing.T) {
+	testscript.Run(t, testscript.Params{
+		Dir:   "testdata",
+		Setup: setup,
+		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"start":  start,
+			"signal": signal,
+			"exited": exited,
+			"fault":  fault,
+			"post":   post,
+			"await":  await,
+			"record": record,
+			"expand": expand,
+		},
+		RequireExplicitExec: true,
+	})
+}
+
+func setup(e *testscript.Env) error {
+	n := network.Add(1)
+	e.Setenv("PATH", programs+string(filepath.ListSeparator)+e.Getenv("PATH"))
+	e.Setenv("NET", fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, n))
+	e.Values[processesKey{}] = &processes{}
+	e.Defer(func() { stopAll(e) })
+	return nil
+}
--- /dev/null
+++ b/scheduler.go
@@ -0,0 +1,132 @@
+package sardineknot
+
+import (
+	"context"
+	"time"
+)
+
+// Job is a generation as the scheduler of a pool sees it.
+type Job struct {
+	// Key identifies the request.
+	Key RequestKey
+	// Pool is the pool that serves the job.
+	Pool PoolName
+	// Work is the kind of work, for length estimates.
+	Work WorkName
+	// Zone is the availability zone of the entry host.
+	Zone AvailabilityZone
+	// PromptTokens is the estimated length of the prompt, in tokens.
+	PromptTokens int
+	// Prefixes are hashes of the prompt's leading pieces, shortest first.
+	Prefixes []uint64
+	// MaxTokens bounds the length of the answer.
+	MaxTokens int
+	// Priority orders jobs. Smaller values go first.
+	Priority int
+	// Deadline is the time by which the first token is due.
+	Deadline time.Time
+	// PerToken is the latency target between tokens.
+	PerToken time.Duration
+	// Owner and OwnerIncarnation tell which entry host holds the job.
+	Owner            EntryHostID
+	OwnerIncarnation Incarnation
+}
+
+// Action is what a scheduler decides about a job.
+type Action int
+
+// The actions of a scheduler.
+const (
+	// ActionPrefill starts the prefill on Decision.Server.
+	ActionPrefill Action = iota + 1
+	// ActionDecode starts the decode on Decision.Server. It follows the
+	// prefill and may be decided in the same step.
+	ActionDecode
+	// ActionRefuse ends the job as not run.
+	ActionRefuse
+)
+
+// Decision is one step of a job.
+type Decision struct {
+	// Key is the job that the decision is about.
+	Key RequestKey
+	// Action is what to do.
+	Action Action
+	// Server is the engine for ActionPrefill and ActionDecode.
+	Server BackendServerName
+	// Reason is set for ActionRefuse.
+	Reason string
+	// RetryAfter is set for ActionRefuse.
+	RetryAfter time.Duration
+}
+
+// JobEventKind is what happened to a job.
+type JobEventKind int
+
+// The events of a job.
+const (
+	// JobPrefillDone follows the end of the prefill.
+	JobPrefillDone JobEventKind = iota + 1
+	// JobDecodeStarted follows the first token.
+	JobDecodeStarted
+	// JobFinished follows the last token.
+	JobFinished
+	// JobCancelled follows the caller's disconnect, at any step.
+	JobCancelled
+	// JobFailed follows the failure of the job's server, at any step.
+	JobFailed
+)
+
+// JobEvent is a report about a job.
+type JobEvent struct {
+	// Key is the job.
+	Key RequestKey
+	// Kind is what happened.
+	Kind JobEventKind
+	// Server is the engine concerned.
+	Server BackendServerName
+	// Tokens is the number of tokens generated so far.
+	Tokens int
+}
+
+// Scheduler decides, for one shard of a pool, which job runs where and when.
+//
+// A Scheduler is not safe for concurrent use. It never reads a clock: every
+// method takes the present time, which must not decrease.
+type Scheduler interface {
+	// SetServers replaces the servers that accept new work. Jobs on servers
+	// that are gone go on.
+	SetServers(now time.Time, s []BackendServer, l []Link) []Decision
+	// Submit offers a job. A job that is known already is ignored.
+	Submit(now time.Time, j Job) []Decision
+	// Report takes an event of a job. Events of unknown jobs are ignored.
+	Report(now time.Time, e JobEvent) []Decision
+	// Observe takes a lagging load report.
+	Observe(now time.Time, r LoadReport)
+	// Wake decides what is due by now.
+	Wake(now time.Time) []Decision
+	// NextWake returns the time at which Wake is due, or the zero time.
+	NextWake() time.Time
+}
+
+// Grant is the answer to a job's request for engines.
+type Grant struct {
+	// Prefill is the engine to prefill on.
+	Prefill BackendServerName
+	// Decode is the engine to decode on. It is empty if it is chosen at the
+	// end of the prefill.
+	Decode BackendServerName
+}
+
+// SlotPool grants engines to jobs. Implementations reach the owner of the
+// job's pool shard.
+type SlotPool interface {
+	// Acquire waits for a grant. It fails with a NotRunError if the job is
+	// refused and with an UnavailableError if the owner cannot be reached.
+	Acquire(ctx context.Context, j Job) (Grant, error)
+	// PrefillDone reports the end of the prefill and waits for the engine to
+	// decode on.
+	PrefillDone(ctx context.Context, j Job) (BackendServerName, error)
+	// Report passes an event on. It does not wait for the owner.
+	Report(j Job, e JobEvent)
+}
--- /dev/null
+++ b/zone.go
@@ -0,0 +1,9 @@
+package sardineknot
+
+// AvailabilityZone names a failure domain within a region, such as
+// "reykjavik-a". The empty string is not a valid zone.
+type AvailabilityZone string
+
+// Region names a group of availability zones with short links between them,
+// such as "is-land".
+type Region string
