sardineknot: agree interfaces, peer transport and configuration layout

Cause: the parts that follow (declarations, claims, membership, answers, scheduling) meet at interfaces, which must stand before they are built.

Ruled out: one key for the whole configuration. At 3,300 client accounts it passes the store's 1 MiB a value, and each change would move all of it.

Conclusion: the parts can be built side by side.

--- /dev/null
+++ b/answers.go
@@ -0,0 +1,41 @@
+package sardineknot
+
+import (
+	"context"
+	"net/netip"
+)
+
+// AnswerRecord tells which entry host produces the answer to a request.
+type AnswerRecord struct {
+	// Key identifies the request.
+	Key RequestKey
+	// Host and Incarnation tell which life of which host produces the answer.
+	Host        EntryHostID
+	Incarnation Incarnation
+	// PeerAddress is where other entry hosts reach Host.
+	PeerAddress netip.AddrPort
+	// Decode is the engine that generates the answer. It is empty until the
+	// decode has started.
+	Decode BackendServerName
+	// Attempt is the attempt that runs on Decode.
+	Attempt int
+}
+
+// AnswerDirectory tells, over all entry hosts, where the answer to a request
+// is produced. It is soft state of the live hosts.
+type AnswerDirectory interface {
+	// Register records r unless a live host has a record of the same request.
+	// It returns the record in force. previous is the record of a dead host
+	// that r replaced, or nil. It fails with an UnavailableError if the shard's
+	// owner does not answer.
+	Register(ctx context.Context, r AnswerRecord) (current AnswerRecord, previous *AnswerRecord, err error)
+	// Forget removes r. It has no effect if another record is in force.
+	Forget(ctx context.Context, r AnswerRecord)
+}
+
+// Limiter enforces the limits of contracts over all entry hosts.
+type Limiter interface {
+	// Admit counts one request of account c. It fails with a NotRunError that
+	// says when to come back if the limit is reached.
+	Admit(c Contract) error
+}
--- a/internal/command/apply/command.go
+++ b/internal/command/apply/command.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot/internal/configuration/codec"
-	config "sardineknot.example/sardineknot/internal/configuration/etcd"
+	"sardineknot.example/sardineknot/internal/configuration/writer"
 	"sardineknot.example/sardineknot/internal/platform/etcd"
 )
 
@@ -62,5 +62,10 @@
 	if err != nil {
 		return err
 	}
-	return config.Apply(ctx, etcd.NewClient(a, 0), n)
+	w := writer.NewWriter(etcd.NewClient(a, 0))
+	h, r, err := w.Head(ctx)
+	if err != nil {
+		return err
+	}
+	return w.Write(ctx, n, h, r)
 }
--- a/internal/configuration/etcd/source.go
+++ b/internal/configuration/etcd/source.go
@@ -1,5 +1,5 @@
-// Package etcd keeps the accepted configuration in one key of the platform's
-// key-value service.
+// Package etcd reads the accepted configuration from the platform's key-value
+// service.
 package etcd
 
 import (
@@ -7,15 +7,14 @@
 	"sync"
 	"time"
 
+	"github.com/go-json-experiment/json"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
-	"sardineknot.example/sardineknot/internal/configuration/codec"
+	"sardineknot.example/sardineknot/internal/configuration/bundle"
 )
 
-// key holds the accepted configuration.
-const key = "sardineknot/configuration"
-
 // Source is a sardineknot.ConfigurationSource that reads the store. It is safe
 // for concurrent use.
 type Source struct {
@@ -67,34 +66,24 @@
 	return s.changed
 }
 
-// Apply writes c as the successor of the accepted configuration.
-func Apply(ctx context.Context, t sardineknot.Store, c *sardineknot.Configuration) error {
-	e, err := t.Get(ctx, key)
-	if err != nil {
+func (s *Source) read(ctx context.Context) error {
+	e, err := s.store.Get(ctx, sardineknot.ConfigurationHeadKey)
+	if err != nil || e.Revision == 0 {
 		return err
 	}
-	if e.Revision > 0 {
-		o, err := codec.Decode(e.Value)
-		if err != nil {
-			return err
-		}
-		c.Revision = o.Revision
-	}
-	c.Revision++
-	b, err := codec.Encode(c)
+	var h sardineknot.ConfigurationHead
+	err = json.Unmarshal(e.Value, &h)
 	if err != nil {
-		return err
+		return errors.WithStack(err)
 	}
-	_, err = t.CompareAndSwap(ctx, key, e.Revision, b, 0)
-	return err
-}
-
-func (s *Source) read(ctx context.Context) error {
-	e, err := s.store.Get(ctx, key)
-	if err != nil || e.Revision == 0 {
+	if h.Revision <= s.Current().Revision {
+		return nil
+	}
+	b, err := s.bundles(ctx, h)
+	if err != nil {
 		return err
 	}
-	c, err := codec.Decode(e.Value)
+	c, err := b.Join(h)
 	if err != nil {
 		return err
 	}
@@ -102,6 +91,19 @@
 	return nil
 }
 
+// bundles reads the bundles that h names.
+func (s *Source) bundles(ctx context.Context, h sardineknot.ConfigurationHead) (bundle.Set, error) {
+	b := make(bundle.Set, len(h.Bundles))
+	for _, r := range h.Bundles {
+		e, err := s.store.Get(ctx, sardineknot.ConfigurationBundlePrefix+r.Hash)
+		if err != nil {
+			return nil, err
+		}
+		b[r.Hash] = e.Value
+	}
+	return b, nil
+}
+
 func (s *Source) accept(c *sardineknot.Configuration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- /dev/null
+++ b/internal/host/process/defaults.go
@@ -0,0 +1,29 @@
+package process
+
+import (
+	"time"
+
+	"sardineknot.example/sardineknot"
+)
+
+const (
+	defaultPlacementValidity = 30 * time.Second
+	defaultReconnectGrace    = 500 * time.Millisecond
+	defaultAnswerRetention   = time.Minute
+	defaultHeartbeat         = time.Second
+)
+
+func withDefaults(s sardineknot.Settings) sardineknot.Settings {
+	s.PlacementValidity = orDefault(s.PlacementValidity, defaultPlacementValidity)
+	s.ReconnectGrace = orDefault(s.ReconnectGrace, defaultReconnectGrace)
+	s.AnswerRetention = orDefault(s.AnswerRetention, defaultAnswerRetention)
+	s.Heartbeat = orDefault(s.Heartbeat, defaultHeartbeat)
+	return s
+}
+
+func orDefault(d, n time.Duration) time.Duration {
+	if d == 0 {
+		return n
+	}
+	return d
+}
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -1,4 +1,7 @@
 // Package process assembles the parts of one entry host and runs them.
+//
+// Each part is assembled in a file of its own, in the order in which parts
+// depend on each other.
 package process
 
 import (
@@ -9,45 +12,47 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
 
 	"sardineknot.example/sardineknot"
-	"sardineknot.example/sardineknot/internal/answer/generation"
-	"sardineknot.example/sardineknot/internal/answer/registry"
-	"sardineknot.example/sardineknot/internal/answer/service"
-	"sardineknot.example/sardineknot/internal/backend/openai"
-	"sardineknot.example/sardineknot/internal/backend/plainhttp"
-	"sardineknot.example/sardineknot/internal/caller/completions"
-	"sardineknot.example/sardineknot/internal/caller/placement"
-	"sardineknot.example/sardineknot/internal/caller/services"
-	"sardineknot.example/sardineknot/internal/claims/direct"
-	config "sardineknot.example/sardineknot/internal/configuration/etcd"
 	"sardineknot.example/sardineknot/internal/host/clock"
-	members "sardineknot.example/sardineknot/internal/membership/httpsd"
+	"sardineknot.example/sardineknot/internal/peer/h2c"
 	"sardineknot.example/sardineknot/internal/platform/etcd"
 	"sardineknot.example/sardineknot/internal/platform/httpsd"
-	"sardineknot.example/sardineknot/internal/policy/roundrobin"
-	"sardineknot.example/sardineknot/internal/slots/local"
 )
 
-const (
-	defaultPlacementValidity = 30 * time.Second
-	defaultReconnectGrace    = 500 * time.Millisecond
-	defaultAnswerRetention   = time.Minute
-	defaultHeartbeat         = time.Second
-)
+// headerTimeout bounds the head of a request.
+const headerTimeout = 2 * time.Second
 
 // Process is one entry host.
 type Process struct {
 	settings sardineknot.Settings
 	log      zerolog.Logger
+	clock    sardineknot.Clock
+	metrics  metrics.Registry
+	self     sardineknot.EntryHost
+	store    sardineknot.Store
+	hosts    sardineknot.HostList
+	// peers opens connections to other entry hosts.
+	peers *h2c.Transport
+	// peerMux and callerMux serve other entry hosts and callers.
+	peerMux   *http.ServeMux
+	callerMux *http.ServeMux
+	// tasks run until the process stops.
+	tasks []func(context.Context) error
+
+	parts
+}
 
-	source  *config.Source
-	members *members.List
-	slots   *local.Owner
-	answers *registry.Registry
-	callers http.Handler
+// parts are what the assembling functions make for each other.
+type parts struct {
+	source  sardineknot.ConfigurationSource
+	members sardineknot.Membership
+	ranker  sardineknot.Ranker
+	slots   sardineknot.SlotPool
+	claims  sardineknot.ClaimLedger
 }
 
 // NewProcess returns a process that is not running yet. It applies the
@@ -56,54 +61,44 @@
 	s = withDefaults(s)
 	var c clock.System
 	e := self(s, c.Now())
-	l = l.With().Str("host", string(e.ID)).Logger()
-	t := etcd.NewClient(s.Store, s.StoreTimeout)
-	p := &Process{settings: s, log: l}
-	p.source = config.NewSource(t, l)
-	p.members = members.NewList(e, httpsd.NewClient(s.HostList))
-	p.slots = local.NewOwner(c, p.source, func(sardineknot.PoolName) sardineknot.Scheduler {
-		return &roundrobin.Scheduler{}
-	})
-	p.answers = registry.NewRegistry(s.ReconnectGrace, s.AnswerRetention)
-	g := &generation.Runner{
-		Self:          e,
-		Engine:        openai.NewClient(s.StreamProgress),
-		Slots:         p.slots,
-		Configuration: p.source,
-		Clock:         c,
-		Log:           l,
+	r := metrics.NewRegistry()
+	p := &Process{
+		settings:  s,
+		log:       l.With().Str("host", string(e.ID)).Logger(),
+		clock:     c,
+		metrics:   r,
+		self:      e,
+		store:     etcd.NewClient(s.Store, s.StoreTimeout),
+		hosts:     httpsd.NewClient(s.HostList),
+		peers:     h2c.NewTransport(r),
+		peerMux:   http.NewServeMux(),
+		callerMux: http.NewServeMux(),
 	}
-	v := &service.Runner{
-		Self:          e,
-		Service:       plainhttp.NewClient(),
-		Claims:        direct.NewLedger(t),
-		Configuration: p.source,
-		Log:           l,
-	}
-	m := http.NewServeMux()
-	m.Handle("POST /v1/completions", &completions.Handler{Configuration: p.source, Answers: p.answers, Runner: g, Clock: c})
-	m.Handle("POST /v1/services", &services.Handler{Configuration: p.source, Runner: v, Clock: c})
-	m.Handle("GET /v1/placement", &placement.Handler{Membership: p.members, Validity: s.PlacementValidity})
-	p.callers = m
+	p.addMembership()
+	p.addConfiguration()
+	p.addSlots()
+	p.addClaims()
+	p.addCallers()
 	return p
 }
 
 // Run serves until ctx is done.
 func (p *Process) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
-	g.Go(func() error { return p.source.Run(ctx, p.settings.Heartbeat) })
-	g.Go(func() error { return p.members.Run(ctx, p.settings.Heartbeat) })
-	g.Go(func() error { return p.slots.Run(ctx) })
-	g.Go(func() error { return p.serve(ctx, p.settings.CallerAddress, p.callers) })
+	for _, f := range p.tasks {
+		g.Go(func() error { return f(ctx) })
+	}
+	c := &http.Server{Handler: p.callerMux, ReadHeaderTimeout: headerTimeout}
+	g.Go(func() error { return p.serve(ctx, p.settings.CallerAddress, c) })
+	g.Go(func() error { return p.serve(ctx, p.settings.PeerAddress, h2c.NewServer(p.peerMux)) })
 	return g.Wait()
 }
 
-func (p *Process) serve(ctx context.Context, a netip.AddrPort, h http.Handler) error {
+func (p *Process) serve(ctx context.Context, a netip.AddrPort, s *http.Server) error {
 	l, err := net.Listen("tcp", a.String())
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	s := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
 	stop := context.AfterFunc(ctx, func() { s.Close() })
 	defer stop()
 	p.log.Info().Str("event", "listening").Str("address", l.Addr().String()).Send()
@@ -124,18 +119,3 @@
 		Zone:          s.Zone,
 	}
 }
-
-func withDefaults(s sardineknot.Settings) sardineknot.Settings {
-	s.PlacementValidity = orDefault(s.PlacementValidity, defaultPlacementValidity)
-	s.ReconnectGrace = orDefault(s.ReconnectGrace, defaultReconnectGrace)
-	s.AnswerRetention = orDefault(s.AnswerRetention, defaultAnswerRetention)
-	s.Heartbeat = orDefault(s.Heartbeat, defaultHeartbeat)
-	return s
-}
-
-func orDefault(d, n time.Duration) time.Duration {
-	if d == 0 {
-		return n
-	}
-	return d
-}
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -42,6 +42,7 @@
 		Dir:   "testdata",
 		Setup: setup,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
+			"deploy": deploy,
 			"start":  start,
 			"signal": signal,
 			"exited": exited,
