membership: keep the live entry hosts by heartbeats

Cause: membership was read from the platform's lagging host list, so that a dead host stayed an owner and was named to callers until the list changed.

What: gossip.View holds the records and their rules without clock or network, twirp.Node exchanges them. Two fingers an interval, indirect probes, suspicion with refutation, bounded repeats, digest and paged full exchange.

Ruled out: random peers for each heartbeat, which open a connection for nearly every message at 360 hosts, and the bytes of idle pings on 360 connections.

--- a/internal/host/process/membership.go
+++ b/internal/host/process/membership.go
@@ -3,14 +3,32 @@
 import (
 	"context"
 
-	"sardineknot.example/sardineknot/internal/membership/httpsd"
+	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/membership/rendezvous"
+	"sardineknot.example/sardineknot/internal/membership/twirp"
+	api "sardineknot.example/sardineknot/internal/rpc/membership"
 )
 
 // addMembership assembles what tells which entry hosts are live.
 func (p *Process) addMembership() {
-	m := httpsd.NewList(p.self, p.hosts)
-	p.members = m
-	p.ranker = rendezvous.NewRanker(m)
-	p.tasks = append(p.tasks, func(ctx context.Context) error { return m.Run(ctx, p.settings.Heartbeat) })
+	n := twirp.NewNode(p.self, p.clock, p.settings.Heartbeat, p.metrics)
+	n.Client = p.peers.Client()
+	n.Listed = p.hosts
+	n.Log = p.log
+	n.CheckStore = p.checkStore
+	n.Revision = p.revision
+	p.node = n
+	p.members = n
+	p.ranker = rendezvous.NewRanker(n)
+	s := api.NewMembershipServer(n)
+	p.peerMux.Handle(s.PathPrefix(), s)
+	p.tasks = append(p.tasks, n.Run)
 }
+
+// checkStore fails if the key-value service does not answer.
+func (p *Process) checkStore(ctx context.Context) error {
+	_, err := p.store.Get(ctx, sardineknot.ConfigurationHeadKey)
+	return err
+}
+
+func (p *Process) revision() sardineknot.Revision { return p.source.Current().Revision }
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -18,6 +18,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/host/clock"
+	"sardineknot.example/sardineknot/internal/membership/twirp"
 	"sardineknot.example/sardineknot/internal/peer/h2c"
 	"sardineknot.example/sardineknot/internal/platform/etcd"
 	"sardineknot.example/sardineknot/internal/platform/httpsd"
@@ -50,9 +51,11 @@
 type parts struct {
 	source  sardineknot.ConfigurationSource
 	members sardineknot.Membership
-	ranker  sardineknot.Ranker
-	slots   sardineknot.SlotPool
-	claims  sardineknot.ClaimLedger
+	// node is members with what only this package uses.
+	node   *twirp.Node
+	ranker sardineknot.Ranker
+	slots  sardineknot.SlotPool
+	claims sardineknot.ClaimLedger
 }
 
 // NewProcess returns a process that is not running yet. It applies the
--- a/internal/peer/h2c/transport.go
+++ b/internal/peer/h2c/transport.go
@@ -20,6 +20,8 @@
 	// pingAfter and pingTimeout bound the life of a silent connection.
 	pingAfter   = 2 * time.Second
 	pingTimeout = time.Second
+	// idleTimeout ends connections to peers that are no longer called.
+	idleTimeout = 30 * time.Second
 )
 
 // Transport opens connections to peers. It is safe for concurrent use.
@@ -36,8 +38,9 @@
 		received: metrics.GetOrRegisterCounter("peer.bytes.received", r),
 	}
 	h := &http.Transport{
-		DialContext: t.dial,
-		Protocols:   protocols(),
+		DialContext:     t.dial,
+		IdleConnTimeout: idleTimeout,
+		Protocols:       protocols(),
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout: pingAfter,
 			PingTimeout:     pingTimeout,
