report: count outcomes and report the burn of error budgets

Cause: nothing told an operator whether a client account gets what its contract says, and no endpoint showed what a host has in force.

Change: deliveries are measured against the contract's latency targets; outcomes are counted in sliding windows of five minutes and one hour for each account and work; the command burn adds up all hosts and marks work whose burn rate is above 14.4 in both windows; admin endpoints for liveness, readiness, metrics, the revision in force, hosts and burn counts.

Ruled out: burn from the histograms of go-metrics. Their samples decay, so a share of bad requests cannot be read off them.

--- a/cmd/sardineknot/main.go
+++ b/cmd/sardineknot/main.go
@@ -12,12 +12,14 @@
 	"github.com/google/subcommands"
 
 	"sardineknot.example/sardineknot/internal/command/apply"
+	"sardineknot.example/sardineknot/internal/command/burn"
 	"sardineknot.example/sardineknot/internal/command/serve"
 )
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&serve.Command{}, "")
+	subcommands.Register(&burn.Command{}, "")
 	subcommands.Register(&apply.Command{}, "")
 	flag.Parse()
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
--- a/internal/caller/completions/deliver.go
+++ b/internal/caller/completions/deliver.go
@@ -1,6 +1,7 @@
 package completions
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net/http"
@@ -10,31 +11,34 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/answer/buffer"
+	"sardineknot.example/sardineknot/internal/caller/delivery"
 	"sardineknot.example/sardineknot/internal/caller/reply"
 	api "sardineknot.example/sardineknot/internal/rpc/openai"
 )
 
-// Deliver writes the tokens of b from index offset on to the connection of r,
-// as delivery d. An answer that failed before its first token is written as
-// an HTTP answer of its own.
-func Deliver(w http.ResponseWriter, r *http.Request, b *buffer.Buffer, d, offset int) {
+// deliver writes the tokens of b from index offset on to the connection of r,
+// as delivery number d, and notes them in m. An answer that failed before its
+// first token is written as an HTTP answer of its own. It returns io.EOF after
+// the end of a whole answer, and otherwise why the delivery ended.
+func deliver(w http.ResponseWriter, r *http.Request, b *buffer.Buffer, d, offset int, m *delivery.Delivery) error {
 	c := http.NewResponseController(w)
 	for n := offset; ; n++ {
 		t, err := b.Next(r.Context(), d, n)
 		if err != nil && n == offset && !errors.Is(err, io.EOF) {
 			reply.Error(w, err)
-			return
+			return err
 		}
 		if n == offset {
 			w.Header().Set("Content-Type", "text/event-stream")
 		}
 		if err != nil {
 			writeEnd(w, n, err)
-			return
+			return err
 		}
 		writeToken(w, t)
+		m.Token()
 		if c.Flush() != nil {
-			return
+			return context.Canceled
 		}
 	}
 }
--- a/internal/caller/completions/handler.go
+++ b/internal/caller/completions/handler.go
@@ -22,6 +22,7 @@
 	"sardineknot.example/sardineknot/internal/answer/buffer"
 	"sardineknot.example/sardineknot/internal/answer/generation"
 	"sardineknot.example/sardineknot/internal/answer/registry"
+	"sardineknot.example/sardineknot/internal/caller/delivery"
 	"sardineknot.example/sardineknot/internal/caller/header"
 	"sardineknot.example/sardineknot/internal/caller/reply"
 	api "sardineknot.example/sardineknot/internal/rpc/openai"
@@ -41,6 +42,8 @@
 	Runner *generation.Runner
 	// Clock gives the time.
 	Clock sardineknot.Clock
+	// Outcomes takes the outcome of every delivery. Nil discards them.
+	Outcomes sardineknot.OutcomeRecorder
 }
 
 // ServeHTTP implements http.Handler.
@@ -50,6 +53,7 @@
 		reply.Error(w, err)
 		return
 	}
+	m := delivery.NewDelivery(h.Clock, h.Outcomes, q.Key.Account, q.Work)
 	b, err := h.Answers.Open(q.Key, fingerprint(q), func(ctx context.Context, b *buffer.Buffer) {
 		h.Runner.Run(ctx, q, b)
 	})
@@ -59,7 +63,7 @@
 	}
 	d := b.Attach()
 	defer b.Detach(d)
-	Deliver(w, r, b, d, o)
+	m.End(deliver(w, r, b, d, o, m))
 }
 
 // read returns the request and the index of the first token to deliver.
--- a/internal/caller/services/handler.go
+++ b/internal/caller/services/handler.go
@@ -13,6 +13,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/answer/service"
+	"sardineknot.example/sardineknot/internal/caller/delivery"
 	"sardineknot.example/sardineknot/internal/caller/header"
 	"sardineknot.example/sardineknot/internal/caller/reply"
 )
@@ -29,6 +30,8 @@
 	Runner *service.Runner
 	// Clock gives the time.
 	Clock sardineknot.Clock
+	// Outcomes takes the outcome of every call. Nil discards them.
+	Outcomes sardineknot.OutcomeRecorder
 
 	// running joins calls with the same identifier.
 	running singleflight.Group
@@ -41,6 +44,8 @@
 		reply.Error(w, err)
 		return
 	}
+	m := delivery.NewDelivery(h.Clock, h.Outcomes, c.Key.Account, c.Work)
+	defer func() { m.End(err) }()
 	v, err, _ := h.running.Do(c.Key.String(), func() (any, error) {
 		return h.Runner.Run(r.Context(), c)
 	})
@@ -49,6 +54,7 @@
 		reply.Error(w, err)
 		return
 	}
+	m.Token()
 	w.Header().Set("Content-Type", a.ContentType)
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body)
--- /dev/null
+++ b/internal/host/admin/handler.go
@@ -0,0 +1,83 @@
+// Package admin serves what operators and monitors ask of one entry host:
+//
+//   - GET /livez answers 200 while the process runs.
+//   - GET /readyz answers 200 while the host admits requests, and 503 else.
+//   - GET /metrics returns all metrics as JSON.
+//   - GET /v1/revision returns the configuration in force.
+//   - GET /v1/burn returns the counts for the burn report.
+//   - GET /v1/hosts returns the entry hosts as this one sees them.
+package admin
+
+import (
+	"encoding/json"
+	"net/http"
+
+	"github.com/rcrowley/go-metrics"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/report/tracker"
+)
+
+// Handler is an http.Handler. All fields are set before use.
+type Handler struct {
+	// Configuration gives the revision in force.
+	Configuration sardineknot.ConfigurationSource
+	// Membership tells whether the host is isolated or leaving.
+	Membership sardineknot.Membership
+	// Metrics holds all metrics of the process.
+	Metrics metrics.Registry
+	// Outcomes counts the outcomes of requests.
+	Outcomes *tracker.Tracker
+	// Clock gives the time.
+	Clock sardineknot.Clock
+}
+
+// revision is the body of GET /v1/revision.
+type revision struct {
+	Host        sardineknot.EntryHostID
+	Incarnation sardineknot.Incarnation
+	Revision    sardineknot.Revision
+}
+
+// ServeHTTP implements http.Handler.
+func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	switch r.URL.Path {
+	case "/livez":
+		w.WriteHeader(http.StatusOK)
+	case "/readyz":
+		h.serveReady(w)
+	case "/metrics":
+		w.Header().Set("Content-Type", "application/json")
+		metrics.WriteJSONOnce(h.Metrics, w)
+	case "/v1/revision":
+		e := h.Membership.Self()
+		write(w, revision{Host: e.ID, Incarnation: e.Incarnation, Revision: h.Configuration.Current().Revision})
+	case "/v1/burn":
+		write(w, h.Outcomes.Windows(h.Clock.Now()))
+	case "/v1/hosts":
+		write(w, h.Membership.Hosts())
+	default:
+		http.NotFound(w, r)
+	}
+}
+
+func (h *Handler) serveReady(w http.ResponseWriter) {
+	var s string
+	switch {
+	case h.Configuration.Current().Revision == 0:
+		s = "no configuration"
+	case h.Membership.Isolated():
+		s = "isolated"
+	case h.Membership.Self().State == sardineknot.EntryHostLeaving:
+		s = "leaving"
+	default:
+		w.WriteHeader(http.StatusOK)
+		return
+	}
+	http.Error(w, s, http.StatusServiceUnavailable)
+}
+
+func write(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/internal/host/process/admin.go
@@ -0,0 +1,22 @@
+package process
+
+import (
+	"sardineknot.example/sardineknot/internal/host/admin"
+	"sardineknot.example/sardineknot/internal/report/tracker"
+)
+
+// addOutcomes assembles what counts the outcomes of requests.
+func (p *Process) addOutcomes() {
+	p.outcomes = tracker.NewTracker(p.metrics)
+}
+
+// addAdmin assembles what operators and monitors connect to.
+func (p *Process) addAdmin() {
+	p.adminMux.Handle("GET /", &admin.Handler{
+		Configuration: p.source,
+		Membership:    p.members,
+		Metrics:       p.metrics,
+		Outcomes:      p.outcomes,
+		Clock:         p.clock,
+	})
+}
--- a/internal/host/process/callers.go
+++ b/internal/host/process/callers.go
@@ -36,6 +36,7 @@
 		Answers:       registry.NewRegistry(p.settings.ReconnectGrace, p.settings.AnswerRetention),
 		Runner:        r,
 		Clock:         p.clock,
+		Outcomes:      p.outcomes,
 	})
 }
 
@@ -47,5 +48,5 @@
 		Configuration: p.source,
 		Log:           p.log,
 	}
-	p.callerMux.Handle("POST /v1/services", &services.Handler{Configuration: p.source, Runner: r, Clock: p.clock})
+	p.callerMux.Handle("POST /v1/services", &services.Handler{Configuration: p.source, Runner: r, Clock: p.clock, Outcomes: p.outcomes})
 }
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -21,6 +21,7 @@
 	"sardineknot.example/sardineknot/internal/peer/h2c"
 	"sardineknot.example/sardineknot/internal/platform/etcd"
 	"sardineknot.example/sardineknot/internal/platform/httpsd"
+	"sardineknot.example/sardineknot/internal/report/tracker"
 )
 
 // headerTimeout bounds the head of a request.
@@ -40,6 +41,8 @@
 	// peerMux and callerMux serve other entry hosts and callers.
 	peerMux   *http.ServeMux
 	callerMux *http.ServeMux
+	// adminMux serves operators and monitors.
+	adminMux *http.ServeMux
 	// tasks run until the process stops.
 	tasks []func(context.Context) error
 
@@ -53,6 +56,8 @@
 	ranker  sardineknot.Ranker
 	slots   sardineknot.SlotPool
 	claims  sardineknot.ClaimLedger
+
+	outcomes *tracker.Tracker
 }
 
 // NewProcess returns a process that is not running yet. It applies the
@@ -73,12 +78,15 @@
 		peers:     h2c.NewTransport(r),
 		peerMux:   http.NewServeMux(),
 		callerMux: http.NewServeMux(),
+		adminMux:  http.NewServeMux(),
 	}
+	p.addOutcomes()
 	p.addMembership()
 	p.addConfiguration()
 	p.addSlots()
 	p.addClaims()
 	p.addCallers()
+	p.addAdmin()
 	return p
 }
 
@@ -89,7 +97,9 @@
 		g.Go(func() error { return f(ctx) })
 	}
 	c := &http.Server{Handler: p.callerMux, ReadHeaderTimeout: headerTimeout}
+	a := &http.Server{Handler: p.adminMux, ReadHeaderTimeout: headerTimeout}
 	g.Go(func() error { return p.serve(ctx, p.settings.CallerAddress, c) })
+	g.Go(func() error { return p.serve(ctx, p.settings.AdminAddress, a) })
 	g.Go(func() error { return p.serve(ctx, p.settings.PeerAddress, h2c.NewServer(p.peerMux)) })
 	return g.Wait()
 }
--- /dev/null
+++ b/internal/report/burn/report.go
@@ -0,0 +1,104 @@
+// Package burn reports how fast client accounts use up their error budgets.
+//
+// The burn rate of a window is the share of bad requests divided by the share
+// that the objective allows: at 1 the budget lasts exactly for its period.
+// Work is marked as burning when both windows burn faster than the threshold,
+// so that neither a short spike nor an old outage alone raises it. Source:
+// Beyer et al., "The Site Reliability Workbook", chapter 5.
+package burn
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"sardineknot.example/sardineknot"
+)
+
+// Threshold is the burn rate above which work is marked. At this rate, a
+// budget of 30 days is gone within about two days.
+const Threshold = 14.4
+
+// Report is the burn of all work, ordered by account and work.
+type Report struct {
+	Rows []row
+}
+
+type row struct {
+	Account   sardineknot.ClientAccountName
+	Work      sardineknot.WorkName
+	Objective float64
+	Fast      sardineknot.BurnCount
+	Slow      sardineknot.BurnCount
+	// FastBurn and SlowBurn are burn rates.
+	FastBurn float64
+	SlowBurn float64
+	// Burning reports that both rates are above Threshold.
+	Burning bool
+}
+
+// NewReport adds up the windows of several entry hosts.
+func NewReport(l []sardineknot.BurnWindows) Report {
+	type key struct {
+		account sardineknot.ClientAccountName
+		work    sardineknot.WorkName
+	}
+	m := make(map[key]*row)
+	for _, w := range l {
+		k := key{w.Account, w.Work}
+		if m[k] == nil {
+			m[k] = &row{Account: w.Account, Work: w.Work}
+		}
+		m[k].add(w)
+	}
+	var r Report
+	for _, w := range m {
+		w.rate()
+		r.Rows = append(r.Rows, *w)
+	}
+	slices.SortFunc(r.Rows, func(a, b row) int {
+		return strings.Compare(string(a.Account)+"\x00"+string(a.Work), string(b.Account)+"\x00"+string(b.Work))
+	})
+	return r
+}
+
+// Burning reports whether any work is marked.
+func (r Report) Burning() bool {
+	return slices.ContainsFunc(r.Rows, func(w row) bool { return w.Burning })
+}
+
+// WriteTable writes the report as a table to w.
+func (r Report) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 8, 2, ' ', 0)
+	fmt.Fprintln(t, "ACCOUNT\tWORK\tOBJECTIVE\tFAST BAD/ALL\tFAST BURN\tSLOW BAD/ALL\tSLOW BURN\tBURNING")
+	for _, v := range r.Rows {
+		fmt.Fprintf(t, "%s\t%s\t%.4g\t%d/%d\t%.2f\t%d/%d\t%.2f\t%t\n", v.Account, v.Work, v.Objective,
+			v.Fast.Bad, v.Fast.Total, v.FastBurn, v.Slow.Bad, v.Slow.Total, v.SlowBurn, v.Burning)
+	}
+	return t.Flush()
+}
+
+func (r *row) add(w sardineknot.BurnWindows) {
+	r.Objective = max(r.Objective, w.Objective)
+	r.Fast.Total += w.Fast.Total
+	r.Fast.Bad += w.Fast.Bad
+	r.Slow.Total += w.Slow.Total
+	r.Slow.Bad += w.Slow.Bad
+}
+
+func (r *row) rate() {
+	r.FastBurn = rate(r.Fast, r.Objective)
+	r.SlowBurn = rate(r.Slow, r.Objective)
+	r.Burning = r.FastBurn > Threshold && r.SlowBurn > Threshold
+}
+
+// rate returns the burn rate of c under an objective. It is zero without
+// requests, and without an objective below 1.
+func rate(c sardineknot.BurnCount, objective float64) float64 {
+	if c.Total == 0 || objective >= 1 {
+		return 0
+	}
+	return float64(c.Bad) / float64(c.Total) / (1 - objective)
+}
