limits: hold the limits of client accounts over all entry hosts

Cause: contracts carried a rate and a burst that nothing enforced, so one account's burst could take the engines from the others.

Change: the owner of an account by rank keeps one token bucket; hosts borrow permits in bulk for half a second and give unused ones back; without the owner a host admits its share of the limit among the live hosts and asks again once a second. The refusal is immediate and says when the next permit comes.

Ruled out: a store call a request (1,500 a second against the service's several hundred writes); fixed shares a host (an account's callers are placed on few hosts, so most of the limit would go unused); waiting for a dead owner on every request (250 ms each, one after another: found while reading, has a test).

Figures: unit tests with 4 hosts in virtual time: admitted between 90% of the limit and the limit plus one burst, at all hosts and at one; at most one message for two requests of a busy account.

Conclusion: enforced, soft, without the store. A new owner starts with a full bucket: a change of owner admits at most one burst too many.

--- a/answers.go
+++ b/answers.go
@@ -32,10 +32,3 @@
 	// Forget removes r. It has no effect if another record is in force.
 	Forget(ctx context.Context, r AnswerRecord)
 }
-
-// Limiter enforces the limits of contracts over all entry hosts.
-type Limiter interface {
-	// Admit counts one request of account c. It fails with a NotRunError that
-	// says when to come back if the limit is reached.
-	Admit(c Contract) error
-}
--- a/internal/host/process/callers.go
+++ b/internal/host/process/callers.go
@@ -1,12 +1,15 @@
 package process
 
 import (
+	"net/http"
+
 	"sardineknot.example/sardineknot/internal/answer/generation"
 	"sardineknot.example/sardineknot/internal/answer/registry"
 	"sardineknot.example/sardineknot/internal/answer/service"
 	"sardineknot.example/sardineknot/internal/backend/openai"
 	"sardineknot.example/sardineknot/internal/backend/plainhttp"
 	"sardineknot.example/sardineknot/internal/caller/completions"
+	"sardineknot.example/sardineknot/internal/caller/limit"
 	"sardineknot.example/sardineknot/internal/caller/placement"
 	"sardineknot.example/sardineknot/internal/caller/services"
 )
@@ -31,7 +34,7 @@
 		Clock:         p.clock,
 		Log:           p.log,
 	}
-	p.callerMux.Handle("POST /v1/completions", &completions.Handler{
+	p.handleLimited("POST /v1/completions", &completions.Handler{
 		Configuration: p.source,
 		Answers:       registry.NewRegistry(p.settings.ReconnectGrace, p.settings.AnswerRetention),
 		Runner:        r,
@@ -48,5 +51,10 @@
 		Configuration: p.source,
 		Log:           p.log,
 	}
-	p.callerMux.Handle("POST /v1/services", &services.Handler{Configuration: p.source, Runner: r, Clock: p.clock, Outcomes: p.outcomes})
+	p.handleLimited("POST /v1/services", &services.Handler{Configuration: p.source, Runner: r, Clock: p.clock, Outcomes: p.outcomes})
+}
+
+// handleLimited serves pattern with h, under the limits of client accounts.
+func (p *Process) handleLimited(pattern string, h http.Handler) {
+	p.callerMux.Handle(pattern, &limit.Handler{Next: h, Limiter: p.limiter, Configuration: p.source})
 }
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -56,6 +56,7 @@
 	ranker  sardineknot.Ranker
 	slots   sardineknot.SlotPool
 	claims  sardineknot.ClaimLedger
+	limiter sardineknot.Limiter
 
 	outcomes *tracker.Tracker
 }
@@ -85,6 +86,7 @@
 	p.addConfiguration()
 	p.addSlots()
 	p.addClaims()
+	p.addLimits()
 	p.addCallers()
 	p.addAdmin()
 	return p
--- /dev/null
+++ b/internal/limits/credit/limiter_test.go
@@ -0,0 +1,139 @@
+package credit
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	pkg "github.com/pkg/errors"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/limits/owner"
+)
+
+const (
+	rate  = 10
+	burst = 5
+	hosts = 4
+)
+
+var contract = sardineknot.Contract{Account: "verk", RequestsPerSecond: rate, Burst: burst}
+
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+type source struct{}
+
+func (source) Current() *sardineknot.Configuration {
+	return &sardineknot.Configuration{Contracts: []sardineknot.Contract{contract}}
+}
+func (source) Changed() <-chan struct{} { return nil }
+
+type members struct{}
+
+func (members) Self() sardineknot.EntryHost    { return sardineknot.EntryHost{} }
+func (members) Hosts() []sardineknot.EntryHost { return make([]sardineknot.EntryHost, hosts) }
+func (members) Isolated() bool                 { return false }
+func (members) Changed() <-chan struct{}       { return nil }
+
+// counted counts the calls of a source and fails them on demand.
+type counted struct {
+	sardineknot.PermitSource
+	calls int
+	down  bool
+}
+
+func (c *counted) Borrow(ctx context.Context, a sardineknot.ClientAccountName, want, unused int) (sardineknot.Permits, error) {
+	c.calls++
+	if c.down {
+		return sardineknot.Permits{}, errors.New("down")
+	}
+	return c.PermitSource.Borrow(ctx, a, want, unused)
+}
+
+// fleet is a number of hosts with one owner.
+type fleet struct {
+	clock  *clock
+	owner  *counted
+	limits []*Limiter
+}
+
+func newFleet() *fleet {
+	c := &clock{now: time.Unix(1_800_000_000, 0)}
+	f := &fleet{clock: c, owner: &counted{PermitSource: owner.NewOwner(c, source{})}}
+	for range hosts {
+		f.limits = append(f.limits, NewLimiter(c, f.owner, members{}))
+	}
+	return f
+}
+
+// ask sends n requests a step at the hosts in turn, for a number of steps, and
+// returns how many were admitted.
+func (f *fleet) ask(n, steps int, step time.Duration) int {
+	var k int
+	for range steps {
+		for i := range n {
+			if f.limits[i%len(f.limits)].Admit(context.Background(), contract) == nil {
+				k++
+			}
+		}
+		f.clock.now = f.clock.now.Add(step)
+	}
+	return k
+}
+
+func TestAdmit(t *testing.T) {
+	const seconds = 20
+	t.Run("admits the limit over all hosts", func(t *testing.T) {
+		f := newFleet()
+		assertBetween(t, f.ask(hosts, seconds*10, 100*time.Millisecond), rate*seconds*9/10, rate*seconds+burst)
+	})
+	t.Run("admits the limit of an account at one host", func(t *testing.T) {
+		f := newFleet()
+		assertBetween(t, f.ask(1, seconds*20, 50*time.Millisecond), rate*seconds*9/10, rate*seconds+burst)
+	})
+	t.Run("admits all below the limit", func(t *testing.T) {
+		f := newFleet()
+		is.New(t).Equal(f.ask(1, rate*seconds/2, 200*time.Millisecond), rate*seconds/2)
+	})
+	t.Run("says when to come back", func(t *testing.T) {
+		f := newFleet()
+		f.ask(burst, 1, 0)
+		assertRetryAfter(t, f.limits[0].Admit(context.Background(), contract), time.Second/rate)
+	})
+	t.Run("admits no more than the limit without the owner", func(t *testing.T) {
+		f := newFleet()
+		f.owner.down = true
+		assertBetween(t, f.ask(hosts, seconds*10, 100*time.Millisecond), rate*seconds*8/10, rate*seconds+burst+hosts)
+	})
+	t.Run("asks a dead owner no more than once a second", func(t *testing.T) {
+		f := newFleet()
+		f.owner.down = true
+		f.ask(1, 100, 100*time.Millisecond)
+		is.New(t).True(f.owner.calls <= 10)
+	})
+	t.Run("borrows in bulk", func(t *testing.T) {
+		f := newFleet()
+		n := f.ask(1, seconds*10, 110*time.Millisecond)
+		is.New(t).True(f.owner.calls <= n/2)
+	})
+}
+
+func assertBetween(t *testing.T, n, low, high int) {
+	t.Helper()
+	if n < low || n > high {
+		t.Errorf("admitted %d, want %d to %d", n, low, high)
+	}
+}
+
+func assertRetryAfter(t *testing.T, err error, want time.Duration) {
+	t.Helper()
+	i := is.New(t)
+	var n *sardineknot.NotRunError
+	i.True(pkg.As(err, &n))
+	i.True(n.RetryAfter > 0)
+	i.True(n.RetryAfter <= want)
+}
