--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -17,11 +17,13 @@
 	"golang.org/x/sync/errgroup"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/caller/admission"
 	"sardineknot.example/sardineknot/internal/host/clock"
 	"sardineknot.example/sardineknot/internal/membership/twirp"
 	"sardineknot.example/sardineknot/internal/peer/h2c"
 	"sardineknot.example/sardineknot/internal/platform/etcd"
 	"sardineknot.example/sardineknot/internal/platform/httpsd"
+	"sardineknot.example/sardineknot/internal/report/tracker"
 )
 
 // headerTimeout bounds the head of a request.
@@ -41,21 +43,28 @@
 	// peerMux and callerMux serve other entry hosts and callers.
 	peerMux   *http.ServeMux
 	callerMux *http.ServeMux
+	// adminMux serves operators and monitors.
+	adminMux *http.ServeMux
 	// tasks run until the process stops.
 	tasks []func(context.Context) error
 
 	parts
+	// node is parts.members with what only this package uses.
+	node *twirp.Node
+	// guard admits the requests of callers.
+	guard *admission.Guard
 }
 
 // parts are what the assembling functions make for each other.
 type parts struct {
 	source  sardineknot.ConfigurationSource
 	members sardineknot.Membership
-	// node is members with what only this package uses.
-	node   *twirp.Node
-	ranker sardineknot.Ranker
-	slots  sardineknot.SlotPool
-	claims sardineknot.ClaimLedger
+	ranker  sardineknot.Ranker
+	slots   sardineknot.SlotPool
+	claims  sardineknot.ClaimLedger
+	limiter sardineknot.Limiter
+
+	outcomes *tracker.Tracker
 }
 
 // NewProcess returns a process that is not running yet. It applies the
@@ -76,12 +85,16 @@
 		peers:     h2c.NewTransport(r),
 		peerMux:   http.NewServeMux(),
 		callerMux: http.NewServeMux(),
+		adminMux:  http.NewServeMux(),
 	}
+	p.addOutcomes()
 	p.addMembership()
 	p.addConfiguration()
 	p.addSlots()
 	p.addClaims()
+	p.addLimits()
 	p.addCallers()
+	p.addAdmin()
 	return p
 }
 
@@ -92,7 +105,9 @@
 		g.Go(func() error { return f(ctx) })
 	}
 	c := &http.Server{Handler: p.callerMux, ReadHeaderTimeout: headerTimeout}
+	a := &http.Server{Handler: p.adminMux, ReadHeaderTimeout: headerTimeout}
 	g.Go(func() error { return p.serve(ctx, p.settings.CallerAddress, c) })
+	g.Go(func() error { return p.serve(ctx, p.settings.AdminAddress, a) })
 	g.Go(func() error { return p.serve(ctx, p.settings.PeerAddress, h2c.NewServer(p.peerMux)) })
 	return g.Wait()
 }
