--- a/internal/host/logline/writer.go
+++ b/internal/host/logline/writer.go
@@ -35,6 +35,14 @@
 // value returns v, quoted if it is not a plain word.
 func value(v any) string {
 	s := fmt.Sprint(v)
+	// Truth values and objects come as their JSON form.
+	if b, ok := v.([]byte); ok {
+		s = string(b)
+	}
+	// The console writer has quoted text that needs it already.
+	if _, err := strconv.Unquote(s); err == nil && s[0] == '"' {
+		return s
+	}
 	if s == "" || strings.ContainsAny(s, " \"=\n\t") {
 		return strconv.Quote(s)
 	}
