--- a/errors.go
+++ b/errors.go
@@ -158,3 +158,17 @@
 func (e *FailedError) Error() string {
 	return fmt.Sprintf("failed: %s (retry after %v)", e.Reason, e.RetryAfter)
 }
+
+// OlderConfigurationError reports a configuration that must not replace the
+// one in force: its revision is smaller, or equal with another content.
+type OlderConfigurationError struct {
+	// Got is the revision that was offered. Zero means that there was none.
+	Got Revision
+	// InForce is the revision in force.
+	InForce Revision
+}
+
+// Error implements error.
+func (e *OlderConfigurationError) Error() string {
+	return fmt.Sprintf("configuration of revision %d must not replace that of revision %d", e.Got, e.InForce)
+}
