host/process: stop in order, and listen before other hosts hear of this one

Cause: SIGTERM closed all connections at once. A host took part in heartbeats before it listened for callers: config_survives_store_outage failed once in five runs of all scenarios, where a caller was refused right after the start.

What: on SIGTERM the host says leaving, goes on serving for PlacementValidity, then refuses new requests with where to go, waits for what runs (DrainLimit, ten minutes by default) and exits 0. A second signal ends the process. A started host asks its peers before it reads the store, so that an older store never comes in force. Dead hosts are tried now and then at their last address, so that a restarted one is found while the host list is down.

Proofs: config_in_force_everywhere, config_survives_store_outage, config_never_reverts, leaving_backend_gets_nothing, graceful_stop_cuts_nothing.

--- a/cmd/sardineknot/main.go
+++ b/cmd/sardineknot/main.go
@@ -24,5 +24,7 @@
 	flag.Parse()
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, cancel)
 	os.Exit(int(subcommands.Execute(ctx)))
 }
--- a/internal/caller/admission/guard.go
+++ b/internal/caller/admission/guard.go
@@ -34,6 +34,9 @@
 	Membership sardineknot.Membership
 	// Configuration is what requests are checked against.
 	Configuration sardineknot.ConfigurationSource
+	// Known reports whether a request is for an answer that this host
+	// produces. Nil means never.
+	Known func(*http.Request) bool
 
 	closed atomic.Bool
 	active atomic.Int64
@@ -45,14 +48,13 @@
 // Active returns the number of requests that are being served.
 func (g *Guard) Active() int { return int(g.active.Load()) }
 
-// Wrap returns h behind the guard. known reports whether a request is for an
-// answer that this host produces; nil means never.
-func (g *Guard) Wrap(h http.Handler, known func(*http.Request) bool) http.Handler {
+// Wrap returns h behind the guard.
+func (g *Guard) Wrap(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		g.active.Add(1)
 		defer g.active.Add(-1)
 		s := g.refusal()
-		if s == "" || known != nil && known(r) {
+		if s == "" || g.Known != nil && g.Known(r) {
 			h.ServeHTTP(w, r)
 			return
 		}
--- a/internal/caller/admission/guard_test.go
+++ b/internal/caller/admission/guard_test.go
@@ -47,7 +47,8 @@
 func check(t *testing.T, g *Guard, known bool, status int) {
 	t.Helper()
 	w := httptest.NewRecorder()
-	h := g.Wrap(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), func(*http.Request) bool { return known })
+	g.Known = func(*http.Request) bool { return known }
+	h := g.Wrap(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	h.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/", nil))
 	is.New(t).Equal(w.Code, status)
 	is.New(t).Equal(g.Active(), 0)
--- a/internal/configuration/etcd/reader.go
+++ b/internal/configuration/etcd/reader.go
@@ -18,6 +18,10 @@
 	"sardineknot.example/sardineknot/internal/configuration/revision"
 )
 
+// bootReadings is the number of readings in an interval on a host without a
+// configuration.
+const bootReadings = 5
+
 // Reader reads the store for its availability zone. All exported fields are
 // set before Run.
 type Reader struct {
@@ -55,13 +59,14 @@
 }
 
 // Run reads the head every interval, and at once when it changes, until ctx is
-// done.
+// done. A host without a configuration reads more often.
 func (r *Reader) Run(ctx context.Context, interval time.Duration) error {
-	t := time.NewTicker(interval)
+	t := time.NewTimer(0)
 	defer t.Stop()
 	defer func() { r.stop() }()
 	for {
 		r.poll(ctx)
+		t.Reset(r.pause(interval))
 		for w := true; w; {
 			select {
 			case <-ctx.Done():
@@ -75,6 +80,13 @@
 	}
 }
 
+func (r *Reader) pause(interval time.Duration) time.Duration {
+	if r.Tracker.Current().Revision == 0 {
+		return interval / bootReadings
+	}
+	return interval
+}
+
 // poll reads the head if it is this host's turn, and watches it from there on.
 func (r *Reader) poll(ctx context.Context) {
 	if !r.Reads() {
--- a/internal/configuration/revision/tracker.go
+++ b/internal/configuration/revision/tracker.go
@@ -38,6 +38,9 @@
 	bundles bundle.Set
 	// past holds earlier heads, latest last.
 	past []earlier
+	// floor is the greatest revision that a peer has told of, or zero. Smaller
+	// ones do not come in force.
+	floor sardineknot.Revision
 	// changed is closed and replaced at every change.
 	changed chan struct{}
 }
@@ -84,6 +87,9 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if h.Revision < t.floor {
+		return nil, false, errors.WithStack(&sardineknot.OlderConfigurationError{Got: h.Revision, InForce: t.floor})
+	}
 	if h.Revision > t.head.Revision {
 		return t.missingLocked(h), true, nil
 	}
@@ -113,6 +119,14 @@
 	return t.replace(h, raw, b, c), nil
 }
 
+// SetFloor notes that revision r is in force elsewhere, so that no smaller one
+// comes in force here. Zero drops the note.
+func (t *Tracker) SetFloor(r sardineknot.Revision) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.floor = r
+}
+
 // Request returns what to ask a peer for. all asks for everything.
 func (t *Tracker) Request(all bool) *api.FetchRequest {
 	t.mu.Lock()
--- a/internal/configuration/revision/tracker_test.go
+++ b/internal/configuration/revision/tracker_test.go
@@ -95,6 +95,17 @@
 	})
 }
 
+func TestFloor(t *testing.T) {
+	k := NewTracker()
+	k.SetFloor(3)
+	h, s := stored(t, 2, "", 2)
+	_, err := k.Offer(h, s)
+	var o *sardineknot.OlderConfigurationError
+	is.New(t).True(errors.As(err, &o))
+	k.SetFloor(0)
+	offer(t, k, 2, 2)
+}
+
 func pass(t is.T, from, to *Tracker, all bool) *api.FetchResponse {
 	p := from.Answer(to.Request(all))
 	_, err := to.Take(p)
--- a/internal/configuration/twirp/spreader.go
+++ b/internal/configuration/twirp/spreader.go
@@ -77,11 +77,13 @@
 }
 
 // Learn fetches revision r from peer if it is greater than that in force. It
-// does not wait for the fetch.
+// does not wait for the fetch. Until the fetch fails, a store that is older
+// than r is refused.
 func (s *Spreader) Learn(peer sardineknot.EntryHost, r sardineknot.Revision) {
 	if r <= s.Tracker.Current().Revision {
 		return
 	}
+	s.Tracker.SetFloor(r)
 	select {
 	case s.fetches <- struct{}{}:
 		go s.fetch(peer)
@@ -109,6 +111,7 @@
 		ok, err = s.take(ctx, peer, true)
 	}
 	if err != nil {
+		s.Tracker.SetFloor(0)
 		s.Log.Warn().Str("event", "configuration_fetch_failed").Str("peer", string(peer.ID)).Err(err).Send()
 	}
 	if ok {
--- a/internal/host/process/callers.go
+++ b/internal/host/process/callers.go
@@ -3,13 +3,11 @@
 import (
 	"net/http"
 
-	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/answer/generation"
 	"sardineknot.example/sardineknot/internal/answer/registry"
 	"sardineknot.example/sardineknot/internal/answer/service"
 	"sardineknot.example/sardineknot/internal/backend/openai"
 	"sardineknot.example/sardineknot/internal/backend/plainhttp"
-	"sardineknot.example/sardineknot/internal/caller/admission"
 	"sardineknot.example/sardineknot/internal/caller/completions"
 	"sardineknot.example/sardineknot/internal/caller/limit"
 	"sardineknot.example/sardineknot/internal/caller/placement"
@@ -18,7 +16,6 @@
 
 // addCallers assembles what callers connect to.
 func (p *Process) addCallers() {
-	p.guard = &admission.Guard{Membership: p.members, Configuration: p.source}
 	p.addPlacement()
 	p.addGenerations()
 	p.addServices()
@@ -37,10 +34,10 @@
 		Clock:         p.clock,
 		Log:           p.log,
 	}
-	a := registry.NewRegistry(p.settings.ReconnectGrace, p.settings.AnswerRetention)
-	p.handleLimited("POST /v1/completions", answers(a), &completions.Handler{
+	p.registry = registry.NewRegistry(p.settings.ReconnectGrace, p.settings.AnswerRetention)
+	p.handleLimited("POST /v1/completions", &completions.Handler{
 		Configuration: p.source,
-		Answers:       a,
+		Answers:       p.registry,
 		Runner:        r,
 		Clock:         p.clock,
 		Outcomes:      p.outcomes,
@@ -55,24 +52,11 @@
 		Configuration: p.source,
 		Log:           p.log,
 	}
-	p.handleLimited("POST /v1/services", nil, &services.Handler{Configuration: p.source, Runner: r, Clock: p.clock, Outcomes: p.outcomes})
+	p.handleLimited("POST /v1/services", &services.Handler{Configuration: p.source, Runner: r, Clock: p.clock, Outcomes: p.outcomes})
 }
 
 // handleLimited serves pattern with h, behind the guard and under the limits
-// of client accounts. known reports whether a request is for an answer that
-// this host produces; nil means never.
-func (p *Process) handleLimited(pattern string, known func(*http.Request) bool, h http.Handler) {
-	l := &limit.Handler{Next: h, Limiter: p.limiter, Configuration: p.source}
-	p.callerMux.Handle(pattern, p.guard.Wrap(l, known))
-}
-
-// answers returns a function that reports whether a request is for an answer
-// of r.
-func answers(r *registry.Registry) func(*http.Request) bool {
-	return func(q *http.Request) bool {
-		return r.Find(sardineknot.RequestKey{
-			Account: sardineknot.ClientAccountName(q.Header.Get("X-Client-Account")),
-			ID:      sardineknot.RequestID(q.Header.Get("X-Request-Id")),
-		}) != nil
-	}
+// of client accounts.
+func (p *Process) handleLimited(pattern string, h http.Handler) {
+	p.callerMux.Handle(pattern, p.guard.Wrap(&limit.Handler{Next: h, Limiter: p.limiter, Configuration: p.source}))
 }
--- a/internal/host/process/configuration.go
+++ b/internal/host/process/configuration.go
@@ -47,7 +47,7 @@
 	r.Store = p.store
 	r.Tracker = t
 	r.Offer = s.Offer
-	r.Reads = func() bool { return p.node.ReadsFor(p.self.Zone) }
+	r.Reads = func() bool { return p.node.Joined() && p.node.ReadsFor(p.self.Zone) }
 	r.Log = p.log
 	p.tasks = append(p.tasks, func(ctx context.Context) error { return r.Run(ctx, readIntervals*p.settings.Heartbeat) })
 }
--- a/internal/host/process/defaults.go
+++ b/internal/host/process/defaults.go
@@ -11,6 +11,7 @@
 	defaultReconnectGrace    = 500 * time.Millisecond
 	defaultAnswerRetention   = time.Minute
 	defaultHeartbeat         = time.Second
+	defaultDrainLimit        = 10 * time.Minute
 )
 
 func withDefaults(s sardineknot.Settings) sardineknot.Settings {
@@ -18,6 +19,7 @@
 	s.ReconnectGrace = orDefault(s.ReconnectGrace, defaultReconnectGrace)
 	s.AnswerRetention = orDefault(s.AnswerRetention, defaultAnswerRetention)
 	s.Heartbeat = orDefault(s.Heartbeat, defaultHeartbeat)
+	s.DrainLimit = orDefault(s.DrainLimit, defaultDrainLimit)
 	return s
 }
 
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/answer/registry"
 	"sardineknot.example/sardineknot/internal/caller/admission"
 	"sardineknot.example/sardineknot/internal/host/clock"
 	"sardineknot.example/sardineknot/internal/membership/twirp"
@@ -53,6 +54,8 @@
 	node *twirp.Node
 	// guard admits the requests of callers.
 	guard *admission.Guard
+	// registry holds the answers that this host produces.
+	registry *registry.Registry
 }
 
 // parts are what the assembling functions make for each other.
@@ -93,34 +96,68 @@
 	p.addSlots()
 	p.addClaims()
 	p.addLimits()
+	p.addGuard()
 	p.addCallers()
 	p.addAdmin()
 	return p
 }
 
-// Run serves until ctx is done.
+// Run serves until ctx is done, and then until the host has stopped in order.
+// It listens on all addresses before other hosts hear of it.
 func (p *Process) Run(ctx context.Context) error {
-	g, ctx := errgroup.WithContext(ctx)
+	g, w := errgroup.WithContext(context.WithoutCancel(ctx))
+	w, cancel := context.WithCancel(w)
+	defer cancel()
+	for _, s := range p.servers() {
+		l, err := p.listen(s.address)
+		if err != nil {
+			return err
+		}
+		defer l.Close()
+		g.Go(func() error { return serve(w, l, s.server) })
+	}
 	for _, f := range p.tasks {
-		g.Go(func() error { return f(ctx) })
+		g.Go(func() error { return f(w) })
 	}
-	c := &http.Server{Handler: p.callerMux, ReadHeaderTimeout: headerTimeout}
-	a := &http.Server{Handler: p.adminMux, ReadHeaderTimeout: headerTimeout}
-	g.Go(func() error { return p.serve(ctx, p.settings.CallerAddress, c) })
-	g.Go(func() error { return p.serve(ctx, p.settings.AdminAddress, a) })
-	g.Go(func() error { return p.serve(ctx, p.settings.PeerAddress, h2c.NewServer(p.peerMux)) })
+	p.stop(ctx, w)
+	cancel()
 	return g.Wait()
 }
 
-func (p *Process) serve(ctx context.Context, a netip.AddrPort, s *http.Server) error {
+// endpoint is a server and the address that it listens on.
+type endpoint struct {
+	address netip.AddrPort
+	server  *http.Server
+}
+
+func (p *Process) servers() []endpoint {
+	return []endpoint{
+		{p.settings.CallerAddress, &http.Server{Handler: p.callerMux, ReadHeaderTimeout: headerTimeout}},
+		{p.settings.AdminAddress, &http.Server{Handler: p.adminMux, ReadHeaderTimeout: headerTimeout}},
+		{p.settings.PeerAddress, h2c.NewServer(p.peerMux)},
+	}
+}
+
+func (p *Process) listen(a netip.AddrPort) (net.Listener, error) {
 	l, err := net.Listen("tcp", a.String())
 	if err != nil {
-		return errors.WithStack(err)
+		return nil, errors.WithStack(err)
 	}
-	stop := context.AfterFunc(ctx, func() { s.Close() })
-	defer stop()
 	p.log.Info().Str("event", "listening").Str("address", l.Addr().String()).Send()
-	err = s.Serve(l)
+	return l, nil
+}
+
+// serve answers on l until ctx is done, and then until s has shut down.
+func serve(ctx context.Context, l net.Listener, s *http.Server) error {
+	d := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(d)
+		shutdown(s)
+	})
+	err := s.Serve(l)
+	if !stop() {
+		<-d
+	}
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
--- a/internal/membership/gossip/read.go
+++ b/internal/membership/gossip/read.go
@@ -106,6 +106,19 @@
 	return v.fingers
 }
 
+// Dead returns the entry hosts that died without leaving in order, ordered by
+// ID.
+func (v *View) Dead() []*api.Member {
+	var l []*api.Member
+	for _, e := range v.entries {
+		if state(e.record) == sardineknot.EntryHostDead && !e.left {
+			l = append(l, e.record)
+		}
+	}
+	slices.SortFunc(l, func(a, b *api.Member) int { return strings.Compare(a.GetId(), b.GetId()) })
+	return l
+}
+
 func (v *View) ring() []*api.Member {
 	var l []*api.Member
 	for k, e := range v.entries {
--- a/internal/membership/twirp/list.go
+++ b/internal/membership/twirp/list.go
@@ -17,8 +17,16 @@
 	liveReadings = 30
 )
 
+// joinReadings is the number of readings after which a host that has reached
+// no other one acts alone.
+const joinReadings = 5
+
 // listed is what is remembered of the readings of the host list.
 type listed struct {
+	// joined reports that another host has answered, or that there is none.
+	joined bool
+	// readings counts the readings until then.
+	readings int
 	// leaving holds the backend servers that the last reading called leaving.
 	leaving map[sardineknot.BackendServerName]bool
 	// live counts the readings in a row that called a server live which other
@@ -32,7 +40,7 @@
 	defer t.Stop()
 	for {
 		if n.ReadsFor(n.Self().Zone) {
-			n.readList(ctx)
+			n.join(n.readList(ctx))
 		}
 		select {
 		case <-t.C:
@@ -59,10 +67,30 @@
 // readerShard is the shard by which the readers of the platform are ranked.
 const readerShard = "platform-reader"
 
-func (n *Node) readList(ctx context.Context) {
+// Joined reports whether this host has heard from another one since it
+// started, or has found out that there is none.
+func (n *Node) Joined() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.listed.joined
+}
+
+func (n *Node) join(reached bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.listed.readings++
+	if reached || n.listed.readings >= joinReadings {
+		n.listed.joined = true
+	}
+}
+
+// readList reads the host list and exchanges heartbeats with some hosts on it
+// that this one does not know. It reports whether one of them answered, or
+// none was unknown.
+func (n *Node) readList(ctx context.Context) bool {
 	l, err := n.Listed.Fetch(ctx)
 	if err != nil {
-		return
+		return false
 	}
 	t := n.clock.Now()
 	n.mu.Lock()
@@ -70,9 +98,12 @@
 	n.refreshLocked(t)
 	u := n.unknownLocked(l)
 	n.mu.Unlock()
+	r := len(u) == 0
 	for _, a := range u {
-		_, _ = n.exchange(ctx, a)
+		_, err = n.exchange(ctx, a)
+		r = r || err == nil
 	}
+	return r
 }
 
 // noteLocked notes the states of the backend servers in l. The list lags and
--- a/internal/membership/twirp/node.go
+++ b/internal/membership/twirp/node.go
@@ -73,6 +73,8 @@
 	storeLost bool
 	// turn counts heartbeats, to take the fingers in turn.
 	turn int
+	// ticks counts the intervals.
+	ticks int
 	// mismatches counts the digests in a row that differed.
 	mismatches int
 	// pulling reports that a full exchange runs. pulled is the time of the
--- a/internal/membership/twirp/run.go
+++ b/internal/membership/twirp/run.go
@@ -17,6 +17,10 @@
 	helpers = 2
 	// confirmations is the number of hosts that are asked after a pause.
 	confirmations = 3
+	// deadIntervals is the number of intervals between two attempts to reach
+	// a dead host: one that was restarted while the host list was down, or is
+	// on the other side of a partition.
+	deadIntervals = 5
 )
 
 // Run exchanges heartbeats until ctx is done.
@@ -62,6 +66,11 @@
 	for _, m := range n.nextLocked() {
 		go n.probe(ctx, m)
 	}
+	n.ticks++
+	if l := n.view.Dead(); len(l) > 0 && n.ticks%deadIntervals == 0 {
+		m := l[n.ticks/deadIntervals%len(l)]
+		go func() { _, _ = n.exchange(ctx, m.GetPeerAddress()) }()
+	}
 	if n.view.LostMost() {
 		go n.checkStore(ctx)
 	} else {
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -43,6 +43,7 @@
 		Setup: setup,
 		Cmds: map[string]func(*testscript.TestScript, bool, []string){
 			"deploy": deploy,
+			"change": change,
 			"start":  start,
 			"signal": signal,
 			"exited": exited,
--- a/settings.go
+++ b/settings.go
@@ -42,6 +42,9 @@
 	// Heartbeat is the interval between heartbeats to other entry hosts. Zero
 	// means one second.
 	Heartbeat time.Duration
+	// DrainLimit is the longest time that a planned stop waits for running
+	// answers, after PlacementValidity. Zero means ten minutes.
+	DrainLimit time.Duration
 	// LogLevel is one of "debug", "info", "warn" and "error". Empty means
 	// "info".
 	LogLevel string
