orders: give fenced orders to engines

Cause: a declared model, version or role never reached the engines, and an order by a paused host could undo a later one.

Change: the owner of a lane by rank compares each engine's state with what is declared and gives one order at a time, with a fencing number taken by compare-and-swap. For engines that ignore numbers the next taker waits until an earlier order can no longer be sent, and a host looks at its clock right before it sends. Stand-ins: engine state and orders, held replies, faults can be read.

Ruled out: platform leases an engine (renewals of 3,100 pass the service's write rate, and a paused holder still sends); no numbers (a paused owner undoes its successor's order).

--- a/cmd/standin/engine.go
+++ b/cmd/standin/engine.go
@@ -20,6 +20,9 @@
 type engineCommand struct {
 	listen   string
 	name     string
+	model    string
+	version  string
+	role     string
 	slots    int
 	interval time.Duration
 	prefill  time.Duration
@@ -35,6 +38,9 @@
 func (c *engineCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.listen, "listen", "127.0.0.1:0", "address to listen on")
 	f.StringVar(&c.name, "name", "engine", "name of the engine")
+	f.StringVar(&c.model, "model", "", "model that is loaded")
+	f.StringVar(&c.version, "version", "", "version that is loaded")
+	f.StringVar(&c.role, "role", "", "Prefill or Decode")
 	f.IntVar(&c.slots, "slots", 20, "decodes at once")
 	f.DurationVar(&c.interval, "interval", 5*time.Millisecond, "time between tokens")
 	f.DurationVar(&c.prefill, "prefill", time.Millisecond, "prefill time for each prompt token")
@@ -46,6 +52,9 @@
 	s := &engine.Server{
 		Name:            c.name,
 		Address:         c.listen,
+		Model:           c.model,
+		Version:         c.version,
+		Role:            c.role,
 		Slots:           c.slots,
 		TokenInterval:   c.interval,
 		PrefillPerToken: c.prefill,
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -87,6 +87,7 @@
 	p.addSlots()
 	p.addClaims()
 	p.addLimits()
+	p.addOrders()
 	p.addCallers()
 	p.addAdmin()
 	return p
--- /dev/null
+++ b/internal/orders/ledger/ledger_test.go
@@ -0,0 +1,107 @@
+package ledger
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/platform/etcd"
+	standin "sardineknot.example/sardineknot/internal/standin/etcd"
+	"sardineknot.example/sardineknot/internal/standin/fault"
+	log "sardineknot.example/sardineknot/internal/standin/record"
+)
+
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+// host is one entry host with a ledger.
+type host struct {
+	*Ledger
+	clock *clock
+	// slept is the sum of all waits.
+	slept time.Duration
+	// meanwhile, if not nil, runs during a wait.
+	meanwhile func()
+}
+
+// hosts returns n hosts on one store.
+func hosts(t *testing.T, n int) []*host {
+	s := httptest.NewServer(standin.NewServer(&fault.Control{}, &log.Recorder{}))
+	t.Cleanup(s.Close)
+	a := netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+	var l []*host
+	for i := range n {
+		h := &host{clock: &clock{now: time.Unix(1_800_000_000, 0)}}
+		e := sardineknot.EntryHost{ID: sardineknot.EntryHostID(rune('a' + i)), Incarnation: 1}
+		h.Ledger = NewLedger(etcd.NewClient(a, 0), h.clock, e, h.wait)
+		l = append(l, h)
+	}
+	return l
+}
+
+func (h *host) wait(_ context.Context, d time.Duration) error {
+	h.slept += d
+	if h.meanwhile != nil {
+		h.meanwhile()
+	}
+	return nil
+}
+
+func TestTake(t *testing.T) {
+	checks := sardineknot.BackendServer{Name: "decode-1", ChecksFencing: true}
+	ignores := sardineknot.BackendServer{Name: "decode-1"}
+	t.Run("numbers grow over hosts", func(t *testing.T) {
+		l := hosts(t, 2)
+		a := take(t, l[0], checks)
+		b := take(t, l[1], checks)
+		is.New(t).True(b.Number > a.Number)
+	})
+	t.Run("does not wait for an engine that checks numbers", func(t *testing.T) {
+		l := hosts(t, 2)
+		take(t, l[0], checks)
+		take(t, l[1], checks)
+		assertSlept(t, l[1], 0)
+	})
+	t.Run("waits out an earlier order to an engine that ignores numbers", func(t *testing.T) {
+		l := hosts(t, 2)
+		o := take(t, l[0], ignores)
+		take(t, l[1], ignores)
+		assertSlept(t, l[1], validity+margin)
+		is.New(t).True(!o.SendBefore.After(l[0].clock.now.Add(validity)))
+	})
+	t.Run("does not wait for an order that is done", func(t *testing.T) {
+		l := hosts(t, 2)
+		o := take(t, l[0], ignores)
+		is.New(t).NoErr(l[0].Done(context.Background(), o))
+		take(t, l[1], ignores)
+		assertSlept(t, l[1], 0)
+	})
+	t.Run("fails if another host takes a number during the wait", func(t *testing.T) {
+		l := hosts(t, 3)
+		take(t, l[0], ignores)
+		l[1].meanwhile = func() { take(t, l[2], checks) }
+		_, err := l[1].Take(context.Background(), ignores, sardineknot.EngineState{})
+		var c *sardineknot.ConflictError
+		is.New(t).True(errors.As(err, &c))
+	})
+}
+
+func take(t *testing.T, h *host, s sardineknot.BackendServer) sardineknot.Order {
+	t.Helper()
+	o, err := h.Take(context.Background(), s, sardineknot.EngineState{})
+	is.New(t).NoErr(err)
+	return o
+}
+
+func assertSlept(t *testing.T, h *host, want time.Duration) {
+	t.Helper()
+	is.New(t).Equal(h.slept, want)
+}
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -28,6 +28,10 @@
 	Name string
 	// Address is where decode engines read blocks from.
 	Address string
+	// Model, Version and Role are what the engine serves.
+	Model   string
+	Version string
+	Role    string
 	// Slots is the number of decodes at once. It is positive.
 	Slots int
 	// TokenInterval is the time between two tokens of a decode.
@@ -56,6 +60,10 @@
 	freed chan struct{}
 	// lastBlock is the last block identifier given out.
 	lastBlock int32
+	// number is the highest fencing number seen.
+	number int64
+	// loading tells that Model, Version and Role are about to change.
+	loading bool
 }
 
 func (s *Server) init() {
@@ -71,6 +79,8 @@
 	s.mux.HandleFunc("GET /v1/requests", s.serveHeld)
 	s.mux.HandleFunc("GET /kv", s.serveBlocks)
 	s.mux.HandleFunc("GET /load", s.serveLoad)
+	s.mux.HandleFunc("GET /v1/state", s.serveState)
+	s.mux.HandleFunc("POST /v1/orders", s.serveOrder)
 }
 
 // ServeHTTP implements http.Handler.
--- a/internal/standin/fault/control.go
+++ b/internal/standin/fault/control.go
@@ -1,10 +1,13 @@
 // Package fault makes a stand-in fail on demand.
 //
 // A Control wraps the handler of a stand-in. Faults are set over HTTP by POST
-// to ControlPath with one query parameter for each field to change.
+// to ControlPath with one query parameter for each fault to change, and told by
+// GET.
 package fault
 
 import (
+	"fmt"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
@@ -87,6 +90,8 @@
 //   - LoseReplies lets that number of requests take effect and closes their
 //     connections without an answer. LosePath limits it to paths with that
 //     suffix.
+//   - HoldReplies lets that number of requests take effect and holds their
+//     answers for the duration HoldTime. LosePath applies too.
 func (c *Control) Wrap(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == ControlPath {
@@ -106,18 +111,33 @@
 	if c.On("Down") {
 		panic(http.ErrAbortHandler)
 	}
-	if c.losesReply(r) {
+	if c.takeReply(r, "LoseReplies") {
 		h.ServeHTTP(httptest.NewRecorder(), r)
 		panic(http.ErrAbortHandler)
 	}
+	if c.takeReply(r, "HoldReplies") {
+		c.holdReply(w, r, h)
+		return
+	}
 	h.ServeHTTP(w, r)
 }
 
-func (c *Control) losesReply(r *http.Request) bool {
+// takeReply reports whether the counted fault name applies to r.
+func (c *Control) takeReply(r *http.Request, name string) bool {
 	c.mu.Lock()
 	s := c.values["LosePath"]
 	c.mu.Unlock()
-	return strings.HasSuffix(r.URL.Path, s) && c.Take("LoseReplies")
+	return strings.HasSuffix(r.URL.Path, s) && c.Take(name)
+}
+
+// holdReply lets r take effect and holds its answer.
+func (c *Control) holdReply(w http.ResponseWriter, r *http.Request, h http.Handler) {
+	p := httptest.NewRecorder()
+	h.ServeHTTP(p, r)
+	time.Sleep(c.Duration("HoldTime"))
+	maps.Copy(w.Header(), p.Header())
+	w.WriteHeader(p.Code)
+	_, _ = p.Body.WriteTo(w)
 }
 
 // hold waits out the faults Delay and Freeze, or the end of r.
@@ -135,7 +155,16 @@
 	}
 }
 
+// serveControl sets faults, or tells which are in force.
 func (c *Control) serveControl(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodGet {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		for k, v := range c.values {
+			fmt.Fprintf(w, "%s=%s\n", k, v)
+		}
+		return
+	}
 	for k, v := range r.URL.Query() {
 		c.Set(k, v[0])
 	}
--- a/scenarios/deploy_test.go
+++ b/scenarios/deploy_test.go
@@ -115,7 +115,7 @@
 func (d *deployment) engine(kind, role string, i, host int, relay string) string {
 	n := fmt.Sprintf("%s-%d", kind, i)
 	a := d.run(n, fmt.Sprintf("%s%d", strings.ToUpper(kind), i), d.address(host, 7100), relay,
-		"engine", "-name", n, "-slots", fmt.Sprint(d.slots), "-interval", d.interval.String(),
+		"engine", "-name", n, "-model", "skyrsla-llm", "-version", "1", "-role", role, "-slots", fmt.Sprint(d.slots), "-interval", d.interval.String(),
 		"-prefill", d.prefillTime.String(), "-eviction", d.eviction.String())
 	return fmt.Sprintf(`{"Name": %q, "Address": %q, "Zone": %q, "Role": %q, "Model": "skyrsla-llm", "Version": "1", "Slots": %d, "State": "Joining"}`,
 		n, a, zone(i), role, d.slots)
