--- a/scenarios/deploy_test.go
+++ b/scenarios/deploy_test.go
@@ -15,6 +15,8 @@
 	entries, prefill, decode, plain int
 	slots                           int
 	interval, prefillTime, eviction time.Duration
+	// storeTimeout bounds the entry hosts' calls to the store.
+	storeTimeout time.Duration
 	// extra is further text of the entry hosts' settings.
 	extra string
 	// relays puts a relay before every decode engine, plain service and the
@@ -43,6 +45,7 @@
 	f.DurationVar(&d.interval, "interval", 5*time.Millisecond, "")
 	f.DurationVar(&d.prefillTime, "prefill-time", time.Millisecond, "")
 	f.DurationVar(&d.eviction, "eviction", 800*time.Millisecond, "")
+	f.DurationVar(&d.storeTimeout, "store-timeout", time.Second, "")
 	f.StringVar(&d.extra, "settings", "", "")
 	f.BoolVar(&d.relays, "relays", false, "")
 	f.BoolVar(&d.idle, "idle", false, "")
@@ -134,7 +137,7 @@
 	d.script.Setenv(fmt.Sprintf("ENTRY%d", i), a)
 	d.script.Setenv(fmt.Sprintf("PEER%d", i), p)
 	d.script.Setenv(fmt.Sprintf("ADMIN%d", i), m)
-	d.write(fmt.Sprintf("entry-%d.jsonc", i), fmt.Sprintf(settings, i, zone(i), a, p, m, d.script.Getenv("STORE_VIA"), d.address(1, 7000), d.extra))
+	d.write(fmt.Sprintf("entry-%d.jsonc", i), fmt.Sprintf(settings, i, zone(i), a, p, m, d.script.Getenv("STORE_VIA"), d.address(1, 7000), d.storeTimeout, d.extra))
 }
 
 func (d *deployment) write(name, text string) {
@@ -150,7 +153,7 @@
   "ID": "entry-%d", "Region": "is-land", "Zone": %q,
   "Zones": ["reykjavik-a", "akureyri-b", "egilsstadir-c", "selfoss-d"],
   "CallerAddress": %q, "PeerAddress": %q, "AdminAddress": %q,
-  "Store": %q, "HostList": %q, "StoreTimeout": "1s",
+  "Store": %q, "HostList": %q, "StoreTimeout": %q,
   "Heartbeat": "200ms", "LogLevel": "debug",
   %s
 }
