--- /dev/null
+++ b/internal/host/process/overhead_test.go
@@ -0,0 +1,177 @@
+package process
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/configuration/writer"
+	"sardineknot.example/sardineknot/internal/standin/engine"
+	standin "sardineknot.example/sardineknot/internal/standin/etcd"
+	"sardineknot.example/sardineknot/internal/standin/fault"
+	"sardineknot.example/sardineknot/internal/standin/httpsd"
+	"sardineknot.example/sardineknot/internal/standin/plain"
+	"sardineknot.example/sardineknot/internal/standin/record"
+)
+
+// bed is one entry host with its backend servers, all in this process.
+type bed struct {
+	entry   netip.AddrPort
+	prefill netip.AddrPort
+	decode  netip.AddrPort
+	plain   netip.AddrPort
+}
+
+func newBed(t testing.TB) bed {
+	i := is.New(t)
+	b := bed{prefill: startEngine(t, "prefill-1"), decode: startEngine(t, "decode-1")}
+	b.plain = startServer(t, &plain.Server{Name: "plain-1", Faults: &fault.Control{}, Log: &record.Recorder{}})
+	m := http.NewServeMux()
+	m.Handle("/v3/", standin.NewServer(&fault.Control{}, &record.Recorder{}))
+	m.Handle("/hosts", httpsd.NewServer(&fault.Control{}, &record.Recorder{}))
+	s := sardineknot.Settings{ID: "entry-1", Zone: "reykjavik-a", Heartbeat: 100 * time.Millisecond}
+	s.Store = startServer(t, m)
+	s.HostList = s.Store
+	s.CallerAddress, s.PeerAddress, s.AdminAddress = freeAddress(t), freeAddress(t), freeAddress(t)
+	b.entry = s.CallerAddress
+	p := NewProcess(s, zerolog.Nop())
+	i.NoErr(writer.NewWriter(p.store).Write(t.Context(), b.configuration(), sardineknot.ConfigurationHead{}, 0))
+	ctx, cancel := context.WithCancel(context.Background())
+	d := make(chan error, 1)
+	go func() { d <- p.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		i.NoErr(<-d)
+	})
+	for p.source.Current().Revision == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	return b
+}
+
+func (b bed) configuration() *sardineknot.Configuration {
+	v := sardineknot.BackendServer{Zone: "reykjavik-a", Model: "m", Version: "1", Slots: 1000, State: sardineknot.BackendJoining}
+	p, d, s := v, v, v
+	p.Name, p.Address, p.Role = "prefill-1", b.prefill, sardineknot.RolePrefill
+	d.Name, d.Address, d.Role = "decode-1", b.decode, sardineknot.RoleDecode
+	s.Name, s.Address, s.Role, s.Service, s.Model, s.Version = "plain-1", b.plain, sardineknot.RolePlain, "s", "", ""
+	g := sardineknot.Work{Name: "g", Kind: sardineknot.WorkGeneration, Model: "m", Version: "1", FirstToken: time.Minute, PerToken: time.Second, MaxTokens: 1000, Objective: 0.9}
+	c := sardineknot.Work{Name: "s", Kind: sardineknot.WorkService, Service: "s", FirstToken: time.Minute, Objective: 0.9}
+	return &sardineknot.Configuration{
+		Contracts:      []sardineknot.Contract{{Account: "verk", Work: []sardineknot.Work{g, c}}},
+		BackendServers: []sardineknot.BackendServer{d, s, p},
+	}
+}
+
+func startEngine(t testing.TB, name string) netip.AddrPort {
+	s := &engine.Server{Name: name, Slots: 1000, Eviction: time.Second, Faults: &fault.Control{}, Log: &record.Recorder{}}
+	a := startServer(t, s)
+	s.Address = a.String()
+	return a
+}
+
+func startServer(t testing.TB, h http.Handler) netip.AddrPort {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return netip.MustParseAddrPort(strings.TrimPrefix(s.URL, "http://"))
+}
+
+func freeAddress(t testing.TB) netip.AddrPort {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	defer l.Close()
+	return netip.MustParseAddrPort(l.Addr().String())
+}
+
+// number numbers the requests of all benchmarks.
+var number atomic.Int64
+
+// generate asks the entry host for an answer of 20 tokens.
+func (b bed) generate(c *http.Client) error {
+	return post(c, "http://"+b.entry.String()+"/v1/completions", "g", `{"prompt":"a b c","max_tokens":20,"stream":true}`)
+}
+
+// generateDirectly does what the entry host does, without it.
+func (b bed) generateDirectly(c *http.Client) error {
+	n := number.Add(1)
+	err := post(c, "http://"+b.prefill.String()+"/v1/completions", "g",
+		fmt.Sprintf(`{"prompt":"a b c","max_tokens":1,"request_id":"x/%d/0","kv_transfer_params":{"do_remote_decode":true}}`, n))
+	if err != nil {
+		return err
+	}
+	return post(c, "http://"+b.decode.String()+"/v1/completions", "g", fmt.Sprintf(
+		`{"prompt":"a b c","max_tokens":20,"stream":true,"request_id":"x/%d/0","kv_transfer_params":{"do_remote_prefill":true,"remote_host":%q,"remote_port":%d}}`,
+		n, b.prefill.Addr(), b.prefill.Port()))
+}
+
+func post(c *http.Client, url, work, body string) error {
+	h, err := http.NewRequest(http.MethodPost, url, strings.NewReader(body))
+	if err != nil {
+		return err
+	}
+	h.Header.Set("X-Client-Account", "verk")
+	h.Header.Set("X-Work", work)
+	h.Header.Set("X-Request-Id", fmt.Sprint("r", number.Add(1)))
+	p, err := c.Do(h)
+	if err != nil {
+		return err
+	}
+	defer p.Body.Close()
+	a, err := io.ReadAll(p.Body)
+	if err != nil || p.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d, body %s, error %w", p.StatusCode, a, err)
+	}
+	return nil
+}
+
+// BenchmarkOverhead compares an answer by the entry host with the same calls
+// to the engines without it, and with a plain service call.
+func BenchmarkOverhead(b *testing.B) {
+	d := newBed(b)
+	c := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+	b.Run("direct", func(b *testing.B) { measure(b, func() error { return d.generateDirectly(c) }) })
+	b.Run("entry host", func(b *testing.B) { measure(b, func() error { return d.generate(c) }) })
+	b.Run("plain service", func(b *testing.B) {
+		measure(b, func() error { return post(c, "http://"+d.entry.String()+"/v1/services", "s", "body") })
+	})
+	b.Run("entry host in parallel", func(b *testing.B) {
+		b.ReportAllocs()
+		b.RunParallel(func(p *testing.PB) {
+			for p.Next() {
+				if err := d.generate(c); err != nil {
+					b.Error(err)
+				}
+			}
+		})
+		b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "requests/s")
+	})
+}
+
+// measure runs f one at a time and reports the median and 99th percentile.
+func measure(b *testing.B, f func() error) {
+	b.ReportAllocs()
+	l := make([]time.Duration, 0, b.N)
+	for b.Loop() {
+		t := time.Now()
+		if err := f(); err != nil {
+			b.Fatal(err)
+		}
+		l = append(l, time.Since(t))
+	}
+	slices.Sort(l)
+	b.ReportMetric(float64(l[len(l)/2].Microseconds()), "p50-us")
+	b.ReportMetric(float64(l[len(l)*99/100].Microseconds()), "p99-us")
+}
