--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -17,7 +17,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/caller/admission"
 	"sardineknot.example/sardineknot/internal/host/clock"
+	"sardineknot.example/sardineknot/internal/membership/twirp"
 	"sardineknot.example/sardineknot/internal/peer/h2c"
 	"sardineknot.example/sardineknot/internal/platform/etcd"
 	"sardineknot.example/sardineknot/internal/platform/httpsd"
@@ -47,6 +49,10 @@
 	tasks []func(context.Context) error
 
 	parts
+	// node is parts.members with what only this package uses.
+	node *twirp.Node
+	// guard admits the requests of callers.
+	guard *admission.Guard
 }
 
 // parts are what the assembling functions make for each other.
