slots: let one owner per pool shard grant engines over all entry hosts

Cause: every entry host granted engines from its own counts, so that two hosts could give away the same slot, and all pools were polled every 10 ms.

Running jobs are announced to a new owner, which settles before it grants; waiting jobs are asked for again. A job is now one attempt of a request, since a new attempt used to be submitted under the key of one whose end was not reported yet.

--- a/engine.go
+++ b/engine.go
@@ -32,6 +32,13 @@
 	return r.Key.String() + "/" + strconv.Itoa(r.Attempt)
 }
 
+// JobKey returns the key of the job of this attempt. Its String is the
+// EngineKey.
+func (r EngineRequest) JobKey() RequestKey {
+	i := string(r.Key.ID) + "/" + strconv.Itoa(r.Attempt)
+	return RequestKey{Account: r.Key.Account, ID: RequestID(i)}
+}
+
 // KVCache names the result of a prefill, for import by a decode engine. It
 // has the shape of the kv_transfer_params of vLLM.
 type KVCache struct {
--- a/errors.go
+++ b/errors.go
@@ -158,3 +158,18 @@
 func (e *FailedError) Error() string {
 	return fmt.Sprintf("failed: %s (retry after %v)", e.Reason, e.RetryAfter)
 }
+
+// LostError reports an answer whose earlier part was lost with the hosts that
+// produced it, so that the rest cannot be produced. The caller may ask again
+// from the start under a new request identifier.
+type LostError struct {
+	// Key identifies the request.
+	Key RequestKey
+	// Offset is the index from which the caller asked.
+	Offset int
+}
+
+// Error implements error.
+func (e *LostError) Error() string {
+	return fmt.Sprintf("answer to %s cannot be continued from token %d", e.Key, e.Offset)
+}
--- a/internal/answer/generation/runner.go
+++ b/internal/answer/generation/runner.go
@@ -120,7 +120,7 @@
 
 func (r *Runner) job(q sardineknot.Request, e sardineknot.EngineRequest) sardineknot.Job {
 	return sardineknot.Job{
-		Key:              q.Key,
+		Key:              e.JobKey(),
 		Pool:             sardineknot.EnginePool(q.Work.Model, q.Work.Version),
 		Work:             q.Work.Name,
 		Zone:             r.Self.Zone,
--- /dev/null
+++ b/internal/slots/shard/shard_test.go
@@ -0,0 +1,102 @@
+package shard_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/slots/shard"
+)
+
+const pool = sardineknot.PoolName("model/m@1")
+
+// servers returns prefill and decode engines in the zone z.
+func servers(z string, prefill, decode int) []sardineknot.BackendServer {
+	var l []sardineknot.BackendServer
+	for i := range prefill + decode {
+		r := sardineknot.RolePrefill
+		if i >= prefill {
+			r = sardineknot.RoleDecode
+		}
+		l = append(l, sardineknot.BackendServer{
+			Name: sardineknot.BackendServerName(fmt.Sprintf("%s-%03d", z, i)), Zone: sardineknot.AvailabilityZone(z),
+			Role: r, Model: "m", Version: "1", Slots: 20, State: sardineknot.BackendJoining,
+		})
+	}
+	return l
+}
+
+func split(l ...[]sardineknot.BackendServer) []shard.Shard {
+	var c sardineknot.Configuration
+	for _, s := range l {
+		c.BackendServers = append(c.BackendServers, s...)
+	}
+	return shard.Split(&c)[pool]
+}
+
+// homes returns the shard of each server.
+func homes(l []shard.Shard) map[sardineknot.BackendServerName]string {
+	m := make(map[sardineknot.BackendServerName]string)
+	for _, s := range l {
+		for _, b := range s.Servers {
+			m[b.Name] = s.Name
+		}
+	}
+	return m
+}
+
+// checkShards checks that l holds n servers once each, in shards that have
+// both roles and at most most servers.
+func checkShards(t *testing.T, l []shard.Shard, n, most int) {
+	t.Helper()
+	s := is.New(t)
+	s.Equal(len(homes(l)), n)
+	for _, h := range l {
+		var p, d int
+		for _, b := range h.Servers {
+			if b.Role == sardineknot.RolePrefill {
+				p++
+			} else {
+				d++
+			}
+		}
+		s.True(p > 0 && d > 0 && p+d <= most)
+		n -= p + d
+	}
+	s.Equal(n, 0)
+}
+
+func TestSplit(t *testing.T) {
+	t.Run("a small pool is one shard over all zones", func(t *testing.T) {
+		l := split(servers("a", 4, 8), servers("b", 4, 8))
+		is.New(t).Equal(len(l), 1)
+		checkShards(t, l, 24, 32)
+	})
+	t.Run("a large pool is split by zone", func(t *testing.T) {
+		l := split(servers("a", 8, 20), servers("b", 8, 20))
+		is.New(t).Equal(len(l), 2)
+		is.New(t).Equal(l[1].Zone, sardineknot.AvailabilityZone("b"))
+		checkShards(t, l, 56, 32)
+	})
+	t.Run("a large zone is split further", func(t *testing.T) {
+		l := split(servers("a", 100, 160), servers("b", 8, 20))
+		checkShards(t, l, 288, 34)
+	})
+	t.Run("zones without a role are put together", func(t *testing.T) {
+		l := split(servers("a", 20, 0), servers("b", 0, 40), servers("c", 10, 10))
+		checkShards(t, l, 80, 32)
+	})
+	t.Run("a server that joins moves few others", func(t *testing.T) {
+		a := homes(split(servers("a", 60, 120)))
+		b := homes(split(servers("a", 60, 121)))
+		m := 0
+		for n, h := range a {
+			if b[n] != h {
+				m++
+			}
+		}
+		is.New(t).True(m <= 20)
+	})
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -7,7 +7,8 @@
 
 // Job is a generation as the scheduler of a pool sees it.
 type Job struct {
-	// Key identifies the request.
+	// Key identifies one attempt of a request: its String is the EngineKey of
+	// the attempt, so that a new attempt is a new job.
 	Key RequestKey
 	// Pool is the pool that serves the job.
 	Pool PoolName
@@ -109,6 +110,27 @@
 	NextWake() time.Time
 }
 
+// RunningJob is a job that was granted engines before its shard moved to
+// another owner.
+type RunningJob struct {
+	// Job is the job.
+	Job Job
+	// Grant holds the engines that it was granted. Decode is empty while it
+	// waits for one.
+	Grant Grant
+	// Tokens is the number of tokens generated so far. Zero means that the
+	// decode has not started.
+	Tokens int
+}
+
+// Adopter is a Scheduler that can take over jobs that run already. A Scheduler
+// that is not an Adopter counts nothing for them.
+type Adopter interface {
+	// Adopt counts r as running on its engines. A job that is known already is
+	// ignored. It ends by a Report as any other.
+	Adopt(now time.Time, r RunningJob) []Decision
+}
+
 // Grant is the answer to a job's request for engines.
 type Grant struct {
 	// Prefill is the engine to prefill on.
