answer: find and continue answers over all entry hosts

Cause: completions registered an answer on its own host only. A caller that asked again at another host had the request run a second time, and after the death of the host its engine kept generating for nobody.

A request is registered in a directory, sharded over the live hosts, before anything runs. A host that finds another one's record relays that host's answer as the one delivery; if that host is dead it resumes the engine's stream; if the engine is gone too it starts again only if the caller has no tokens, and otherwise says at once that the answer is lost.

Attempts keep their numbers over all runs of a request. Retries are bounded by the deadline and by a budget, with a varied pause; a failed server is reported at once. The wait for a first token is bounded apart from silence in mid-stream, since waiting in an engine's queue is not silence. A process that was paused asks the directory before it delivers on, and cancels only what the engine still holds for it. Cancellations that wait are bounded.

--- a/errors.go
+++ b/errors.go
@@ -173,3 +173,14 @@
 func (e *LostError) Error() string {
 	return fmt.Sprintf("answer to %s cannot be continued from token %d", e.Key, e.Offset)
 }
+
+// ElsewhereError reports that another entry host produces the answer.
+type ElsewhereError struct {
+	// Record tells which host.
+	Record AnswerRecord
+}
+
+// Error implements error.
+func (e *ElsewhereError) Error() string {
+	return fmt.Sprintf("answer to %s is produced by %s", e.Record.Key, e.Record.Host)
+}
--- a/internal/answer/buffer/buffer.go
+++ b/internal/answer/buffer/buffer.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"io"
 	"sync"
 	"time"
 
@@ -22,9 +23,14 @@
 	// grace is the time without a delivery after which abandon is called.
 	grace   time.Duration
 	abandon func()
+	// check has to succeed before each step of a delivery. It may be nil.
+	check func(context.Context) error
 
 	mu sync.Mutex
-	// tokens holds the answer so far, without gaps.
+	// first is the index of the first token that is kept. It is zero unless
+	// the earlier ones were lost.
+	first int
+	// tokens holds the answer from first on, without gaps.
 	tokens []sardineknot.Token
 	// end is nil while the answer grows, io.EOF once it is whole, and another
 	// error once it failed.
@@ -39,9 +45,9 @@
 
 // NewBuffer returns an empty answer to the request k. abandon is called, once
 // or more, when no delivery was attached for grace and the answer has not
-// ended.
-func NewBuffer(k sardineknot.RequestKey, grace time.Duration, abandon func()) *Buffer {
-	b := &Buffer{key: k, grace: grace, abandon: abandon, changed: make(chan struct{})}
+// ended. check, if not nil, has to succeed before each step of a delivery.
+func NewBuffer(k sardineknot.RequestKey, grace time.Duration, abandon func(), check func(context.Context) error) *Buffer {
+	b := &Buffer{key: k, grace: grace, abandon: abandon, check: check, changed: make(chan struct{})}
 	b.timer = time.AfterFunc(grace, b.abandonUnread)
 	return b
 }
@@ -54,14 +60,50 @@
 	if b.end != nil {
 		return b.end
 	}
-	if t.Index != len(b.tokens) {
-		return errors.WithStack(&sardineknot.InterruptedError{Offset: len(b.tokens), Reason: "token out of order"})
+	if t.Index != b.first+len(b.tokens) {
+		return errors.WithStack(&sardineknot.InterruptedError{Offset: b.first + len(b.tokens), Reason: "token out of order"})
 	}
 	b.tokens = append(b.tokens, t)
 	b.notifyLocked()
 	return nil
 }
 
+// Continue takes the tokens of p, which has ended, as the start of an empty
+// answer.
+func (b *Buffer) Continue(p *Buffer) {
+	p.mu.Lock()
+	f, t := p.first, p.tokens
+	p.mu.Unlock()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.first = f
+	b.tokens = t[:len(t):len(t)]
+}
+
+// Skip makes the answer start at index first, because the earlier tokens are
+// lost. It has no effect on an answer that has tokens.
+func (b *Buffer) Skip(first int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.tokens) == 0 {
+		b.first = first
+	}
+}
+
+// Len returns the index after the last token.
+func (b *Buffer) Len() int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.first + len(b.tokens)
+}
+
+// Complete reports whether no earlier tokens are lost.
+func (b *Buffer) Complete() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.first == 0
+}
+
 // End ends the answer with err, which is io.EOF if the answer is whole. Only
 // the first call has an effect.
 func (b *Buffer) End(err error) {
@@ -74,7 +116,7 @@
 	b.notifyLocked()
 }
 
-// Tokens returns the answer so far. The result must not be modified.
+// Tokens returns the answer so far, without what Skip left out. The result must not be modified.
 func (b *Buffer) Tokens() []sardineknot.Token {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -119,7 +161,7 @@
 	for {
 		t, c, err := b.look(d, offset)
 		if c == nil {
-			return t, err
+			return b.checked(ctx, t, err)
 		}
 		select {
 		case <-c:
@@ -129,6 +171,18 @@
 	}
 }
 
+// checked returns t and err if the check succeeds.
+func (b *Buffer) checked(ctx context.Context, t sardineknot.Token, err error) (sardineknot.Token, error) {
+	if b.check == nil {
+		return t, err
+	}
+	f := b.check(ctx)
+	if f != nil {
+		return sardineknot.Token{}, f
+	}
+	return t, err
+}
+
 // look returns what delivery d finds at offset. If c is not nil, there is
 // nothing before c is closed.
 func (b *Buffer) look(d, offset int) (t sardineknot.Token, c <-chan struct{}, err error) {
@@ -137,9 +191,11 @@
 	switch {
 	case d != b.delivery:
 		return t, nil, errors.WithStack(&sardineknot.DisplacedError{Key: b.key})
-	case offset < len(b.tokens):
-		return b.tokens[offset], nil, nil
-	case b.end != nil && offset > len(b.tokens):
+	case offset < b.first:
+		return t, nil, errors.WithStack(&sardineknot.LostError{Key: b.key, Offset: offset})
+	case offset < b.first+len(b.tokens):
+		return b.tokens[offset-b.first], nil, nil
+	case b.end != nil && errors.Is(b.end, io.EOF) && offset > b.first+len(b.tokens):
 		return t, nil, errors.WithStack(&sardineknot.InvalidError{What: "Last-Event-ID", Got: "an index after the end", Expected: "an index of the answer"})
 	case b.end != nil:
 		return t, nil, b.end
--- a/internal/answer/generation/runner.go
+++ b/internal/answer/generation/runner.go
@@ -2,42 +2,56 @@
 // prefills, has the KV cache transferred, decodes, and goes on after failures.
 //
 // A stream that breaks off is resumed on the same engine over a new
-// connection. If that fails, a new attempt starts with the tokens that exist.
-// Whatever an attempt left on an engine is cancelled.
+// connection. If that fails, a new attempt starts with the tokens that exist,
+// within the deadline and the budget of retries. Whatever an attempt left on an
+// engine is cancelled. An answer that a dead entry host has begun is taken over
+// with its engine.
+//
+// Attempts of a request are numbered over all its runs on all entry hosts, so
+// that what is left of one attempt is never taken for another.
 package generation
 
 import (
 	"context"
-	"hash/fnv"
 	"io"
+	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/answer/budget"
 	"sardineknot.example/sardineknot/internal/answer/buffer"
+	"sardineknot.example/sardineknot/internal/answer/cancel"
+	"sardineknot.example/sardineknot/internal/answer/pulse"
 )
 
 const (
-	// maxAttempts bounds the attempts of one request.
+	// maxAttempts bounds the attempts of one run. The numbers of a later run
+	// start that much higher.
 	maxAttempts = 4
 	// maxResumes bounds the resumptions of one attempt without a new token.
 	maxResumes = 2
-	// bytesPerToken estimates the length of a prompt in tokens.
-	bytesPerToken = 4
-	// prefixBytes is the length of the pieces that prefixes are hashed in. It
-	// is about one piece of engine memory.
-	prefixBytes = 2000 * bytesPerToken
 	// retryAfter is the time that callers wait after a failure.
 	retryAfter = time.Second
-	// cancelTries and cancelPause bound the cancellation on one engine.
-	cancelTries = 50
-	cancelPause = 200 * time.Millisecond
+	// firstBackoff is the mean pause before the second attempt. It doubles
+	// with each attempt.
+	firstBackoff = 20 * time.Millisecond
+	// maxTransfer bounds the time from the start of a decode to its first
+	// token.
+	maxTransfer = 5 * time.Second
+	// recordWait bounds the wait for the directory before the first token.
+	recordWait = 250 * time.Millisecond
 )
 
-// Runner produces answers. It is safe for concurrent use. All fields are set
-// before use.
+// errDeadline is the cause of a context that ended because no token was there
+// by the deadline.
+var errDeadline = errors.New("no token by the deadline")
+
+// Runner produces answers. It is safe for concurrent use. All exported fields
+// are set before use.
 type Runner struct {
 	// Self is this entry host.
 	Self sardineknot.EntryHost
@@ -45,43 +59,154 @@
 	Engine sardineknot.Engine
 	// Slots grants engines.
 	Slots sardineknot.SlotPool
+	// Directory tells where answers are produced.
+	Directory sardineknot.AnswerDirectory
 	// Configuration gives the addresses of engines.
 	Configuration sardineknot.ConfigurationSource
+	// Cancels frees what attempts leave on engines.
+	Cancels *cancel.Queue
+	// Retries bounds the attempts after the first.
+	Retries *budget.Budget
+	// Pulse counts the pauses of this process.
+	Pulse *pulse.Pulse
 	// Clock gives the time.
 	Clock sardineknot.Clock
+	// Random varies the pauses between attempts.
+	Random *rand.Rand
 	// Log takes one event for each attempt and failure.
 	Log zerolog.Logger
+
+	// mu guards Random.
+	mu sync.Mutex
+}
+
+// run is one run of a request on this host.
+type run struct {
+	*Runner
+	request sardineknot.Request
+	buffer  *buffer.Buffer
+	// offset is the number of tokens that the caller has.
+	offset int
+	// record is what the directory holds.
+	record sardineknot.AnswerRecord
+	// used tells that an engine was called.
+	used bool
+}
+
+// Run produces the answer to q in b and ends b. offset is the number of tokens
+// that the caller has. If another host produces the answer, b ends with an
+// ElsewhereError. Run returns early when ctx is done, after it has seen to the
+// cancellation of what engines hold.
+func (r *Runner) Run(ctx context.Context, q sardineknot.Request, b *buffer.Buffer, offset int) {
+	n := &run{Runner: r, request: q, buffer: b, offset: offset}
+	n.record = sardineknot.AnswerRecord{
+		Key:         q.Key,
+		Host:        r.Self.ID,
+		Incarnation: r.Self.Incarnation,
+		PeerAddress: r.Self.PeerAddress,
+	}
+	b.End(n.final(ctx, n.produce(ctx)))
+}
+
+// produce runs the request, or takes it over from a dead host. It returns nil
+// after the last token.
+func (n *run) produce(ctx context.Context) error {
+	p, err := n.registerFirst(ctx)
+	if err != nil {
+		return err
+	}
+	if p != nil {
+		n.record.Attempt = p.Attempt + maxAttempts
+	}
+	if p != nil && n.inherits(*p) {
+		err = n.takeOver(ctx, *p)
+		if err == nil || ctx.Err() != nil {
+			return err
+		}
+	}
+	if n.buffer.Len() < n.offset || !n.buffer.Complete() {
+		return errors.WithStack(&sardineknot.LostError{Key: n.request.Key, Offset: n.offset})
+	}
+	n.Retries.First()
+	return n.attempts(ctx, p != nil)
 }
 
-// Run produces the answer to q in b and ends b. It returns early when ctx is
-// done, after it has cancelled what engines hold.
-func (r *Runner) Run(ctx context.Context, q sardineknot.Request, b *buffer.Buffer) {
+// attempts runs the request until it succeeds or must not be retried.
+// numbered tells that the directory does not know the attempt's number yet.
+func (n *run) attempts(ctx context.Context, numbered bool) error {
 	var err error
-	var u bool
 	for i := range maxAttempts {
-		var d bool
-		d, err = r.attempt(ctx, q, b, i)
-		u = u || d
+		if i > 0 {
+			n.record.Attempt++
+			n.record.Decode = ""
+		}
+		if i > 0 || numbered {
+			err = n.register(ctx)
+		}
+		if err == nil {
+			err = n.attempt(ctx)
+		}
 		if err == nil || ctx.Err() != nil || !repeatable(err) {
-			break
+			return err
+		}
+		n.Log.Warn().Str("event", "attempt_failed").Str("request", n.request.Key.String()).Int("attempt", n.record.Attempt).Err(err).Send()
+		if i+1 == maxAttempts || !n.mayRetry(ctx, i) {
+			return err
 		}
-		r.Log.Warn().Str("event", "attempt_failed").Str("request", q.Key.String()).Int("attempt", i).Err(err).Send()
 	}
-	b.End(final(ctx, len(b.Tokens()), u, err))
+	return err
+}
+
+// mayRetry reports whether an attempt may follow attempt i, after a pause.
+func (n *run) mayRetry(ctx context.Context, i int) bool {
+	p := n.backoff(i)
+	if n.Clock.Now().Add(p).After(n.deadline()) || !n.Retries.Retry() {
+		return false
+	}
+	t := time.NewTimer(p)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// backoff returns a pause between half and three halves of its mean.
+func (r *Runner) backoff(i int) time.Duration {
+	m := firstBackoff << i
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return m/2 + time.Duration(r.Random.Int64N(int64(m)))
+}
+
+// deadline returns the time by which the next token is due. Once the caller
+// may have tokens, the target of the first token counts from now.
+func (n *run) deadline() time.Time {
+	if n.buffer.Len() > 0 {
+		return n.Clock.Now().Add(n.request.Work.FirstToken)
+	}
+	return n.request.Deadline
 }
 
-// final returns the end of an answer of n tokens whose last attempt returned
-// err. used tells whether any engine was called.
-func final(ctx context.Context, n int, used bool, err error) error {
+// final returns the end of an answer whose production returned err.
+func (n *run) final(ctx context.Context, err error) error {
+	o := n.buffer.Len()
 	var f *sardineknot.NotRunError
+	var l *sardineknot.LostError
+	var e *sardineknot.ElsewhereError
+	var d *sardineknot.DisplacedError
 	switch {
 	case err == nil:
 		return io.EOF
+	case errors.As(err, &l), errors.As(err, &e), errors.As(err, &d):
+		return err
 	case ctx.Err() != nil:
-		return &sardineknot.InterruptedError{Offset: n, Reason: "abandoned by the caller"}
-	case n > 0:
-		return &sardineknot.InterruptedError{Offset: n, Reason: err.Error()}
-	case used:
+		return &sardineknot.InterruptedError{Offset: o, Reason: "abandoned by the caller"}
+	case o > 0:
+		return &sardineknot.InterruptedError{Offset: o, Reason: err.Error()}
+	case n.used:
 		return &sardineknot.FailedError{Reason: err.Error(), RetryAfter: retryAfter}
 	case errors.As(err, &f):
 		return f
@@ -90,51 +215,6 @@
 	}
 }
 
-// attempt runs q once, from the tokens that b has. used tells whether an
-// engine was called.
-func (r *Runner) attempt(ctx context.Context, q sardineknot.Request, b *buffer.Buffer, i int) (used bool, err error) {
-	e := r.engineRequest(q, b, i)
-	j := r.job(q, e)
-	g, err := r.Slots.Acquire(ctx, j)
-	if err != nil {
-		return false, err
-	}
-	t := &trial{runner: r, job: j, request: e, server: g.Prefill}
-	err = t.run(ctx, g, b)
-	t.finish(err, len(b.Tokens()))
-	return len(t.touched) > 0, err
-}
-
-func (r *Runner) engineRequest(q sardineknot.Request, b *buffer.Buffer, i int) sardineknot.EngineRequest {
-	return sardineknot.EngineRequest{
-		Key:              q.Key,
-		Attempt:          i,
-		Owner:            r.Self.ID,
-		OwnerIncarnation: r.Self.Incarnation,
-		Prompt:           q.Prompt,
-		Prior:            b.Tokens(),
-		MaxTokens:        q.MaxTokens,
-		Priority:         q.Work.Priority,
-	}
-}
-
-func (r *Runner) job(q sardineknot.Request, e sardineknot.EngineRequest) sardineknot.Job {
-	return sardineknot.Job{
-		Key:              e.JobKey(),
-		Pool:             sardineknot.EnginePool(q.Work.Model, q.Work.Version),
-		Work:             q.Work.Name,
-		Zone:             r.Self.Zone,
-		PromptTokens:     1 + len(q.Prompt)/bytesPerToken + len(e.Prior),
-		Prefixes:         prefixes(q.Prompt),
-		MaxTokens:        q.MaxTokens,
-		Priority:         q.Work.Priority,
-		Deadline:         q.Deadline,
-		PerToken:         q.Work.PerToken,
-		Owner:            e.Owner,
-		OwnerIncarnation: e.OwnerIncarnation,
-	}
-}
-
 // server returns the backend server n of the configuration in force.
 func (r *Runner) server(n sardineknot.BackendServerName) (sardineknot.BackendServer, error) {
 	for _, s := range r.Configuration.Current().BackendServers {
@@ -145,32 +225,10 @@
 	return sardineknot.BackendServer{}, errors.WithStack(&sardineknot.UnknownError{What: "BackendServer", Name: string(n)})
 }
 
-// cancel frees what s holds under k. It tries again until s confirms.
-func (r *Runner) cancel(s sardineknot.BackendServer, k string) {
-	for range cancelTries {
-		err := r.Engine.Cancel(context.Background(), s, k)
-		if err == nil {
-			return
-		}
-		time.Sleep(cancelPause)
-	}
-	r.Log.Error().Str("event", "cancel_failed").Str("server", string(s.Name)).Str("request", k).Send()
-}
-
 // repeatable reports whether a new attempt may help after err.
 func repeatable(err error) bool {
 	var n *sardineknot.NotRunError
-	return !errors.As(err, &n)
-}
-
-// prefixes returns a hash of every leading piece of p, shortest first.
-func prefixes(p string) []uint64 {
-	h := fnv.New64a()
-	var l []uint64
-	for len(p) >= prefixBytes {
-		_, _ = io.WriteString(h, p[:prefixBytes])
-		l = append(l, h.Sum64())
-		p = p[prefixBytes:]
-	}
-	return l
+	var e *sardineknot.ElsewhereError
+	var d *sardineknot.DisplacedError
+	return !errors.As(err, &n) && !errors.As(err, &e) && !errors.As(err, &d) && !errors.Is(err, errDeadline)
 }
--- a/internal/answer/generation/trial.go
+++ b/internal/answer/generation/trial.go
@@ -3,26 +3,31 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
-	"sardineknot.example/sardineknot/internal/answer/buffer"
 )
 
-// trial is one attempt that was granted engines.
+// trial is one attempt.
 type trial struct {
-	runner  *Runner
-	job     sardineknot.Job
-	request sardineknot.EngineRequest
+	*run
+	job           sardineknot.Job
+	engineRequest sardineknot.EngineRequest
 	// server is the engine that worked last.
 	server sardineknot.BackendServerName
 	// touched lists the engines that may hold something, in order of use.
 	touched []sardineknot.BackendServer
+	// pauses is the number of pauses of this process before the trial.
+	pauses int
+	// started is called at the first token.
+	started func()
 }
 
-// run prefills and decodes.
-func (t *trial) run(ctx context.Context, g sardineknot.Grant, b *buffer.Buffer) error {
+// execute prefills and decodes.
+func (t *trial) execute(ctx context.Context, g sardineknot.Grant) error {
+	t.server = g.Prefill
 	k, err := t.prefill(ctx, g.Prefill)
 	if err != nil {
 		return err
@@ -31,7 +36,7 @@
 	if err != nil {
 		return err
 	}
-	return t.decode(ctx, d, k, b)
+	return t.decode(ctx, d, k)
 }
 
 func (t *trial) prefill(ctx context.Context, n sardineknot.BackendServerName) (sardineknot.KVCache, error) {
@@ -39,46 +44,78 @@
 	if err != nil {
 		return sardineknot.KVCache{}, err
 	}
-	return t.runner.Engine.Prefill(ctx, s, t.request)
+	return t.Engine.Prefill(ctx, s, t.engineRequest)
 }
 
 // decodeServer reports the end of the prefill and returns the engine to
 // decode on.
 func (t *trial) decodeServer(ctx context.Context, g sardineknot.Grant) (sardineknot.BackendServerName, error) {
 	if g.Decode == "" {
-		return t.runner.Slots.PrefillDone(ctx, t.job)
+		return t.Slots.PrefillDone(ctx, t.job)
 	}
-	t.report(sardineknot.JobPrefillDone, 0)
+	t.report(sardineknot.JobPrefillDone)
 	return g.Decode, nil
 }
 
-// decode copies the answer of engine n to b. It resumes a stream that broke
-// off as long as it makes progress.
-func (t *trial) decode(ctx context.Context, n sardineknot.BackendServerName, k sardineknot.KVCache, b *buffer.Buffer) error {
+// decode copies the answer of engine n to the buffer. The directory is told of
+// the engine meanwhile. A decode whose transfer stalls breaks off.
+func (t *trial) decode(ctx context.Context, n sardineknot.BackendServerName, k sardineknot.KVCache) error {
 	s, err := t.use(n)
 	if err != nil {
 		return err
 	}
-	c, err := t.runner.Engine.Decode(ctx, s, t.request, k)
+	t.record.Decode = n
+	g := make(chan error, 1)
+	go func() { g <- t.register(ctx) }()
+	x, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := time.AfterFunc(t.transferLimit(), cancel)
+	f := t.started
+	t.started = func() {
+		w.Stop()
+		f()
+	}
+	c, err := t.Engine.Decode(x, s, t.engineRequest, k)
+	e := <-g
+	if e != nil {
+		if c != nil {
+			c.Close()
+		}
+		return e
+	}
+	return t.follow(ctx, s, c, err)
+}
+
+// transferLimit returns the time for the transfer of the KV cache, which leaves
+// time for another attempt.
+func (t *trial) transferLimit() time.Duration {
+	return min(t.job.Deadline.Sub(t.Clock.Now())/2, maxTransfer)
+}
+
+// follow copies the stream c, or deals with the error err of its opening. It
+// resumes a stream that broke off as long as it makes progress.
+func (t *trial) follow(ctx context.Context, s sardineknot.BackendServer, c sardineknot.TokenStream, err error) error {
 	for r := 0; ; r++ {
-		o := len(b.Tokens())
+		o := t.buffer.Len()
 		if err == nil {
-			err = t.pump(c, b)
+			err = t.pump(c)
 		}
-		if len(b.Tokens()) > o {
+		if t.buffer.Len() > o {
 			r = 0
 		}
 		if err == nil || ctx.Err() != nil || r >= maxResumes || !interrupted(err) {
 			return err
 		}
-		t.runner.Log.Warn().Str("event", "stream_resumed").Str("request", t.job.Key.String()).Str("server", string(n)).Err(err).Send()
-		c, err = t.runner.Engine.Resume(ctx, s, t.request, len(b.Tokens()))
+		t.Log.Warn().Str("event", "stream_resumed").Str("request", t.job.Key.String()).Str("server", string(s.Name)).Err(err).Send()
+		c, err = t.Engine.Resume(ctx, s, t.engineRequest, t.buffer.Len())
 	}
 }
 
-// pump copies tokens from c to b. It returns nil after the explicit end.
-func (t *trial) pump(c sardineknot.TokenStream, b *buffer.Buffer) error {
+// pump copies tokens from c to the buffer. It returns nil after the explicit
+// end.
+func (t *trial) pump(c sardineknot.TokenStream) error {
 	defer c.Close()
+	f := false
 	for {
 		k, err := c.Next()
 		if errors.Is(err, io.EOF) {
@@ -87,19 +124,21 @@
 		if err != nil {
 			return err
 		}
-		err = b.Append(k)
+		err = t.buffer.Append(k)
 		if err != nil {
 			return err
 		}
-		if k.Index == len(t.request.Prior) {
-			t.report(sardineknot.JobDecodeStarted, k.Index)
+		if !f {
+			f = true
+			t.started()
+			t.report(sardineknot.JobDecodeStarted)
 		}
 	}
 }
 
 // use returns the backend server n and notes that it may hold something.
 func (t *trial) use(n sardineknot.BackendServerName) (sardineknot.BackendServer, error) {
-	s, err := t.runner.server(n)
+	s, err := t.run.server(n)
 	if err != nil {
 		return s, err
 	}
@@ -108,35 +147,48 @@
 	return s, nil
 }
 
-// finish reports the end of the trial. What a failed trial left on engines is
-// freed first, so that its slot is not granted again while it is held.
-func (t *trial) finish(err error, tokens int) {
+// finish reports the end of the trial and has cancelled what it left on
+// engines. The slots of an abandoned trial are given back once they are free;
+// a failure is reported at once.
+func (t *trial) finish(ctx context.Context, err error) {
 	if err == nil {
-		t.report(sardineknot.JobFinished, tokens)
+		t.report(sardineknot.JobFinished)
+		return
+	}
+	k := failure(ctx, err)
+	if k == sardineknot.JobFailed {
+		t.report(k)
+	}
+	var o *sardineknot.DisplacedError
+	c := t.Pulse.Pauses() != t.pauses || errors.As(err, &o)
+	d := make(chan struct{}, len(t.touched))
+	for _, s := range t.touched {
+		t.Cancels.Cancel(s, t.engineRequest.EngineKey(), c, func() { d <- struct{}{} })
+	}
+	if k == sardineknot.JobFailed {
 		return
 	}
 	go func() {
-		for _, s := range t.touched {
-			t.runner.cancel(s, t.request.EngineKey())
+		for range t.touched {
+			<-d
 		}
-		t.report(failure(err), tokens)
+		t.report(k)
 	}()
 }
 
-// failure tells an abandoned job from one whose server failed.
-func failure(err error) sardineknot.JobEventKind {
+// failure tells a job that was abandoned with ctx from one whose server failed.
+func failure(ctx context.Context, err error) sardineknot.JobEventKind {
 	var u *sardineknot.UnavailableError
 	var f *sardineknot.RefusedError
 	var i *sardineknot.InterruptedError
-	if errors.Is(err, context.Canceled) || !errors.As(err, &u) && !errors.As(err, &f) && !errors.As(err, &i) {
+	if ctx.Err() != nil || !errors.As(err, &u) && !errors.As(err, &f) && !errors.As(err, &i) {
 		return sardineknot.JobCancelled
 	}
 	return sardineknot.JobFailed
 }
 
-func (t *trial) report(k sardineknot.JobEventKind, tokens int) {
-	e := sardineknot.JobEvent{Key: t.job.Key, Kind: k, Server: t.server, Tokens: tokens}
-	t.runner.Slots.Report(t.job, e)
+func (t *trial) report(k sardineknot.JobEventKind) {
+	t.Slots.Report(t.job, sardineknot.JobEvent{Key: t.job.Key, Kind: k, Server: t.server, Tokens: t.buffer.Len()})
 }
 
 // interrupted reports whether the stream broke off, rather than was refused.
--- a/internal/answer/registry/registry.go
+++ b/internal/answer/registry/registry.go
@@ -22,7 +22,13 @@
 type Registry struct {
 	grace     time.Duration
 	retention time.Duration
-	shards    [shardCount]shard
+	// forgotten is called with every request whose answer is no longer kept.
+	// It is not nil.
+	forgotten func(sardineknot.RequestKey)
+	// check returns what has to succeed before each step of a delivery. It is
+	// not nil.
+	check  func(sardineknot.RequestKey) func(context.Context) error
+	shards [shardCount]shard
 }
 
 type shard struct {
@@ -36,20 +42,31 @@
 	buffer *buffer.Buffer
 	// fingerprint is a hash of the request's content.
 	fingerprint uint64
+	// cancel ends the production of the answer.
+	cancel context.CancelFunc
 }
 
 // NewRegistry returns an empty registry. An answer without a delivery is
-// abandoned after grace; a whole answer is kept for retention.
-func NewRegistry(grace, retention time.Duration) *Registry {
-	r := &Registry{grace: grace, retention: retention}
+// abandoned after grace; a whole answer is kept for retention. forgotten, if
+// not nil, is called with every request whose answer is no longer kept. check,
+// if not nil, returns for a request what has to succeed before each step of a
+// delivery.
+func NewRegistry(grace, retention time.Duration, forgotten func(sardineknot.RequestKey), check func(sardineknot.RequestKey) func(context.Context) error) *Registry {
+	if forgotten == nil {
+		forgotten = func(sardineknot.RequestKey) {}
+	}
+	if check == nil {
+		check = func(sardineknot.RequestKey) func(context.Context) error { return nil }
+	}
+	r := &Registry{grace: grace, retention: retention, forgotten: forgotten, check: check}
 	for i := range r.shards {
 		r.shards[i].answers = make(map[sardineknot.RequestKey]*entry)
 	}
 	return r
 }
 
-// Open returns the answer to request k. If there is none, it adds an empty one
-// and calls run in a new goroutine with a context that ends when the answer
+// Open returns the answer to request k. If there is none, or one that was
+// interrupted, it adds one with the tokens that exist and calls run in a new goroutine with a context that ends when the answer
 // is abandoned; run must end the answer. Open fails with a MismatchError if k
 // was opened before with another fingerprint.
 func (r *Registry) Open(k sardineknot.RequestKey, fingerprint uint64, run func(context.Context, *buffer.Buffer)) (*buffer.Buffer, error) {
@@ -60,11 +77,15 @@
 	if e != nil && e.fingerprint != fingerprint {
 		return nil, errors.WithStack(&sardineknot.MismatchError{Key: k})
 	}
-	if e != nil {
+	if e != nil && !resumable(e.buffer.Ended()) {
 		return e.buffer, nil
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	e = &entry{buffer: buffer.NewBuffer(k, r.grace, cancel), fingerprint: fingerprint}
+	b := buffer.NewBuffer(k, r.grace, cancel, r.check(k))
+	if e != nil {
+		b.Continue(e.buffer)
+	}
+	e = &entry{buffer: b, fingerprint: fingerprint, cancel: cancel}
 	s.answers[k] = e
 	go func() {
 		defer cancel()
@@ -74,15 +95,34 @@
 	return e.buffer, nil
 }
 
-// Find returns the answer to request k, or nil.
-func (r *Registry) Find(k sardineknot.RequestKey) *buffer.Buffer {
+// Find returns the answer to request k, or nil. It fails with a MismatchError
+// if k was opened with another fingerprint.
+func (r *Registry) Find(k sardineknot.RequestKey, fingerprint uint64) (*buffer.Buffer, error) {
 	s := r.shard(k)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e := s.answers[k]; e != nil {
-		return e.buffer
+	e := s.answers[k]
+	if e == nil {
+		return nil, nil
 	}
-	return nil
+	if e.fingerprint != fingerprint {
+		return nil, errors.WithStack(&sardineknot.MismatchError{Key: k})
+	}
+	return e.buffer, nil
+}
+
+// Displace ends the answer to request k on this host, because another host
+// produces it.
+func (r *Registry) Displace(k sardineknot.RequestKey) {
+	s := r.shard(k)
+	s.mu.Lock()
+	e := s.answers[k]
+	s.mu.Unlock()
+	if e == nil {
+		return
+	}
+	e.buffer.End(errors.WithStack(&sardineknot.DisplacedError{Key: k}))
+	e.cancel()
 }
 
 // Running returns the number of answers that have not ended.
@@ -94,27 +134,51 @@
 	return n
 }
 
-// retain forgets a request that did not run at once, so that its caller may
-// ask again, and any other after the retention.
+// retain forgets at once a request that the caller may ask for again or that
+// another host produces, and any other after the retention.
 func (r *Registry) retain(k sardineknot.RequestKey, e *entry) {
-	var n *sardineknot.NotRunError
-	if errors.As(e.buffer.Ended(), &n) {
-		r.shard(k).forget(k, e)
+	if repeatable(e.buffer.Ended()) {
+		r.forget(k, e)
 		return
 	}
-	time.AfterFunc(r.retention, func() { r.shard(k).forget(k, e) })
+	time.AfterFunc(r.retention, func() { r.forget(k, e) })
+}
+
+// repeatable reports whether a request whose answer ended with err can be run
+// again from the start, here or elsewhere.
+func repeatable(err error) bool {
+	var n *sardineknot.NotRunError
+	var f *sardineknot.FailedError
+	var o *sardineknot.ElsewhereError
+	var d *sardineknot.DisplacedError
+	var l *sardineknot.LostError
+	return errors.As(err, &n) || errors.As(err, &f) || errors.As(err, &o) || errors.As(err, &d) || errors.As(err, &l)
+}
+
+// resumable reports whether an answer that ended with err can go on.
+func resumable(err error) bool {
+	var i *sardineknot.InterruptedError
+	return errors.As(err, &i)
+}
+
+func (r *Registry) forget(k sardineknot.RequestKey, e *entry) {
+	if r.shard(k).forget(k, e) {
+		r.forgotten(k)
+	}
 }
 
 func (r *Registry) shard(k sardineknot.RequestKey) *shard {
 	return &r.shards[xxhash.Sum64String(k.String())%shardCount]
 }
 
-func (s *shard) forget(k sardineknot.RequestKey, e *entry) {
+func (s *shard) forget(k sardineknot.RequestKey, e *entry) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.answers[k] == e {
-		delete(s.answers, k)
+	if s.answers[k] != e {
+		return false
 	}
+	delete(s.answers, k)
+	return true
 }
 
 func (s *shard) running() int {
--- /dev/null
+++ b/internal/answer/twirp/message.go
@@ -0,0 +1,41 @@
+package twirp
+
+import (
+	"net/netip"
+
+	"sardineknot.example/sardineknot"
+	rpc "sardineknot.example/sardineknot/internal/rpc/answers"
+)
+
+func message(r sardineknot.AnswerRecord) *rpc.Record {
+	return &rpc.Record{
+		Account:     string(r.Key.Account),
+		Request:     string(r.Key.ID),
+		Host:        string(r.Host),
+		Incarnation: uint64(r.Incarnation),
+		PeerAddress: r.PeerAddress.String(),
+		Decode:      string(r.Decode),
+		Attempt:     int32(r.Attempt),
+		Ended:       r.Ended,
+	}
+}
+
+// record converts m. An address that does not parse is left invalid.
+func record(m *rpc.Record) sardineknot.AnswerRecord {
+	a, err := netip.ParseAddrPort(m.GetPeerAddress())
+	if err != nil {
+		a = netip.AddrPort{}
+	}
+	return sardineknot.AnswerRecord{
+		Key: sardineknot.RequestKey{
+			Account: sardineknot.ClientAccountName(m.GetAccount()),
+			ID:      sardineknot.RequestID(m.GetRequest()),
+		},
+		Host:        sardineknot.EntryHostID(m.GetHost()),
+		Incarnation: sardineknot.Incarnation(m.GetIncarnation()),
+		PeerAddress: a,
+		Decode:      sardineknot.BackendServerName(m.GetDecode()),
+		Attempt:     int(m.GetAttempt()),
+		Ended:       m.GetEnded(),
+	}
+}
--- /dev/null
+++ b/internal/answer/twirp/service.go
@@ -0,0 +1,57 @@
+package twirp
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+
+	"sardineknot.example/sardineknot/internal/answer/directory"
+	rpc "sardineknot.example/sardineknot/internal/rpc/answers"
+)
+
+// service takes the calls of other hosts for the shards of this one.
+type service struct {
+	directory *Directory
+}
+
+var _ rpc.Answers = (*service)(nil)
+
+// Register implements rpc.Answers.
+func (s *service) Register(ctx context.Context, q *rpc.RegisterRequest) (*rpc.RegisterResponse, error) {
+	r := record(q.GetRecord())
+	l, err := s.owned(index(r.Key))
+	if err != nil {
+		return nil, err
+	}
+	c, p, err := l.Register(ctx, r, q.GetStanding())
+	if err != nil {
+		return nil, twirp.Unavailable.Error(err.Error())
+	}
+	a := &rpc.RegisterResponse{Record: message(c)}
+	if p != nil {
+		a.Previous = message(*p)
+	}
+	return a, nil
+}
+
+// Forget implements rpc.Answers.
+func (s *service) Forget(_ context.Context, q *rpc.ForgetRequest) (*rpc.ForgetResponse, error) {
+	for _, m := range q.GetRecords() {
+		r := record(m)
+		l, err := s.owned(index(r.Key))
+		if err != nil {
+			return nil, err
+		}
+		l.Forget(r)
+	}
+	return &rpc.ForgetResponse{}, nil
+}
+
+// owned returns shard i, or an error of twirp if this host does not own it.
+func (s *service) owned(i int) (*directory.Shard, error) {
+	_, l, _ := s.directory.shards[i].view()
+	if l == nil {
+		return nil, twirp.FailedPrecondition.Error("another host owns the shard")
+	}
+	return l, nil
+}
--- /dev/null
+++ b/internal/answer/twirp/slot.go
@@ -0,0 +1,105 @@
+package twirp
+
+import (
+	"context"
+	"time"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/answer/directory"
+)
+
+// standingPause is the pause before a new owner is told again of a record.
+const standingPause = 100 * time.Millisecond
+
+// refresh takes in the owner of shard i. A new owner is told of the records of
+// this host.
+func (d *Directory) refresh(i int) {
+	o, ok := d.Ranker.Owner(name(i))
+	s := &d.shards[i]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if ok == s.ok && o.ID == s.owner.ID && o.Incarnation == s.owner.Incarnation {
+		s.owner = o
+		return
+	}
+	s.owner, s.ok = o, ok
+	if s.local != nil {
+		s.local.Close()
+		s.local = nil
+	}
+	if ok && o.ID == d.Members.Self().ID {
+		s.local = directory.NewShard(d.Clock, d.Dead, d.Settle)
+	}
+	if len(s.own) > 0 {
+		go d.registerOwn(s)
+	}
+}
+
+// registerOwn registers the records of this host with the present owner, until
+// it has them or the shard moves again.
+func (d *Directory) registerOwn(s *slot) {
+	o, _, _ := s.view()
+	for _, r := range s.records() {
+		for d.registerStanding(s, r) != nil {
+			time.Sleep(standingPause)
+			n, _, ok := s.view()
+			if !ok || n.ID != o.ID {
+				return
+			}
+		}
+	}
+}
+
+// registerStanding registers r of this host. If another host has a record in
+// force, that host goes on and this one stops.
+func (d *Directory) registerStanding(s *slot, r sardineknot.AnswerRecord) error {
+	if !s.has(r.Key) {
+		return nil
+	}
+	c, _, err := d.register(context.Background(), s, r, true)
+	if err == nil && !sameHost(c, r) {
+		s.drop(r.Key)
+		if d.Displaced != nil {
+			d.Displaced(r.Key)
+		}
+	}
+	return err
+}
+
+func (s *slot) view() (o sardineknot.EntryHost, l *directory.Shard, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.owner, s.local, s.ok
+}
+
+func (s *slot) records() []sardineknot.AnswerRecord {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := make([]sardineknot.AnswerRecord, 0, len(s.own))
+	for _, r := range s.own {
+		l = append(l, r)
+	}
+	return l
+}
+
+func (s *slot) has(k sardineknot.RequestKey) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.own[k]
+	return ok
+}
+
+func (s *slot) keep(r sardineknot.AnswerRecord) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.own == nil {
+		s.own = make(map[sardineknot.RequestKey]sardineknot.AnswerRecord)
+	}
+	s.own[r.Key] = r
+}
+
+func (s *slot) drop(k sardineknot.RequestKey) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.own, k)
+}
--- a/internal/backend/openai/client.go
+++ b/internal/backend/openai/client.go
@@ -68,7 +68,8 @@
 	return cache(a.GetKvTransferParams()), nil
 }
 
-// Decode implements sardineknot.Engine. The stream ends when ctx is done.
+// Decode implements sardineknot.Engine. The stream ends when ctx is done. The
+// caller bounds the time to the first token through ctx.
 func (c *Client) Decode(ctx context.Context, s sardineknot.BackendServer, r sardineknot.EngineRequest, k sardineknot.KVCache) (sardineknot.TokenStream, error) {
 	q := completion(s, r)
 	q.Stream = true
@@ -77,7 +78,7 @@
 		return nil, err
 	}
 	q.KvTransferParams = p
-	return c.stream(ctx, s, len(r.Prior), func(ctx context.Context) (*http.Response, error) {
+	return c.stream(ctx, s, len(r.Prior), false, func(ctx context.Context) (*http.Response, error) {
 		return c.post(ctx, s, "/v1/completions", q)
 	})
 }
@@ -85,7 +86,7 @@
 // Resume implements sardineknot.Engine. The stream ends when ctx is done.
 func (c *Client) Resume(ctx context.Context, s sardineknot.BackendServer, r sardineknot.EngineRequest, offset int) (sardineknot.TokenStream, error) {
 	v := url.Values{"request_id": {r.EngineKey()}, "user": {user(r)}}
-	return c.stream(ctx, s, offset, func(ctx context.Context) (*http.Response, error) {
+	return c.stream(ctx, s, offset, true, func(ctx context.Context) (*http.Response, error) {
 		h, err := http.NewRequestWithContext(ctx, http.MethodGet, base(s)+"/v1/completions?"+v.Encode(), nil)
 		if err != nil {
 			return nil, errors.WithStack(err)
--- a/internal/backend/openai/doc.go
+++ b/internal/backend/openai/doc.go
@@ -6,5 +6,6 @@
 // are server-sent events; the event identifier of a token is its index, and a
 // stream is resumed with the header Last-Event-ID. A stream without progress
 // for a set time counts as broken, because a connection may go silent without
-// an error.
+// an error. The time to the first token of a new stream is not progress: the
+// request may wait in the engine's queue.
 package openai
--- a/internal/backend/openai/stream.go
+++ b/internal/backend/openai/stream.go
@@ -36,11 +36,16 @@
 	cancel   context.CancelFunc
 }
 
-// stream opens a stream whose next token has index offset. The time to the
-// answer's head counts as silence too.
-func (c *Client) stream(ctx context.Context, s sardineknot.BackendServer, offset int, open func(context.Context) (*http.Response, error)) (sardineknot.TokenStream, error) {
+// stream opens a stream whose next token has index offset. A stream that is
+// resumed has to make progress from the start. One that is new may wait in the
+// engine's queue or for its transfer, which the caller bounds through ctx; it
+// has to make progress after its first event.
+func (c *Client) stream(ctx context.Context, s sardineknot.BackendServer, offset int, resumed bool, open func(context.Context) (*http.Response, error)) (sardineknot.TokenStream, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	t := time.AfterFunc(c.progress, cancel)
+	if !resumed {
+		t.Stop()
+	}
 	p, err := open(ctx)
 	if err != nil {
 		t.Stop()
--- a/internal/caller/completions/deliver.go
+++ b/internal/caller/completions/deliver.go
@@ -10,39 +10,61 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"sardineknot.example/sardineknot"
-	"sardineknot.example/sardineknot/internal/answer/buffer"
 	"sardineknot.example/sardineknot/internal/caller/delivery"
 	"sardineknot.example/sardineknot/internal/caller/reply"
 	api "sardineknot.example/sardineknot/internal/rpc/openai"
 )
 
-// deliver writes the tokens of b from index offset on to the connection of r,
-// as delivery number d, and notes them in m. An answer that failed before its
-// first token is written as an HTTP answer of its own. It returns io.EOF after
-// the end of a whole answer, and otherwise why the delivery ended.
-func deliver(w http.ResponseWriter, r *http.Request, b *buffer.Buffer, d, offset int, m *delivery.Delivery) error {
-	c := http.NewResponseController(w)
-	for n := offset; ; n++ {
-		t, err := b.Next(r.Context(), d, n)
-		if err != nil && n == offset && !errors.Is(err, io.EOF) {
-			reply.Error(w, err)
-			return err
-		}
-		if n == offset {
-			w.Header().Set("Content-Type", "text/event-stream")
-		}
+// writer writes one answer to a caller's connection.
+type writer struct {
+	w http.ResponseWriter
+	// offset is the index of the first token to write.
+	offset int
+	// next is the index of the next token. It is at least offset.
+	next     int
+	delivery *delivery.Delivery
+	// begun tells that the answer's head is written.
+	begun bool
+}
+
+// copy writes the tokens that read returns, until it fails.
+func (w *writer) copy(read func() (sardineknot.Token, error)) error {
+	c := http.NewResponseController(w.w)
+	for {
+		t, err := read()
 		if err != nil {
-			writeEnd(w, n, err)
 			return err
 		}
-		writeToken(w, t)
-		m.Token()
+		w.begin()
+		writeToken(w.w, t)
+		w.next++
+		w.delivery.Token()
 		if c.Flush() != nil {
 			return context.Canceled
 		}
 	}
 }
 
+// end writes the end of an answer that ended with err, and returns err. An
+// answer that failed before its first token is written as an HTTP answer of its
+// own.
+func (w *writer) end(err error) error {
+	if !w.begun && !errors.Is(err, io.EOF) {
+		reply.Error(w.w, err)
+		return err
+	}
+	w.begin()
+	writeEnd(w.w, w.next, err)
+	return err
+}
+
+func (w *writer) begin() {
+	if !w.begun {
+		w.begun = true
+		w.w.Header().Set("Content-Type", "text/event-stream")
+	}
+}
+
 func writeToken(w io.Writer, t sardineknot.Token) {
 	m := &api.CompletionResponse{Choices: []*api.Choice{{Text: t.Text}}}
 	fmt.Fprintf(w, "id: %d\ndata: %s\n\n", t.Index, marshal(m))
--- a/internal/caller/completions/handler.go
+++ b/internal/caller/completions/handler.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -21,6 +22,7 @@
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/answer/buffer"
 	"sardineknot.example/sardineknot/internal/answer/generation"
+	"sardineknot.example/sardineknot/internal/answer/h2c"
 	"sardineknot.example/sardineknot/internal/answer/registry"
 	"sardineknot.example/sardineknot/internal/caller/delivery"
 	"sardineknot.example/sardineknot/internal/caller/header"
@@ -31,6 +33,13 @@
 // MaxRequestBytes bounds the body of a request, in bytes.
 const MaxRequestBytes = 4 << 20
 
+const (
+	// relayLimit bounds the time without a token from another host.
+	relayLimit = 10 * time.Second
+	// relayPause is the pause before the directory is asked again.
+	relayPause = 20 * time.Millisecond
+)
+
 // Handler is an http.Handler for POST /v1/completions. All fields are set
 // before use.
 type Handler struct {
@@ -40,6 +49,8 @@
 	Answers *registry.Registry
 	// Runner produces answers.
 	Runner *generation.Runner
+	// Relay reads the answers that other hosts produce.
+	Relay *h2c.Relay
 	// Clock gives the time.
 	Clock sardineknot.Clock
 	// Outcomes takes the outcome of every delivery. Nil discards them.
@@ -54,16 +65,63 @@
 		return
 	}
 	m := delivery.NewDelivery(h.Clock, h.Outcomes, q.Key.Account, q.Work)
-	b, err := h.Answers.Open(q.Key, fingerprint(q), func(ctx context.Context, b *buffer.Buffer) {
-		h.Runner.Run(ctx, q, b)
+	m.End(h.answer(r.Context(), q, &writer{w: w, offset: o, next: o, delivery: m}))
+}
+
+// answer writes the answer to q to w, from this host or from the one that
+// produces it. A host that dies meanwhile is followed by the next one. It
+// returns io.EOF after the end of a whole answer, and otherwise why the
+// delivery ended.
+func (h *Handler) answer(ctx context.Context, q sardineknot.Request, w *writer) error {
+	f := fingerprint(q)
+	p := h.Clock.Now()
+	for {
+		n := w.next
+		err := h.own(ctx, q, f, w)
+		var e *sardineknot.ElsewhereError
+		if errors.As(err, &e) {
+			err = h.relayed(ctx, e.Record, f, w)
+		}
+		var u *sardineknot.UnavailableError
+		if !errors.As(err, &u) {
+			return w.end(err)
+		}
+		if w.next > n {
+			p = h.Clock.Now()
+		}
+		if h.Clock.Now().Sub(p) > relayLimit {
+			return w.end(&sardineknot.InterruptedError{Offset: w.next, Reason: err.Error()})
+		}
+		select {
+		case <-time.After(relayPause):
+		case <-ctx.Done():
+			return w.end(errors.WithStack(ctx.Err()))
+		}
+	}
+}
+
+// own writes the answer of this host.
+func (h *Handler) own(ctx context.Context, q sardineknot.Request, f uint64, w *writer) error {
+	o := w.next
+	b, err := h.Answers.Open(q.Key, f, func(ctx context.Context, b *buffer.Buffer) {
+		h.Runner.Run(ctx, q, b, o)
 	})
 	if err != nil {
-		reply.Error(w, err)
-		return
+		return err
 	}
 	d := b.Attach()
 	defer b.Detach(d)
-	m.End(deliver(w, r, b, d, o, m))
+	return w.copy(func() (sardineknot.Token, error) { return b.Next(ctx, d, w.next) })
+}
+
+// relayed writes the answer that another host produces.
+func (h *Handler) relayed(ctx context.Context, a sardineknot.AnswerRecord, f uint64, w *writer) error {
+	s, err := h.Relay.Open(ctx, a, f, w.next)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	return w.copy(s.Next)
 }
 
 // read returns the request and the index of the first token to deliver.
--- a/internal/caller/reply/write.go
+++ b/internal/caller/reply/write.go
@@ -2,7 +2,8 @@
 // the OpenAI interface.
 //
 // The field type tells what happened to the request: "not_run", "failed",
-// "outcome_unknown", "interrupted", "invalid" or "unknown". A caller may ask
+// "outcome_unknown", "interrupted", "displaced", "lost", "invalid" or
+// "unknown". A caller may ask
 // again after the time in the header Retry-After, if there is one.
 package reply
 
@@ -66,6 +67,7 @@
 	var k *sardineknot.UnknownError
 	var m *sardineknot.MismatchError
 	var d *sardineknot.DisplacedError
+	var l *sardineknot.LostError
 	switch {
 	case errors.As(err, &n):
 		return outcome{http.StatusServiceUnavailable, detail{Type: "not_run", Message: n.Error()}, n.RetryAfter}
@@ -83,6 +85,8 @@
 		return outcome{status: http.StatusUnprocessableEntity, detail: detail{Type: "invalid", Message: m.Error()}}
 	case errors.As(err, &d):
 		return outcome{status: http.StatusConflict, detail: detail{Type: "displaced", Message: d.Error()}}
+	case errors.As(err, &l):
+		return outcome{status: http.StatusGone, detail: detail{Type: "lost", Message: l.Error()}}
 	default:
 		return outcome{status: http.StatusInternalServerError, detail: detail{Type: "failed", Message: err.Error()}}
 	}
--- a/internal/host/process/callers.go
+++ b/internal/host/process/callers.go
@@ -3,10 +3,7 @@
 import (
 	"net/http"
 
-	"sardineknot.example/sardineknot/internal/answer/generation"
-	"sardineknot.example/sardineknot/internal/answer/registry"
 	"sardineknot.example/sardineknot/internal/answer/service"
-	"sardineknot.example/sardineknot/internal/backend/openai"
 	"sardineknot.example/sardineknot/internal/backend/plainhttp"
 	"sardineknot.example/sardineknot/internal/caller/completions"
 	"sardineknot.example/sardineknot/internal/caller/limit"
@@ -26,18 +23,11 @@
 }
 
 func (p *Process) addGenerations() {
-	r := &generation.Runner{
-		Self:          p.self,
-		Engine:        openai.NewClient(p.settings.StreamProgress),
-		Slots:         p.slots,
-		Configuration: p.source,
-		Clock:         p.clock,
-		Log:           p.log,
-	}
 	p.handleLimited("POST /v1/completions", &completions.Handler{
 		Configuration: p.source,
-		Answers:       registry.NewRegistry(p.settings.ReconnectGrace, p.settings.AnswerRetention),
-		Runner:        r,
+		Answers:       p.answers.registry,
+		Runner:        p.answers.runner,
+		Relay:         p.answers.relay,
 		Clock:         p.clock,
 		Outcomes:      p.outcomes,
 	})
--- a/internal/host/process/membership.go
+++ b/internal/host/process/membership.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"sardineknot.example/sardineknot/internal/membership/httpsd"
+	"sardineknot.example/sardineknot/internal/membership/liveness"
 	"sardineknot.example/sardineknot/internal/membership/rendezvous"
 )
 
@@ -12,5 +13,6 @@
 	m := httpsd.NewList(p.self, p.hosts)
 	p.members = m
 	p.ranker = rendezvous.NewRanker(m)
+	p.liveness = liveness.NewTracker(m, p.clock)
 	p.tasks = append(p.tasks, func(ctx context.Context) error { return m.Run(ctx, p.settings.Heartbeat) })
 }
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -18,6 +18,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/host/clock"
+	"sardineknot.example/sardineknot/internal/membership/liveness"
 	"sardineknot.example/sardineknot/internal/peer/h2c"
 	"sardineknot.example/sardineknot/internal/platform/etcd"
 	"sardineknot.example/sardineknot/internal/platform/httpsd"
@@ -59,6 +60,10 @@
 	limiter sardineknot.Limiter
 
 	outcomes *tracker.Tracker
+	// liveness tells which incarnations of entry hosts are dead.
+	liveness *liveness.Tracker
+	engine   sardineknot.Engine
+	answers  answers
 }
 
 // NewProcess returns a process that is not running yet. It applies the
@@ -87,6 +92,7 @@
 	p.addSlots()
 	p.addClaims()
 	p.addLimits()
+	p.addAnswers()
 	p.addCallers()
 	p.addAdmin()
 	return p
--- a/internal/host/process/slots.go
+++ b/internal/host/process/slots.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/backend/openai"
 	"sardineknot.example/sardineknot/internal/policy/roundrobin"
 	"sardineknot.example/sardineknot/internal/slots/twirp"
 )
@@ -14,6 +15,7 @@
 
 // addSlots assembles what grants engines.
 func (p *Process) addSlots() {
+	p.engine = openai.NewClient(p.settings.StreamProgress)
 	n := uint64(p.self.Incarnation)
 	o := &twirp.Pool{
 		Members: p.members,
