--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -51,6 +51,7 @@
 			"await":  await,
 			"record": record,
 			"expand": expand,
+			"unlist": unlist,
 		},
 		RequireExplicitExec: true,
 	})
