--- a/errors.go
+++ b/errors.go
@@ -172,3 +172,29 @@
 func (e *OlderConfigurationError) Error() string {
 	return fmt.Sprintf("configuration of revision %d must not replace that of revision %d", e.Got, e.InForce)
 }
+
+// LostError reports an answer whose earlier part was lost with the hosts that
+// produced it, so that the rest cannot be produced. The caller may ask again
+// from the start under a new request identifier.
+type LostError struct {
+	// Key identifies the request.
+	Key RequestKey
+	// Offset is the index from which the caller asked.
+	Offset int
+}
+
+// Error implements error.
+func (e *LostError) Error() string {
+	return fmt.Sprintf("answer to %s cannot be continued from token %d", e.Key, e.Offset)
+}
+
+// ElsewhereError reports that another entry host produces the answer.
+type ElsewhereError struct {
+	// Record tells which host.
+	Record AnswerRecord
+}
+
+// Error implements error.
+func (e *ElsewhereError) Error() string {
+	return fmt.Sprintf("answer to %s is produced by %s", e.Record.Key, e.Record.Host)
+}
