policy: timed scheduler, baselines, bound and bench

Cause: round robin was the only scheduler and nothing measured decisions. Adds policy/leastloaded (b), policy/timed (c) with lengths, prefixes, fairness, circuit and links, policy/oracle (d, and e with shortest first), and the subcommand bench in virtual time.

BackendServer.MemoryPieces is new: engine memory bounds decode engines beside slots, and the scheduler cannot know it otherwise.

--- a/backend.go
+++ b/backend.go
@@ -29,6 +29,9 @@
 	BackendLeaving BackendState = "Leaving"
 )
 
+// PieceTokens is the number of tokens in a piece of engine memory.
+const PieceTokens = 2000
+
 // BackendServer is an engine or plain service that requests are routed to.
 type BackendServer struct {
 	// Name is unique within a Configuration.
@@ -48,6 +51,9 @@
 	// Slots is the number of requests that the server works on at once. It is
 	// positive.
 	Slots int
+	// MemoryPieces is the number of pieces of PieceTokens that an engine's
+	// memory has. Zero means that slots are the only limit.
+	MemoryPieces int
 	// ChecksFencing reports whether the server refuses orders that carry an
 	// old fencing number.
 	ChecksFencing bool
--- a/cmd/sardineknot/main.go
+++ b/cmd/sardineknot/main.go
@@ -12,6 +12,7 @@
 	"github.com/google/subcommands"
 
 	"sardineknot.example/sardineknot/internal/command/apply"
+	"sardineknot.example/sardineknot/internal/command/bench"
 	"sardineknot.example/sardineknot/internal/command/serve"
 )
 
@@ -19,6 +20,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&serve.Command{}, "")
 	subcommands.Register(&apply.Command{}, "")
+	subcommands.Register(&bench.Command{}, "")
 	flag.Parse()
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
--- /dev/null
+++ b/internal/command/bench/command.go
@@ -0,0 +1,182 @@
+// Package bench is the command that measures schedulers in virtual time.
+package bench
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/bench/result"
+	"sardineknot.example/sardineknot/internal/bench/table"
+	"sardineknot.example/sardineknot/internal/bench/workload"
+	"sardineknot.example/sardineknot/internal/bench/world"
+	"sardineknot.example/sardineknot/internal/policy/leastloaded"
+	"sardineknot.example/sardineknot/internal/policy/oracle"
+	"sardineknot.example/sardineknot/internal/policy/roundrobin"
+	"sardineknot.example/sardineknot/internal/policy/timed"
+)
+
+// parallel is the number of runs at a time.
+const parallel = 4
+
+// Command is the subcommand "bench". The zero value measures nothing until
+// SetFlags has given its fields their defaults.
+type Command struct {
+	workloads  string
+	faults     string
+	loads      string
+	schedulers string
+	duration   time.Duration
+	seed       uint64
+	json       bool
+}
+
+// Name implements subcommands.Command.
+func (*Command) Name() string { return "bench" }
+
+// Synopsis implements subcommands.Command.
+func (*Command) Synopsis() string { return "measure schedulers in virtual time" }
+
+// Usage implements subcommands.Command.
+func (*Command) Usage() string {
+	return "bench [FLAGS]\n  Prints goodput, wasted prefill, latencies and fairness of schedulers side by side.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.workloads, "workloads", "akstursbok,kessler", "workloads, separated by commas")
+	f.StringVar(&c.faults, "faults", strings.Join(faults(), ","), "faults, separated by commas")
+	f.StringVar(&c.loads, "loads", "0.5,0.8,1.0,1.3,2.0", "loads relative to capacity, separated by commas")
+	f.StringVar(&c.schedulers, "schedulers", "a,b,c,d,e", "schedulers by letter, separated by commas")
+	f.DurationVar(&c.duration, "duration", 2*time.Minute, "virtual time of first asks")
+	f.Uint64Var(&c.seed, "seed", 1, "seed of the random numbers")
+	f.BoolVar(&c.json, "json", false, "print the results as JSON")
+}
+
+func faults() []string {
+	return []string{world.FaultNone, world.FaultKill, world.FaultLag, world.FaultLink, world.FaultEntry}
+}
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	err := c.run(ctx)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *Command) run(ctx context.Context) error {
+	l, err := c.cells()
+	if err != nil {
+		return err
+	}
+	t := table.Table{Results: make([]result.Result, len(l))}
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(parallel)
+	for i, e := range l {
+		g.Go(func() error {
+			t.Results[i] = c.measure(e)
+			return ctx.Err()
+		})
+	}
+	err = g.Wait()
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	if c.json {
+		return errors.WithStack(json.NewEncoder(os.Stdout).Encode(t.Results))
+	}
+	return errors.WithStack(t.Write(os.Stdout))
+}
+
+// cell is one run.
+type cell struct {
+	workload  workload.Workload
+	fault     string
+	load      float64
+	scheduler string
+}
+
+// cells returns the runs that the flags select.
+func (c *Command) cells() ([]cell, error) {
+	var l []cell
+	for _, n := range strings.Split(c.workloads, ",") {
+		w, err := findWorkload(n)
+		if err != nil {
+			return nil, err
+		}
+		for _, f := range strings.Split(c.faults, ",") {
+			r, err := c.row(w, f)
+			if err != nil {
+				return nil, err
+			}
+			l = append(l, r...)
+		}
+	}
+	return l, nil
+}
+
+func (c *Command) row(w workload.Workload, fault string) ([]cell, error) {
+	if !slices.Contains(faults(), fault) {
+		return nil, errors.WithStack(&sardineknot.UnknownError{What: "fault", Name: fault})
+	}
+	var l []cell
+	for _, s := range strings.Split(c.loads, ",") {
+		f, err := strconv.ParseFloat(s, 64)
+		if err != nil || f <= 0 {
+			return nil, errors.WithStack(&sardineknot.InvalidError{What: "load", Got: s, Expected: "a positive number"})
+		}
+		for _, p := range strings.Split(c.schedulers, ",") {
+			if !strings.Contains("abcde", p) || len(p) != 1 {
+				return nil, errors.WithStack(&sardineknot.UnknownError{What: "scheduler", Name: p})
+			}
+			l = append(l, cell{w, fault, f, p})
+		}
+	}
+	return l, nil
+}
+
+func findWorkload(n string) (workload.Workload, error) {
+	for _, w := range []workload.Workload{workload.Akstursbok(), workload.Kessler()} {
+		if w.Name == n {
+			return w, nil
+		}
+	}
+	return workload.Workload{}, errors.WithStack(&sardineknot.UnknownError{What: "workload", Name: n})
+}
+
+func (c *Command) measure(e cell) result.Result {
+	n, s := newScheduler(e.scheduler)
+	r := world.NewWorld(e.workload, s, e.fault, e.load, c.duration, c.seed).Run()
+	r.Policy = n
+	return r
+}
+
+// newScheduler returns the scheduler of a letter and its name.
+func newScheduler(letter string) (string, sardineknot.Scheduler) {
+	switch letter {
+	case "a":
+		return table.RoundRobin, &roundrobin.Scheduler{}
+	case "b":
+		return table.LeastLoaded, &leastloaded.Scheduler{}
+	case "c":
+		return table.Timed, timed.NewScheduler()
+	case "d":
+		return table.Oracle, &oracle.Scheduler{}
+	default:
+		return table.Shortest, &oracle.Scheduler{Shortest: true}
+	}
+}
