policy/timed: transfers that share a link must all end in time

A trace of each eviction showed 189 of 201 in the transfer: either it began so late that the rest of the result's life was too short, or a newer transfer on the same link slowed it. Ruled out: slots that did not become free (12 cases) and wrong lengths.

Changed: links.Meter follows each transfer; a path counts only if its transfer ends within the life that is left and no other transfer becomes late by it; expected slots count only on engines that have memory and a link for the job.

--- a/internal/policy/links/meter.go
+++ b/internal/policy/links/meter.go
@@ -1,12 +1,12 @@
 // Package links predicts how long KV cache takes to move between availability
 // zones.
 //
-// The declared rate is corrected by a slowdown that is learned from transfers.
-// The slowdown decays, so that a link that has recovered is used again.
+// The transfers of a link are taken to share it evenly. The declared rate is
+// corrected by a slowdown that is learned from transfers. The slowdown decays,
+// so that a link that has recovered is used again.
 package links
 
 import (
-	"math"
 	"time"
 
 	"sardineknot.example/sardineknot"
@@ -34,17 +34,6 @@
 
 type pair struct{ a, b sardineknot.AvailabilityZone }
 
-type link struct {
-	delay time.Duration
-	// rate is in bytes a second. Zero means unlimited.
-	rate float64
-	// moving is the number of bytes under way.
-	moving float64
-	// slowdown is at least 1.
-	slowdown float64
-	updated  time.Time
-}
-
 // NewMeter returns a meter of unlimited links without delay.
 func NewMeter() *Meter { return &Meter{links: make(map[pair]*link)} }
 
@@ -58,49 +47,51 @@
 }
 
 // Predict returns the time that bytes take from one zone to another at now,
-// with what is under way.
-func (m *Meter) Predict(now time.Time, from, to sardineknot.AvailabilityZone, bytes float64) time.Duration {
+// beside what is under way. safe tells that no other transfer becomes late by
+// it.
+func (m *Meter) Predict(now time.Time, from, to sardineknot.AvailabilityZone, bytes float64) (d time.Duration, safe bool) {
 	k := m.link(from, to)
-	return time.Duration(float64(k.expected(bytes)) * k.slowed(now))
+	k.advance(now)
+	return k.finish(now, bytes, nil), k.safe(now, bytes)
 }
 
-// Begin notes that bytes start to move.
-func (m *Meter) Begin(from, to sardineknot.AvailabilityZone, bytes float64) {
-	m.link(from, to).moving += bytes
+// Begin notes that the bytes of j start to move, and are lost at expiry.
+func (m *Meter) Begin(now time.Time, j sardineknot.RequestKey, from, to sardineknot.AvailabilityZone, bytes float64, expiry time.Time) {
+	k := m.link(from, to)
+	k.advance(now)
+	k.transfers = append(k.transfers, &transfer{key: j, bytes: bytes, expiry: expiry})
 }
 
-// Abort notes that bytes no longer move.
-func (m *Meter) Abort(from, to sardineknot.AvailabilityZone, bytes float64) {
+// Abort notes that the bytes of j no longer move.
+func (m *Meter) Abort(now time.Time, j sardineknot.RequestKey, from, to sardineknot.AvailabilityZone) {
 	k := m.link(from, to)
-	k.moving = max(0, k.moving-bytes)
+	k.advance(now)
+	k.drop(j)
 }
 
-// End notes that bytes took the time took, where predicted was expected when
-// they began.
-func (m *Meter) End(now time.Time, from, to sardineknot.AvailabilityZone, bytes float64, took, predicted time.Duration) {
-	m.Abort(from, to, bytes)
+// End notes that the bytes of j took the time took, where predicted was
+// expected when they began.
+func (m *Meter) End(now time.Time, j sardineknot.RequestKey, from, to sardineknot.AvailabilityZone, took, predicted time.Duration) {
+	m.Abort(now, j, from, to)
 	k := m.link(from, to)
 	if took < shortest || predicted <= 0 {
 		return
 	}
-	s := k.slowed(now)
 	r := float64(took) / float64(predicted)
 	if r < headroom {
 		r = min(r, 1)
 	}
-	k.slowdown = min(maxSlowdown, max(1, s*(1-gain+gain*r)))
-	k.updated = now
+	k.learn(now, k.slowed(now)*(1-gain+gain*r))
 }
 
 // Late raises the slowdown for a transfer that has taken the time took and
-// goes on.
+// has failed.
 func (m *Meter) Late(now time.Time, from, to sardineknot.AvailabilityZone, took, predicted time.Duration) {
 	if predicted <= 0 || took < shortest {
 		return
 	}
 	k := m.link(from, to)
-	k.slowdown = min(maxSlowdown, max(1, k.slowed(now), float64(took)/float64(predicted)))
-	k.updated = now
+	k.learn(now, max(k.slowed(now), float64(took)/float64(predicted)))
 }
 
 func (m *Meter) link(from, to sardineknot.AvailabilityZone) *link {
@@ -112,18 +103,3 @@
 	}
 	return k
 }
-
-func (k *link) expected(bytes float64) time.Duration {
-	if k.rate <= 0 {
-		return k.delay
-	}
-	return k.delay + time.Duration((bytes+k.moving)/k.rate*float64(time.Second))
-}
-
-func (k *link) slowed(now time.Time) float64 {
-	if k.slowdown <= 1 {
-		return 1
-	}
-	a := now.Sub(k.updated).Seconds() / halfLife.Seconds()
-	return 1 + (k.slowdown-1)*math.Exp2(-max(0, a))
-}
--- a/internal/policy/timed/dispatch.go
+++ b/internal/policy/timed/dispatch.go
@@ -64,12 +64,12 @@
 
 // slotExpected reports whether a slot will become free in time for c.
 func (s *Scheduler) slotExpected(now time.Time, j *job, c choice) bool {
-	b := c.end.Add(s.Life - guard - c.transfer)
-	l := j.Deadline.Add(-c.transfer - seconds(s.interval))
+	b := c.end.Add(s.Life - guard)
+	l := j.Deadline.Add(-seconds(s.interval))
 	if l.Before(b) {
 		b = l
 	}
-	return s.supply(now, b) >= float64(len(s.pending)+1)
+	return s.supply(now, b, j, c.prefill.server.Zone) >= float64(len(s.pending)+1)
 }
 
 func (s *Scheduler) startPrefill(now time.Time, j *job, c choice) {
--- a/internal/policy/timed/engine.go
+++ b/internal/policy/timed/engine.go
@@ -32,6 +32,9 @@
 	// interval is the time between tokens that was seen last, in seconds. Zero
 	// means none.
 	interval float64
+	// freeing is the number of slots that are expected to become free in a
+	// second.
+	freeing float64
 	// short counts the load reports in a row that lack some of jobs.
 	short int
 }
@@ -75,6 +78,13 @@
 	return m == 0 || e.pieces+j.pieces <= m || len(e.jobs) == 0
 }
 
+// wouldFit reports whether e would have memory for j if one of its jobs of the
+// mean size ended.
+func (e *engine) wouldFit(j *job) bool {
+	m, n := e.server.MemoryPieces, len(e.jobs)
+	return m == 0 || n == 0 || e.pieces-e.pieces/n+j.pieces <= m
+}
+
 // slow reports whether e would break the target between tokens of j.
 func (e *engine) slow(j *job) bool {
 	return j.PerToken > 0 && len(e.jobs) > 0 && e.interval > j.PerToken.Seconds()
--- a/internal/policy/timed/events.go
+++ b/internal/policy/timed/events.go
@@ -15,7 +15,7 @@
 	s.leavePrefill(now, j)
 	j.state = ready
 	j.expiry = now.Add(s.Life - guard)
-	if j.decode != nil && !j.decode.usable(now) {
+	if j.decode != nil && !s.reachable(now, j) {
 		s.unreserve(j)
 		s.pending = append([]*job{j}, s.pending...)
 	}
@@ -29,7 +29,7 @@
 		return
 	}
 	t := max(0, now.Sub(j.began)-seconds(s.interval))
-	s.links.End(now, j.from, j.decode.server.Zone, j.bytes, t, j.predicted)
+	s.links.End(now, j.Key, j.from, j.decode.server.Zone, t, j.predicted)
 	j.decode.breaker.Succeed()
 	j.state = decoding
 	j.began = now
@@ -74,7 +74,7 @@
 // end frees what j holds. j is neither queued nor pending.
 func (s *Scheduler) end(now time.Time, j *job) {
 	if j.state == importing {
-		s.links.Abort(j.from, j.decode.server.Zone, j.bytes)
+		s.links.Abort(now, j.Key, j.from, j.decode.server.Zone)
 	}
 	s.leavePrefill(now, j)
 	s.unreserve(j)
@@ -91,3 +91,10 @@
 	e.remove(j, 0)
 	e.replan(now)
 }
+
+// reachable reports whether j's KV cache can still be moved to the engine that
+// is reserved for it.
+func (s *Scheduler) reachable(now time.Time, j *job) bool {
+	t, ok := s.links.Predict(now, j.from, j.decode.server.Zone, j.bytes)
+	return ok && t <= s.window(now, j) && j.decode.usable(now)
+}
--- a/internal/policy/timed/place.go
+++ b/internal/policy/timed/place.go
@@ -38,12 +38,13 @@
 	p := path{from: from}
 	var b, l time.Duration
 	var n int
+	m := s.window(now, j)
 	for _, e := range s.decode {
 		if !e.usable(now) || e.slow(j) {
 			continue
 		}
-		t := s.links.Predict(now, from, e.server.Zone, j.bytes)
-		if t > s.Life-guard {
+		t, ok := s.links.Predict(now, from, e.server.Zone, j.bytes)
+		if t > m || !ok {
 			continue
 		}
 		n++
@@ -62,6 +63,14 @@
 	return p
 }
 
+// window returns the time that the transfer of j may take.
+func (s *Scheduler) window(now time.Time, j *job) time.Duration {
+	if j.state == ready {
+		return j.expiry.Sub(now)
+	}
+	return s.Life - guard
+}
+
 // reserve takes a slot of e for j.
 func (s *Scheduler) reserve(j *job, e *engine) {
 	j.decode = e
@@ -113,9 +122,9 @@
 	e := j.decode
 	j.state = importing
 	j.began = now
-	j.predicted = s.links.Predict(now, j.from, e.server.Zone, j.bytes)
+	j.predicted, _ = s.links.Predict(now, j.from, e.server.Zone, j.bytes)
 	j.due = now.Add(j.predicted + seconds(s.interval))
-	s.links.Begin(j.from, e.server.Zone, j.bytes)
+	s.links.Begin(now, j.Key, j.from, e.server.Zone, j.bytes, j.expiry)
 	e.breaker.Begin(now)
 	s.decide(j, sardineknot.ActionDecode, e)
 }
--- a/internal/policy/timed/rates.go
+++ b/internal/policy/timed/rates.go
@@ -88,16 +88,17 @@
 	}
 	s.freeingAt = now
 	m := horizon.Seconds() / s.interval
-	var f float64
+	s.freeing = 0
 	for _, e := range s.decode {
+		e.freeing = 0
 		if e.gone || !e.breaker.Allow(now) {
 			continue
 		}
 		for _, j := range e.jobs {
-			f += s.finishing(now, j, m)
+			e.freeing += s.finishing(now, j, m) / horizon.Seconds()
 		}
+		s.freeing += e.freeing
 	}
-	s.freeing = f / horizon.Seconds()
 }
 
 // finishing returns the probability that j ends within the next more tokens.
@@ -109,11 +110,18 @@
 	return s.lengths.Finishing(j.Key.Account, j.Work, d, more, j.MaxTokens)
 }
 
-// supply returns a number of slots that will almost surely have become free
-// by the time by.
-func (s *Scheduler) supply(now, by time.Time) float64 {
+// supply returns a number of slots for j that will almost surely have become
+// free early enough for a transfer that ends by the time by.
+func (s *Scheduler) supply(now, by time.Time, j *job, from sardineknot.AvailabilityZone) float64 {
 	s.refresh(now)
-	m := s.freeing * max(0, by.Sub(now).Seconds())
+	var m float64
+	for _, e := range s.decode {
+		if !e.wouldFit(j) || !e.usable(now) || e.slow(j) {
+			continue
+		}
+		t, _ := s.links.Predict(now, from, e.server.Zone, j.bytes)
+		m += e.freeing * max(0, (by.Sub(now) - t).Seconds())
+	}
 	return m - margin*math.Sqrt(m)
 }
 
