policy/timed: event delay is told apart from slow links

Failed try: the least excess over the prediction as the delay.

Changed: the delay is the least time of any transfer in the last 2 to 4 s beyond what an idle link at its declared rate takes. It is subtracted from transfers and prefills before anything is learned from them.

--- a/internal/policy/links/meter.go
+++ b/internal/policy/links/meter.go
@@ -55,6 +55,16 @@
 	return k.finish(now, bytes, nil), k.safe(now, bytes)
 }
 
+// Least returns the time that bytes take at the declared rate, with the link
+// to themselves.
+func (m *Meter) Least(from, to sardineknot.AvailabilityZone, bytes float64) time.Duration {
+	k := m.link(from, to)
+	if k.rate <= 0 {
+		return k.delay
+	}
+	return k.delay + time.Duration(bytes/k.rate*float64(time.Second))
+}
+
 // Begin notes that the bytes of j start to move, and are lost at expiry.
 func (m *Meter) Begin(now time.Time, j sardineknot.RequestKey, from, to sardineknot.AvailabilityZone, bytes float64, expiry time.Time) {
 	k := m.link(from, to)
--- a/internal/policy/timed/events.go
+++ b/internal/policy/timed/events.go
@@ -29,6 +29,8 @@
 		return
 	}
 	t := max(0, now.Sub(j.began)-seconds(s.interval))
+	s.observe(now, t-s.links.Least(j.from, j.decode.server.Zone, j.bytes))
+	t = max(0, t-s.delay)
 	s.links.End(now, j.Key, j.from, j.decode.server.Zone, t, j.predicted)
 	j.decode.breaker.Succeed()
 	j.state = decoding
@@ -43,7 +45,7 @@
 // failed ends j and counts the failure against server. A transfer that took
 // too long counts against the link.
 func (s *Scheduler) failed(now time.Time, j *job, server sardineknot.BackendServerName) {
-	l := j.state == importing && now.Sub(j.began) > 2*j.predicted+guard
+	l := j.state == importing && now.Sub(j.began) > 2*j.predicted+guard+s.delay
 	if l {
 		s.links.Late(now, j.from, j.decode.server.Zone, now.Sub(j.began), j.predicted)
 	}
@@ -89,7 +91,7 @@
 	}
 	j.prefill = nil
 	e.remove(j, 0)
-	e.replan(now)
+	e.replan(now.Add(-s.delay))
 }
 
 // reachable reports whether j's KV cache can still be moved to the engine that
--- a/internal/policy/timed/rates.go
+++ b/internal/policy/timed/rates.go
@@ -36,6 +36,7 @@
 	// second. It was worked out at freeingAt.
 	freeing   float64
 	freeingAt time.Time
+	lag
 	// nextReturn is the time that the next refused caller may come back at.
 	nextReturn time.Time
 	// expireAt is the time of the next search for lost jobs.
@@ -58,7 +59,7 @@
 	if e.last.After(b) {
 		b = e.last
 	}
-	t := now.Sub(b).Seconds()
+	t := max(0, now.Add(-s.delay).Sub(b).Seconds())
 	if j.hits > 0 && t > 2*j.cost.Seconds() && t > s.perToken*float64(j.PromptTokens)/2 {
 		s.prefixes.Forget(j.Prefixes, e.server.Name)
 		return
@@ -120,7 +121,7 @@
 			continue
 		}
 		t, _ := s.links.Predict(now, from, e.server.Zone, j.bytes)
-		m += e.freeing * max(0, (by.Sub(now) - t).Seconds())
+		m += e.freeing * max(0, (by.Sub(now)-t).Seconds())
 	}
 	return m - margin*math.Sqrt(m)
 }
