--- a/internal/caller/admission/guard.go
+++ b/internal/caller/admission/guard.go
@@ -50,15 +50,22 @@
 
 // Wrap returns h behind the guard.
 func (g *Guard) Wrap(h http.Handler) http.Handler {
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		g.active.Add(1)
-		defer g.active.Add(-1)
+	return g.Track(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		s := g.refusal()
 		if s == "" || g.Known != nil && g.Known(r) {
 			h.ServeHTTP(w, r)
 			return
 		}
 		g.refuse(w, s)
+	}))
+}
+
+// Track returns h, whose requests are counted and always let through.
+func (g *Guard) Track(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		g.active.Add(1)
+		defer g.active.Add(-1)
+		h.ServeHTTP(w, r)
 	})
 }
 
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -17,9 +17,9 @@
 	"golang.org/x/sync/errgroup"
 
 	"sardineknot.example/sardineknot"
-	"sardineknot.example/sardineknot/internal/answer/registry"
 	"sardineknot.example/sardineknot/internal/caller/admission"
 	"sardineknot.example/sardineknot/internal/host/clock"
+	"sardineknot.example/sardineknot/internal/membership/liveness"
 	"sardineknot.example/sardineknot/internal/membership/twirp"
 	"sardineknot.example/sardineknot/internal/peer/h2c"
 	"sardineknot.example/sardineknot/internal/platform/etcd"
@@ -54,8 +54,6 @@
 	node *twirp.Node
 	// guard admits the requests of callers.
 	guard *admission.Guard
-	// registry holds the answers that this host produces.
-	registry *registry.Registry
 }
 
 // parts are what the assembling functions make for each other.
@@ -68,6 +66,10 @@
 	limiter sardineknot.Limiter
 
 	outcomes *tracker.Tracker
+	// liveness tells which incarnations of entry hosts are dead.
+	liveness *liveness.Tracker
+	engine   sardineknot.Engine
+	answers  answers
 }
 
 // NewProcess returns a process that is not running yet. It applies the
@@ -97,6 +99,8 @@
 	p.addClaims()
 	p.addLimits()
 	p.addGuard()
+	p.addOrders()
+	p.addAnswers()
 	p.addCallers()
 	p.addAdmin()
 	return p
--- a/internal/host/process/stop.go
+++ b/internal/host/process/stop.go
@@ -26,10 +26,10 @@
 
 // produces reports whether r is for an answer that this host produces.
 func (p *Process) produces(r *http.Request) bool {
-	return p.registry.Find(sardineknot.RequestKey{
+	return p.answers.registry.Has(sardineknot.RequestKey{
 		Account: sardineknot.ClientAccountName(r.Header.Get("X-Client-Account")),
 		ID:      sardineknot.RequestID(r.Header.Get("X-Request-Id")),
-	}) != nil
+	})
 }
 
 // stop ends the service of this host in order once ctx is done: the other
@@ -63,7 +63,7 @@
 }
 
 // running returns the number of answers and deliveries that have not ended.
-func (p *Process) running() int { return p.registry.Running() + p.guard.Active() }
+func (p *Process) running() int { return p.answers.registry.Running() + p.guard.Active() }
 
 // wait returns after d, or when ctx is done.
 func wait(ctx context.Context, d time.Duration) {
