answer: use the present incarnation of this host

Cause: a host that was declared dead takes a new incarnation, but the runners kept the one that it started with. Other hosts took what it ran from then on for what a dead host left behind, and cancelled it on the engines.

What: the runners and the queue of cancels ask the membership. One run keeps the incarnation under which it began.

--- a/internal/answer/cancel/queue.go
+++ b/internal/answer/cancel/queue.go
@@ -29,8 +29,8 @@
 // Queue holds cancellations. It is safe for concurrent use. All exported
 // fields are set before use.
 type Queue struct {
-	// Self is this entry host.
-	Self sardineknot.EntryHost
+	// Self returns this entry host. Its incarnation may grow.
+	Self func() sardineknot.EntryHost
 	// Engine calls engines.
 	Engine sardineknot.Engine
 	// Log takes one event for each cancellation that is given up.
@@ -91,8 +91,9 @@
 	if err != nil {
 		return err
 	}
+	e := q.Self()
 	for _, h := range l {
-		if h.EngineKey == key && h.Owner == q.Self.ID && h.OwnerIncarnation == q.Self.Incarnation {
+		if h.EngineKey == key && h.Owner == e.ID && h.OwnerIncarnation == e.Incarnation {
 			return q.Engine.Cancel(ctx, s, key)
 		}
 	}
--- a/internal/answer/generation/record.go
+++ b/internal/answer/generation/record.go
@@ -53,7 +53,7 @@
 // check fails with an ElsewhereError if the record c in force is not that of
 // this host.
 func (n *run) check(c sardineknot.AnswerRecord) error {
-	if c.Host == n.Self.ID && c.Incarnation == n.Self.Incarnation {
+	if c.Host == n.record.Host && c.Incarnation == n.record.Incarnation {
 		return nil
 	}
 	return errors.WithStack(&sardineknot.ElsewhereError{Record: c})
--- a/internal/answer/service/runner.go
+++ b/internal/answer/service/runner.go
@@ -22,8 +22,8 @@
 // Runner produces answers. It is safe for concurrent use. All exported fields
 // are set before use.
 type Runner struct {
-	// Self is this entry host.
-	Self sardineknot.EntryHost
+	// Self returns this entry host. Its incarnation may grow.
+	Self func() sardineknot.EntryHost
 	// Service calls plain services.
 	Service sardineknot.PlainService
 	// Claims records unrepeatable requests.
@@ -67,10 +67,11 @@
 }
 
 func (r *Runner) runOnce(ctx context.Context, c sardineknot.ServiceCall) (sardineknot.ServiceAnswer, error) {
+	e := r.Self()
 	a := sardineknot.ClaimAttempt{
 		Key:               c.Key,
-		Holder:            r.Self.ID,
-		HolderIncarnation: r.Self.Incarnation,
+		Holder:            e.ID,
+		HolderIncarnation: e.Incarnation,
 		Nonce:             r.nonce.Add(1),
 	}
 	p, err := r.Claims.Claim(ctx, a)
--- a/internal/host/process/callers.go
+++ b/internal/host/process/callers.go
@@ -35,7 +35,7 @@
 
 func (p *Process) addServices() {
 	r := &service.Runner{
-		Self:          p.self,
+		Self:          p.members.Self,
 		Service:       plainhttp.NewClient(),
 		Claims:        p.claims,
 		Configuration: p.source,
--- a/internal/membership/twirp/exchange.go
+++ b/internal/membership/twirp/exchange.go
@@ -66,14 +66,11 @@
 	}
 	t := n.clock.Now()
 	n.mu.Lock()
-	b := n.view.Merge(t, append(p.GetChanges(), p.GetSender()))
+	n.view.Merge(t, append(p.GetChanges(), p.GetSender()))
 	n.view.Reached(sardineknot.EntryHostID(p.GetSender().GetId()))
 	u := n.mustPullLocked(t, p)
 	n.refreshLocked(t)
 	n.mu.Unlock()
-	if b {
-		n.Log.Warn().Str("event", "incarnation_renewed").Str("reason", "declared dead by others").Send()
-	}
 	n.learn(p.GetSender(), p.GetConfigurationRevision())
 	if u {
 		n.pull(ctx, address)
