operator/settings: refuse every broken file with its position

Cause: settings were decoded with the position of the decoder's first error at best, and values were not checked at all: a zone outside the list or two equal addresses were found when the host failed later.

internal/operator/hujson decodes a file strictly, blanks out what does not fit and goes on, so one pass reports all problems with file, line, column, field and what was expected. A parser of our own over the syntax tree was ruled out: the decoder of go-json-experiment already knows every field and type.

Configuration.Contract is a binary search now.

--- a/configuration.go
+++ b/configuration.go
@@ -1,5 +1,10 @@
 package sardineknot
 
+import (
+	"slices"
+	"strings"
+)
+
 // Revision orders accepted configurations. It only grows.
 type Revision int64
 
@@ -19,12 +24,13 @@
 
 // Contract returns the contract of account n, or an UnknownError.
 func (c *Configuration) Contract(n ClientAccountName) (Contract, error) {
-	for _, k := range c.Contracts {
-		if k.Account == n {
-			return k, nil
-		}
+	i, ok := slices.BinarySearchFunc(c.Contracts, n, func(k Contract, n ClientAccountName) int {
+		return strings.Compare(string(k.Account), string(n))
+	})
+	if !ok {
+		return Contract{}, &UnknownError{What: "ClientAccount", Name: string(n)}
 	}
-	return Contract{}, &UnknownError{What: "ClientAccount", Name: string(n)}
+	return c.Contracts[i], nil
 }
 
 // Pool returns the backend servers of pool p that accept new work, in the
--- a/head.go
+++ b/head.go
@@ -20,10 +20,29 @@
 	Author string
 	// AcceptedAt is the time of the change by the operator's clock.
 	AcceptedAt time.Time
+	// Recent lists the last accepted changes, this one first, at most
+	// MaxRecentChanges. An operator who lost the reply to a write finds the
+	// change here also when others followed.
+	Recent []ConfigurationChange
 	// Bundles is ordered by name.
 	Bundles []BundleReference
 }
 
+// MaxRecentChanges bounds ConfigurationHead.Recent.
+const MaxRecentChanges = 16
+
+// ConfigurationChange is an accepted change of the configuration.
+type ConfigurationChange struct {
+	// Revision is the revision that the change made.
+	Revision Revision
+	// Operation is unique among changes.
+	Operation string
+	// Author names the operator.
+	Author string
+	// AcceptedAt is the time of the change by the operator's clock.
+	AcceptedAt time.Time
+}
+
 // BundleReference names a bundle by its content.
 type BundleReference struct {
 	// Name is unique within a head.
--- a/internal/configuration/codec/codec.go
+++ b/internal/configuration/codec/codec.go
@@ -42,11 +42,28 @@
 }
 
 func unmarshalDuration(d *jsontext.Decoder, p *time.Duration) error {
-	var s string
-	err := json.UnmarshalDecode(d, &s)
+	v, err := d.ReadValue()
 	if err != nil {
 		return err
 	}
-	*p, err = time.ParseDuration(s)
-	return err
+	if v.Kind() != '"' {
+		return invalidDuration(v.String())
+	}
+	s, err := jsontext.AppendUnquote(nil, v)
+	if err != nil {
+		return err
+	}
+	*p, err = time.ParseDuration(string(s))
+	if err != nil {
+		return invalidDuration(string(s))
+	}
+	return nil
+}
+
+func invalidDuration(got string) error {
+	return errors.WithStack(&sardineknot.InvalidError{
+		What:     "duration",
+		Got:      got,
+		Expected: `a duration with a unit, as in "1.4s" or "34ms"`,
+	})
 }
--- a/internal/operator/settings/load.go
+++ b/internal/operator/settings/load.go
@@ -4,31 +4,33 @@
 
 import (
 	"os"
+	"path/filepath"
 
-	"github.com/go-json-experiment/json"
 	"github.com/pkg/errors"
-	"github.com/tailscale/hujson"
 
 	"sardineknot.example/sardineknot"
-	"sardineknot.example/sardineknot/internal/configuration/codec"
+	"sardineknot.example/sardineknot/internal/operator/hujson"
 )
 
-// Load returns the settings in the file at path.
+// Load returns the settings in the file at path. It fails with an
+// InvalidFilesError that tells everything that is wrong in the file.
 func Load(path string) (sardineknot.Settings, error) {
-	b, err := os.ReadFile(path)
-	if err != nil {
-		return sardineknot.Settings{}, errors.WithStack(err)
-	}
-	return Parse(b)
+	d := hujson.Open(os.DirFS(filepath.Dir(path)), filepath.Base(path))
+	return read(d)
 }
 
-// Parse returns the settings in b.
+// Parse returns the settings in b. It fails as Load does.
 func Parse(b []byte) (sardineknot.Settings, error) {
+	return read(hujson.Parse("settings", b))
+}
+
+func read(d *hujson.Document) (sardineknot.Settings, error) {
 	var s sardineknot.Settings
-	b, err := hujson.Standardize(b)
-	if err != nil {
-		return s, errors.WithStack(err)
+	if d.Decode(&s) {
+		check(d, s)
+	}
+	if !d.OK() {
+		return sardineknot.Settings{}, errors.WithStack(sardineknot.NewInvalidFilesError(d.Problems()))
 	}
-	err = json.Unmarshal(b, &s, codec.Durations())
-	return s, errors.WithStack(err)
+	return s, nil
 }
