--- a/internal/operator/hujson/document.go
+++ b/internal/operator/hujson/document.go
@@ -10,6 +10,7 @@
 	"fmt"
 	"io"
 	"io/fs"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -42,19 +43,20 @@
 	problems []*sardineknot.PositionError
 }
 
-// Open returns the document in the file at path of f.
-func Open(f fs.FS, path string) *Document {
+// Open returns the document in the file at path of f. name names it in
+// problems.
+func Open(f fs.FS, path, name string) *Document {
 	var r io.ReadCloser
 	r, err := f.Open(path)
 	if err != nil {
-		return broken(path, err.Error(), "a readable file")
+		return broken(name, err.Error(), "a readable file")
 	}
 	defer r.Close()
 	b, err := io.ReadAll(io.LimitReader(r, MaxFileBytes+1))
 	if err != nil {
-		return broken(path, err.Error(), "a readable file")
+		return broken(name, err.Error(), "a readable file")
 	}
-	return Parse(path, b)
+	return Parse(name, b)
 }
 
 // Parse returns the document with the content b. file names it in problems.
@@ -98,8 +100,12 @@
 }
 
 // Problem records that the value at p is wrong. If the file has no such value,
-// the nearest enclosing one gives the position.
+// the nearest enclosing one gives the position. It has no effect on a file that
+// does not parse, which has its problem already.
 func (d *Document) Problem(p jsontext.Pointer, got, expected string) {
+	if d.root == nil {
+		return
+	}
 	d.add(d.text, d.offset(p), field(p), got, expected)
 }
 
@@ -129,11 +135,17 @@
 	}
 }
 
+// add records a problem at offset of b, unless there is one of the same field.
 func (d *Document) add(b []byte, offset int, field, got, expected string) {
 	if len(d.problems) >= maxProblems {
 		return
 	}
 	l, c := lineColumn(b, offset)
+	if slices.ContainsFunc(d.problems, func(e *sardineknot.PositionError) bool {
+		return e.Line == l && e.Column == c && e.Field == field
+	}) {
+		return
+	}
 	d.problems = append(d.problems, &sardineknot.PositionError{
 		File: d.file, Line: l, Column: c, Field: field, Got: got, Expected: expected,
 	})
@@ -186,3 +198,22 @@
 	}
 	return s[:maxGotBytes] + "..."
 }
+
+// Raw records that the value at p, which is quoted as it stands in the file,
+// is wrong.
+func (d *Document) Raw(p jsontext.Pointer, expected string) {
+	if d.root == nil {
+		return
+	}
+	v := d.root.Find(string(p))
+	if v == nil {
+		d.Problem(p, "missing", expected)
+		return
+	}
+	d.Problem(p, shorten(string(d.text[v.StartOffset:v.EndOffset])), expected)
+}
+
+// Refuse records a problem of the whole file in place of all others.
+func (d *Document) Refuse(got, expected string) {
+	d.problems = broken(d.file, got, expected).problems
+}
--- a/internal/operator/settings/load.go
+++ b/internal/operator/settings/load.go
@@ -15,7 +15,7 @@
 // Load returns the settings in the file at path. It fails with an
 // InvalidFilesError that tells everything that is wrong in the file.
 func Load(path string) (sardineknot.Settings, error) {
-	d := hujson.Open(os.DirFS(filepath.Dir(path)), filepath.Base(path))
+	d := hujson.Open(os.DirFS(filepath.Dir(path)), filepath.Base(path), path)
 	return read(d)
 }
 
