--- /dev/null
+++ b/internal/configuration/writer/writer_test.go
@@ -0,0 +1,182 @@
+package writer_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/configuration/writer"
+	"sardineknot.example/sardineknot/internal/platform/etcd"
+	standin "sardineknot.example/sardineknot/internal/standin/etcd"
+	"sardineknot.example/sardineknot/internal/standin/fault"
+	"sardineknot.example/sardineknot/internal/standin/record"
+)
+
+// start is the time of the first change.
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// store is the platform's service with a hook on writes of the head.
+type store struct {
+	sardineknot.Store
+	// head takes the place of a CompareAndSwap of the head, once.
+	head func(swap func() error) error
+	// listed runs after the next List, once.
+	listed func()
+}
+
+func (s *store) CompareAndSwap(ctx context.Context, key string, expected sardineknot.StoreRevision, value []byte, lease sardineknot.LeaseID) (sardineknot.StoreRevision, error) {
+	f := s.head
+	if f == nil || key != sardineknot.ConfigurationHeadKey {
+		return s.Store.CompareAndSwap(ctx, key, expected, value, lease)
+	}
+	s.head = nil
+	return 0, f(func() error {
+		_, err := s.Store.CompareAndSwap(ctx, key, expected, value, lease)
+		return err
+	})
+}
+
+func (s *store) List(ctx context.Context, prefix string) ([]sardineknot.StoreEntry, error) {
+	l, err := s.Store.List(ctx, prefix)
+	if f := s.listed; f != nil {
+		s.listed = nil
+		f()
+	}
+	return l, err
+}
+
+func newStore(t *testing.T) *store {
+	t.Helper()
+	c := &fault.Control{}
+	h := httptest.NewServer(c.Wrap(standin.NewServer(c, &record.Recorder{})))
+	t.Cleanup(h.Close)
+	a := netip.MustParseAddrPort(strings.TrimPrefix(h.URL, "http://"))
+	return &store{Store: etcd.NewClient(a, time.Minute)}
+}
+
+// operator is a head as one operator saw it.
+type operator struct {
+	w    *writer.Writer
+	head sardineknot.ConfigurationHead
+	seen sardineknot.StoreRevision
+}
+
+// see returns an operator who has just read the head.
+func see(t *testing.T, s sardineknot.Store) *operator {
+	t.Helper()
+	w := writer.NewWriter(s)
+	h, r, err := w.Head(t.Context())
+	is.New(t).NoErr(err)
+	return &operator{w: w, head: h, seen: r}
+}
+
+// apply accepts contracts of the accounts as a change by author.
+func (o *operator) apply(t *testing.T, author string, at time.Time, accounts ...string) error {
+	t.Helper()
+	c := &sardineknot.Configuration{}
+	for _, a := range accounts {
+		c.Contracts = append(c.Contracts, sardineknot.Contract{Account: sardineknot.ClientAccountName(a)})
+	}
+	h := o.head
+	h.Operation = "operation of " + author + " on " + fmt.Sprint(h.Revision)
+	h.Author = author
+	h.AcceptedAt = at
+	return o.w.Write(t.Context(), c, h, o.seen)
+}
+
+// accepted checks the accepted revision and accounts.
+func accepted(t *testing.T, s sardineknot.Store, r sardineknot.Revision, accounts ...string) {
+	t.Helper()
+	i := is.New(t)
+	h, _, c, err := writer.NewWriter(s).Accepted(t.Context())
+	i.NoErr(err)
+	i.Equal(h.Revision, r)
+	i.Equal(len(c.Contracts), len(accounts))
+	for n, a := range accounts {
+		i.Equal(string(c.Contracts[n].Account), a)
+	}
+}
+
+func TestConflictNamesTheOther(t *testing.T) {
+	i := is.New(t)
+	s := newStore(t)
+	a := see(t, s)
+	b := see(t, s)
+	i.NoErr(a.apply(t, "anna", start, "x"))
+	i.NoErr(see(t, s).apply(t, "carla", start, "x", "z"))
+	err := b.apply(t, "bjarni", start, "y")
+	var c *sardineknot.ConfigurationConflictError
+	i.True(errors.As(err, &c))
+	i.Equal(c.Seen, sardineknot.Revision(0))
+	i.Equal(c.Current, sardineknot.Revision(2))
+	i.Equal(c.Other, sardineknot.ConfigurationChange{Revision: 1, Operation: "operation of anna on 0", Author: "anna", AcceptedAt: start})
+	accepted(t, s, 2, "x", "z")
+}
+
+// TestLostReply loses the reply to the write of the head.
+func TestLostReply(t *testing.T) {
+	lost := &sardineknot.UnavailableError{Peer: "store", Cause: context.DeadlineExceeded}
+	for _, c := range []struct {
+		name string
+		// effect tells whether the write takes effect.
+		effect bool
+		// others is the number of changes by others before the operator looks.
+		others int
+		// expected is the revision in the end.
+		expected sardineknot.Revision
+		target   any
+	}{
+		{"after it took effect", true, 0, 1, nil},
+		{"before it took effect", false, 0, 1, nil},
+		{"with others on top", true, 3, 4, nil},
+		{"with others instead", false, 3, 3, new(*sardineknot.ConfigurationConflictError)},
+		{"with as many on top as the head lists", true, 15, 16, nil},
+		{"with as many instead as the head lists", false, 16, 16, new(*sardineknot.ConfigurationConflictError)},
+		{"with too many on top", true, 16, 17, new(*sardineknot.ConfigurationUnknownError)},
+		{"with too many instead", false, 17, 17, new(*sardineknot.ConfigurationUnknownError)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			i := is.New(t)
+			s := newStore(t)
+			o := see(t, s)
+			s.head = func(swap func() error) error {
+				if c.effect {
+					i.NoErr(swap())
+				}
+				for n := range c.others {
+					i.NoErr(see(t, s).apply(t, fmt.Sprint("other-", n), start, "y"))
+				}
+				return lost
+			}
+			err := o.apply(t, "anna", start, "x")
+			i.Equal(err == nil, c.target == nil)
+			i.True(c.target == nil || errors.As(err, c.target))
+			h, _, err := o.w.Head(t.Context())
+			i.NoErr(err)
+			i.Equal(h.Revision, c.expected)
+		})
+	}
+}
+
+// TestAbove continues after a store that came back older than the hosts.
+func TestAbove(t *testing.T) {
+	i := is.New(t)
+	s := newStore(t)
+	i.NoErr(see(t, s).apply(t, "anna", start, "x"))
+	o := see(t, s)
+	o.w.Above = 57
+	i.NoErr(o.apply(t, "anna", start, "y"))
+	accepted(t, s, 58, "y")
+	o = see(t, s)
+	o.w.Above = 57
+	i.NoErr(o.apply(t, "anna", start, "z"))
+	accepted(t, s, 59, "z")
+}
