command: add check, plan and show, and apply declarations

Cause: operators had only apply of a compiled file.

plan and apply share the comparison of configurations; apply writes nothing if there is no difference, so that a repeated apply makes no revision. Exit statuses: 2 means changes for plan, so wrong usage of plan ends with 1. NAME -help ends with 0.

--- a/cmd/sardineknot/main.go
+++ b/cmd/sardineknot/main.go
@@ -7,22 +7,48 @@
 	"flag"
 	"os"
 	"os/signal"
+	"slices"
 	"syscall"
 
 	"github.com/google/subcommands"
 
 	"sardineknot.example/sardineknot/internal/command/apply"
 	"sardineknot.example/sardineknot/internal/command/burn"
+	"sardineknot.example/sardineknot/internal/command/check"
+	"sardineknot.example/sardineknot/internal/command/plan"
 	"sardineknot.example/sardineknot/internal/command/serve"
+	"sardineknot.example/sardineknot/internal/command/show"
+	"sardineknot.example/sardineknot/internal/host/clock"
 )
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&serve.Command{}, "")
 	subcommands.Register(&burn.Command{}, "")
-	subcommands.Register(&apply.Command{}, "")
-	flag.Parse()
+	subcommands.Register(&check.Command{}, "")
+	p := &plan.Command{}
+	subcommands.Register(p, "")
+	subcommands.Register(&apply.Command{Clock: clock.System{}}, "")
+	subcommands.Register(&show.Command{}, "")
+	parse(os.Args[1:])
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
-	os.Exit(int(subcommands.Execute(ctx)))
+	s := subcommands.Execute(ctx)
+	if s == subcommands.ExitUsageError && flag.Arg(0) == p.Name() && !p.Changed() {
+		// The status of wrong usage means changes for this command.
+		s = subcommands.ExitFailure
+	}
+	os.Exit(int(s))
+}
+
+// parse parses the arguments a. It turns "NAME -help" into "help NAME", which
+// ends with status zero.
+func parse(a []string) {
+	for _, h := range []string{"-help", "--help", "-h"} {
+		if len(a) > 1 && slices.Contains(a[1:], h) {
+			a = []string{"help", a[0]}
+		}
+	}
+	// The flag set exits on errors.
+	_ = flag.CommandLine.Parse(a)
 }
--- a/internal/command/apply/command.go
+++ b/internal/command/apply/command.go
@@ -1,71 +1,147 @@
-// Package apply is the command that puts a configuration in force.
+// Package apply is the command that puts declarations in force.
 package apply
 
 import (
 	"context"
 	"flag"
 	"fmt"
-	"net/netip"
 	"os"
 
 	"github.com/google/subcommands"
+	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
-	"sardineknot.example/sardineknot/internal/configuration/codec"
+	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/configuration/writer"
-	"sardineknot.example/sardineknot/internal/platform/etcd"
+	"sardineknot.example/sardineknot/internal/operator/difference"
+	"sardineknot.example/sardineknot/internal/operator/target"
 )
 
-// Command is the subcommand "apply".
+// The exit statuses beside those of subcommands.
+const (
+	exitConflict subcommands.ExitStatus = 3
+	exitUnknown  subcommands.ExitStatus = 4
+)
+
+// maxAuthorBytes bounds the name of an author, in bytes.
+const maxAuthorBytes = 64
+
+// Command is the subcommand "apply". All exported fields are set before use.
 type Command struct {
-	path  string
-	store string
+	// Clock gives the time of the change.
+	Clock sardineknot.Clock
+
+	target   target.Target
+	author   string
+	revision int64
+	above    int64
+}
+
+// applied is the output as JSON.
+type applied struct {
+	// Revision is the accepted revision.
+	Revision sardineknot.Revision
+	// Operation is empty if nothing had to change.
+	Operation string
+	difference.Difference
 }
 
 // Name implements subcommands.Command.
 func (*Command) Name() string { return "apply" }
 
 // Synopsis implements subcommands.Command.
-func (*Command) Synopsis() string { return "put a configuration in force" }
+func (*Command) Synopsis() string { return "put declarations in force" }
 
 // Usage implements subcommands.Command.
 func (*Command) Usage() string {
-	return "apply -store ADDRESS -configuration FILE\n  Writes the configuration to the platform's key-value service.\n"
+	return `apply -store ADDRESS -declarations DIRECTORY [-revision N] [-author NAME] [-json]
+  Checks the declarations as a whole and makes them the accepted configuration.
+  Nothing is accepted if another operator has changed the configuration since
+  revision N; without -revision, since the command has started. If nothing has
+  to change, nothing is written.
+  Exit status: 0 accepted, or nothing to change; 1 any error, nothing is in
+  force; 2 wrong usage; 3 conflict, the other change is named; 4 it is unknown
+  whether the change is in force: see plan.
+  Example: sardineknot apply -store 127.81.0.1:7000 -declarations examples/akstursbok/declarations -revision 12
+`
 }
 
 // SetFlags implements subcommands.Command.
 func (c *Command) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.path, "configuration", "", "file with the compiled configuration")
-	f.StringVar(&c.store, "store", "", "address of the platform's key-value service")
+	c.target.SetStore(f)
+	c.target.SetDeclarations(f)
+	c.target.SetJSON(f)
+	f.StringVar(&c.author, "author", os.Getenv("USER"), "name of the operator")
+	f.Int64Var(&c.revision, "revision", -1, "revision that the change is based on, as printed by plan")
+	f.Int64Var(&c.above, "above", 0, "revision that the new one exceeds, for a store that came back older than the entry hosts")
 }
 
 // Execute implements subcommands.Command.
 func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	err := c.apply(ctx)
+	a, err := c.apply(ctx)
+	if err == nil {
+		err = c.print(a)
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
+	}
+	return status(err)
+}
+
+func status(err error) subcommands.ExitStatus {
+	var c *sardineknot.ConfigurationConflictError
+	var u *sardineknot.ConfigurationUnknownError
+	switch {
+	case err == nil:
+		return subcommands.ExitSuccess
+	case errors.As(err, &c):
+		return exitConflict
+	case errors.As(err, &u):
+		return exitUnknown
+	default:
 		return subcommands.ExitFailure
 	}
-	return subcommands.ExitSuccess
 }
 
-func (c *Command) apply(ctx context.Context) error {
-	a, err := netip.ParseAddrPort(c.store)
-	if err != nil {
-		return errors.WithStack(err)
+func (c *Command) apply(ctx context.Context) (applied, error) {
+	if len(c.author) > maxAuthorBytes {
+		return applied{}, errors.WithStack(&sardineknot.InvalidError{What: "-author", Got: c.author, Expected: "at most 64 bytes"})
 	}
-	b, err := os.ReadFile(c.path)
+	n, err := c.target.Load()
 	if err != nil {
-		return errors.WithStack(err)
+		return applied{}, err
 	}
-	n, err := codec.Decode(b)
+	w, err := c.target.Writer()
 	if err != nil {
-		return err
+		return applied{}, err
 	}
-	w := writer.NewWriter(etcd.NewClient(a, 0))
-	h, r, err := w.Head(ctx)
+	h, r, o, err := w.Accepted(ctx)
 	if err != nil {
-		return err
+		return applied{}, err
+	}
+	if c.revision >= 0 && sardineknot.Revision(c.revision) != h.Revision {
+		return applied{}, writer.Conflict(h, sardineknot.Revision(c.revision))
+	}
+	d := difference.NewDifference(o, n)
+	w.Above = sardineknot.Revision(c.above)
+	if d.Empty() && h.Revision > w.Above {
+		return applied{Revision: h.Revision, Difference: d}, nil
+	}
+	h.Operation = uuid.NewString()
+	h.Author = c.author
+	h.AcceptedAt = c.Clock.Now().UTC()
+	err = w.Write(ctx, n, h, r)
+	return applied{Revision: n.Revision, Operation: h.Operation, Difference: d}, err
+}
+
+func (c *Command) print(a applied) error {
+	if c.target.JSON {
+		return target.Print(os.Stdout, a)
+	}
+	if a.Operation == "" {
+		fmt.Printf("nothing to change, revision %d is accepted\n", a.Revision)
+		return nil
 	}
-	return w.Write(ctx, n, h, r)
+	fmt.Printf("accepted revision %d (operation %s): %s\n", a.Revision, a.Operation, a.Summary())
+	return nil
 }
--- /dev/null
+++ b/internal/command/plan/command.go
@@ -0,0 +1,102 @@
+// Package plan is the command that shows what applying declarations would
+// change.
+package plan
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/operator/difference"
+	"sardineknot.example/sardineknot/internal/operator/target"
+)
+
+// ExitChanges is the exit status if there are changes.
+const ExitChanges subcommands.ExitStatus = 2
+
+// Command is the subcommand "plan".
+type Command struct {
+	target target.Target
+	// changed reports that changes were shown.
+	changed bool
+}
+
+// plan is the output as JSON.
+type plan struct {
+	// Revision is the accepted revision, to be passed to apply.
+	Revision sardineknot.Revision
+	difference.Difference
+}
+
+// Name implements subcommands.Command.
+func (*Command) Name() string { return "plan" }
+
+// Synopsis implements subcommands.Command.
+func (*Command) Synopsis() string { return "show what apply would change" }
+
+// Usage implements subcommands.Command.
+func (*Command) Usage() string {
+	return `plan -store ADDRESS -declarations DIRECTORY [-json]
+  Checks the declarations and shows how they differ from the accepted
+  configuration, client account by client account and backend server by backend
+  server. Pass the revision that it prints to apply -revision.
+  Exit status: 0 no changes, 2 changes, 1 any error.
+  Example: sardineknot plan -store 127.81.0.1:7000 -declarations examples/akstursbok/declarations
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	c.target.SetStore(f)
+	c.target.SetDeclarations(f)
+	c.target.SetJSON(f)
+}
+
+// Changed reports whether changes were shown. It tells an exit status of two
+// from that of wrong usage.
+func (c *Command) Changed() bool { return c.changed }
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	p, err := c.compare(ctx)
+	if err == nil {
+		err = c.print(p)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	c.changed = !p.Empty()
+	if c.changed {
+		return ExitChanges
+	}
+	return subcommands.ExitSuccess
+}
+
+func (c *Command) compare(ctx context.Context) (plan, error) {
+	n, err := c.target.Load()
+	if err != nil {
+		return plan{}, err
+	}
+	w, err := c.target.Writer()
+	if err != nil {
+		return plan{}, err
+	}
+	h, _, o, err := w.Accepted(ctx)
+	if err != nil {
+		return plan{}, err
+	}
+	return plan{Revision: h.Revision, Difference: difference.NewDifference(o, n)}, nil
+}
+
+func (c *Command) print(p plan) error {
+	if c.target.JSON {
+		return target.Print(os.Stdout, p)
+	}
+	fmt.Println("accepted revision", p.Revision)
+	return p.Write(os.Stdout)
+}
--- /dev/null
+++ b/internal/command/show/command.go
@@ -0,0 +1,183 @@
+// Package show is the command that shows what is accepted and what the entry
+// hosts have in force.
+package show
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"net/netip"
+	"os"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/operator/admin"
+	"sardineknot.example/sardineknot/internal/operator/target"
+)
+
+const (
+	// exitLagging is the exit status if a host has another revision in force.
+	exitLagging subcommands.ExitStatus = 3
+	// parallelHosts bounds the hosts that are asked at once.
+	parallelHosts = 32
+)
+
+// Command is the subcommand "show".
+type Command struct {
+	target target.Target
+	hosts  string
+}
+
+// state is the output as JSON.
+type state struct {
+	// Accepted is the last accepted change. Its revision is zero if there is
+	// none, or if the store did not answer.
+	Accepted sardineknot.ConfigurationChange
+	// StoreError is empty if the store answered.
+	StoreError string
+	// Hosts is in the order of the flag -hosts.
+	Hosts []host
+}
+
+// host is what one entry host answered.
+type host struct {
+	Address netip.AddrPort
+	sardineknot.HostRevision
+	// Error is empty if the host answered.
+	Error string
+}
+
+// Name implements subcommands.Command.
+func (*Command) Name() string { return "show" }
+
+// Synopsis implements subcommands.Command.
+func (*Command) Synopsis() string { return "show what is accepted and in force" }
+
+// Usage implements subcommands.Command.
+func (*Command) Usage() string {
+	return `show -store ADDRESS [-hosts ADDRESS[,ADDRESS...]] [-json]
+  Prints the accepted revision, its author, operation and time, and the revision
+  that each entry host with these admin addresses has in force.
+  Exit status: 0 every host has the accepted revision in force, 3 a host has
+  another one, 1 the store or a host did not answer, 2 wrong usage.
+  Example: sardineknot show -store 127.81.0.1:7000 -hosts 127.81.0.11:7600,127.81.0.12:7600
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	c.target.SetStore(f)
+	c.target.SetJSON(f)
+	f.StringVar(&c.hosts, "hosts", "", "admin addresses of entry hosts, separated by commas")
+}
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	l, err := parse(c.hosts)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitUsageError
+	}
+	s, err := c.read(ctx, l)
+	if err == nil {
+		err = c.print(s)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return s.status()
+}
+
+func parse(s string) ([]netip.AddrPort, error) {
+	if s == "" {
+		return nil, nil
+	}
+	var l []netip.AddrPort
+	for _, f := range strings.Split(s, ",") {
+		a, err := netip.ParseAddrPort(f)
+		if err != nil {
+			return nil, errors.WithStack(&sardineknot.InvalidError{What: "-hosts", Got: f, Expected: "an IP number and a port"})
+		}
+		l = append(l, a)
+	}
+	return l, nil
+}
+
+// read asks the store and all hosts.
+func (c *Command) read(ctx context.Context, l []netip.AddrPort) (state, error) {
+	w, err := c.target.Writer()
+	if err != nil {
+		return state{}, err
+	}
+	s := state{Hosts: make([]host, len(l))}
+	var g errgroup.Group
+	g.SetLimit(parallelHosts)
+	for i, a := range l {
+		g.Go(func() error {
+			s.Hosts[i] = ask(ctx, a)
+			return nil
+		})
+	}
+	h, _, err := w.Head(ctx)
+	if err != nil {
+		s.StoreError = err.Error()
+	}
+	s.Accepted = sardineknot.ConfigurationChange{Revision: h.Revision, Operation: h.Operation, Author: h.Author, AcceptedAt: h.AcceptedAt}
+	return s, g.Wait()
+}
+
+func ask(ctx context.Context, a netip.AddrPort) host {
+	var c admin.Client
+	r, err := c.Revision(ctx, a)
+	h := host{Address: a, HostRevision: r}
+	if err != nil {
+		h.Error = err.Error()
+	}
+	return h
+}
+
+func (s state) status() subcommands.ExitStatus {
+	r := subcommands.ExitSuccess
+	if s.StoreError != "" {
+		r = subcommands.ExitFailure
+	}
+	for _, h := range s.Hosts {
+		switch {
+		case h.Error != "":
+			r = subcommands.ExitFailure
+		case h.Revision != s.Accepted.Revision && r == subcommands.ExitSuccess:
+			r = exitLagging
+		}
+	}
+	return r
+}
+
+func (c *Command) print(s state) error {
+	if c.target.JSON {
+		return target.Print(os.Stdout, s)
+	}
+	switch a := s.Accepted; {
+	case s.StoreError != "":
+		fmt.Println("accepted: unknown:", s.StoreError)
+	case a.Revision == 0:
+		fmt.Println("accepted: nothing")
+	default:
+		fmt.Printf("accepted: revision %d by %s at %s (operation %s)\n", a.Revision, a.Author, a.AcceptedAt.Format(time.RFC3339), a.Operation)
+	}
+	t := tabwriter.NewWriter(os.Stdout, 0, 8, 2, ' ', 0)
+	for _, h := range s.Hosts {
+		if h.Error != "" {
+			fmt.Fprintf(t, "%s\t%s\n", h.Address, h.Error)
+			continue
+		}
+		fmt.Fprintf(t, "%s\t%s\tincarnation %d\trevision %d\n", h.Address, h.Host, h.Incarnation, h.Revision)
+	}
+	return t.Flush()
+}
--- a/internal/configuration/writer/swap.go
+++ b/internal/configuration/writer/swap.go
@@ -57,7 +57,7 @@
 	case find(h, n.Operation):
 		return true, nil
 	case covers(h, r):
-		return true, conflict(h, r)
+		return true, Conflict(h, r)
 	default:
 		return true, errors.WithStack(&sardineknot.ConfigurationUnknownError{Operation: n.Operation, Seen: r})
 	}
@@ -69,9 +69,9 @@
 	return l < sardineknot.MaxRecentChanges || h.Recent[l-1].Revision <= r+1
 }
 
-// conflict returns the error that names the first change of h after revision
+// Conflict returns the error that names the first change of h after revision
 // r.
-func conflict(h sardineknot.ConfigurationHead, r sardineknot.Revision) error {
+func Conflict(h sardineknot.ConfigurationHead, r sardineknot.Revision) error {
 	e := &sardineknot.ConfigurationConflictError{Seen: r, Current: h.Revision}
 	for _, c := range h.Recent {
 		if c.Revision > r {
