--- a/scenarios/deploy_test.go
+++ b/scenarios/deploy_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -27,8 +28,9 @@
 }
 
 // deploy [FLAGS] starts a platform, backend servers and entry hosts, and
-// applies a configuration with the account "verk" and its work trip-summary,
-// trip-lookup and mileage-posting. It sets STORE, ENTRYn, PEERn, ADMINn,
+// applies declarations with the account "verk" and its work trip-summary,
+// trip-lookup and mileage-posting, which are left in the directory declarations
+// for the script to change. It sets STORE, ENTRYn, PEERn, ADMINn,
 // PREFILLn, DECODEn and PLAINn to addresses, and with -relays DECODEn_RELAY,
 // PLAINn_RELAY and STORE_RELAY to the addresses that take the relays' faults.
 // The processes are named platform, entry-n, prefill-n, decode-n and plain-n.
@@ -121,10 +123,13 @@
 		n, a, zone(i), role, d.slots)
 }
 
+// configure applies the declarations, which it writes to the directory
+// declarations.
 func (d *deployment) configure() {
-	b := strings.Replace(configuration, "BACKENDS", d.script.Getenv("BACKENDS"), 1)
-	d.write("configuration.json", b)
-	d.script.Check(d.script.Exec("sardineknot", "apply", "-store", d.address(1, 7000), "-configuration", "configuration.json"))
+	for f, b := range declarations {
+		d.write(filepath.Join("declarations", f), strings.Replace(b, "BACKENDS", d.script.Getenv("BACKENDS"), 1))
+	}
+	d.script.Check(d.script.Exec("sardineknot", "apply", "-store", d.address(1, 7000), "-declarations", "declarations", "-author", "deploy"))
 }
 
 func (d *deployment) entry(i int) {
@@ -138,6 +143,7 @@
 }
 
 func (d *deployment) write(name, text string) {
+	d.script.Check(os.MkdirAll(filepath.Dir(d.script.MkAbs(name)), 0o755))
 	d.script.Check(os.WriteFile(d.script.MkAbs(name), []byte(text), 0o644))
 }
 
@@ -156,20 +162,39 @@
 }
 `
 
-const configuration = `{
-  "Contracts": [
-    {
-      "Account": "verk", "RequestsPerSecond": 0, "Burst": 0,
-      "Work": [
-        {"Name": "mileage-posting", "Kind": "Service", "Service": "dagbok-app", "Unrepeatable": true, "FirstToken": "20s", "Objective": 0.95},
-        {"Name": "trip-lookup", "Kind": "Service", "Service": "dagbok-app", "FirstToken": "20s", "Objective": 0.95},
-        {"Name": "trip-summary", "Kind": "Generation", "Model": "skyrsla-llm", "Version": "1", "FirstToken": "20s", "PerToken": "1s", "MaxTokens": 100000, "Objective": 0.95}
-      ]
-    }
-  ],
+var declarations = map[string]string{
+	"deployment.jsonc": `{
+  "Region": "is-land",
+  "Zones": ["reykjavik-a", "akureyri-b", "egilsstadir-c", "selfoss-d"],
+}
+`,
+	"backends/all.jsonc": `{
   "BackendServers": [
     BACKENDS
   ],
-  "Links": []
 }
-`
+`,
+	"templates/mileage-posting.jsonc": `{
+  "Name": "mileage-posting",
+  "Work": {"Kind": "Service", "Service": "dagbok-app", "Unrepeatable": true, "FirstToken": "20s", "Objective": 0.95},
+}
+`,
+	"templates/trip-lookup.jsonc": `{
+  "Name": "trip-lookup",
+  "Work": {"Kind": "Service", "Service": "dagbok-app", "FirstToken": "20s", "Objective": 0.95},
+}
+`,
+	"templates/trip-summary.jsonc": `{
+  "Name": "trip-summary",
+  "Work": {
+    "Kind": "Generation", "Model": "skyrsla-llm", "Version": "1",
+    "FirstToken": "20s", "PerToken": "1s", "MaxTokens": 100000, "Objective": 0.95,
+  },
+}
+`,
+	"accounts/verk.jsonc": `{
+  "Account": "verk",
+  "Work": [{"Template": "mileage-posting"}, {"Template": "trip-lookup"}, {"Template": "trip-summary"}],
+}
+`,
+}
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -1,7 +1,9 @@
 package scenarios
 
 import (
+	"errors"
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -37,6 +39,9 @@
 // network numbers the scripts, so that each has loopback addresses of its own.
 var network atomic.Int32
 
+// maxNetwork bounds network.
+const maxNetwork = 254
+
 func TestScenarios(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir:   "testdata",
@@ -56,8 +61,27 @@
 	})
 }
 
+// reserve returns the number of a network that no other run of the tests on
+// this machine uses, and the listener that reserves it.
+func reserve() (int32, net.Listener, error) {
+	for {
+		n := network.Add(1)
+		if n > maxNetwork {
+			return 0, nil, errors.New("no free loopback network")
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.254:6999", 1+os.Getpid()%250, n))
+		if err == nil {
+			return n, l, nil
+		}
+	}
+}
+
 func setup(e *testscript.Env) error {
-	n := network.Add(1)
+	n, g, err := reserve()
+	if err != nil {
+		return err
+	}
+	e.Defer(func() { g.Close() })
 	e.Setenv("PATH", programs+string(filepath.ListSeparator)+e.Getenv("PATH"))
 	e.Setenv("NET", fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, n))
 	e.Values[processesKey{}] = &processes{}
