--- a/cmd/sardineknot/main.go
+++ b/cmd/sardineknot/main.go
@@ -35,6 +35,8 @@
 	parse(os.Args[1:])
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
+	// A second signal ends the process at once.
+	context.AfterFunc(ctx, cancel)
 	s := subcommands.Execute(ctx)
 	if s == subcommands.ExitUsageError && flag.Arg(0) == p.Name() && !p.Changed() {
 		// The status of wrong usage means changes for this command.
