claims/chain: keep claims in groups on one chain a shard

Cause: one key a claim costs one store write for each unrepeatable request, and the store's write rate does not grow with the fleet. Sixteen heads, replaced by compare-and-swap, take the claims in groups; full heads move to archive keys that are written create-only before the head that names them.

Ruled out: a merged index over all archives.

--- /dev/null
+++ b/internal/claims/chain/ledger_test.go
@@ -0,0 +1,254 @@
+package chain
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"sardineknot.example/sardineknot"
+)
+
+type systemClock struct{}
+
+// Now returns the virtual time within a synctest bubble.
+func (systemClock) Now() time.Time { return time.Now() }
+
+func newTestLedger(s sardineknot.Store, id string) *Ledger {
+	h := sardineknot.EntryHost{ID: sardineknot.EntryHostID(id), Incarnation: 1}
+	return NewLedger(s, systemClock{}, h, metrics.NewRegistry())
+}
+
+func attempt(id, holder string, nonce uint64) sardineknot.ClaimAttempt {
+	return sardineknot.ClaimAttempt{
+		Key:               sardineknot.RequestKey{Account: "verk", ID: sardineknot.RequestID(id)},
+		Holder:            sardineknot.EntryHostID(holder),
+		HolderIncarnation: 1,
+		Nonce:             nonce,
+	}
+}
+
+// expectHolder claims a and compares the holder.
+func expectHolder(t *testing.T, l sardineknot.ClaimLedger, a sardineknot.ClaimAttempt, holder string) {
+	t.Helper()
+	i := is.New(t)
+	r, err := l.Claim(context.Background(), a)
+	i.NoErr(err)
+	i.Equal(string(r.Holder), holder)        // holder
+	i.Equal(r.Granted, r.Holder == a.Holder) // granted to its holder only
+}
+
+func expectRelease(t *testing.T, l sardineknot.ClaimLedger, a sardineknot.ClaimAttempt) {
+	t.Helper()
+	is.New(t).NoErr(l.Release(context.Background(), a))
+}
+
+// expectUnavailable claims a while the store does not answer.
+func expectUnavailable(t *testing.T, l sardineknot.ClaimLedger, a sardineknot.ClaimAttempt) {
+	t.Helper()
+	_, err := l.Claim(context.Background(), a)
+	var u *sardineknot.UnavailableError
+	is.New(t).True(errors.As(err, &u))
+}
+
+// inBubble runs f in virtual time, with two ledgers over one store.
+func inBubble(t *testing.T, name string, f func(t *testing.T, s *fakeStore, x, y *Ledger)) {
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			s := newFakeStore()
+			f(t, s, newTestLedger(s, "x"), newTestLedger(s, "y"))
+		})
+	})
+}
+
+func TestClaim(t *testing.T) {
+	inBubble(t, "is granted once", func(t *testing.T, _ *fakeStore, x, y *Ledger) {
+		expectHolder(t, x, attempt("r", "x", 1), "x")
+		expectHolder(t, y, attempt("r", "y", 1), "x")
+		expectHolder(t, y, attempt("other", "y", 2), "y")
+	})
+	inBubble(t, "is idempotent for an attempt", func(t *testing.T, _ *fakeStore, x, y *Ledger) {
+		expectHolder(t, x, attempt("r", "x", 1), "x")
+		expectHolder(t, x, attempt("r", "x", 1), "x")
+		expectHolder(t, y, attempt("r", "x", 1), "x")
+	})
+	inBubble(t, "is granted to a later attempt after a release", func(t *testing.T, _ *fakeStore, x, y *Ledger) {
+		expectHolder(t, x, attempt("r", "x", 1), "x")
+		expectRelease(t, y, attempt("r", "x", 1))
+		expectHolder(t, x, attempt("r", "y", 1), "y")
+	})
+	inBubble(t, "is not released by another attempt", func(t *testing.T, _ *fakeStore, x, y *Ledger) {
+		expectHolder(t, x, attempt("r", "x", 1), "x")
+		expectRelease(t, x, attempt("r", "x", 2))
+		expectHolder(t, y, attempt("r", "y", 1), "x")
+	})
+	inBubble(t, "is not granted to a released attempt", func(t *testing.T, _ *fakeStore, x, y *Ledger) {
+		expectRelease(t, x, attempt("r", "x", 1))
+		expectHolder(t, y, attempt("r", "x", 1), "")
+		expectHolder(t, y, attempt("r", "y", 1), "y")
+	})
+}
+
+func TestGroups(t *testing.T) {
+	inBubble(t, "share a write", func(t *testing.T, s *fakeStore, x, _ *Ledger) {
+		var g sync.WaitGroup
+		for i := range 200 {
+			g.Go(func() { expectHolder(t, x, attempt(fmt.Sprint(i), "x", uint64(i)), "x") })
+		}
+		g.Wait()
+		is.New(t).True(s.writes <= 2*Shards) // a first write and one group for each shard
+	})
+	inBubble(t, "decide within the group", func(t *testing.T, s *fakeStore, x, _ *Ledger) {
+		var g sync.WaitGroup
+		var mu sync.Mutex
+		n := 0
+		for i := range 20 {
+			g.Go(func() {
+				r, err := x.Claim(context.Background(), attempt("r", "x", uint64(i)))
+				mu.Lock()
+				defer mu.Unlock()
+				if err == nil && r.Granted {
+					n++
+				}
+			})
+		}
+		g.Wait()
+		is.New(t).Equal(n, 1)
+	})
+}
+
+func TestLostReply(t *testing.T) {
+	for _, k := range []string{"head", "archive"} {
+		inBubble(t, k, func(t *testing.T, s *fakeStore, x, y *Ledger) {
+			n := 0
+			s.fail = func(kind, key string) (bool, bool) {
+				if kind != "swap" || !strings.Contains(key, k) {
+					return false, false
+				}
+				n++
+				return false, n%2 == 1
+			}
+			x.BucketRecords, y.BucketRecords = 1, 1
+			for i := range 6 {
+				expectHolder(t, x, attempt("r", "x", 1), "x")
+				expectHolder(t, x, attempt(fmt.Sprint("a", i), "x", 1), "x")
+				expectHolder(t, y, attempt(fmt.Sprint("a", i), "y", 1), "x")
+			}
+		})
+	}
+	inBubble(t, "and the store down after it", func(t *testing.T, s *fakeStore, x, y *Ledger) {
+		d := false
+		s.fail = func(kind, _ string) (bool, bool) {
+			b := d
+			d = d || kind == "swap"
+			return b, kind == "swap"
+		}
+		expectUnavailable(t, x, attempt("r", "x", 1))
+		s.fail = func(string, string) (bool, bool) { return false, false }
+		time.Sleep(defaultRefusal)
+		expectHolder(t, y, attempt("r", "y", 1), "x")
+		expectHolder(t, x, attempt("r", "x", 1), "x")
+	})
+}
+
+func TestStoreDown(t *testing.T) {
+	inBubble(t, "refuses without a call", func(t *testing.T, s *fakeStore, x, _ *Ledger) {
+		n := 0
+		s.fail = func(string, string) (bool, bool) { n++; return true, false }
+		expectUnavailable(t, x, attempt("r", "x", 1))
+		m := n
+		expectUnavailable(t, x, attempt("r", "x", 1))
+		is.New(t).Equal(n, m)
+		time.Sleep(defaultRefusal)
+		expectUnavailable(t, x, attempt("r", "x", 1))
+		is.New(t).True(n > m)
+	})
+}
+
+// TestLateWrite holds a write of x while y goes on, beyond an archive and its
+// expiry.
+func TestLateWrite(t *testing.T) {
+	inBubble(t, "fails", func(t *testing.T, s *fakeStore, x, y *Ledger) {
+		x.BucketRecords, y.BucketRecords = 2, 2
+		expectHolder(t, x, attempt("first", "x", 1), "x")
+		time.Sleep(time.Second)
+		h := make(chan struct{})
+		s.fail = func(kind, key string) (bool, bool) {
+			if kind == "swap" && strings.HasSuffix(key, "head") {
+				s.fail = func(string, string) (bool, bool) { return false, false }
+				<-h
+			}
+			return false, false
+		}
+		done := make(chan sardineknot.ClaimResult)
+		go func() {
+			r, err := x.Claim(context.Background(), attempt("first-0", "x", 2))
+			is.New(t).NoErr(err)
+			done <- r
+		}()
+		synctest.Wait()
+		expectHolder(t, y, attempt("first-0", "y", 1), "y")
+		for i := range 20 {
+			expectHolder(t, y, attempt(fmt.Sprint("later-", i), "y", 1), "y")
+		}
+		close(h)
+		is.New(t).Equal(string((<-done).Holder), "y")
+	})
+}
+
+func TestExpiry(t *testing.T) {
+	inBubble(t, "removes old archives only", func(t *testing.T, s *fakeStore, x, y *Ledger) {
+		x.BucketRecords, x.Retention = 1, time.Minute
+		y.BucketRecords, y.Retention = 1, time.Minute
+		for i := range 100 {
+			expectHolder(t, x, attempt(fmt.Sprint("old", i), "x", 1), "x")
+		}
+		is.New(t).True(s.count("archive") > 50)
+		time.Sleep(time.Minute - 30*time.Second)
+		for i := range 100 {
+			expectHolder(t, y, attempt(fmt.Sprint("new", i), "y", 1), "y")
+		}
+		time.Sleep(45 * time.Second)
+		for i := range 100 {
+			expectHolder(t, x, attempt(fmt.Sprint("new", i), "x", 1), "y")
+			expectHolder(t, x, attempt(fmt.Sprint("last", i), "x", 1), "x")
+		}
+		is.New(t).True(s.count("archive") < 220) // the old ones are gone
+	})
+	inBubble(t, "removes archives without a head", func(t *testing.T, s *fakeStore, x, y *Ledger) {
+		x.BucketRecords, y.BucketRecords = 1, 1
+		k := sardineknot.RequestKey{Account: "verk", ID: "r"}
+		p := &x.shards[number(digestOf(k))]
+		_, err := s.CompareAndSwap(context.Background(), p.archiveKey(0), 0, []byte("orphan"), 0)
+		is.New(t).NoErr(err)
+		for i := range 100 {
+			expectHolder(t, x, attempt(fmt.Sprint(i), "x", 1), "x")
+		}
+		for i := range 100 {
+			expectHolder(t, y, attempt(fmt.Sprint(i), "y", 1), "x")
+		}
+		e, err := s.Get(context.Background(), p.archiveKey(0))
+		is.New(t).NoErr(err)
+		is.New(t).Equal(e.Revision, sardineknot.StoreRevision(0))
+	})
+}
+
+func TestDropIdle(t *testing.T) {
+	inBubble(t, "keeps the claims", func(t *testing.T, s *fakeStore, x, _ *Ledger) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		go x.Run(ctx)
+		expectHolder(t, x, attempt("r", "x", 1), "x")
+		time.Sleep(3 * idleTime)
+		p := &x.shards[number(digestOf(attempt("r", "x", 1).Key))]
+		is.New(t).True(p.state == nil)
+		expectHolder(t, x, attempt("r", "y", 2), "x")
+	})
+}
