--- a/internal/claims/chain/property_test.go
+++ b/internal/claims/chain/property_test.go
@@ -83,8 +83,6 @@
 type request struct {
 	attempt sardineknot.ClaimAttempt
 	issued  time.Time
-	// granted is set when the claim was granted and nothing was decided since.
-	granted bool
 }
 
 // world drives ledgers, callers and the backend server.
