backend/orders: tell a late order by the reader that refused it

Cause: fenced_order_after_pause failed once in a run of all scenarios; the paused host's log did not show its order as stale within a minute. Suspected: net/http may replace the error of a request's body by its own when it closes the connection first, so that a late order is reported as a failed call.

Change: the body itself notes that it refused to be read.

Ruled out: nothing yet. The new test passes with the old code too, so the cause is not proved; the suite is being repeated.

Conclusion: open until the repeated runs are in.

--- a/internal/backend/orders/client.go
+++ b/internal/backend/orders/client.go
@@ -7,6 +7,7 @@
 	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -87,8 +88,9 @@
 	}
 	h.ContentLength = int64(len(body))
 	p, err := c.transport.RoundTrip(h)
-	if errors.Is(err, errLate) {
-		return nil, err
+	if r.late.Load() {
+		// The transport does not always pass the error of a body on.
+		return nil, errors.WithStack(errLate)
 	}
 	if err != nil {
 		return nil, errors.WithStack(&sardineknot.UnavailableError{Peer: string(s.Name), Cause: err})
@@ -107,11 +109,14 @@
 	*bytes.Reader
 	clock  sardineknot.Clock
 	before time.Time
+	// late tells that a read came too late.
+	late atomic.Bool
 }
 
 // Read implements io.Reader.
 func (g *guarded) Read(b []byte) (int, error) {
 	if !g.before.IsZero() && !g.clock.Now().Before(g.before) {
+		g.late.Store(true)
 		return 0, errLate
 	}
 	return g.Reader.Read(b)
--- /dev/null
+++ b/internal/backend/orders/client_test.go
@@ -0,0 +1,82 @@
+package orders
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/standin/engine"
+	"sardineknot.example/sardineknot/internal/standin/fault"
+	"sardineknot.example/sardineknot/internal/standin/record"
+)
+
+type clock struct{ now time.Time }
+
+func (c *clock) Now() time.Time { return c.now }
+
+func TestGive(t *testing.T) {
+	start := time.Unix(1_800_000_000, 0)
+	t.Run("gives an order in time", func(t *testing.T) {
+		assertGiven(t, start, start.Add(time.Second), 1)
+	})
+	t.Run("does not send an order that is late", func(t *testing.T) {
+		// The transport's error for this differs from run to run.
+		for range 200 {
+			assertLate(t, start, start)
+		}
+	})
+	t.Run("reports an order that the engine refuses as stale", func(t *testing.T) {
+		c, s, _ := newEngine(t, start)
+		i := is.New(t)
+		i.NoErr(c.Give(context.Background(), s, sardineknot.Order{Number: 2, SendBefore: start.Add(time.Second)}))
+		assertStale(t, c.Give(context.Background(), s, sardineknot.Order{Number: 1, SendBefore: start.Add(time.Second)}))
+	})
+}
+
+func newEngine(t *testing.T, now time.Time) (*Client, sardineknot.BackendServer, *record.Recorder) {
+	r := &record.Recorder{}
+	h := httptest.NewServer(&engine.Server{Name: "e", Faults: &fault.Control{}, Log: r})
+	t.Cleanup(h.Close)
+	a := netip.MustParseAddrPort(strings.TrimPrefix(h.URL, "http://"))
+	return NewClient(&clock{now}), sardineknot.BackendServer{Name: "e", Address: a}, r
+}
+
+func assertGiven(t *testing.T, now, before time.Time, want int) {
+	t.Helper()
+	c, s, r := newEngine(t, now)
+	i := is.New(t)
+	i.NoErr(c.Give(context.Background(), s, sardineknot.Order{Number: 1, SendBefore: before}))
+	i.Equal(orders(r), want)
+}
+
+func assertLate(t *testing.T, now, before time.Time) {
+	t.Helper()
+	c, s, r := newEngine(t, now)
+	assertStale(t, c.Give(context.Background(), s, sardineknot.Order{Number: 1, SendBefore: before}))
+	is.New(t).Equal(orders(r), 0)
+}
+
+func assertStale(t *testing.T, err error) {
+	t.Helper()
+	var s *sardineknot.StaleOrderError
+	if !errors.As(err, &s) {
+		t.Errorf("got %v, want a StaleOrderError", err)
+	}
+}
+
+func orders(r *record.Recorder) int {
+	var n int
+	for _, l := range r.Lines() {
+		if strings.HasPrefix(l, "event=order ") {
+			n++
+		}
+	}
+	return n
+}
--- a/scenarios/change_test.go
+++ b/scenarios/change_test.go
@@ -2,20 +2,27 @@
 
 import (
 	"os"
+	"path/filepath"
 	"regexp"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
-// change REGEXP REPLACEMENT edits the configuration that deploy has applied and
-// applies it again. It fails if nothing matches.
+// change REGEXP REPLACEMENT edits the declarations that deploy has applied and
+// applies them again. It fails if nothing matches.
 func change(t *testscript.TestScript, _ bool, a []string) {
 	r := regexp.MustCompile(a[0])
-	s := t.ReadFile("configuration.json")
-	if !r.MatchString(s) {
+	l, err := filepath.Glob(t.MkAbs("declarations/*/*.jsonc"))
+	t.Check(err)
+	var n int
+	for _, f := range l {
+		b, err := os.ReadFile(f)
+		t.Check(err)
+		n += len(r.FindAll(b, -1))
+		t.Check(os.WriteFile(f, r.ReplaceAll(b, []byte(a[1])), 0o644))
+	}
+	if n == 0 {
 		t.Fatalf("nothing matches %q", a[0])
 	}
-	s = r.ReplaceAllString(s, a[1])
-	t.Check(os.WriteFile(t.MkAbs("configuration.json"), []byte(s), 0o644))
-	t.Check(t.Exec("sardineknot", "apply", "-store", t.Getenv("STORE"), "-configuration", "configuration.json"))
+	t.Check(t.Exec("sardineknot", "apply", "-store", t.Getenv("STORE"), "-declarations", "declarations", "-author", "change"))
 }
--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -133,7 +133,7 @@
 			return
 		}
 	}
-	t.Fatalf("no match for %q in:\n%s", a[len(a)-1], b)
+	t.Fatalf("no match for %q (%v) in:\n%s", a[len(a)-1], err, b)
 }
 
 // expand FILE... expands the variables of files in place.
