--- a/cmd/sardineknot/main.go
+++ b/cmd/sardineknot/main.go
@@ -13,6 +13,7 @@
 	"github.com/google/subcommands"
 
 	"sardineknot.example/sardineknot/internal/command/apply"
+	"sardineknot.example/sardineknot/internal/command/bench"
 	"sardineknot.example/sardineknot/internal/command/burn"
 	"sardineknot.example/sardineknot/internal/command/check"
 	"sardineknot.example/sardineknot/internal/command/plan"
@@ -30,6 +31,7 @@
 	subcommands.Register(p, "")
 	subcommands.Register(&apply.Command{Clock: clock.System{}}, "")
 	subcommands.Register(&show.Command{}, "")
+	subcommands.Register(&bench.Command{}, "")
 	parse(os.Args[1:])
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
--- a/internal/host/process/callers.go
+++ b/internal/host/process/callers.go
@@ -4,10 +4,7 @@
 	"net/http"
 
 	"sardineknot.example/sardineknot"
-	"sardineknot.example/sardineknot/internal/answer/generation"
-	"sardineknot.example/sardineknot/internal/answer/registry"
 	"sardineknot.example/sardineknot/internal/answer/service"
-	"sardineknot.example/sardineknot/internal/backend/openai"
 	"sardineknot.example/sardineknot/internal/backend/plainhttp"
 	"sardineknot.example/sardineknot/internal/caller/admission"
 	"sardineknot.example/sardineknot/internal/caller/completions"
@@ -29,19 +26,11 @@
 }
 
 func (p *Process) addGenerations() {
-	r := &generation.Runner{
-		Self:          p.self,
-		Engine:        openai.NewClient(p.settings.StreamProgress),
-		Slots:         p.slots,
+	p.handleLimited("POST /v1/completions", p.known, &completions.Handler{
 		Configuration: p.source,
-		Clock:         p.clock,
-		Log:           p.log,
-	}
-	a := registry.NewRegistry(p.settings.ReconnectGrace, p.settings.AnswerRetention)
-	p.handleLimited("POST /v1/completions", answers(a), &completions.Handler{
-		Configuration: p.source,
-		Answers:       a,
-		Runner:        r,
+		Answers:       p.answers.registry,
+		Runner:        p.answers.runner,
+		Relay:         p.answers.relay,
 		Clock:         p.clock,
 		Outcomes:      p.outcomes,
 	})
@@ -66,13 +55,10 @@
 	p.callerMux.Handle(pattern, p.guard.Wrap(l, known))
 }
 
-// answers returns a function that reports whether a request is for an answer
-// of r.
-func answers(r *registry.Registry) func(*http.Request) bool {
-	return func(q *http.Request) bool {
-		return r.Find(sardineknot.RequestKey{
-			Account: sardineknot.ClientAccountName(q.Header.Get("X-Client-Account")),
-			ID:      sardineknot.RequestID(q.Header.Get("X-Request-Id")),
-		}) != nil
-	}
+// known reports whether q is for an answer that this host produces.
+func (p *Process) known(q *http.Request) bool {
+	return p.answers.registry.Has(sardineknot.RequestKey{
+		Account: sardineknot.ClientAccountName(q.Header.Get("X-Client-Account")),
+		ID:      sardineknot.RequestID(q.Header.Get("X-Request-Id")),
+	})
 }
--- a/internal/host/process/membership.go
+++ b/internal/host/process/membership.go
@@ -4,6 +4,7 @@
 	"context"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/membership/liveness"
 	"sardineknot.example/sardineknot/internal/membership/rendezvous"
 	"sardineknot.example/sardineknot/internal/membership/twirp"
 	api "sardineknot.example/sardineknot/internal/rpc/membership"
@@ -20,6 +21,7 @@
 	p.node = n
 	p.members = n
 	p.ranker = rendezvous.NewRanker(n)
+	p.liveness = liveness.NewTracker(n, p.clock)
 	s := api.NewMembershipServer(n)
 	p.peerMux.Handle(s.PathPrefix(), s)
 	p.tasks = append(p.tasks, n.Run)
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -19,6 +19,7 @@
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/caller/admission"
 	"sardineknot.example/sardineknot/internal/host/clock"
+	"sardineknot.example/sardineknot/internal/membership/liveness"
 	"sardineknot.example/sardineknot/internal/membership/twirp"
 	"sardineknot.example/sardineknot/internal/peer/h2c"
 	"sardineknot.example/sardineknot/internal/platform/etcd"
@@ -65,6 +66,10 @@
 	limiter sardineknot.Limiter
 
 	outcomes *tracker.Tracker
+	// liveness tells which incarnations of entry hosts are dead.
+	liveness *liveness.Tracker
+	engine   sardineknot.Engine
+	answers  answers
 }
 
 // NewProcess returns a process that is not running yet. It applies the
@@ -94,6 +99,7 @@
 	p.addClaims()
 	p.addLimits()
 	p.addOrders()
+	p.addAnswers()
 	p.addCallers()
 	p.addAdmin()
 	return p
