caller: refuse malformed offsets and shorten what is told back

Cause: Last-Event-ID with the greatest integer became a negative offset, an offset beyond the answer's length was accepted, and X-Work, X-Deadline and Last-Event-ID were told back in full length, up to a megabyte.

Proof: TestRead, TestReadRefuses, TestReadRefusesUnknown at the headers, and TestRefusals at completions and services, whose handlers have nothing that could run a request. The greatest integer, the offset beyond the answer and the oversized headers fail without the change; the other cases were refused before and had no test.

--- a/internal/caller/completions/handler.go
+++ b/internal/caller/completions/handler.go
@@ -151,6 +151,9 @@
 	if n < 0 || n > v.Work.MaxTokens {
 		return q, 0, errors.WithStack(&sardineknot.InvalidError{What: "max_tokens", Got: fmt.Sprint(n), Expected: fmt.Sprintf("1 to %d", v.Work.MaxTokens)})
 	}
+	if v.Offset > n {
+		return q, 0, errors.WithStack(&sardineknot.InvalidError{What: "Last-Event-ID", Got: fmt.Sprint(v.Offset - 1), Expected: fmt.Sprintf("at most %d, the last token of the answer", n-1)})
+	}
 	q = sardineknot.Request{Key: v.Key, Work: v.Work, Prompt: c.GetPrompt(), MaxTokens: n, Deadline: v.Deadline}
 	return q, v.Offset, nil
 }
--- a/internal/caller/header/header.go
+++ b/internal/caller/header/header.go
@@ -17,6 +17,9 @@
 	"sardineknot.example/sardineknot"
 )
 
+// maxOffset bounds the index of a token.
+const maxOffset = 1 << 30
+
 var identifier = regexp.MustCompile(`^[A-Za-z0-9._:-]+$`)
 
 // Header is what a caller's headers say.
@@ -44,7 +47,7 @@
 	if err != nil {
 		return Header{}, errors.WithStack(err)
 	}
-	w, err := t.FindWork(sardineknot.WorkName(r.Header.Get("X-Work")))
+	w, err := t.FindWork(sardineknot.WorkName(shorten(r.Header.Get("X-Work"))))
 	if err != nil {
 		return Header{}, errors.WithStack(err)
 	}
@@ -78,7 +81,7 @@
 	}
 	return errors.WithStack(&sardineknot.InvalidError{
 		What:     name,
-		Got:      v[:min(len(v), sardineknot.MaxRequestIDBytes)],
+		Got:      shorten(v),
 		Expected: "1 to 128 letters, digits, '.', '_', ':' or '-'",
 	})
 }
@@ -90,7 +93,7 @@
 	}
 	t, err := time.Parse(time.RFC3339Nano, v)
 	if err != nil || !t.After(now) {
-		return t, errors.WithStack(&sardineknot.InvalidError{What: "X-Deadline", Got: v, Expected: "a time to come in the form of RFC 3339"})
+		return t, errors.WithStack(&sardineknot.InvalidError{What: "X-Deadline", Got: shorten(v), Expected: "a time to come in the form of RFC 3339"})
 	}
 	return t, nil
 }
@@ -102,8 +105,14 @@
 		return 0, nil
 	}
 	n, err := strconv.Atoi(v)
-	if err != nil || n < -1 {
-		return 0, errors.WithStack(&sardineknot.InvalidError{What: "Last-Event-ID", Got: v, Expected: "the index of a token"})
+	if err != nil || n < -1 || n >= maxOffset {
+		return 0, errors.WithStack(&sardineknot.InvalidError{What: "Last-Event-ID", Got: shorten(v), Expected: "the index of a token"})
 	}
 	return n + 1, nil
 }
+
+// shorten returns v as it is told to callers. A name that is cut is unknown as
+// well: operators cannot declare names of that length.
+func shorten(v string) string {
+	return v[:min(len(v), sardineknot.MaxRequestIDBytes)]
+}
