--- a/internal/command/apply/command.go
+++ b/internal/command/apply/command.go
@@ -115,7 +115,7 @@
 	if err != nil {
 		return applied{}, err
 	}
-	h, r, o, err := w.Accepted(ctx)
+	h, r, o, err := w.Accepted(ctx, n)
 	if err != nil {
 		return applied{}, err
 	}
--- a/internal/command/plan/command.go
+++ b/internal/command/plan/command.go
@@ -86,7 +86,7 @@
 	if err != nil {
 		return plan{}, err
 	}
-	h, _, o, err := w.Accepted(ctx)
+	h, _, o, err := w.Accepted(ctx, n)
 	if err != nil {
 		return plan{}, err
 	}
--- a/internal/configuration/writer/writer.go
+++ b/internal/configuration/writer/writer.go
@@ -57,14 +57,22 @@
 }
 
 // Accepted returns the accepted head, its revision in the store and the
-// configuration that it names, which is never nil without an error.
-func (w *Writer) Accepted(ctx context.Context) (h sardineknot.ConfigurationHead, seen sardineknot.StoreRevision, c *sardineknot.Configuration, err error) {
+// configuration that it names, which is never nil without an error. Bundles
+// that like has as well are not read from the store. like may be nil.
+func (w *Writer) Accepted(ctx context.Context, like *sardineknot.Configuration) (h sardineknot.ConfigurationHead, seen sardineknot.StoreRevision, c *sardineknot.Configuration, err error) {
+	if like == nil {
+		like = &sardineknot.Configuration{}
+	}
+	s, _, err := bundle.Split(like)
+	if err != nil {
+		return h, seen, nil, err
+	}
 	for range maxHeadReads {
 		h, seen, err = w.Head(ctx)
 		if err != nil {
 			return h, seen, nil, err
 		}
-		c, err = w.join(ctx, h)
+		c, err = w.join(ctx, h, s)
 		var u *sardineknot.UnknownError
 		if !errors.As(err, &u) {
 			return h, seen, c, err
@@ -73,13 +81,16 @@
 	return h, seen, nil, err
 }
 
-// join reads the configuration that h names. It fails with an UnknownError if
-// a bundle is gone.
-func (w *Writer) join(ctx context.Context, h sardineknot.ConfigurationHead) (*sardineknot.Configuration, error) {
+// join returns the configuration that h names and adds the bundles that s
+// lacks to it. It fails with an UnknownError if a bundle is gone.
+func (w *Writer) join(ctx context.Context, h sardineknot.ConfigurationHead, s bundle.Set) (*sardineknot.Configuration, error) {
 	l := make([]sardineknot.StoreEntry, len(h.Bundles))
 	g, ctx := errgroup.WithContext(ctx)
 	g.SetLimit(parallelCalls)
 	for i, r := range h.Bundles {
+		if _, ok := s[r.Hash]; ok {
+			continue
+		}
 		g.Go(func() error {
 			e, err := w.store.Get(ctx, sardineknot.ConfigurationBundlePrefix+r.Hash)
 			l[i] = e
@@ -90,7 +101,6 @@
 	if err != nil {
 		return nil, err
 	}
-	s := make(bundle.Set, len(l))
 	for i, e := range l {
 		if e.Revision != 0 {
 			s[h.Bundles[i].Hash] = e.Value
--- a/internal/configuration/writer/writer_test.go
+++ b/internal/configuration/writer/writer_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,9 +31,18 @@
 	head func(swap func() error) error
 	// listed runs after the next List, once.
 	listed func()
+	// reads and writes are the numbers of calls of Get and CompareAndSwap.
+	reads  atomic.Int64
+	writes atomic.Int64
+}
+
+func (s *store) Get(ctx context.Context, key string) (sardineknot.StoreEntry, error) {
+	s.reads.Add(1)
+	return s.Store.Get(ctx, key)
 }
 
 func (s *store) CompareAndSwap(ctx context.Context, key string, expected sardineknot.StoreRevision, value []byte, lease sardineknot.LeaseID) (sardineknot.StoreRevision, error) {
+	s.writes.Add(1)
 	f := s.head
 	if f == nil || key != sardineknot.ConfigurationHeadKey {
 		return s.Store.CompareAndSwap(ctx, key, expected, value, lease)
@@ -96,7 +106,7 @@
 func accepted(t *testing.T, s sardineknot.Store, r sardineknot.Revision, accounts ...string) {
 	t.Helper()
 	i := is.New(t)
-	h, _, c, err := writer.NewWriter(s).Accepted(t.Context())
+	h, _, c, err := writer.NewWriter(s).Accepted(t.Context(), nil)
 	i.NoErr(err)
 	i.Equal(h.Revision, r)
 	i.Equal(len(c.Contracts), len(accounts))
@@ -180,3 +190,25 @@
 	i.NoErr(o.apply(t, "anna", start, "z"))
 	accepted(t, s, 59, "z")
 }
+
+// TestCallsOfAChange counts the calls of the store for a change of one account.
+func TestCallsOfAChange(t *testing.T) {
+	i := is.New(t)
+	s := newStore(t)
+	c := &sardineknot.Configuration{}
+	for n := range 100 {
+		a := sardineknot.ClientAccountName(fmt.Sprintf("account-%02d", n))
+		c.Contracts = append(c.Contracts, sardineknot.Contract{Account: a})
+	}
+	w := writer.NewWriter(s)
+	i.NoErr(w.Write(t.Context(), c, sardineknot.ConfigurationHead{}, 0))
+	c.Contracts[7].Burst = 1
+	s.reads.Store(0)
+	s.writes.Store(0)
+	h, r, o, err := w.Accepted(t.Context(), c)
+	i.NoErr(err)
+	i.Equal(o.Contracts[7].Burst, 0)
+	i.NoErr(w.Write(t.Context(), c, h, r))
+	i.Equal(s.reads.Load(), int64(2))
+	i.Equal(s.writes.Load(), int64(2))
+}
