--- a/internal/host/process/answers.go
+++ b/internal/host/process/answers.go
@@ -55,7 +55,7 @@
 		relay:    &h2c.Relay{Answers: g, Client: p.peers.Client()},
 	}
 	p.peerMux.Handle(d.Handler())
-	p.peerMux.Handle("GET "+h2c.Path, p.answers.relay)
+	p.peerMux.Handle("GET "+h2c.Path, p.guard.Track(p.answers.relay))
 	p.tasks = append(p.tasks, d.Run, u.Run)
 }
 
--- a/internal/host/process/callers.go
+++ b/internal/host/process/callers.go
@@ -3,10 +3,8 @@
 import (
 	"net/http"
 
-	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/answer/service"
 	"sardineknot.example/sardineknot/internal/backend/plainhttp"
-	"sardineknot.example/sardineknot/internal/caller/admission"
 	"sardineknot.example/sardineknot/internal/caller/completions"
 	"sardineknot.example/sardineknot/internal/caller/limit"
 	"sardineknot.example/sardineknot/internal/caller/placement"
@@ -15,7 +13,6 @@
 
 // addCallers assembles what callers connect to.
 func (p *Process) addCallers() {
-	p.guard = &admission.Guard{Membership: p.members, Configuration: p.source}
 	p.addPlacement()
 	p.addGenerations()
 	p.addServices()
@@ -26,7 +23,7 @@
 }
 
 func (p *Process) addGenerations() {
-	p.handleLimited("POST /v1/completions", p.known, &completions.Handler{
+	p.handleLimited("POST /v1/completions", &completions.Handler{
 		Configuration: p.source,
 		Answers:       p.answers.registry,
 		Runner:        p.answers.runner,
@@ -44,21 +41,11 @@
 		Configuration: p.source,
 		Log:           p.log,
 	}
-	p.handleLimited("POST /v1/services", nil, &services.Handler{Configuration: p.source, Runner: r, Clock: p.clock, Outcomes: p.outcomes})
+	p.handleLimited("POST /v1/services", &services.Handler{Configuration: p.source, Runner: r, Clock: p.clock, Outcomes: p.outcomes})
 }
 
 // handleLimited serves pattern with h, behind the guard and under the limits
-// of client accounts. known reports whether a request is for an answer that
-// this host produces; nil means never.
-func (p *Process) handleLimited(pattern string, known func(*http.Request) bool, h http.Handler) {
-	l := &limit.Handler{Next: h, Limiter: p.limiter, Configuration: p.source}
-	p.callerMux.Handle(pattern, p.guard.Wrap(l, known))
-}
-
-// known reports whether q is for an answer that this host produces.
-func (p *Process) known(q *http.Request) bool {
-	return p.answers.registry.Has(sardineknot.RequestKey{
-		Account: sardineknot.ClientAccountName(q.Header.Get("X-Client-Account")),
-		ID:      sardineknot.RequestID(q.Header.Get("X-Request-Id")),
-	})
+// of client accounts.
+func (p *Process) handleLimited(pattern string, h http.Handler) {
+	p.callerMux.Handle(pattern, p.guard.Wrap(&limit.Handler{Next: h, Limiter: p.limiter, Configuration: p.source}))
 }
