--- a/scenarios/change_test.go
+++ b/scenarios/change_test.go
@@ -2,20 +2,28 @@
 
 import (
 	"os"
+	"path/filepath"
 	"regexp"
 
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
-// change REGEXP REPLACEMENT edits the configuration that deploy has applied and
-// applies it again. It fails if nothing matches.
+// change REGEXP REPLACEMENT replaces text in the declarations that deploy wrote
+// and applies them.
 func change(t *testscript.TestScript, _ bool, a []string) {
 	r := regexp.MustCompile(a[0])
-	s := t.ReadFile("configuration.json")
-	if !r.MatchString(s) {
+	l, err := filepath.Glob(t.MkAbs("declarations/*/*.jsonc"))
+	t.Check(err)
+	n := 0
+	for _, f := range l {
+		s := t.ReadFile(f)
+		if r.MatchString(s) {
+			n++
+			t.Check(os.WriteFile(f, []byte(r.ReplaceAllString(s, a[1])), 0o644))
+		}
+	}
+	if n == 0 {
 		t.Fatalf("nothing matches %q", a[0])
 	}
-	s = r.ReplaceAllString(s, a[1])
-	t.Check(os.WriteFile(t.MkAbs("configuration.json"), []byte(s), 0o644))
-	t.Check(t.Exec("sardineknot", "apply", "-store", t.Getenv("STORE"), "-configuration", "configuration.json"))
+	t.Check(t.Exec("sardineknot", "apply", "-store", t.Getenv("STORE"), "-declarations", "declarations"))
 }
