--- a/claim.go
+++ b/claim.go
@@ -34,3 +34,14 @@
 	// attempt can be granted. It has no effect unless a holds the claim.
 	Release(ctx context.Context, a ClaimAttempt) error
 }
+
+// ClaimHolders asks the entry hosts that hold claims of service calls.
+type ClaimHolders interface {
+	// Join waits for the outcome of the call key at the holder that r names.
+	// content is a digest of the call's content. Join fails with a NotRunError
+	// if the holder gave the call up before it was sent, with an
+	// OutcomeUnknownError if it may have run, with a MismatchError if it had
+	// another content, and with an UnavailableError if the holder does not
+	// answer.
+	Join(ctx context.Context, r ClaimResult, key RequestKey, content [32]byte) (ServiceAnswer, error)
+}
--- a/internal/caller/services/handler.go
+++ b/internal/caller/services/handler.go
@@ -1,7 +1,7 @@
 // Package services serves calls of plain services to callers.
 //
-// Two calls with the same request identifier that reach this host while the
-// first one runs get the same answer.
+// Calls with the same request identifier get the same answer while the first
+// one runs, and for a while after it if the call is unrepeatable.
 package services
 
 import (
@@ -9,7 +9,6 @@
 	"net/http"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sync/singleflight"
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/answer/service"
@@ -29,9 +28,6 @@
 	Runner *service.Runner
 	// Clock gives the time.
 	Clock sardineknot.Clock
-
-	// running joins calls with the same identifier.
-	running singleflight.Group
 }
 
 // ServeHTTP implements http.Handler.
@@ -41,11 +37,8 @@
 		reply.Error(w, err)
 		return
 	}
-	v, err, _ := h.running.Do(c.Key.String(), func() (any, error) {
-		return h.Runner.Run(r.Context(), c)
-	})
-	a, ok := v.(sardineknot.ServiceAnswer)
-	if err != nil || !ok {
+	a, err := h.Runner.Run(r.Context(), c)
+	if err != nil {
 		reply.Error(w, err)
 		return
 	}
--- a/internal/host/process/claims.go
+++ b/internal/host/process/claims.go
@@ -1,13 +1,20 @@
 package process
 
 import (
+	"time"
+
 	"sardineknot.example/sardineknot/internal/claims/chain"
 	"sardineknot.example/sardineknot/internal/claims/peer"
 )
 
+// claimRetention is the time for which a claim is kept. An identifier of an
+// unrepeatable request must not be used again after it.
+const claimRetention = time.Hour
+
 // addClaims assembles what records unrepeatable requests.
 func (p *Process) addClaims() {
 	c := chain.NewLedger(p.store, p.clock, p.self, p.metrics)
+	c.Retention = claimRetention
 	p.tasks = append(p.tasks, c.Run)
 	p.peerMux.Handle(peer.PathPrefix, peer.NewHandler(c))
 	p.claims = &peer.Ledger{Self: p.self, Local: c, Ranker: p.ranker, Client: p.peers.Client()}
