--- a/internal/answer/join/group.go
+++ b/internal/answer/join/group.go
@@ -103,6 +103,23 @@
 	return a, true, err
 }
 
+// Has reports whether a run of k is present or kept.
+func (g *Group) Has(k sardineknot.RequestKey) bool {
+	s := g.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[k] != nil
+}
+
+// Running returns the number of runs that have not ended.
+func (g *Group) Running() int {
+	n := 0
+	for i := range g.shards {
+		n += g.shards[i].running()
+	}
+	return n
+}
+
 func (g *Group) wait(ctx context.Context, s *shard, k sardineknot.RequestKey, r *run, content fingerprint) (sardineknot.ServiceAnswer, error) {
 	defer s.leave(k, r)
 	if r.content != content {
@@ -160,6 +177,20 @@
 	}
 }
 
+func (s *shard) running() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for _, r := range s.runs {
+		select {
+		case <-r.done:
+		default:
+			n++
+		}
+	}
+	return n
+}
+
 // forget removes r if it is still the run of k.
 func (s *shard) forget(k sardineknot.RequestKey, r *run) {
 	s.mu.Lock()
--- a/internal/backend/breaker/set.go
+++ b/internal/backend/breaker/set.go
@@ -25,6 +25,8 @@
 	// to maxOpen.
 	firstOpen = time.Second
 	maxOpen   = 30 * time.Second
+	// maxTurn bounds the turn that a set starts from.
+	maxTurn = 1 << 20
 )
 
 // outcome is the result of a call.
@@ -45,6 +47,8 @@
 type Set struct {
 	mu     sync.Mutex
 	random *rand.Rand
+	// turn moves the server that goes first among equals.
+	turn int
 	// circuits holds an entry for each server that was picked.
 	circuits map[sardineknot.BackendServerName]*circuit
 }
@@ -66,19 +70,22 @@
 	if source == nil {
 		panic(&sardineknot.InvalidError{What: "source", Got: "nil", Expected: "a source of random numbers"})
 	}
-	return &Set{random: rand.New(source), circuits: make(map[sardineknot.BackendServerName]*circuit)}
+	r := rand.New(source)
+	return &Set{random: r, turn: r.IntN(maxTurn), circuits: make(map[sardineknot.BackendServerName]*circuit)}
 }
 
 // Pick picks a server of l for a call and counts the call, which must be ended
 // by Done. It prefers servers that tried does not name, then the one with the
-// smallest share of its slots in use. If it finds none, ok is false and wait
+// smallest share of its slots in use, and takes equals in turn. If it finds none, ok is false and wait
 // is the time after which to ask again.
 func (s *Set) Pick(now time.Time, l []sardineknot.BackendServer, tried map[sardineknot.BackendServerName]bool) (b sardineknot.BackendServer, wait time.Duration, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	wait = firstOpen
 	m := 0.0
-	for _, i := range s.random.Perm(len(l)) {
+	s.turn++
+	for j := range l {
+		i := (s.turn + j) % len(l)
 		c := s.circuitLocked(l[i].Name)
 		if !c.admits(now, l[i].Slots) {
 			wait = min(wait, max(c.openUntil.Sub(now), firstOpen/10))
--- a/internal/caller/services/handler.go
+++ b/internal/caller/services/handler.go
@@ -12,6 +12,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/answer/service"
+	"sardineknot.example/sardineknot/internal/caller/delivery"
 	"sardineknot.example/sardineknot/internal/caller/header"
 	"sardineknot.example/sardineknot/internal/caller/reply"
 )
@@ -28,6 +29,8 @@
 	Runner *service.Runner
 	// Clock gives the time.
 	Clock sardineknot.Clock
+	// Outcomes takes the outcome of every call. Nil discards them.
+	Outcomes sardineknot.OutcomeRecorder
 }
 
 // ServeHTTP implements http.Handler.
@@ -37,11 +40,14 @@
 		reply.Error(w, err)
 		return
 	}
+	m := delivery.NewDelivery(h.Clock, h.Outcomes, c.Key.Account, c.Work)
+	defer func() { m.End(err) }()
 	a, err := h.Runner.Run(r.Context(), c)
 	if err != nil {
 		reply.Error(w, err)
 		return
 	}
+	m.Token()
 	w.Header().Set("Content-Type", a.ContentType)
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body)
