--- a/internal/caller/services/handler.go
+++ b/internal/caller/services/handler.go
@@ -1,7 +1,7 @@
 // Package services serves calls of plain services to callers.
 //
-// Two calls with the same request identifier that reach this host while the
-// first one runs get the same answer.
+// Calls with the same request identifier get the same answer while the first
+// one runs, and for a while after it if the call is unrepeatable.
 package services
 
 import (
@@ -9,7 +9,6 @@
 	"net/http"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sync/singleflight"
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/answer/service"
@@ -32,9 +31,6 @@
 	Clock sardineknot.Clock
 	// Outcomes takes the outcome of every call. Nil discards them.
 	Outcomes sardineknot.OutcomeRecorder
-
-	// running joins calls with the same identifier.
-	running singleflight.Group
 }
 
 // ServeHTTP implements http.Handler.
@@ -46,11 +42,8 @@
 	}
 	m := delivery.NewDelivery(h.Clock, h.Outcomes, c.Key.Account, c.Work)
 	defer func() { m.End(err) }()
-	v, err, _ := h.running.Do(c.Key.String(), func() (any, error) {
-		return h.Runner.Run(r.Context(), c)
-	})
-	a, ok := v.(sardineknot.ServiceAnswer)
-	if err != nil || !ok {
+	a, err := h.Runner.Run(r.Context(), c)
+	if err != nil {
 		reply.Error(w, err)
 		return
 	}
