answer: keep a copy of the directory's record apart from its producer

Cause: when the producer itself owned the directory's shard of a request, its death took the record along, so that one answer in as many as there are hosts could not be continued. Found by the unit test over three hosts.

Another live host keeps a copy in that case and registers it with the next owner. Asking all engines what they hold was weighed and left out: it finds the engine, but not for a caller without an offset, whose request would run again under the same engine key.

--- /dev/null
+++ b/internal/answer/budget/budget_test.go
@@ -0,0 +1,39 @@
+package budget_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sardineknot.example/sardineknot/internal/answer/budget"
+)
+
+// retries returns the number of retries that b allows in a row.
+func retries(b *budget.Budget) int {
+	n := 0
+	for b.Retry() {
+		n++
+	}
+	return n
+}
+
+func TestBudget(t *testing.T) {
+	t.Run("starts full", func(t *testing.T) {
+		is.New(t).Equal(retries(budget.NewBudget(0.25, 3)), 3)
+	})
+	t.Run("first tries add their share", func(t *testing.T) {
+		b := budget.NewBudget(0.25, 3)
+		retries(b)
+		for range 8 {
+			b.First()
+		}
+		is.New(t).Equal(retries(b), 2)
+	})
+	t.Run("never holds more than the burst", func(t *testing.T) {
+		b := budget.NewBudget(0.25, 3)
+		for range 1000 {
+			b.First()
+		}
+		is.New(t).Equal(retries(b), 3)
+	})
+}
--- a/internal/answer/twirp/directory.go
+++ b/internal/answer/twirp/directory.go
@@ -2,7 +2,9 @@
 // shards is owned by the live host that ranks first for it, and the others
 // register their records with the owner.
 //
-// When a shard moves, each host registers its own records with the new owner.
+// When a shard moves, each host registers its own records with the new owner. A
+// host that owns the shard of its own record has another host keep a copy, so
+// that its death does not take the record along.
 package twirp
 
 import (
@@ -63,6 +65,8 @@
 	local *directory.Shard
 	// own holds the records of this host by request.
 	own map[sardineknot.RequestKey]sardineknot.AnswerRecord
+	// copies holds records of hosts that own the shard themselves.
+	copies map[sardineknot.RequestKey]copied
 }
 
 var _ sardineknot.AnswerDirectory = (*Directory)(nil)
@@ -94,6 +98,7 @@
 	current, previous, err = d.register(ctx, s, r, s.has(r.Key))
 	if err == nil && sameHost(current, r) {
 		s.keep(r)
+		d.copyAway(ctx, s, r)
 	}
 	return current, previous, err
 }
@@ -151,6 +156,9 @@
 		return errNoOwner
 	case l != nil:
 		l.Forget(r)
+		o, ok = d.deputy(r.Key)
+	}
+	if !ok {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/answer/twirp/service.go
+++ b/internal/answer/twirp/service.go
@@ -19,6 +19,10 @@
 // Register implements rpc.Answers.
 func (s *service) Register(ctx context.Context, q *rpc.RegisterRequest) (*rpc.RegisterResponse, error) {
 	r := record(q.GetRecord())
+	if q.GetCopy() {
+		s.directory.shards[index(r.Key)].keepCopy(s.directory.Clock.Now(), r)
+		return &rpc.RegisterResponse{Record: q.GetRecord()}, nil
+	}
 	l, err := s.owned(index(r.Key))
 	if err != nil {
 		return nil, err
@@ -38,11 +42,14 @@
 func (s *service) Forget(_ context.Context, q *rpc.ForgetRequest) (*rpc.ForgetResponse, error) {
 	for _, m := range q.GetRecords() {
 		r := record(m)
+		c := s.directory.shards[index(r.Key)].dropCopy(r)
 		l, err := s.owned(index(r.Key))
-		if err != nil {
+		if err == nil {
+			l.Forget(r)
+		}
+		if err != nil && !c {
 			return nil, err
 		}
-		l.Forget(r)
 	}
 	return &rpc.ForgetResponse{}, nil
 }
--- a/internal/answer/twirp/slot.go
+++ b/internal/answer/twirp/slot.go
@@ -30,16 +30,18 @@
 	if ok && o.ID == d.Members.Self().ID {
 		s.local = directory.NewShard(d.Clock, d.Dead, d.Settle)
 	}
-	if len(s.own) > 0 {
+	if len(s.own)+len(s.copies) > 0 {
 		go d.registerOwn(s)
 	}
 }
 
-// registerOwn registers the records of this host with the present owner, until
-// it has them or the shard moves again.
+// registerOwn registers the records of this host, and its copies of those of
+// dead hosts, with the present owner, until it has them or the shard moves
+// again.
 func (d *Directory) registerOwn(s *slot) {
 	o, _, _ := s.view()
-	for _, r := range s.records() {
+	l := append(s.records(), s.deadCopies(d.Dead)...)
+	for _, r := range l {
 		for d.registerStanding(s, r) != nil {
 			time.Sleep(standingPause)
 			n, _, ok := s.view()
@@ -50,20 +52,30 @@
 	}
 }
 
-// registerStanding registers r of this host. If another host has a record in
-// force, that host goes on and this one stops.
+// registerStanding registers r. If it is of this host, but another has a
+// record in force, that one goes on and this one stops.
 func (d *Directory) registerStanding(s *slot, r sardineknot.AnswerRecord) error {
-	if !s.has(r.Key) {
+	w := r.Host == d.Members.Self().ID
+	if w && !s.has(r.Key) {
 		return nil
 	}
 	c, _, err := d.register(context.Background(), s, r, true)
-	if err == nil && !sameHost(c, r) {
-		s.drop(r.Key)
-		if d.Displaced != nil {
-			d.Displaced(r.Key)
-		}
+	if err != nil {
+		return err
+	}
+	if !w {
+		s.dropCopy(r)
+		return nil
+	}
+	if sameHost(c, r) {
+		d.copyAway(context.Background(), s, r)
+		return nil
+	}
+	s.drop(r.Key)
+	if d.Displaced != nil {
+		d.Displaced(r.Key)
 	}
-	return err
+	return nil
 }
 
 func (s *slot) view() (o sardineknot.EntryHost, l *directory.Shard, ok bool) {
