--- a/internal/answer/registry/registry.go
+++ b/internal/answer/registry/registry.go
@@ -66,9 +66,10 @@
 }
 
 // Open returns the answer to request k. If there is none, or one that was
-// interrupted, it adds one with the tokens that exist and calls run in a new goroutine with a context that ends when the answer
-// is abandoned; run must end the answer. Open fails with a MismatchError if k
-// was opened before with another fingerprint.
+// interrupted, it adds one with the tokens that exist and calls run in a new
+// goroutine with a context that ends when the answer is abandoned; run must end
+// the answer. Open fails with a MismatchError if k was opened before with
+// another fingerprint.
 func (r *Registry) Open(k sardineknot.RequestKey, fingerprint uint64, run func(context.Context, *buffer.Buffer)) (*buffer.Buffer, error) {
 	s := r.shard(k)
 	s.mu.Lock()
@@ -111,6 +112,14 @@
 	return e.buffer, nil
 }
 
+// Has reports whether this host has an answer to request k.
+func (r *Registry) Has(k sardineknot.RequestKey) bool {
+	s := r.shard(k)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.answers[k] != nil
+}
+
 // Displace ends the answer to request k on this host, because another host
 // produces it.
 func (r *Registry) Displace(k sardineknot.RequestKey) {
--- a/scenarios/deploy_test.go
+++ b/scenarios/deploy_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -15,6 +16,8 @@
 	entries, prefill, decode, plain int
 	slots                           int
 	interval, prefillTime, eviction time.Duration
+	// storeTimeout bounds the entry hosts' calls to the store.
+	storeTimeout time.Duration
 	// extra is further text of the entry hosts' settings.
 	extra string
 	// relays puts a relay before every decode engine, plain service and the
@@ -27,8 +30,9 @@
 }
 
 // deploy [FLAGS] starts a platform, backend servers and entry hosts, and
-// applies a configuration with the account "verk" and its work trip-summary,
-// trip-lookup and mileage-posting. It sets STORE, ENTRYn, PEERn, ADMINn,
+// applies declarations with the account "verk" and its work trip-summary,
+// trip-lookup and mileage-posting, which are left in the directory declarations
+// for the script to change. It sets STORE, ENTRYn, PEERn, ADMINn,
 // PREFILLn, DECODEn and PLAINn to addresses, and with -relays DECODEn_RELAY,
 // PLAINn_RELAY and STORE_RELAY to the addresses that take the relays' faults.
 // The processes are named platform, entry-n, prefill-n, decode-n and plain-n.
@@ -43,6 +47,7 @@
 	f.DurationVar(&d.interval, "interval", 5*time.Millisecond, "")
 	f.DurationVar(&d.prefillTime, "prefill-time", time.Millisecond, "")
 	f.DurationVar(&d.eviction, "eviction", 800*time.Millisecond, "")
+	f.DurationVar(&d.storeTimeout, "store-timeout", time.Second, "")
 	f.StringVar(&d.extra, "settings", "", "")
 	f.BoolVar(&d.relays, "relays", false, "")
 	f.BoolVar(&d.idle, "idle", false, "")
@@ -115,16 +120,19 @@
 func (d *deployment) engine(kind, role string, i, host int, relay string) string {
 	n := fmt.Sprintf("%s-%d", kind, i)
 	a := d.run(n, fmt.Sprintf("%s%d", strings.ToUpper(kind), i), d.address(host, 7100), relay,
-		"engine", "-name", n, "-slots", fmt.Sprint(d.slots), "-interval", d.interval.String(),
+		"engine", "-name", n, "-model", "skyrsla-llm", "-version", "1", "-role", role, "-slots", fmt.Sprint(d.slots), "-interval", d.interval.String(),
 		"-prefill", d.prefillTime.String(), "-eviction", d.eviction.String())
 	return fmt.Sprintf(`{"Name": %q, "Address": %q, "Zone": %q, "Role": %q, "Model": "skyrsla-llm", "Version": "1", "Slots": %d, "State": "Joining"}`,
 		n, a, zone(i), role, d.slots)
 }
 
+// configure applies the declarations, which it writes to the directory
+// declarations.
 func (d *deployment) configure() {
-	b := strings.Replace(configuration, "BACKENDS", d.script.Getenv("BACKENDS"), 1)
-	d.write("configuration.json", b)
-	d.script.Check(d.script.Exec("sardineknot", "apply", "-store", d.address(1, 7000), "-configuration", "configuration.json"))
+	for f, b := range declarations {
+		d.write(filepath.Join("declarations", f), strings.Replace(b, "BACKENDS", d.script.Getenv("BACKENDS"), 1))
+	}
+	d.script.Check(d.script.Exec("sardineknot", "apply", "-store", d.address(1, 7000), "-declarations", "declarations", "-author", "deploy"))
 }
 
 func (d *deployment) entry(i int) {
@@ -134,10 +142,11 @@
 	d.script.Setenv(fmt.Sprintf("ENTRY%d", i), a)
 	d.script.Setenv(fmt.Sprintf("PEER%d", i), p)
 	d.script.Setenv(fmt.Sprintf("ADMIN%d", i), m)
-	d.write(fmt.Sprintf("entry-%d.jsonc", i), fmt.Sprintf(settings, i, zone(i), a, p, m, d.script.Getenv("STORE_VIA"), d.address(1, 7000), d.extra))
+	d.write(fmt.Sprintf("entry-%d.jsonc", i), fmt.Sprintf(settings, i, zone(i), a, p, m, d.script.Getenv("STORE_VIA"), d.address(1, 7000), d.storeTimeout, d.extra))
 }
 
 func (d *deployment) write(name, text string) {
+	d.script.Check(os.MkdirAll(filepath.Dir(d.script.MkAbs(name)), 0o755))
 	d.script.Check(os.WriteFile(d.script.MkAbs(name), []byte(text), 0o644))
 }
 
@@ -150,26 +159,45 @@
   "ID": "entry-%d", "Region": "is-land", "Zone": %q,
   "Zones": ["reykjavik-a", "akureyri-b", "egilsstadir-c", "selfoss-d"],
   "CallerAddress": %q, "PeerAddress": %q, "AdminAddress": %q,
-  "Store": %q, "HostList": %q, "StoreTimeout": "1s",
+  "Store": %q, "HostList": %q, "StoreTimeout": %q,
   "Heartbeat": "200ms", "LogLevel": "debug",
   %s
 }
 `
 
-const configuration = `{
-  "Contracts": [
-    {
-      "Account": "verk", "RequestsPerSecond": 0, "Burst": 0,
-      "Work": [
-        {"Name": "mileage-posting", "Kind": "Service", "Service": "dagbok-app", "Unrepeatable": true, "FirstToken": "20s", "Objective": 0.95},
-        {"Name": "trip-lookup", "Kind": "Service", "Service": "dagbok-app", "FirstToken": "20s", "Objective": 0.95},
-        {"Name": "trip-summary", "Kind": "Generation", "Model": "skyrsla-llm", "Version": "1", "FirstToken": "20s", "PerToken": "1s", "MaxTokens": 100000, "Objective": 0.95}
-      ]
-    }
-  ],
+var declarations = map[string]string{
+	"deployment.jsonc": `{
+  "Region": "is-land",
+  "Zones": ["reykjavik-a", "akureyri-b", "egilsstadir-c", "selfoss-d"],
+}
+`,
+	"backends/all.jsonc": `{
   "BackendServers": [
     BACKENDS
   ],
-  "Links": []
 }
-`
+`,
+	"templates/mileage-posting.jsonc": `{
+  "Name": "mileage-posting",
+  "Work": {"Kind": "Service", "Service": "dagbok-app", "Unrepeatable": true, "FirstToken": "20s", "Objective": 0.95},
+}
+`,
+	"templates/trip-lookup.jsonc": `{
+  "Name": "trip-lookup",
+  "Work": {"Kind": "Service", "Service": "dagbok-app", "FirstToken": "20s", "Objective": 0.95},
+}
+`,
+	"templates/trip-summary.jsonc": `{
+  "Name": "trip-summary",
+  "Work": {
+    "Kind": "Generation", "Model": "skyrsla-llm", "Version": "1",
+    "FirstToken": "20s", "PerToken": "1s", "MaxTokens": 100000, "Objective": 0.95,
+  },
+}
+`,
+	"accounts/verk.jsonc": `{
+  "Account": "verk",
+  "Work": [{"Template": "mileage-posting"}, {"Template": "trip-lookup"}, {"Template": "trip-summary"}],
+}
+`,
+}
--- a/scenarios/scenarios_test.go
+++ b/scenarios/scenarios_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -26,6 +27,12 @@
 	}
 	defer os.RemoveAll(d)
 	programs = d
+	l, err := reserve()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer l.Close()
 	b, err := exec.Command("go", "build", "-o", d, "../cmd/...").CombinedOutput()
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "%s%v\n", b, err)
@@ -34,6 +41,25 @@
 	return m.Run()
 }
 
+// loopback is the first two bytes of this run's loopback addresses.
+var loopback string
+
+// reserve picks a loopback network that no other run on this machine uses. It
+// is reserved as long as the listener is open.
+func reserve() (net.Listener, error) {
+	const last = 254
+	var err error
+	for i := 1; i <= last; i++ {
+		var l net.Listener
+		loopback = fmt.Sprintf("127.%d", i)
+		l, err = net.Listen("tcp", loopback+".0.1:7999")
+		if err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
+
 // network numbers the scripts, so that each has loopback addresses of its own.
 var network atomic.Int32
 
@@ -60,7 +86,7 @@
 func setup(e *testscript.Env) error {
 	n := network.Add(1)
 	e.Setenv("PATH", programs+string(filepath.ListSeparator)+e.Getenv("PATH"))
-	e.Setenv("NET", fmt.Sprintf("127.%d.%d", 1+os.Getpid()%250, n))
+	e.Setenv("NET", fmt.Sprintf("%s.%d", loopback, n))
 	e.Values[processesKey{}] = &processes{}
 	e.Defer(func() { stopAll(e) })
 	return nil
