answer: end the retries of a stopped directory; have dead hosts silent in its test

The dead host's calls now fail. This showed that the retries of registrations outlived the directory's Run, which is mended. Seen failing now: without the copy 'an answer of a dead host is taken over by one host', without telling a new owner that and 'the death of owners loses no record of a live host'.

--- a/internal/answer/twirp/directory.go
+++ b/internal/answer/twirp/directory.go
@@ -76,7 +76,7 @@
 	for {
 		c := d.Members.Changed()
 		for i := range d.shards {
-			d.refresh(i)
+			d.refresh(ctx, i)
 		}
 		select {
 		case <-c:
--- a/internal/answer/twirp/directory_test.go
+++ b/internal/answer/twirp/directory_test.go
@@ -55,11 +55,18 @@
 	return c.changed
 }
 
-func (c *cluster) RoundTrip(q *http.Request) (*http.Response, error) {
-	c.mu.Lock()
-	m := c.muxes[q.URL.Host]
-	c.mu.Unlock()
-	if m == nil {
+// path carries the calls of one host. A dead host calls nobody.
+type path struct {
+	*cluster
+	from string
+}
+
+func (p path) RoundTrip(q *http.Request) (*http.Response, error) {
+	p.mu.Lock()
+	m := p.muxes[q.URL.Host]
+	l := p.muxes[p.from] != nil
+	p.mu.Unlock()
+	if m == nil || !l {
 		return nil, errors.New("connection refused")
 	}
 	w := httptest.NewRecorder()
@@ -124,7 +131,7 @@
 	m := members{c, e}
 	d := &twirp.Directory{
 		Members: m, Ranker: rendezvous.NewRanker(m), Dead: c.dead, Clock: clock.System{},
-		Client: &http.Client{Transport: c}, Settle: settle,
+		Client: &http.Client{Transport: path{c, e.PeerAddress.String()}}, Settle: settle,
 		Displaced: func(k sardineknot.RequestKey) { c.displaced = append(c.displaced, k) },
 	}
 	x := http.NewServeMux()
@@ -153,6 +160,7 @@
 			is.New(t).True(p == nil)
 			continue
 		}
+		is.New(t).True(p != nil)
 		is.New(t).Equal(*p, record(i, previous))
 	}
 }
--- a/internal/answer/twirp/slot.go
+++ b/internal/answer/twirp/slot.go
@@ -13,7 +13,7 @@
 
 // refresh takes in the owner of shard i. A new owner is told of the records of
 // this host.
-func (d *Directory) refresh(i int) {
+func (d *Directory) refresh(ctx context.Context, i int) {
 	o, ok := d.Ranker.Owner(name(i))
 	s := &d.shards[i]
 	s.mu.Lock()
@@ -31,19 +31,23 @@
 		s.local = directory.NewShard(d.Clock, d.Dead, d.Settle)
 	}
 	if len(s.own)+len(s.copies) > 0 {
-		go d.registerOwn(s)
+		go d.registerOwn(ctx, s)
 	}
 }
 
 // registerOwn registers the records of this host, and its copies of those of
 // dead hosts, with the present owner, until it has them or the shard moves
-// again.
-func (d *Directory) registerOwn(s *slot) {
+// again, or ctx is done.
+func (d *Directory) registerOwn(ctx context.Context, s *slot) {
 	o, _, _ := s.view()
 	l := append(s.records(), s.deadCopies(d.Dead)...)
 	for _, r := range l {
-		for d.registerStanding(s, r) != nil {
-			time.Sleep(standingPause)
+		for d.registerStanding(ctx, s, r) != nil {
+			select {
+			case <-time.After(standingPause):
+			case <-ctx.Done():
+				return
+			}
 			n, _, ok := s.view()
 			if !ok || n.ID != o.ID {
 				return
@@ -54,12 +58,12 @@
 
 // registerStanding registers r. If it is of this host, but another has a
 // record in force, that one goes on and this one stops.
-func (d *Directory) registerStanding(s *slot, r sardineknot.AnswerRecord) error {
+func (d *Directory) registerStanding(ctx context.Context, s *slot, r sardineknot.AnswerRecord) error {
 	w := r.Host == d.Members.Self().ID
 	if w && !s.has(r.Key) {
 		return nil
 	}
-	c, _, err := d.register(context.Background(), s, r, true)
+	c, _, err := d.register(ctx, s, r, true)
 	if err != nil {
 		return err
 	}
@@ -68,7 +72,7 @@
 		return nil
 	}
 	if sameHost(c, r) {
-		d.copyAway(context.Background(), s, r)
+		d.copyAway(ctx, s, r)
 		return nil
 	}
 	s.drop(r.Key)
