slots: ignore reports of a job's earlier holder; find out after a pause

Cause: a host that was paused, and whose answer another one had taken over, reported its job as cancelled when it came back. The owner of the shard took the report as the end of the adopted job, and the reaper cancelled the live decode on the engine.

Events carry the life of the host that held the job. Those of an earlier holder have no effect, and a job that another host adopts is no longer remembered as ended. Ruled out: the paused host's own cancellation, which asks the engine who holds the request and left it alone.

--- a/internal/slots/local/ended.go
+++ b/internal/slots/local/ended.go
@@ -1,6 +1,7 @@
 package local
 
 import (
+	"slices"
 	"time"
 
 	"sardineknot.example/sardineknot"
@@ -15,27 +16,54 @@
 
 // ended remembers the jobs that ended lately. The zero value is empty.
 type ended struct {
-	// at holds the time of the end by job.
-	at map[sardineknot.RequestKey]time.Time
+	// at holds the end of each job.
+	at map[sardineknot.RequestKey]ending
 	// order lists the keys of at by time.
 	order []sardineknot.RequestKey
 }
 
-func (e *ended) add(now time.Time, k sardineknot.RequestKey) {
+// ending is the end of a job as its holder reported it.
+type ending struct {
+	time   time.Time
+	holder holder
+}
+
+// holder is the life of the entry host that holds a job.
+type holder struct {
+	host        sardineknot.EntryHostID
+	incarnation sardineknot.Incarnation
+}
+
+func (e *ended) add(now time.Time, k sardineknot.RequestKey, h holder) {
 	if e.at == nil {
-		e.at = make(map[sardineknot.RequestKey]time.Time)
+		e.at = make(map[sardineknot.RequestKey]ending)
 	}
 	if e.has(k) {
 		return
 	}
-	e.at[k] = now
+	e.at[k] = ending{now, h}
 	e.order = append(e.order, k)
-	for len(e.order) > endedLimit || now.Sub(e.at[e.order[0]]) > endedRetention {
+	for len(e.order) > endedLimit || now.Sub(e.at[e.order[0]].time) > endedRetention {
 		delete(e.at, e.order[0])
 		e.order = e.order[1:]
 	}
 }
 
+// by reports whether h reported the end of k.
+func (e *ended) by(k sardineknot.RequestKey, h holder) bool {
+	n, ok := e.at[k]
+	return ok && n.holder == h
+}
+
+// remove forgets the end of k, because another host holds the job.
+func (e *ended) remove(k sardineknot.RequestKey) {
+	if !e.has(k) {
+		return
+	}
+	delete(e.at, k)
+	e.order = slices.DeleteFunc(e.order, func(o sardineknot.RequestKey) bool { return o == k })
+}
+
 func (e *ended) has(k sardineknot.RequestKey) bool {
 	_, ok := e.at[k]
 	return ok
--- a/internal/slots/local/shard.go
+++ b/internal/slots/local/shard.go
@@ -111,7 +111,7 @@
 	if w == nil {
 		return "", errors.WithStack(&sardineknot.UnknownError{What: "Job", Name: j.Key.String()})
 	}
-	s.Report(sardineknot.JobEvent{Key: j.Key, Kind: sardineknot.JobPrefillDone, Server: w.decided(sardineknot.ActionPrefill)})
+	s.Report(j.Owner, j.OwnerIncarnation, sardineknot.JobEvent{Key: j.Key, Kind: sardineknot.JobPrefillDone, Server: w.decided(sardineknot.ActionPrefill)})
 	d, err := w.wait(ctx, s.closed, sardineknot.ActionDecode)
 	if err != nil {
 		s.forgetRefused(j.Key, err)
@@ -119,16 +119,22 @@
 	return d, err
 }
 
-// Report takes an event of a job. Events of unknown jobs are ignored, but the
-// end of a job is remembered.
-func (s *Shard) Report(e sardineknot.JobEvent) {
+// Report takes an event of a job from incarnation i of host h. Events of unknown
+// jobs are ignored, but the end of a job is remembered. Events from a host
+// whose job another one has adopted have no effect.
+func (s *Shard) Report(h sardineknot.EntryHostID, i sardineknot.Incarnation, e sardineknot.JobEvent) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := s.clock.Now()
+	f := holder{h, i}
+	w := s.jobs[e.Key]
+	if w != nil && w.holder() != f {
+		return
+	}
 	if ends(e.Kind) {
-		s.ended.add(n, e.Key)
+		s.ended.add(n, e.Key, f)
 	}
-	if s.jobs[e.Key] == nil {
+	if w == nil {
 		return
 	}
 	if ends(e.Kind) {
@@ -156,10 +162,11 @@
 		delete(s.dead, r.Job.Key)
 		return
 	}
-	if s.ended.has(r.Job.Key) {
+	w := newWaiter(r.Job)
+	if s.ended.by(r.Job.Key, w.holder()) {
 		return
 	}
-	w := newWaiter(r.Job)
+	s.ended.remove(r.Job.Key)
 	w.adopt(r.Grant)
 	s.jobs[r.Job.Key] = w
 	if a, ok := s.scheduler.(sardineknot.Adopter); ok {
--- a/internal/slots/local/shard_test.go
+++ b/internal/slots/local/shard_test.go
@@ -76,8 +76,10 @@
 	return sardineknot.Job{Key: sardineknot.RequestKey{Account: "a", ID: sardineknot.RequestID(id)}, Owner: "h", OwnerIncarnation: 7}
 }
 
-func end(k sardineknot.JobEventKind, id string) sardineknot.JobEvent {
-	return sardineknot.JobEvent{Key: job(id).Key, Kind: k}
+// report reports an event of a job from its holder.
+func report(s *local.Shard, k sardineknot.JobEventKind, id string) {
+	j := job(id)
+	s.Report(j.Owner, j.OwnerIncarnation, sardineknot.JobEvent{Key: j.Key, Kind: k})
 }
 
 // acquired returns the time that the grant of a job took, in virtual time.
@@ -110,7 +112,7 @@
 	})
 	run(t, "counts a job that was announced", 0, func(t *testing.T, s *local.Shard) {
 		s.Adopt(sardineknot.RunningJob{Job: job("0"), Grant: sardineknot.Grant{Prefill: "p", Decode: "d"}})
-		time.AfterFunc(time.Minute, func() { s.Report(end(sardineknot.JobCancelled, "0")) })
+		time.AfterFunc(time.Minute, func() { report(s, sardineknot.JobCancelled, "0") })
 		is.New(t).Equal(acquired(t, s, "1"), time.Minute)
 	})
 	run(t, "repeats the grant of a known job", 0, func(t *testing.T, s *local.Shard) {
@@ -118,7 +120,7 @@
 		is.New(t).Equal(acquired(t, s, "1"), time.Duration(0))
 	})
 	run(t, "does not start a job that has ended", 0, func(t *testing.T, s *local.Shard) {
-		s.Report(end(sardineknot.JobCancelled, "1"))
+		report(s, sardineknot.JobCancelled, "1")
 		_, err := s.Acquire(t.Context(), job("1"))
 		var n *sardineknot.NotRunError
 		is.New(t).True(errors.As(err, &n))
@@ -131,6 +133,31 @@
 	})
 }
 
+func TestAdoptedJob(t *testing.T) {
+	j := job("1")
+	j.Owner = "other"
+	run(t, "does not end by a report of its earlier holder", 0, func(t *testing.T, s *local.Shard) {
+		acquired(t, s, "1")
+		s.Adopt(sardineknot.RunningJob{Job: j})
+		report(s, sardineknot.JobCancelled, "1")
+		r, e := s.Known(j.Key)
+		is.New(t).True(r && !e)
+	})
+	run(t, "runs although its earlier holder has reported its end", 0, func(t *testing.T, s *local.Shard) {
+		acquired(t, s, "1")
+		report(s, sardineknot.JobCancelled, "1")
+		s.Adopt(sardineknot.RunningJob{Job: j})
+		r, e := s.Known(j.Key)
+		is.New(t).True(r && !e)
+	})
+	run(t, "is not announced again after its end", 0, func(t *testing.T, s *local.Shard) {
+		report(s, sardineknot.JobCancelled, "1")
+		s.Adopt(sardineknot.RunningJob{Job: job("1")})
+		r, e := s.Known(j.Key)
+		is.New(t).True(!r && e)
+	})
+}
+
 func TestDropDead(t *testing.T) {
 	const grace = 10 * time.Second
 	dead := func(h sardineknot.EntryHostID, _ sardineknot.Incarnation) bool { return h == "h" }
--- a/internal/slots/local/waiter.go
+++ b/internal/slots/local/waiter.go
@@ -67,6 +67,11 @@
 	return w.job
 }
 
+func (w *waiter) holder() holder {
+	j := w.heldJob()
+	return holder{j.Owner, j.OwnerIncarnation}
+}
+
 // decided returns the server decided for a, or the empty string.
 func (w *waiter) decided(a sardineknot.Action) sardineknot.BackendServerName {
 	w.mu.Lock()
--- a/internal/slots/twirp/message.go
+++ b/internal/slots/twirp/message.go
@@ -44,13 +44,16 @@
 	}
 }
 
-func eventMessage(e sardineknot.JobEvent) *rpc.Event {
+func eventMessage(e sardineknot.JobEvent, self sardineknot.EntryHost) *rpc.Event {
 	return &rpc.Event{
 		Account: string(e.Key.Account),
 		Request: string(e.Key.ID),
 		Kind:    int32(e.Kind),
 		Server:  string(e.Server),
 		Tokens:  int32(e.Tokens),
+
+		Owner:            string(self.ID),
+		OwnerIncarnation: uint64(self.Incarnation),
 	}
 }
 
--- a/internal/slots/twirp/outbox.go
+++ b/internal/slots/twirp/outbox.go
@@ -38,11 +38,12 @@
 	defer l.mu.Unlock()
 	l.applyLocked(e)
 	if l.local != nil {
-		l.local.Report(e)
+		s := l.pool.Members.Self()
+		l.local.Report(s.ID, s.Incarnation, e)
 		return
 	}
 	if len(l.events) < maxEvents {
-		l.events = append(l.events, eventMessage(e))
+		l.events = append(l.events, eventMessage(e, l.pool.Members.Self()))
 	}
 	d := stepDelay
 	if ends(e.Kind) {
@@ -81,7 +82,7 @@
 		l.local.Adopt(r)
 	}
 	for _, e := range l.events {
-		l.local.Report(event(e))
+		report(l.local, e)
 	}
 	l.events = nil
 }
@@ -175,10 +176,14 @@
 		s.Adopt(running(r, now))
 	}
 	for _, e := range q.GetEvents() {
-		s.Report(event(e))
+		report(s, e)
 	}
 }
 
+func report(s *local.Shard, m *rpc.Event) {
+	s.Report(sardineknot.EntryHostID(m.GetOwner()), sardineknot.Incarnation(m.GetOwnerIncarnation()), event(m))
+}
+
 // load returns the load of s.
 func load(s *local.Shard) *rpc.Load {
 	n, r, w := s.Counts()
--- a/internal/slots/twirp/pool_test.go
+++ b/internal/slots/twirp/pool_test.go
@@ -12,16 +12,18 @@
 	"sardineknot.example/sardineknot"
 )
 
-func job(id string) sardineknot.Job {
+// job returns a job that the asker holds.
+func (c *cluster) job(id string) sardineknot.Job {
 	return sardineknot.Job{
-		Key: sardineknot.RequestKey{Account: "a", ID: sardineknot.RequestID(id)}, Pool: pool, Owner: "asker", OwnerIncarnation: 1,
+		Key: sardineknot.RequestKey{Account: "a", ID: sardineknot.RequestID(id)}, Pool: pool,
+		Owner: c.asker.ID, OwnerIncarnation: c.asker.Incarnation,
 	}
 }
 
 // checkGranted checks that the asker gets a grant for a job.
 func checkGranted(t *testing.T, c *cluster, id string) {
 	t.Helper()
-	g, err := c.pools[c.asker.ID].Acquire(t.Context(), job(id))
+	g, err := c.pools[c.asker.ID].Acquire(t.Context(), c.job(id))
 	is.New(t).NoErr(err)
 	is.New(t).Equal(g, sardineknot.Grant{Prefill: "p", Decode: "d"})
 }
@@ -41,7 +43,7 @@
 	})
 	run(t, "events ride on the next message", func(t *testing.T, c *cluster) {
 		checkGranted(t, c, "1")
-		c.pools[c.asker.ID].Report(job("1"), sardineknot.JobEvent{Key: job("1").Key, Kind: sardineknot.JobFinished})
+		c.pools[c.asker.ID].Report(c.job("1"), sardineknot.JobEvent{Key: c.job("1").Key, Kind: sardineknot.JobFinished})
 		checkGranted(t, c, "2")
 		checkCounts(t, c, c.owner, 2, 0, 1)
 		time.Sleep(settle)
@@ -49,7 +51,7 @@
 	})
 	run(t, "events are sent after a short time", func(t *testing.T, c *cluster) {
 		checkGranted(t, c, "1")
-		c.pools[c.asker.ID].Report(job("1"), sardineknot.JobEvent{Key: job("1").Key, Kind: sardineknot.JobFinished})
+		c.pools[c.asker.ID].Report(c.job("1"), sardineknot.JobEvent{Key: c.job("1").Key, Kind: sardineknot.JobFinished})
 		time.Sleep(settle)
 		checkCounts(t, c, c.owner, 1, 0, 1)
 	})
@@ -81,13 +83,13 @@
 		c.schedulers[c.owner.ID].hold = true
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 		defer cancel()
-		_, err := c.pools[c.asker.ID].Acquire(ctx, job("1"))
+		_, err := c.pools[c.asker.ID].Acquire(ctx, c.job("1"))
 		is.New(t).True(errors.Is(err, context.DeadlineExceeded))
 		time.Sleep(settle)
 		checkCounts(t, c, c.owner, 1, 0, 1)
 	})
 	run(t, "an unknown pool is refused at once", func(t *testing.T, c *cluster) {
-		j := job("1")
+		j := c.job("1")
 		j.Pool = "model/other@1"
 		_, err := c.pools[c.asker.ID].Acquire(t.Context(), j)
 		var n *sardineknot.NotRunError
