--- a/internal/host/process/callers.go
+++ b/internal/host/process/callers.go
@@ -3,12 +3,9 @@
 import (
 	"net/http"
 
-	"sardineknot.example/sardineknot/internal/answer/service"
-	"sardineknot.example/sardineknot/internal/backend/plainhttp"
 	"sardineknot.example/sardineknot/internal/caller/completions"
 	"sardineknot.example/sardineknot/internal/caller/limit"
 	"sardineknot.example/sardineknot/internal/caller/placement"
-	"sardineknot.example/sardineknot/internal/caller/services"
 )
 
 // addCallers assembles what callers connect to.
@@ -33,17 +30,6 @@
 	})
 }
 
-func (p *Process) addServices() {
-	r := &service.Runner{
-		Self:          p.members.Self,
-		Service:       plainhttp.NewClient(),
-		Claims:        p.claims,
-		Configuration: p.source,
-		Log:           p.log,
-	}
-	p.handleLimited("POST /v1/services", &services.Handler{Configuration: p.source, Runner: r, Clock: p.clock, Outcomes: p.outcomes})
-}
-
 // handleLimited serves pattern with h, behind the guard and under the limits
 // of client accounts.
 func (p *Process) handleLimited(pattern string, h http.Handler) {
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -17,6 +17,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/answer/join"
 	"sardineknot.example/sardineknot/internal/caller/admission"
 	"sardineknot.example/sardineknot/internal/host/clock"
 	"sardineknot.example/sardineknot/internal/membership/liveness"
@@ -70,6 +71,8 @@
 	liveness *liveness.Tracker
 	engine   sardineknot.Engine
 	answers  answers
+	// calls holds the calls of plain services that this host makes.
+	calls *join.Group
 }
 
 // NewProcess returns a process that is not running yet. It applies the
