command/demo: show the whole system within one process

Cause: a new user had to write settings, start a platform and engines and apply declarations before anything answered.

Change: the command demo runs both example deployments in memory, asks for every kind of work of every client account, unrepeatable ones twice, prints outcomes, runs and the burn report, and stops gracefully.

--- a/cmd/sardineknot/main.go
+++ b/cmd/sardineknot/main.go
@@ -16,6 +16,7 @@
 	"sardineknot.example/sardineknot/internal/command/bench"
 	"sardineknot.example/sardineknot/internal/command/burn"
 	"sardineknot.example/sardineknot/internal/command/check"
+	"sardineknot.example/sardineknot/internal/command/demo"
 	"sardineknot.example/sardineknot/internal/command/plan"
 	"sardineknot.example/sardineknot/internal/command/serve"
 	"sardineknot.example/sardineknot/internal/command/show"
@@ -26,6 +27,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&serve.Command{}, "")
 	subcommands.Register(&burn.Command{}, "")
+	subcommands.Register(&demo.Command{}, "")
 	subcommands.Register(&check.Command{}, "")
 	p := &plan.Command{}
 	subcommands.Register(p, "")
--- a/internal/command/burn/command.go
+++ b/internal/command/burn/command.go
@@ -91,6 +91,16 @@
 	return errors.WithStack(e.Encode(r))
 }
 
+// Print writes the report of the entry hosts with admin addresses l as a table
+// to w. It fails if one of them does not answer.
+func Print(ctx context.Context, w io.Writer, l []netip.AddrPort) error {
+	v, err := collect(ctx, l)
+	if err != nil {
+		return err
+	}
+	return burn.NewReport(v).WriteTable(w)
+}
+
 func parse(s string) ([]netip.AddrPort, error) {
 	var l []netip.AddrPort
 	for _, f := range strings.Split(s, ",") {
