configuration/revision: decode only the bundles that a change touches

Measured: go test ./internal/configuration/revision -run xxx -bench Change -benchtime 20x, before 65.2 ms, after 9.04 ms a change. A change moves 9,071 bytes between two hosts, a start 2,904,990 bytes.

--- a/internal/configuration/bundle/set.go
+++ b/internal/configuration/bundle/set.go
@@ -61,12 +61,21 @@
 // with an UnknownError if s lacks a bundle and with an InvalidError if the
 // content of a bundle does not have its hash.
 func (s Set) Join(h sardineknot.ConfigurationHead) (*sardineknot.Configuration, error) {
-	c := &sardineknot.Configuration{Revision: h.Revision}
+	l := make([]*sardineknot.Configuration, 0, len(h.Bundles))
 	for _, r := range h.Bundles {
-		p, err := s.decode(r)
+		p, err := s.Part(r)
 		if err != nil {
 			return nil, err
 		}
+		l = append(l, p)
+	}
+	return Merge(h.Revision, l), nil
+}
+
+// Merge returns the configuration of revision v that has the given parts.
+func Merge(v sardineknot.Revision, parts []*sardineknot.Configuration) *sardineknot.Configuration {
+	c := &sardineknot.Configuration{Revision: v}
+	for _, p := range parts {
 		c.Contracts = append(c.Contracts, p.Contracts...)
 		c.BackendServers = append(c.BackendServers, p.BackendServers...)
 		c.Links = append(c.Links, p.Links...)
@@ -77,7 +86,7 @@
 	slices.SortFunc(c.BackendServers, func(a, b sardineknot.BackendServer) int {
 		return strings.Compare(string(a.Name), string(b.Name))
 	})
-	return c, nil
+	return c
 }
 
 // Hash returns the hash that references use for the content b.
@@ -99,7 +108,9 @@
 	return sardineknot.BundleReference{Name: name, Hash: h}, nil
 }
 
-func (s Set) decode(r sardineknot.BundleReference) (*sardineknot.Configuration, error) {
+// Part returns the part of a configuration in the bundle r. It fails as Join
+// does.
+func (s Set) Part(r sardineknot.BundleReference) (*sardineknot.Configuration, error) {
 	b, ok := s[r.Hash]
 	if !ok {
 		return nil, errors.WithStack(&sardineknot.UnknownError{What: "bundle", Name: r.Name + " " + r.Hash})
--- a/internal/configuration/revision/tracker.go
+++ b/internal/configuration/revision/tracker.go
@@ -36,6 +36,9 @@
 	hash string
 	// bundles holds the contents that head names, and no others.
 	bundles bundle.Set
+	// parts holds what bundles decode to, so that a change decodes only the
+	// bundles that it touches.
+	parts parts
 	// past holds earlier heads, latest last.
 	past []earlier
 	// floor is the greatest revision that a peer has told of, or zero. Smaller
@@ -45,6 +48,9 @@
 	changed chan struct{}
 }
 
+// parts holds decoded bundles by the hash of their content.
+type parts map[string]*sardineknot.Configuration
+
 type earlier struct {
 	hash    string
 	bundles []sardineknot.BundleReference
@@ -111,12 +117,17 @@
 	if err != nil {
 		return false, err
 	}
-	b := t.complete(h, s)
-	c, err := b.Join(h)
-	if err != nil {
-		return false, err
+	b, d := t.complete(h, s)
+	for _, r := range h.Bundles {
+		if d[r.Hash] != nil {
+			continue
+		}
+		d[r.Hash], err = b.Part(r)
+		if err != nil {
+			return false, err
+		}
 	}
-	return t.replace(h, raw, b, c), nil
+	return t.replace(h, raw, b, d), nil
 }
 
 // SetFloor notes that revision r is in force elsewhere, so that no smaller one
@@ -213,11 +224,13 @@
 	return l
 }
 
-// complete returns the contents that h names, out of s and those held.
-func (t *Tracker) complete(h sardineknot.ConfigurationHead, s bundle.Set) bundle.Set {
+// complete returns the contents that h names, out of s and those held, and the
+// parts that are decoded already.
+func (t *Tracker) complete(h sardineknot.ConfigurationHead, s bundle.Set) (bundle.Set, parts) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := make(bundle.Set, len(h.Bundles))
+	d := make(parts, len(h.Bundles))
 	for _, r := range h.Bundles {
 		c, ok := s[r.Hash]
 		if !ok {
@@ -226,11 +239,19 @@
 		if ok {
 			b[r.Hash] = c
 		}
+		if p := t.parts[r.Hash]; p != nil {
+			d[r.Hash] = p
+		}
 	}
-	return b
+	return b, d
 }
 
-func (t *Tracker) replace(h sardineknot.ConfigurationHead, raw []byte, b bundle.Set, c *sardineknot.Configuration) bool {
+func (t *Tracker) replace(h sardineknot.ConfigurationHead, raw []byte, b bundle.Set, d parts) bool {
+	l := make([]*sardineknot.Configuration, 0, len(d))
+	for _, r := range h.Bundles {
+		l = append(l, d[r.Hash])
+	}
+	c := bundle.Merge(h.Revision, l)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if h.Revision <= t.head.Revision {
@@ -240,7 +261,7 @@
 		t.past = append(t.past, earlier{hash: t.hash, bundles: t.head.Bundles})
 		t.past = t.past[max(0, len(t.past)-maxPast):]
 	}
-	t.head, t.raw, t.hash, t.bundles, t.configuration = h, raw, bundle.Hash(raw), b, c
+	t.head, t.raw, t.hash, t.bundles, t.parts, t.configuration = h, raw, bundle.Hash(raw), b, d, c
 	close(t.changed)
 	t.changed = make(chan struct{})
 	return true
