--- a/internal/membership/twirp/node_test.go
+++ b/internal/membership/twirp/node_test.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -255,12 +256,21 @@
 	const intervals = 20
 	r, _ := startPeers(b, n, time.Second)
 	time.Sleep(intervals * time.Second)
-	s := total(r)
+	s, c := total(r), processorTime(b)
 	for b.Loop() {
 		time.Sleep(intervals * time.Second)
 	}
 	e := total(r) - s
-	b.ReportMetric(2*float64(e)/float64(n*intervals*b.N), "B/s")
+	d := float64(n * intervals * b.N)
+	b.ReportMetric(2*float64(e)/d, "B/s")
+	b.ReportMetric(float64((processorTime(b)-c).Microseconds())/d, "µs-cpu/s")
+}
+
+// processorTime returns the processor time that this process has used.
+func processorTime(b *testing.B) time.Duration {
+	var u syscall.Rusage
+	is.New(b).NoErr(syscall.Getrusage(syscall.RUSAGE_SELF, &u))
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
 }
 
 func total(r []*peer) int64 {
