--- /dev/null
+++ b/internal/configuration/etcd/reader_test.go
@@ -0,0 +1,104 @@
+package etcd
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/go-json-experiment/json"
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/configuration/bundle"
+	"sardineknot.example/sardineknot/internal/configuration/revision"
+)
+
+// store is a store that counts reads and whose watch is silent.
+type store struct {
+	sardineknot.Store
+	values map[string][]byte
+	reads  int
+}
+
+func (s *store) Get(_ context.Context, key string) (sardineknot.StoreEntry, error) {
+	s.reads++
+	return sardineknot.StoreEntry{Key: key, Value: s.values[key], Revision: sardineknot.StoreRevision(len(s.values[key]))}, nil
+}
+
+func (s *store) Watch(context.Context, string, sardineknot.StoreRevision) (<-chan sardineknot.StoreEntry, error) {
+	return make(chan sardineknot.StoreEntry), nil
+}
+
+// put stores a configuration of one account.
+func (s *store) put(t *testing.T, r sardineknot.Revision, account sardineknot.ClientAccountName) {
+	b, l, err := bundle.Split(&sardineknot.Configuration{Contracts: []sardineknot.Contract{{Account: account}}})
+	is.New(t).NoErr(err)
+	h, err := json.Marshal(sardineknot.ConfigurationHead{Revision: r, Bundles: l})
+	is.New(t).NoErr(err)
+	s.values = map[string][]byte{sardineknot.ConfigurationHeadKey: h}
+	for n, c := range b {
+		s.values[sardineknot.ConfigurationBundlePrefix+n] = c
+	}
+}
+
+func newReader(s *store, reads bool, log *bytes.Buffer) *Reader {
+	r := NewReader(metrics.NewRegistry())
+	r.Store = s
+	r.Tracker = revision.NewTracker()
+	r.Offer = func(head []byte, b bundle.Set, _ string) error {
+		_, err := r.Tracker.Offer(head, b)
+		return err
+	}
+	r.Reads = func() bool { return reads }
+	r.Log = zerolog.New(log)
+	return r
+}
+
+func checkPoll(t *testing.T, r *Reader, v sardineknot.Revision, alarms int64) {
+	t.Helper()
+	r.poll(context.Background())
+	is.New(t).Equal(r.Tracker.Current().Revision, v)
+	is.New(t).Equal(r.alarms.Count(), alarms)
+	is.New(t).Equal(r.older.Value() == 1, alarms > 0 && r.refused != "")
+}
+
+func TestReader(t *testing.T) {
+	var s store
+	var l bytes.Buffer
+	r := newReader(&s, true, &l)
+	checkPoll(t, r, 0, 0)
+	s.put(t, 1, "verk")
+	checkPoll(t, r, 1, 0)
+	s.put(t, 2, "verk2")
+	checkPoll(t, r, 2, 0) // the watch is silent
+	t.Run("reads no bundle twice", func(t *testing.T) {
+		n := s.reads
+		checkPoll(t, r, 2, 0)
+		is.New(t).Equal(s.reads, n+1)
+	})
+	t.Run("raises one alarm for an older head", func(t *testing.T) {
+		s.put(t, 1, "verk")
+		checkPoll(t, r, 2, 1)
+		checkPoll(t, r, 2, 1)
+		is.New(t).Equal(strings.Count(l.String(), "configuration_store_older"), 1)
+	})
+	t.Run("raises one for another content of the same revision", func(t *testing.T) {
+		s.put(t, 2, "verk3")
+		checkPoll(t, r, 2, 2)
+	})
+	t.Run("ends it with a greater revision", func(t *testing.T) {
+		s.put(t, 3, "verk3")
+		checkPoll(t, r, 3, 2)
+		is.New(t).Equal(r.older.Value(), int64(0))
+	})
+}
+
+func TestOthersDoNotRead(t *testing.T) {
+	var s store
+	s.put(t, 1, "verk")
+	checkPoll(t, newReader(&s, false, &bytes.Buffer{}), 0, 0)
+	is.New(t).Equal(s.reads, 0)
+}
