configuration/codec: leave out fields that are zero

Cause: hosts refuse unknown fields of a configuration, and every field was written. During an upgrade of the hosts, the first apply by a newer program would have been refused by every older host as soon as any field is new.

Fields that are not used are left out, so only configurations that use a new field need the new version. Ruled out: hosts that pass over unknown fields, for a contract with a limit that a host does not know must not be in force there. Proof: TestRoundTrip, TestEncodeOmitsZero, TestDecodeRefuses.

--- a/internal/configuration/codec/codec.go
+++ b/internal/configuration/codec/codec.go
@@ -25,9 +25,11 @@
 	)
 }
 
-// Encode returns c as JSON.
+// Encode returns c as JSON. Fields that are zero are left out, so that hosts of
+// an older version, which do not know a new field, refuse only configurations
+// that use it.
 func Encode(c *sardineknot.Configuration) ([]byte, error) {
-	b, err := json.Marshal(c, Durations())
+	b, err := json.Marshal(c, Durations(), json.OmitZeroStructFields(true))
 	return b, errors.WithStack(err)
 }
 
