--- a/internal/operator/hujson/document.go
+++ b/internal/operator/hujson/document.go
@@ -69,7 +69,9 @@
 		d.add(b, n, "", "nested deeper than 32 levels", "at most 32 levels")
 		return d
 	}
-	v, err := hujson.Parse(b)
+	// A line comment at the end of a file needs no line feed here, but does in
+	// the parser.
+	v, err := hujson.Parse(append(slices.Clip(b), '\n'))
 	if err != nil {
 		n, m := syntax(b, err)
 		d.add(b, n, "", "not parsed: "+m, "JSON with comments")
