--- a/internal/command/burn/command.go
+++ b/internal/command/burn/command.go
@@ -11,7 +11,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"strings"
 	"time"
 
 	"github.com/google/subcommands"
@@ -19,6 +18,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/operator/target"
 	"sardineknot.example/sardineknot/internal/report/burn"
 )
 
@@ -61,7 +61,7 @@
 
 // Execute implements subcommands.Command.
 func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	l, err := parse(c.hosts)
+	l, err := target.ParseHosts(c.hosts)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
@@ -91,18 +91,6 @@
 	return errors.WithStack(e.Encode(r))
 }
 
-func parse(s string) ([]netip.AddrPort, error) {
-	var l []netip.AddrPort
-	for _, f := range strings.Split(s, ",") {
-		a, err := netip.ParseAddrPort(f)
-		if err != nil {
-			return nil, &sardineknot.InvalidError{What: "-hosts", Got: f, Expected: "an IP address and a port"}
-		}
-		l = append(l, a)
-	}
-	return l, nil
-}
-
 // collect returns the windows of all hosts that answer, and the first error.
 func collect(ctx context.Context, l []netip.AddrPort) ([]sardineknot.BurnWindows, error) {
 	p := make([][]sardineknot.BurnWindows, len(l))
--- a/internal/command/show/command.go
+++ b/internal/command/show/command.go
@@ -8,12 +8,10 @@
 	"fmt"
 	"net/netip"
 	"os"
-	"strings"
 	"text/tabwriter"
 	"time"
 
 	"github.com/google/subcommands"
-	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"sardineknot.example/sardineknot"
@@ -79,7 +77,11 @@
 
 // Execute implements subcommands.Command.
 func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	l, err := parse(c.hosts)
+	var l []netip.AddrPort
+	var err error
+	if c.hosts != "" {
+		l, err = target.ParseHosts(c.hosts)
+	}
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
@@ -95,21 +97,6 @@
 	return s.status()
 }
 
-func parse(s string) ([]netip.AddrPort, error) {
-	if s == "" {
-		return nil, nil
-	}
-	var l []netip.AddrPort
-	for _, f := range strings.Split(s, ",") {
-		a, err := netip.ParseAddrPort(f)
-		if err != nil {
-			return nil, errors.WithStack(&sardineknot.InvalidError{What: "-hosts", Got: f, Expected: "an IP number and a port"})
-		}
-		l = append(l, a)
-	}
-	return l, nil
-}
-
 // read asks the store and all hosts.
 func (c *Command) read(ctx context.Context, l []netip.AddrPort) (state, error) {
 	w, err := c.target.Writer()
--- a/internal/operator/target/target.go
+++ b/internal/operator/target/target.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -66,6 +67,20 @@
 	return declarations.Load(os.DirFS(t.directory), t.directory)
 }
 
+// ParseHosts returns the addresses in s, which are separated by commas. It fails
+// with an InvalidError if one does not parse, and if there is none.
+func ParseHosts(s string) ([]netip.AddrPort, error) {
+	var l []netip.AddrPort
+	for _, f := range strings.Split(s, ",") {
+		a, err := netip.ParseAddrPort(f)
+		if err != nil {
+			return nil, errors.WithStack(&sardineknot.InvalidError{What: "-hosts", Got: f, Expected: "an IP number and a port"})
+		}
+		l = append(l, a)
+	}
+	return l, nil
+}
+
 // Print writes v as indented JSON.
 func Print(w io.Writer, v any) error {
 	e := json.NewEncoder(w)
