--- a/internal/host/process/stop.go
+++ b/internal/host/process/stop.go
@@ -26,10 +26,11 @@
 
 // produces reports whether r is for an answer that this host produces.
 func (p *Process) produces(r *http.Request) bool {
-	return p.answers.registry.Has(sardineknot.RequestKey{
+	k := sardineknot.RequestKey{
 		Account: sardineknot.ClientAccountName(r.Header.Get("X-Client-Account")),
 		ID:      sardineknot.RequestID(r.Header.Get("X-Request-Id")),
-	})
+	}
+	return p.answers.registry.Has(k) || p.calls.Has(k)
 }
 
 // stop ends the service of this host in order once ctx is done: the other
@@ -62,8 +63,10 @@
 	}
 }
 
-// running returns the number of answers and deliveries that have not ended.
-func (p *Process) running() int { return p.answers.registry.Running() + p.guard.Active() }
+// running returns the number of answers, calls and deliveries that have not ended.
+func (p *Process) running() int {
+	return p.answers.registry.Running() + p.calls.Running() + p.guard.Active()
+}
 
 // wait returns after d, or when ctx is done.
 func wait(ctx context.Context, d time.Duration) {
--- a/scenarios/change_test.go
+++ b/scenarios/change_test.go
@@ -8,22 +8,21 @@
 	"github.com/rogpeppe/go-internal/testscript"
 )
 
-// change REGEXP REPLACEMENT replaces text in the declarations that deploy wrote
-// and applies them.
+// change REGEXP REPLACEMENT edits the declarations that deploy has applied and
+// applies them again. It fails if nothing matches.
 func change(t *testscript.TestScript, _ bool, a []string) {
 	r := regexp.MustCompile(a[0])
 	l, err := filepath.Glob(t.MkAbs("declarations/*/*.jsonc"))
 	t.Check(err)
-	n := 0
+	var n int
 	for _, f := range l {
-		s := t.ReadFile(f)
-		if r.MatchString(s) {
-			n++
-			t.Check(os.WriteFile(f, []byte(r.ReplaceAllString(s, a[1])), 0o644))
-		}
+		b, err := os.ReadFile(f)
+		t.Check(err)
+		n += len(r.FindAll(b, -1))
+		t.Check(os.WriteFile(f, r.ReplaceAll(b, []byte(a[1])), 0o644))
 	}
 	if n == 0 {
 		t.Fatalf("nothing matches %q", a[0])
 	}
-	t.Check(t.Exec("sardineknot", "apply", "-store", t.Getenv("STORE"), "-declarations", "declarations"))
+	t.Check(t.Exec("sardineknot", "apply", "-store", t.Getenv("STORE"), "-declarations", "declarations", "-author", "change"))
 }
