--- a/internal/answer/service/once.go
+++ b/internal/answer/service/once.go
@@ -69,11 +69,17 @@
 	}
 	p, err := r.Claims.Claim(ctx, a)
 	if err != nil {
-		r.Releases.Add(a)
+		r.giveUp(a, err)
 	}
 	return p, err
 }
 
+// giveUp releases the claim a, which was not and will not be dispatched.
+func (r *Runner) giveUp(a sardineknot.ClaimAttempt, cause error) {
+	r.Releases.Add(a)
+	r.Log.Warn().Str("event", "claim_given_up").Str("request", a.Key.String()).Err(cause).Send()
+}
+
 // sendClaimed sends c under the claim a. It tries another backend server only
 // while none has run the call.
 func (r *Runner) sendClaimed(ctx context.Context, c sardineknot.ServiceCall, a sardineknot.ClaimAttempt) (sardineknot.ServiceAnswer, error) {
@@ -92,7 +98,7 @@
 			break
 		}
 	}
-	r.Releases.Add(a)
+	r.giveUp(a, err)
 	return sardineknot.ServiceAnswer{}, notRun(err)
 }
 
--- a/internal/standin/caller/caller.go
+++ b/internal/standin/caller/caller.go
@@ -47,6 +47,12 @@
 	From int
 	// Timeout bounds one connection.
 	Timeout time.Duration
+	// Deadline, if positive, is told as the time of each connection plus
+	// Deadline.
+	Deadline time.Duration
+	// Patient asks again after an answer of type "not_run", at the time that
+	// it names.
+	Patient bool
 
 	// Outcome is set by Ask to "whole", "cut", "failed" or the type of the
 	// last error.
@@ -163,6 +169,9 @@
 	h.Header.Set("X-Client-Account", c.Account)
 	h.Header.Set("X-Work", c.Work)
 	h.Header.Set("X-Request-Id", c.ID)
+	if c.Deadline > 0 {
+		h.Header.Set("X-Deadline", time.Now().Add(c.Deadline).Format(time.RFC3339Nano))
+	}
 	if c.Tokens > 0 {
 		h.Header.Set("Last-Event-ID", strconv.Itoa(c.Tokens-1))
 	}
@@ -183,7 +192,17 @@
 		return true
 	}
 	c.Outcome = e.Error.Type
-	return c.Outcome != "interrupted" && c.Outcome != "failed"
+	return c.Outcome != "interrupted" && c.Outcome != "failed" && !c.comeBack()
+}
+
+// comeBack waits for the time at which to ask again, if there is one.
+func (c *Caller) comeBack() bool {
+	n, err := strconv.Atoi(c.RetryAfter)
+	if err != nil || !c.Patient || c.Outcome != "not_run" {
+		return false
+	}
+	time.Sleep(time.Duration(n) * time.Second)
+	return true
 }
 
 // readStream reads tokens until the end mark. Reaching it is final.
