--- a/internal/claims/chain/benchmark_test.go
+++ b/internal/claims/chain/benchmark_test.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/claims/direct"
 )
@@ -47,3 +50,73 @@
 		run(b, s, direct.NewLedger(delayed{s}))
 	})
 }
+
+// BenchmarkHead reports the size of a head at 360 hosts and 300 claims a
+// second, and the time to encode it.
+func BenchmarkHead(b *testing.B) {
+	const archives = 264
+	l := newTestLedger(newFakeStore(), "x")
+	p := &l.shards[0]
+	for n := range 3 {
+		records := n * defaultBucketRecords / 2
+		b.Run(fmt.Sprintf("%d records", records), func(b *testing.B) {
+			s := fullState(archives, records)
+			m := 0
+			for b.Loop() {
+				v, err := proto.Marshal(p.encode(s))
+				if err != nil {
+					b.Fatal(err)
+				}
+				m = len(v)
+			}
+			b.ReportMetric(float64(m), "bytes/head")
+		})
+	}
+}
+
+// BenchmarkDecide reports the time of one claim against an hour of claims.
+func BenchmarkDecide(b *testing.B) {
+	s := fullState(264, defaultBucketRecords)
+	o := operation{record: testRecord(1 << 40)}
+	b.ReportAllocs()
+	for b.Loop() {
+		s.decide([]operation{o})
+	}
+}
+
+// BenchmarkState reports the memory of one claim in a state.
+func BenchmarkState(b *testing.B) {
+	var x, y runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&x)
+	s := fullState(264, defaultBucketRecords)
+	runtime.GC()
+	runtime.ReadMemStats(&y)
+	b.ReportMetric(float64(y.HeapAlloc-x.HeapAlloc)/(265*defaultBucketRecords), "bytes/claim")
+	runtime.KeepAlive(s)
+}
+
+func testRecord(i int) record {
+	return record{
+		key:         digestOf(attempt(fmt.Sprint(i), "", 0).Key),
+		holder:      sardineknot.EntryHostID(fmt.Sprintf("entry-%03d", i*7919%360)),
+		incarnation: 1796338102335721202,
+		nonce:       uint64(i),
+	}
+}
+
+func fullState(archives, records int) *state {
+	const now = 1796338102
+	fill := func(n int) *bucket {
+		var l []record
+		for i := range n {
+			l = append(l, testRecord(100000+i))
+		}
+		return newBucket(l, now)
+	}
+	s := &state{sequence: 10000000, head: fill(records)}
+	for i := range archives {
+		s.archives = append(s.archives, archive{sequence: uint64(9000000 + i), bucket: fill(defaultBucketRecords)})
+	}
+	return s
+}
