answer/holder: ask holders that count as dead

A dead holder refuses the connection at once or fails within the timeouts of peer/h2c, so that asking it costs at most three seconds.

--- a/internal/answer/holder/client.go
+++ b/internal/answer/holder/client.go
@@ -49,10 +49,11 @@
 	return decode(k, r)
 }
 
-// find returns the host id unless it is dead.
+// find returns the host id. A host that counts as dead is asked too, since it
+// may have been paused and be back.
 func (c *Client) find(id sardineknot.EntryHostID) (sardineknot.EntryHost, bool) {
 	for _, h := range c.members.Hosts() {
-		if h.ID == id && h.State != sardineknot.EntryHostDead {
+		if h.ID == id {
 			return h, true
 		}
 	}
--- a/internal/answer/service/runner_test.go
+++ b/internal/answer/service/runner_test.go
@@ -63,7 +63,10 @@
 }
 
 func (l *ledger) Claim(_ context.Context, a sardineknot.ClaimAttempt) (sardineknot.ClaimResult, error) {
-	time.Sleep(l.hold)
+	l.mu.Lock()
+	d := l.hold
+	l.mu.Unlock()
+	time.Sleep(d)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	h, ok := l.holder[a.Key]
@@ -281,7 +284,9 @@
 		go w.x.Run(context.Background(), newCall(true))
 		time.Sleep(25 * time.Second)
 		expectRuns(t, w, 0)
+		w.ledger.mu.Lock()
 		w.ledger.hold = 0
+		w.ledger.mu.Unlock()
 		expect(t, w.y, "whole")
 		expectRuns(t, w, 1)
 	})
--- a/internal/claims/chain/ledger_test.go
+++ b/internal/claims/chain/ledger_test.go
@@ -248,7 +248,9 @@
 		expectHolder(t, x, attempt("r", "x", 1), "x")
 		time.Sleep(3 * idleTime)
 		p := &x.shards[number(digestOf(attempt("r", "x", 1).Key))]
+		p.mu.Lock()
 		is.New(t).True(p.state == nil)
+		p.mu.Unlock()
 		expectHolder(t, x, attempt("r", "y", 2), "x")
 	})
 }
--- a/internal/claims/chain/property_test.go
+++ b/internal/claims/chain/property_test.go
@@ -37,6 +37,13 @@
 	late []func()
 }
 
+// waiting reports whether a call waits for its fate.
+func (n *network) waiting() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return len(n.calls) > 0
+}
+
 // gated is a store behind a network that delays and loses calls.
 type gated struct {
 	*fakeStore
@@ -262,7 +269,7 @@
 // finish lets everything end. Waiting workers go on within a second.
 func (w *world) finish() {
 	for n := 0; n < 2; n++ {
-		for len(w.store.network.calls) > 0 {
+		for w.store.network.waiting() {
 			n = 0
 			w.settle(0, 2)
 			synctest.Wait()
--- /dev/null
+++ b/internal/claims/release/queue_test.go
@@ -0,0 +1,111 @@
+package release
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"sardineknot.example/sardineknot"
+)
+
+type systemClock struct{}
+
+// Now returns the virtual time within a synctest bubble.
+func (systemClock) Now() time.Time { return time.Now() }
+
+// ledger counts the releases and fails while down is set.
+type ledger struct {
+	sardineknot.ClaimLedger
+	mu       sync.Mutex
+	down     bool
+	released map[sardineknot.ClaimAttempt]int
+}
+
+func (l *ledger) setDown(down bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.down = down
+}
+
+// expectReleased compares the releases of an attempt.
+func (l *ledger) expectReleased(t *testing.T, a sardineknot.ClaimAttempt, n int) {
+	t.Helper()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	is.New(t).Equal(l.released[a], n)
+}
+
+func (l *ledger) Release(_ context.Context, a sardineknot.ClaimAttempt) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.down {
+		return errors.New("store down")
+	}
+	l.released[a]++
+	return nil
+}
+
+func attempt(nonce uint64) sardineknot.ClaimAttempt {
+	return sardineknot.ClaimAttempt{Key: sardineknot.RequestKey{ID: "r"}, Nonce: nonce}
+}
+
+// inBubble runs f beside a running queue, in virtual time.
+func inBubble(t *testing.T, name string, f func(t *testing.T, q *Queue, l *ledger)) {
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			l := &ledger{released: make(map[sardineknot.ClaimAttempt]int)}
+			q := NewQueue(l, systemClock{}, time.Minute)
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			go q.Run(ctx)
+			f(t, q, l)
+		})
+	})
+}
+
+// expectKnown flushes and compares whether the request is known.
+func expectKnown(t *testing.T, q *Queue, known bool) {
+	t.Helper()
+	i := is.New(t)
+	ok, err := q.Flush(context.Background(), attempt(0).Key)
+	i.NoErr(err)
+	i.Equal(ok, known)
+}
+
+func TestQueue(t *testing.T) {
+	inBubble(t, "releases once", func(t *testing.T, q *Queue, l *ledger) {
+		q.Add(attempt(1))
+		q.Add(attempt(2))
+		time.Sleep(10 * time.Second)
+		l.expectReleased(t, attempt(1), 1)
+		l.expectReleased(t, attempt(2), 1)
+	})
+	inBubble(t, "repeats through an outage", func(t *testing.T, q *Queue, l *ledger) {
+		l.setDown(true)
+		q.Add(attempt(1))
+		time.Sleep(time.Hour)
+		l.setDown(false)
+		time.Sleep(2 * pause)
+		l.expectReleased(t, attempt(1), 1)
+	})
+	inBubble(t, "remembers for the retention", func(t *testing.T, q *Queue, _ *ledger) {
+		expectKnown(t, q, false)
+		q.Add(attempt(1))
+		expectKnown(t, q, true)
+		time.Sleep(time.Minute / 2)
+		expectKnown(t, q, true)
+		time.Sleep(time.Minute)
+		expectKnown(t, q, false)
+	})
+	inBubble(t, "fails while the store is down", func(t *testing.T, q *Queue, l *ledger) {
+		l.setDown(true)
+		q.Add(attempt(1))
+		_, err := q.Flush(context.Background(), attempt(1).Key)
+		is.New(t).True(err != nil)
+	})
+}
