--- a/cmd/sardineknot/main.go
+++ b/cmd/sardineknot/main.go
@@ -13,12 +13,14 @@
 
 	"sardineknot.example/sardineknot/internal/command/apply"
 	"sardineknot.example/sardineknot/internal/command/bench"
+	"sardineknot.example/sardineknot/internal/command/burn"
 	"sardineknot.example/sardineknot/internal/command/serve"
 )
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&serve.Command{}, "")
+	subcommands.Register(&burn.Command{}, "")
 	subcommands.Register(&apply.Command{}, "")
 	subcommands.Register(&bench.Command{}, "")
 	flag.Parse()
