policy/timed: calibrate expected slots against those that became free

A trace showed 12 of 13 evictions as results for which no slot became free, 8 of them in the first 12 s: 35 to 40 slots a second were expected and 21 to 23 became free, since few lengths had been seen. Over the whole run the expectation is right (22.6 expected, 21.8 seen), so the histograms were ruled out.

Changed: the expectation is multiplied by the smoothed ratio of slots that became free to slots expected in the seconds before, at most 1.

--- a/internal/policy/timed/events.go
+++ b/internal/policy/timed/events.go
@@ -38,6 +38,7 @@
 }
 
 func (s *Scheduler) finished(now time.Time, j *job, tokens int) {
+	s.freed++
 	s.learnDecode(now, j, tokens)
 	s.release(now, j)
 }
--- a/internal/policy/timed/rates.go
+++ b/internal/policy/timed/rates.go
@@ -37,6 +37,7 @@
 	freeing   float64
 	freeingAt time.Time
 	lag
+	calibration
 	// nextReturn is the time that the next refused caller may come back at.
 	nextReturn time.Time
 	// expireAt is the time of the next search for lost jobs.
@@ -100,6 +101,7 @@
 		}
 		s.freeing += e.freeing
 	}
+	s.freeing = s.correct(now, s.freeing)
 }
 
 // finishing returns the probability that j ends within the next more tokens.
@@ -123,6 +125,7 @@
 		t, _ := s.links.Predict(now, from, e.server.Zone, j.bytes)
 		m += e.freeing * max(0, (by.Sub(now)-t).Seconds())
 	}
+	m *= s.ratio
 	return m - margin*math.Sqrt(m)
 }
 
--- a/internal/policy/timed/scheduler.go
+++ b/internal/policy/timed/scheduler.go
@@ -79,8 +79,9 @@
 		prefixes:      prefixes.NewMemory(maxPrefixes, prefixThreshold),
 		links:         links.NewMeter(),
 		rates: rates{
-			perToken: firstPrefillPerToken.Seconds(),
-			interval: firstInterval.Seconds(),
+			perToken:    firstPrefillPerToken.Seconds(),
+			interval:    firstInterval.Seconds(),
+			calibration: calibration{ratio: 1},
 		},
 	}
 }
