--- a/internal/policy/fairness/lane.go
+++ b/internal/policy/fairness/lane.go
@@ -19,7 +19,9 @@
 	class   *class
 	account sardineknot.ClientAccountName
 	// held is the number of jobs in service.
-	held  int
+	held int
+	// tag is the virtual time at which the account is due.
+	tag   float64
 	items items
 	// index is the position in the class's order.
 	index int
@@ -51,7 +53,7 @@
 	return n
 }
 
-// lanes is a heap by jobs in service, then by first deadline.
+// lanes is a heap by jobs in service, by past service, then by first deadline.
 type lanes []*lane
 
 func (l lanes) Len() int { return len(l) }
@@ -60,6 +62,9 @@
 	if l[i].held != l[j].held {
 		return l[i].held < l[j].held
 	}
+	if l[i].tag != l[j].tag {
+		return l[i].tag < l[j].tag
+	}
 	return l[i].items[0].before(l[j].items[0])
 }
 
--- a/internal/policy/fairness/queue.go
+++ b/internal/policy/fairness/queue.go
@@ -1,15 +1,20 @@
 // Package fairness orders waiting jobs: by priority, then by the account that
-// has the fewest jobs in service, then by deadline.
+// has the fewest jobs in service, among these by the account that was served
+// least of late (start-time fair queueing), then by deadline.
 package fairness
 
 import (
 	"container/heap"
+	"maps"
 	"sort"
 	"time"
 
 	"sardineknot.example/sardineknot"
 )
 
+// maxTags bounds the accounts whose service is remembered.
+const maxTags = 8192
+
 // Queue holds waiting jobs. Each operation takes logarithmic time in the
 // number of accounts and jobs. It is not safe for concurrent use.
 type Queue struct {
@@ -18,6 +23,10 @@
 	items   map[sardineknot.RequestKey]*item
 	// held counts the jobs in service of each account. It has no zero entries.
 	held map[sardineknot.ClientAccountName]int
+	// tags holds the virtual times at which accounts are due again. Entries up
+	// to virtual have no meaning. It has at most maxTags entries.
+	tags    map[sardineknot.ClientAccountName]float64
+	virtual float64
 	// last is the sequence number of the newest item.
 	last int
 }
@@ -27,6 +36,7 @@
 	return &Queue{
 		items: make(map[sardineknot.RequestKey]*item),
 		held:  make(map[sardineknot.ClientAccountName]int),
+		tags:  make(map[sardineknot.ClientAccountName]float64),
 	}
 }
 
@@ -41,7 +51,7 @@
 	c := q.class(priority)
 	l := c.lanes[k.Account]
 	if l == nil {
-		l = &lane{class: c, account: k.Account, held: q.held[k.Account]}
+		l = &lane{class: c, account: k.Account, held: q.held[k.Account], tag: max(q.virtual, q.tags[k.Account])}
 		c.lanes[k.Account] = l
 	}
 	q.last++
@@ -89,15 +99,30 @@
 	if h == 0 {
 		delete(q.held, a)
 	}
+	if n > 0 {
+		q.serve(a)
+	}
 	for _, c := range q.classes {
 		l := c.lanes[a]
 		if l != nil {
 			l.held = h
+			l.tag = max(l.tag, q.tags[a])
 			heap.Fix(&c.order, l.index)
 		}
 	}
 }
 
+// serve notes that a job of account a begins its service.
+func (q *Queue) serve(a sardineknot.ClientAccountName) {
+	if len(q.tags) >= maxTags {
+		maps.DeleteFunc(q.tags, func(_ sardineknot.ClientAccountName, t float64) bool { return t <= q.virtual })
+	}
+	q.virtual = max(q.virtual, q.tags[a])
+	if len(q.tags) < maxTags {
+		q.tags[a] = q.virtual + 1
+	}
+}
+
 // Ahead estimates how many waiting jobs go before a new job of account a. Jobs
 // of the same class alternate between accounts once they hold equally many.
 func (q *Queue) Ahead(a sardineknot.ClientAccountName, priority int) int {
--- a/internal/policy/timed/admit.go
+++ b/internal/policy/timed/admit.go
@@ -88,8 +88,7 @@
 	if n <= 0 {
 		return 0
 	}
-	s.refresh(now)
-	return seconds(float64(n) / max(minRate, s.freeing))
+	return seconds(float64(n) / s.slotRate(now))
 }
 
 // comeBack returns when a caller that was refused for lack of the time late
--- a/internal/policy/timed/rates.go
+++ b/internal/policy/timed/rates.go
@@ -32,6 +32,8 @@
 	interval float64
 	// cost is the mean time of a prefill, in seconds.
 	cost float64
+	// tokens is the mean length of an answer, in tokens.
+	tokens float64
 	// freeing is the number of slots that are expected to become free in a
 	// second. It was worked out at freeingAt.
 	freeing   float64
@@ -78,6 +80,7 @@
 		return
 	}
 	s.lengths.Observe(j.Key.Account, j.Work, tokens)
+	s.tokens = learn(s.tokens, float64(tokens), gain)
 	t := now.Sub(j.began).Seconds() / float64(tokens-1)
 	s.interval = learn(s.interval, t, gain)
 	j.decode.interval = learn(j.decode.interval, t, 3*gain)
@@ -129,11 +132,25 @@
 	return m - margin*math.Sqrt(m)
 }
 
+// slotRate returns the number of slots that become free in a second. Over a
+// longer time it is no less than with answers of the mean length.
+func (s *Scheduler) slotRate(now time.Time) float64 {
+	s.refresh(now)
+	var n int
+	for _, e := range s.decode {
+		n += len(e.jobs)
+	}
+	m := 0.0
+	if s.tokens > 0 {
+		m = float64(n) / (s.tokens * s.interval)
+	}
+	return max(minRate, s.freeing, m)
+}
+
 // serviceRate returns the number of jobs that the pool starts in a second
 // while others wait.
 func (s *Scheduler) serviceRate(now time.Time) float64 {
-	s.refresh(now)
-	r := s.freeing
+	r := s.slotRate(now)
 	if s.cost > 0 {
 		r = min(r, float64(len(s.prefill))/s.cost)
 	}
--- /dev/null
+++ b/internal/policy/timed/scheduler_test.go
@@ -0,0 +1,359 @@
+package timed
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"sardineknot.example/sardineknot"
+)
+
+func TestSlots(t *testing.T) {
+	t.Run("no prefill without a slot in sight", func(t *testing.T) {
+		v := newDriver(t, 1, 1, 1)
+		v.submit(v.job("1"))
+		v.generate("1")
+		v.submit(v.job("2"))
+		v.wait(time.Second)
+		v.is.True(!v.prefilled("2"))
+		v.finish("1", 0, 30)
+		v.is.True(v.prefilled("2"))
+	})
+	t.Run("prefill begins before an expected slot is free", func(t *testing.T) {
+		v := newDriver(t, 1, 1, 12)
+		v.learn(13)
+		for i := range 12 {
+			k := fmt.Sprint(i)
+			v.submit(v.job(k))
+			v.generate(k)
+		}
+		v.submit(v.job("next"))
+		v.is.True(!v.prefilled("next"))
+		v.wait(1600 * time.Millisecond)
+		v.is.True(v.prefilled("next"))
+		v.is.True(!v.decoded("next"))
+	})
+	t.Run("memory limits an engine beside slots", func(t *testing.T) {
+		v := newDriver(t, 1, 1, 20)
+		v.servers[1].MemoryPieces = 10
+		v.setServers()
+		a, b := v.job("1"), v.job("2")
+		a.PromptTokens, b.PromptTokens = 12000, 12000
+		v.submit(a, b)
+		v.generate("1")
+		v.wait(time.Second)
+		v.is.True(!v.prefilled("2"))
+		v.finish("1", 0, 10)
+		v.is.True(v.prefilled("2"))
+	})
+}
+
+func TestCancel(t *testing.T) {
+	for n, f := range map[string]func(*driver){
+		"queued":     func(*driver) {},
+		"prefilling": func(v *driver) { v.finish("0", 0, 100) },
+		"decoding": func(v *driver) {
+			v.finish("0", 0, 100)
+			v.generate("1")
+		},
+	} {
+		t.Run(n, func(t *testing.T) {
+			v := newDriver(t, 1, 1, 1)
+			v.submit(v.job("0"))
+			v.generate("0")
+			v.submit(v.job("1"))
+			f(v)
+			v.report("1", sardineknot.JobCancelled, "", 0)
+			v.report("0", sardineknot.JobCancelled, "", 0)
+			v.empty()
+			v.submit(v.job("2"))
+			v.is.True(v.prefilled("2"))
+		})
+	}
+}
+
+func TestRefusal(t *testing.T) {
+	t.Run("before prefill and at once if the first token would be late", func(t *testing.T) {
+		v := newDriver(t, 1, 1, 1)
+		j := v.job("1")
+		j.Deadline = v.now.Add(50 * time.Millisecond)
+		v.submit(j)
+		v.is.True(!v.prefilled("1"))
+		v.is.True(v.refused["1"].RetryAfter > 0)
+		v.empty()
+	})
+	t.Run("callers come back one after the other", func(t *testing.T) {
+		v := newDriver(t, 1, 1, 1)
+		v.learn(13)
+		var l time.Duration
+		for i := range 5 {
+			k := fmt.Sprint(i)
+			j := v.job(k)
+			j.Deadline = v.now.Add(500 * time.Millisecond)
+			v.submit(j)
+			if i > 0 {
+				v.is.True(v.refused[k].RetryAfter > l)
+				l = v.refused[k].RetryAfter
+			}
+		}
+	})
+	t.Run("of a queued job as soon as it is late for certain", func(t *testing.T) {
+		v := newDriver(t, 1, 1, 2)
+		v.servers[0].Slots = 1
+		v.setServers()
+		v.submit(v.job("1"))
+		j := v.job("2")
+		j.Deadline = v.now.Add(5 * time.Second)
+		v.submit(j)
+		v.wait(4 * time.Second)
+		v.is.Equal(len(v.refused), 0)
+		v.wait(time.Second)
+		v.is.Equal(v.refused["2"].Action, sardineknot.ActionRefuse)
+	})
+}
+
+func TestCapability(t *testing.T) {
+	t.Run("jobs are refused if engines are too slow between tokens", func(t *testing.T) {
+		v := newDriver(t, 1, 1, 2)
+		v.submit(v.job("1"), v.job("2"))
+		v.generate("1")
+		v.generate("2")
+		v.finish("1", 5*time.Second, 100)
+		v.submit(v.job("3"))
+		v.is.True(v.refused["3"].RetryAfter > 0)
+	})
+	t.Run("jobs are refused without engines", func(t *testing.T) {
+		v := newDriver(t, 1, 0, 0)
+		v.submit(v.job("1"))
+		v.is.True(v.refused["1"].RetryAfter > 0)
+	})
+}
+
+func TestOrder(t *testing.T) {
+	// hold fills the only slot, so that later jobs wait.
+	hold := func(t *testing.T) *driver {
+		v := newDriver(t, 1, 1, 1)
+		v.submit(v.job("0"))
+		v.generate("0")
+		return v
+	}
+	drain := func(v *driver) {
+		for i := 0; i < len(v.order); i++ {
+			v.generate(v.order[i])
+			v.finish(v.order[i], 0, 10)
+		}
+	}
+	t.Run("a burst of one account does not starve another", func(t *testing.T) {
+		v := hold(t)
+		for i := range 10 {
+			v.submit(v.job(fmt.Sprintf("burst%d", i)))
+		}
+		j := v.job("other")
+		j.Key.Account = "b"
+		j.Deadline = j.Deadline.Add(time.Second)
+		v.submit(j)
+		drain(v)
+		v.is.Equal(v.order[1], "other")
+	})
+	t.Run("priority goes first, then the deadline", func(t *testing.T) {
+		v := hold(t)
+		a, b, c := v.job("late"), v.job("soon"), v.job("first")
+		a.Priority, b.Priority = 1, 1
+		b.Deadline = b.Deadline.Add(-time.Second)
+		c.Deadline = c.Deadline.Add(time.Second)
+		v.submit(a, b, c)
+		drain(v)
+		v.is.Equal(v.order, []string{"0", "first", "soon", "late"})
+	})
+}
+
+func TestServers(t *testing.T) {
+	t.Run("one that fails fast attracts no load", func(t *testing.T) {
+		v := newDriver(t, 2, 1, 100)
+		var n int
+		for i := range 40 {
+			k := fmt.Sprint(i)
+			v.submit(v.job(k))
+			v.wait(20 * time.Millisecond)
+			if v.prefill[k] == "p0" {
+				n++
+				v.report(k, sardineknot.JobFailed, "p0", 0)
+				continue
+			}
+			v.generate(k)
+		}
+		v.is.True(n <= 8) // threshold, and probes with growing backoff
+	})
+	t.Run("one that has recovered is used again within seconds", func(t *testing.T) {
+		v := newDriver(t, 1, 1, 100)
+		for i := range 3 {
+			k := fmt.Sprint(i)
+			v.submit(v.job(k))
+			v.report(k, sardineknot.JobFailed, "p0", 0)
+		}
+		v.submit(v.job("next"))
+		v.is.True(!v.prefilled("next"))
+		v.wait(time.Second)
+		v.is.True(v.prefilled("next"))
+	})
+}
+
+func TestUnavailable(t *testing.T) {
+	t.Run("a silent server gets nothing new", func(t *testing.T) {
+		v := newDriver(t, 2, 1, 100)
+		v.submit(v.job("1"))
+		s := v.prefill["1"]
+		v.wait(2 * time.Second)
+		for i := range 6 {
+			k := fmt.Sprintf("x%d", i)
+			v.submit(v.job(k))
+			v.is.True(v.prefill[k] != s)
+			v.generate(k)
+		}
+	})
+	t.Run("a server that leaves gets nothing new and finishes", func(t *testing.T) {
+		v := newDriver(t, 2, 2, 1)
+		v.submit(v.job("1"))
+		v.generate("1")
+		d := v.decode["1"]
+		v.without(d)
+		v.submit(v.job("2"), v.job("3"))
+		v.generate("2")
+		v.is.True(v.decode["2"] != d)
+		v.finish("1", 0, 10)
+		v.wait(time.Second)
+		v.is.True(!v.prefilled("3"))
+	})
+}
+
+func TestLostRelease(t *testing.T) {
+	lose := func(t *testing.T) *driver {
+		v := newDriver(t, 1, 1, 1)
+		v.submit(v.job("lost"))
+		v.generate("lost")
+		j := v.job("next")
+		j.Deadline = v.now.Add(10 * time.Minute)
+		v.submit(j)
+		return v
+	}
+	t.Run("is found by load reports", func(t *testing.T) {
+		v := lose(t)
+		for range 4 {
+			v.wait(2 * time.Second)
+			v.s.Observe(v.now, sardineknot.LoadReport{Server: "d0", At: v.now.Add(-250 * time.Millisecond)})
+		}
+		v.wait(recheck)
+		v.is.True(v.prefilled("next"))
+	})
+	t.Run("is not assumed while the engine reports the job", func(t *testing.T) {
+		v := lose(t)
+		for range 4 {
+			v.wait(2 * time.Second)
+			v.s.Observe(v.now, sardineknot.LoadReport{Server: "d0", At: v.now, Running: 1})
+		}
+		v.is.True(!v.prefilled("next"))
+	})
+	t.Run("expires by the longest answer", func(t *testing.T) {
+		v := lose(t)
+		v.wait(2 * time.Minute)
+		v.is.True(v.prefilled("next"))
+	})
+}
+
+func TestPlacement(t *testing.T) {
+	t.Run("a prefix goes where it was sent before", func(t *testing.T) {
+		v := newDriver(t, 3, 1, 100)
+		j := v.job("first")
+		j.PromptTokens, j.Prefixes = 9000, []uint64{1, 2, 3, 4}
+		v.submit(j)
+		p := v.prefill["first"]
+		v.generate("first")
+		for i := range 5 {
+			v.submit(v.job(fmt.Sprint(i)))
+			j.Key = key(fmt.Sprintf("again%d", i))
+			v.submit(j)
+			v.is.Equal(v.prefill[fmt.Sprintf("again%d", i)], p)
+			v.wait(100 * time.Millisecond)
+			for _, k := range []string{fmt.Sprint(i), fmt.Sprintf("again%d", i)} {
+				v.report(k, sardineknot.JobPrefillDone, v.prefill[k], 0)
+			}
+		}
+	})
+	t.Run("a slow link is avoided", func(t *testing.T) {
+		v := newDriver(t, 1, 2, 100)
+		v.setServers(
+			sardineknot.Link{From: "z0", To: "z0", BytesPerSecond: 2e8},
+			sardineknot.Link{From: "z0", To: "z1", BytesPerSecond: 1e9},
+		)
+		v.submit(v.job("1"))
+		v.generate("1")
+		v.is.Equal(v.decode["1"], sardineknot.BackendServerName("d1"))
+	})
+	t.Run("a result that has lapsed is not decoded", func(t *testing.T) {
+		v := newDriver(t, 1, 1, 1)
+		v.submit(v.job("1"))
+		v.s.unreserve(v.s.jobs[key("1")])
+		v.s.pending = append(v.s.pending, v.s.jobs[key("1")])
+		v.s.decode[0].server.Slots = 0
+		v.report("1", sardineknot.JobPrefillDone, "p0", 0)
+		v.wait(time.Second)
+		v.is.True(!v.decoded("1"))
+		v.is.Equal(v.refused["1"].Action, sardineknot.ActionRefuse)
+		v.empty()
+	})
+}
+
+// TestInvariants drives random events and checks the counts after each.
+func TestInvariants(t *testing.T) {
+	for n := range uint64(5) {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			r := rand.New(rand.NewPCG(n, 1))
+			v := newDriver(t, 3, 3, 4)
+			for i := range 1000 {
+				step(v, r, i)
+				checkSlots(v)
+			}
+			for _, k := range keys(v) {
+				v.report(k, sardineknot.JobCancelled, "", 0)
+			}
+			v.empty()
+		})
+	}
+}
+
+func step(v *driver, r *rand.Rand, i int) {
+	if r.IntN(2) == 0 {
+		j := v.job(fmt.Sprint(i))
+		j.Key.Account = sardineknot.ClientAccountName(fmt.Sprint(r.IntN(4)))
+		j.Deadline = v.now.Add(time.Duration(r.IntN(3000)) * time.Millisecond)
+		v.submit(j)
+	}
+	l := keys(v)
+	if len(l) > 0 {
+		k := l[r.IntN(len(l))]
+		e := sardineknot.JobEventKind(1 + r.IntN(5))
+		v.report(k, e, v.servers[r.IntN(len(v.servers))].Name, r.IntN(500))
+	}
+	v.wait(time.Duration(r.IntN(3)) * 30 * time.Millisecond)
+}
+
+func keys(v *driver) []string {
+	var l []string
+	for k := range v.s.jobs {
+		l = append(l, string(k.ID))
+	}
+	slices.Sort(l)
+	return l
+}
+
+func checkSlots(v *driver) {
+	for _, e := range v.s.decode {
+		v.is.True(len(e.jobs) <= e.server.Slots)
+	}
+	for _, j := range v.s.pending {
+		v.is.True(j.state == prefilling || j.state == ready)
+		v.is.True(j.decode == nil)
+	}
+}
