host/process: decide with the timed scheduler

policy/timed takes over jobs that run already (sardineknot.Adopter), so that a shard that moves to another owner counts its slots exactly.

go test ./scenarios on this change: 18 of 19 pass. paused_host_finds_out fails (verk/r1/0 is cancelled on the engine after the takeover). It fails in the same way with round robin on the commit before, in 3 of 3 runs, so the scheduler is ruled out as the cause.

--- a/internal/host/process/slots.go
+++ b/internal/host/process/slots.go
@@ -6,7 +6,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/backend/openai"
-	"sardineknot.example/sardineknot/internal/policy/roundrobin"
+	"sardineknot.example/sardineknot/internal/policy/timed"
 	slotsopenai "sardineknot.example/sardineknot/internal/slots/openai"
 	"sardineknot.example/sardineknot/internal/slots/twirp"
 )
@@ -67,5 +67,5 @@
 
 // newScheduler returns the scheduler of a pool shard.
 func newScheduler(sardineknot.PoolName) sardineknot.Scheduler {
-	return &roundrobin.Scheduler{}
+	return timed.NewScheduler()
 }
--- /dev/null
+++ b/internal/policy/timed/adopt_test.go
@@ -0,0 +1,49 @@
+package timed
+
+import (
+	"testing"
+	"time"
+
+	"sardineknot.example/sardineknot"
+)
+
+func TestAdopt(t *testing.T) {
+	adopt := func(v *driver, decode sardineknot.BackendServerName, tokens int) {
+		r := sardineknot.RunningJob{Job: v.job("old"), Grant: sardineknot.Grant{Prefill: "p0", Decode: decode}, Tokens: tokens}
+		v.take(v.s.Adopt(v.now, r))
+	}
+	for n, k := range map[string]int{"imports": 0, "decodes": 50} {
+		t.Run("a job that "+n+" holds its slot until its end", func(t *testing.T) {
+			v := newDriver(t, 1, 1, 1)
+			adopt(v, "d0", k)
+			v.submit(v.job("new"))
+			v.wait(500 * time.Millisecond)
+			v.is.True(!v.prefilled("new"))
+			v.report("old", sardineknot.JobFinished, "d0", 100)
+			v.is.True(v.prefilled("new"))
+		})
+	}
+	t.Run("a job in its prefill gets a slot at the end", func(t *testing.T) {
+		v := newDriver(t, 1, 1, 1)
+		adopt(v, "", 0)
+		v.report("old", sardineknot.JobPrefillDone, "p0", 0)
+		v.is.Equal(v.decode["old"], sardineknot.BackendServerName("d0"))
+	})
+	t.Run("jobs may arrive before their engines are known", func(t *testing.T) {
+		v := newDriver(t, 1, 0, 0)
+		adopt(v, "d0", 1)
+		v.servers = append(v.servers, server(0, "d", sardineknot.RoleDecode, 1))
+		v.setServers()
+		v.submit(v.job("new"))
+		v.is.True(!v.prefilled("new"))
+		v.report("old", sardineknot.JobCancelled, "", 0)
+		v.is.True(v.prefilled("new"))
+	})
+	t.Run("a job that is known already is ignored", func(t *testing.T) {
+		v := newDriver(t, 1, 1, 2)
+		adopt(v, "d0", 1)
+		adopt(v, "d0", 2)
+		v.report("old", sardineknot.JobFinished, "d0", 100)
+		v.empty()
+	})
+}
