--- a/internal/bench/result/result.go
+++ b/internal/bench/result/result.go
@@ -3,7 +3,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
+	"slices"
 	"sort"
 	"time"
 
@@ -85,7 +87,8 @@
 	s := shares(asks, delivered)
 	var t, q float64
 	r.Lowest = 1
-	for a, n := range asks {
+	for _, a := range slices.Sorted(maps.Keys(asks)) {
+		n := asks[a]
 		x := float64(delivered[a]) / max(1, min(float64(n), s))
 		t += x
 		q += x * x
@@ -102,8 +105,8 @@
 func shares(asks, delivered map[sardineknot.ClientAccountName]int) float64 {
 	var l []int
 	var t float64
-	for a, n := range asks {
-		l = append(l, n)
+	for _, a := range slices.Sorted(maps.Keys(asks)) {
+		l = append(l, asks[a])
 		t += float64(delivered[a])
 	}
 	sort.Ints(l)
--- a/internal/policy/timed/driver_test.go
+++ b/internal/policy/timed/driver_test.go
@@ -49,7 +49,7 @@
 func server(i int, kind string, role sardineknot.BackendRole, slots int) sardineknot.BackendServer {
 	return sardineknot.BackendServer{
 		Name:  sardineknot.BackendServerName(fmt.Sprintf("%s%d", kind, i)),
-		Zone:  sardineknot.AvailabilityZone(fmt.Sprintf("z%d", i)),
+		Zone:  sardineknot.AvailabilityZone(fmt.Sprintf("z%d", i%4)),
 		Role:  role,
 		Slots: slots,
 	}
