--- a/internal/policy/timed/rates.go
+++ b/internal/policy/timed/rates.go
@@ -32,11 +32,14 @@
 	interval float64
 	// cost is the mean time of a prefill, in seconds.
 	cost float64
+	// tokens is the mean length of an answer, in tokens.
+	tokens float64
 	// freeing is the number of slots that are expected to become free in a
 	// second. It was worked out at freeingAt.
 	freeing   float64
 	freeingAt time.Time
 	lag
+	calibration
 	// nextReturn is the time that the next refused caller may come back at.
 	nextReturn time.Time
 	// expireAt is the time of the next search for lost jobs.
@@ -77,6 +80,7 @@
 		return
 	}
 	s.lengths.Observe(j.Key.Account, j.Work, tokens)
+	s.tokens = learn(s.tokens, float64(tokens), gain)
 	t := now.Sub(j.began).Seconds() / float64(tokens-1)
 	s.interval = learn(s.interval, t, gain)
 	j.decode.interval = learn(j.decode.interval, t, 3*gain)
@@ -100,6 +104,7 @@
 		}
 		s.freeing += e.freeing
 	}
+	s.freeing = s.correct(now, s.freeing)
 }
 
 // finishing returns the probability that j ends within the next more tokens.
@@ -123,14 +128,29 @@
 		t, _ := s.links.Predict(now, from, e.server.Zone, j.bytes)
 		m += e.freeing * max(0, (by.Sub(now)-t).Seconds())
 	}
+	m *= s.ratio
 	return m - margin*math.Sqrt(m)
 }
 
+// slotRate returns the number of slots that become free in a second. Over a
+// longer time it is no less than with answers of the mean length.
+func (s *Scheduler) slotRate(now time.Time) float64 {
+	s.refresh(now)
+	var n int
+	for _, e := range s.decode {
+		n += len(e.jobs)
+	}
+	m := 0.0
+	if s.tokens > 0 {
+		m = float64(n) / (s.tokens * s.interval)
+	}
+	return max(minRate, s.freeing, m)
+}
+
 // serviceRate returns the number of jobs that the pool starts in a second
 // while others wait.
 func (s *Scheduler) serviceRate(now time.Time) float64 {
-	s.refresh(now)
-	r := s.freeing
+	r := s.slotRate(now)
 	if s.cost > 0 {
 		r = min(r, float64(len(s.prefill))/s.cost)
 	}
