configuration/etcd: a silent connection does not hold up the reader

Cause: Store.Watch has no timeout until the watch has begun. On a connection that went silent just then the reader waited for good and read no more.

Seen: TestSilentWatchDoesNotHoldUpReadings fails without the limit.

--- a/internal/configuration/etcd/reader.go
+++ b/internal/configuration/etcd/reader.go
@@ -18,9 +18,13 @@
 	"sardineknot.example/sardineknot/internal/configuration/revision"
 )
 
-// bootReadings is the number of readings in an interval on a host without a
-// configuration.
-const bootReadings = 5
+const (
+	// bootReadings is the number of readings in an interval on a host without
+	// a configuration.
+	bootReadings = 5
+	// watchTimeout bounds the time until a watch has begun.
+	watchTimeout = 2 * time.Second
+)
 
 // Reader reads the store for its availability zone. All exported fields are
 // set before Run.
@@ -103,10 +107,13 @@
 	}
 }
 
+// open watches the head from revision after on. A connection that went silent
+// must not hold up the readings.
 func (r *Reader) open(ctx context.Context, after sardineknot.StoreRevision) {
 	w, cancel := context.WithCancel(ctx)
+	t := time.AfterFunc(watchTimeout, cancel)
 	c, err := r.Store.Watch(w, sardineknot.ConfigurationHeadKey, after)
-	if err != nil {
+	if !t.Stop() || err != nil {
 		cancel()
 		return
 	}
--- a/internal/configuration/etcd/reader_test.go
+++ b/internal/configuration/etcd/reader_test.go
@@ -5,6 +5,8 @@
 	"context"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/go-json-experiment/json"
 	"github.com/matryer/is"
@@ -21,6 +23,8 @@
 	sardineknot.Store
 	values map[string][]byte
 	reads  int
+	// silent makes the beginning of a watch wait for its context.
+	silent bool
 }
 
 func (s *store) Get(_ context.Context, key string) (sardineknot.StoreEntry, error) {
@@ -28,7 +32,11 @@
 	return sardineknot.StoreEntry{Key: key, Value: s.values[key], Revision: sardineknot.StoreRevision(len(s.values[key]))}, nil
 }
 
-func (s *store) Watch(context.Context, string, sardineknot.StoreRevision) (<-chan sardineknot.StoreEntry, error) {
+func (s *store) Watch(ctx context.Context, _ string, _ sardineknot.StoreRevision) (<-chan sardineknot.StoreEntry, error) {
+	if s.silent {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	return make(chan sardineknot.StoreEntry), nil
 }
 
@@ -102,3 +110,16 @@
 	checkPoll(t, newReader(&s, false, &bytes.Buffer{}), 0, 0)
 	is.New(t).Equal(s.reads, 0)
 }
+
+func TestSilentWatchDoesNotHoldUpReadings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := time.Now() // virtual
+		s := store{silent: true}
+		r := newReader(&s, true, &bytes.Buffer{})
+		s.put(t, 1, "verk")
+		checkPoll(t, r, 1, 0)
+		s.put(t, 2, "verk")
+		checkPoll(t, r, 2, 0)
+		is.New(t).True(time.Since(b) <= 2*watchTimeout)
+	})
+}
