--- a/internal/configuration/revision/tracker.go
+++ b/internal/configuration/revision/tracker.go
@@ -93,15 +93,13 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if h.Revision < t.floor {
-		return nil, false, errors.WithStack(&sardineknot.OlderConfigurationError{Got: h.Revision, InForce: t.floor})
+	f := max(t.floor, t.head.Revision)
+	if h.Revision < f || h.Revision == t.head.Revision && len(raw) > 0 && bundle.Hash(raw) != t.hash {
+		return nil, false, errors.WithStack(&sardineknot.OlderConfigurationError{Got: h.Revision, InForce: f})
 	}
 	if h.Revision > t.head.Revision {
 		return t.missingLocked(h), true, nil
 	}
-	if h.Revision < t.head.Revision || len(raw) > 0 && bundle.Hash(raw) != t.hash {
-		return nil, false, errors.WithStack(&sardineknot.OlderConfigurationError{Got: h.Revision, InForce: t.head.Revision})
-	}
 	return nil, false, nil
 }
 
--- a/internal/configuration/revision/tracker_test.go
+++ b/internal/configuration/revision/tracker_test.go
@@ -104,6 +104,13 @@
 	is.New(t).True(errors.As(err, &o))
 	k.SetFloor(0)
 	offer(t, k, 2, 2)
+	t.Run("does not hide the revision in force", func(t *testing.T) {
+		k.SetFloor(3)
+		offer(t, k, 4, 4)
+		_, err := k.Offer(h, s)
+		is.New(t).True(errors.As(err, &o))
+		is.New(t).Equal(o.InForce, sardineknot.Revision(4))
+	})
 }
 
 func pass(t is.T, from, to *Tracker, all bool) *api.FetchResponse {
