answer: keep answers over a new incarnation; find out after a pause

Cause: heartbeats give a host that counted as dead a new incarnation while it runs. Its answers, jobs and engine requests kept the old one, so that a live host's decode would have been reaped, and a host that came back announced its jobs over those of the host that had taken them over, or resumed the engine's stream and made itself its owner again.

A host that was paused asks the directory before it resumes a stream, and trusts its own shards of the directory only once it knows its incarnation. Its records then wait for the end of the settling time. A stream is resumed under the new incarnation. A job that was taken over stays so whatever its earlier holder announces or reports.

--- a/internal/answer/cancel/queue.go
+++ b/internal/answer/cancel/queue.go
@@ -29,8 +29,8 @@
 // Queue holds cancellations. It is safe for concurrent use. All exported
 // fields are set before use.
 type Queue struct {
-	// Self is this entry host.
-	Self sardineknot.EntryHost
+	// Self is the identifier of this entry host.
+	Self sardineknot.EntryHostID
 	// Engine calls engines.
 	Engine sardineknot.Engine
 	// Log takes one event for each cancellation that is given up.
@@ -92,7 +92,7 @@
 		return err
 	}
 	for _, h := range l {
-		if h.EngineKey == key && h.Owner == q.Self.ID && h.OwnerIncarnation == q.Self.Incarnation {
+		if h.EngineKey == key && h.Owner == q.Self {
 			return q.Engine.Cancel(ctx, s, key)
 		}
 	}
--- a/internal/answer/directory/shard.go
+++ b/internal/answer/directory/shard.go
@@ -88,7 +88,7 @@
 	if e == nil {
 		return s.addLocked(n, r)
 	}
-	if !e.record.Ended && !sameHost(e.record, r) && !s.dead(e.record.Host, e.record.Incarnation) {
+	if s.inForce(e.record, r) {
 		return e.record, nil, nil
 	}
 	p := e.record
@@ -109,6 +109,15 @@
 	e.at = s.clock.Now()
 }
 
+// inForce reports whether the record c keeps its place against r. The record of
+// a host yields to one of a later incarnation of the same host.
+func (s *Shard) inForce(c, r sardineknot.AnswerRecord) bool {
+	if c.Host == r.Host {
+		return c.Incarnation > r.Incarnation
+	}
+	return !c.Ended && !s.dead(c.Host, c.Incarnation)
+}
+
 func (s *Shard) wait(ctx context.Context) error {
 	select {
 	case <-s.settled:
--- a/internal/answer/generation/attempt.go
+++ b/internal/answer/generation/attempt.go
@@ -41,11 +41,12 @@
 }
 
 func (n *run) trial() *trial {
+	s := n.Self()
 	e := sardineknot.EngineRequest{
 		Key:              n.request.Key,
 		Attempt:          n.record.Attempt,
-		Owner:            n.Self.ID,
-		OwnerIncarnation: n.Self.Incarnation,
+		Owner:            s.ID,
+		OwnerIncarnation: s.Incarnation,
 		Prompt:           n.request.Prompt,
 		Prior:            n.buffer.Tokens(),
 		MaxTokens:        n.request.MaxTokens,
@@ -60,7 +61,7 @@
 		Key:              e.JobKey(),
 		Pool:             sardineknot.EnginePool(q.Work.Model, q.Work.Version),
 		Work:             q.Work.Name,
-		Zone:             n.Self.Zone,
+		Zone:             n.Self().Zone,
 		PromptTokens:     1 + len(q.Prompt)/bytesPerToken + len(e.Prior),
 		Prefixes:         prefixes(q.Prompt),
 		MaxTokens:        q.MaxTokens,
--- a/internal/answer/generation/record.go
+++ b/internal/answer/generation/record.go
@@ -50,10 +50,30 @@
 	return nil
 }
 
+// confirm asks the directory, until it answers, whether this host still
+// produces the answer. It fails with a DisplacedError if not, and with the
+// error of ctx.
+func (n *run) confirm(ctx context.Context) error {
+	for {
+		c, _, err := n.Directory.Register(ctx, n.record)
+		if err == nil && n.check(c) != nil {
+			return errors.WithStack(&sardineknot.DisplacedError{Key: n.request.Key})
+		}
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-time.After(directoryPause):
+		case <-ctx.Done():
+			return errors.WithStack(ctx.Err())
+		}
+	}
+}
+
 // check fails with an ElsewhereError if the record c in force is not that of
 // this host.
 func (n *run) check(c sardineknot.AnswerRecord) error {
-	if c.Host == n.Self.ID && c.Incarnation == n.Self.Incarnation {
+	if c.Host == n.record.Host && c.Incarnation >= n.record.Incarnation {
 		return nil
 	}
 	return errors.WithStack(&sardineknot.ElsewhereError{Record: c})
--- a/internal/answer/generation/runner.go
+++ b/internal/answer/generation/runner.go
@@ -53,8 +53,8 @@
 // Runner produces answers. It is safe for concurrent use. All exported fields
 // are set before use.
 type Runner struct {
-	// Self is this entry host.
-	Self sardineknot.EntryHost
+	// Self returns this entry host with its present incarnation.
+	Self func() sardineknot.EntryHost
 	// Engine calls engines.
 	Engine sardineknot.Engine
 	// Slots grants engines.
@@ -99,11 +99,12 @@
 // cancellation of what engines hold.
 func (r *Runner) Run(ctx context.Context, q sardineknot.Request, b *buffer.Buffer, offset int) {
 	n := &run{Runner: r, request: q, buffer: b, offset: offset}
+	s := r.Self()
 	n.record = sardineknot.AnswerRecord{
 		Key:         q.Key,
-		Host:        r.Self.ID,
-		Incarnation: r.Self.Incarnation,
-		PeerAddress: r.Self.PeerAddress,
+		Host:        s.ID,
+		Incarnation: s.Incarnation,
+		PeerAddress: s.PeerAddress,
 	}
 	b.End(n.final(ctx, n.produce(ctx)))
 }
--- a/internal/answer/generation/takeover.go
+++ b/internal/answer/generation/takeover.go
@@ -40,7 +40,7 @@
 	t.server = p.Decode
 	t.touched = append(t.touched, s)
 	if o, ok := n.Slots.(adopter); ok {
-		o.Adopt(sardineknot.RunningJob{Job: t.job, Grant: sardineknot.Grant{Decode: p.Decode}, Tokens: n.offset})
+		o.Adopt(sardineknot.RunningJob{Job: t.job, Grant: sardineknot.Grant{Decode: p.Decode}, Tokens: n.offset, TakenOver: true})
 	}
 	n.Log.Info().Str("event", "answer_taken_over").Str("request", n.request.Key.String()).Str("from", string(p.Host)).Str("server", string(s.Name)).Send()
 	err = t.inherit(ctx, s)
--- a/internal/answer/generation/trial.go
+++ b/internal/answer/generation/trial.go
@@ -107,6 +107,10 @@
 			return err
 		}
 		t.Log.Warn().Str("event", "stream_resumed").Str("request", t.job.Key.String()).Str("server", string(s.Name)).Err(err).Send()
+		e := t.renew(ctx)
+		if e != nil {
+			return e
+		}
 		c, err = t.Engine.Resume(ctx, s, t.engineRequest, t.buffer.Len())
 	}
 }
@@ -133,7 +137,27 @@
 			t.started()
 			t.report(sardineknot.JobDecodeStarted)
 		}
+		if t.Self().Incarnation != t.engineRequest.OwnerIncarnation {
+			return errors.WithStack(&sardineknot.InterruptedError{Offset: t.buffer.Len(), Reason: "this host has a new incarnation"})
+		}
+	}
+}
+
+// renew finds out, if this process was paused, whether it still produces the
+// answer, and takes the present incarnation of this host. An engine learns of
+// it when the stream is resumed; otherwise the request would be held for a dead
+// host.
+func (t *trial) renew(ctx context.Context) error {
+	if t.Pulse.Pauses() != t.pauses || t.Self().Incarnation != t.engineRequest.OwnerIncarnation {
+		err := t.confirm(ctx)
+		if err != nil {
+			return err
+		}
 	}
+	i := t.Self().Incarnation
+	t.engineRequest.OwnerIncarnation = i
+	t.job.OwnerIncarnation = i
+	return nil
 }
 
 // use returns the backend server n and notes that it may hold something.
--- a/internal/answer/twirp/directory.go
+++ b/internal/answer/twirp/directory.go
@@ -32,7 +32,12 @@
 	forgetTries = 5
 )
 
-var errNoOwner = errors.New("no live entry host")
+var (
+	errNoOwner = errors.New("no live entry host")
+	// errUnconfirmed is the cause of an UnavailableError of a host that does
+	// not know whether others count it as dead.
+	errUnconfirmed = errors.New("this host has to find out whether it counts as live")
+)
 
 // Directory is a sardineknot.AnswerDirectory. It is safe for concurrent use.
 // All exported fields are set before use.
@@ -73,11 +78,14 @@
 
 // Run follows the membership until ctx is done.
 func (d *Directory) Run(ctx context.Context) error {
+	var n sardineknot.Incarnation
 	for {
 		c := d.Members.Changed()
+		s := d.Members.Self().Incarnation
 		for i := range d.shards {
-			d.refresh(ctx, i)
+			d.refresh(ctx, i, s != n)
 		}
+		n = s
 		select {
 		case <-c:
 		case <-ctx.Done():
@@ -92,10 +100,12 @@
 	return s.PathPrefix(), s
 }
 
-// Register implements sardineknot.AnswerDirectory.
+// Register implements sardineknot.AnswerDirectory. It sets the present
+// incarnation of this host.
 func (d *Directory) Register(ctx context.Context, r sardineknot.AnswerRecord) (current sardineknot.AnswerRecord, previous *sardineknot.AnswerRecord, err error) {
 	s := &d.shards[index(r.Key)]
-	current, previous, err = d.register(ctx, s, r, s.has(r.Key))
+	r.Incarnation = d.Members.Self().Incarnation
+	current, previous, err = d.register(ctx, s, r, s.has(r))
 	if err == nil && sameHost(current, r) {
 		s.keep(r)
 		d.copyAway(ctx, s, r)
@@ -130,6 +140,9 @@
 
 func (d *Directory) register(ctx context.Context, s *slot, r sardineknot.AnswerRecord, standing bool) (sardineknot.AnswerRecord, *sardineknot.AnswerRecord, error) {
 	o, l, ok := s.view()
+	if d.Members.Isolated() || l != nil && o.Incarnation != d.Members.Self().Incarnation {
+		return r, nil, errors.WithStack(&sardineknot.UnavailableError{Peer: "answer directory", Cause: errUnconfirmed})
+	}
 	if !ok {
 		return r, nil, errors.WithStack(&sardineknot.UnavailableError{Peer: "answer directory", Cause: errNoOwner})
 	}
--- a/internal/answer/twirp/directory_test.go
+++ b/internal/answer/twirp/directory_test.go
@@ -42,6 +42,7 @@
 }
 
 func (m members) Self() sardineknot.EntryHost { return m.self }
+func (m members) Isolated() bool              { return false }
 
 func (c *cluster) Hosts() []sardineknot.EntryHost {
 	c.mu.Lock()
--- a/internal/answer/twirp/service.go
+++ b/internal/answer/twirp/service.go
@@ -56,8 +56,9 @@
 
 // owned returns shard i, or an error of twirp if this host does not own it.
 func (s *service) owned(i int) (*directory.Shard, error) {
-	_, l, _ := s.directory.shards[i].view()
-	if l == nil {
+	o, l, _ := s.directory.shards[i].view()
+	m := s.directory.Members
+	if l == nil || m.Isolated() || o.Incarnation != m.Self().Incarnation {
 		return nil, twirp.FailedPrecondition.Error("another host owns the shard")
 	}
 	return l, nil
--- a/internal/answer/twirp/slot.go
+++ b/internal/answer/twirp/slot.go
@@ -12,14 +12,18 @@
 const standingPause = 100 * time.Millisecond
 
 // refresh takes in the owner of shard i. A new owner is told of the records of
-// this host.
-func (d *Directory) refresh(ctx context.Context, i int) {
+// this host. renewed tells that the incarnation of this host has changed, so
+// that the present owner has to be told as well.
+func (d *Directory) refresh(ctx context.Context, i int, renewed bool) {
 	o, ok := d.Ranker.Owner(name(i))
 	s := &d.shards[i]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if ok == s.ok && o.ID == s.owner.ID && o.Incarnation == s.owner.Incarnation {
 		s.owner = o
+		if renewed && len(s.own) > 0 {
+			go d.registerOwn(ctx, s)
+		}
 		return
 	}
 	s.owner, s.ok = o, ok
@@ -60,10 +64,16 @@
 // record in force, that one goes on and this one stops.
 func (d *Directory) registerStanding(ctx context.Context, s *slot, r sardineknot.AnswerRecord) error {
 	w := r.Host == d.Members.Self().ID
-	if w && !s.has(r.Key) {
+	if w && !s.has(r) {
 		return nil
 	}
-	c, _, err := d.register(ctx, s, r, true)
+	// A host that counted as dead yields to one that took its answer over, so
+	// it does not register before that one has.
+	t := !w || r.Incarnation == d.Members.Self().Incarnation
+	if w {
+		r.Incarnation = d.Members.Self().Incarnation
+	}
+	c, _, err := d.register(ctx, s, r, t)
 	if err != nil {
 		return err
 	}
@@ -72,6 +82,7 @@
 		return nil
 	}
 	if sameHost(c, r) {
+		s.keep(r)
 		d.copyAway(ctx, s, r)
 		return nil
 	}
@@ -98,11 +109,13 @@
 	return l
 }
 
-func (s *slot) has(k sardineknot.RequestKey) bool {
+// has reports whether r is a record of this host under its present
+// incarnation.
+func (s *slot) has(r sardineknot.AnswerRecord) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, ok := s.own[k]
-	return ok
+	o, ok := s.own[r.Key]
+	return ok && sameHost(o, r)
 }
 
 func (s *slot) keep(r sardineknot.AnswerRecord) {
--- a/internal/host/process/answers.go
+++ b/internal/host/process/answers.go
@@ -62,12 +62,12 @@
 func (p *Process) newRunner(d sardineknot.AnswerDirectory, u *pulse.Pulse) *generation.Runner {
 	n := uint64(p.self.Incarnation)
 	return &generation.Runner{
-		Self:          p.self,
+		Self:          p.members.Self,
 		Engine:        p.engine,
 		Slots:         p.slots,
 		Directory:     d,
 		Configuration: p.source,
-		Cancels:       &cancel.Queue{Self: p.self, Engine: p.engine, Log: p.log},
+		Cancels:       &cancel.Queue{Self: p.self.ID, Engine: p.engine, Log: p.log},
 		Retries:       budget.NewBudget(retryShare, retryBurst),
 		Pulse:         u,
 		Clock:         p.clock,
--- a/internal/slots/local/ended.go
+++ b/internal/slots/local/ended.go
@@ -25,16 +25,10 @@
 // ending is the end of a job as its holder reported it.
 type ending struct {
 	time   time.Time
-	holder holder
+	holder sardineknot.EntryHostID
 }
 
-// holder is the life of the entry host that holds a job.
-type holder struct {
-	host        sardineknot.EntryHostID
-	incarnation sardineknot.Incarnation
-}
-
-func (e *ended) add(now time.Time, k sardineknot.RequestKey, h holder) {
+func (e *ended) add(now time.Time, k sardineknot.RequestKey, h sardineknot.EntryHostID) {
 	if e.at == nil {
 		e.at = make(map[sardineknot.RequestKey]ending)
 	}
@@ -50,7 +44,7 @@
 }
 
 // by reports whether h reported the end of k.
-func (e *ended) by(k sardineknot.RequestKey, h holder) bool {
+func (e *ended) by(k sardineknot.RequestKey, h sardineknot.EntryHostID) bool {
 	n, ok := e.at[k]
 	return ok && n.holder == h
 }
--- a/internal/slots/local/shard.go
+++ b/internal/slots/local/shard.go
@@ -111,7 +111,7 @@
 	if w == nil {
 		return "", errors.WithStack(&sardineknot.UnknownError{What: "Job", Name: j.Key.String()})
 	}
-	s.Report(j.Owner, j.OwnerIncarnation, sardineknot.JobEvent{Key: j.Key, Kind: sardineknot.JobPrefillDone, Server: w.decided(sardineknot.ActionPrefill)})
+	s.Report(j.Owner, sardineknot.JobEvent{Key: j.Key, Kind: sardineknot.JobPrefillDone, Server: w.decided(sardineknot.ActionPrefill)})
 	d, err := w.wait(ctx, s.closed, sardineknot.ActionDecode)
 	if err != nil {
 		s.forgetRefused(j.Key, err)
@@ -119,20 +119,19 @@
 	return d, err
 }
 
-// Report takes an event of a job from incarnation i of host h. Events of unknown
+// Report takes an event of a job from the entry host h. Events of unknown
 // jobs are ignored, but the end of a job is remembered. Events from a host
 // whose job another one has adopted have no effect.
-func (s *Shard) Report(h sardineknot.EntryHostID, i sardineknot.Incarnation, e sardineknot.JobEvent) {
+func (s *Shard) Report(h sardineknot.EntryHostID, e sardineknot.JobEvent) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	n := s.clock.Now()
-	f := holder{h, i}
 	w := s.jobs[e.Key]
-	if w != nil && w.holder() != f {
+	if w != nil && w.holder() != h {
 		return
 	}
 	if ends(e.Kind) {
-		s.ended.add(n, e.Key, f)
+		s.ended.add(n, e.Key, h)
 	}
 	if w == nil {
 		return
@@ -158,6 +157,9 @@
 	defer s.mu.Unlock()
 	n := s.clock.Now()
 	if w := s.jobs[r.Job.Key]; w != nil {
+		if w.holder() != r.Job.Owner && !r.TakenOver {
+			return
+		}
 		w.setJob(r.Job)
 		delete(s.dead, r.Job.Key)
 		return
@@ -182,6 +184,8 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if w := s.jobs[j.Key]; w != nil {
+		w.setJob(j)
+		delete(s.dead, j.Key)
 		return w, nil
 	}
 	if s.ended.has(j.Key) {
--- a/internal/slots/local/waiter.go
+++ b/internal/slots/local/waiter.go
@@ -67,10 +67,7 @@
 	return w.job
 }
 
-func (w *waiter) holder() holder {
-	j := w.heldJob()
-	return holder{j.Owner, j.OwnerIncarnation}
-}
+func (w *waiter) holder() sardineknot.EntryHostID { return w.heldJob().Owner }
 
 // decided returns the server decided for a, or the empty string.
 func (w *waiter) decided(a sardineknot.Action) sardineknot.BackendServerName {
--- a/internal/slots/twirp/ask.go
+++ b/internal/slots/twirp/ask.go
@@ -19,7 +19,7 @@
 var errNoOwner = errors.New("no live entry host")
 
 func (l *link) acquire(ctx context.Context, j sardineknot.Job) (g sardineknot.Grant, err error) {
-	err = l.persist(ctx, func(ctx context.Context, v view) error {
+	err = l.persist(ctx, j, func(ctx context.Context, v view, j sardineknot.Job) error {
 		var e error
 		g, e = l.acquireOnce(ctx, v, j)
 		return e
@@ -48,7 +48,7 @@
 }
 
 func (l *link) prefillDone(ctx context.Context, j sardineknot.Job) (d sardineknot.BackendServerName, err error) {
-	err = l.persist(ctx, func(ctx context.Context, v view) error {
+	err = l.persist(ctx, j, func(ctx context.Context, v view, j sardineknot.Job) error {
 		var e error
 		d, e = l.prefillDoneOnce(ctx, v, j)
 		return e
@@ -71,15 +71,17 @@
 	return sardineknot.BackendServerName(p.GetDecode()), errors.WithStack(refusal(p.GetRefusal()))
 }
 
-// persist calls ask with the owner of the shard until it succeeds, the job is
+// persist calls ask with the owner of the shard and with j under the present
+// incarnation of this host until it succeeds, the job is
 // refused, or ctx is done. A call ends when the shard moves.
-func (l *link) persist(ctx context.Context, ask func(context.Context, view) error) error {
+func (l *link) persist(ctx context.Context, j sardineknot.Job, ask func(context.Context, view, sardineknot.Job) error) error {
 	for n := firstPause; ; n = min(2*n, maxPause) {
 		v := l.view()
+		j.OwnerIncarnation = l.pool.Members.Self().Incarnation
 		err := errors.WithStack(&sardineknot.UnavailableError{Peer: "owner of " + l.name, Cause: errNoOwner})
 		if v.ok {
 			c, cancel := untilMoved(ctx, v)
-			err = ask(c, v)
+			err = ask(c, v, j)
 			cancel()
 		}
 		var f *sardineknot.NotRunError
--- a/internal/slots/twirp/link.go
+++ b/internal/slots/twirp/link.go
@@ -89,6 +89,19 @@
 	l.announceLocked()
 }
 
+// renew marks the jobs of this host with its incarnation i, tells the owner of
+// the running ones, and has the waiting ones asked for again.
+func (l *link) renew(i sardineknot.Incarnation) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, r := range l.held {
+		r.Job.OwnerIncarnation = i
+	}
+	close(l.moved)
+	l.moved = make(chan struct{})
+	l.announceLocked()
+}
+
 func (l *link) view() view {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/slots/twirp/message.go
+++ b/internal/slots/twirp/message.go
@@ -44,16 +44,14 @@
 	}
 }
 
-func eventMessage(e sardineknot.JobEvent, self sardineknot.EntryHost) *rpc.Event {
+func eventMessage(e sardineknot.JobEvent, self sardineknot.EntryHostID) *rpc.Event {
 	return &rpc.Event{
 		Account: string(e.Key.Account),
 		Request: string(e.Key.ID),
 		Kind:    int32(e.Kind),
 		Server:  string(e.Server),
 		Tokens:  int32(e.Tokens),
-
-		Owner:            string(self.ID),
-		OwnerIncarnation: uint64(self.Incarnation),
+		Owner:   string(self),
 	}
 }
 
@@ -72,6 +70,8 @@
 		Prefill: string(r.Grant.Prefill),
 		Decode:  string(r.Grant.Decode),
 		Tokens:  int32(r.Tokens),
+
+		TakenOver: r.TakenOver,
 	}
 }
 
@@ -82,7 +82,8 @@
 			Prefill: sardineknot.BackendServerName(m.GetPrefill()),
 			Decode:  sardineknot.BackendServerName(m.GetDecode()),
 		},
-		Tokens: int(m.GetTokens()),
+		Tokens:    int(m.GetTokens()),
+		TakenOver: m.GetTakenOver(),
 	}
 }
 
--- a/internal/slots/twirp/outbox.go
+++ b/internal/slots/twirp/outbox.go
@@ -38,12 +38,11 @@
 	defer l.mu.Unlock()
 	l.applyLocked(e)
 	if l.local != nil {
-		s := l.pool.Members.Self()
-		l.local.Report(s.ID, s.Incarnation, e)
+		l.local.Report(l.pool.Members.Self().ID, e)
 		return
 	}
 	if len(l.events) < maxEvents {
-		l.events = append(l.events, eventMessage(e, l.pool.Members.Self()))
+		l.events = append(l.events, eventMessage(e, l.pool.Members.Self().ID))
 	}
 	d := stepDelay
 	if ends(e.Kind) {
@@ -181,7 +180,7 @@
 }
 
 func report(s *local.Shard, m *rpc.Event) {
-	s.Report(sardineknot.EntryHostID(m.GetOwner()), sardineknot.Incarnation(m.GetOwnerIncarnation()), event(m))
+	s.Report(sardineknot.EntryHostID(m.GetOwner()), event(m))
 }
 
 // load returns the load of s.
--- a/internal/slots/twirp/pool.go
+++ b/internal/slots/twirp/pool.go
@@ -52,6 +52,8 @@
 	jobs sync.Map
 
 	mu sync.Mutex
+	// incarnation is that of this host at the last refresh.
+	incarnation sardineknot.Incarnation
 	// configuration is the one that links was made from.
 	configuration *sardineknot.Configuration
 	// links holds the shards of the configuration and those with jobs, by
@@ -125,6 +127,7 @@
 }
 
 func (p *Pool) acquireFrom(ctx context.Context, l *link, j sardineknot.Job) (sardineknot.Grant, error) {
+	j.OwnerIncarnation = p.Members.Self().Incarnation
 	p.jobs.Store(j.Key, l)
 	l.hold(j)
 	g, err := l.acquire(ctx, j)
--- a/internal/slots/twirp/refresh.go
+++ b/internal/slots/twirp/refresh.go
@@ -12,12 +12,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := c != p.configuration
+	i := p.Members.Self().Incarnation
 	if n {
 		p.splitLocked(c)
 	}
 	for _, l := range p.links {
 		o, ok := p.Ranker.Owner(l.name)
 		l.setOwner(o, ok)
+		if i != p.incarnation {
+			l.renew(i)
+		}
 		if n {
 			l.setServers(c.Links)
 		}
@@ -26,6 +30,7 @@
 		p.rehomeLocked()
 	}
 	p.dropLocked()
+	p.incarnation = i
 }
 
 // splitLocked makes the links of configuration c. Links of shards that are
--- a/scheduler.go
+++ b/scheduler.go
@@ -121,6 +121,9 @@
 	// Tokens is the number of tokens generated so far. Zero means that the
 	// decode has not started.
 	Tokens int
+	// TakenOver tells that another entry host held the job before. It goes
+	// before what that host says of the job.
+	TakenOver bool
 }
 
 // Adopter is a Scheduler that can take over jobs that run already. A Scheduler
