slots: announce jobs that were taken over to a new owner

Cause: a job that was taken over has no prefill engine in its grant, by which running jobs were told from waiting ones. It was not announced when its shard moved, and the reaper of the new owner cancelled a live decode. An owner also took announcements before it had taken in its new incarnation, and lost them with the shard that it replaced; it refuses them now.

Seen failing with the mechanism disabled: 'a new owner learns of a job that was taken over'.

--- a/internal/slots/twirp/link.go
+++ b/internal/slots/twirp/link.go
@@ -168,7 +168,7 @@
 func (l *link) runningLocked() []sardineknot.RunningJob {
 	var r []sardineknot.RunningJob
 	for _, h := range l.held {
-		if h.Grant.Prefill != "" {
+		if h.Grant != (sardineknot.Grant{}) {
 			r = append(r, *h)
 		}
 	}
--- a/internal/slots/twirp/pool_test.go
+++ b/internal/slots/twirp/pool_test.go
@@ -67,6 +67,16 @@
 		checkCounts(t, c, c.next, 1, 1, 0)
 		is.New(t).Equal(c.schedulers[c.next.ID].adopted[0].Grant, sardineknot.Grant{Prefill: "p", Decode: "d"})
 	})
+	run(t, "a new owner learns of a job that was taken over", func(t *testing.T, c *cluster) {
+		r := sardineknot.RunningJob{Job: c.job("1"), Grant: sardineknot.Grant{Decode: "d"}, Tokens: 7, TakenOver: true}
+		c.pools[c.asker.ID].Adopt(r)
+		time.Sleep(settle)
+		checkCounts(t, c, c.owner, 0, 1, 0)
+		c.kill(0)
+		time.Sleep(settle)
+		checkCounts(t, c, c.next, 0, 1, 0)
+		is.New(t).True(c.schedulers[c.next.ID].adopted[0].TakenOver)
+	})
 	run(t, "a waiting job moves to the new owner", func(t *testing.T, c *cluster) {
 		c.schedulers[c.owner.ID].hold = true
 		go func() {
--- a/internal/slots/twirp/service.go
+++ b/internal/slots/twirp/service.go
@@ -62,18 +62,20 @@
 	return &rpc.ReportResponse{Load: load(o)}, nil
 }
 
-// owned returns the shard n, or an error of twirp if this host does not own
-// it.
+// owned returns the shard n, or an error of twirp if this host does not own it.
+// A host that counted as dead has not, before it took in its new incarnation:
+// what it was told would be lost with the shard that it had before.
 func (s *service) owned(n string) (*local.Shard, error) {
 	l := s.pool.find(n)
 	if l == nil {
 		return nil, twirp.NotFoundError("no such shard")
 	}
-	o, _ := l.owned()
-	if o == nil {
+	v := l.view()
+	m := s.pool.Members
+	if v.local == nil || m.Isolated() || v.owner.Incarnation != m.Self().Incarnation {
 		return nil, twirp.FailedPrecondition.Error("another host owns the shard")
 	}
-	return o, nil
+	return v.local, nil
 }
 
 // outcome splits err into a refusal and an error of twirp.
