--- /dev/null
+++ b/internal/answer/generation/fakes_test.go
@@ -0,0 +1,176 @@
+package generation_test
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/answer/budget"
+	"sardineknot.example/sardineknot/internal/answer/buffer"
+	"sardineknot.example/sardineknot/internal/answer/cancel"
+	"sardineknot.example/sardineknot/internal/answer/generation"
+	"sardineknot.example/sardineknot/internal/answer/pulse"
+	"sardineknot.example/sardineknot/internal/host/clock"
+)
+
+var self = sardineknot.EntryHost{ID: "self", Incarnation: 1}
+
+// engines is a fake of all engines. Each step has a function that a test may
+// replace.
+type engines struct {
+	mu        sync.Mutex
+	prefill   func(ctx context.Context, r sardineknot.EngineRequest) error
+	decode    func(ctx context.Context, r sardineknot.EngineRequest) (sardineknot.TokenStream, error)
+	resume    func(r sardineknot.EngineRequest, offset int) (sardineknot.TokenStream, error)
+	prefilled []string
+	cancelled []string
+}
+
+func (e *engines) Prefill(ctx context.Context, _ sardineknot.BackendServer, r sardineknot.EngineRequest) (sardineknot.KVCache, error) {
+	e.mu.Lock()
+	e.prefilled = append(e.prefilled, r.EngineKey())
+	e.mu.Unlock()
+	return sardineknot.KVCache{}, e.prefill(ctx, r)
+}
+
+func (e *engines) Decode(ctx context.Context, _ sardineknot.BackendServer, r sardineknot.EngineRequest, _ sardineknot.KVCache) (sardineknot.TokenStream, error) {
+	return e.decode(ctx, r)
+}
+
+func (e *engines) Resume(_ context.Context, _ sardineknot.BackendServer, r sardineknot.EngineRequest, offset int) (sardineknot.TokenStream, error) {
+	return e.resume(r, offset)
+}
+
+func (e *engines) Cancel(_ context.Context, _ sardineknot.BackendServer, k string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cancelled = append(e.cancelled, k)
+	return nil
+}
+
+func (*engines) Held(context.Context, sardineknot.BackendServer) ([]sardineknot.HeldRequest, error) {
+	return nil, nil
+}
+
+func (*engines) Load(context.Context, sardineknot.BackendServer) (sardineknot.LoadReport, error) {
+	return sardineknot.LoadReport{}, nil
+}
+
+// stream gives the tokens from next to the end, and then fails with err.
+type stream struct {
+	next, end int
+	err       error
+}
+
+func (s *stream) Next() (sardineknot.Token, error) {
+	if s.next == s.end {
+		return sardineknot.Token{}, s.err
+	}
+	s.next++
+	return sardineknot.Token{Index: s.next - 1}, nil
+}
+
+func (*stream) Close() error { return nil }
+
+// slots grants at once, or never, and records the events of jobs.
+type slots struct {
+	mu     sync.Mutex
+	full   bool
+	events []sardineknot.JobEventKind
+}
+
+func (s *slots) Acquire(ctx context.Context, _ sardineknot.Job) (sardineknot.Grant, error) {
+	if s.full {
+		<-ctx.Done()
+		return sardineknot.Grant{}, ctx.Err()
+	}
+	return sardineknot.Grant{Prefill: "p", Decode: "d"}, nil
+}
+
+func (*slots) PrefillDone(context.Context, sardineknot.Job) (sardineknot.BackendServerName, error) {
+	return "d", nil
+}
+
+func (s *slots) Report(_ sardineknot.Job, e sardineknot.JobEvent) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.events = append(s.events, e.Kind)
+}
+
+// directory says that the request is in force elsewhere, or was before.
+type directory struct {
+	elsewhere bool
+	previous  *sardineknot.AnswerRecord
+}
+
+func (d *directory) Register(_ context.Context, r sardineknot.AnswerRecord) (sardineknot.AnswerRecord, *sardineknot.AnswerRecord, error) {
+	if d.elsewhere {
+		r.Host = "other"
+	}
+	return r, d.previous, nil
+}
+
+func (*directory) Forget(context.Context, sardineknot.AnswerRecord) {}
+
+type source struct{}
+
+func (source) Current() *sardineknot.Configuration {
+	return &sardineknot.Configuration{BackendServers: []sardineknot.BackendServer{{Name: "d"}, {Name: "p"}}}
+}
+func (source) Changed() <-chan struct{} { return nil }
+
+// fixture is a runner with its fakes. A request has ten tokens and a deadline
+// of firstToken.
+type fixture struct {
+	engines   *engines
+	slots     *slots
+	directory *directory
+	runner    *generation.Runner
+	buffer    *buffer.Buffer
+}
+
+const firstToken = 10 * time.Second
+
+// run runs f in virtual time.
+func run(t *testing.T, name string, f func(*testing.T, *fixture)) {
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			x := &fixture{engines: &engines{}, slots: &slots{}, directory: &directory{}}
+			x.engines.prefill = func(context.Context, sardineknot.EngineRequest) error { return nil }
+			x.engines.decode = func(_ context.Context, r sardineknot.EngineRequest) (sardineknot.TokenStream, error) {
+				return &stream{len(r.Prior), r.MaxTokens, io.EOF}, nil
+			}
+			x.engines.resume = func(sardineknot.EngineRequest, int) (sardineknot.TokenStream, error) {
+				return nil, &sardineknot.RefusedError{Server: "d"}
+			}
+			x.runner = &generation.Runner{
+				Self: func() sardineknot.EntryHost { return self }, Engine: x.engines, Slots: x.slots, Directory: x.directory,
+				Configuration: source{}, Cancels: &cancel.Queue{Self: self.ID, Engine: x.engines, Log: zerolog.Nop()},
+				Retries: budget.NewBudget(0.1, 10), Pulse: pulse.NewPulse(clock.System{}, time.Hour), Clock: clock.System{},
+				Random: rand.New(rand.NewPCG(1, 1)), Log: zerolog.Nop(),
+			}
+			x.buffer = buffer.NewBuffer(sardineknot.RequestKey{}, time.Hour, func() {}, nil)
+			f(t, x)
+			synctest.Wait()
+		})
+	})
+}
+
+// produce runs the request for a caller that has offset tokens. It returns the
+// time that it took and how the answer ended.
+func (x *fixture) produce(ctx context.Context, offset int) (took time.Duration, end error) {
+	n := time.Now()
+	x.runner.Run(ctx, sardineknot.Request{
+		Key: sardineknot.RequestKey{Account: "a", ID: "1"}, Prompt: "p", MaxTokens: 10,
+		Work: sardineknot.Work{FirstToken: firstToken}, Deadline: n.Add(firstToken),
+	}, x.buffer, offset)
+	synctest.Wait()
+	return time.Since(n), x.buffer.Ended()
+}
