slots: test the choice among shards

Seen failing with the mechanism disabled: 'a full shard spills to another one' and 'full shards share what comes' without the comparison, 'an old load is not trusted' without its validity.

--- /dev/null
+++ b/internal/slots/twirp/choose_test.go
@@ -0,0 +1,98 @@
+package twirp_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/host/clock"
+	"sardineknot.example/sardineknot/internal/membership/rendezvous"
+	"sardineknot.example/sardineknot/internal/slots/twirp"
+)
+
+// zones is a pool of one host that is large enough for one shard for each of
+// two zones, of five decode slots each.
+type zones struct {
+	pool *twirp.Pool
+	// schedulers lists the schedulers of the shards, of zone a and zone b.
+	schedulers []*ledger
+	// jobs counts the jobs so far.
+	jobs int
+}
+
+func newZones(t *testing.T) *zones {
+	e := sardineknot.EntryHost{ID: "h1", Incarnation: 1}
+	m := members{&hosts{list: []sardineknot.EntryHost{e}, changed: make(chan struct{})}, e}
+	c := &sardineknot.Configuration{Revision: 1}
+	for i := range 40 {
+		b := sardineknot.BackendServer{
+			Name: sardineknot.BackendServerName(fmt.Sprint(i)), Zone: sardineknot.AvailabilityZone([]string{"a", "b"}[i%2]),
+			Role: sardineknot.RolePrefill, Model: "m", Version: "1", Slots: 5, State: sardineknot.BackendJoining,
+		}
+		if i < 2 {
+			b.Role = sardineknot.RoleDecode
+		}
+		c.BackendServers = append(c.BackendServers, b)
+	}
+	z := &zones{}
+	z.pool = &twirp.Pool{
+		Members: m, Ranker: rendezvous.NewRanker(m), Clock: clock.System{}, Source: source{c}, Random: rand.New(rand.NewPCG(1, 1)),
+		Create: func(sardineknot.PoolName) sardineknot.Scheduler {
+			z.schedulers = append(z.schedulers, &ledger{})
+			return z.schedulers[len(z.schedulers)-1]
+		},
+	}
+	go func() { _ = z.pool.Run(t.Context()) }()
+	synctest.Wait()
+	return z
+}
+
+// acquire gets grants for n jobs of zone z and returns how many jobs the two
+// shards have seen, the greater number first.
+func (z *zones) acquire(t *testing.T, zone sardineknot.AvailabilityZone, n int) []int {
+	t.Helper()
+	for range n {
+		z.jobs++
+		j := sardineknot.Job{
+			Key:  sardineknot.RequestKey{Account: "a", ID: sardineknot.RequestID(fmt.Sprint(z.jobs))},
+			Pool: pool, Zone: zone, Owner: "h1", OwnerIncarnation: 1,
+		}
+		_, err := z.pool.Acquire(t.Context(), j)
+		is.New(t).NoErr(err)
+	}
+	a, _, _ := z.schedulers[0].counts()
+	b, _, _ := z.schedulers[1].counts()
+	return []int{max(a, b), min(a, b)}
+}
+
+func TestChoose(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		jobs int
+		want []int
+	}{
+		{"a job goes to the shard of its zone", 5, []int{5, 0}},
+		{"a full shard spills to another one", 8, []int{5, 3}},
+		{"full shards share what comes", 20, []int{10, 10}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				z := newZones(t)
+				is.New(t).Equal(z.acquire(t, "a", c.jobs), c.want)
+			})
+		})
+	}
+	t.Run("an old load is not trusted", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			z := newZones(t)
+			z.acquire(t, "a", 5)
+			time.Sleep(time.Minute)
+			is.New(t).Equal(z.acquire(t, "a", 1), []int{6, 0})
+		})
+	})
+}
