answer: leave out of replies what the sender knows

Cause: the reply to a registration repeated the record, and that of an update the earlier one: 753 B for one answer at both registrations and its end (go test -run '^$' -bench AnswerBytes -benchtime 1000x ./internal/answer/twirp), which with the slots' 675 B is over the budget of a host at full size.

After: 436 B by the same command.

--- a/internal/answer/twirp/directory.go
+++ b/internal/answer/twirp/directory.go
@@ -138,7 +138,7 @@
 	return r, ok
 }
 
-func (d *Directory) register(ctx context.Context, s *slot, r sardineknot.AnswerRecord, standing bool) (sardineknot.AnswerRecord, *sardineknot.AnswerRecord, error) {
+func (d *Directory) register(ctx context.Context, s *slot, r sardineknot.AnswerRecord, standing bool) (current sardineknot.AnswerRecord, previous *sardineknot.AnswerRecord, err error) {
 	o, l, ok := s.view()
 	if d.Members.Isolated() || l != nil && o.Incarnation != d.Members.Self().Incarnation {
 		return r, nil, errors.WithStack(&sardineknot.UnavailableError{Peer: "answer directory", Cause: errUnconfirmed})
@@ -155,11 +155,15 @@
 	if err != nil {
 		return r, nil, errors.WithStack(&sardineknot.UnavailableError{Peer: string(o.ID), Cause: err})
 	}
-	if p.GetPrevious() == nil {
-		return record(p.GetRecord()), nil, nil
+	current = r
+	if p.GetRecord() != nil {
+		current = record(p.GetRecord())
 	}
-	v := record(p.GetPrevious())
-	return record(p.GetRecord()), &v, nil
+	if p.GetPrevious() != nil {
+		v := record(p.GetPrevious())
+		previous = &v
+	}
+	return current, previous, nil
 }
 
 func (d *Directory) forget(ctx context.Context, s *slot, r sardineknot.AnswerRecord) error {
--- a/internal/answer/twirp/service.go
+++ b/internal/answer/twirp/service.go
@@ -21,7 +21,7 @@
 	r := record(q.GetRecord())
 	if q.GetCopy() {
 		s.directory.shards[index(r.Key)].keepCopy(s.directory.Clock.Now(), r)
-		return &rpc.RegisterResponse{Record: q.GetRecord()}, nil
+		return &rpc.RegisterResponse{}, nil
 	}
 	l, err := s.owned(index(r.Key))
 	if err != nil {
@@ -31,8 +31,11 @@
 	if err != nil {
 		return nil, twirp.Unavailable.Error(err.Error())
 	}
-	a := &rpc.RegisterResponse{Record: message(c)}
-	if p != nil {
+	a := &rpc.RegisterResponse{}
+	if !sameHost(c, r) {
+		a.Record = message(c)
+	}
+	if p != nil && !q.GetStanding() {
 		a.Previous = message(*p)
 	}
 	return a, nil
