--- a/internal/membership/liveness/tracker.go
+++ b/internal/membership/liveness/tracker.go
@@ -18,6 +18,9 @@
 // as dead.
 const unknownLimit = 30 * time.Second
 
+// maxUnknown bounds the incarnations that were never a member.
+const maxUnknown = 4096
+
 // Tracker follows a membership. It is safe for concurrent use.
 type Tracker struct {
 	members sardineknot.Membership
@@ -95,8 +98,21 @@
 	n := t.clock.Now()
 	s, ok := t.unknown[l]
 	if !ok {
+		t.forgetUnknownLocked(n)
 		t.unknown[l] = n
 		return false
 	}
 	return n.Sub(s) >= unknownLimit
 }
+
+// forgetUnknownLocked bounds unknown. What is asked about again starts anew.
+func (t *Tracker) forgetUnknownLocked(now time.Time) {
+	if len(t.unknown) < maxUnknown {
+		return
+	}
+	for l, s := range t.unknown {
+		if now.Sub(s) > 2*unknownLimit || len(t.unknown) >= maxUnknown {
+			delete(t.unknown, l)
+		}
+	}
+}
