--- /dev/null
+++ b/internal/answer/standing/check_test.go
@@ -0,0 +1,76 @@
+package standing_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/answer/pulse"
+	"sardineknot.example/sardineknot/internal/answer/standing"
+	"sardineknot.example/sardineknot/internal/host/clock"
+)
+
+const limit = time.Second
+
+// directory names a host, after some failures, and counts the calls.
+type directory struct {
+	host     sardineknot.EntryHostID
+	failures int
+	calls    int
+}
+
+func (d *directory) Register(_ context.Context, r sardineknot.AnswerRecord) (sardineknot.AnswerRecord, *sardineknot.AnswerRecord, error) {
+	d.calls++
+	if d.calls <= d.failures {
+		return r, nil, &sardineknot.UnavailableError{Peer: "directory", Cause: context.DeadlineExceeded}
+	}
+	r.Host = d.host
+	return r, nil, nil
+}
+
+func (*directory) Forget(context.Context, sardineknot.AnswerRecord) {}
+
+// run runs f in virtual time with a check whose process looks at the clock only
+// when the check is called.
+func run(t *testing.T, name string, d *directory, f func(t *testing.T, check func(context.Context) error)) {
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			c := &standing.Check{
+				Pulse: pulse.NewPulse(clock.System{}, limit), Directory: d,
+				Own: func(k sardineknot.RequestKey) (sardineknot.AnswerRecord, bool) {
+					return sardineknot.AnswerRecord{Key: k, Host: "self"}, true
+				},
+			}
+			f(t, c.For(sardineknot.RequestKey{Account: "a", ID: "1"}))
+		})
+	})
+}
+
+func TestCheck(t *testing.T) {
+	d := &directory{host: "other"}
+	run(t, "does not ask without a pause", d, func(t *testing.T, check func(context.Context) error) {
+		for range 10 {
+			time.Sleep(limit)
+			is.New(t).NoErr(check(t.Context()))
+		}
+		is.New(t).Equal(d.calls, 0)
+	})
+	run(t, "fails after a pause if another host produces the answer", &directory{host: "other"}, func(t *testing.T, check func(context.Context) error) {
+		time.Sleep(limit + time.Nanosecond)
+		var e *sardineknot.DisplacedError
+		is.New(t).True(errors.As(check(t.Context()), &e))
+		is.New(t).True(errors.As(check(t.Context()), &e))
+	})
+	s := &directory{host: "self", failures: 5}
+	run(t, "asks once for each pause, until the directory answers", s, func(t *testing.T, check func(context.Context) error) {
+		time.Sleep(2 * limit)
+		is.New(t).NoErr(check(t.Context()))
+		is.New(t).NoErr(check(t.Context()))
+		is.New(t).Equal(s.calls, 6)
+	})
+}
