--- a/internal/answer/generation/attempt.go
+++ b/internal/answer/generation/attempt.go
@@ -41,11 +41,12 @@
 }
 
 func (n *run) trial() *trial {
+	s := n.Self()
 	e := sardineknot.EngineRequest{
 		Key:              n.request.Key,
 		Attempt:          n.record.Attempt,
-		Owner:            n.record.Host,
-		OwnerIncarnation: n.record.Incarnation,
+		Owner:            s.ID,
+		OwnerIncarnation: s.Incarnation,
 		Prompt:           n.request.Prompt,
 		Prior:            n.buffer.Tokens(),
 		MaxTokens:        n.request.MaxTokens,
--- a/internal/answer/generation/runner.go
+++ b/internal/answer/generation/runner.go
@@ -53,7 +53,7 @@
 // Runner produces answers. It is safe for concurrent use. All exported fields
 // are set before use.
 type Runner struct {
-	// Self returns this entry host. Its incarnation may grow.
+	// Self returns this entry host with its present incarnation.
 	Self func() sardineknot.EntryHost
 	// Engine calls engines.
 	Engine sardineknot.Engine
@@ -99,12 +99,12 @@
 // cancellation of what engines hold.
 func (r *Runner) Run(ctx context.Context, q sardineknot.Request, b *buffer.Buffer, offset int) {
 	n := &run{Runner: r, request: q, buffer: b, offset: offset}
-	e := r.Self()
+	s := r.Self()
 	n.record = sardineknot.AnswerRecord{
 		Key:         q.Key,
-		Host:        e.ID,
-		Incarnation: e.Incarnation,
-		PeerAddress: e.PeerAddress,
+		Host:        s.ID,
+		Incarnation: s.Incarnation,
+		PeerAddress: s.PeerAddress,
 	}
 	b.End(n.final(ctx, n.produce(ctx)))
 }
--- a/internal/host/process/answers.go
+++ b/internal/host/process/answers.go
@@ -67,7 +67,7 @@
 		Slots:         p.slots,
 		Directory:     d,
 		Configuration: p.source,
-		Cancels:       &cancel.Queue{Self: p.members.Self, Engine: p.engine, Log: p.log},
+		Cancels:       &cancel.Queue{Self: p.self.ID, Engine: p.engine, Log: p.log},
 		Retries:       budget.NewBudget(retryShare, retryBurst),
 		Pulse:         u,
 		Clock:         p.clock,
