policy/timed: wrong estimates of prefill times are corrected

Cause: a prefill on an engine that was paused for some seconds raises the time per token; every job with a tight target is then refused before its prefill, no prefill ends, and nothing is learned again.

Changed: after three refusals in a row and a second without any prefill, one job is admitted to the idle engines against the estimate, and its time replaces the estimate. TestProbe fails without it (all later jobs refused).

--- a/internal/policy/timed/admit.go
+++ b/internal/policy/timed/admit.go
@@ -15,6 +15,10 @@
 	// back.
 	minReturn = 200 * time.Millisecond
 	maxReturn = 20 * time.Second
+	// probeEvery is the time without any prefill, and probeAfter the number of
+	// refusals in a row, after which a job is admitted against the estimates.
+	probeEvery = time.Second
+	probeAfter = 3
 )
 
 // admit returns why j is refused and when its caller may come back, or an
@@ -27,12 +31,37 @@
 		return "engines would be too slow between tokens", s.comeBack(now, 0)
 	}
 	f := s.firstToken(now, j)
-	if f.After(j.Deadline) {
+	if f.After(j.Deadline) && !s.probe(now, j) {
 		return "first token would be late", s.comeBack(now, f.Sub(j.Deadline))
 	}
 	return "", 0
 }
 
+// probe reports whether j is admitted against the estimates, so that wrong
+// ones are corrected: several jobs in a row were refused, none has been
+// prefilled for long, and the prefill engines are idle.
+func (s *Scheduler) probe(now time.Time, j *job) bool {
+	s.late++
+	if s.late < probeAfter || now.Sub(s.prefilledAt) < probeEvery || !now.Before(j.Deadline) || !s.idle() {
+		return false
+	}
+	s.late = 0
+	s.prefilledAt = now
+	j.probe = true
+	j.latestStart = j.Deadline
+	return true
+}
+
+// idle reports whether nothing waits and no prefill engine works.
+func (s *Scheduler) idle() bool {
+	for _, e := range s.prefill {
+		if len(e.jobs) > 0 {
+			return false
+		}
+	}
+	return s.queue.Len() == 0 && len(s.pending) == 0
+}
+
 // allSlow reports whether every engine would break the target between tokens.
 func (s *Scheduler) allSlow(now time.Time, j *job) bool {
 	for _, e := range s.decode {
--- a/internal/policy/timed/dispatch.go
+++ b/internal/policy/timed/dispatch.go
@@ -51,7 +51,7 @@
 		return false
 	}
 	f := c.end.Add(c.transfer + seconds(s.interval) + slack)
-	if f.After(j.Deadline) {
+	if f.After(j.Deadline) && !j.probe {
 		t := s.comeBack(now, f.Sub(j.Deadline))
 		s.release(now, j)
 		s.refuse(j, "first token would be late", t)
--- a/internal/policy/timed/engine.go
+++ b/internal/policy/timed/engine.go
@@ -75,14 +75,14 @@
 		return false
 	}
 	m := e.server.MemoryPieces
-	return m == 0 || e.pieces+j.pieces <= m || len(e.jobs) == 0
+	return m <= 0 || e.pieces+j.pieces <= m || len(e.jobs) == 0
 }
 
 // wouldFit reports whether e would have memory for j if one of its jobs of the
 // mean size ended.
 func (e *engine) wouldFit(j *job) bool {
 	m, n := e.server.MemoryPieces, len(e.jobs)
-	return m == 0 || n == 0 || e.pieces-e.pieces/n+j.pieces <= m
+	return m <= 0 || n == 0 || e.pieces-e.pieces/n+j.pieces <= m
 }
 
 // slow reports whether e would break the target between tokens of j.
--- a/internal/policy/timed/job.go
+++ b/internal/policy/timed/job.go
@@ -35,6 +35,8 @@
 	decode *engine
 	// cost is the estimated time of the prefill.
 	cost time.Duration
+	// probe tells that the job was admitted against the estimates.
+	probe bool
 	// hits is the number of prefixes that the prefill engine was sent before.
 	hits int
 	// pieces is the estimated engine memory at the end of the answer.
--- a/internal/policy/timed/rates.go
+++ b/internal/policy/timed/rates.go
@@ -30,6 +30,10 @@
 	perToken float64
 	// interval is the time between two tokens, in seconds.
 	interval float64
+	// prefilledAt is the end of the last prefill, or the last probe.
+	prefilledAt time.Time
+	// late counts the jobs that were refused since then.
+	late int
 	// cost is the mean time of a prefill, in seconds.
 	cost float64
 	// tokens is the mean length of an answer, in tokens.
@@ -57,6 +61,11 @@
 
 // learnPrefill takes the duration of j's prefill.
 func (s *Scheduler) learnPrefill(now time.Time, j *job) {
+	s.prefilledAt, s.late = now, 0
+	g := gain
+	if j.probe {
+		g = 1
+	}
 	e := j.prefill
 	b := j.began
 	if e.last.After(b) {
@@ -67,10 +76,10 @@
 		s.prefixes.Forget(j.Prefixes, e.server.Name)
 		return
 	}
-	s.cost = learn(s.cost, t, gain)
+	s.cost = learn(s.cost, t, g)
 	n := j.PromptTokens - j.hits*sardineknot.PieceTokens
 	if n >= minPrefillTokens {
-		s.perToken = learn(s.perToken, t/float64(n), gain)
+		s.perToken = learn(s.perToken, t/float64(n), g)
 	}
 }
 
--- a/internal/policy/timed/scheduler_test.go
+++ b/internal/policy/timed/scheduler_test.go
@@ -77,6 +77,7 @@
 func TestRefusal(t *testing.T) {
 	t.Run("before prefill and at once if the first token would be late", func(t *testing.T) {
 		v := newDriver(t, 1, 1, 1)
+		v.learn(1)
 		j := v.job("1")
 		j.Deadline = v.now.Add(50 * time.Millisecond)
 		v.submit(j)
@@ -114,6 +115,30 @@
 	})
 }
 
+func TestProbe(t *testing.T) {
+	t.Run("prefills that seemed slow are tried again within seconds", func(t *testing.T) {
+		v := newDriver(t, 1, 1, 4)
+		v.submit(v.job("slow"))
+		v.wait(8 * time.Second)
+		v.report("slow", sardineknot.JobPrefillDone, "p0", 0)
+		v.report("slow", sardineknot.JobCancelled, "d0", 0)
+		var n int
+		for i := range 100 {
+			k := fmt.Sprint(i)
+			j := v.job(k)
+			j.Deadline = v.now.Add(500 * time.Millisecond)
+			v.submit(j)
+			if v.prefilled(k) {
+				n++
+				v.generate(k)
+				v.finish(k, 0, 10)
+			}
+			v.wait(50 * time.Millisecond)
+		}
+		v.is.True(n > 70)
+	})
+}
+
 func TestCapability(t *testing.T) {
 	t.Run("jobs are refused if engines are too slow between tokens", func(t *testing.T) {
 		v := newDriver(t, 1, 1, 2)
