--- a/cmd/standin/ask.go
+++ b/cmd/standin/ask.go
@@ -39,6 +39,7 @@
 	f.IntVar(&c.caller.Cut, "cut", 0, "disconnect after this number of tokens")
 	f.IntVar(&c.caller.From, "from", 0, "index of the first token to ask for")
 	f.DurationVar(&c.caller.Timeout, "timeout", 20*time.Second, "longest time for one connection")
+	f.DurationVar(&c.caller.Patience, "patience", 0, "time for which to ask again if the request did not run")
 	f.DurationVar(&c.caller.Deadline, "deadline", 0, "time from a connection to the deadline that it tells")
 	f.BoolVar(&c.caller.Patient, "patient", false, "ask again when the answer says so")
 }
--- a/internal/configuration/revision/tracker.go
+++ b/internal/configuration/revision/tracker.go
@@ -94,7 +94,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if h.Revision < t.floor {
-		return nil, false, errors.WithStack(&sardineknot.OlderConfigurationError{Got: h.Revision, InForce: t.floor})
+		f := max(t.floor, t.head.Revision)
+		return nil, false, errors.WithStack(&sardineknot.OlderConfigurationError{Got: h.Revision, InForce: f})
 	}
 	if h.Revision > t.head.Revision {
 		return t.missingLocked(h), true, nil
--- a/internal/configuration/revision/tracker_test.go
+++ b/internal/configuration/revision/tracker_test.go
@@ -67,6 +67,16 @@
 		h, s := stored(t, 6, "", 9)
 		checkRefused(t, k, h, s)
 	})
+	t.Run("older than a floor that was passed", func(t *testing.T) {
+		k := NewTracker()
+		k.SetFloor(2)
+		offer(t, k, 3, 5)
+		h, _ := stored(t, 1, "", 9)
+		_, _, err := k.Check(h)
+		var o *sardineknot.OlderConfigurationError
+		is.New(t).True(errors.As(err, &o))
+		is.New(t).Equal(o.InForce, sardineknot.Revision(3))
+	})
 	t.Run("absent", func(t *testing.T) { checkRefused(t, k, nil, nil) })
 	t.Run("equal revision with another content", func(t *testing.T) {
 		h, s := stored(t, 7, "another", 5)
