policy/timed: wait for slots while no answer length is known

Changed: until an answer has ended, jobs are not refused for want of a slot; they wait and are refused when late for certain. TestIgnorance covers it; it fails without the change.

--- a/internal/policy/timed/admit.go
+++ b/internal/policy/timed/admit.go
@@ -106,7 +106,8 @@
 }
 
 // slotWait estimates the time until a slot is free for a job with ahead jobs
-// before it.
+// before it. It is zero while no answer has ended: a job is not refused for
+// lack of knowledge.
 func (s *Scheduler) slotWait(now time.Time, ahead int) time.Duration {
 	n := ahead + 1 + len(s.pending)
 	for _, e := range s.decode {
@@ -114,7 +115,7 @@
 			n -= max(0, e.server.Slots-len(e.jobs))
 		}
 	}
-	if n <= 0 {
+	if n <= 0 || s.tokens == 0 {
 		return 0
 	}
 	return seconds(float64(n) / s.slotRate(now))
--- a/internal/policy/timed/scheduler_test.go
+++ b/internal/policy/timed/scheduler_test.go
@@ -115,7 +115,17 @@
 	})
 }
 
-func TestProbe(t *testing.T) {
+func TestIgnorance(t *testing.T) {
+	t.Run("jobs wait for a slot while no length is known", func(t *testing.T) {
+		v := newDriver(t, 1, 1, 1)
+		v.submit(v.job("1"))
+		j := v.job("2")
+		j.Deadline = v.now.Add(2 * time.Second)
+		v.submit(j)
+		v.is.Equal(len(v.refused), 0)
+		v.report("1", sardineknot.JobCancelled, "p0", 0)
+		v.is.True(v.prefilled("2"))
+	})
 	t.Run("prefills that seemed slow are tried again within seconds", func(t *testing.T) {
 		v := newDriver(t, 1, 1, 4)
 		v.submit(v.job("slow"))
