--- a/internal/answer/twirp/directory.go
+++ b/internal/answer/twirp/directory.go
@@ -32,7 +32,12 @@
 	forgetTries = 5
 )
 
-var errNoOwner = errors.New("no live entry host")
+var (
+	errNoOwner = errors.New("no live entry host")
+	// errUnconfirmed is the cause of an UnavailableError of a host that does
+	// not know whether others count it as dead.
+	errUnconfirmed = errors.New("this host has to find out whether it counts as live")
+)
 
 // Directory is a sardineknot.AnswerDirectory. It is safe for concurrent use.
 // All exported fields are set before use.
@@ -73,11 +78,14 @@
 
 // Run follows the membership until ctx is done.
 func (d *Directory) Run(ctx context.Context) error {
+	var n sardineknot.Incarnation
 	for {
 		c := d.Members.Changed()
+		s := d.Members.Self().Incarnation
 		for i := range d.shards {
-			d.refresh(ctx, i)
+			d.refresh(ctx, i, s != n)
 		}
+		n = s
 		select {
 		case <-c:
 		case <-ctx.Done():
@@ -92,10 +100,12 @@
 	return s.PathPrefix(), s
 }
 
-// Register implements sardineknot.AnswerDirectory.
+// Register implements sardineknot.AnswerDirectory. It sets the present
+// incarnation of this host.
 func (d *Directory) Register(ctx context.Context, r sardineknot.AnswerRecord) (current sardineknot.AnswerRecord, previous *sardineknot.AnswerRecord, err error) {
 	s := &d.shards[index(r.Key)]
-	current, previous, err = d.register(ctx, s, r, s.has(r.Key))
+	r.Incarnation = d.Members.Self().Incarnation
+	current, previous, err = d.register(ctx, s, r, s.has(r))
 	if err == nil && sameHost(current, r) {
 		s.keep(r)
 		d.copyAway(ctx, s, r)
@@ -128,8 +138,11 @@
 	return r, ok
 }
 
-func (d *Directory) register(ctx context.Context, s *slot, r sardineknot.AnswerRecord, standing bool) (sardineknot.AnswerRecord, *sardineknot.AnswerRecord, error) {
+func (d *Directory) register(ctx context.Context, s *slot, r sardineknot.AnswerRecord, standing bool) (current sardineknot.AnswerRecord, previous *sardineknot.AnswerRecord, err error) {
 	o, l, ok := s.view()
+	if d.Members.Isolated() || l != nil && o.Incarnation != d.Members.Self().Incarnation {
+		return r, nil, errors.WithStack(&sardineknot.UnavailableError{Peer: "answer directory", Cause: errUnconfirmed})
+	}
 	if !ok {
 		return r, nil, errors.WithStack(&sardineknot.UnavailableError{Peer: "answer directory", Cause: errNoOwner})
 	}
@@ -142,11 +155,15 @@
 	if err != nil {
 		return r, nil, errors.WithStack(&sardineknot.UnavailableError{Peer: string(o.ID), Cause: err})
 	}
-	if p.GetPrevious() == nil {
-		return record(p.GetRecord()), nil, nil
+	current = r
+	if p.GetRecord() != nil {
+		current = record(p.GetRecord())
+	}
+	if p.GetPrevious() != nil {
+		v := record(p.GetPrevious())
+		previous = &v
 	}
-	v := record(p.GetPrevious())
-	return record(p.GetRecord()), &v, nil
+	return current, previous, nil
 }
 
 func (d *Directory) forget(ctx context.Context, s *slot, r sardineknot.AnswerRecord) error {
--- a/internal/answer/twirp/service.go
+++ b/internal/answer/twirp/service.go
@@ -21,7 +21,7 @@
 	r := record(q.GetRecord())
 	if q.GetCopy() {
 		s.directory.shards[index(r.Key)].keepCopy(s.directory.Clock.Now(), r)
-		return &rpc.RegisterResponse{Record: q.GetRecord()}, nil
+		return &rpc.RegisterResponse{}, nil
 	}
 	l, err := s.owned(index(r.Key))
 	if err != nil {
@@ -31,8 +31,11 @@
 	if err != nil {
 		return nil, twirp.Unavailable.Error(err.Error())
 	}
-	a := &rpc.RegisterResponse{Record: message(c)}
-	if p != nil {
+	a := &rpc.RegisterResponse{}
+	if !sameHost(c, r) {
+		a.Record = message(c)
+	}
+	if p != nil && !q.GetStanding() {
 		a.Previous = message(*p)
 	}
 	return a, nil
@@ -56,8 +59,9 @@
 
 // owned returns shard i, or an error of twirp if this host does not own it.
 func (s *service) owned(i int) (*directory.Shard, error) {
-	_, l, _ := s.directory.shards[i].view()
-	if l == nil {
+	o, l, _ := s.directory.shards[i].view()
+	m := s.directory.Members
+	if l == nil || m.Isolated() || o.Incarnation != m.Self().Incarnation {
 		return nil, twirp.FailedPrecondition.Error("another host owns the shard")
 	}
 	return l, nil
