policy/timed: callers come back soon while no rate is known

Cause: until an answer has ended the rate of slots is unknown and was taken as 0.02 a second; each refused caller moved the next return by 50 s, so the second one in a new pool was sent away for the full 20 s.

Changed: while no answer has ended, callers come back at 5 a second at least. The test fails without the change.

--- a/internal/policy/timed/rates.go
+++ b/internal/policy/timed/rates.go
@@ -22,6 +22,9 @@
 	margin = 2.0
 	// minRate keeps estimated waits finite, in jobs a second.
 	minRate = 0.02
+	// unknownRate is the number of callers that may come back in a second
+	// while no answer has ended.
+	unknownRate = 5
 )
 
 // rates are estimates learned from events.
@@ -160,6 +163,9 @@
 // while others wait.
 func (s *Scheduler) serviceRate(now time.Time) float64 {
 	r := s.slotRate(now)
+	if s.tokens == 0 {
+		r = max(r, unknownRate)
+	}
 	if s.cost > 0 {
 		r = min(r, float64(len(s.prefill))/s.cost)
 	}
--- a/internal/policy/timed/scheduler_test.go
+++ b/internal/policy/timed/scheduler_test.go
@@ -115,7 +115,19 @@
 	})
 }
 
-func TestIgnorance(t *testing.T) {
+func TestUnknownRates(t *testing.T) {
+	t.Run("callers come back soon while no length is known", func(t *testing.T) {
+		v := newDriver(t, 1, 1, 1)
+		v.submit(v.job("0"))
+		for i := range 5 {
+			k := fmt.Sprint("late", i)
+			j := v.job(k)
+			j.Deadline = v.now.Add(50 * time.Millisecond)
+			v.submit(j)
+			v.is.True(v.refused[k].RetryAfter > 0)
+			v.is.True(v.refused[k].RetryAfter < 2*time.Second)
+		}
+	})
 	t.Run("jobs wait for a slot while no length is known", func(t *testing.T) {
 		v := newDriver(t, 1, 1, 1)
 		v.submit(v.job("1"))
