--- a/internal/claims/chain/property_test.go
+++ b/internal/claims/chain/property_test.go
@@ -266,16 +266,17 @@
 	synctest.Wait()
 }
 
-// finish lets everything end. Waiting workers go on within a second.
+// finish lets everything end: until nothing has waited for three seconds.
+// Waiting workers and repeated releases go on within one.
 func (w *world) finish() {
-	for n := 0; n < 2; n++ {
+	for n := 0; n < 3; n++ {
+		time.Sleep(time.Second)
+		synctest.Wait()
 		for w.store.network.waiting() {
-			n = 0
+			n = -1
 			w.settle(0, 2)
 			synctest.Wait()
 		}
-		time.Sleep(time.Second)
-		synctest.Wait()
 	}
 }
 
