--- a/internal/host/process/control_test.go
+++ b/internal/host/process/control_test.go
@@ -29,7 +29,8 @@
 	// requestsPerHost is the rate of requests at each host: 1,500 a second
 	// over 360 hosts.
 	requestsPerHost = 4.2
-	settle          = 3 * time.Second
+	// settle is the time after the start in which all hosts have met.
+	settle = 15 * time.Second
 )
 
 // fleet is a number of entry hosts in this process, beside shared backends.
