backend/retry: account for retries in one place

Cause: answer/budget and backend/retry each kept a budget of retries as a share of first tries.

Change: the package budget moved to internal/backend; retry keeps the backoff and uses it.

Ruled out: one circuit for backend/breaker and policy/circuit as well. The one admits one call at a time when half-open and knows calls without a verdict; the other probes by time. Making them one changes what either does.

Figures: unit tests of both pass unchanged.

Conclusion: one budget; the circuits are left.

--- a/internal/answer/generation/fakes_test.go
+++ b/internal/answer/generation/fakes_test.go
@@ -12,11 +12,11 @@
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
-	"sardineknot.example/sardineknot/internal/answer/budget"
 	"sardineknot.example/sardineknot/internal/answer/buffer"
 	"sardineknot.example/sardineknot/internal/answer/cancel"
 	"sardineknot.example/sardineknot/internal/answer/generation"
 	"sardineknot.example/sardineknot/internal/answer/pulse"
+	"sardineknot.example/sardineknot/internal/backend/budget"
 	"sardineknot.example/sardineknot/internal/host/clock"
 )
 
--- a/internal/answer/generation/runner.go
+++ b/internal/answer/generation/runner.go
@@ -22,10 +22,10 @@
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
-	"sardineknot.example/sardineknot/internal/answer/budget"
 	"sardineknot.example/sardineknot/internal/answer/buffer"
 	"sardineknot.example/sardineknot/internal/answer/cancel"
 	"sardineknot.example/sardineknot/internal/answer/pulse"
+	"sardineknot.example/sardineknot/internal/backend/budget"
 )
 
 const (
--- a/internal/answer/generation/runner_test.go
+++ b/internal/answer/generation/runner_test.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
-	"sardineknot.example/sardineknot/internal/answer/budget"
+	"sardineknot.example/sardineknot/internal/backend/budget"
 )
 
 // checkEnd checks that the answer ended with an error of type E, and when.
--- a/internal/answer/budget/budget_test.go
+++ b/internal/backend/budget/budget_test.go
@@ -5,7 +5,7 @@
 
 	"github.com/matryer/is"
 
-	"sardineknot.example/sardineknot/internal/answer/budget"
+	"sardineknot.example/sardineknot/internal/backend/budget"
 )
 
 // retries returns the number of retries that b allows in a row.
--- a/internal/backend/retry/policy.go
+++ b/internal/backend/retry/policy.go
@@ -10,13 +10,14 @@
 	"time"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/backend/budget"
 )
 
 const (
 	// share is the number of retries that a first try earns.
 	share = 0.1
 	// maxSaved bounds the retries that are saved up.
-	maxSaved = 10.0
+	maxSaved = 10
 	// firstBackoff bounds the first wait; it doubles up to maxBackoff.
 	firstBackoff = 50 * time.Millisecond
 	maxBackoff   = time.Second
@@ -24,10 +25,10 @@
 
 // Policy is the retry budget of one entry host. It is safe for concurrent use.
 type Policy struct {
+	budget *budget.Budget
+
 	mu     sync.Mutex
 	random *rand.Rand
-	// saved is in [0, maxSaved].
-	saved float64
 }
 
 // NewPolicy returns a policy with a full budget. It panics if source is nil.
@@ -35,40 +36,29 @@
 	if source == nil {
 		panic(&sardineknot.InvalidError{What: "source", Got: "nil", Expected: "a source of random numbers"})
 	}
-	return &Policy{random: rand.New(source), saved: maxSaved}
+	return &Policy{budget: budget.NewBudget(share, maxSaved), random: rand.New(source)}
 }
 
 // First counts a first try.
-func (p *Policy) First() {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.saved = min(maxSaved, p.saved+share)
-}
+func (p *Policy) First() { p.budget.First() }
 
 // Next returns the time to wait before the n-th retry, counted from one. ok is
 // false if the budget is spent.
 func (p *Policy) Next(n int) (wait time.Duration, ok bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.saved < 1 {
+	if !p.budget.Retry() {
 		return 0, false
 	}
-	p.saved--
-	return p.waitLocked(n), true
+	return p.Backoff(n), true
 }
 
 // Backoff returns the time to wait before the n-th try of something that is
 // not under the budget, counted from one.
 func (p *Policy) Backoff(n int) time.Duration {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.waitLocked(n)
-}
-
-func (p *Policy) waitLocked(n int) time.Duration {
 	d := firstBackoff
 	for i := 1; i < n && d < maxBackoff; i++ {
 		d *= 2
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	return time.Duration(p.random.Int64N(int64(min(d, maxBackoff))))
 }
--- a/internal/host/process/answers.go
+++ b/internal/host/process/answers.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"sardineknot.example/sardineknot"
-	"sardineknot.example/sardineknot/internal/answer/budget"
 	"sardineknot.example/sardineknot/internal/answer/cancel"
 	"sardineknot.example/sardineknot/internal/answer/generation"
 	"sardineknot.example/sardineknot/internal/answer/h2c"
@@ -14,6 +13,7 @@
 	"sardineknot.example/sardineknot/internal/answer/registry"
 	"sardineknot.example/sardineknot/internal/answer/standing"
 	"sardineknot.example/sardineknot/internal/answer/twirp"
+	"sardineknot.example/sardineknot/internal/backend/budget"
 )
 
 const (
