standin/record: set the description of the present under the lock

Cause: go test -race found that a stand-in of an engine set it while a test read the record (2 reports, internal/backend/orders).

--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -71,7 +71,7 @@
 	s.prefills = make(map[string]*blocks)
 	s.decodes = make(map[string]*decode)
 	s.freed = make(chan struct{})
-	s.Log.State = s.state
+	s.Log.Describe(s.state)
 	s.mux.Handle("GET "+record.Path, s.Log)
 	s.mux.HandleFunc("POST /v1/completions", s.serveCompletion)
 	s.mux.HandleFunc("GET /v1/completions", s.serveResume)
--- a/internal/standin/record/recorder.go
+++ b/internal/standin/record/recorder.go
@@ -17,8 +17,15 @@
 	mu     sync.Mutex
 	lines  []string
 	counts map[string]int
-	// State, if not nil, returns further lines that describe the present.
-	State func() []string
+	// state, if not nil, returns further lines that describe the present.
+	state func() []string
+}
+
+// Describe makes Lines end with what f returns of the present.
+func (r *Recorder) Describe(f func() []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.state = f
 }
 
 // Add appends a line that starts with event=e. kv alternates keys and values.
@@ -50,9 +57,10 @@
 	for k, n := range r.counts {
 		l = append(l, fmt.Sprintf("count kind=%s calls=%d", k, n))
 	}
+	f := r.state
 	r.mu.Unlock()
-	if r.State != nil {
-		l = append(l, r.State()...)
+	if f != nil {
+		l = append(l, f()...)
 	}
 	return l
 }
