slots/openai: take a load report for seconds old

Cause: engines report their load with a lag and do not tell its age. The owner of a shard took each report as measured when it was asked for, so three reports of before a job's start made it drop the running job and grant its slot again. The stand-in's reports hid it before: they had no lag and counted ended streams as waiting.

Ruled out: the expectation of slots that become free. PrefillDone waits for a slot that is free; the slot was counted as free.

Change: a report counts as five seconds old. The stand-in counts what waits, records queued decodes, and holds reports for the time LoadLag.

Lost releases are noticed some five seconds later than before.

Conclusion: mended for lags of up to five seconds. Longer ones would need the engines' own time in their reports.

--- a/engine.go
+++ b/engine.go
@@ -65,7 +65,8 @@
 type LoadReport struct {
 	// Server is the reporting server.
 	Server BackendServerName
-	// At is the time at which the engine measured.
+	// At is the time at which the engine measured, or the earliest time at
+	// which it may have.
 	At time.Time
 	// Running and Waiting count requests.
 	Running int
--- a/internal/slots/openai/watcher.go
+++ b/internal/slots/openai/watcher.go
@@ -21,8 +21,13 @@
 	"sardineknot.example/sardineknot/internal/slots/shard"
 )
 
-// maxCalls bounds the calls to engines at once.
-const maxCalls = 8
+const (
+	// maxCalls bounds the calls to engines at once.
+	maxCalls = 8
+	// reportLag is the greatest age of a load report. Engines do not tell when
+	// they measured.
+	reportLag = 5 * time.Second
+)
 
 // Watcher watches engines. It is used by one goroutine, but for its calls to
 // engines. All exported fields are set before use.
@@ -78,7 +83,7 @@
 	w.each(func(s *local.Shard, b sardineknot.BackendServer) {
 		r, err := w.Engine.Load(ctx, b)
 		if err == nil {
-			r.At = w.Clock.Now()
+			r.At = w.Clock.Now().Add(-reportLag)
 			s.Observe(r)
 		}
 	})
--- a/internal/slots/openai/watcher_test.go
+++ b/internal/slots/openai/watcher_test.go
@@ -118,3 +118,29 @@
 		checkHolds(t, f, "a/live/0", "foreign")
 	})
 }
+
+// observer keeps the last load report.
+type observer struct {
+	roundrobin.Scheduler
+	last sardineknot.LoadReport
+}
+
+func (o *observer) Observe(_ time.Time, r sardineknot.LoadReport) { o.last = r }
+
+func (e *engine) Load(context.Context, sardineknot.BackendServer) (sardineknot.LoadReport, error) {
+	return sardineknot.LoadReport{Server: "d"}, nil
+}
+
+func TestObserveLoad(t *testing.T) {
+	run(t, "counts with a report that is seconds old", func(t *testing.T, f fixture) {
+		o := &observer{}
+		s := local.NewShard(clock.System{}, o, 0)
+		f.Owned = func() map[*local.Shard]shard.Shard {
+			return map[*local.Shard]shard.Shard{s: {Servers: []sardineknot.BackendServer{{Name: "d"}}}}
+		}
+		f.ObserveLoad(t.Context())
+		i := is.New(t)
+		i.Equal(o.last.Server, sardineknot.BackendServerName("d"))
+		i.True(!o.last.At.After(time.Now().Add(-5 * time.Second)))
+	})
+}
--- a/internal/standin/engine/decode.go
+++ b/internal/standin/engine/decode.go
@@ -34,7 +34,7 @@
 
 func (s *Server) startDecode(w http.ResponseWriter, r *http.Request, q *openai.CompletionRequest) {
 	i := q.GetRequestId()
-	if !s.takeSlot(r.Context()) {
+	if !s.takeSlot(r.Context(), i) {
 		return
 	}
 	err := s.readBlocks(r.Context(), q)
@@ -60,23 +60,29 @@
 	s.stream(w, r, i, d, d.first)
 }
 
-// takeSlot waits for a free slot and reports whether it got one.
-func (s *Server) takeSlot(ctx context.Context) bool {
-	for {
-		s.mu.Lock()
-		if s.running < s.Slots {
-			s.running++
-			s.mu.Unlock()
-			return true
-		}
+// takeSlot waits for a free slot for the request id and reports whether it got one.
+func (s *Server) takeSlot(ctx context.Context, id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.waiting++
+	defer func() { s.waiting-- }()
+	if s.running >= s.Slots {
+		s.Log.Add("decode_queued", "request", id)
+	}
+	for s.running >= s.Slots {
 		c := s.freed
 		s.mu.Unlock()
 		select {
 		case <-c:
 		case <-ctx.Done():
+		}
+		s.mu.Lock()
+		if ctx.Err() != nil {
 			return false
 		}
 	}
+	s.running++
+	return true
 }
 
 func (s *Server) freeSlot() {
--- a/internal/standin/engine/server.go
+++ b/internal/standin/engine/server.go
@@ -56,6 +56,10 @@
 	decodes map[string]*decode
 	// running counts the decodes that hold a slot.
 	running int
+	// waiting counts the decodes that wait for a slot.
+	waiting int
+	// reported is the last report of the load.
+	reported load
 	// freed is closed and replaced when a slot is freed.
 	freed chan struct{}
 	// lastBlock is the last block identifier given out.
@@ -66,6 +70,13 @@
 	loading bool
 }
 
+// load is a report of the load at a time.
+type load struct {
+	at      time.Time
+	running int
+	waiting int
+}
+
 func (s *Server) init() {
 	s.mux = http.NewServeMux()
 	s.prefills = make(map[string]*blocks)
@@ -155,13 +166,17 @@
 	_, _ = w.Write(append(b, '\n'))
 }
 
+// serveLoad reports the load. The fault LoadLag is the longest age of a report.
 func (s *Server) serveLoad(w http.ResponseWriter, _ *http.Request) {
 	s.Log.Count("load")
 	s.mu.Lock()
-	n := s.running
-	m := len(s.decodes)
+	n := time.Now()
+	if n.Sub(s.reported.at) >= s.Faults.Duration("LoadLag") {
+		s.reported = load{at: n, running: s.running, waiting: s.waiting}
+	}
+	l := s.reported
 	s.mu.Unlock()
-	fmt.Fprintf(w, "{\"running\":%d,\"waiting\":%d}\n", n, m)
+	_, _ = w.Write(marshal(&openai.LoadResponse{Running: int32(l.running), Waiting: int32(l.waiting)}))
 }
 
 func (s *Server) state() []string {
