configuration/etcd: ask for the head's revision before the head

Cause: a reader's poll moved the whole head, 27 KB every five heartbeats at the size designed for, more than the control budget of those hosts (docs/CAPACITY.md listed it as what breaks third). A collection of bundles listed all values.

Change: Store.Keys lists keys with their revisions only (keys_only of etcd). The reader takes the head when its revision differs from the one taken last, by poll or by watch, and at every sixtieth poll. The collection uses Keys; the test store that acts while a collector lists does so at Keys now.

Ruled out: a short key beside the head. The two are not written at once.

--- a/internal/configuration/etcd/reader.go
+++ b/internal/configuration/etcd/reader.go
@@ -22,6 +22,10 @@
 	// bootReadings is the number of readings in an interval on a host without
 	// a configuration.
 	bootReadings = 5
+	// fullReadings is the number of readings of which one takes the head
+	// whatever its revision is. A store that was restored from a backup may
+	// come to the same revision with another head.
+	fullReadings = 60
 	// watchTimeout bounds the time until a watch has begun.
 	watchTimeout = 2 * time.Second
 )
@@ -46,6 +50,10 @@
 	older  metrics.Gauge
 	// refused is the head that the last alarm was about, as its hash.
 	refused string
+	// seen is the revision of the head that was taken last. Zero means none.
+	seen sardineknot.StoreRevision
+	// readings counts the readings since one that took the head.
+	readings int
 	// failing reports that the last read failed.
 	failing bool
 	// watch is nil while the head is not watched. stop ends it.
@@ -97,14 +105,48 @@
 		r.unwatch()
 		return
 	}
+	err := r.read(ctx)
+	r.note(ctx, err)
+	if err == nil && r.watch == nil {
+		r.open(ctx, r.seen)
+	}
+}
+
+// read takes the head, unless its revision is the one that was seen last: a
+// head is long, and seldom changes.
+func (r *Reader) read(ctx context.Context) error {
+	u, err := r.unchanged(ctx)
+	if err != nil || u {
+		return err
+	}
 	e, err := r.Store.Get(ctx, sardineknot.ConfigurationHeadKey)
+	if err != nil {
+		return err
+	}
+	r.readings = 0
+	return r.see(ctx, e)
+}
+
+// see takes the head in e and notes its revision.
+func (r *Reader) see(ctx context.Context, e sardineknot.StoreEntry) error {
+	err := r.take(ctx, e.Value)
 	if err == nil {
-		err = r.take(ctx, e.Value)
+		r.seen = e.Revision
 	}
-	r.note(ctx, err)
-	if err == nil && r.watch == nil {
-		r.open(ctx, e.Revision)
+	return err
+}
+
+// unchanged reports whether the head need not be taken again.
+func (r *Reader) unchanged(ctx context.Context) (bool, error) {
+	r.readings++
+	if r.seen == 0 || r.readings >= fullReadings {
+		return false, nil
+	}
+	l, err := r.Store.Keys(ctx, sardineknot.ConfigurationHeadKey)
+	if err != nil {
+		return false, err
 	}
+	return len(l) == 1 && l[0].Revision == r.seen, nil
 }
 
 // open watches the head from revision after on. A connection that went silent
@@ -132,7 +174,7 @@
 		return
 	}
 	if e.Key == sardineknot.ConfigurationHeadKey {
-		r.note(ctx, r.take(ctx, e.Value))
+		r.note(ctx, r.see(ctx, e))
 	}
 }
 
--- a/internal/configuration/etcd/reader_test.go
+++ b/internal/configuration/etcd/reader_test.go
@@ -22,14 +22,26 @@
 type store struct {
 	sardineknot.Store
 	values map[string][]byte
-	reads  int
+	// revision is that of the head. It grows with every put.
+	revision sardineknot.StoreRevision
+	// reads counts calls, and heads those that return the head.
+	reads int
+	heads int
 	// silent makes the beginning of a watch wait for its context.
 	silent bool
 }
 
 func (s *store) Get(_ context.Context, key string) (sardineknot.StoreEntry, error) {
 	s.reads++
-	return sardineknot.StoreEntry{Key: key, Value: s.values[key], Revision: sardineknot.StoreRevision(len(s.values[key]))}, nil
+	if key == sardineknot.ConfigurationHeadKey {
+		s.heads++
+	}
+	return sardineknot.StoreEntry{Key: key, Value: s.values[key], Revision: s.revision}, nil
+}
+
+func (s *store) Keys(_ context.Context, key string) ([]sardineknot.StoreEntry, error) {
+	s.reads++
+	return []sardineknot.StoreEntry{{Key: key, Revision: s.revision}}, nil
 }
 
 func (s *store) Watch(ctx context.Context, _ string, _ sardineknot.StoreRevision) (<-chan sardineknot.StoreEntry, error) {
@@ -46,6 +58,7 @@
 	is.New(t).NoErr(err)
 	h, err := json.Marshal(sardineknot.ConfigurationHead{Revision: r, Bundles: l})
 	is.New(t).NoErr(err)
+	s.revision++
 	s.values = map[string][]byte{sardineknot.ConfigurationHeadKey: h}
 	for n, c := range b {
 		s.values[sardineknot.ConfigurationBundlePrefix+n] = c
@@ -87,6 +100,13 @@
 		checkPoll(t, r, 2, 0)
 		is.New(t).Equal(s.reads, n+1)
 	})
+	t.Run("reads an unchanged head seldom", func(t *testing.T) {
+		n := s.heads
+		for range 2 * fullReadings {
+			checkPoll(t, r, 2, 0)
+		}
+		is.New(t).Equal(s.heads, n+2)
+	})
 	t.Run("raises one alarm for an older head", func(t *testing.T) {
 		s.put(t, 1, "verk")
 		checkPoll(t, r, 2, 1)
@@ -104,6 +124,20 @@
 	})
 }
 
+func TestStoreGoesBackAfterEvent(t *testing.T) {
+	var s store
+	r := newReader(&s, true, &bytes.Buffer{})
+	s.put(t, 1, "verk")
+	checkPoll(t, r, 1, 0)
+	old := s
+	s.put(t, 2, "verk2")
+	e, err := s.Get(t.Context(), sardineknot.ConfigurationHeadKey)
+	is.New(t).NoErr(err)
+	r.event(t.Context(), e, true)
+	s = old // as before the event
+	checkPoll(t, r, 2, 1)
+}
+
 func TestOthersDoNotRead(t *testing.T) {
 	var s store
 	s.put(t, 1, "verk")
--- a/internal/configuration/writer/collect.go
+++ b/internal/configuration/writer/collect.go
@@ -45,7 +45,7 @@
 	if n.Revision%collectInterval != 0 || n.AcceptedAt.IsZero() {
 		return nil
 	}
-	l, err := w.store.List(ctx, sardineknot.ConfigurationBundlePrefix)
+	l, err := w.store.Keys(ctx, sardineknot.ConfigurationBundlePrefix)
 	if err != nil {
 		return nil
 	}
--- a/internal/configuration/writer/collect_test.go
+++ b/internal/configuration/writer/collect_test.go
@@ -28,7 +28,7 @@
 // bundles returns the number of stored bundles.
 func bundles(t *testing.T, s *store) int {
 	t.Helper()
-	l, err := s.Store.List(t.Context(), sardineknot.ConfigurationBundlePrefix)
+	l, err := s.Store.Keys(t.Context(), sardineknot.ConfigurationBundlePrefix)
 	is.New(t).NoErr(err)
 	return len(l)
 }
--- a/internal/configuration/writer/writer_test.go
+++ b/internal/configuration/writer/writer_test.go
@@ -54,8 +54,8 @@
 	})
 }
 
-func (s *store) List(ctx context.Context, prefix string) ([]sardineknot.StoreEntry, error) {
-	l, err := s.Store.List(ctx, prefix)
+func (s *store) Keys(ctx context.Context, prefix string) ([]sardineknot.StoreEntry, error) {
+	l, err := s.Store.Keys(ctx, prefix)
 	if f := s.listed; f != nil {
 		s.listed = nil
 		f()
--- a/internal/platform/etcd/client.go
+++ b/internal/platform/etcd/client.go
@@ -66,7 +66,15 @@
 
 // List implements sardineknot.Store.
 func (c *Client) List(ctx context.Context, prefix string) ([]sardineknot.StoreEntry, error) {
-	q := &api.RangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)}
+	return c.list(ctx, &api.RangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)})
+}
+
+// Keys implements sardineknot.Store.
+func (c *Client) Keys(ctx context.Context, prefix string) ([]sardineknot.StoreEntry, error) {
+	return c.list(ctx, &api.RangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix), KeysOnly: true})
+}
+
+func (c *Client) list(ctx context.Context, q *api.RangeRequest) ([]sardineknot.StoreEntry, error) {
 	var r api.RangeResponse
 	err := c.call(ctx, "/v3/kv/range", q, &r)
 	if err != nil {
--- a/internal/standin/etcd/server.go
+++ b/internal/standin/etcd/server.go
@@ -102,6 +102,9 @@
 	s.mu.Lock()
 	s.expireLocked()
 	l := s.rangeLocked(string(q.GetKey()), string(q.GetRangeEnd()))
+	if q.GetKeysOnly() {
+		l = withoutValues(l)
+	}
 	h := s.headerLocked()
 	s.mu.Unlock()
 	encode(w, &api.RangeResponse{Header: h, Kvs: l, Count: int64(len(l))})
@@ -173,6 +176,14 @@
 	return l
 }
 
+func withoutValues(l []*api.KeyValue) []*api.KeyValue {
+	r := make([]*api.KeyValue, 0, len(l))
+	for _, v := range l {
+		r = append(r, &api.KeyValue{Key: v.GetKey(), ModRevision: v.GetModRevision(), Lease: v.GetLease()})
+	}
+	return r
+}
+
 func inRange(k, key, end string) bool {
 	switch end {
 	case "":
--- a/store.go
+++ b/store.go
@@ -36,6 +36,8 @@
 	Get(ctx context.Context, key string) (StoreEntry, error)
 	// List returns the entries whose keys start with prefix, ordered by key.
 	List(ctx context.Context, prefix string) ([]StoreEntry, error)
+	// Keys returns what List does, without the values.
+	Keys(ctx context.Context, prefix string) ([]StoreEntry, error)
 	// CompareAndSwap writes value to key if the key is at revision expected
 	// and returns the new revision. It fails with a ConflictError otherwise.
 	CompareAndSwap(ctx context.Context, key string, expected StoreRevision, value []byte, lease LeaseID) (StoreRevision, error)
