--- a/internal/host/process/stop.go
+++ b/internal/host/process/stop.go
@@ -45,7 +45,7 @@
 	}
 	p.log.Info().Str("event", "leaving").Send()
 	p.node.Leave(work)
-	wait(work, p.settings.PlacementValidity)
+	_ = sleep(work, p.settings.PlacementValidity)
 	p.guard.Close()
 	p.log.Info().Str("event", "admission_closed").Int("running", p.running()).Send()
 	p.drain(work)
@@ -59,7 +59,7 @@
 		if p.running() > 0 {
 			n = -1
 		}
-		wait(work, drainPause)
+		_ = sleep(work, drainPause)
 	}
 }
 
@@ -68,16 +68,6 @@
 	return p.answers.registry.Running() + p.calls.Running() + p.guard.Active()
 }
 
-// wait returns after d, or when ctx is done.
-func wait(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // shutdown ends s. Calls that run have the time shutdownLimit to end.
 func shutdown(s *http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownLimit)
