platform: thin path on the users' platform

Cause: the users run sardineknot on their own platform; nothing spoke its protocol. Adds the adapter, the gateway's process, the memory scheduler, a membership and a configuration source over the platform's store, and the owner's failover in slots/twirp.

--- a/backend.go
+++ b/backend.go
@@ -1,6 +1,9 @@
 package sardineknot
 
-import "net/netip"
+import (
+	"net/netip"
+	"time"
+)
 
 // BackendServerName identifies a backend server within a deployment.
 type BackendServerName string
@@ -46,7 +49,8 @@
 	// services.
 	Model   string
 	Version string
-	// Service names what a plain service offers. It is empty for engines.
+	// Service names what a plain service offers. For engines it is set if
+	// routes name it, and then tells the pool together with Model.
 	Service string
 	// Slots is the number of requests that the server works on at once. It is
 	// positive.
@@ -54,6 +58,18 @@
 	// MemoryPieces is the number of pieces of PieceTokens that an engine's
 	// memory has. Zero means that slots are the only limit.
 	MemoryPieces int
+	// MemoryTokens is the number of tokens that an engine's memory has. Zero
+	// means that it is not known.
+	MemoryTokens int
+	// EventTokens is the number of tokens in an event of an engine's stream.
+	// Zero means one.
+	EventTokens int
+	// CacheLife is the time for which an engine keeps the result of a prefill.
+	// Zero means that it is not known.
+	CacheLife time.Duration
+	// Born tells the lives of a server apart that starts again under its name.
+	// Zero means that it is not known.
+	Born int64
 	// ChecksFencing reports whether the server refuses orders that carry an
 	// old fencing number.
 	ChecksFencing bool
@@ -70,9 +86,18 @@
 	if s.Role == RolePlain {
 		return PoolName("service/" + s.Service)
 	}
+	if s.Service != "" {
+		return ServicePool(ServiceName(s.Service), s.Model)
+	}
 	return EnginePool(s.Model, s.Version)
 }
 
+// ServicePool returns the name of the pool of engines that serve a model for
+// the routes of a service.
+func ServicePool(service ServiceName, model string) PoolName {
+	return PoolName("engines/" + string(service) + "/" + model)
+}
+
 // EnginePool returns the name of the pool of engines for a version of a model.
 func EnginePool(model, version string) PoolName {
 	return PoolName("model/" + model + "@" + version)
--- a/cmd/sardineknot/main.go
+++ b/cmd/sardineknot/main.go
@@ -21,11 +21,13 @@
 	"sardineknot.example/sardineknot/internal/command/serve"
 	"sardineknot.example/sardineknot/internal/command/show"
 	"sardineknot.example/sardineknot/internal/host/clock"
+	"sardineknot.example/sardineknot/platform"
 )
 
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&serve.Command{}, "")
+	subcommands.Register(&platform.Command{}, "")
 	subcommands.Register(&burn.Command{}, "")
 	subcommands.Register(&demo.Command{}, "")
 	subcommands.Register(&check.Command{}, "")
--- a/configuration.go
+++ b/configuration.go
@@ -20,6 +20,12 @@
 	BackendServers []BackendServer
 	// Links holds at most one entry for each unordered pair of zones.
 	Links []Link
+	// Routes holds what callers may ask for by host and path.
+	Routes []Route
+	// Services holds what the routes name.
+	Services []Service
+	// CallerLimits bounds what callers may send.
+	CallerLimits CallerLimits
 }
 
 // Contract returns the contract of account n, or an UnknownError.
--- /dev/null
+++ b/internal/backend/shared/budget.go
@@ -0,0 +1,100 @@
+// Package shared bounds the retries of each service over all entry hosts, of
+// which each has an equal part.
+package shared
+
+import (
+	"sync"
+	"time"
+
+	"sardineknot.example/sardineknot"
+)
+
+const (
+	// margin is the part of the bound that is used. The rest is for hosts that
+	// count each other late.
+	margin = 0.7
+	// window is the span of time for which retries are bounded, in buckets.
+	window      = 10
+	bucketWidth = time.Second
+)
+
+// Budgets is a sardineknot.RetryBudget. All fields are set before use.
+type Budgets struct {
+	// Clock gives the time.
+	Clock sardineknot.Clock
+	// Ratio is the number of retries that each first try allows.
+	Ratio float64
+	// Slack is the number of retries that are allowed beside, on all hosts.
+	Slack float64
+	// Hosts returns the number of entry hosts.
+	Hosts func() int
+
+	mu sync.Mutex
+	// counts holds the tries of each service.
+	counts map[sardineknot.ServiceName]*counts
+}
+
+var _ sardineknot.RetryBudget = (*Budgets)(nil)
+
+// counts holds the tries of one service by time.
+type counts struct {
+	buckets [window]bucket
+}
+
+// bucket holds the tries of one bucketWidth.
+type bucket struct {
+	// number tells which bucketWidth.
+	number  int64
+	first   float64
+	retries float64
+}
+
+// First implements sardineknot.RetryBudget.
+func (b *Budgets) First(s sardineknot.ServiceName) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.bucketLocked(s).first++
+}
+
+// Retry implements sardineknot.RetryBudget.
+func (b *Budgets) Retry(s sardineknot.ServiceName) bool {
+	n := float64(max(1, b.Hosts()))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	k := b.bucketLocked(s)
+	f, r := b.counts[s].sum(k.number)
+	if r+1 > margin*(b.Ratio*f+b.Slack/n) {
+		return false
+	}
+	k.retries++
+	return true
+}
+
+// bucketLocked returns the present bucket of s.
+func (b *Budgets) bucketLocked(s sardineknot.ServiceName) *bucket {
+	if b.counts == nil {
+		b.counts = make(map[sardineknot.ServiceName]*counts)
+	}
+	c := b.counts[s]
+	if c == nil {
+		c = &counts{}
+		b.counts[s] = c
+	}
+	n := b.Clock.Now().UnixNano() / int64(bucketWidth)
+	k := &c.buckets[n%window]
+	if k.number != n {
+		*k = bucket{number: n}
+	}
+	return k
+}
+
+// sum returns the tries of the window that ends with the bucket number n.
+func (c *counts) sum(n int64) (first, retries float64) {
+	for _, k := range c.buckets {
+		if k.number > n-window && k.number <= n {
+			first += k.first
+			retries += k.retries
+		}
+	}
+	return first, retries
+}
--- /dev/null
+++ b/internal/host/gateway/process.go
@@ -0,0 +1,263 @@
+// Package gateway assembles and runs an entry host that takes its configuration,
+// its backend servers and its peers from the platform's key-value service, and
+// passes calls on unchanged.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"runtime/debug"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/answer/events"
+	"sardineknot.example/sardineknot/internal/answer/plain"
+	"sardineknot.example/sardineknot/internal/backend/breaker"
+	"sardineknot.example/sardineknot/internal/backend/shared"
+	caller "sardineknot.example/sardineknot/internal/caller/gateway"
+	configuration "sardineknot.example/sardineknot/internal/configuration/store"
+	"sardineknot.example/sardineknot/internal/host/clock"
+	"sardineknot.example/sardineknot/internal/membership/rendezvous"
+	membership "sardineknot.example/sardineknot/internal/membership/store"
+	"sardineknot.example/sardineknot/internal/peer/h2c"
+	"sardineknot.example/sardineknot/internal/platform/mirror"
+	"sardineknot.example/sardineknot/internal/policy/memory"
+	"sardineknot.example/sardineknot/internal/slots/twirp"
+)
+
+const (
+	// memoryShare is the part of the memory limit that the runtime keeps to.
+	memoryShare = 0.7
+	// collectPercent is the growth of the heap between two collections. Memory
+	// is scarcer than processor time.
+	collectPercent = 50
+	// mirrorPause is kept between two calls that brought changes of the store.
+	mirrorPause = 300 * time.Millisecond
+	// slotBeat is the time between two messages to the owner of a shard.
+	slotBeat = 250 * time.Millisecond
+	// slotSettle is the time that the state of a shard takes to follow it to a
+	// new owner.
+	slotSettle = 300 * time.Millisecond
+	// headerTimeout bounds the head of a call.
+	headerTimeout = 10 * time.Second
+	// maxHeaderBytes bounds the head of a call.
+	maxHeaderBytes = 64 << 10
+)
+
+// Process is one entry host. The exported fields are set before Run.
+type Process struct {
+	// Settings are those of the host.
+	Settings sardineknot.GatewaySettings
+	// Store and Feed are the platform's key-value service.
+	Store sardineknot.Store
+	Feed  sardineknot.Feed
+	// Entries and Calls decode what others write and ask.
+	Entries sardineknot.EntryDecoder
+	Calls   sardineknot.CallDecoder
+	// Forwarder calls backend servers.
+	Forwarder sardineknot.Forwarder
+	// Lookup serves callers that ask which hosts to use, and Ready the
+	// platform.
+	Lookup func(hosts func() []sardineknot.EntryHost) http.Handler
+	Ready  func(ready func() bool) http.Handler
+	// Tasks run as long as the process.
+	Tasks []func(context.Context) error
+	// Log takes events.
+	Log zerolog.Logger
+	// Metrics holds all metrics of the process.
+	Metrics metrics.Registry
+
+	clock    clock.System
+	registry *membership.Registry
+	source   *configuration.Source
+	mirror   *mirror.Mirror
+	handler  *caller.Handler
+	slots    *twirp.Pool
+	peers    *h2c.Transport
+}
+
+// Run serves until ctx is done, and then until the host has stopped in order.
+func (p *Process) Run(ctx context.Context) error {
+	p.bound()
+	p.assemble()
+	g, w := errgroup.WithContext(context.WithoutCancel(ctx))
+	w, cancel := context.WithCancel(w)
+	defer cancel()
+	l := p.servers()
+	for _, s := range l {
+		n, err := p.listen(s.address)
+		if err != nil {
+			return err
+		}
+		g.Go(func() error { return serve(s.server, n) })
+	}
+	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.sweep) {
+		g.Go(func() error { return f(w) })
+	}
+	p.Log.Info().Str("event", "started").Str("zone", string(p.Settings.Zone)).Send()
+	select {
+	case <-ctx.Done():
+		p.stop(l)
+	case <-w.Done():
+	}
+	cancel()
+	for _, s := range l {
+		s.server.Close()
+	}
+	err := g.Wait()
+	p.Log.Info().Str("event", "stopped").Err(err).Send()
+	return err
+}
+
+// bound has the runtime keep to the memory of the settings.
+func (p *Process) bound() {
+	debug.SetGCPercent(collectPercent)
+	if m := p.Settings.MemoryMegabytes; m > 0 {
+		debug.SetMemoryLimit(int64(memoryShare * float64(m<<20)))
+	}
+}
+
+// assemble makes the parts of the process.
+func (p *Process) assemble() {
+	s := p.Settings
+	h := sardineknot.EntryHost{
+		ID:            s.ID,
+		Incarnation:   sardineknot.Incarnation(p.clock.Now().UnixNano()),
+		CallerAddress: s.CallerAddress,
+		PeerAddress:   s.PeerAddress,
+		Zone:          s.Zone,
+	}
+	p.mirror = &mirror.Mirror{Feed: p.Feed, Clock: p.clock, Pause: mirrorPause, Log: p.Log}
+	p.registry = membership.NewRegistry(h)
+	p.registry.Store, p.registry.Clock, p.registry.Contact, p.registry.Log = p.Store, p.clock, p.mirror.Contact, p.Log
+	p.source = configuration.NewSource()
+	p.source.Decoder, p.source.Clock, p.source.Contact, p.source.Log = p.Entries, p.clock, p.mirror.Contact, p.Log
+	p.mirror.Changed = func(e sardineknot.StoreEntry) {
+		p.registry.Take(e)
+		p.source.Take(e)
+	}
+	p.mirror.Settled = p.source.Settle
+	p.addSlots()
+	p.addCalls(h)
+}
+
+// addSlots assembles what grants engines.
+func (p *Process) addSlots() {
+	n := uint64(p.registry.Self().Incarnation)
+	p.peers = h2c.NewTransport(p.Metrics)
+	p.slots = &twirp.Pool{
+		Members: p.registry,
+		Ranker:  rendezvous.NewRanker(p.registry),
+		Source:  p.source,
+		Clock:   p.clock,
+		Client:  p.peers.Client(),
+		Create:  func(sardineknot.PoolName) sardineknot.Scheduler { return memory.NewScheduler() },
+		Settle:  slotSettle,
+		Random:  rand.New(rand.NewPCG(n, n)),
+		Beat:    slotBeat,
+		Lost:    p.registry.Lost,
+		Acting:  true,
+	}
+}
+
+// addCalls assembles what answers callers.
+func (p *Process) addCalls(self sardineknot.EntryHost) {
+	b := &shared.Budgets{
+		Clock: p.clock,
+		Ratio: p.Settings.RetryRatio,
+		Slack: p.Settings.RetrySlack,
+		Hosts: func() int { return len(p.registry.Hosts()) },
+	}
+	n := uint64(self.Incarnation)
+	p.handler = &caller.Handler{
+		Source:  p.source,
+		Decoder: p.Calls,
+		Plain: &plain.Runner{
+			Source: p.source, Forwarder: p.Forwarder, Servers: breaker.NewSet(rand.NewPCG(n, n+1)),
+			Budget: b, Clock: p.clock, Log: p.Log,
+		},
+		Stream: &events.Runner{
+			Source: p.source, Forwarder: p.Forwarder, Slots: p.slots,
+			Budget: b, Self: self, Clock: p.clock, Log: p.Log,
+		},
+		Clock:   p.clock,
+		Log:     p.Log,
+		Metrics: p.Metrics,
+	}
+}
+
+// sweep puts into force what only the passing of time brings.
+func (p *Process) sweep(ctx context.Context) error {
+	t := time.NewTicker(mirrorPause)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			p.source.Settle()
+			p.registry.Refresh()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// endpoint is a server and the address that it listens on.
+type endpoint struct {
+	address netip.AddrPort
+	server  *http.Server
+}
+
+// servers returns the servers of the process, that for callers first.
+func (p *Process) servers() []endpoint {
+	m := http.NewServeMux()
+	m.Handle(p.slots.Handler())
+	return []endpoint{
+		{p.Settings.CallerAddress, &http.Server{Handler: p.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}},
+		{p.Settings.LookupAddress, &http.Server{Handler: p.Lookup(p.usable), ReadHeaderTimeout: headerTimeout}},
+		{p.Settings.ReadyAddress, &http.Server{Handler: p.Ready(p.ready), ReadHeaderTimeout: headerTimeout}},
+		{p.Settings.MetricsAddress, &http.Server{Handler: http.HandlerFunc(p.serveMetrics), ReadHeaderTimeout: headerTimeout}},
+		{p.Settings.PeerAddress, h2c.NewServer(m)},
+	}
+}
+
+// usable returns the hosts that callers may use.
+func (p *Process) usable() []sardineknot.EntryHost {
+	var l []sardineknot.EntryHost
+	for _, h := range p.registry.Hosts() {
+		if h.State == sardineknot.EntryHostAlive {
+			l = append(l, h)
+		}
+	}
+	return l
+}
+
+// ready reports whether the host takes calls.
+func (p *Process) ready() bool {
+	return p.source.Current().Revision > 0 && p.registry.Self().State == sardineknot.EntryHostAlive
+}
+
+func (p *Process) serveMetrics(w http.ResponseWriter, _ *http.Request) {
+	metrics.WriteOnce(p.Metrics, w)
+}
+
+func (p *Process) listen(a netip.AddrPort) (net.Listener, error) {
+	l, err := net.Listen("tcp", a.String())
+	return l, errors.WithStack(err)
+}
+
+// serve answers on l until s is closed.
+func serve(s *http.Server, l net.Listener) error {
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.WithStack(err)
+}
--- /dev/null
+++ b/internal/policy/memory/engine.go
@@ -0,0 +1,123 @@
+package memory
+
+import (
+	"slices"
+	"time"
+
+	"sardineknot.example/sardineknot"
+)
+
+const (
+	// firstPrefillPerToken and firstTokensPerSecond are the estimates before
+	// any observation.
+	firstPrefillPerToken = 20 * time.Microsecond
+	firstTokensPerSecond = 1300
+	// failureLimit is the number of failures in a row that stops the use of an
+	// engine. A prefill whose result is lost costs a whole prompt, so that few
+	// are risked.
+	failureLimit = 2
+	// firstRest and maxRest bound the time until a stopped engine is tried
+	// again.
+	firstRest = 500 * time.Millisecond
+	maxRest   = 4 * time.Second
+)
+
+// engine is the state of one engine as known from decisions and events.
+type engine struct {
+	server sardineknot.BackendServer
+	// gone tells that the engine accepts no new work.
+	gone bool
+	// reading lists the jobs whose prompts the engine reads, and decoding those
+	// that have memory reserved or in use.
+	reading  []*job
+	decoding []*job
+	// busy is the expected end of all prefills.
+	busy time.Time
+	// rate is the number of tokens that an answer grows in a second.
+	rate average
+	// failures counts failures in a row. restsUntil is set from failureLimit
+	// on, and rest is the length of that time.
+	failures   int
+	rest       time.Duration
+	restsUntil time.Time
+}
+
+func (e *engine) idle() bool { return len(e.reading)+len(e.decoding) == 0 }
+
+// usable reports whether e may be given a job at now.
+func (e *engine) usable(now time.Time) bool {
+	if e.gone {
+		return false
+	}
+	if e.failures < failureLimit {
+		return true
+	}
+	return !now.Before(e.restsUntil) && e.idle()
+}
+
+func (e *engine) succeeded() {
+	e.failures = 0
+	e.rest = 0
+}
+
+func (e *engine) failed(now time.Time) {
+	e.failures++
+	if e.failures < failureLimit {
+		return
+	}
+	e.rest = min(maxRest, max(firstRest, 2*e.rest))
+	e.restsUntil = now.Add(e.rest)
+}
+
+// capacity returns the memory that forecasts may fill, in tokens.
+func (e *engine) capacity() float64 {
+	return fill * float64(e.server.MemoryTokens)
+}
+
+// span is the memory of one job over time.
+type span struct {
+	// held is the memory in use, and left the number of tokens that are still
+	// to come.
+	held float64
+	left float64
+}
+
+// peak returns the greatest memory that e is expected to need, with the
+// additional spans l. All answers grow at the same rate, so that the greatest
+// need is at the end of one of them.
+func (e *engine) peak(now time.Time, l ...span) float64 {
+	for _, j := range e.decoding {
+		l = append(l, j.span(now))
+	}
+	slices.SortFunc(l, func(a, b span) int {
+		switch {
+		case a.left < b.left:
+			return -1
+		case a.left > b.left:
+			return 1
+		default:
+			return 0
+		}
+	})
+	var held, peak float64
+	for _, a := range l {
+		held += a.held
+	}
+	for i, a := range l {
+		peak = max(peak, held+a.left*float64(len(l)-i))
+		held -= a.held
+	}
+	return peak
+}
+
+// average is an exponentially weighted mean.
+type average struct {
+	value float64
+}
+
+// averageShare is the weight of a new value.
+const averageShare = 0.1
+
+func (a *average) add(v float64) {
+	a.value += averageShare * (v - a.value)
+}
--- /dev/null
+++ b/internal/policy/memory/place.go
@@ -0,0 +1,161 @@
+package memory
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sardineknot.example/sardineknot"
+)
+
+const (
+	// fill is the share of an engine's memory that forecasts may fill. The
+	// rest is for answers that turn out longer.
+	fill = 0.95
+	// overrunShare is the part of its present length by which an answer is
+	// expected to go on that is longer than was forecast.
+	overrunShare = 0.25
+	// maxPrefillSample and maxPrefillPerToken bound the prefills from which
+	// the time for each token is learned.
+	maxPrefillSample   = time.Second
+	maxPrefillPerToken = 200 * time.Microsecond
+	// firstEventTime is kept between the end of a prefill and the latency
+	// target of the first event, for the transfer and the first tokens.
+	firstEventTime = 120 * time.Millisecond
+	// serviceTime is kept between the start of a job that is late and the time
+	// at which its caller gives up.
+	serviceTime = 6 * time.Second
+	// lookInterval is the time between two looks at a job that waits.
+	lookInterval = 25 * time.Millisecond
+	// crossZone is the waiting time that a transfer within a zone is worth.
+	crossZone = 30 * time.Millisecond
+	// maxAhead is the prefill work that may wait on an engine.
+	maxAhead = 250 * time.Millisecond
+)
+
+// order returns the queue in the order of service: jobs whose first event can
+// be in time before the others, and by arrival among these.
+func (s *Scheduler) order(now time.Time) []*job {
+	l := slices.Clone(s.queue)
+	slices.SortStableFunc(l, func(a, b *job) int {
+		if x, y := a.late(now), b.late(now); x != y {
+			if y {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.arrived.Compare(b.arrived))
+	})
+	return l
+}
+
+// late reports whether the first event of j would come after its target if j
+// began now.
+func (j *job) late(now time.Time) bool {
+	return now.Add(j.cost + firstEventTime).After(j.Deadline)
+}
+
+// hopeless reports whether j, which waits, is to be refused.
+func (s *Scheduler) hopeless(now time.Time, j *job) bool {
+	if len(s.decode) == 0 {
+		return true
+	}
+	return j.late(now)
+}
+
+// place starts j if there is room for it.
+func (s *Scheduler) place(now time.Time, j *job, _ bool) bool {
+	d := s.chooseDecode(now, j)
+	if d == nil {
+		return false
+	}
+	p, ok := s.choosePrefill(now, j, d)
+	if !ok {
+		return false
+	}
+	s.start(now, j, p, d)
+	return true
+}
+
+// chooseDecode returns the engine whose memory is least filled by j, or nil if
+// j fits nowhere.
+func (s *Scheduler) chooseDecode(now time.Time, j *job) *engine {
+	var b *engine
+	var m float64
+	for _, e := range s.decode {
+		if !e.usable(now) || len(e.decoding) >= e.server.Slots {
+			continue
+		}
+		c := e.capacity()
+		p := e.peak(now, span{held: float64(j.PromptTokens), left: j.expected})
+		if c > 0 && p > c && len(e.decoding) > 0 {
+			continue
+		}
+		f := p / max(1, c)
+		if b == nil || f < m {
+			b, m = e, f
+		}
+	}
+	return b
+}
+
+// choosePrefill returns the engine that ends the prefill of j first, or d
+// itself if no prefill engine is usable. ok is false if all have much to do.
+func (s *Scheduler) choosePrefill(now time.Time, j *job, d *engine) (e *engine, ok bool) {
+	var m time.Duration
+	u := false
+	for _, p := range s.prefill {
+		if !p.usable(now) {
+			continue
+		}
+		u = true
+		w := max(0, p.busy.Sub(now))
+		if w > maxAhead {
+			continue
+		}
+		if p.server.Zone != d.server.Zone {
+			w += crossZone
+		}
+		if e == nil || w < m {
+			e, m = p, w
+		}
+	}
+	if !u {
+		return d, true
+	}
+	return e, e != nil
+}
+
+// start sends j to its engines.
+func (s *Scheduler) start(now time.Time, j *job, p, d *engine) {
+	j.prefill, j.reader, j.decode = p, p, d
+	j.started = now
+	p.reading = append(p.reading, j)
+	p.busy = later(p.busy, now).Add(j.cost)
+	d.decoding = append(d.decoding, j)
+	// The grant is read at the prefill decision and should name both engines.
+	s.decide(j, sardineknot.ActionDecode, d)
+	s.decide(j, sardineknot.ActionPrefill, p)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+func (s *Scheduler) decide(j *job, a sardineknot.Action, e *engine) {
+	s.decisions = append(s.decisions, sardineknot.Decision{Key: j.Key, Action: a, Server: e.server.Name})
+}
+
+// refuse ends j as not run.
+func (s *Scheduler) refuse(now time.Time, j *job) {
+	delete(s.jobs, j.Key)
+	s.decisions = append(s.decisions, sardineknot.Decision{
+		Key:        j.Key,
+		Action:     sardineknot.ActionRefuse,
+		Reason:     "no engine has room in time",
+		RetryAfter: s.refusals.next(now),
+	})
+}
--- a/internal/slots/twirp/ask.go
+++ b/internal/slots/twirp/ask.go
@@ -37,6 +37,7 @@
 	p, err := l.client(v).Acquire(ctx, &rpc.AcquireRequest{Shard: l.name, Job: jobMessage(j, l.pool.Clock.Now()), Events: b.Events})
 	if err != nil {
 		l.putBack(v, b)
+		l.pool.lost(ctx, v)
 		return sardineknot.Grant{}, unavailable(v, err)
 	}
 	l.observe(p.GetLoad())
@@ -65,6 +66,7 @@
 	p, err := l.client(v).PrefillDone(ctx, q)
 	if err != nil {
 		l.putBack(v, b)
+		l.pool.lost(ctx, v)
 		return "", unavailable(v, err)
 	}
 	l.observe(p.GetLoad())
--- a/internal/slots/twirp/link.go
+++ b/internal/slots/twirp/link.go
@@ -24,6 +24,9 @@
 	ok    bool
 	// local is not nil if and only if this host owns the shard.
 	local *local.Shard
+	// acting grants engines to hosts that take this one for the owner while it
+	// takes another one for it. It is nil until the first such call.
+	acting *local.Shard
 	// moved is closed and replaced when the owner changes.
 	moved chan struct{}
 	// held holds the jobs of this host that have not ended.
@@ -60,13 +63,30 @@
 func (l *link) setServers(k []sardineknot.Link) {
 	l.mu.Lock()
 	l.links = k
-	o, s := l.local, l.shard
+	s := l.shard
+	o := []*local.Shard{l.local, l.acting}
 	l.mu.Unlock()
-	if o != nil {
-		o.SetServers(s.Joining(), k)
+	for _, d := range o {
+		if d != nil {
+			d.SetServers(s.Joining(), k)
+		}
 	}
 }
 
+// act returns the shard that grants engines to hosts which take this one for
+// the owner.
+func (l *link) act() *local.Shard {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.local != nil {
+		return l.local
+	}
+	if l.acting == nil {
+		l.acting = l.pool.newLocal(l.shard, l.links)
+	}
+	return l.acting
+}
+
 // setOwner takes in the owner of the shard. A new owner is told of the running
 // jobs.
 func (l *link) setOwner(o sardineknot.EntryHost, ok bool) {
@@ -82,7 +102,10 @@
 		l.local = nil
 	}
 	if ok && o.ID == l.pool.Members.Self().ID {
-		l.local = l.pool.newLocal(l.shard, l.links)
+		l.local, l.acting = l.acting, nil
+		if l.local == nil {
+			l.local = l.pool.newLocal(l.shard, l.links)
+		}
 	}
 	close(l.moved)
 	l.moved = make(chan struct{})
--- a/internal/slots/twirp/message.go
+++ b/internal/slots/twirp/message.go
@@ -24,6 +24,8 @@
 		PerTokenMicros:   j.PerToken.Microseconds(),
 		Owner:            string(j.Owner),
 		OwnerIncarnation: uint64(j.OwnerIncarnation),
+		ExpectedTokens:   int32(j.ExpectedTokens),
+		PatienceMicros:   j.Patience.Sub(now).Microseconds(),
 	}
 }
 
@@ -41,6 +43,8 @@
 		PerToken:         micros(m.GetPerTokenMicros()),
 		Owner:            sardineknot.EntryHostID(m.GetOwner()),
 		OwnerIncarnation: sardineknot.Incarnation(m.GetOwnerIncarnation()),
+		ExpectedTokens:   int(m.GetExpectedTokens()),
+		Patience:         now.Add(micros(m.GetPatienceMicros())),
 	}
 }
 
--- a/internal/slots/twirp/outbox.go
+++ b/internal/slots/twirp/outbox.go
@@ -18,6 +18,8 @@
 	maxEvents = 4096
 	// reportTimeout bounds one message of events.
 	reportTimeout = time.Second
+	// beatTimeouts is the same in beats, if there are any.
+	beatTimeouts = 2
 )
 
 // outbox holds what the owner of a shard has yet to be told. It is guarded by
@@ -30,6 +32,20 @@
 	timer *time.Timer
 	due   time.Time
 	pause time.Duration
+	// beating tells that an empty message is to be sent.
+	beating bool
+}
+
+// beat sends the outbox, even if it is empty, to a remote owner for which this
+// host holds jobs.
+func (l *link) beat() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.local != nil || len(l.held) == 0 {
+		return
+	}
+	l.beating = true
+	l.armLocked(0)
 }
 
 // report passes e on to the owner.
@@ -95,12 +111,14 @@
 	return q
 }
 
-// takeAll also removes the running jobs that the owner has to be told of.
-func (l *link) takeAll() *rpc.ReportRequest {
-	q := l.take()
+// takeAll also removes the running jobs that the owner has to be told of, and
+// reports whether the message is to be sent even if it is empty.
+func (l *link) takeAll() (q *rpc.ReportRequest, beating bool) {
+	q = l.take()
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.timer = nil
+	beating, l.beating = l.beating, false
 	if l.announce {
 		l.announce = false
 		n := l.pool.Clock.Now()
@@ -108,7 +126,7 @@
 			q.Running = append(q.Running, runningMessage(r, n))
 		}
 	}
-	return q
+	return q, beating
 }
 
 // putBack returns what could not be sent.
@@ -144,8 +162,8 @@
 // send sends the outbox to the owner, and again later if that fails.
 func (l *link) send() {
 	v := l.view()
-	q := l.takeAll()
-	if len(q.Events) == 0 && len(q.Running) == 0 {
+	q, b := l.takeAll()
+	if len(q.Events) == 0 && len(q.Running) == 0 && !b {
 		return
 	}
 	if v.local != nil {
@@ -156,10 +174,11 @@
 		l.putBack(v, q)
 		return
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), l.pool.reportTimeout())
 	defer cancel()
 	p, err := l.client(v).Report(ctx, q)
 	if err != nil {
+		l.pool.lost(context.Background(), v)
 		l.putBack(v, q)
 		return
 	}
@@ -169,6 +188,14 @@
 	l.observe(p.GetLoad())
 }
 
+// reportTimeout returns the time that an owner has to answer a message.
+func (p *Pool) reportTimeout() time.Duration {
+	if p.Beat > 0 {
+		return beatTimeouts * p.Beat
+	}
+	return reportTimeout
+}
+
 // deliver passes a message on to the shard s of this host.
 func deliver(s *local.Shard, q *rpc.ReportRequest, now time.Time) {
 	for _, r := range q.GetRunning() {
--- a/internal/slots/twirp/pool.go
+++ b/internal/slots/twirp/pool.go
@@ -47,6 +47,18 @@
 	Settle time.Duration
 	// Random chooses among shards. It is used under a lock.
 	Random *rand.Rand
+	// Beat is the time between two messages to an owner for which this host
+	// holds jobs, so that an owner that has gone silent is noticed. Zero means
+	// that the membership alone tells.
+	Beat time.Duration
+	// Lost is called, without a lock, with an owner that did not answer. It may
+	// be nil.
+	Lost func(sardineknot.EntryHostID)
+	// Acting has this host grant engines of shards that others take it to own,
+	// although it takes another host for the owner. Engines may then be granted
+	// twice, where hosts that cannot reach the owner would grant nothing
+	// otherwise.
+	Acting bool
 
 	// jobs holds the *link of each job, by key.
 	jobs sync.Map
@@ -69,10 +81,18 @@
 
 // Run follows the configuration and the membership until ctx is done.
 func (p *Pool) Run(ctx context.Context) error {
+	var b <-chan time.Time
+	if p.Beat > 0 {
+		t := time.NewTicker(p.Beat)
+		defer t.Stop()
+		b = t.C
+	}
 	for {
 		c, m := p.Source.Changed(), p.Members.Changed()
 		p.refresh()
 		select {
+		case <-b:
+			p.beat()
 		case <-c:
 		case <-m:
 		case <-ctx.Done():
@@ -182,6 +202,22 @@
 	l.adopt(r)
 }
 
+// beat sends a message to each remote owner for which this host holds jobs.
+func (p *Pool) beat() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, l := range p.links {
+		l.beat()
+	}
+}
+
+// lost notes that the owner v did not answer, unless the caller gave up.
+func (p *Pool) lost(ctx context.Context, v view) {
+	if p.Lost != nil && ctx.Err() == nil {
+		p.Lost(v.owner.ID)
+	}
+}
+
 // stale reports whether the configuration changed since the last refresh.
 func (p *Pool) stale() bool {
 	p.mu.Lock()
--- a/internal/slots/twirp/service.go
+++ b/internal/slots/twirp/service.go
@@ -70,6 +70,9 @@
 	if l == nil {
 		return nil, twirp.NotFoundError("no such shard")
 	}
+	if s.pool.Acting {
+		return l.act(), nil
+	}
 	v := l.view()
 	m := s.pool.Members
 	if v.local == nil || m.Isolated() || v.owner.Incarnation != m.Self().Incarnation {
--- a/scheduler.go
+++ b/scheduler.go
@@ -22,10 +22,16 @@
 	Prefixes []uint64
 	// MaxTokens bounds the length of the answer.
 	MaxTokens int
+	// ExpectedTokens is the caller's estimate of the length of the answer.
+	// Zero means that it gave none.
+	ExpectedTokens int
 	// Priority orders jobs. Smaller values go first.
 	Priority int
 	// Deadline is the time by which the first token is due.
 	Deadline time.Time
+	// Patience is the time at which the caller gives up. The zero time means
+	// at Deadline.
+	Patience time.Time
 	// PerToken is the latency target between tokens.
 	PerToken time.Duration
 	// Owner and OwnerIncarnation tell which entry host holds the job.
@@ -76,6 +82,11 @@
 	JobCancelled
 	// JobFailed follows the failure of the job's server, at any step.
 	JobFailed
+	// JobProgress tells how many tokens a running decode has generated.
+	JobProgress
+	// JobCacheLost tells that the result of the prefill on the server could not
+	// be imported. The job goes on: the decode engine reads the prompt itself.
+	JobCacheLost
 )
 
 // JobEvent is a report about a job.
