caller/gateway: a refusal is not a broken answer

Cause: the handler looked at whether the head was passed on after it had written the refusal itself, and cut the connection.

--- a/internal/caller/gateway/handler.go
+++ b/internal/caller/gateway/handler.go
@@ -126,12 +126,12 @@
 		q = h.Stream
 	}
 	err := q.Run(ctx, c, a)
-	s := a.status
-	if err != nil && !a.started {
-		s = h.fail(a, err)
+	b := a.started
+	if err != nil && !b {
+		h.fail(a, err)
 	}
-	h.note(c, s, err)
-	if err != nil && a.started {
+	h.note(c, a.status, err)
+	if err != nil && b {
 		// The connection is cut, so that the answer does not look whole.
 		panic(http.ErrAbortHandler)
 	}
