--- a/internal/answer/events/try.go
+++ b/internal/answer/events/try.go
@@ -159,14 +159,14 @@
 		t.writer.Start(p.Status, p.Header)
 	}
 	err := t.copy(p)
-	switch {
-	case err == nil:
-		t.report(sardineknot.JobFinished, t.decode.Name)
-		return nil
-	default:
+	if err != nil {
 		t.lost(ctx, err, t.decode.Name)
 		return err
 	}
+	t.report(sardineknot.JobFinished, t.decode.Name)
+	t.Log.Info().Str("event", "stream_ended").Str("request", string(t.call.ID)).Str("server", string(t.decode.Name)).
+		Int("tokens", t.tokens()).Int("expected", t.job.ExpectedTokens).Int("longest", t.job.MaxTokens).Send()
+	return nil
 }
 
 // passFailure passes on an answer that is not a stream. If the call may be
--- a/internal/backend/shared/budget.go
+++ b/internal/backend/shared/budget.go
@@ -18,18 +18,18 @@
 	bucketWidth = time.Second
 )
 
-// Budgets is a sardineknot.RetryBudget. All fields are set before use.
+// Budgets is a sardineknot.RetryBudget. The exported fields are set before use.
 type Budgets struct {
 	// Clock gives the time.
 	Clock sardineknot.Clock
-	// Ratio is the number of retries that each first try allows.
-	Ratio float64
-	// Slack is the number of retries that are allowed beside, on all hosts.
-	Slack float64
 	// Hosts returns the number of entry hosts.
 	Hosts func() int
 
 	mu sync.Mutex
+	// ratio is the number of retries that each first try allows, and slack the
+	// number that is allowed beside, on all hosts.
+	ratio float64
+	slack float64
 	// counts holds the tries of each service.
 	counts map[sardineknot.ServiceName]*counts
 }
@@ -49,6 +49,14 @@
 	retries float64
 }
 
+// SetBounds sets the number of retries that each first try allows, and the
+// number that is allowed beside, on all hosts. Both are zero at first.
+func (b *Budgets) SetBounds(ratio, slack float64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ratio, b.slack = ratio, slack
+}
+
 // First implements sardineknot.RetryBudget.
 func (b *Budgets) First(s sardineknot.ServiceName) {
 	b.mu.Lock()
@@ -63,7 +71,7 @@
 	defer b.mu.Unlock()
 	k := b.bucketLocked(s)
 	f, r := b.counts[s].sum(k.number)
-	if r+1 > margin*(b.Ratio*f+b.Slack/n) {
+	if r+1 > margin*(b.ratio*f+b.slack/n) {
 		return false
 	}
 	k.retries++
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -9,7 +9,9 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"runtime/debug"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -46,6 +48,9 @@
 	// slotSettle is the time that the state of a shard takes to follow it to a
 	// new owner.
 	slotSettle = 300 * time.Millisecond
+	// deadGrace is the time for which a host has to be gone before its jobs are
+	// dropped.
+	deadGrace = 2 * time.Second
 	// headerTimeout bounds the head of a call.
 	headerTimeout = 10 * time.Second
 	// maxHeaderBytes bounds the head of a call.
@@ -70,11 +75,18 @@
 	Ready  func(ready func() bool) http.Handler
 	// Tasks run as long as the process.
 	Tasks []func(context.Context) error
+	// Load reads the settings again, and Reload asks for that. Settings that
+	// change without a signal are found too.
+	Load   func() (sardineknot.GatewaySettings, error)
+	Reload <-chan os.Signal
 	// Log takes events.
 	Log zerolog.Logger
 	// Metrics holds all metrics of the process.
 	Metrics metrics.Registry
 
+	// settingsLock guards the fields of Settings that a reload changes.
+	settingsLock sync.Mutex
+
 	clock    clock.System
 	registry *membership.Registry
 	source   *configuration.Source
@@ -82,6 +94,7 @@
 	handler  *caller.Handler
 	slots    *twirp.Pool
 	peers    *h2c.Transport
+	budgets  *shared.Budgets
 }
 
 // Run serves until ctx is done, and then until the host has stopped in order.
@@ -99,7 +112,7 @@
 		}
 		g.Go(func() error { return serve(s.server, n) })
 	}
-	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.sweep) {
+	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.sweep, p.follow) {
 		g.Go(func() error { return f(w) })
 	}
 	p.Log.Info().Str("event", "started").Str("zone", string(p.Settings.Zone)).Send()
@@ -170,12 +183,9 @@
 
 // addCalls assembles what answers callers.
 func (p *Process) addCalls(self sardineknot.EntryHost) {
-	b := &shared.Budgets{
-		Clock: p.clock,
-		Ratio: p.Settings.RetryRatio,
-		Slack: p.Settings.RetrySlack,
-		Hosts: func() int { return len(p.registry.Hosts()) },
-	}
+	b := &shared.Budgets{Clock: p.clock, Hosts: func() int { return len(p.registry.Hosts()) }}
+	b.SetBounds(p.Settings.RetryRatio, p.Settings.RetrySlack)
+	p.budgets = b
 	n := uint64(self.Incarnation)
 	p.handler = &caller.Handler{
 		Source:  p.source,
@@ -203,6 +213,9 @@
 		case <-t.C:
 			p.source.Settle()
 			p.registry.Refresh()
+			for o := range p.slots.Owned() {
+				o.DropDead(p.registry.Dead, deadGrace)
+			}
 		case <-ctx.Done():
 			return nil
 		}
--- a/internal/host/gateway/stop.go
+++ b/internal/host/gateway/stop.go
@@ -19,7 +19,7 @@
 // stop ends the service of the host: others name it no longer, no connection
 // is taken any more, and the calls that run have the time to end.
 func (p *Process) stop(l []endpoint) {
-	d := p.Settings.StopLimit
+	d := p.stopLimit()
 	if d <= 0 {
 		d = defaultStopLimit
 	}
--- a/internal/membership/store/registry.go
+++ b/internal/membership/store/registry.go
@@ -152,6 +152,17 @@
 	r.refreshLocked()
 }
 
+// Dead reports whether the life n of the host i is known to be over.
+func (r *Registry) Dead(i sardineknot.EntryHostID, n sardineknot.Incarnation) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if i == r.self.ID {
+		return n != r.self.Incarnation
+	}
+	m := r.hosts[i]
+	return m == nil || m.host.Incarnation > n
+}
+
 // Take takes in a changed entry of the service.
 func (r *Registry) Take(e sardineknot.StoreEntry) {
 	n, ok := strings.CutPrefix(e.Key, Prefix)
--- a/internal/policy/memory/job.go
+++ b/internal/policy/memory/job.go
@@ -28,6 +28,8 @@
 	// before the first.
 	tokens float64
 	at     time.Time
+	// heardOf is the time of the last sign of the job.
+	heardOf time.Time
 	// lookAt is the time at which a queued job is looked at again.
 	lookAt time.Time
 }
@@ -39,6 +41,7 @@
 	return &job{
 		Job:      j,
 		arrived:  now,
+		heardOf:  now,
 		cost:     seconds(s.perToken.value * float64(j.PromptTokens)),
 		expected: s.lengths.expect(j),
 	}
--- a/internal/policy/memory/scheduler.go
+++ b/internal/policy/memory/scheduler.go
@@ -6,6 +6,15 @@
 	"sardineknot.example/sardineknot"
 )
 
+const (
+	// silenceLimit is the time after which a job on an engine is dropped of
+	// which nothing was heard. Holders tell of progress several times a
+	// second.
+	silenceLimit = 2500 * time.Millisecond
+	// expireInterval is the time between two looks for such jobs.
+	expireInterval = 250 * time.Millisecond
+)
+
 // Scheduler is a sardineknot.Scheduler and a sardineknot.Adopter. NewScheduler
 // makes one.
 type Scheduler struct {
@@ -24,6 +33,8 @@
 	perToken average
 	// refusals spreads the callers that come back.
 	refusals refusals
+	// expired is the time at which silent jobs were last looked for.
+	expired time.Time
 	// decisions collects what the present call decides.
 	decisions []sardineknot.Decision
 }
@@ -96,6 +107,7 @@
 	if j == nil {
 		return nil
 	}
+	j.heardOf = now
 	switch e.Kind {
 	case sardineknot.JobPrefillDone:
 		s.prefilled(now, j)
@@ -127,6 +139,7 @@
 	}
 	j := s.newJob(now, r.Job)
 	s.jobs[j.Key] = j
+	j.started = now
 	j.decode = d
 	d.decoding = append(d.decoding, j)
 	if r.Tokens > 0 {
@@ -158,6 +171,7 @@
 
 // settle decides whatever has become possible.
 func (s *Scheduler) settle(now time.Time) {
+	s.expire(now)
 	l := s.order(now)
 	s.queue = s.queue[:0]
 	f := true
@@ -174,6 +188,20 @@
 	clear(l[len(s.queue):])
 }
 
+// expire drops the jobs on engines that were not heard of for long. Their
+// holders are gone, or have told another owner of their end.
+func (s *Scheduler) expire(now time.Time) {
+	if now.Sub(s.expired) < expireInterval {
+		return
+	}
+	s.expired = now
+	for _, j := range s.jobs {
+		if j.decode != nil && now.Sub(j.heardOf) > silenceLimit {
+			s.remove(j)
+		}
+	}
+}
+
 func (s *Scheduler) take() []sardineknot.Decision {
 	d := s.decisions
 	s.decisions = nil
