--- a/internal/policy/memory/job.go
+++ b/internal/policy/memory/job.go
@@ -22,8 +22,8 @@
 	cost time.Duration
 	// started is the time at which the prefill was decided.
 	started time.Time
-	// expected is the forecast length of the answer, in tokens.
-	expected float64
+	// length is the forecast length of the answer.
+	length forecast
 	// tokens is the number of tokens generated at the time at. at is zero
 	// before the first.
 	tokens float64
@@ -43,7 +43,7 @@
 		arrived:  now,
 		heardOf:  now,
 		cost:     seconds(s.perToken.value * float64(j.PromptTokens)),
-		expected: s.lengths.expect(j),
+		length:   s.lengths.expect(j),
 	}
 }
 
@@ -74,14 +74,7 @@
 // span returns the memory of j from now on.
 func (j *job) span(now time.Time) span {
 	g := j.generated(now)
-	return span{held: float64(j.PromptTokens) + g, left: left(j, g)}
-}
-
-// left returns the number of tokens that are expected after the first g. An
-// answer that is longer than expected is taken to go on for a part of its
-// length.
-func left(j *job, g float64) float64 {
-	return min(max(j.expected-g, overrunShare*g), max(0, float64(j.MaxTokens)-g))
+	return span{held: float64(j.PromptTokens) + g, left: j.length.total(g) - g}
 }
 
 // remove takes j off its engines.
--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -13,8 +13,8 @@
 	// rest is for answers that turn out longer.
 	fill = 0.95
 	// overrunShare is the part of its present length by which an answer is
-	// expected to go on that is longer than was forecast.
-	overrunShare = 0.25
+	// expected to go on that is far longer than was forecast.
+	overrunShare = 0.1
 	// maxPrefillSample and maxPrefillPerToken bound the prefills from which
 	// the time for each token is learned.
 	maxPrefillSample   = time.Second
@@ -87,7 +87,7 @@
 			continue
 		}
 		c := e.capacity()
-		p := e.peak(now, span{held: float64(j.PromptTokens), left: j.expected})
+		p := e.peak(now, j.span(now))
 		if c > 0 && p > c && len(e.decoding) > 0 {
 			continue
 		}
