--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -60,7 +60,17 @@
 	if len(s.decode) == 0 {
 		return true
 	}
-	return j.late(now)
+	n := j.length.total(0) / max(1, s.tokenRate())
+	return now.Add(j.cost + firstEventTime + seconds(n)).After(j.Patience)
+}
+
+// tokenRate returns the mean rate at which answers grow, in tokens a second.
+func (s *Scheduler) tokenRate() float64 {
+	var r float64
+	for _, e := range s.decode {
+		r += e.rate.value
+	}
+	return r / float64(max(1, len(s.decode)))
 }
 
 // place starts j if there is room for it.
