--- a/call.go
+++ b/call.go
@@ -49,6 +49,9 @@
 	// ExpectedTokens is the caller's estimate of the length of the answer.
 	// Zero means that it gave none.
 	ExpectedTokens int
+	// Prefixes are hashes of the leading parts of the prompt, shortest first.
+	// The last one stands for the whole prompt.
+	Prefixes []uint64
 	// After is the identifier of the last event that the caller has. It is
 	// zero for an answer from its beginning.
 	After int
--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -116,6 +116,7 @@
 		Pool:         sardineknot.ServicePool(c.Service, p.Model),
 		Work:         sardineknot.WorkName(c.Route.Name),
 		Zone:         s.Self.Zone,
+		Prefixes:     p.Prefixes,
 		PromptTokens: p.Tokens + g + p.After*s.eventTokens(),
 		MaxTokens:    max(1, p.MaxTokens-g-p.After*s.eventTokens()),
 		Priority:     c.Route.Priority,
--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -11,7 +11,7 @@
 const (
 	// fill is the share of an engine's memory that forecasts may fill. The
 	// rest is for answers that turn out longer.
-	fill = 0.75
+	fill = 0.92
 	// overrunShare is the part of its present length by which an answer is
 	// expected to go on that is far longer than was forecast.
 	overrunShare = 0.1
@@ -22,9 +22,15 @@
 	// firstEventTime is kept between the end of a prefill and the latency
 	// target of the first event, for the transfer and the first tokens.
 	firstEventTime = 120 * time.Millisecond
-	// serviceTime is kept between the start of a job that is late and the time
-	// at which its caller gives up.
-	serviceTime = 6 * time.Second
+	// returnedWait is the time for which a caller waits who came back as told.
+	returnedWait = 2500 * time.Millisecond
+	// optimism is the part by which the room that becomes free may turn out
+	// larger than forecast before jobs are refused for lack of it.
+	optimism = 1.3
+	// passTime is the time for which a job of mean burden lets others pass, and
+	// maxPass bounds it.
+	passTime = 300 * time.Millisecond
+	maxPass  = 900 * time.Millisecond
 	// lookInterval is the time between two looks at a job that waits.
 	lookInterval = 25 * time.Millisecond
 	// crossZone is the waiting time that a transfer within a zone is worth.
@@ -34,7 +40,9 @@
 )
 
 // order returns the queue in the order of service: jobs whose first event can
-// be in time before the others, and by arrival among these.
+// be in time before the others. Among these a job that takes much memory for
+// long lets jobs pass that came a little later, since several of them can be
+// served in its place.
 func (s *Scheduler) order(now time.Time) []*job {
 	l := slices.Clone(s.queue)
 	slices.SortStableFunc(l, func(a, b *job) int {
@@ -44,7 +52,7 @@
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.arrived.Compare(b.arrived))
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.turn.Compare(b.turn))
 	})
 	return l
 }
@@ -55,26 +63,48 @@
 	return now.Add(j.cost + firstEventTime).After(j.Deadline)
 }
 
-// hopeless reports whether j, which waits, is to be refused.
-func (s *Scheduler) hopeless(now time.Time, j *job) bool {
-	if len(s.decode) == 0 {
+// latestStart returns the time until which j may wait.
+func (j *job) latestStart() time.Time {
+	t := j.Deadline.Add(-j.cost - firstEventTime)
+	if j.returned {
+		return later(t, j.arrived.Add(returnedWait))
+	}
+	return t
+}
+
+// hopeless reports whether j, which waits behind jobs that need ahead tokens of
+// memory, is to be refused.
+func (s *Scheduler) hopeless(now time.Time, j *job, ahead float64) bool {
+	e := j.latestStart()
+	if len(s.decode) == 0 || !now.Before(e) {
 		return true
 	}
-	n := j.length.total(0) / max(1, s.tokenRate())
-	return now.Add(j.cost + firstEventTime + seconds(n)).After(j.Patience)
+	return ahead+j.need() > optimism*s.roomBy(now, e)
 }
 
-// tokenRate returns the mean rate at which answers grow, in tokens a second.
-func (s *Scheduler) tokenRate() float64 {
+// need returns the memory that j is expected to need at its end.
+func (j *job) need() float64 { return float64(j.PromptTokens) + j.length.total(0) }
+
+// roomBy returns the memory that is free or is expected to become free by t.
+func (s *Scheduler) roomBy(now, t time.Time) float64 {
 	var r float64
 	for _, e := range s.decode {
-		r += e.rate.value
+		if !e.usable(now) {
+			continue
+		}
+		r += max(0, e.capacity()-e.peak(now))
+		w := t.Sub(now).Seconds() * e.rate.value
+		for _, j := range e.decoding {
+			if p := j.span(now); p.left < w {
+				r += p.held + p.left
+			}
+		}
 	}
-	return r / float64(max(1, len(s.decode)))
+	return r
 }
 
 // place starts j if there is room for it.
-func (s *Scheduler) place(now time.Time, j *job, _ bool) bool {
+func (s *Scheduler) place(now time.Time, j *job) bool {
 	d := s.chooseDecode(now, j)
 	if d == nil {
 		return false
@@ -162,6 +192,7 @@
 // refuse ends j as not run.
 func (s *Scheduler) refuse(now time.Time, j *job) {
 	delete(s.jobs, j.Key)
+	s.refusals.note(now, j)
 	s.decisions = append(s.decisions, sardineknot.Decision{
 		Key:        j.Key,
 		Action:     sardineknot.ActionRefuse,
--- a/internal/policy/memory/scheduler.go
+++ b/internal/policy/memory/scheduler.go
@@ -31,6 +31,9 @@
 	lengths lengths
 	// perToken is the time that a prefill takes for each token.
 	perToken average
+	// meanBurden is the mean of the memory that a job takes, times the number
+	// of tokens for which it does.
+	meanBurden average
 	// refusals spreads the callers that come back.
 	refusals refusals
 	// expired is the time at which silent jobs were last looked for.
@@ -174,13 +177,14 @@
 	s.expire(now)
 	l := s.order(now)
 	s.queue = s.queue[:0]
-	f := true
+	var n float64
 	for _, j := range l {
 		switch {
-		case s.hopeless(now, j):
+		case s.place(now, j):
+		case s.hopeless(now, j, n):
 			s.refuse(now, j)
-		case s.place(now, j, f):
 		default:
+			n += j.need()
 			j.lookAt = now.Add(lookInterval)
 			s.queue = append(s.queue, j)
 		}
