--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -26,11 +26,11 @@
 	returnedWait = 2500 * time.Millisecond
 	// optimism is the part by which the room that becomes free may turn out
 	// larger than forecast before jobs are refused for lack of it.
-	optimism = 1.3
+	optimism = 3.0
 	// passTime is the time for which a job of mean burden lets others pass, and
 	// maxPass bounds it.
-	passTime = 300 * time.Millisecond
-	maxPass  = 900 * time.Millisecond
+	passTime = 100 * time.Millisecond
+	maxPass  = 300 * time.Millisecond
 	// lookInterval is the time between two looks at a job that waits.
 	lookInterval = 25 * time.Millisecond
 	// crossZone is the waiting time that a transfer within a zone is worth.
