--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -26,7 +26,7 @@
 	returnedWait = 2500 * time.Millisecond
 	// optimism is the part by which the room that becomes free may turn out
 	// larger than forecast before jobs are refused for lack of it.
-	optimism = 3.0
+	optimism = 100.0
 	// passTime is the time for which a job of mean burden lets others pass, and
 	// maxPass bounds it.
 	passTime = 100 * time.Millisecond
