--- a/internal/answer/events/copy.go
+++ b/internal/answer/events/copy.go
@@ -58,6 +58,7 @@
 			return errors.WithStack(&writeError{cause: err})
 		}
 		t.passed++
+		t.clockEvent()
 		t.count()
 		if id > 0 {
 			t.last = id
@@ -65,6 +66,17 @@
 	}
 }
 
+// clockEvent notes the time of an event.
+func (t *try) clockEvent() {
+	n := t.Clock.Now()
+	if t.passed == 1 {
+		t.first = n.Sub(t.call.Arrived)
+	} else {
+		t.pause = max(t.pause, n.Sub(t.lastAt))
+	}
+	t.lastAt = n
+}
+
 // count reports progress at times.
 func (t *try) count() {
 	t.events++
--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -59,6 +59,11 @@
 	last int
 	// passed is the number of events that were passed on.
 	passed int
+	// first is the time from arrival to the first event, and pause the longest
+	// time between two events. lastAt is the time of the last event.
+	first  time.Duration
+	pause  time.Duration
+	lastAt time.Time
 	// tries counts tries, and runs those that may have run on an engine.
 	tries int
 	runs  int
--- a/internal/answer/events/try.go
+++ b/internal/answer/events/try.go
@@ -165,7 +165,7 @@
 	}
 	t.report(sardineknot.JobFinished, t.decode.Name)
 	t.Log.Info().Str("event", "stream_ended").Str("request", string(t.call.ID)).Str("server", string(t.decode.Name)).
-		Int("tokens", t.tokens()).Int("expected", t.job.ExpectedTokens).Int("longest", t.job.MaxTokens).Send()
+		Int("tries", t.tries).Dur("first", t.first).Dur("pause", t.pause).Int("tokens", t.tokens()).Int("expected", t.job.ExpectedTokens).Int("longest", t.job.MaxTokens).Send()
 	return nil
 }
 
