--- a/call.go
+++ b/call.go
@@ -103,6 +103,8 @@
 	Prefill(ctx context.Context, s BackendServer, c *Call, deadline time.Time) (CacheReference, error)
 	// Release frees a KV cache that is not imported.
 	Release(ctx context.Context, c CacheReference) error
+	// Load returns the load that the engine s reports.
+	Load(ctx context.Context, s BackendServer) (LoadReport, error)
 }
 
 // CallDecoder decodes the requests of callers.
--- a/engine.go
+++ b/engine.go
@@ -71,6 +71,18 @@
 	// Running and Waiting count requests.
 	Running int
 	Waiting int
+	// Runs lists the running requests. It is nil if the engine does not tell.
+	Runs []EngineRun
+}
+
+// EngineRun is a running request as its engine reports it.
+type EngineRun struct {
+	// ID is the identifier of the call.
+	ID RequestID
+	// MemoryTokens is the memory that it takes, in tokens, and Events the
+	// number of events that it has made.
+	MemoryTokens int
+	Events       int
 }
 
 // TokenStream is the answer of a decode engine.
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -112,7 +112,7 @@
 		}
 		g.Go(func() error { return serve(s.server, n) })
 	}
-	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.sweep, p.follow) {
+	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.sweep, p.follow, p.observe) {
 		g.Go(func() error { return f(w) })
 	}
 	p.Log.Info().Str("event", "started").Str("zone", string(p.Settings.Zone)).Send()
--- a/internal/policy/memory/engine.go
+++ b/internal/policy/memory/engine.go
@@ -35,6 +35,10 @@
 	busy time.Time
 	// rate is the number of tokens that an answer grows in a second.
 	rate average
+	// foreign lists the requests that others placed on the engine, and
+	// foreignLength is the forecast length of their answers.
+	foreign       []foreign
+	foreignLength forecast
 	// failures counts failures in a row. restsUntil is set from failureLimit
 	// on, and rest is the length of that time.
 	failures   int
@@ -89,6 +93,7 @@
 	for _, j := range e.decoding {
 		l = append(l, j.span(now))
 	}
+	l = e.spans(now, l)
 	slices.SortFunc(l, func(a, b span) int {
 		switch {
 		case a.left < b.left:
--- a/internal/policy/memory/job.go
+++ b/internal/policy/memory/job.go
@@ -108,6 +108,7 @@
 	}
 	if e := j.decode; e != nil {
 		e.decoding = without(e.decoding, j)
+		s.ended.add(j.heardOf, callOf(j.Key))
 	}
 }
 
--- a/internal/policy/memory/scheduler.go
+++ b/internal/policy/memory/scheduler.go
@@ -29,6 +29,8 @@
 	engines map[sardineknot.BackendServerName]*engine
 
 	lengths lengths
+	// longest is the bound of the answer of the job that came last, in tokens.
+	longest int
 	// perToken is the time that a prefill takes for each token.
 	perToken average
 	// meanBurden is the mean of the memory that a job takes, times the number
@@ -36,6 +38,8 @@
 	meanBurden average
 	// refusals spreads the callers that come back.
 	refusals refusals
+	// ended remembers the jobs that ended of late.
+	ended ended
 	// expired is the time at which silent jobs were last looked for.
 	expired time.Time
 	// decisions collects what the present call decides.
@@ -98,6 +102,7 @@
 		return nil
 	}
 	n := s.newJob(now, j)
+	s.longest = j.MaxTokens
 	s.jobs[j.Key] = n
 	s.queue = append(s.queue, n)
 	s.settle(now)
@@ -151,10 +156,6 @@
 	return nil
 }
 
-// Observe implements sardineknot.Scheduler. Reports lag behind what the
-// scheduler knows from its own jobs.
-func (s *Scheduler) Observe(time.Time, sardineknot.LoadReport) {}
-
 // Wake implements sardineknot.Scheduler.
 func (s *Scheduler) Wake(now time.Time) []sardineknot.Decision {
 	s.settle(now)
--- a/internal/slots/twirp/link.go
+++ b/internal/slots/twirp/link.go
@@ -131,10 +131,13 @@
 	return view{owner: l.owner, ok: l.ok, local: l.local, moved: l.moved}
 }
 
-// owned returns the shard if this host owns it, or nil.
+// owned returns the shard if this host owns it or acts as its owner, or nil.
 func (l *link) owned() (*local.Shard, shard.Shard) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.local == nil {
+		return l.acting, l.shard
+	}
 	return l.local, l.shard
 }
 
