--- a/engine.go
+++ b/engine.go
@@ -6,6 +6,10 @@
 	"time"
 )
 
+// MaxSelfRead is the longest prompt that a decode engine is given to read, in
+// tokens. While it reads, all answers on the engine pause.
+const MaxSelfRead = 5000
+
 // EngineRequest is the part of a request that engines see.
 type EngineRequest struct {
 	// Key identifies the request. Engines keep it unique.
--- a/internal/answer/events/try.go
+++ b/internal/answer/events/try.go
@@ -96,7 +96,7 @@
 		t.release(t.cache)
 		t.cache = sardineknot.CacheReference{}
 		t.report(sardineknot.JobCacheLost, t.prefill.Name)
-		if t.Budget.Retry(t.call.Service) {
+		if t.job.PromptTokens <= sardineknot.MaxSelfRead && t.Budget.Retry(t.call.Service) {
 			p, err = t.forward(ctx, t.cache)
 		}
 	}
--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -160,7 +160,7 @@
 			e, m = p, w
 		}
 	}
-	if !u {
+	if !u && j.PromptTokens <= sardineknot.MaxSelfRead {
 		return d, true
 	}
 	return e, e != nil
