--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -11,7 +11,7 @@
 const (
 	// fill is the share of an engine's memory that forecasts may fill. The
 	// rest is for answers that turn out longer.
-	fill = 0.86
+	fill = 0.97
 	// overrunShare is the part of its present length by which an answer is
 	// expected to go on that is far longer than was forecast.
 	overrunShare = 0.1
@@ -29,7 +29,7 @@
 	optimism = 100.0
 	// passTime is the time for which a job of mean burden lets others pass, and
 	// maxPass bounds it.
-	passTime = 100 * time.Millisecond
+	passTime = 1 * time.Millisecond
 	maxPass  = 300 * time.Millisecond
 	// lookInterval is the time between two looks at a job that waits.
 	lookInterval = 25 * time.Millisecond
