--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -23,7 +23,7 @@
 	// target of the first event, for the transfer and the first tokens.
 	firstEventTime = 120 * time.Millisecond
 	// returnedWait is the time for which a caller waits who came back as told.
-	returnedWait = 2500 * time.Millisecond
+	returnedWait = 1 * time.Millisecond
 	// optimism is the part by which the room that becomes free may turn out
 	// larger than forecast before jobs are refused for lack of it.
 	optimism = 100.0
