policy/memory: callers that were refused before go after those in time

Cause: a caller that comes back is late in any case; it took room from callers whose first event could still be in time. Also tests of what was built so far.

--- /dev/null
+++ b/internal/answer/plain/runner_test.go
@@ -0,0 +1,174 @@
+package plain_test
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/answer/plain"
+	"sardineknot.example/sardineknot/internal/backend/breaker"
+	"sardineknot.example/sardineknot/internal/host/clock"
+)
+
+type source struct{ sardineknot.Configuration }
+
+func (s *source) Current() *sardineknot.Configuration { return &s.Configuration }
+func (s *source) Changed() <-chan struct{}            { return nil }
+
+// answer is what a server answers to one send.
+type answer struct {
+	status int
+	body   string
+	err    error
+}
+
+// servers is a sardineknot.Forwarder that plays answers in turn.
+type servers struct {
+	sardineknot.Forwarder
+	answers []answer
+	sent    int
+}
+
+func (s *servers) Forward(context.Context, sardineknot.BackendServer, *sardineknot.Call, sardineknot.Send) (*sardineknot.Reply, error) {
+	a := s.answers[s.sent]
+	s.sent++
+	if a.err != nil && a.body == "" {
+		return nil, a.err
+	}
+	return &sardineknot.Reply{Status: a.status, Header: http.Header{}, Body: io.NopCloser(&cut{Reader: strings.NewReader(a.body), err: a.err})}, nil
+}
+
+// cut ends with err, if there is one.
+type cut struct {
+	*strings.Reader
+	err error
+}
+
+func (c *cut) Read(p []byte) (int, error) {
+	n, err := c.Reader.Read(p)
+	if err != nil && c.err != nil {
+		return n, c.err
+	}
+	return n, err
+}
+
+type writer struct {
+	status int
+	text   string
+}
+
+func (w *writer) Start(status int, _ http.Header) { w.status = status }
+func (w *writer) Write(b []byte) error            { w.text += string(b); return nil }
+
+type budget struct{ left int }
+
+func (b *budget) First(sardineknot.ServiceName) {}
+func (b *budget) Retry(sardineknot.ServiceName) bool {
+	b.left--
+	return b.left >= 0
+}
+
+// run has a call answered and returns what the caller and the servers saw.
+func run(t *testing.T, k sardineknot.RouteKind, budgeted int, l ...answer) (w *writer, sent int, err error) {
+	t.Helper()
+	c := sardineknot.Configuration{Revision: 1}
+	for _, n := range []sardineknot.BackendServerName{"a", "b", "c"} {
+		c.BackendServers = append(c.BackendServers, sardineknot.BackendServer{
+			Name: n, Role: sardineknot.RolePlain, Service: "s", Slots: 4, State: sardineknot.BackendJoining,
+		})
+	}
+	f := &servers{answers: l}
+	r := &plain.Runner{
+		Source: &source{c}, Forwarder: f, Servers: breaker.NewSet(rand.NewPCG(1, 1)),
+		Budget: &budget{left: budgeted}, Clock: clock.System{}, Log: zerolog.Nop(),
+	}
+	q := &sardineknot.Route{Kind: k, Attempts: 2}
+	if k == sardineknot.RouteUnsafe {
+		q.Attempts = 1
+	}
+	w = &writer{}
+	err = r.Run(t.Context(), &sardineknot.Call{ID: "c", Service: "s", Route: q, Deadline: time.Now().Add(time.Second)}, w)
+	return w, f.sent, err
+}
+
+func assertNotRun(t *testing.T, err error, want bool) {
+	t.Helper()
+	var n *sardineknot.NotRunError
+	is.New(t).Equal(errors.As(err, &n), want)
+}
+
+var (
+	refused = answer{err: errors.WithStack(&sardineknot.RefusedError{Server: "a", Status: 503})}
+	unsent  = answer{err: errors.WithStack(&sardineknot.UnsentError{Server: netip.AddrPort{}, Cause: io.ErrClosedPipe})}
+	unknown = answer{err: errors.WithStack(&sardineknot.UnavailableError{Peer: "a", Cause: io.ErrUnexpectedEOF})}
+	failed  = answer{status: 500, body: "no"}
+	good    = answer{status: 200, body: "yes"}
+	short   = answer{status: 200, body: "ye", err: io.ErrUnexpectedEOF}
+)
+
+func TestUnsafe(t *testing.T) {
+	t.Run("is not sent again after an unknown outcome", func(t *testing.T) {
+		_, n, err := run(t, sardineknot.RouteUnsafe, 9, unknown, good)
+		is.New(t).Equal(n, 1)
+		assertNotRun(t, err, false)
+	})
+	t.Run("is not sent again after a cut answer", func(t *testing.T) {
+		_, n, err := run(t, sardineknot.RouteUnsafe, 9, short, good)
+		is.New(t).Equal(n, 1)
+		assertNotRun(t, err, false)
+	})
+	t.Run("is sent again after a server that did not run it", func(t *testing.T) {
+		w, n, err := run(t, sardineknot.RouteUnsafe, 9, refused, unsent, good)
+		is := is.New(t)
+		is.NoErr(err)
+		is.Equal(n, 3)
+		is.Equal(w.text, "yes")
+	})
+	t.Run("is told as not run if no server ran it", func(t *testing.T) {
+		_, _, err := run(t, sardineknot.RouteUnsafe, 0, refused)
+		assertNotRun(t, err, true)
+	})
+	t.Run("passes a failure of the server on", func(t *testing.T) {
+		w, n, err := run(t, sardineknot.RouteUnsafe, 9, failed, good)
+		is := is.New(t)
+		is.NoErr(err)
+		is.Equal(n, 1)
+		is.Equal(w.status, 500)
+	})
+}
+
+func TestSafe(t *testing.T) {
+	t.Run("is repeated after a failure, within the attempts", func(t *testing.T) {
+		w, n, err := run(t, sardineknot.RouteSafe, 9, failed, failed, good)
+		is := is.New(t)
+		is.NoErr(err)
+		is.Equal(n, 2)
+		is.Equal(w.status, 500)
+	})
+	t.Run("is repeated after an unknown outcome", func(t *testing.T) {
+		w, _, err := run(t, sardineknot.RouteSafe, 9, short, good)
+		is := is.New(t)
+		is.NoErr(err)
+		is.Equal(w.text, "yes")
+	})
+	t.Run("is not repeated without budget", func(t *testing.T) {
+		_, n, err := run(t, sardineknot.RouteSafe, 0, unknown, good)
+		is := is.New(t)
+		is.True(err != nil)
+		is.Equal(n, 1)
+	})
+	t.Run("an unknown outcome is not told as not run", func(t *testing.T) {
+		_, _, err := run(t, sardineknot.RouteSafe, 9, unknown, refused, refused, refused)
+		assertNotRun(t, err, false)
+	})
+}
--- /dev/null
+++ b/internal/membership/store/registry_test.go
@@ -0,0 +1,184 @@
+package store_test
+
+import (
+	"context"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/host/clock"
+	"sardineknot.example/sardineknot/internal/membership/store"
+)
+
+// service is a key-value service that tells registries of its changes.
+type service struct {
+	mu       sync.Mutex
+	entries  map[string]sardineknot.StoreEntry
+	leases   map[sardineknot.LeaseID]bool
+	revision sardineknot.StoreRevision
+	tell     []func(sardineknot.StoreEntry)
+	// lost has writes take effect and fail.
+	lost bool
+	sardineknot.Store
+}
+
+func newService() *service {
+	return &service{entries: make(map[string]sardineknot.StoreEntry), leases: make(map[sardineknot.LeaseID]bool)}
+}
+
+func (s *service) Get(_ context.Context, k string) (sardineknot.StoreEntry, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.entries[k], nil
+}
+
+func (s *service) Grant(context.Context, time.Duration) (sardineknot.LeaseID, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := sardineknot.LeaseID(len(s.leases) + 1)
+	s.leases[n] = true
+	return n, nil
+}
+
+func (s *service) KeepAlive(_ context.Context, i sardineknot.LeaseID) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.leases[i] {
+		return errors.WithStack(&sardineknot.UnknownError{What: "Lease"})
+	}
+	return nil
+}
+
+func (s *service) CompareAndSwap(_ context.Context, k string, r sardineknot.StoreRevision, v []byte, _ sardineknot.LeaseID) (sardineknot.StoreRevision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.entries[k].Revision != r {
+		return 0, errors.WithStack(&sardineknot.ConflictError{Key: k, Expected: r})
+	}
+	s.putLocked(sardineknot.StoreEntry{Key: k, Value: v})
+	if s.lost {
+		s.lost = false
+		return 0, errors.WithStack(&sardineknot.UnavailableError{Peer: "store", Cause: context.DeadlineExceeded})
+	}
+	return s.revision, nil
+}
+
+func (s *service) putLocked(e sardineknot.StoreEntry) {
+	s.revision++
+	e.Revision = s.revision
+	s.entries[e.Key] = e
+	for _, f := range s.tell {
+		f(e)
+	}
+}
+
+// end ends all leases and removes all keys.
+func (s *service) end() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for i := range s.leases {
+		s.leases[i] = false
+	}
+	for k := range s.entries {
+		delete(s.entries, k)
+		for _, f := range s.tell {
+			f(sardineknot.StoreEntry{Key: k})
+		}
+	}
+}
+
+// start returns a registry of the host n at s, which runs until the test ends.
+func start(t *testing.T, s *service, n sardineknot.EntryHostID) *store.Registry {
+	a := netip.MustParseAddrPort("127.0.0.1:1")
+	r := store.NewRegistry(sardineknot.EntryHost{ID: n, Incarnation: 1, CallerAddress: a, PeerAddress: a, Zone: "z"})
+	r.Store, r.Clock, r.Log = s, clock.System{}, zerolog.Nop()
+	r.Contact = func() (bool, time.Time) { return true, time.Time{} }
+	s.mu.Lock()
+	s.tell = append(s.tell, r.Take)
+	for _, e := range s.entries {
+		r.Take(e)
+	}
+	s.mu.Unlock()
+	ctx, cancel := context.WithCancel(t.Context())
+	d := make(chan error)
+	go func() { d <- r.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		<-d
+	})
+	return r
+}
+
+// alive returns the live hosts as r sees them.
+func alive(r *store.Registry) string {
+	var l []string
+	for _, h := range r.Hosts() {
+		if h.State == sardineknot.EntryHostAlive {
+			l = append(l, string(h.ID))
+		}
+	}
+	return strings.Join(l, " ")
+}
+
+// pause lets the registries work.
+func pause(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func run(t *testing.T, name string, f func(t *testing.T, is *is.I, s *service)) {
+	t.Run(name, func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) { f(t, is.New(t), newService()) })
+	})
+}
+
+func TestRegistry(t *testing.T) {
+	run(t, "hosts find each other", func(t *testing.T, is *is.I, s *service) {
+		a, b := start(t, s, "a"), start(t, s, "b")
+		pause(time.Second)
+		is.Equal(alive(a), "a b")
+		is.Equal(alive(b), "a b")
+	})
+	run(t, "a key that went with its lease is written again", func(t *testing.T, is *is.I, s *service) {
+		a := start(t, s, "a")
+		start(t, s, "b")
+		pause(time.Second)
+		s.end()
+		pause(2 * time.Second)
+		is.Equal(alive(a), "a b")
+	})
+	run(t, "a write whose answer was lost is made good", func(t *testing.T, is *is.I, s *service) {
+		s.lost = true
+		a := start(t, s, "a")
+		b := start(t, s, "b")
+		pause(3 * time.Second)
+		a.Leave()
+		pause(time.Second)
+		is.Equal(alive(b), "b")
+	})
+	run(t, "a host that leaves is not live", func(t *testing.T, is *is.I, s *service) {
+		a, b := start(t, s, "a"), start(t, s, "b")
+		pause(time.Second)
+		b.Leave()
+		pause(time.Second)
+		is.Equal(alive(a), "a")
+		is.Equal(alive(b), "a")
+	})
+	run(t, "a host that does not answer is set aside for some time", func(t *testing.T, is *is.I, s *service) {
+		a := start(t, s, "a")
+		start(t, s, "b")
+		pause(time.Second)
+		a.Lost("b")
+		is.Equal(alive(a), "a")
+		pause(4 * time.Second)
+		is.Equal(alive(a), "a b")
+	})
+}
--- /dev/null
+++ b/internal/platform/mirror/mirror_test.go
@@ -0,0 +1,135 @@
+package mirror_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/host/clock"
+	"sardineknot.example/sardineknot/internal/platform/mirror"
+)
+
+var errDown = errors.New("down")
+
+// feed is a store of which the test sets what it answers.
+type feed struct {
+	mu        sync.Mutex
+	entries   []sardineknot.StoreEntry
+	changes   []sardineknot.StoreEntry
+	at        sardineknot.StoreRevision
+	err       error
+	snapshots int
+}
+
+func (f *feed) Snapshot(context.Context) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.snapshots++
+	return f.entries, f.at, f.err
+}
+
+func (f *feed) Next(ctx context.Context, after sardineknot.StoreRevision, wait time.Duration) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
+	f.mu.Lock()
+	l, at, err := f.changes, f.at, f.err
+	f.changes = nil
+	var c *sardineknot.CompactedError
+	if errors.As(err, &c) {
+		f.err = nil
+	}
+	f.mu.Unlock()
+	if len(l) > 0 || err != nil {
+		return l, at, err
+	}
+	select {
+	case <-time.After(wait):
+		return nil, after, nil
+	case <-ctx.Done():
+		return nil, after, ctx.Err()
+	}
+}
+
+func (f *feed) set(g func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	g()
+}
+
+func entry(k string, r sardineknot.StoreRevision) sardineknot.StoreEntry {
+	return sardineknot.StoreEntry{Key: k, Revision: r}
+}
+
+// follow runs a mirror of f while g runs, and returns the revisions that it
+// told of, by key.
+func follow(t *testing.T, f *feed, g func(m *mirror.Mirror, seen map[string]sardineknot.StoreRevision)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		seen := make(map[string]sardineknot.StoreRevision)
+		m := &mirror.Mirror{
+			Feed: f, Clock: clock.System{}, Pause: 100 * time.Millisecond, Log: zerolog.Nop(),
+			Changed: func(e sardineknot.StoreEntry) { seen[e.Key] = e.Revision },
+			Settled: func() {},
+		}
+		d := make(chan error)
+		go func() { d <- m.Run(ctx) }()
+		pause(time.Second)
+		g(m, seen)
+		cancel()
+		<-d
+	})
+}
+
+// pause lets the mirror work.
+func pause(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func TestMirror(t *testing.T) {
+	t.Run("tells of entries and changes", func(t *testing.T) {
+		f := &feed{entries: []sardineknot.StoreEntry{entry("a", 1)}, at: 1}
+		follow(t, f, func(_ *mirror.Mirror, seen map[string]sardineknot.StoreRevision) {
+			is := is.New(t)
+			is.Equal(seen["a"], sardineknot.StoreRevision(1))
+			f.set(func() { f.changes, f.at = []sardineknot.StoreEntry{entry("b", 2), entry("a", 0)}, 3 })
+			pause(3 * time.Second)
+			is.Equal(seen["b"], sardineknot.StoreRevision(2))
+			is.Equal(seen["a"], sardineknot.StoreRevision(0))
+		})
+	})
+	t.Run("reads everything again when changes are lost", func(t *testing.T) {
+		f := &feed{entries: []sardineknot.StoreEntry{entry("a", 1), entry("b", 1)}, at: 1}
+		follow(t, f, func(_ *mirror.Mirror, seen map[string]sardineknot.StoreRevision) {
+			f.set(func() {
+				f.entries, f.at = []sardineknot.StoreEntry{entry("b", 5)}, 5
+				f.err = errors.WithStack(&sardineknot.CompactedError{After: 1})
+			})
+			pause(5 * time.Second)
+			is := is.New(t)
+			is.Equal(seen["a"], sardineknot.StoreRevision(0)) // it went in between
+			is.Equal(seen["b"], sardineknot.StoreRevision(5))
+		})
+	})
+	t.Run("tells whether the store answers", func(t *testing.T) {
+		f := &feed{at: 1}
+		follow(t, f, func(m *mirror.Mirror, _ map[string]sardineknot.StoreRevision) {
+			is := is.New(t)
+			k, _ := m.Contact()
+			is.True(k)
+			f.set(func() { f.err = errDown })
+			pause(5 * time.Second)
+			k, s := m.Contact()
+			is.True(!k)
+			f.set(func() { f.err = nil })
+			pause(5 * time.Second)
+			k, u := m.Contact()
+			is.True(k && u.After(s))
+		})
+	})
+}
--- a/internal/policy/memory/foreign.go
+++ b/internal/policy/memory/foreign.go
@@ -12,6 +12,9 @@
 	reportLag = 900 * time.Millisecond
 	// reportLife is the time after which a load report is not used any more.
 	reportLife = 3 * time.Second
+	// unknownShare is the part of an engine's memory that bounds an answer
+	// before any job has told a bound.
+	unknownShare = 8
 	// endedLife is the time for which the end of a job is remembered. Reports
 	// still list it for as long as they lag.
 	endedLife = 2500 * time.Millisecond
@@ -69,7 +72,11 @@
 		k[callOf(j.Key)] = true
 	}
 	e.foreign = e.foreign[:0]
-	e.foreignLength = s.lengths.expect(sardineknot.Job{MaxTokens: s.longest})
+	m := s.longest
+	if m == 0 {
+		m = e.server.MemoryTokens / unknownShare
+	}
+	e.foreignLength = s.lengths.expect(sardineknot.Job{MaxTokens: m})
 	for _, u := range r.Runs {
 		if _, ok := s.ended.times[u.ID]; ok || k[u.ID] {
 			continue
--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -11,7 +11,7 @@
 const (
 	// fill is the share of an engine's memory that forecasts may fill. The
 	// rest is for answers that turn out longer.
-	fill = 0.97
+	fill = 0.93
 	// overrunShare is the part of its present length by which an answer is
 	// expected to go on that is far longer than was forecast.
 	overrunShare = 0.1
@@ -22,8 +22,6 @@
 	// firstEventTime is kept between the end of a prefill and the latency
 	// target of the first event, for the transfer and the first tokens.
 	firstEventTime = 120 * time.Millisecond
-	// returnedWait is the time for which a caller waits who came back as told.
-	returnedWait = 1 * time.Millisecond
 	// optimism is the part by which the room that becomes free may turn out
 	// larger than forecast before jobs are refused for lack of it.
 	optimism = 100.0
@@ -58,17 +56,14 @@
 }
 
 // late reports whether the first event of j would come after its target if j
-// began now.
+// began now. For a caller that was refused before it does in any case.
 func (j *job) late(now time.Time) bool {
-	return now.Add(j.cost + firstEventTime).After(j.Deadline)
+	return j.returned || now.Add(j.cost + firstEventTime).After(j.Deadline)
 }
 
 // latestStart returns the time until which j may wait.
 func (j *job) latestStart() time.Time {
 	t := j.Deadline.Add(-j.cost - firstEventTime)
-	if j.returned {
-		return later(t, j.arrived.Add(returnedWait))
-	}
 	return t
 }
 
