--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -22,13 +22,6 @@
 	// firstEventTime is kept between the end of a prefill and the latency
 	// target of the first event, for the transfer and the first tokens.
 	firstEventTime = 120 * time.Millisecond
-	// optimism is the part by which the room that becomes free may turn out
-	// larger than forecast before jobs are refused for lack of it.
-	optimism = 100.0
-	// passTime is the time for which a job of mean burden lets others pass, and
-	// maxPass bounds it.
-	passTime = 1 * time.Millisecond
-	maxPass  = 300 * time.Millisecond
 	// lookInterval is the time between two looks at a job that waits.
 	lookInterval = 25 * time.Millisecond
 	// crossZone is the waiting time that a transfer within a zone is worth.
@@ -38,9 +31,7 @@
 )
 
 // order returns the queue in the order of service: jobs whose first event can
-// be in time before the others. Among these a job that takes much memory for
-// long lets jobs pass that came a little later, since several of them can be
-// served in its place.
+// be in time before the others, and by arrival among these.
 func (s *Scheduler) order(now time.Time) []*job {
 	l := slices.Clone(s.queue)
 	slices.SortStableFunc(l, func(a, b *job) int {
@@ -50,7 +41,7 @@
 			}
 			return 1
 		}
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.turn.Compare(b.turn))
+		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.arrived.Compare(b.arrived))
 	})
 	return l
 }
@@ -62,40 +53,11 @@
 }
 
 // latestStart returns the time until which j may wait.
-func (j *job) latestStart() time.Time {
-	t := j.Deadline.Add(-j.cost - firstEventTime)
-	return t
-}
-
-// hopeless reports whether j, which waits behind jobs that need ahead tokens of
-// memory, is to be refused.
-func (s *Scheduler) hopeless(now time.Time, j *job, ahead float64) bool {
-	e := j.latestStart()
-	if len(s.decode) == 0 || !now.Before(e) {
-		return true
-	}
-	return ahead+j.need() > optimism*s.roomBy(now, e)
-}
-
-// need returns the memory that j is expected to need at its end.
-func (j *job) need() float64 { return float64(j.PromptTokens) + j.length.total(0) }
+func (j *job) latestStart() time.Time { return j.Deadline.Add(-j.cost - firstEventTime) }
 
-// roomBy returns the memory that is free or is expected to become free by t.
-func (s *Scheduler) roomBy(now, t time.Time) float64 {
-	var r float64
-	for _, e := range s.decode {
-		if !e.usable(now) {
-			continue
-		}
-		r += max(0, e.capacity()-e.peak(now))
-		w := t.Sub(now).Seconds() * e.rate.value
-		for _, j := range e.decoding {
-			if p := j.span(now); p.left < w {
-				r += p.held + p.left
-			}
-		}
-	}
-	return r
+// hopeless reports whether j, which waits, is to be refused.
+func (s *Scheduler) hopeless(now time.Time, j *job) bool {
+	return len(s.decode) == 0 || !now.Before(j.latestStart())
 }
 
 // place starts j if there is room for it.
--- a/internal/policy/memory/scheduler.go
+++ b/internal/policy/memory/scheduler.go
@@ -33,9 +33,6 @@
 	longest int
 	// perToken is the time that a prefill takes for each token.
 	perToken average
-	// meanBurden is the mean of the memory that a job takes, times the number
-	// of tokens for which it does.
-	meanBurden average
 	// refusals spreads the callers that come back.
 	refusals refusals
 	// ended remembers the jobs that ended of late.
@@ -178,14 +175,12 @@
 	s.expire(now)
 	l := s.order(now)
 	s.queue = s.queue[:0]
-	var n float64
 	for _, j := range l {
 		switch {
 		case s.place(now, j):
-		case s.hopeless(now, j, n):
+		case s.hopeless(now, j):
 			s.refuse(now, j)
 		default:
-			n += j.need()
 			j.lookAt = now.Add(lookInterval)
 			s.queue = append(s.queue, j)
 		}
