--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -49,7 +49,7 @@
 // late reports whether the first event of j would come after its target if j
 // began now. For a caller that was refused before it does in any case.
 func (j *job) late(now time.Time) bool {
-	return j.returned || now.Add(j.cost + firstEventTime).After(j.Deadline)
+	return j.returned || now.Add(j.cost+firstEventTime).After(j.Deadline)
 }
 
 // latestStart returns the time until which j may wait.
