--- a/internal/host/gateway/observe.go
+++ b/internal/host/gateway/observe.go
@@ -7,7 +7,10 @@
 	"golang.org/x/sync/errgroup"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/orders/ledger"
+	"sardineknot.example/sardineknot/internal/orders/stages"
 	"sardineknot.example/sardineknot/internal/slots/local"
+	"sardineknot.example/sardineknot/internal/slots/shard"
 )
 
 const (
@@ -62,3 +65,42 @@
 	}
 	o.Observe(r)
 }
+
+// stages returns what orders engines to change their roles.
+func (p *Process) stages() *stages.Controller {
+	l := ledger.NewLedger(p.Store, p.clock, p.registry.Self(), sleep)
+	l.Apart = true
+	return &stages.Controller{
+		Owned:  p.ownedShards,
+		Engine: p.Engines,
+		Ledger: l,
+		Log:    p.Log,
+	}
+}
+
+// ownedShards returns the shards that this host owns while the store answers.
+// Without it another host may own them too.
+func (p *Process) ownedShards() []shard.Shard {
+	if k, _ := p.mirror.Contact(); !k {
+		return nil
+	}
+	var l []shard.Shard
+	for _, d := range p.slots.Owned() {
+		h, ok := p.slots.Ranker.Owner(d.Name)
+		if ok && h.ID == p.Settings.ID {
+			l = append(l, d)
+		}
+	}
+	return l
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -69,6 +69,8 @@
 	Calls   sardineknot.CallDecoder
 	// Forwarder calls backend servers.
 	Forwarder sardineknot.Forwarder
+	// Engines gives orders to engines.
+	Engines sardineknot.OrderedEngine
 	// Lookup serves callers that ask which hosts to use, and Ready the
 	// platform.
 	Lookup func(hosts func() []sardineknot.EntryHost) http.Handler
@@ -112,7 +114,7 @@
 		}
 		g.Go(func() error { return serve(s.server, n) })
 	}
-	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.sweep, p.follow, p.observe) {
+	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.sweep, p.follow, p.observe, p.stages().Run) {
 		g.Go(func() error { return f(w) })
 	}
 	p.Log.Info().Str("event", "started").Str("zone", string(p.Settings.Zone)).Send()
--- a/internal/orders/ledger/ledger.go
+++ b/internal/orders/ledger/ledger.go
@@ -32,6 +32,10 @@
 
 // Ledger hands out numbers. It is safe for concurrent use.
 type Ledger struct {
+	// Apart has Take wait as long after any order of another host to the same
+	// engine, so that hosts do not take turns. It is set before use.
+	Apart bool
+
 	store sardineknot.Store
 	clock sardineknot.Clock
 	self  sardineknot.EntryHost
@@ -68,7 +72,7 @@
 	if err != nil {
 		return sardineknot.Order{}, err
 	}
-	if !s.ChecksFencing && r != 0 && !v.Done {
+	if r != 0 && l.mustWait(s, v) {
 		err = l.sleep(ctx, v.Validity+margin)
 		if err != nil {
 			return sardineknot.Order{}, err
@@ -83,6 +87,12 @@
 	return sardineknot.Order{Server: s.Name, Want: w, Number: v.Number, SendBefore: t.Add(validity)}, nil
 }
 
+// mustWait reports whether an earlier order to s, of which v tells, may still
+// be sent, or whether an order now would take turns with another host's.
+func (l *Ledger) mustWait(s sardineknot.BackendServer, v record) bool {
+	return l.Apart && v.Holder != l.self.ID || !s.ChecksFencing && !v.Done
+}
+
 // Done notes that the engine has answered o, so that the next order need not
 // wait. It has no effect if a later number was taken.
 func (l *Ledger) Done(ctx context.Context, o sardineknot.Order) error {
--- a/internal/policy/memory/refusals.go
+++ b/internal/policy/memory/refusals.go
@@ -9,12 +9,12 @@
 const (
 	// returnAfter is the time after which a refused caller comes back. It is
 	// longer than most bursts.
-	returnAfter = 2000 * time.Millisecond
+	returnAfter = 4200 * time.Millisecond
 	// returnSpread is the time over which callers come back that were refused
 	// at once.
-	returnSpread = 2200 * time.Millisecond
+	returnSpread = 400 * time.Millisecond
 	// returnGap is kept between two callers that come back.
-	returnGap = 50 * time.Millisecond
+	returnGap = 20 * time.Millisecond
 	// rememberTime is the time for which a refused prompt is remembered.
 	rememberTime = 10 * time.Second
 )
--- /dev/null
+++ b/internal/policy/stages/plan_test.go
@@ -0,0 +1,52 @@
+package stages_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/policy/stages"
+)
+
+func engines(prefill, decode int) []sardineknot.BackendServer {
+	var l []sardineknot.BackendServer
+	for i := range prefill + decode {
+		s := sardineknot.BackendServer{
+			Name: sardineknot.BackendServerName(fmt.Sprintf("e%02d", i)), Role: sardineknot.RoleDecode, State: sardineknot.BackendJoining,
+		}
+		if i < prefill {
+			s.Role = sardineknot.RolePrefill
+		}
+		l = append(l, s)
+	}
+	return l
+}
+
+func TestNext(t *testing.T) {
+	for _, c := range []struct {
+		name            string
+		prefill, decode int
+		want            sardineknot.BackendRole
+	}{
+		{"a third that reads prompts is too much", 4, 7, sardineknot.RoleDecode},
+		{"a quarter is right", 3, 9, ""},
+		{"a small shard is left alone", 3, 3, ""},
+		{"a shard with one reader gets another", 1, 9, sardineknot.RolePrefill},
+		{"a shard that lost a reader waits for it", 2, 9, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			n, ok := stages.Next(engines(c.prefill, c.decode))
+			is.Equal(ok, c.want != "")
+			is.Equal(n.Role, c.want)
+		})
+	}
+	t.Run("engines that leave do not count", func(t *testing.T) {
+		l := engines(4, 7)
+		l[0].State = sardineknot.BackendLeaving
+		_, ok := stages.Next(l)
+		is.New(t).True(!ok)
+	})
+}
