caller/gateway: a host that has just started waits for its configuration

Cause: after a power loss of all hosts callers came back once and were refused by hosts that had no configuration for some 0.1 s, and by owners that knew no engines yet.

--- a/internal/caller/gateway/handler.go
+++ b/internal/caller/gateway/handler.go
@@ -24,6 +24,8 @@
 	// startRetry is the time after which callers come back to a host that has
 	// no configuration yet.
 	startRetry = 300 * time.Millisecond
+	// startWait is the time for which a call waits for the first configuration.
+	startWait = 700 * time.Millisecond
 	// defaultBodyBytes bounds bodies while the configuration has no limit.
 	defaultBodyBytes = 4 << 20
 )
@@ -72,7 +74,7 @@
 // admit returns the call of r.
 func (h *Handler) admit(r *http.Request) (*sardineknot.Call, error) {
 	n := h.Clock.Now()
-	f := h.Source.Current()
+	f := h.configuration(r.Context())
 	if f.Revision == 0 {
 		return nil, errors.WithStack(&sardineknot.NotRunError{Reason: "no configuration yet", RetryAfter: startRetry})
 	}
@@ -96,6 +98,26 @@
 	return c, err
 }
 
+// configuration returns the configuration in force. A host that has just
+// started waits for its first one, since that is quicker than another try of
+// the caller.
+func (h *Handler) configuration(ctx context.Context) *sardineknot.Configuration {
+	ctx, cancel := context.WithTimeout(ctx, startWait)
+	defer cancel()
+	for {
+		n := h.Source.Changed()
+		f := h.Source.Current()
+		if f.Revision > 0 {
+			return f
+		}
+		select {
+		case <-n:
+		case <-ctx.Done():
+			return f
+		}
+	}
+}
+
 // readBody returns the whole body of r. It fails with an http.MaxBytesError if
 // the body is longer than limit.
 func readBody(r *http.Request, limit int64) ([]byte, error) {
--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -57,7 +57,7 @@
 
 // hopeless reports whether j, which waits, is to be refused.
 func (s *Scheduler) hopeless(now time.Time, j *job) bool {
-	return len(s.decode) == 0 || !now.Before(j.latestStart())
+	return !now.Before(j.latestStart())
 }
 
 // place starts j if there is room for it.
