--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -96,18 +96,14 @@
 	return b
 }
 
-// choosePrefill returns the engine that ends the prefill of j first, or d
-// itself if no prefill engine is usable. ok is false if all have much to do.
+// choosePrefill returns the engine that ends the prefill of j first. If all
+// have much to do, d itself reads a short prompt, one at a time, since its
+// answers pause for that long. ok is false if j has to wait.
 func (s *Scheduler) choosePrefill(now time.Time, j *job, d *engine) (e *engine, ok bool) {
 	var m time.Duration
-	u := false
 	for _, p := range s.prefill {
-		if !p.usable(now) {
-			continue
-		}
-		u = true
 		w := max(0, p.busy.Sub(now))
-		if w > maxAhead {
+		if !p.usable(now) || w > maxAhead {
 			continue
 		}
 		if p.server.Zone != d.server.Zone {
@@ -117,7 +113,7 @@
 			e, m = p, w
 		}
 	}
-	if !u && j.PromptTokens <= sardineknot.MaxSelfRead {
+	if e == nil && j.PromptTokens <= sardineknot.MaxSelfRead && len(d.reading) == 0 {
 		return d, true
 	}
 	return e, e != nil
--- a/internal/policy/memory/scheduler_test.go
+++ b/internal/policy/memory/scheduler_test.go
@@ -179,6 +179,17 @@
 		g = granted(s.Submit(start, job("long", start, sardineknot.MaxSelfRead+1, 1000)), "long")
 		is.Equal(g, sardineknot.Grant{})
 	})
+	t.Run("a decode engine helps out when the prefill engines are busy", func(t *testing.T) {
+		// While servers were replaced, two prefill engines were left for a burst,
+		// and callers were refused beside decode engines with room.
+		is := is.New(t)
+		s := newScheduler(1)
+		for i := range 4 {
+			s.Submit(start, job(fmt.Sprintf("ahead%d", i), start, 5000, 1000))
+		}
+		g := granted(s.Submit(start, job("short", start, 2000, 1000)), "short")
+		is.Equal(g, sardineknot.Grant{Prefill: "d0", Decode: "d0"})
+	})
 	t.Run("a server that started again is a new engine", func(t *testing.T) {
 		is := is.New(t)
 		s := newScheduler(1)
