--- a/internal/policy/memory/scheduler_test.go
+++ b/internal/policy/memory/scheduler_test.go
@@ -185,7 +185,7 @@
 		is := is.New(t)
 		s := newScheduler(1)
 		for i := range 4 {
-			s.Submit(start, job(fmt.Sprintf("ahead%d", i), start, 5000, 1000))
+			s.Submit(start, job(fmt.Sprintf("ahead%d", i), start, sardineknot.MaxSelfRead+1, 1000))
 		}
 		g := granted(s.Submit(start, job("short", start, 2000, 1000)), "short")
 		is.Equal(g, sardineknot.Grant{Prefill: "d0", Decode: "d0"})
