--- a/cmd/sardineknot/main.go
+++ b/cmd/sardineknot/main.go
@@ -17,6 +17,7 @@
 	"sardineknot.example/sardineknot/internal/command/burn"
 	"sardineknot.example/sardineknot/internal/command/check"
 	"sardineknot.example/sardineknot/internal/command/demo"
+	"sardineknot.example/sardineknot/internal/command/explain"
 	"sardineknot.example/sardineknot/internal/command/plan"
 	"sardineknot.example/sardineknot/internal/command/serve"
 	"sardineknot.example/sardineknot/internal/command/show"
@@ -28,6 +29,7 @@
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&serve.Command{}, "")
 	subcommands.Register(&platform.Command{}, "")
+	subcommands.Register(&explain.Command{}, "")
 	subcommands.Register(&burn.Command{}, "")
 	subcommands.Register(&demo.Command{}, "")
 	subcommands.Register(&check.Command{}, "")
--- a/internal/answer/events/try.go
+++ b/internal/answer/events/try.go
@@ -51,7 +51,7 @@
 		return err
 	}
 	t.Log.Info().Str("event", "engines_granted").Str("request", string(t.call.ID)).Str("prefill", string(g.Prefill)).
-		Str("decode", string(g.Decode)).Dur("waited", t.Clock.Now().Sub(n)).Int("prompt", t.job.PromptTokens).
+		Str("decode", string(g.Decode)).Dur("waited_ms", t.Clock.Now().Sub(n)).Int("prompt", t.job.PromptTokens).
 		Int("expected", t.job.ExpectedTokens).Int("longest", t.job.MaxTokens).Send()
 	t.prefill, err = t.find(g.Prefill)
 	if err == nil {
@@ -165,7 +165,7 @@
 	}
 	t.report(sardineknot.JobFinished, t.decode.Name)
 	t.Log.Info().Str("event", "stream_ended").Str("request", string(t.call.ID)).Str("server", string(t.decode.Name)).
-		Int("tries", t.tries).Dur("first", t.first).Dur("pause", t.pause).Int("tokens", t.tokens()).Int("expected", t.job.ExpectedTokens).Int("longest", t.job.MaxTokens).Send()
+		Int("tries", t.tries).Dur("first_ms", t.first).Dur("pause_ms", t.pause).Int("tokens", t.tokens()).Int("expected", t.job.ExpectedTokens).Int("longest", t.job.MaxTokens).Send()
 	return nil
 }
 
--- a/internal/caller/gateway/handler.go
+++ b/internal/caller/gateway/handler.go
@@ -169,7 +169,7 @@
 		e = h.Log.Warn().Err(err)
 	}
 	e.Str("event", "call_ended").Str("request", string(c.ID)).Str("route", string(c.Route.Name)).Int64("revision", int64(c.Revision)).
-		Str("service", string(c.Service)).Int("status", status).Dur("took", d).Send()
+		Str("service", string(c.Service)).Int("status", status).Dur("took_ms", d).Send()
 }
 
 // refuse answers a request that did not become a call.
--- /dev/null
+++ b/internal/command/explain/command.go
@@ -0,0 +1,76 @@
+// Package explain is the command that tells from logs what happened to one
+// request.
+package explain
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/google/subcommands"
+
+	"sardineknot.example/sardineknot/internal/report/story"
+)
+
+// Command is the subcommand "explain".
+type Command struct{}
+
+// Name implements subcommands.Command.
+func (*Command) Name() string { return "explain" }
+
+// Synopsis implements subcommands.Command.
+func (*Command) Synopsis() string { return "tell from logs what happened to a request" }
+
+// Usage implements subcommands.Command.
+func (*Command) Usage() string {
+	return "explain REQUEST [FILE...]\n  Reads logs of any hosts from the files, or from the standard input.\n  Exit status: 0 found, 1 not found or unreadable, 2 wrong usage.\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (*Command) SetFlags(*flag.FlagSet) {}
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() == 0 {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return subcommands.ExitUsageError
+	}
+	s := story.NewStory(f.Arg(0))
+	err := readAll(s, f.Args()[1:])
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	ok := s.Write(os.Stdout)
+	fmt.Fprintf(os.Stderr, "%d lines were no log events\n", s.Skipped)
+	if !ok {
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// readAll reads the files l, or the standard input if there are none.
+func readAll(s *story.Story, l []string) error {
+	if len(l) == 0 {
+		return s.Read(os.Stdin)
+	}
+	for _, p := range l {
+		err := readFile(s, p)
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func readFile(s *story.Story, path string) error {
+	var r io.ReadCloser
+	r, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	defer r.Close()
+	return s.Read(r)
+}
--- a/internal/host/gateway/reload.go
+++ b/internal/host/gateway/reload.go
@@ -43,7 +43,7 @@
 	}
 	r := restarts(p.Settings, s)
 	p.Log.Info().Str("event", "settings_changed").Float64("retry_ratio", s.RetryRatio).Float64("retry_slack", s.RetrySlack).
-		Dur("stop_limit", s.StopLimit).Bool("needs_restart", r).Send()
+		Dur("stop_limit_ms", s.StopLimit).Bool("needs_restart", r).Send()
 	p.budgets.SetBounds(s.RetryRatio, s.RetrySlack)
 	p.Settings.RetryRatio, p.Settings.RetrySlack, p.Settings.StopLimit = s.RetryRatio, s.RetrySlack, s.StopLimit
 }
--- a/internal/host/logline/writer.go
+++ b/internal/host/logline/writer.go
@@ -13,6 +13,8 @@
 
 // NewLogger returns a logger that writes events of level l or higher to w.
 func NewLogger(w io.Writer, l zerolog.Level) zerolog.Logger {
+	// The library knows the form of times for the whole process only.
+	zerolog.TimeFieldFormat = time.RFC3339Nano
 	c := zerolog.ConsoleWriter{
 		Out:                   w,
 		NoColor:               true,
--- a/internal/membership/store/registry.go
+++ b/internal/membership/store/registry.go
@@ -148,7 +148,7 @@
 	}
 	m.aside = min(maxAside, max(firstAside, 2*m.aside))
 	m.asideUntil = t.Add(m.aside)
-	r.Log.Warn().Str("event", "host_set_aside").Str("peer", string(n)).Dur("for", m.aside).Send()
+	r.Log.Warn().Str("event", "host_set_aside").Str("peer", string(n)).Dur("for_ms", m.aside).Send()
 	r.refreshLocked()
 }
 
