--- a/internal/backend/shared/budget.go
+++ b/internal/backend/shared/budget.go
@@ -12,7 +12,7 @@
 const (
 	// margin is the part of the bound that is used. The rest is for hosts that
 	// count each other late.
-	margin = 0.7
+	margin = 0.9
 	// window is the span of time for which retries are bounded, in buckets.
 	window      = 10
 	bucketWidth = time.Second
