--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -41,8 +41,14 @@
 	// collectPercent is the growth of the heap between two collections. Memory
 	// is scarcer than processor time.
 	collectPercent = 50
-	// mirrorPause is kept between two calls that brought changes of the store.
-	mirrorPause = 300 * time.Millisecond
+	// mirrorPause is kept between two calls that brought changes of the store,
+	// with mirrorPauseHost for each host, since all hosts call it. The sum is
+	// at most maxMirrorPause, so that changes are in force in time.
+	mirrorPause     = 250 * time.Millisecond
+	mirrorPauseHost = 8 * time.Millisecond
+	maxMirrorPause  = 750 * time.Millisecond
+	// sweepInterval is the time between two looks at what time brings.
+	sweepInterval = 300 * time.Millisecond
 	// slotBeat is the time between two messages to the owner of a shard.
 	slotBeat = 250 * time.Millisecond
 	// slotSettle is the time that the state of a shard takes to follow it to a
@@ -150,7 +156,7 @@
 		PeerAddress:   s.PeerAddress,
 		Zone:          s.Zone,
 	}
-	p.mirror = &mirror.Mirror{Feed: p.Feed, Clock: p.clock, Pause: mirrorPause, Log: p.Log}
+	p.mirror = &mirror.Mirror{Feed: p.Feed, Clock: p.clock, Pause: p.mirrorPause, Log: p.Log}
 	p.registry = membership.NewRegistry(h)
 	p.registry.Store, p.registry.Clock, p.registry.Contact, p.registry.Log = p.Store, p.clock, p.mirror.Contact, p.Log
 	p.source = configuration.NewSource()
@@ -206,9 +212,14 @@
 	}
 }
 
+// mirrorPause returns the time between two calls that follow the store.
+func (p *Process) mirrorPause() time.Duration {
+	return min(maxMirrorPause, mirrorPause+time.Duration(len(p.registry.Hosts()))*mirrorPauseHost)
+}
+
 // sweep puts into force what only the passing of time brings.
 func (p *Process) sweep(ctx context.Context) error {
-	t := time.NewTicker(mirrorPause)
+	t := time.NewTicker(sweepInterval)
 	defer t.Stop()
 	for {
 		select {
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -36,8 +36,8 @@
 	Feed sardineknot.Feed
 	// Clock gives the time.
 	Clock sardineknot.Clock
-	// Pause is kept between two calls that brought changes.
-	Pause time.Duration
+	// Pause returns the time between two calls that brought changes.
+	Pause func() time.Duration
 	// Log takes an event when the service is lost or regained.
 	Log zerolog.Logger
 	// Changed is called, by one goroutine, with each changed entry. An entry
@@ -85,7 +85,7 @@
 		switch {
 		case err == nil:
 			at, p = n, firstPause
-			sleep(ctx, m.Pause)
+			sleep(ctx, m.Pause())
 		case errors.As(err, &c):
 			at = 0
 		default:
