answer/events: silent streams go on elsewhere once there is room

A stream that was left after 2 s of silence was lost if no other engine had room. Now a stream that may be resumed asks for another engine after 0.6 s and leaves its own only when granted.

--- a/internal/answer/events/copy.go
+++ b/internal/answer/events/copy.go
@@ -15,9 +15,10 @@
 const (
 	// progressEvents is the number of events between two reports of progress.
 	progressEvents = 8
-	// silence is the longest time without an event on a stream that may go on
-	// at another engine.
-	silence = 2 * time.Second
+	// silence is the time without an event after which a stream that may go on
+	// at another engine looks for one. An engine that ran out of memory lets
+	// one answer wait, and then reads it in again while its others pause.
+	silence = 600 * time.Millisecond
 	// maxEventBytes bounds an event.
 	maxEventBytes = 1 << 20
 	// maxFailureBytes bounds an answer that is not a stream.
@@ -58,6 +59,7 @@
 			return errors.WithStack(&writeError{cause: err})
 		}
 		t.passed++
+		t.progress.Store(int64(t.passed))
 		t.clockEvent()
 		t.count()
 		if id > 0 {
@@ -91,8 +93,9 @@
 // next returns the next whole event and its identifier, which is zero if it has
 // none. A stream that may go on elsewhere is ended after a silence.
 func (t *try) next(r *bufio.Reader) (event []byte, id int, err error) {
-	if t.call.Route.Resumable {
-		e := time.AfterFunc(silence, t.silent)
+	if t.mayLeave() {
+		p := t.passed
+		e := time.AfterFunc(silence, func() { t.leave(p) })
 		defer e.Stop()
 	}
 	var b bytes.Buffer
--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,7 +17,7 @@
 	// maxTries bounds the tries of one call.
 	maxTries = 5
 	// resumeTime is the time in which a stream that broke off should go on.
-	resumeTime = 1200 * time.Millisecond
+	resumeTime = 2500 * time.Millisecond
 	// prefillTimeout bounds a prefill beyond the target of the first event.
 	prefillTimeout = 1500 * time.Millisecond
 	// headTimeout bounds the wait for the head of a stream that may go on at
@@ -64,6 +66,12 @@
 	first  time.Duration
 	pause  time.Duration
 	lastAt time.Time
+	// spare is the engine for the next try, if it was granted ahead.
+	spare *spare
+	// lock guards spare, and ended of the present try.
+	lock sync.Mutex
+	// progress is passed, for other goroutines.
+	progress atomic.Int64
 	// tries counts tries, and runs those that may have run on an engine.
 	tries int
 	runs  int
@@ -96,7 +104,11 @@
 	if s.runs > 0 && !s.call.Route.Repeatable() {
 		return false
 	}
-	return s.runs < s.call.Route.Attempts && s.Budget.Retry(s.call.Service)
+	if s.runs >= s.call.Route.Attempts {
+		return false
+	}
+	// A spare was paid for when it was asked for.
+	return s.spare != nil || s.Budget.Retry(s.call.Service)
 }
 
 // final returns the error to tell the caller of.
@@ -112,12 +124,13 @@
 	return errors.WithStack(&sardineknot.NotRunError{Reason: err.Error(), RetryAfter: failedRetry})
 }
 
-// job returns the job of the present try.
-func (s *session) job() sardineknot.Job {
+// nextJob returns the job of the try with that number, after passed events.
+// resumed tells that the head of the answer was passed on.
+func (s *session) nextJob(passed, number int, resumed bool) sardineknot.Job {
 	c, p := s.call, s.call.Prompt
-	g := s.passed * s.eventTokens()
+	g := passed * s.eventTokens()
 	j := sardineknot.Job{
-		Key:          sardineknot.RequestKey{Account: sardineknot.ClientAccountName(s.Self.ID), ID: c.ID + sardineknot.RequestID("/"+strconv.Itoa(s.tries))},
+		Key:          sardineknot.RequestKey{Account: sardineknot.ClientAccountName(s.Self.ID), ID: c.ID + sardineknot.RequestID("/"+strconv.Itoa(number))},
 		Pool:         sardineknot.ServicePool(c.Service, p.Model),
 		Work:         sardineknot.WorkName(c.Route.Name),
 		Zone:         s.Self.Zone,
@@ -133,7 +146,7 @@
 	if p.ExpectedTokens > 0 {
 		j.ExpectedTokens = max(1, p.ExpectedTokens-g-p.After*s.eventTokens())
 	}
-	if s.started {
+	if resumed {
 		j.Deadline = s.Clock.Now().Add(resumeTime)
 		j.Priority = 0
 	}
--- a/internal/answer/events/runner_test.go
+++ b/internal/answer/events/runner_test.go
@@ -68,6 +68,9 @@
 	err error
 	// silent keeps the body open after its text.
 	silent bool
+	// then follows the text after a pause.
+	then  string
+	pause time.Duration
 }
 
 // engines is a sardineknot.Forwarder that plays answers in turn.
@@ -119,6 +122,11 @@
 
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
+	if err != nil && b.then != "" {
+		time.Sleep(b.pause)
+		b.Reader, b.then = strings.NewReader(b.then), ""
+		return b.Reader.Read(p)
+	}
 	if err == nil || b.err == nil && !b.silent {
 		return n, err
 	}
@@ -227,6 +235,34 @@
 	})
 }
 
+func TestSilence(t *testing.T) {
+	late := func(t *testing.T, e *engines, l sardineknot.SlotPool) (*writer, error) {
+		w := &writer{}
+		return w, newRunner(e, l).Run(t.Context(), newCall(true), w)
+	}
+	t.Run("a silent engine is kept while no other has room", func(t *testing.T) {
+		// Streams were cut that their engine would have finished a second later.
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			e := &engines{answers: []answer{{status: 200, body: one, then: two, pause: time.Second}}}
+			w, err := late(t, e, &refusesLater{slots: &slots{decode: []sardineknot.BackendServerName{"d"}}})
+			is.NoErr(err)
+			is.Equal(w.got(), one+two)
+		})
+	})
+	t.Run("an engine that goes on in time is kept", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			e := &engines{answers: []answer{{status: 200, body: one, then: two, pause: 500 * time.Millisecond}}}
+			s := &slots{decode: []sardineknot.BackendServerName{"d", "e"}}
+			w, err := late(t, e, s)
+			is.NoErr(err)
+			is.Equal(w.got(), one+two)
+			is.Equal(len(e.sends), 1)
+		})
+	})
+}
+
 func TestPrefill(t *testing.T) {
 	refusal := errors.WithStack(&sardineknot.RefusedError{Server: "d", Status: 503})
 	t.Run("a lost cache is read by the decode engine", func(t *testing.T) {
--- a/internal/answer/events/try.go
+++ b/internal/answer/events/try.go
@@ -18,6 +18,10 @@
 	prefill sardineknot.BackendServer
 	decode  sardineknot.BackendServer
 	cache   sardineknot.CacheReference
+	// ctx is that of the call.
+	ctx context.Context
+	// ended tells that the try has ended.
+	ended bool
 	// stop breaks off the exchange with the decode engine.
 	stop context.CancelCauseFunc
 	// events is the number of events that this try has passed on.
@@ -26,7 +30,8 @@
 
 // try makes one try. It fails with a NotRunError if no engine is granted.
 func (s *session) try(ctx context.Context) error {
-	t := &try{session: s, job: s.job()}
+	t := &try{session: s, ctx: ctx, job: s.nextJob(s.passed, s.tries, s.started)}
+	defer t.end()
 	s.tries++
 	err := t.grant(ctx)
 	if err != nil {
@@ -46,7 +51,7 @@
 // grant waits for engines.
 func (t *try) grant(ctx context.Context) error {
 	n := t.Clock.Now()
-	g, err := t.Slots.Acquire(ctx, t.job)
+	g, err := t.acquire(ctx)
 	if err != nil {
 		return err
 	}
@@ -63,6 +68,19 @@
 	return err
 }
 
+// acquire returns the spare, or waits for engines.
+func (t *try) acquire(ctx context.Context) (sardineknot.Grant, error) {
+	t.lock.Lock()
+	s := t.spare
+	t.spare = nil
+	t.lock.Unlock()
+	if s == nil {
+		return t.Slots.Acquire(ctx, t.job)
+	}
+	t.job = s.job
+	return s.grant, nil
+}
+
 // read has the prompt read by the prefill engine, if that is not the decode
 // engine.
 func (t *try) read(ctx context.Context) error {
