--- a/internal/answer/events/copy.go
+++ b/internal/answer/events/copy.go
@@ -45,14 +45,14 @@
 func (t *try) copy(p *sardineknot.Reply) error {
 	r := bufio.NewReaderSize(p.Body, readBytes)
 	for {
-		b, id, err := t.next(r)
+		b, n, err := t.next(r)
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
 			return err
 		}
-		if id > 0 && id <= t.last {
+		if n > 0 && n <= t.last {
 			continue
 		}
 		if err := t.writer.Write(b); err != nil {
@@ -62,8 +62,8 @@
 		t.progress.Store(int64(t.passed))
 		t.clockEvent()
 		t.count()
-		if id > 0 {
-			t.last = id
+		if n > 0 {
+			t.last = n
 		}
 	}
 }
--- a/internal/answer/plain/runner.go
+++ b/internal/answer/plain/runner.go
@@ -80,7 +80,8 @@
 	r.Budget.First(c.Service)
 	t := make(map[sardineknot.BackendServerName]bool)
 	var last outcome
-	for n, ran := 0, 0; n < maxTries; n++ {
+	// a counts the servers on which the call may have run.
+	for n, a := 0, 0; n < maxTries; n++ {
 		s, err := r.pick(ctx, c, t)
 		if err != nil {
 			return r.give(w, last, err)
@@ -88,13 +89,13 @@
 		t[s.Name] = true
 		o := r.send(ctx, s, c)
 		if o.ran() {
-			ran++
+			a++
 		}
 		if o.good() {
 			return r.give(w, o, nil)
 		}
 		last = better(last, o)
-		if !r.again(ctx, c, o, ran) {
+		if !r.again(ctx, c, o, a) {
 			break
 		}
 		r.Log.Info().Str("event", "call_retried").Str("request", string(c.ID)).Str("server", string(s.Name)).
@@ -123,12 +124,12 @@
 	e := r.Clock.Now().Add(queueTime)
 	for {
 		l := r.Source.Current().Pool(sardineknot.PoolName("service/" + string(c.Service)))
-		s, wait, ok := r.Servers.Pick(r.Clock.Now(), l, tried)
+		s, w, ok := r.Servers.Pick(r.Clock.Now(), l, tried)
 		if ok {
 			return s, nil
 		}
 		if ctx.Err() != nil || !r.Clock.Now().Before(e) {
-			return s, errors.WithStack(&sardineknot.NotRunError{Reason: "no backend server has room", RetryAfter: wait})
+			return s, errors.WithStack(&sardineknot.NotRunError{Reason: "no backend server has room", RetryAfter: w})
 		}
 		time.Sleep(queueLook)
 	}
--- a/internal/backend/http1/client_test.go
+++ b/internal/backend/http1/client_test.go
@@ -112,6 +112,9 @@
 		is.NoErr(err)
 		is.Equal(b, "a")
 	})
+}
+
+func TestStray(t *testing.T) {
 	t.Run("a connection with bytes after the answer is not used again", func(t *testing.T) {
 		is := is.New(t)
 		s := serve(t, []string{ok("1", "a") + ok("1", "x")}, []string{ok("2", "b")})
@@ -132,6 +135,9 @@
 		assertUnknown(t, err)
 		is.Equal(len(s.requests), 2)
 	})
+}
+
+func TestBroken(t *testing.T) {
 	t.Run("an answer that is cut short is an error", func(t *testing.T) {
 		s := serve(t, []string{"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 5\r\n\r\nab", ""})
 		c := newClient()
--- a/internal/configuration/store/source.go
+++ b/internal/configuration/store/source.go
@@ -155,8 +155,8 @@
 
 // expireLocked forgets the servers whose entries are not expected back.
 func (s *Source) expireLocked() {
-	k, since := s.Contact()
-	if !k || s.Clock.Now().Sub(since) < returnTime {
+	k, t := s.Contact()
+	if !k || s.Clock.Now().Sub(t) < returnTime {
 		return
 	}
 	for n, o := range s.servers {
--- a/internal/membership/store/registry.go
+++ b/internal/membership/store/registry.go
@@ -247,8 +247,8 @@
 	if m.goneAt.IsZero() {
 		return false
 	}
-	k, since := r.Contact()
-	return k && now.Sub(since) > returnTime
+	k, t := r.Contact()
+	return k && now.Sub(t) > returnTime
 }
 
 // Run keeps the key of this host until ctx is done, and then removes it.
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -118,7 +118,7 @@
 func (m *Mirror) load(ctx context.Context) (sardineknot.StoreRevision, error) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	l, at, err := m.Feed.Snapshot(ctx)
+	l, n, err := m.Feed.Snapshot(ctx)
 	if err != nil {
 		return 0, err
 	}
@@ -136,7 +136,7 @@
 	m.loaded = true
 	m.mu.Unlock()
 	m.Settled()
-	return at, nil
+	return n, nil
 }
 
 // apply takes in e unless it is older than what is known.
--- a/internal/policy/memory/lengths.go
+++ b/internal/policy/memory/lengths.go
@@ -75,12 +75,12 @@
 	y := math.Log(float64(max(1, tokens)))
 	l.weight = math.Min(l.weight+1, memoryWeight)
 	a := 1 / l.weight
-	dx, dy := x-l.meanX, y-l.meanY
-	l.meanX += a * dx
-	l.meanY += a * dy
-	l.varX += a * (dx*(x-l.meanX) - l.varX)
-	l.varY += a * (dy*(y-l.meanY) - l.varY)
-	l.both += a * (dx*(y-l.meanY) - l.both)
+	u, v := x-l.meanX, y-l.meanY
+	l.meanX += a * u
+	l.meanY += a * v
+	l.varX += a * (u*(x-l.meanX) - l.varX)
+	l.varY += a * (v*(y-l.meanY) - l.varY)
+	l.both += a * (u*(y-l.meanY) - l.both)
 }
 
 // total returns the expected length of an answer of which g tokens exist.
--- a/internal/policy/memory/scheduler_test.go
+++ b/internal/policy/memory/scheduler_test.go
@@ -118,6 +118,9 @@
 		b := granted(s.Submit(start, job("b", start, 5000, 4000)), "b")
 		is.True(a.Decode != b.Decode)
 	})
+}
+
+func TestForeign(t *testing.T) {
 	t.Run("requests that another host placed take room", func(t *testing.T) {
 		is := is.New(t)
 		s := newScheduler(1)
@@ -170,6 +173,9 @@
 			is.Equal(granted(s.Submit(start, job(id, start, 1000, 1000)), id).Prefill, sardineknot.BackendServerName("q"))
 		}
 	})
+}
+
+func TestSelfRead(t *testing.T) {
 	t.Run("without prefill engines only short prompts are read by decode engines", func(t *testing.T) {
 		is := is.New(t)
 		s := memory.NewScheduler()
