--- a/internal/configuration/etcd/reader.go
+++ b/internal/configuration/etcd/reader.go
@@ -34,7 +34,7 @@
 // set before Run.
 type Reader struct {
 	// Store is the platform's key-value service.
-	Store sardineknot.Store
+	Store sardineknot.WatchedStore
 	// Tracker holds the configuration in force.
 	Tracker *revision.Tracker
 	// Offer puts a head with its bundles in force.
--- a/internal/host/gateway/observe.go
+++ b/internal/host/gateway/observe.go
@@ -68,7 +68,7 @@
 
 // stages returns what orders engines to change their roles.
 func (p *Process) stages() *stages.Controller {
-	l := ledger.NewLedger(p.Store, p.clock, p.registry.Self(), sleep)
+	l := ledger.NewLedger(p.Store, p.clock, p.registry.Self(), p.clock.Sleep)
 	l.Apart = true
 	return &stages.Controller{
 		Owned:  p.ownedShards,
@@ -93,14 +93,3 @@
 	}
 	return l
 }
-
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -156,7 +156,7 @@
 		PeerAddress:   s.PeerAddress,
 		Zone:          s.Zone,
 	}
-	p.mirror = &mirror.Mirror{Feed: p.Feed, Clock: p.clock, Pause: p.mirrorPause, Log: p.Log}
+	p.mirror = &mirror.Mirror{Feed: p.Feed, Clock: p.clock, Sleep: p.clock.Sleep, Pause: p.mirrorPause, Log: p.Log}
 	p.registry = membership.NewRegistry(h)
 	p.registry.Store, p.registry.Clock, p.registry.Contact, p.registry.Log = p.Store, p.clock, p.mirror.Contact, p.Log
 	p.source = configuration.NewSource()
--- a/internal/host/process/orders.go
+++ b/internal/host/process/orders.go
@@ -17,7 +17,7 @@
 		Ranker:        p.ranker,
 		Configuration: p.source,
 		Engine:        orders.NewClient(p.clock),
-		Ledger:        ledger.NewLedger(p.store, p.clock, p.self, sleep),
+		Ledger:        ledger.NewLedger(p.store, p.clock, p.self, p.clock.Sleep),
 		Interval:      orderHeartbeats * p.settings.Heartbeat,
 		Log:           p.log,
 	}
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -35,10 +35,10 @@
 type Process struct {
 	settings sardineknot.Settings
 	log      zerolog.Logger
-	clock    sardineknot.Clock
+	clock    clock.System
 	metrics  metrics.Registry
 	self     sardineknot.EntryHost
-	store    sardineknot.Store
+	store    sardineknot.WatchedStore
 	hosts    sardineknot.HostList
 	// peers opens connections to other entry hosts.
 	peers *h2c.Transport
--- a/internal/host/process/stop.go
+++ b/internal/host/process/stop.go
@@ -45,7 +45,7 @@
 	}
 	p.log.Info().Str("event", "leaving").Send()
 	p.node.Leave(work)
-	_ = sleep(work, p.settings.PlacementValidity)
+	_ = p.clock.Sleep(work, p.settings.PlacementValidity)
 	p.guard.Close()
 	p.log.Info().Str("event", "admission_closed").Int("running", p.running()).Send()
 	p.drain(work)
@@ -59,7 +59,7 @@
 		if p.running() > 0 {
 			n = -1
 		}
-		_ = sleep(work, drainPause)
+		_ = p.clock.Sleep(work, drainPause)
 	}
 }
 
--- a/internal/platform/etcd/client.go
+++ b/internal/platform/etcd/client.go
@@ -33,7 +33,7 @@
 	transport *http.Transport
 }
 
-var _ sardineknot.Store = (*Client)(nil)
+var _ sardineknot.WatchedStore = (*Client)(nil)
 
 // NewClient returns a client of the service at a. Zero timeout means two
 // seconds. It panics if a is not valid or timeout is negative.
--- a/internal/platform/etcd/watch.go
+++ b/internal/platform/etcd/watch.go
@@ -12,7 +12,7 @@
 // watchBuffer is the number of entries that wait for a slow reader.
 const watchBuffer = 64
 
-// Watch implements sardineknot.Store. A deleted key is reported with a nil
+// Watch implements sardineknot.WatchedStore. A deleted key is reported with a nil
 // value and revision zero. A connection that goes silent is not noticed here:
 // callers read the watched keys again from time to time.
 func (c *Client) Watch(ctx context.Context, prefix string, after sardineknot.StoreRevision) (<-chan sardineknot.StoreEntry, error) {
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -36,6 +36,8 @@
 	Feed sardineknot.Feed
 	// Clock gives the time.
 	Clock sardineknot.Clock
+	// Sleep waits for a duration, or returns an error when the context ends.
+	Sleep func(context.Context, time.Duration) error
 	// Pause returns the time between two calls that brought changes.
 	Pause func() time.Duration
 	// Log takes an event when the service is lost or regained.
@@ -85,11 +87,11 @@
 		switch {
 		case err == nil:
 			at, p = n, firstPause
-			sleep(ctx, m.Pause())
+			_ = m.Sleep(ctx, m.Pause())
 		case errors.As(err, &c):
 			at = 0
 		default:
-			sleep(ctx, p)
+			_ = m.Sleep(ctx, p)
 			p = min(2*p, maxPause)
 		}
 	}
@@ -172,12 +174,3 @@
 	}
 	m.Log.Warn().Str("event", "store_lost").Err(err).Send()
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/platform/mirror/mirror_test.go
+++ b/internal/platform/mirror/mirror_test.go
@@ -72,7 +72,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		seen := make(map[string]sardineknot.StoreRevision)
 		m := &mirror.Mirror{
-			Feed: f, Clock: clock.System{}, Pause: func() time.Duration { return 100 * time.Millisecond }, Log: zerolog.Nop(),
+			Feed: f, Clock: clock.System{}, Sleep: clock.System{}.Sleep, Pause: func() time.Duration { return 100 * time.Millisecond }, Log: zerolog.Nop(),
 			Changed: func(e sardineknot.StoreEntry) { seen[e.Key] = e.Revision },
 			Settled: func() {},
 		}
--- a/store.go
+++ b/store.go
@@ -44,11 +44,16 @@
 	// Delete removes key if it is at revision expected. It fails with a
 	// ConflictError otherwise.
 	Delete(ctx context.Context, key string, expected StoreRevision) error
-	// Watch reports every change below prefix that is later than after, until
-	// ctx is done or the connection fails. The channel is closed at the end.
-	Watch(ctx context.Context, prefix string, after StoreRevision) (<-chan StoreEntry, error)
 	// Grant returns a new lease that lapses after ttl without KeepAlive.
 	Grant(ctx context.Context, ttl time.Duration) (LeaseID, error)
 	// KeepAlive extends a lease by its time to live.
 	KeepAlive(ctx context.Context, id LeaseID) error
 }
+
+// WatchedStore is a Store that reports changes as they happen.
+type WatchedStore interface {
+	Store
+	// Watch reports every change below prefix that is later than after, until
+	// ctx is done or the connection fails. The channel is closed at the end.
+	Watch(ctx context.Context, prefix string, after StoreRevision) (<-chan StoreEntry, error)
+}
