--- a/internal/membership/store/registry.go
+++ b/internal/membership/store/registry.go
@@ -26,11 +26,11 @@
 	// Prefix begins the keys of entry hosts.
 	Prefix = "hosts/"
 	// leaseTime is the time to live of a host's key.
-	leaseTime = 3 * time.Second
+	leaseTime = 1600 * time.Millisecond
 	// renewal is the time between two renewals of the lease.
-	renewal = 800 * time.Millisecond
+	renewal = 450 * time.Millisecond
 	// callTimeout bounds a call to the service.
-	callTimeout = 700 * time.Millisecond
+	callTimeout = 600 * time.Millisecond
 	// firstAside and maxAside bound the time for which a host that did not
 	// answer is set aside. It doubles with each time in a row.
 	firstAside = 2 * time.Second
