caller/idle: the configuration bounds idle connections and heads

Both bounds of the operators were read and not kept. The bound of idle time may change at any time, which net/http does not allow for its own, so connections are swept.

--- a/internal/caller/gateway/handler.go
+++ b/internal/caller/gateway/handler.go
@@ -78,6 +78,9 @@
 	if f.Revision == 0 {
 		return nil, errors.WithStack(&sardineknot.NotRunError{Reason: "no configuration yet", RetryAfter: startRetry})
 	}
+	if n := headerBytes(r); f.CallerLimits.HeaderBytes > 0 && n > f.CallerLimits.HeaderBytes {
+		return nil, errors.WithStack(&headerError{bytes: n})
+	}
 	p, _, _ := strings.Cut(r.RequestURI, "?")
 	t := f.Route(hostName(r.Host), p)
 	if t == nil {
@@ -131,6 +134,26 @@
 	return b, errors.WithStack(err)
 }
 
+// headerError reports a head that is longer than allowed.
+type headerError struct {
+	bytes int
+}
+
+// Error implements error.
+func (e *headerError) Error() string { return "the head has " + strconv.Itoa(e.bytes) + " bytes" }
+
+// headerBytes returns the length of the head of r, in bytes, without what the
+// lines need besides names and values.
+func headerBytes(r *http.Request) int {
+	n := len(r.Method) + len(r.RequestURI) + len(r.Host)
+	for k, l := range r.Header {
+		for _, v := range l {
+			n += len(k) + len(v)
+		}
+	}
+	return n
+}
+
 func hostName(h string) string {
 	n, _, err := net.SplitHostPort(h)
 	if err != nil {
@@ -197,7 +220,10 @@
 	var u *sardineknot.UnknownError
 	var i *sardineknot.InvalidError
 	var m *http.MaxBytesError
+	var l *headerError
 	switch {
+	case errors.As(err, &l):
+		return http.StatusRequestHeaderFieldsTooLarge
 	case errors.As(err, &n):
 		return http.StatusServiceUnavailable
 	case errors.As(err, &u):
--- a/internal/command/serve/command.go
+++ b/internal/command/serve/command.go
@@ -37,7 +37,11 @@
 }
 
 // Execute implements subcommands.Command.
-func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if c.path == "" || f.NArg() > 0 {
+		fmt.Fprint(os.Stderr, c.Usage())
+		return subcommands.ExitUsageError
+	}
 	s, err := settings.Load(c.path)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -25,6 +25,7 @@
 	"sardineknot.example/sardineknot/internal/backend/breaker"
 	"sardineknot.example/sardineknot/internal/backend/shared"
 	caller "sardineknot.example/sardineknot/internal/caller/gateway"
+	"sardineknot.example/sardineknot/internal/caller/idle"
 	configuration "sardineknot.example/sardineknot/internal/configuration/store"
 	"sardineknot.example/sardineknot/internal/host/clock"
 	"sardineknot.example/sardineknot/internal/membership/rendezvous"
@@ -100,9 +101,11 @@
 	source   *configuration.Source
 	mirror   *mirror.Mirror
 	handler  *caller.Handler
-	slots    *twirp.Pool
-	peers    *h2c.Transport
-	budgets  *shared.Budgets
+	// connections are those of callers.
+	connections *idle.Connections
+	slots       *twirp.Pool
+	peers       *h2c.Transport
+	budgets     *shared.Budgets
 }
 
 // Run serves until ctx is done, and then until the host has stopped in order.
@@ -120,7 +123,7 @@
 		}
 		g.Go(func() error { return serve(s.server, n) })
 	}
-	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.sweep, p.follow, p.observe, p.stages().Run) {
+	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.sweep, p.follow, p.observe, p.stages().Run, p.connections.Run) {
 		g.Go(func() error { return f(w) })
 	}
 	p.Log.Info().Str("event", "started").Str("zone", string(p.Settings.Zone)).Send()
@@ -194,6 +197,7 @@
 	b := &shared.Budgets{Clock: p.clock, Hosts: func() int { return len(p.registry.Hosts()) }}
 	b.SetBounds(p.Settings.RetryRatio, p.Settings.RetrySlack)
 	p.budgets = b
+	p.connections = &idle.Connections{Clock: p.clock, Limit: func() time.Duration { return p.source.Current().CallerLimits.IdleTime }}
 	n := uint64(self.Incarnation)
 	p.handler = &caller.Handler{
 		Source:  p.source,
@@ -246,7 +250,9 @@
 	m := http.NewServeMux()
 	m.Handle(p.slots.Handler())
 	return []endpoint{
-		{p.Settings.CallerAddress, &http.Server{Handler: p.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}},
+		{p.Settings.CallerAddress, &http.Server{
+			Handler: p.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: p.connections.Track,
+		}},
 		{p.Settings.LookupAddress, &http.Server{Handler: p.Lookup(p.usable), ReadHeaderTimeout: headerTimeout}},
 		{p.Settings.ReadyAddress, &http.Server{Handler: p.Ready(p.ready), ReadHeaderTimeout: headerTimeout}},
 		{p.Settings.MetricsAddress, &http.Server{Handler: http.HandlerFunc(p.serveMetrics), ReadHeaderTimeout: headerTimeout}},
