--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -137,6 +137,7 @@
 		Prefixes:     p.Prefixes,
 		PromptTokens: p.Tokens + g + p.After*s.eventTokens(),
 		MaxTokens:    max(1, p.MaxTokens-g-p.After*s.eventTokens()),
+		Resumed:      p.After > 0,
 		Priority:     c.Route.Priority,
 		Deadline:     c.Arrived.Add(c.Route.Target),
 		Patience:     c.Deadline,
--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -22,6 +22,9 @@
 	// firstEventTime is kept between the end of a prefill and the latency
 	// target of the first event, for the transfer and the first tokens.
 	firstEventTime = 120 * time.Millisecond
+	// resumedWait is the time for which a caller waits whose answer broke off.
+	// It has tried again already and does not come back.
+	resumedWait = 3 * time.Second
 	// lookInterval is the time between two looks at a job that waits.
 	lookInterval = 25 * time.Millisecond
 	// crossZone is the waiting time that a transfer within a zone is worth.
@@ -47,13 +50,19 @@
 }
 
 // late reports whether the first event of j would come after its target if j
-// began now. For a caller that was refused before it does in any case.
+// began now. For a caller that was refused before, or whose answer broke off, it
+// does in any case.
 func (j *job) late(now time.Time) bool {
-	return j.returned || now.Add(j.cost+firstEventTime).After(j.Deadline)
+	return j.returned || j.Resumed || now.Add(j.cost+firstEventTime).After(j.Deadline)
 }
 
 // latestStart returns the time until which j may wait.
-func (j *job) latestStart() time.Time { return j.Deadline.Add(-j.cost - firstEventTime) }
+func (j *job) latestStart() time.Time {
+	if j.Resumed {
+		return later(j.arrived.Add(resumedWait), j.Deadline.Add(-j.cost-firstEventTime))
+	}
+	return j.Deadline.Add(-j.cost - firstEventTime)
+}
 
 // hopeless reports whether j, which waits, is to be refused.
 func (s *Scheduler) hopeless(now time.Time, j *job) bool {
--- a/internal/policy/memory/scheduler_test.go
+++ b/internal/policy/memory/scheduler_test.go
@@ -103,6 +103,18 @@
 		is.True(!s.NextWake().IsZero())
 		is.True(refused(s.Wake(start.Add(target)), "late"))
 	})
+	t.Run("a caller whose answer broke off waits for longer", func(t *testing.T) {
+		// After all hosts lost power, callers came back for the rest while the
+		// engines still worked for nobody, and were refused for good.
+		is := is.New(t)
+		s := newScheduler(1)
+		fillUp(s, start)
+		j := job("rest", start, 5000, 4000)
+		j.Resumed = true
+		s.Submit(start, j)
+		is.True(!refused(s.Wake(start.Add(target)), "rest"))
+		is.Equal(granted(s.Wake(start.Add(2900*time.Millisecond)), "rest").Decode, sardineknot.BackendServerName("d0"))
+	})
 	t.Run("the end of an answer makes room", func(t *testing.T) {
 		is := is.New(t)
 		s := newScheduler(1)
--- a/internal/slots/twirp/message.go
+++ b/internal/slots/twirp/message.go
@@ -26,6 +26,7 @@
 		OwnerIncarnation: uint64(j.OwnerIncarnation),
 		ExpectedTokens:   int32(j.ExpectedTokens),
 		PatienceMicros:   j.Patience.Sub(now).Microseconds(),
+		Resumed:          j.Resumed,
 	}
 }
 
@@ -45,6 +46,7 @@
 		OwnerIncarnation: sardineknot.Incarnation(m.GetOwnerIncarnation()),
 		ExpectedTokens:   int(m.GetExpectedTokens()),
 		Patience:         now.Add(micros(m.GetPatienceMicros())),
+		Resumed:          m.GetResumed(),
 	}
 }
 
--- a/scheduler.go
+++ b/scheduler.go
@@ -25,6 +25,9 @@
 	// ExpectedTokens is the caller's estimate of the length of the answer.
 	// Zero means that it gave none.
 	ExpectedTokens int
+	// Resumed tells that the caller has the beginning of the answer from an
+	// earlier call, which broke off.
+	Resumed bool
 	// Priority orders jobs. Smaller values go first.
 	Priority int
 	// Deadline is the time by which the first token is due.
