answer/plain: a long answer is not cut short

Cause: reading the change again: an answer beyond 16 MiB was cut and passed on with the length of the part, so that it looked whole. The test failed before.

--- a/backend.go
+++ b/backend.go
@@ -84,7 +84,7 @@
 // pool for each service.
 func (s BackendServer) Pool() PoolName {
 	if s.Role == RolePlain {
-		return PoolName("service/" + s.Service)
+		return PlainPool(ServiceName(s.Service))
 	}
 	if s.Service != "" {
 		return ServicePool(ServiceName(s.Service), s.Model)
@@ -92,6 +92,9 @@
 	return EnginePool(s.Model, s.Version)
 }
 
+// PlainPool returns the name of the pool of plain services that offer service.
+func PlainPool(service ServiceName) PoolName { return PoolName("service/" + string(service)) }
+
 // ServicePool returns the name of the pool of engines that serve a model for
 // the routes of a service.
 func ServicePool(service ServiceName, model string) PoolName {
--- a/internal/answer/plain/runner.go
+++ b/internal/answer/plain/runner.go
@@ -123,7 +123,7 @@
 func (r *Runner) pick(ctx context.Context, c *sardineknot.Call, tried map[sardineknot.BackendServerName]bool) (sardineknot.BackendServer, error) {
 	e := r.Clock.Now().Add(queueTime)
 	for {
-		l := r.Source.Current().Pool(sardineknot.PoolName("service/" + string(c.Service)))
+		l := r.Source.Current().Pool(sardineknot.PlainPool(c.Service))
 		s, w, ok := r.Servers.Pick(r.Clock.Now(), l, tried)
 		if ok {
 			return s, nil
@@ -140,14 +140,27 @@
 	p, err := r.Forwarder.Forward(ctx, s, c, sardineknot.Send{Deadline: c.Deadline, Fresh: !c.Route.Repeatable()})
 	var b []byte
 	if err == nil {
-		b, err = io.ReadAll(io.LimitReader(p.Body, maxAnswerBytes))
-		p.Body.Close()
+		b, err = readAll(s, p)
 	}
 	o := outcome{reply: p, body: b, err: err}
 	r.done(ctx, s.Name, o)
 	return o
 }
 
+// readAll returns the whole body of p. An answer that is too long is an error,
+// since a part of it would look whole.
+func readAll(s sardineknot.BackendServer, p *sardineknot.Reply) ([]byte, error) {
+	defer p.Body.Close()
+	b, err := io.ReadAll(io.LimitReader(p.Body, maxAnswerBytes+1))
+	if err == nil && len(b) > maxAnswerBytes {
+		err = errors.WithStack(&sardineknot.UnavailableError{Peer: string(s.Name), Cause: errTooLong})
+	}
+	return b, err
+}
+
+// errTooLong is the cause of an answer beyond maxAnswerBytes.
+var errTooLong = errors.New("the answer is too long")
+
 // done tells the picker what o says about the server s.
 func (r *Runner) done(ctx context.Context, s sardineknot.BackendServerName, o outcome) {
 	n := r.Clock.Now()
--- a/internal/answer/plain/runner_test.go
+++ b/internal/answer/plain/runner_test.go
@@ -138,6 +138,12 @@
 		_, _, err := run(t, sardineknot.RouteUnsafe, 0, refused)
 		assertNotRun(t, err, true)
 	})
+	t.Run("does not pass a part of a long answer on as the whole", func(t *testing.T) {
+		w, _, err := run(t, sardineknot.RouteUnsafe, 9, answer{status: 200, body: strings.Repeat("x", 17<<20)})
+		is := is.New(t)
+		is.True(err != nil)
+		is.Equal(w.status, 0)
+	})
 	t.Run("passes a failure of the server on", func(t *testing.T) {
 		w, n, err := run(t, sardineknot.RouteUnsafe, 9, failed, good)
 		is := is.New(t)
