backend/shared: retries are counted by steady time

Cause: reading the change again: buckets were numbered by the time of day, so that a jump of the clock forgot the retries of the last seconds. The test failed before: 48 further retries after a jump of 20 s.

--- a/internal/backend/shared/budget.go
+++ b/internal/backend/shared/budget.go
@@ -30,6 +30,9 @@
 	// number that is allowed beside, on all hosts.
 	ratio float64
 	slack float64
+	// began is the time from which buckets are numbered. The difference of two
+	// times does not follow jumps of the time of day.
+	began time.Time
 	// counts holds the tries of each service.
 	counts map[sardineknot.ServiceName]*counts
 }
@@ -88,7 +91,10 @@
 		c = &counts{}
 		b.counts[s] = c
 	}
-	n := b.Clock.Now().UnixNano() / int64(bucketWidth)
+	if b.began.IsZero() {
+		b.began = b.Clock.Now().Add(-window * bucketWidth)
+	}
+	n := int64(b.Clock.Now().Sub(b.began) / bucketWidth)
 	k := &c.buckets[n%window]
 	if k.number != n {
 		*k = bucket{number: n}
--- a/internal/backend/shared/budget_test.go
+++ b/internal/backend/shared/budget_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"testing/synctest"
 	"time"
+	"unsafe"
 
 	"github.com/matryer/is"
 
@@ -27,6 +28,19 @@
 	return b
 }
 
+// jumping is a clock whose time of day jumps and whose steady time does not.
+type jumping struct {
+	jump time.Duration
+}
+
+// Now implements sardineknot.Clock.
+func (c *jumping) Now() time.Time {
+	// The wall clock of this time is off, its monotonic reading is not.
+	n := time.Now()
+	*(*uint64)(unsafe.Pointer(&n)) += uint64(c.jump/time.Second) << 30
+	return n
+}
+
 func TestBudgets(t *testing.T) {
 	t.Run("all hosts together stay below the slack", func(t *testing.T) {
 		is := is.New(t)
@@ -44,6 +58,15 @@
 		is.True(n > 10)
 		is.True(n <= 20+54/8)
 	})
+	t.Run("a jump of the time of day allows no more", func(t *testing.T) {
+		is := is.New(t)
+		c := &jumping{}
+		b := &shared.Budgets{Clock: c, Hosts: func() int { return 1 }}
+		b.SetBounds(0.2, 54)
+		is.True(retries(b) > 0)
+		c.jump = 20 * time.Second
+		is.Equal(retries(b), 0)
+	})
 	t.Run("no window allows twice the bound", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
