--- a/backend.go
+++ b/backend.go
@@ -1,9 +1,6 @@
 package sardineknot
 
-import (
-	"net/netip"
-	"time"
-)
+import "net/netip"
 
 // BackendServerName identifies a backend server within a deployment.
 type BackendServerName string
@@ -64,9 +61,6 @@
 	// EventTokens is the number of tokens in an event of an engine's stream.
 	// Zero means one.
 	EventTokens int
-	// CacheLife is the time for which an engine keeps the result of a prefill.
-	// Zero means that it is not known.
-	CacheLife time.Duration
 	// Born tells the lives of a server apart that starts again under its name.
 	// Zero means that it is not known.
 	Born int64
--- a/internal/answer/events/leave.go
+++ b/internal/answer/events/leave.go
@@ -47,6 +47,18 @@
 	return true
 }
 
+// returnSpare gives back an engine that was granted ahead and is not needed: the
+// stream came to its end after all, or its caller is gone.
+func (s *session) returnSpare() {
+	s.lock.Lock()
+	defer s.lock.Unlock()
+	if s.spare == nil {
+		return
+	}
+	s.Slots.Report(s.spare.job, sardineknot.JobEvent{Key: s.spare.job.Key, Kind: sardineknot.JobCancelled})
+	s.spare = nil
+}
+
 // end notes that the try has ended. Spares that come later are given back.
 func (t *try) end() {
 	t.lock.Lock()
--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -81,6 +81,7 @@
 func (r *Runner) Run(ctx context.Context, c *sardineknot.Call, w sardineknot.AnswerWriter) error {
 	r.Budget.First(c.Service)
 	s := &session{Runner: r, call: c, writer: w, last: c.Prompt.After}
+	defer s.returnSpare()
 	for {
 		err := s.try(ctx)
 		if err == nil {
--- a/internal/answer/events/runner_test.go
+++ b/internal/answer/events/runner_test.go
@@ -32,7 +32,9 @@
 	decode []sardineknot.BackendServerName
 	err    error
 	jobs   []sardineknot.Job
-	events []sardineknot.JobEventKind
+	// granted is called when an engine is granted.
+	granted map[sardineknot.BackendServerName]func()
+	events  []sardineknot.JobEventKind
 }
 
 func (s *slots) Acquire(_ context.Context, j sardineknot.Job) (sardineknot.Grant, error) {
@@ -44,6 +46,9 @@
 	d := s.decode[0]
 	s.decode = s.decode[1:]
 	s.jobs = append(s.jobs, j)
+	if f := s.granted[d]; f != nil {
+		f()
+	}
 	return sardineknot.Grant{Prefill: "p", Decode: d}, nil
 }
 
@@ -57,6 +62,18 @@
 	s.events = append(s.events, e.Kind)
 }
 
+// ended returns the number of jobs that were reported as cancelled.
+func (s *slots) ended() (n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, k := range s.events {
+		if k == sardineknot.JobCancelled {
+			n++
+		}
+	}
+	return n
+}
+
 // last returns the kind of the last event.
 func (s *slots) last() sardineknot.JobEventKind { return s.events[len(s.events)-1] }
 
@@ -250,6 +267,19 @@
 			is.Equal(w.got(), one+two)
 		})
 	})
+	t.Run("an engine that was granted ahead is given back", func(t *testing.T) {
+		// The caller leaves while its stream waits for the other engine.
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			ctx, cancel := context.WithCancel(t.Context())
+			e := &engines{answers: []answer{{status: 200, body: one, silent: true}}}
+			s := &slots{decode: []sardineknot.BackendServerName{"d", "e"}, granted: map[sardineknot.BackendServerName]func(){"e": cancel}}
+			is.True(newRunner(e, s).Run(ctx, newCall(true), &writer{}) != nil)
+			synctest.Wait()
+			is.Equal(s.last(), sardineknot.JobCancelled)
+			is.Equal(s.ended(), 2)
+		})
+	})
 	t.Run("an engine that goes on in time is kept", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/configuration/store/source.go
+++ b/internal/configuration/store/source.go
@@ -196,6 +196,5 @@
 	}
 	b.MemoryTokens = v.Engine.MemoryTokens
 	b.EventTokens = v.Engine.EventTokens
-	b.CacheLife = v.Engine.CacheLife
 	return b
 }
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -52,8 +52,6 @@
 	// contact is the time of the last transition between reachable and not.
 	contact   time.Time
 	reachable bool
-	// loaded tells that everything was read once.
-	loaded bool
 
 	entries map[string]sardineknot.StoreEntry
 }
@@ -65,13 +63,6 @@
 	return m.reachable, m.contact
 }
 
-// Loaded reports whether everything was read once.
-func (m *Mirror) Loaded() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.loaded
-}
-
 // Run follows the service until ctx is done.
 func (m *Mirror) Run(ctx context.Context) error {
 	m.entries = make(map[string]sardineknot.StoreEntry)
@@ -134,9 +125,6 @@
 			m.apply(sardineknot.StoreEntry{Key: s})
 		}
 	}
-	m.mu.Lock()
-	m.loaded = true
-	m.mu.Unlock()
 	m.Settled()
 	return n, nil
 }
--- a/route.go
+++ b/route.go
@@ -63,9 +63,6 @@
 type Service struct {
 	// Name is unique within a Configuration.
 	Name ServiceName
-	// Connections is the number of connections that a server takes from all
-	// hosts together. Zero means that it is not bounded.
-	Connections int
 	// Engine is nil for plain services.
 	Engine *EngineLimits
 }
@@ -78,8 +75,6 @@
 	MemoryTokens int
 	// EventTokens is the number of tokens in an event of a stream.
 	EventTokens int
-	// CacheLife is the time for which the result of a prefill is kept.
-	CacheLife time.Duration
 }
 
 // Repeatable reports whether a call of the route may run again after its
