backend/http1: a connection is kept although its writer tells late

After a whole answer the connection was kept only if the writer of the request had already told that it was done; if it was not scheduled yet, a good connection was closed. No request was lost or sent twice by it. Now the writer has 2 ms.

--- a/internal/backend/http1/body.go
+++ b/internal/backend/http1/body.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -60,12 +61,16 @@
 	b.conn.client.put(b.conn)
 }
 
+// sentWait is the time that the writer of a request has to tell that it is done
+// after the whole answer was read. One that takes longer still writes.
+const sentWait = 2 * time.Millisecond
+
 // sent reports whether the whole request was written.
 func (b *body) sent() bool {
 	select {
 	case err := <-b.conn.written:
 		return err == nil
-	default:
+	case <-time.After(sentWait):
 		return false
 	}
 }
