bench/timeline: the queue of virtual events is a package of its own

Cause: the model of engines with scarce memory needs the same queue; it stood in bench/world. Ruled out: a second copy. Conclusion: world holds a Timeline.

--- a/internal/bench/world/ask.go
+++ b/internal/bench/world/ask.go
@@ -140,14 +140,14 @@
 	if h == w.dead {
 		h = (h + 1) % w.workload.EntryHosts
 	}
-	t := &try{ask: a, returns: returns, host: h, began: w.now}
+	t := &try{ask: a, returns: returns, host: h, began: w.Now()}
 	if returns > 0 {
 		w.result.Returns++
 	}
 	k := w.workload.Kinds[a.kind]
-	w.after(time.Duration(w.workload.Patience*float64(k.FirstToken)), func() { w.losePatience(t) })
+	w.After(time.Duration(w.workload.Patience*float64(k.FirstToken)), func() { w.losePatience(t) })
 	if a.cancelAfter > 0 {
-		w.after(a.cancelAfter, func() { w.cancelAsk(a) })
+		w.After(a.cancelAfter, func() { w.cancelAsk(a) })
 	}
 	w.offer(t)
 }
@@ -161,7 +161,7 @@
 	k := w.workload.Kinds[a.kind]
 	d := t.began.Add(k.FirstToken)
 	if t.prior > 0 {
-		d = w.now.Add(k.FirstToken)
+		d = w.Now().Add(k.FirstToken)
 	}
 	j := sardineknot.Job{
 		Key:          t.key,
@@ -176,9 +176,9 @@
 		PerToken:     k.PerToken,
 		Owner:        sardineknot.EntryHostID(fmt.Sprintf("entry-%d", t.host)),
 	}
-	w.after(w.hop(), func() {
+	w.After(w.hop(), func() {
 		if !t.ended {
-			w.decided(w.scheduler.Submit(w.now, j))
+			w.decided(w.scheduler.Submit(w.Now(), j))
 		}
 	})
 }
@@ -194,7 +194,7 @@
 		return
 	}
 	d += time.Duration(w.random.Float64() * w.workload.ReturnJitter * float64(d))
-	w.after(d, func() {
+	w.After(d, func() {
 		if !t.ask.ended {
 			w.submit(t.ask, t.returns+1)
 		}
--- a/internal/bench/world/decode.go
+++ b/internal/bench/world/decode.go
@@ -36,12 +36,12 @@
 // startDecode sends t to the engine that was decided for it.
 func (w *World) startDecode(t *try) {
 	e := t.next
-	if !w.ideal && w.now.Sub(t.prefilled) >= w.workload.Life {
+	if !w.ideal && w.Now().Sub(t.prefilled) >= w.workload.Life {
 		w.fail(t, e.server.Name, &w.result.Waste.Evicted)
 		return
 	}
 	if e.dead && !w.ideal {
-		w.after(refusedConnection, func() { w.fail(t, e.server.Name, &w.result.Waste.Failed) })
+		w.After(refusedConnection, func() { w.fail(t, e.server.Name, &w.result.Waste.Failed) })
 		return
 	}
 	t.decode = e
@@ -93,7 +93,7 @@
 
 // advance brings position up to date.
 func (e *decodeEngine) advance() {
-	n := e.world.now
+	n := e.world.Now()
 	if e.interval > 0 {
 		d := n.Sub(e.updated).Seconds() / e.interval.Seconds()
 		e.position += d
@@ -127,7 +127,7 @@
 	}
 	d := e.remaining()
 	v := e.version
-	w.after(max(0, time.Duration(d*float64(e.interval)))+1, func() {
+	w.After(max(0, time.Duration(d*float64(e.interval)))+1, func() {
 		if e.version == v {
 			e.step()
 		}
--- a/internal/bench/world/link.go
+++ b/internal/bench/world/link.go
@@ -33,7 +33,7 @@
 // beginTransfer moves the KV cache of t and calls done at the end.
 func (w *World) beginTransfer(t *try, done func()) {
 	if w.ideal {
-		w.after(0, done)
+		w.After(0, done)
 		return
 	}
 	k := w.links[newPair(t.from, t.decode.server.Zone)]
@@ -66,7 +66,7 @@
 
 // advance moves bytes up to now.
 func (k *link) advance() {
-	n := k.world.now
+	n := k.world.Now()
 	if len(k.transfers) > 0 {
 		b := n.Sub(k.updated).Seconds() * k.rate / float64(len(k.transfers))
 		for _, x := range k.transfers {
@@ -90,7 +90,7 @@
 	}
 	v := k.version
 	d := max(0, m.bytes) * float64(len(k.transfers)) / k.rate
-	k.world.after(time.Duration(d*float64(time.Second))+1, func() {
+	k.world.After(time.Duration(d*float64(time.Second))+1, func() {
 		if k.version != v {
 			return
 		}
@@ -112,7 +112,7 @@
 	for i := range l.DecodeEngines {
 		s := w.server(i, "decode", sardineknot.RoleDecode)
 		s.Slots, s.MemoryPieces = l.Slots, l.MemoryPieces
-		w.decode = append(w.decode, &decodeEngine{world: w, server: s, updated: w.now})
+		w.decode = append(w.decode, &decodeEngine{world: w, server: s, updated: w.Now()})
 	}
 	for _, a := range l.Zones {
 		for _, b := range l.Zones {
@@ -120,7 +120,7 @@
 			if a == b {
 				r = l.WithinZone
 			}
-			w.links[newPair(a, b)] = &link{world: w, rate: float64(r), updated: w.now}
+			w.links[newPair(a, b)] = &link{world: w, rate: float64(r), updated: w.Now()}
 		}
 	}
 }
--- a/internal/bench/world/measures.go
+++ b/internal/bench/world/measures.go
@@ -40,9 +40,9 @@
 func (w *World) firstToken(t *try) {
 	t.started = true
 	if t.first.IsZero() {
-		t.first = w.now
+		t.first = w.Now()
 		if t.ask.counted {
-			w.firsts = append(w.firsts, w.now.Sub(t.began))
+			w.firsts = append(w.firsts, w.Now().Sub(t.began))
 		}
 	}
 	w.report(t, sardineknot.JobDecodeStarted, t.decode.server.Name, t.prior)
@@ -61,7 +61,7 @@
 		return
 	}
 	k := w.workload.Kinds[t.ask.kind]
-	p := w.now.Sub(t.first).Seconds() / math.Max(1, float64(t.ask.answer-1))
+	p := w.Now().Sub(t.first).Seconds() / math.Max(1, float64(t.ask.answer-1))
 	if t.first.Sub(t.began) > k.FirstToken || p > k.PerToken.Seconds() {
 		w.result.Late++
 		return
--- a/internal/bench/world/prefill.go
+++ b/internal/bench/world/prefill.go
@@ -28,7 +28,7 @@
 			continue
 		}
 		if e.dead && !w.ideal {
-			w.after(refusedConnection, func() { w.fail(t, n, &w.result.Waste.Failed) })
+			w.After(refusedConnection, func() { w.fail(t, n, &w.result.Waste.Failed) })
 			return
 		}
 		t.prefill = e
@@ -46,11 +46,11 @@
 	t := e.queue[0]
 	e.queue = e.queue[1:]
 	e.current = t
-	e.begun = e.world.now
+	e.begun = e.world.Now()
 	e.version++
 	v := e.version
 	d := e.world.workload.Prefill(e.world.uncached(e, t))
-	e.world.after(d, func() {
+	e.world.After(d, func() {
 		if e.version == v && e.current == t {
 			e.done(t)
 		}
@@ -62,14 +62,14 @@
 	e.stop()
 	e.keep(t.ask.prefixes)
 	t.prefill = nil
-	t.prefilled = w.now
+	t.prefilled = w.Now()
 	w.report(t, sardineknot.JobPrefillDone, e.server.Name, 0)
 	if !w.ideal {
-		w.after(w.workload.Life, func() { w.evict(t, e) })
+		w.After(w.workload.Life, func() { w.evict(t, e) })
 	}
 	e.next()
 	if t.next != nil {
-		w.after(w.hop(), func() {
+		w.After(w.hop(), func() {
 			if !t.ended && t.decode == nil {
 				w.startDecode(t)
 			}
@@ -79,7 +79,7 @@
 
 // stop ends the work on current.
 func (e *prefillEngine) stop() {
-	d := e.world.now.Sub(e.begun)
+	d := e.world.Now().Sub(e.begun)
 	e.current.work += d
 	e.world.result.Prefill += d
 	e.current = nil
--- a/internal/bench/world/server.go
+++ b/internal/bench/world/server.go
@@ -37,7 +37,7 @@
 			l = append(l, e.server)
 		}
 	}
-	w.decided(w.scheduler.SetServers(w.now, l, w.declaredLinks()))
+	w.decided(w.scheduler.SetServers(w.Now(), l, w.declaredLinks()))
 }
 
 func (w *World) declaredLinks() []sardineknot.Link {
@@ -62,9 +62,9 @@
 		d = laggingReports
 	}
 	for _, r := range w.loads() {
-		w.after(d, func() { w.scheduler.Observe(w.now, r) })
+		w.After(d, func() { w.scheduler.Observe(w.Now(), r) })
 	}
-	w.after(w.workload.ReportEvery, w.reportLoads)
+	w.After(w.workload.ReportEvery, w.reportLoads)
 }
 
 func (w *World) loads() []sardineknot.LoadReport {
@@ -73,7 +73,7 @@
 		if e.dead {
 			continue
 		}
-		r := sardineknot.LoadReport{Server: e.server.Name, At: w.now, Waiting: len(e.queue)}
+		r := sardineknot.LoadReport{Server: e.server.Name, At: w.Now(), Waiting: len(e.queue)}
 		if e.current != nil {
 			r.Running = 1
 		}
@@ -81,7 +81,7 @@
 	}
 	for _, e := range w.decode {
 		if !e.dead {
-			l = append(l, sardineknot.LoadReport{Server: e.server.Name, At: w.now, Running: len(e.running), Waiting: len(e.waiting)})
+			l = append(l, sardineknot.LoadReport{Server: e.server.Name, At: w.Now(), Running: len(e.running), Waiting: len(e.waiting)})
 		}
 	}
 	return l
@@ -127,7 +127,7 @@
 	for _, t := range l {
 		w.fail(t, t.server(), &w.result.Waste.Failed)
 	}
-	w.after(removal, w.setServers)
+	w.After(removal, w.setServers)
 }
 
 // setLinks multiplies the rates of the links of the first zone by f.
@@ -156,13 +156,13 @@
 			continue
 		}
 		t.orphan = true
-		w.after(detection, func() { w.discard(t, &w.result.Waste.Failed) })
+		w.After(detection, func() { w.discard(t, &w.result.Waste.Failed) })
 		c := *t
-		w.after(reconnect, func() {
+		w.After(reconnect, func() {
 			if !c.ask.ended {
 				w.submit(c.ask, c.returns)
 			}
 		})
 	}
-	w.after(time.Nanosecond, w.scheduleWake)
+	w.After(time.Nanosecond, w.scheduleWake)
 }
--- a/internal/bench/world/try.go
+++ b/internal/bench/world/try.go
@@ -33,7 +33,7 @@
 
 // refusalCause returns why the prefill of t, which is refused, was wasted.
 func (w *World) refusalCause(t *try) *time.Duration {
-	if !t.prefilled.IsZero() && w.now.Sub(t.prefilled) >= w.workload.Life/2 {
+	if !t.prefilled.IsZero() && w.Now().Sub(t.prefilled) >= w.workload.Life/2 {
 		return &w.result.Waste.Evicted
 	}
 	return &w.result.Waste.Deadline
@@ -45,7 +45,7 @@
 		return
 	}
 	e := sardineknot.JobEvent{Key: t.key, Kind: k, Server: s, Tokens: tokens}
-	w.after(w.eventDelay(), func() { w.decided(w.scheduler.Report(w.now, e)) })
+	w.After(w.eventDelay(), func() { w.decided(w.scheduler.Report(w.Now(), e)) })
 }
 
 // discard ends t and frees what engines hold. Prefill work that was not used
@@ -83,7 +83,7 @@
 		return
 	}
 	a := &try{ask: t.ask, returns: t.returns, attempt: t.attempt + 1, host: t.host, began: t.began, prior: n, first: t.first}
-	w.after(w.hop(), func() {
+	w.After(w.hop(), func() {
 		if !a.ask.ended {
 			w.offer(a)
 		}
@@ -94,7 +94,7 @@
 // watch makes the caller of t lose its patience as before.
 func (w *World) watch(t *try) {
 	p := time.Duration(w.workload.Patience * float64(w.workload.Kinds[t.ask.kind].FirstToken))
-	w.at(t.began.Add(p), func() { w.losePatience(t) })
+	w.At(t.began.Add(p), func() { w.losePatience(t) })
 }
 
 // losePatience disconnects the caller of t if it has no token.
--- a/internal/bench/world/world.go
+++ b/internal/bench/world/world.go
@@ -8,12 +8,12 @@
 package world
 
 import (
-	"container/heap"
 	"math/rand/v2"
 	"time"
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/bench/result"
+	"sardineknot.example/sardineknot/internal/bench/timeline"
 	"sardineknot.example/sardineknot/internal/bench/workload"
 	"sardineknot.example/sardineknot/internal/policy/oracle"
 )
@@ -64,11 +64,8 @@
 	// ideal tells that there are no delays and that results do not lapse.
 	ideal bool
 
-	start  time.Time
-	now    time.Time
-	events events
-	// sequence orders events of the same time.
-	sequence int
+	*timeline.Timeline
+	start time.Time
 	// wakeAt is the time of the next wake event, or zero.
 	wakeAt time.Time
 
@@ -95,8 +92,8 @@
 		scheduler: s,
 		fault:     fault,
 		duration:  duration,
+		Timeline:  timeline.NewTimeline(t),
 		start:     t,
-		now:       t,
 		random:    rand.New(rand.NewPCG(seed, 2)),
 		tries:     make(map[sardineknot.RequestKey]*try),
 		links:     make(map[pair]*link),
@@ -121,19 +118,14 @@
 func (w *World) Run() result.Result {
 	w.setServers()
 	for _, a := range w.asks {
-		w.at(a.at, func() { w.submit(a, 0) })
+		w.At(a.at, func() { w.submit(a, 0) })
 	}
-	w.at(w.start.Add(warmUp+w.duration/3), w.beginFault)
-	w.at(w.start.Add(warmUp+2*w.duration/3), w.endFault)
+	w.At(w.start.Add(warmUp+w.duration/3), w.beginFault)
+	w.At(w.start.Add(warmUp+2*w.duration/3), w.endFault)
 	if !w.ideal {
 		w.reportLoads()
 	}
-	e := w.start.Add(warmUp + w.duration + drain)
-	for len(w.events) > 0 && w.events[0].at.Before(e) {
-		v := heap.Pop(&w.events).(*event)
-		w.now = v.at
-		v.run()
-	}
+	w.Timeline.Run(w.start.Add(warmUp + w.duration + drain))
 	return w.finish()
 }
 
@@ -146,15 +138,6 @@
 	o.Interval = w.workload.Interval(w.workload.Slots)
 }
 
-// at runs f at time t.
-func (w *World) at(t time.Time, f func()) {
-	w.sequence++
-	heap.Push(&w.events, &event{at: t, sequence: w.sequence, run: f})
-}
-
-// after runs f after d.
-func (w *World) after(d time.Duration, f func()) { w.at(w.now.Add(d), f) }
-
 // hop returns the delay of a message.
 func (w *World) hop() time.Duration {
 	if w.ideal {
@@ -173,14 +156,14 @@
 
 // faulty reports whether fault f is in effect.
 func (w *World) faulty(f string) bool {
-	t := w.now.Sub(w.start) - warmUp
+	t := w.Now().Sub(w.start) - warmUp
 	return w.fault == f && t >= w.duration/3 && t < 2*w.duration/3
 }
 
 // decided carries out what the scheduler decided.
 func (w *World) decided(l []sardineknot.Decision) {
 	for _, d := range l {
-		w.after(w.hop(), func() { w.execute(d) })
+		w.After(w.hop(), func() { w.execute(d) })
 	}
 	w.scheduleWake()
 }
@@ -190,49 +173,17 @@
 	if t.IsZero() {
 		return
 	}
-	if m := w.now.Add(time.Millisecond); t.Before(m) {
+	if m := w.Now().Add(time.Millisecond); t.Before(m) {
 		t = m
 	}
 	if !w.wakeAt.IsZero() && !w.wakeAt.After(t) {
 		return
 	}
 	w.wakeAt = t
-	w.at(t, func() {
+	w.At(t, func() {
 		if w.wakeAt.Equal(t) {
 			w.wakeAt = time.Time{}
-			w.decided(w.scheduler.Wake(w.now))
+			w.decided(w.scheduler.Wake(w.Now()))
 		}
 	})
 }
-
-// event is something that happens at a time.
-type event struct {
-	at       time.Time
-	sequence int
-	run      func()
-}
-
-// events is a heap by time.
-type events []*event
-
-func (e events) Len() int      { return len(e) }
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-
-func (e events) Less(i, j int) bool {
-	if !e[i].at.Equal(e[j].at) {
-		return e[i].at.Before(e[j].at)
-	}
-	return e[i].sequence < e[j].sequence
-}
-
-// Push implements heap.Interface.
-func (e *events) Push(x any) { *e = append(*e, x.(*event)) }
-
-// Pop implements heap.Interface.
-func (e *events) Pop() any {
-	n := len(*e) - 1
-	x := (*e)[n]
-	(*e)[n] = nil
-	*e = (*e)[:n]
-	return x
-}
