--- a/internal/policy/memory/engine.go
+++ b/internal/policy/memory/engine.go
@@ -1,10 +1,10 @@
 package memory
 
 import (
-	"slices"
 	"time"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/policy/growth"
 )
 
 const (
@@ -78,41 +78,13 @@
 	return fill * float64(e.server.MemoryTokens)
 }
 
-// span is the memory of one job over time.
-type span struct {
-	// held is the memory in use, and left the number of tokens that are still
-	// to come.
-	held float64
-	left float64
-}
-
 // peak returns the greatest memory that e is expected to need, with the
-// additional spans l. All answers grow at the same rate, so that the greatest
-// need is at the end of one of them.
-func (e *engine) peak(now time.Time, l ...span) float64 {
+// additional spans l.
+func (e *engine) peak(now time.Time, l ...growth.Span) float64 {
 	for _, j := range e.decoding {
 		l = append(l, j.span(now))
 	}
-	l = e.spans(now, l)
-	slices.SortFunc(l, func(a, b span) int {
-		switch {
-		case a.left < b.left:
-			return -1
-		case a.left > b.left:
-			return 1
-		default:
-			return 0
-		}
-	})
-	var held, peak float64
-	for _, a := range l {
-		held += a.held
-	}
-	for i, a := range l {
-		peak = max(peak, held+a.left*float64(len(l)-i))
-		held -= a.held
-	}
-	return peak
+	return growth.Peak(e.spans(now, l))
 }
 
 // average is an exponentially weighted mean.
--- a/internal/policy/memory/foreign.go
+++ b/internal/policy/memory/foreign.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/policy/growth"
 )
 
 const (
@@ -87,14 +88,14 @@
 }
 
 // spans appends what the foreign requests on e are expected to need.
-func (e *engine) spans(now time.Time, l []span) []span {
+func (e *engine) spans(now time.Time, l []growth.Span) []growth.Span {
 	for _, f := range e.foreign {
 		if now.Sub(f.at) > reportLife {
 			continue
 		}
 		g := e.rate.value * now.Sub(f.at).Seconds()
 		n := e.foreignLength.total(f.generated + g)
-		l = append(l, span{held: f.memory + g, left: max(0, n-f.generated-g)})
+		l = append(l, growth.Span{Held: f.memory + g, Left: max(0, n-f.generated-g)})
 	}
 	return l
 }
--- a/internal/policy/memory/job.go
+++ b/internal/policy/memory/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/policy/growth"
 )
 
 // job is a job that has not ended.
@@ -75,9 +76,9 @@
 }
 
 // span returns the memory of j from now on.
-func (j *job) span(now time.Time) span {
+func (j *job) span(now time.Time) growth.Span {
 	g := j.generated(now)
-	return span{held: float64(j.PromptTokens) + g, left: j.length.total(g) - g}
+	return growth.Span{Held: float64(j.PromptTokens) + g, Left: j.length.total(g) - g}
 }
 
 // remove takes j off its engines.
