bench/pool: models of engines whose memory is scarce, and a command to play them

New: patterns of load and faults (bench/pattern), engines step by step with blocks of memory, preemption, prefills that lapse and queued transfers (bench/pool), a scheduler with perfect knowledge on pooled engines (policy/foresight), and 'sardineknot simulate'. Ruled out: bench/world, whose engines take memory for whole answers at once.

--- a/cmd/sardineknot/main.go
+++ b/cmd/sardineknot/main.go
@@ -21,6 +21,7 @@
 	"sardineknot.example/sardineknot/internal/command/plan"
 	"sardineknot.example/sardineknot/internal/command/serve"
 	"sardineknot.example/sardineknot/internal/command/show"
+	"sardineknot.example/sardineknot/internal/command/simulate"
 	"sardineknot.example/sardineknot/internal/host/clock"
 	"sardineknot.example/sardineknot/platform"
 )
@@ -38,6 +39,7 @@
 	subcommands.Register(&apply.Command{Clock: clock.System{}}, "")
 	subcommands.Register(&show.Command{}, "")
 	subcommands.Register(&bench.Command{}, "")
+	subcommands.Register(&simulate.Command{}, "")
 	parse(os.Args[1:])
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
--- /dev/null
+++ b/internal/bench/pattern/constants.go
@@ -0,0 +1,122 @@
+package pattern
+
+import (
+	"time"
+
+	"sardineknot.example/sardineknot"
+)
+
+// All returns the patterns by name: each of the two deployments on a quiet day,
+// in bursts, and with each kind of fault in the bursts.
+func All() []Pattern {
+	var l []Pattern
+	for _, p := range []Pattern{akstursbok(), kessler()} {
+		l = append(l, p)
+		l = append(l, variants(p)...)
+	}
+	return l
+}
+
+// variants returns patterns of more trouble than p.
+func variants(p Pattern) []Pattern {
+	s := p
+	s.Name += "/single burst"
+	s.Bursts = []burst{{Kind: s.Kinds[0].Name, From: 8 * time.Second, For: 4 * time.Second, Factor: 3}}
+	l := []Pattern{s}
+	h := p
+	h.Name += "/heavy"
+	h.Bursts = append([]burst{{From: 0, For: h.Duration, Factor: 1.25}}, p.Bursts...)
+	l = append(l, h)
+	for _, f := range []fault{
+		{Kind: FaultCrash, From: 18 * time.Second, For: 5 * time.Second, Share: 0.2},
+		{Kind: FaultLapse, From: 17 * time.Second, For: 4 * time.Second, Share: 0.35},
+		{Kind: FaultSlowLinks, From: 17 * time.Second, For: 6 * time.Second, Share: 0.3, Factor: 30},
+		{Kind: FaultOwner, From: 18 * time.Second, For: 1600 * time.Millisecond},
+	} {
+		v := p
+		v.Name += "/" + f.Kind
+		v.Faults = []fault{f}
+		l = append(l, v)
+	}
+	g := p
+	g.Name += "/callers leave"
+	g.LeaveShare = 0.2
+	return append(l, g)
+}
+
+// akstursbok returns eleven engines with few slots and large KV caches.
+func akstursbok() Pattern {
+	e := bothEngines()
+	e.Readers, e.Runners = 3, 8
+	e.Slots, e.Memory = 24, 76997
+	e.Step, e.StepPerRequest, e.StepPerThousand = 588*time.Microsecond, 3360*time.Nanosecond, 1220*time.Nanosecond
+	e.First, e.EventTokens = 3400*time.Microsecond, 73
+	e.Transfer, e.TransferSetup = 226*time.Nanosecond, 310*time.Microsecond
+	c := bothCallers("trip-summary", "tax-note", 8.6, 0.45)
+	c.Kinds[0].Attempts, c.Kinds[1].Attempts = 2, 1
+	c.Bursts = []burst{
+		{From: 6 * time.Second, For: 5 * time.Second, Factor: 1.9},
+		{From: 17 * time.Second, For: 4 * time.Second, Factor: 2.2},
+		{Kind: "trip-summary", From: 17 * time.Second, For: 5 * time.Second, Factor: 2},
+		{Kind: "tax-note", From: 22 * time.Second, For: 5 * time.Second, Factor: 2},
+		{From: 27 * time.Second, For: 4 * time.Second, Factor: 1.6},
+	}
+	c.LateWorth = 0.2
+	return Pattern{
+		Name: "akstursbok", Duration: 34 * time.Second, engines: e, callers: c,
+		Zones: []sardineknot.AvailabilityZone{"reykjavik-a", "akureyri-b", "egilsstadir-c", "selfoss-d"},
+	}
+}
+
+// kessler returns twelve engines with many slots.
+func kessler() Pattern {
+	e := bothEngines()
+	e.Readers, e.Runners = 3, 9
+	e.Slots, e.Memory = 48, 95864
+	e.Step, e.StepPerRequest, e.StepPerThousand = 592*time.Microsecond, 1720*time.Nanosecond, 1630*time.Nanosecond
+	e.First, e.EventTokens = 5*time.Millisecond, 72
+	e.Transfer, e.TransferSetup = 119*time.Nanosecond, 210*time.Microsecond
+	c := bothCallers("dossier-summary", "report-opinion", 10.1, 1.34)
+	c.Kinds[0].Attempts, c.Kinds[1].Attempts = 2, 1
+	c.Bursts = []burst{
+		{From: 6 * time.Second, For: 5 * time.Second, Factor: 1.8},
+		{From: 17 * time.Second, For: 4 * time.Second, Factor: 2.1},
+		{Kind: "dossier-summary", From: 17 * time.Second, For: 5 * time.Second, Factor: 2},
+		{Kind: "report-opinion", From: 22 * time.Second, For: 5 * time.Second, Factor: 2},
+		{From: 27 * time.Second, For: 4 * time.Second, Factor: 1.6},
+	}
+	c.LateWorth = 0.2
+	return Pattern{
+		Name: "kessler", Duration: 32 * time.Second, engines: e, callers: c,
+		Zones: []sardineknot.AvailabilityZone{"curitiba-a", "curitiba-b", "ponta-grossa", "guarapuava"},
+	}
+}
+
+// bothEngines returns what the engines of both deployments have in common.
+func bothEngines() engines {
+	return engines{
+		Queue: 2, Block: 16,
+		ReadPerToken: 18 * time.Microsecond, SelfChunk: 512, SelfFactor: 2,
+		Life: 500 * time.Millisecond, AcrossZones: 2, MaxTransferWait: 2 * time.Second,
+		Hop: time.Millisecond, ProgressEvery: 250 * time.Millisecond,
+		ReportEvery: 500 * time.Millisecond, ReportLag: 900 * time.Millisecond,
+		Detection: time.Second,
+	}
+}
+
+// bothCallers returns what the callers of both deployments have in common, for
+// two kinds of work with their rates.
+func bothCallers(a, b sardineknot.WorkName, first, second float64) callers {
+	k := kind{
+		PromptMean: 5000, PromptSpread: 0.5, PromptMax: 11000, Shared: 200,
+		EventsMean: 70, EventsSpread: 0.5, EventsMax: 130, HintSpread: 0.5,
+	}
+	l := []kind{k, k}
+	l[0].Name, l[0].Rate = a, first
+	l[1].Name, l[1].Rate = b, second
+	return callers{
+		Kinds: l, Swing: 0.15, Period: 11 * time.Second,
+		Target: 900 * time.Millisecond, Pause: 300 * time.Millisecond, Patience: 14 * time.Second,
+		Returns: 1, LeaveAfter: 3 * time.Second,
+	}
+}
--- /dev/null
+++ b/internal/bench/pool/runner.go
@@ -0,0 +1,196 @@
+package pool
+
+import (
+	"slices"
+	"time"
+
+	"sardineknot.example/sardineknot"
+)
+
+// runner is a decode engine. It works in steps.
+type runner struct {
+	pool   *Pool
+	server sardineknot.BackendServer
+	// speed is the number of engines that it stands for.
+	speed int
+	// running lists the answers that have memory, and waiting those that wait
+	// for it.
+	running []*answer
+	waiting []*answer
+	// accepted counts the answers taken.
+	accepted int
+	// stepping tells that a step is under way. version numbers the lives of the
+	// engine.
+	stepping bool
+	version  int
+	dead     bool
+}
+
+// answer is a request on a runner.
+type answer struct {
+	try *try
+	// order is the place in the order of acceptance.
+	order int
+	// unread is the number of tokens still to be read.
+	unread int
+	// held is the number of tokens in memory, and left the number of tokens to
+	// be generated.
+	held int
+	left int
+	// pending is the number of tokens of the next event.
+	pending int
+}
+
+// accept takes t, and reports false if the engine is full or gone.
+func (r *runner) accept(t *try, unread bool) bool {
+	if r.dead || len(r.waiting) >= r.pool.pattern.Queue*r.speed {
+		return false
+	}
+	r.accepted++
+	p := t.job.PromptTokens
+	n := &answer{try: t, order: r.accepted, held: p, left: t.ask.answer*r.pool.pattern.EventTokens - (p - t.ask.prompt)}
+	if unread {
+		n.unread = p
+	}
+	t.answer = n
+	r.waiting = append(r.waiting, n)
+	r.admit()
+	r.step()
+	return true
+}
+
+// admit moves answers that fit into memory.
+func (r *runner) admit() {
+	for len(r.waiting) > 0 && len(r.running) < r.server.Slots {
+		a := r.waiting[0]
+		if len(r.running) > 0 && r.used()+r.blocks(a.held+1) > r.server.MemoryTokens {
+			return
+		}
+		r.waiting = r.waiting[1:]
+		r.running = append(r.running, a)
+	}
+}
+
+// used returns the memory in use.
+func (r *runner) used() int {
+	var n int
+	for _, a := range r.running {
+		n += r.blocks(a.held)
+	}
+	return n
+}
+
+// blocks rounds tokens up to whole blocks.
+func (r *runner) blocks(tokens int) int {
+	b := r.pool.pattern.Block
+	return (tokens + b - 1) / b * b
+}
+
+// step begins a step unless one is under way.
+func (r *runner) step() {
+	if r.stepping || r.dead || len(r.running) == 0 {
+		return
+	}
+	r.stepping = true
+	v := r.version
+	d, a, n := r.plan()
+	r.pool.After(d, func() {
+		if r.version != v {
+			return
+		}
+		r.stepping = false
+		r.complete(a, n)
+		r.step()
+	})
+}
+
+// plan returns the time of the next step, and the answer of which a number of
+// tokens are read meanwhile, or nil.
+func (r *runner) plan() (d time.Duration, a *answer, n int) {
+	p := r.pool.pattern
+	var m int
+	for _, x := range r.running {
+		m += x.held
+		if a == nil && x.unread > 0 {
+			a = x
+		}
+	}
+	d = p.Step + time.Duration(len(r.running)/r.speed)*p.StepPerRequest + time.Duration(m/r.speed/1000)*p.StepPerThousand
+	if a == nil {
+		return d, nil, 0
+	}
+	n = min(a.unread, p.SelfChunk)
+	return d + time.Duration(n*p.SelfFactor)*p.ReadPerToken, a, n
+}
+
+// complete ends a step in which n tokens of a were read.
+func (r *runner) complete(a *answer, n int) {
+	for _, x := range slices.Clone(r.running) {
+		if x.unread == 0 && !x.try.ended {
+			r.generate(x)
+		}
+	}
+	if a != nil {
+		a.unread -= n
+		r.pool.read += n
+	}
+	r.preempt()
+	r.admit()
+}
+
+// generate adds a token to x.
+func (r *runner) generate(x *answer) {
+	x.held++
+	x.left--
+	x.pending++
+	if x.pending < r.pool.pattern.EventTokens && x.left > 0 {
+		return
+	}
+	x.pending = 0
+	r.pool.event(x.try)
+	if x.left <= 0 {
+		r.running = without(r.running, x)
+		r.pool.finished(x.try)
+	}
+}
+
+// preempt takes the newest answers out of memory until the others fit.
+func (r *runner) preempt() {
+	for len(r.running) > 1 && r.used() > r.server.MemoryTokens {
+		b := slices.MaxFunc(r.running, func(a, b *answer) int { return a.order - b.order })
+		r.running = without(r.running, b)
+		b.unread = b.held
+		r.pool.vain += b.held
+		if !b.try.ask.preempted {
+			b.try.ask.preempted = true
+			r.pool.preempted++
+		}
+		r.waiting = append([]*answer{b}, r.waiting...)
+	}
+}
+
+// drop takes a off r.
+func (r *runner) drop(a *answer) {
+	r.running = without(r.running, a)
+	r.waiting = without(r.waiting, a)
+	r.admit()
+	r.step()
+}
+
+// crash ends r with all that runs on it.
+func (r *runner) crash() {
+	r.dead = true
+	r.version++
+	r.stepping = false
+	for _, a := range append(r.running, r.waiting...) {
+		t := a.try
+		t.answer = nil
+		r.pool.After(brokenTime, func() { r.pool.failLive(t, r.server.Name) })
+	}
+	r.running, r.waiting = nil, nil
+}
+
+// without returns l without x.
+func without[T comparable](l []T, x T) []T {
+	return slices.DeleteFunc(l, func(y T) bool { return y == x })
+}
--- /dev/null
+++ b/internal/command/simulate/command.go
@@ -0,0 +1,193 @@
+// Package simulate is the command that plays patterns of load against models of
+// engines whose memory is scarce.
+package simulate
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+
+	"github.com/google/subcommands"
+	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/bench/pattern"
+	"sardineknot.example/sardineknot/internal/bench/pool"
+	"sardineknot.example/sardineknot/internal/bench/score"
+	"sardineknot.example/sardineknot/internal/policy/foresight"
+	"sardineknot.example/sardineknot/internal/policy/leastloaded"
+	"sardineknot.example/sardineknot/internal/policy/memory"
+	"sardineknot.example/sardineknot/internal/policy/timed"
+)
+
+// parallel is the number of runs at a time.
+const parallel = 3
+
+// The schedulers by name.
+const (
+	leastLoaded = "least-loaded"
+	timedName   = "timed"
+	memoryName  = "memory"
+	ideal       = "ideal"
+	smallest    = "ideal-smallest"
+)
+
+func schedulers() []string { return []string{leastLoaded, timedName, memoryName, ideal, smallest} }
+
+// Command is the subcommand "simulate". The zero value plays nothing until
+// SetFlags has given its fields their defaults.
+type Command struct {
+	patterns   string
+	schedulers string
+	seeds      int
+	json       bool
+}
+
+// Name implements subcommands.Command.
+func (*Command) Name() string { return "simulate" }
+
+// Synopsis implements subcommands.Command.
+func (*Command) Synopsis() string { return "play load against models of engines with scarce memory" }
+
+// Usage implements subcommands.Command.
+func (*Command) Usage() string {
+	return `simulate [FLAGS]
+  Plays patterns of load and faults in virtual time against models of engines
+  whose memory is scarcer than their slots, and prints what callers are served by
+  each scheduler, as the mean of several seeds. Equal flags give equal output.
+  Exit status: 0 the table was printed; 1 an error, also in a flag's value; 2
+  wrong usage.
+  Example: sardineknot simulate -patterns akstursbok,kessler/crash -seeds 5
+`
+}
+
+// SetFlags implements subcommands.Command.
+func (c *Command) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.patterns, "patterns", "", "patterns, separated by commas; empty means all")
+	f.StringVar(&c.schedulers, "schedulers", strings.Join(schedulers(), ","), "schedulers, separated by commas")
+	f.IntVar(&c.seeds, "seeds", 8, "number of seeds for each figure")
+	f.BoolVar(&c.json, "json", false, "print the results as JSON")
+}
+
+// Execute implements subcommands.Command.
+func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	err := c.run(ctx)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
+
+// cell is one pattern with one scheduler.
+type cell struct {
+	pattern   pattern.Pattern
+	scheduler string
+}
+
+func (c *Command) run(ctx context.Context) error {
+	l, err := c.cells()
+	if err != nil {
+		return err
+	}
+	r := make([]score.Score, len(l))
+	g, ctx := errgroup.WithContext(ctx)
+	g.SetLimit(parallel)
+	for i, e := range l {
+		g.Go(func() error {
+			r[i] = c.play(e)
+			return ctx.Err()
+		})
+	}
+	err = g.Wait()
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	if c.json {
+		return errors.WithStack(json.NewEncoder(os.Stdout).Encode(r))
+	}
+	return write(os.Stdout, r)
+}
+
+// play returns the mean over the seeds.
+func (c *Command) play(e cell) score.Score {
+	var l []score.Score
+	for i := range c.seeds {
+		s := pool.NewPool(e.pattern, func() sardineknot.Scheduler { return newScheduler(e.scheduler) }, uint64(i+1)).Run()
+		s.Scheduler = e.scheduler
+		l = append(l, s)
+	}
+	return score.Mean(l)
+}
+
+// cells returns the runs that the flags select.
+func (c *Command) cells() ([]cell, error) {
+	if c.seeds < 1 {
+		return nil, errors.WithStack(&sardineknot.InvalidError{What: "seeds", Got: fmt.Sprint(c.seeds), Expected: "a positive number"})
+	}
+	s := strings.Split(c.schedulers, ",")
+	for _, n := range s {
+		if !slices.Contains(schedulers(), n) {
+			return nil, errors.WithStack(&sardineknot.UnknownError{What: "scheduler", Name: n})
+		}
+	}
+	p, err := c.selected()
+	if err != nil {
+		return nil, err
+	}
+	var l []cell
+	for _, e := range p {
+		for _, n := range s {
+			l = append(l, cell{e, n})
+		}
+	}
+	return l, nil
+}
+
+func (c *Command) selected() ([]pattern.Pattern, error) {
+	a := pattern.All()
+	if c.patterns == "" {
+		return a, nil
+	}
+	var l []pattern.Pattern
+	for _, n := range strings.Split(c.patterns, ",") {
+		i := slices.IndexFunc(a, func(p pattern.Pattern) bool { return p.Name == n })
+		if i < 0 {
+			return nil, errors.WithStack(&sardineknot.UnknownError{What: "pattern", Name: n})
+		}
+		l = append(l, a[i])
+	}
+	return l, nil
+}
+
+func newScheduler(n string) sardineknot.Scheduler {
+	switch n {
+	case leastLoaded:
+		return &leastloaded.Scheduler{}
+	case timedName:
+		return timed.NewScheduler()
+	case memoryName:
+		return memory.NewScheduler()
+	default:
+		return &foresight.Scheduler{Smallest: n == smallest}
+	}
+}
+
+// write prints l as a table.
+func write(w io.Writer, l []score.Score) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "pattern\tscheduler\tasks\tserved\tin time\tlate\trefused\tbroken\tworst\tsmallest\tlargest\twaste %\tpreempted %\tfirst ms")
+	for _, s := range l {
+		fmt.Fprintf(t, "%s\t%s\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\t%.2f\t%d\n",
+			s.Pattern, s.Scheduler, s.Asks, s.Served, s.InTime, s.Late, s.Refused, s.Broken, s.Worst, s.Smallest, s.Largest,
+			100*s.Waste, 100*s.Preempted, s.First.Milliseconds())
+	}
+	return errors.WithStack(t.Flush())
+}
