policy/memory: an engine that loses its prefills rests also while old answers go on

Cause: every progress report of an answer counted as a success of the engine that had read its prompt, so that two losses in a row were never seen while answers from before went on. The decode engine's own reading after a loss counted, too. Test: 'a prefill engine whose results are lost rests' has both now, and failed. Ruled out: the length of the queue before an engine (three to four prompts). Conclusion: success counts once for each prefill, when its answer begins.

--- a/internal/policy/memory/job.go
+++ b/internal/policy/memory/job.go
@@ -15,7 +15,8 @@
 	arrived time.Time
 	// prefill is the engine that reads the prompt, and nil once that is done.
 	prefill *engine
-	// reader is the engine that reads or has read the prompt.
+	// reader is the engine that reads or has read the prompt, and nil once its
+	// result was used or lost.
 	reader *engine
 	// decode is the engine on which memory is reserved or in use, or nil.
 	decode *engine
@@ -59,10 +60,12 @@
 	j.tokens, j.at = float64(tokens), now
 }
 
-// served notes that the engines of j do what they were asked for.
+// served notes that the engines of j do what they were asked for. The prefill
+// engine did so once: an answer that goes on says nothing of its later results.
 func (j *job) served() {
 	if j.reader != nil {
 		j.reader.succeeded()
+		j.reader = nil
 	}
 	j.decode.succeeded()
 }
@@ -137,8 +140,10 @@
 	s.remove(j)
 }
 
-// cacheLost notes that the result of a prefill on the engine n was lost.
-func (s *Scheduler) cacheLost(now time.Time, n sardineknot.BackendServerName) {
+// cacheLost notes that the result of the prefill of j on the engine n was lost.
+// If j goes on, its decode engine reads the prompt, which says nothing of n.
+func (s *Scheduler) cacheLost(now time.Time, j *job, n sardineknot.BackendServerName) {
+	j.reader = nil
 	if e := s.engines[n]; e != nil {
 		e.failed(now)
 	}
--- a/internal/policy/memory/scheduler.go
+++ b/internal/policy/memory/scheduler.go
@@ -121,7 +121,7 @@
 		j.served()
 		j.progress(now, e.Tokens)
 	case sardineknot.JobCacheLost:
-		s.cacheLost(now, e.Server)
+		s.cacheLost(now, j, e.Server)
 	case sardineknot.JobFinished:
 		s.finished(now, j, e.Tokens)
 	case sardineknot.JobFailed:
--- a/internal/policy/memory/scheduler_test.go
+++ b/internal/policy/memory/scheduler_test.go
@@ -173,12 +173,19 @@
 		s.SetServers(start, []sardineknot.BackendServer{
 			server("p", sardineknot.RolePrefill), server("q", sardineknot.RolePrefill), server("d", sardineknot.RoleDecode),
 		}, nil)
+		s.Submit(start, job("old", start, 1000, 1000))
+		s.Report(start, event("old", sardineknot.JobPrefillDone, "p", 0))
+		s.Report(start, event("old", sardineknot.JobDecodeStarted, "d", 0))
 		for i := range 2 {
 			id := fmt.Sprintf("lost%d", i)
 			s.Submit(start, job(id, start, 1000, 1000))
 			s.Report(start, event(id, sardineknot.JobPrefillDone, "p", 0))
 			s.Report(start, event(id, sardineknot.JobCacheLost, "p", 0))
+			// The decode engine reads the prompt itself.
+			s.Report(start, event(id, sardineknot.JobDecodeStarted, "d", 0))
 			s.Report(start, event(id, sardineknot.JobFinished, "d", 1000))
+			// An answer that began before says nothing of the present results.
+			s.Report(start, event("old", sardineknot.JobProgress, "d", 500))
 		}
 		for i := range 3 {
 			id := fmt.Sprintf("next%d", i)
