answer/events: a KV cache that was not read goes to the next decode engine

An engine that took no connections was granted twice before it rested, as the emptiest of all, and each probe cost another prefill. Tests: TestUnread, TestUnreachable, TestKept; all failed before.

--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -72,6 +72,12 @@
 	lock sync.Mutex
 	// progress is passed, for other goroutines.
 	progress atomic.Int64
+	// kept is the prefill engine that probably still has the prompt, or empty.
+	// Decode engines drop it with a stream that breaks off.
+	kept sardineknot.BackendServerName
+	// unread is the KV cache that an earlier try has left, probably unread. It is
+	// zero if there is none.
+	unread readCache
 	// tries counts tries, and runs those that may have run on an engine.
 	tries int
 	runs  int
@@ -82,6 +88,7 @@
 	r.Budget.First(c.Service)
 	s := &session{Runner: r, call: c, writer: w, last: c.Prompt.After}
 	defer s.returnSpare()
+	defer func() { s.release(s.unread.CacheReference) }()
 	for {
 		err := s.try(ctx)
 		if err == nil {
--- a/internal/answer/events/runner_test.go
+++ b/internal/answer/events/runner_test.go
@@ -332,6 +332,43 @@
 	})
 }
 
+func TestUnread(t *testing.T) {
+	refusal := errors.WithStack(&sardineknot.RefusedError{Server: "d", Status: 503})
+	t.Run("a cache that the decode engine did not read is read by the next", func(t *testing.T) {
+		// Connections to decode engines were reset and refused, and prompts were
+		// read twice.
+		for _, err := range []error{errReset, &sardineknot.UnsentError{Cause: errReset}} {
+			is := is.New(t)
+			e := &engines{answers: []answer{{err: errors.WithStack(err)}, {status: 200, body: one}}}
+			s := &slots{decode: []sardineknot.BackendServerName{"d", "e"}}
+			is.NoErr(newRunner(e, s).Run(t.Context(), newCall(true), &writer{}))
+			is.Equal(e.sends[1].Cache.Handle, "k")
+			is.Equal(e.prefills, 1)
+			is.Equal(e.released, 0)
+			is.Equal(s.jobs[1].Kept, sardineknot.BackendServerName("p"))
+		}
+	})
+	t.Run("a cache that was read after all is not used for long", func(t *testing.T) {
+		is := is.New(t)
+		e := &engines{answers: []answer{{err: errReset}, {err: refusal}, {status: 200, body: one}}}
+		s := &slots{decode: []sardineknot.BackendServerName{"d", "e"}}
+		w := &writer{}
+		is.NoErr(newRunner(e, s).Run(t.Context(), newCall(true), w))
+		is.Equal(w.got(), one)
+		is.Equal(e.sends[2].Cache.Handle, "") // the decode engine reads the prompt
+	})
+	t.Run("a cache that nobody reads is freed", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			e := &engines{answers: []answer{{err: errReset}}}
+			s := &slots{decode: []sardineknot.BackendServerName{"d"}}
+			is.True(newRunner(e, &refusesLater{slots: s}).Run(t.Context(), newCall(true), &writer{}) != nil)
+			synctest.Wait()
+			is.Equal(e.released, 1)
+		})
+	})
+}
+
 // refusesLater grants engines once.
 type refusesLater struct{ *slots }
 
--- a/internal/answer/events/try.go
+++ b/internal/answer/events/try.go
@@ -17,7 +17,7 @@
 	job     sardineknot.Job
 	prefill sardineknot.BackendServer
 	decode  sardineknot.BackendServer
-	cache   sardineknot.CacheReference
+	cache   readCache
 	// ctx is that of the call.
 	ctx context.Context
 	// ended tells that the try has ended.
@@ -31,6 +31,7 @@
 // try makes one try. It fails with a NotRunError if no engine is granted.
 func (s *session) try(ctx context.Context) error {
 	t := &try{session: s, ctx: ctx, job: s.nextJob(s.passed, s.tries, s.started)}
+	t.job.Kept = s.kept
 	defer t.end()
 	s.tries++
 	err := t.grant(ctx)
@@ -82,8 +83,12 @@
 }
 
 // read has the prompt read by the prefill engine, if that is not the decode
-// engine.
+// engine and no earlier try has left a KV cache.
 func (t *try) read(ctx context.Context) error {
+	if t.reuse() {
+		t.report(sardineknot.JobPrefillDone, t.prefill.Name)
+		return nil
+	}
 	if t.prefill.Name == t.decode.Name {
 		return nil
 	}
@@ -95,10 +100,12 @@
 	defer cancel()
 	k, err := t.Forwarder.Prefill(ctx, t.prefill, t.call, t.call.Deadline)
 	if err != nil {
+		t.keptBy(err)
 		t.lost(ctx, err, t.prefill.Name)
 		return err
 	}
-	t.cache = k
+	t.cache = readCache{CacheReference: k, at: t.Clock.Now()}
+	t.kept = t.prefill.Name
 	t.report(sardineknot.JobPrefillDone, t.prefill.Name)
 	return nil
 }
@@ -106,16 +113,14 @@
 // send passes the call on to the decode engine. If the KV cache is lost, the
 // engine reads the prompt itself.
 func (t *try) send(ctx context.Context) (*sardineknot.Reply, error) {
-	p, err := t.forward(ctx, t.cache)
+	p, err := t.forward(ctx, t.cache.CacheReference)
 	var r *sardineknot.RefusedError
 	if errors.As(err, &r) && t.cache.Handle != "" {
 		t.Log.Info().Str("event", "cache_refused").Str("request", string(t.call.ID)).Str("prefill", string(t.prefill.Name)).
 			Str("decode", string(t.decode.Name)).Err(err).Send()
-		t.release(t.cache)
-		t.cache = sardineknot.CacheReference{}
-		t.report(sardineknot.JobCacheLost, t.prefill.Name)
+		t.dropCache()
 		if t.job.PromptTokens <= sardineknot.MaxSelfRead && t.Budget.Retry(t.call.Service) {
-			p, err = t.forward(ctx, t.cache)
+			p, err = t.forward(ctx, sardineknot.CacheReference{})
 		}
 	}
 	if err == nil {
@@ -125,7 +130,7 @@
 	if !errors.As(err, &r) && !errors.As(err, &u) {
 		t.runs++
 	}
-	t.release(t.cache)
+	t.leaveCache(err)
 	t.lost(ctx, err, t.decode.Name)
 	return nil, err
 }
@@ -154,7 +159,10 @@
 		return
 	}
 	t.Log.Warn().Str("event", "engine_failed").Str("request", string(t.call.ID)).Str("server", string(n)).Err(err).Send()
-	t.report(sardineknot.JobFailed, n)
+	var u *sardineknot.UnsentError
+	t.Slots.Report(t.job, sardineknot.JobEvent{
+		Key: t.job.Key, Kind: sardineknot.JobFailed, Server: n, Tokens: t.tokens(), Unreachable: errors.As(err, &u),
+	})
 }
 
 func (t *try) report(k sardineknot.JobEventKind, n sardineknot.BackendServerName) {
--- a/internal/bench/pool/pool.go
+++ b/internal/bench/pool/pool.go
@@ -143,7 +143,12 @@
 
 // report tells the scheduler of an event of t.
 func (p *Pool) report(t *try, k sardineknot.JobEventKind, n sardineknot.BackendServerName) {
-	e := sardineknot.JobEvent{Key: t.job.Key, Kind: k, Server: n, Tokens: t.events * p.pattern.EventTokens}
+	p.reportEvent(t, sardineknot.JobEvent{Kind: k, Server: n})
+}
+
+// reportEvent tells the scheduler of e, an event of t.
+func (p *Pool) reportEvent(t *try, e sardineknot.JobEvent) {
+	e.Key, e.Tokens = t.job.Key, t.events*p.pattern.EventTokens
 	t.reported = p.Now()
 	p.After(p.hop(), func() {
 		if !p.down {
--- a/internal/bench/pool/reader.go
+++ b/internal/bench/pool/reader.go
@@ -24,7 +24,7 @@
 // read takes the prompt of t.
 func (r *reader) read(t *try) {
 	if r.dead {
-		r.pool.After(brokenTime, func() { r.pool.failLive(t, r.server.Name) })
+		r.pool.After(brokenTime, func() { r.pool.failLive(t, r.server, true) })
 		return
 	}
 	r.queue = append(r.queue, t)
@@ -80,13 +80,13 @@
 		l = append(l, r.current)
 	}
 	for _, t := range l {
-		r.pool.After(brokenTime, func() { r.pool.failLive(t, r.server.Name) })
+		r.pool.After(brokenTime, func() { r.pool.failLive(t, r.server, false) })
 	}
 }
 
 // failLive fails t if it goes on.
-func (p *Pool) failLive(t *try, n sardineknot.BackendServerName) {
+func (p *Pool) failLive(t *try, s sardineknot.BackendServer, gone bool) {
 	if !t.ended {
-		p.fail(t, n)
+		p.fail(t, s, gone)
 	}
 }
--- a/internal/bench/pool/runner.go
+++ b/internal/bench/pool/runner.go
@@ -185,7 +185,7 @@
 	for _, a := range append(r.running, r.waiting...) {
 		t := a.try
 		t.answer = nil
-		r.pool.After(brokenTime, func() { r.pool.failLive(t, r.server.Name) })
+		r.pool.After(brokenTime, func() { r.pool.failLive(t, r.server, false) })
 	}
 	r.running, r.waiting = nil, nil
 }
--- a/internal/bench/pool/try.go
+++ b/internal/bench/pool/try.go
@@ -116,7 +116,7 @@
 	p.vain += t.job.PromptTokens
 	p.report(t, sardineknot.JobCacheLost, t.reader.server.Name)
 	if t.job.PromptTokens > sardineknot.MaxSelfRead {
-		p.fail(t, t.reader.server.Name)
+		p.fail(t, t.reader.server, false)
 		return
 	}
 	p.run(t, true)
@@ -128,17 +128,17 @@
 		if !unread {
 			p.vain += t.job.PromptTokens
 		}
-		p.fail(t, t.runner.server.Name)
+		p.fail(t, t.runner.server, t.runner.dead)
 		return
 	}
 	p.begun++
 }
 
-// fail ends t, which the engine n failed, and makes another try if there may be
-// one.
-func (p *Pool) fail(t *try, n sardineknot.BackendServerName) {
+// fail ends t, which the engine s failed, and makes another try if there may be
+// one. gone tells that s takes no connections.
+func (p *Pool) fail(t *try, s sardineknot.BackendServer, gone bool) {
 	a := t.ask
-	p.report(t, sardineknot.JobFailed, n)
+	p.reportEvent(t, sardineknot.JobEvent{Kind: sardineknot.JobFailed, Server: s.Name, Unreachable: gone})
 	p.drop(t)
 	if a.outcome != outcomeOpen {
 		return
--- a/internal/policy/memory/engine.go
+++ b/internal/policy/memory/engine.go
@@ -53,7 +53,7 @@
 	if e.gone {
 		return false
 	}
-	if e.failures < failureLimit {
+	if !e.probed() {
 		return true
 	}
 	return !now.Before(e.restsUntil) && e.idle()
@@ -64,9 +64,19 @@
 	e.rest = 0
 }
 
+// probed reports whether the next job on e tells whether e works again.
+func (e *engine) probed() bool { return e.failures >= failureLimit }
+
+// unreachable notes that e takes no connections. One failure to connect says as
+// much as several of other kinds.
+func (e *engine) unreachable(now time.Time) {
+	e.failures = max(e.failures, failureLimit-1)
+	e.failed(now)
+}
+
 func (e *engine) failed(now time.Time) {
 	e.failures++
-	if e.failures < failureLimit {
+	if !e.probed() {
 		return
 	}
 	e.rest = min(maxRest, max(firstRest, 2*e.rest))
--- a/internal/policy/memory/job.go
+++ b/internal/policy/memory/job.go
@@ -119,7 +119,7 @@
 	if len(e.reading) == 0 {
 		e.busy = now
 	}
-	if e == j.decode || j.PromptTokens == 0 {
+	if e == j.decode || e.server.Name == j.Kept || j.PromptTokens == 0 {
 		return
 	}
 	w := now.Sub(j.started)
@@ -149,9 +149,14 @@
 	}
 }
 
-// failed notes that the engine n failed j.
-func (s *Scheduler) failed(now time.Time, j *job, n sardineknot.BackendServerName) {
-	if e := s.engines[n]; e != nil {
+// failed notes that an engine failed j.
+func (s *Scheduler) failed(now time.Time, j *job, v sardineknot.JobEvent) {
+	e := s.engines[v.Server]
+	switch {
+	case e == nil:
+	case v.Unreachable:
+		e.unreachable(now)
+	default:
 		e.failed(now)
 	}
 	s.remove(j)
--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -89,15 +89,10 @@
 	var b *engine
 	var m float64
 	for _, e := range s.decode {
-		if !e.usable(now) || len(e.decoding) >= e.server.Slots {
+		f, ok := e.filled(now, j)
+		if !ok {
 			continue
 		}
-		c := e.capacity()
-		p := e.peak(now, j.span(now))
-		if c > 0 && p > c && len(e.decoding) > 0 {
-			continue
-		}
-		f := p / max(1, c)
 		if b == nil || f < m {
 			b, m = e, f
 		}
@@ -105,16 +100,49 @@
 	return b
 }
 
-// choosePrefill returns the engine that ends the prefill of j first. If all
-// have much to do, d itself reads a short prompt, one at a time, since its
-// answers pause for that long. ok is false if j has to wait.
+// filled returns the share of the memory of e that is expected to be needed with
+// j. ok is false if j does not fit.
+func (e *engine) filled(now time.Time, j *job) (f float64, ok bool) {
+	if !e.usable(now) || len(e.decoding) >= e.server.Slots {
+		return 0, false
+	}
+	c := e.capacity()
+	p := e.peak(now, j.span(now))
+	if c > 0 && p > c && len(e.decoding) > 0 {
+		return 0, false
+	}
+	return p / max(1, c), true
+}
+
+// choosePrefill returns the engine that reads the prompt of j. If all prefill
+// engines have much to do, d itself reads a short prompt, one at a time, since its
+// answers pause for that long. It also does if it is not known to work, so that
+// no other engine reads in vain. ok is false if j has to wait.
 func (s *Scheduler) choosePrefill(now time.Time, j *job, d *engine) (e *engine, ok bool) {
+	o := j.PromptTokens <= sardineknot.MaxSelfRead && len(d.reading) == 0
+	if o && d.probed() {
+		return d, true
+	}
+	e = s.nextReader(now, j, d)
+	if e == nil && o {
+		return d, true
+	}
+	return e, e != nil
+}
+
+// nextReader returns the prefill engine that still has the prompt of j, or that
+// ends it first. It returns nil if all have much to do.
+func (s *Scheduler) nextReader(now time.Time, j *job, d *engine) *engine {
+	var e *engine
 	var m time.Duration
 	for _, p := range s.prefill {
 		w := max(0, p.busy.Sub(now))
 		if !p.usable(now) || w > maxAhead {
 			continue
 		}
+		if p.server.Name == j.Kept {
+			return p
+		}
 		if p.server.Zone != d.server.Zone {
 			w += crossZone
 		}
@@ -122,10 +150,7 @@
 			e, m = p, w
 		}
 	}
-	if e == nil && j.PromptTokens <= sardineknot.MaxSelfRead && len(d.reading) == 0 {
-		return d, true
-	}
-	return e, e != nil
+	return e
 }
 
 // start sends j to its engines.
--- a/internal/policy/memory/scheduler.go
+++ b/internal/policy/memory/scheduler.go
@@ -125,7 +125,7 @@
 	case sardineknot.JobFinished:
 		s.finished(now, j, e.Tokens)
 	case sardineknot.JobFailed:
-		s.failed(now, j, e.Server)
+		s.failed(now, j, e)
 	case sardineknot.JobCancelled:
 		s.remove(j)
 	}
--- a/internal/policy/memory/scheduler_test.go
+++ b/internal/policy/memory/scheduler_test.go
@@ -194,6 +194,42 @@
 	})
 }
 
+func TestUnreachable(t *testing.T) {
+	// Engines that were gone stayed in the list of servers while the store was
+	// away. Each was tried twice, as the emptiest, and each try cost a prefill.
+	is := is.New(t)
+	s := newScheduler(2)
+	g := granted(s.Submit(start, job("first", start, 2000, 1000)), "first")
+	s.Report(start, event("first", sardineknot.JobPrefillDone, "p", 0))
+	v := event("first", sardineknot.JobFailed, g.Decode, 0)
+	v.Unreachable = true
+	s.Report(start, v)
+	for i := range 3 {
+		id := fmt.Sprint("next", i)
+		n := granted(s.Submit(start, job(id, start, 2000, 1000)), id)
+		is.True(n.Decode != g.Decode)
+		is.Equal(n.Prefill, sardineknot.BackendServerName("p"))
+	}
+	t.Run("the engine itself reads the prompt that tells whether it is back", func(t *testing.T) {
+		is := is.New(t)
+		n := start.Add(600 * time.Millisecond)
+		is.Equal(granted(s.Submit(n, job("probe", n, 2000, 1000)), "probe"), sardineknot.Grant{Prefill: g.Decode, Decode: g.Decode})
+	})
+}
+
+func TestKept(t *testing.T) {
+	is := is.New(t)
+	s := memory.NewScheduler()
+	s.SetServers(start, []sardineknot.BackendServer{
+		server("p", sardineknot.RolePrefill), server("q", sardineknot.RolePrefill), server("d", sardineknot.RoleDecode),
+	}, nil)
+	for i, k := range []sardineknot.BackendServerName{"p", "q", "q", "p"} {
+		j := job(fmt.Sprint("again", i), start, 2000, 1000)
+		j.Kept = k
+		is.Equal(granted(s.Submit(start, j), fmt.Sprint("again", i)).Prefill, k)
+	}
+}
+
 func TestSelfRead(t *testing.T) {
 	t.Run("without prefill engines only short prompts are read by decode engines", func(t *testing.T) {
 		is := is.New(t)
--- a/internal/slots/twirp/message.go
+++ b/internal/slots/twirp/message.go
@@ -27,6 +27,7 @@
 		ExpectedTokens:   int32(j.ExpectedTokens),
 		PatienceMicros:   j.Patience.Sub(now).Microseconds(),
 		Resumed:          j.Resumed,
+		Kept:             string(j.Kept),
 	}
 }
 
@@ -47,26 +48,29 @@
 		ExpectedTokens:   int(m.GetExpectedTokens()),
 		Patience:         now.Add(micros(m.GetPatienceMicros())),
 		Resumed:          m.GetResumed(),
+		Kept:             sardineknot.BackendServerName(m.GetKept()),
 	}
 }
 
 func eventMessage(e sardineknot.JobEvent, self sardineknot.EntryHostID) *rpc.Event {
 	return &rpc.Event{
-		Account: string(e.Key.Account),
-		Request: string(e.Key.ID),
-		Kind:    int32(e.Kind),
-		Server:  string(e.Server),
-		Tokens:  int32(e.Tokens),
-		Owner:   string(self),
+		Account:     string(e.Key.Account),
+		Request:     string(e.Key.ID),
+		Kind:        int32(e.Kind),
+		Server:      string(e.Server),
+		Tokens:      int32(e.Tokens),
+		Owner:       string(self),
+		Unreachable: e.Unreachable,
 	}
 }
 
 func event(m *rpc.Event) sardineknot.JobEvent {
 	return sardineknot.JobEvent{
-		Key:    key(m.GetAccount(), m.GetRequest()),
-		Kind:   sardineknot.JobEventKind(m.GetKind()),
-		Server: sardineknot.BackendServerName(m.GetServer()),
-		Tokens: int(m.GetTokens()),
+		Key:         key(m.GetAccount(), m.GetRequest()),
+		Kind:        sardineknot.JobEventKind(m.GetKind()),
+		Server:      sardineknot.BackendServerName(m.GetServer()),
+		Tokens:      int(m.GetTokens()),
+		Unreachable: m.GetUnreachable(),
 	}
 }
 
--- a/scheduler.go
+++ b/scheduler.go
@@ -28,6 +28,9 @@
 	// Resumed tells that the caller has the beginning of the answer from an
 	// earlier call, which broke off.
 	Resumed bool
+	// Kept is the prefill engine that read the prompt in an earlier try and
+	// probably still has it. It is empty if there is none.
+	Kept BackendServerName
 	// Priority orders jobs. Smaller values go first.
 	Priority int
 	// Deadline is the time by which the first token is due.
@@ -102,6 +105,8 @@
 	Server BackendServerName
 	// Tokens is the number of tokens generated so far.
 	Tokens int
+	// Unreachable tells with JobFailed that Server takes no connections.
+	Unreachable bool
 }
 
 // Scheduler decides, for one shard of a pool, which job runs where and when.
