--- a/internal/policy/memory/engine.go
+++ b/internal/policy/memory/engine.go
@@ -13,8 +13,7 @@
 	firstPrefillPerToken = 20 * time.Microsecond
 	firstTokensPerSecond = 1300
 	// failureLimit is the number of failures in a row that stops the use of an
-	// engine. A prefill whose result is lost costs a whole prompt, so that few
-	// are risked.
+	// engine.
 	failureLimit = 2
 	// firstRest and maxRest bound the time until a stopped engine is tried
 	// again.
@@ -67,9 +66,9 @@
 // probed reports whether the next job on e tells whether e works again.
 func (e *engine) probed() bool { return e.failures >= failureLimit }
 
-// unreachable notes that e takes no connections. One failure to connect says as
-// much as several of other kinds.
-func (e *engine) unreachable(now time.Time) {
+// stop notes a failure that says as much as several of other kinds: e takes no
+// connections, or loses the results of prefills.
+func (e *engine) stop(now time.Time) {
 	e.failures = max(e.failures, failureLimit-1)
 	e.failed(now)
 }
--- a/internal/policy/memory/job.go
+++ b/internal/policy/memory/job.go
@@ -141,11 +141,12 @@
 }
 
 // cacheLost notes that the result of the prefill of j on the engine n was lost.
-// If j goes on, its decode engine reads the prompt, which says nothing of n.
+// That costs a whole prompt, so that no other is risked at once. If j goes on, its
+// decode engine reads the prompt, which says nothing of n.
 func (s *Scheduler) cacheLost(now time.Time, j *job, n sardineknot.BackendServerName) {
 	j.reader = nil
 	if e := s.engines[n]; e != nil {
-		e.failed(now)
+		e.stop(now)
 	}
 }
 
@@ -155,7 +156,7 @@
 	switch {
 	case e == nil:
 	case v.Unreachable:
-		e.unreachable(now)
+		e.stop(now)
 	default:
 		e.failed(now)
 	}
--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -11,7 +11,7 @@
 const (
 	// fill is the share of an engine's memory that forecasts may fill. The
 	// rest is for answers that turn out longer.
-	fill = 0.93
+	fill = 0.90
 	// overrunShare is the part of its present length by which an answer is
 	// expected to go on that is far longer than was forecast.
 	overrunShare = 0.1
