command/usage: every command tells its usage for stray and missing arguments

Cause: commands but three ignored stray arguments; 'sardineknot serve FILE' answered with an error of the file system before that was mended for it alone. Ruled out: a check of each command's own. Conclusion: one place tells usage.

--- a/cmd/sardineknot/main.go
+++ b/cmd/sardineknot/main.go
@@ -27,19 +27,11 @@
 )
 
 func main() {
-	subcommands.Register(subcommands.HelpCommand(), "")
-	subcommands.Register(&serve.Command{}, "")
-	subcommands.Register(&platform.Command{}, "")
-	subcommands.Register(&explain.Command{}, "")
-	subcommands.Register(&burn.Command{}, "")
-	subcommands.Register(&demo.Command{}, "")
-	subcommands.Register(&check.Command{}, "")
 	p := &plan.Command{}
-	subcommands.Register(p, "")
-	subcommands.Register(&apply.Command{Clock: clock.System{}}, "")
-	subcommands.Register(&show.Command{}, "")
-	subcommands.Register(&bench.Command{}, "")
-	subcommands.Register(&simulate.Command{}, "")
+	subcommands.Register(subcommands.HelpCommand(), "")
+	for _, c := range commands(p) {
+		subcommands.Register(c, "")
+	}
 	parse(os.Args[1:])
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
@@ -53,6 +45,23 @@
 	os.Exit(int(s))
 }
 
+// commands returns all commands, among them p.
+func commands(p *plan.Command) []subcommands.Command {
+	return []subcommands.Command{
+		&serve.Command{},
+		&platform.Command{},
+		&explain.Command{},
+		&burn.Command{},
+		&demo.Command{},
+		&check.Command{},
+		p,
+		&apply.Command{Clock: clock.System{}},
+		&show.Command{},
+		&bench.Command{},
+		&simulate.Command{},
+	}
+}
+
 // parse parses the arguments a. It turns "NAME -help" into "help NAME", which
 // ends with status zero.
 func parse(a []string) {
--- a/internal/command/apply/command.go
+++ b/internal/command/apply/command.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/command/usage"
 	"sardineknot.example/sardineknot/internal/configuration/writer"
 	"sardineknot.example/sardineknot/internal/operator/difference"
 	"sardineknot.example/sardineknot/internal/operator/target"
@@ -77,7 +78,10 @@
 }
 
 // Execute implements subcommands.Command.
-func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if usage.Wrong(c, f, 0, 0) {
+		return subcommands.ExitUsageError
+	}
 	a, err := c.apply(ctx)
 	if err == nil {
 		err = c.print(a)
--- a/internal/command/bench/command.go
+++ b/internal/command/bench/command.go
@@ -21,6 +21,7 @@
 	"sardineknot.example/sardineknot/internal/bench/table"
 	"sardineknot.example/sardineknot/internal/bench/workload"
 	"sardineknot.example/sardineknot/internal/bench/world"
+	"sardineknot.example/sardineknot/internal/command/usage"
 	"sardineknot.example/sardineknot/internal/policy/leastloaded"
 	"sardineknot.example/sardineknot/internal/policy/oracle"
 	"sardineknot.example/sardineknot/internal/policy/roundrobin"
@@ -76,7 +77,10 @@
 }
 
 // Execute implements subcommands.Command.
-func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if usage.Wrong(c, f, 0, 0) {
+		return subcommands.ExitUsageError
+	}
 	err := c.run(ctx)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
--- a/internal/command/check/command.go
+++ b/internal/command/check/command.go
@@ -6,6 +6,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 
@@ -13,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/command/usage"
 	"sardineknot.example/sardineknot/internal/operator/declarations"
 	"sardineknot.example/sardineknot/internal/operator/settings"
 	"sardineknot.example/sardineknot/internal/operator/target"
@@ -52,8 +54,7 @@
 
 // Execute implements subcommands.Command.
 func (c *Command) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() == 0 {
-		fmt.Fprint(os.Stderr, c.Usage())
+	if usage.Wrong(c, f, 1, math.MaxInt) {
 		return subcommands.ExitUsageError
 	}
 	c.hosts = make(map[sardineknot.EntryHostID]string)
--- a/internal/command/demo/command.go
+++ b/internal/command/demo/command.go
@@ -17,6 +17,7 @@
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/examples"
 	"sardineknot.example/sardineknot/internal/command/burn"
+	"sardineknot.example/sardineknot/internal/command/usage"
 	"sardineknot.example/sardineknot/internal/demo/deployment"
 	"sardineknot.example/sardineknot/internal/host/logline"
 	"sardineknot.example/sardineknot/internal/standin/caller"
@@ -61,7 +62,10 @@
 }
 
 // Execute implements subcommands.Command.
-func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if usage.Wrong(c, f, 0, 0) {
+		return subcommands.ExitUsageError
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	fmt.Println("This demo keeps its platform in memory: nothing outlives it.")
--- a/internal/command/explain/command.go
+++ b/internal/command/explain/command.go
@@ -7,10 +7,12 @@
 	"flag"
 	"fmt"
 	"io"
+	"math"
 	"os"
 
 	"github.com/google/subcommands"
 
+	"sardineknot.example/sardineknot/internal/command/usage"
 	"sardineknot.example/sardineknot/internal/report/story"
 )
 
@@ -33,8 +35,7 @@
 
 // Execute implements subcommands.Command.
 func (c *Command) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() == 0 {
-		fmt.Fprint(os.Stderr, c.Usage())
+	if usage.Wrong(c, f, 1, math.MaxInt) {
 		return subcommands.ExitUsageError
 	}
 	s := story.NewStory(f.Arg(0))
--- a/internal/command/plan/command.go
+++ b/internal/command/plan/command.go
@@ -11,6 +11,7 @@
 	"github.com/google/subcommands"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/command/usage"
 	"sardineknot.example/sardineknot/internal/operator/difference"
 	"sardineknot.example/sardineknot/internal/operator/target"
 )
@@ -61,7 +62,10 @@
 func (c *Command) Changed() bool { return c.changed }
 
 // Execute implements subcommands.Command.
-func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if usage.Wrong(c, f, 0, 0) {
+		return subcommands.ExitUsageError
+	}
 	p, err := c.compare(ctx)
 	if err == nil {
 		err = c.print(p)
--- a/internal/command/serve/command.go
+++ b/internal/command/serve/command.go
@@ -10,6 +10,7 @@
 	"github.com/google/subcommands"
 	"github.com/rs/zerolog"
 
+	"sardineknot.example/sardineknot/internal/command/usage"
 	"sardineknot.example/sardineknot/internal/host/logline"
 	"sardineknot.example/sardineknot/internal/host/process"
 	"sardineknot.example/sardineknot/internal/operator/settings"
@@ -38,8 +39,7 @@
 
 // Execute implements subcommands.Command.
 func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if c.path == "" || f.NArg() > 0 {
-		fmt.Fprint(os.Stderr, c.Usage())
+	if usage.Wrong(c, f, 0, 0) || usage.Missing(c, "settings", c.path) {
 		return subcommands.ExitUsageError
 	}
 	s, err := settings.Load(c.path)
--- a/internal/command/show/command.go
+++ b/internal/command/show/command.go
@@ -15,6 +15,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/command/usage"
 	"sardineknot.example/sardineknot/internal/operator/admin"
 	"sardineknot.example/sardineknot/internal/operator/target"
 )
@@ -76,7 +77,10 @@
 }
 
 // Execute implements subcommands.Command.
-func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if usage.Wrong(c, f, 0, 0) {
+		return subcommands.ExitUsageError
+	}
 	var l []netip.AddrPort
 	var err error
 	if c.hosts != "" {
--- a/internal/command/simulate/command.go
+++ b/internal/command/simulate/command.go
@@ -21,6 +21,7 @@
 	"sardineknot.example/sardineknot/internal/bench/pattern"
 	"sardineknot.example/sardineknot/internal/bench/pool"
 	"sardineknot.example/sardineknot/internal/bench/score"
+	"sardineknot.example/sardineknot/internal/command/usage"
 	"sardineknot.example/sardineknot/internal/policy/foresight"
 	"sardineknot.example/sardineknot/internal/policy/leastloaded"
 	"sardineknot.example/sardineknot/internal/policy/memory"
@@ -77,7 +78,10 @@
 }
 
 // Execute implements subcommands.Command.
-func (c *Command) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+func (c *Command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if usage.Wrong(c, f, 0, 0) {
+		return subcommands.ExitUsageError
+	}
 	err := c.run(ctx)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
