sardineknot: names of log events stand in one place, metrics are text that scrapers read

New: LogEvent with a line for each event; internal/report/exposition writes the registry in the common text form with prometheus/common, with labels and units (sardineknot_calls_total{kind,status}, sardineknot_call_seconds). Ruled out: the bridge libraries found register at a second registry.

--- a/internal/answer/cancel/queue.go
+++ b/internal/answer/cancel/queue.go
@@ -79,7 +79,7 @@
 		time.Sleep(p)
 		p = min(2*p, maxPause)
 	}
-	q.Log.Error().Str("event", "cancel_given_up").Str("server", string(s.Name)).Str("request", key).Send()
+	q.Log.Error().Stringer("event", sardineknot.LogCancelGivenUp).Str("server", string(s.Name)).Str("request", key).Send()
 }
 
 func (q *Queue) once(s sardineknot.BackendServer, key string, checked bool) error {
--- a/internal/answer/events/leave.go
+++ b/internal/answer/events/leave.go
@@ -25,7 +25,7 @@
 	s := &spare{job: t.nextJob(passed, t.tries, true)}
 	g, err := t.Slots.Acquire(t.ctx, s.job)
 	if err != nil {
-		t.Log.Info().Str("event", "silent_stream_stays").Str("request", string(t.call.ID)).Str("server", string(t.decode.Name)).Err(err).Send()
+		t.Log.Info().Stringer("event", sardineknot.LogSilentStreamStays).Str("request", string(t.call.ID)).Str("server", string(t.decode.Name)).Err(err).Send()
 		return
 	}
 	s.grant = g
--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -97,7 +97,7 @@
 		if !s.again(ctx, err) {
 			return s.final(err)
 		}
-		s.Log.Info().Str("event", "stream_retried").Str("request", string(c.ID)).Int("try", s.tries).
+		s.Log.Info().Stringer("event", sardineknot.LogStreamRetried).Str("request", string(c.ID)).Int("try", s.tries).
 			Int("after", s.last).Err(err).Send()
 	}
 }
@@ -192,7 +192,7 @@
 		defer cancel()
 		err := s.Forwarder.Release(ctx, k)
 		if err != nil {
-			s.Log.Debug().Str("event", "release_failed").Str("request", string(s.call.ID)).Err(err).Send()
+			s.Log.Debug().Stringer("event", sardineknot.LogReleaseFailed).Str("request", string(s.call.ID)).Err(err).Send()
 		}
 	}()
 }
--- a/internal/answer/events/try.go
+++ b/internal/answer/events/try.go
@@ -56,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	t.Log.Info().Str("event", "engines_granted").Str("request", string(t.call.ID)).Str("prefill", string(g.Prefill)).
+	t.Log.Info().Stringer("event", sardineknot.LogEnginesGranted).Str("request", string(t.call.ID)).Str("prefill", string(g.Prefill)).
 		Str("decode", string(g.Decode)).Dur("waited_ms", t.Clock.Now().Sub(n)).Int("prompt", t.job.PromptTokens).
 		Int("expected", t.job.ExpectedTokens).Int("longest", t.job.MaxTokens).Send()
 	t.prefill, err = t.find(g.Prefill)
@@ -116,7 +116,7 @@
 	p, err := t.forward(ctx, t.cache.CacheReference)
 	var r *sardineknot.RefusedError
 	if errors.As(err, &r) && t.cache.Handle != "" {
-		t.Log.Info().Str("event", "cache_refused").Str("request", string(t.call.ID)).Str("prefill", string(t.prefill.Name)).
+		t.Log.Info().Stringer("event", sardineknot.LogCacheRefused).Str("request", string(t.call.ID)).Str("prefill", string(t.prefill.Name)).
 			Str("decode", string(t.decode.Name)).Err(err).Send()
 		t.dropCache()
 		if t.job.PromptTokens <= sardineknot.MaxSelfRead && t.Budget.Retry(t.call.Service) {
@@ -158,7 +158,7 @@
 		t.report(sardineknot.JobCancelled, "")
 		return
 	}
-	t.Log.Warn().Str("event", "engine_failed").Str("request", string(t.call.ID)).Str("server", string(n)).Err(err).Send()
+	t.Log.Warn().Stringer("event", sardineknot.LogEngineFailed).Str("request", string(t.call.ID)).Str("server", string(n)).Err(err).Send()
 	var u *sardineknot.UnsentError
 	t.Slots.Report(t.job, sardineknot.JobEvent{
 		Key: t.job.Key, Kind: sardineknot.JobFailed, Server: n, Tokens: t.tokens(), Unreachable: errors.As(err, &u),
@@ -190,7 +190,7 @@
 		return err
 	}
 	t.report(sardineknot.JobFinished, t.decode.Name)
-	t.Log.Info().Str("event", "stream_ended").Str("request", string(t.call.ID)).Str("server", string(t.decode.Name)).
+	t.Log.Info().Stringer("event", sardineknot.LogStreamEnded).Str("request", string(t.call.ID)).Str("server", string(t.decode.Name)).
 		Int("tries", t.tries).Dur("first_ms", t.first).Dur("pause_ms", t.pause).Int("tokens", t.tokens()).Int("expected", t.job.ExpectedTokens).Int("longest", t.job.MaxTokens).Send()
 	return nil
 }
--- a/internal/answer/generation/record.go
+++ b/internal/answer/generation/record.go
@@ -41,7 +41,7 @@
 	defer cancel()
 	c, _, err := n.Directory.Register(ctx, n.record)
 	if err != nil {
-		n.Log.Warn().Str("event", "record_not_updated").Str("request", n.request.Key.String()).Err(err).Send()
+		n.Log.Warn().Stringer("event", sardineknot.LogRecordNotUpdated).Str("request", n.request.Key.String()).Err(err).Send()
 		return nil
 	}
 	if n.check(c) != nil {
--- a/internal/answer/generation/runner.go
+++ b/internal/answer/generation/runner.go
@@ -150,7 +150,7 @@
 		if err == nil || ctx.Err() != nil || !repeatable(err) {
 			return err
 		}
-		n.Log.Warn().Str("event", "attempt_failed").Str("request", n.request.Key.String()).Int("attempt", n.record.Attempt).Err(err).Send()
+		n.Log.Warn().Stringer("event", sardineknot.LogAttemptFailed).Str("request", n.request.Key.String()).Int("attempt", n.record.Attempt).Err(err).Send()
 		if i+1 == maxAttempts || !n.mayRetry(ctx, i) {
 			return err
 		}
--- a/internal/answer/generation/takeover.go
+++ b/internal/answer/generation/takeover.go
@@ -42,7 +42,7 @@
 	if o, ok := n.Slots.(adopter); ok {
 		o.Adopt(sardineknot.RunningJob{Job: t.job, Grant: sardineknot.Grant{Decode: p.Decode}, Tokens: n.offset, TakenOver: true})
 	}
-	n.Log.Info().Str("event", "answer_taken_over").Str("request", n.request.Key.String()).Str("from", string(p.Host)).Str("server", string(s.Name)).Send()
+	n.Log.Info().Stringer("event", sardineknot.LogAnswerTakenOver).Str("request", n.request.Key.String()).Str("from", string(p.Host)).Str("server", string(s.Name)).Send()
 	err = t.inherit(ctx, s)
 	t.finish(ctx, err)
 	return err
--- a/internal/answer/generation/trial.go
+++ b/internal/answer/generation/trial.go
@@ -106,7 +106,7 @@
 		if err == nil || ctx.Err() != nil || r >= maxResumes || !interrupted(err) {
 			return err
 		}
-		t.Log.Warn().Str("event", "stream_resumed").Str("request", t.job.Key.String()).Str("server", string(s.Name)).Err(err).Send()
+		t.Log.Warn().Stringer("event", sardineknot.LogStreamResumed).Str("request", t.job.Key.String()).Str("server", string(s.Name)).Err(err).Send()
 		e := t.renew(ctx)
 		if e != nil {
 			return e
--- a/internal/answer/plain/runner.go
+++ b/internal/answer/plain/runner.go
@@ -98,7 +98,7 @@
 		if !r.again(ctx, c, o, a) {
 			break
 		}
-		r.Log.Info().Str("event", "call_retried").Str("request", string(c.ID)).Str("server", string(s.Name)).
+		r.Log.Info().Stringer("event", sardineknot.LogCallRetried).Str("request", string(c.ID)).Str("server", string(s.Name)).
 			Bool("ran", o.ran()).AnErr("cause", o.err).Send()
 	}
 	return r.give(w, last, last.err)
--- a/internal/answer/service/once.go
+++ b/internal/answer/service/once.go
@@ -77,7 +77,7 @@
 // giveUp releases the claim a, which was not and will not be dispatched.
 func (r *Runner) giveUp(a sardineknot.ClaimAttempt, cause error) {
 	r.Releases.Add(a)
-	r.Log.Warn().Str("event", "claim_given_up").Str("request", a.Key.String()).Err(cause).Send()
+	r.Log.Warn().Stringer("event", sardineknot.LogClaimGivenUp).Str("request", a.Key.String()).Err(cause).Send()
 }
 
 // sendClaimed sends c under the claim a. It tries another backend server only
--- a/internal/answer/service/runner.go
+++ b/internal/answer/service/runner.go
@@ -120,7 +120,7 @@
 		r.Circuits.Done(r.Clock.Now(), s.Name, breaker.Abandoned)
 	default:
 		r.Circuits.Done(r.Clock.Now(), s.Name, breaker.Failed)
-		r.Log.Warn().Str("event", "call_failed").Str("request", c.Key.String()).Str("server", string(s.Name)).Err(err).Send()
+		r.Log.Warn().Stringer("event", sardineknot.LogCallFailed).Str("request", c.Key.String()).Str("server", string(s.Name)).Err(err).Send()
 	}
 	return a, err
 }
--- a/internal/caller/gateway/handler.go
+++ b/internal/caller/gateway/handler.go
@@ -185,20 +185,20 @@
 // note records how c ended.
 func (h *Handler) note(c *sardineknot.Call, status int, err error) {
 	d := h.Clock.Now().Sub(c.Arrived)
-	metrics.GetOrRegisterCounter("calls."+string(c.Route.Kind)+"."+strconv.Itoa(status), h.Metrics).Inc(1)
-	metrics.GetOrRegisterTimer("calls."+string(c.Route.Kind)+".time", h.Metrics).Update(d)
+	metrics.GetOrRegisterCounter("calls{kind="+string(c.Route.Kind)+",status="+strconv.Itoa(status)+"}", h.Metrics).Inc(1)
+	metrics.GetOrRegisterTimer("call{kind="+string(c.Route.Kind)+"}", h.Metrics).Update(d)
 	e := h.Log.Info()
 	if err != nil {
 		e = h.Log.Warn().Err(err)
 	}
-	e.Str("event", "call_ended").Str("request", string(c.ID)).Str("route", string(c.Route.Name)).Int64("revision", int64(c.Revision)).
+	e.Stringer("event", sardineknot.LogCallEnded).Str("request", string(c.ID)).Str("route", string(c.Route.Name)).Int64("revision", int64(c.Revision)).
 		Str("service", string(c.Service)).Int("status", status).Dur("took_ms", d).Send()
 }
 
 // refuse answers a request that did not become a call.
 func (h *Handler) refuse(a *answer, r *http.Request, err error) {
 	s := h.fail(a, err)
-	h.Log.Warn().Str("event", "call_refused").Str("host", r.Host).Str("path", r.URL.Path).Int("status", s).Err(err).Send()
+	h.Log.Warn().Stringer("event", sardineknot.LogCallRefused).Str("host", r.Host).Str("path", r.URL.Path).Int("status", s).Err(err).Send()
 }
 
 // fail tells the caller of err and returns the status.
--- a/internal/configuration/etcd/reader.go
+++ b/internal/configuration/etcd/reader.go
@@ -214,7 +214,7 @@
 	}
 	r.refused = h
 	r.alarms.Inc(1)
-	r.Log.Error().Str("event", "configuration_store_older").Int64("stored", int64(o.Got)).Int64("in_force", int64(o.InForce)).Send()
+	r.Log.Error().Stringer("event", sardineknot.LogConfigurationStoreOlder).Int64("stored", int64(o.Got)).Int64("in_force", int64(o.InForce)).Send()
 	return nil
 }
 
@@ -226,8 +226,8 @@
 	}
 	r.failing = f
 	if f {
-		r.Log.Warn().Str("event", "configuration_read_failed").Err(err).Send()
+		r.Log.Warn().Stringer("event", sardineknot.LogConfigurationReadFailed).Err(err).Send()
 		return
 	}
-	r.Log.Info().Str("event", "configuration_read_recovered").Send()
+	r.Log.Info().Stringer("event", sardineknot.LogConfigurationReadRecovered).Send()
 }
--- a/internal/configuration/httpsd/overlay.go
+++ b/internal/configuration/httpsd/overlay.go
@@ -62,7 +62,7 @@
 		m := o.Leaving()
 		o.mu.Lock()
 		if !maps.Equal(m, o.leaving) {
-			o.Log.Info().Str("event", "leaving_backend_servers").Strs("servers", names(m)).Send()
+			o.Log.Info().Stringer("event", sardineknot.LogLeavingBackendServers).Strs("servers", names(m)).Send()
 			o.leaving = m
 			o.base = nil
 		}
--- a/internal/configuration/store/source.go
+++ b/internal/configuration/store/source.go
@@ -101,13 +101,13 @@
 
 func (s *Source) acceptLocked(c *sardineknot.Configuration, err error) {
 	if err != nil {
-		s.Log.Error().Str("event", "configuration_refused").Err(err).Send()
+		s.Log.Error().Stringer("event", sardineknot.LogConfigurationRefused).Err(err).Send()
 		return
 	}
 	if c.Revision <= s.base.Revision {
 		return
 	}
-	s.Log.Info().Str("event", "configuration_accepted").Int64("revision", int64(c.Revision)).Int("routes", len(c.Routes)).Send()
+	s.Log.Info().Stringer("event", sardineknot.LogConfigurationAccepted).Int64("revision", int64(c.Revision)).Int("routes", len(c.Routes)).Send()
 	s.base, s.dirty = c, true
 }
 
@@ -118,7 +118,7 @@
 			delete(s.servers, k)
 			s.dirty = true
 		}
-		s.Log.Warn().Str("event", "server_entry_refused").Str("server", string(b.Name)).Err(err).Send()
+		s.Log.Warn().Stringer("event", sardineknot.LogServerEntryRefused).Str("server", string(b.Name)).Err(err).Send()
 		return
 	}
 	if o != nil && o.goneAt.IsZero() && o.BackendServer == b {
@@ -126,7 +126,7 @@
 	}
 	s.servers[k] = &server{BackendServer: b}
 	s.dirty = true
-	s.Log.Info().Str("event", "server_known").Str("server", string(b.Name)).Str("address", b.Address.String()).
+	s.Log.Info().Stringer("event", sardineknot.LogServerKnown).Str("server", string(b.Name)).Str("address", b.Address.String()).
 		Str("service", b.Service).Str("role", string(b.Role)).Str("state", string(b.State)).Send()
 }
 
@@ -165,7 +165,7 @@
 		}
 		delete(s.servers, n)
 		s.dirty = true
-		s.Log.Info().Str("event", "server_gone").Str("server", string(o.Name)).Send()
+		s.Log.Info().Stringer("event", sardineknot.LogServerGone).Str("server", string(o.Name)).Send()
 	}
 }
 
--- a/internal/configuration/twirp/spreader.go
+++ b/internal/configuration/twirp/spreader.go
@@ -112,7 +112,7 @@
 	}
 	if err != nil {
 		s.Tracker.SetFloor(0)
-		s.Log.Warn().Str("event", "configuration_fetch_failed").Str("peer", string(peer.ID)).Err(err).Send()
+		s.Log.Warn().Stringer("event", sardineknot.LogConfigurationFetchFailed).Str("peer", string(peer.ID)).Err(err).Send()
 	}
 	if ok {
 		s.accepted(string(peer.ID))
@@ -131,7 +131,7 @@
 
 func (s *Spreader) accepted(from string) {
 	r := s.Tracker.Current().Revision
-	s.Log.Info().Str("event", "configuration_in_force").Int64("revision", int64(r)).Str("from", from).Send()
+	s.Log.Info().Stringer("event", sardineknot.LogConfigurationInForce).Int64("revision", int64(r)).Str("from", from).Send()
 	e := s.Self()
 	q := &api.AnnounceRequest{Revision: int64(r), Sender: string(e.ID), PeerAddress: e.PeerAddress.String()}
 	for _, h := range s.Fingers() {
--- a/internal/host/gateway/observe.go
+++ b/internal/host/gateway/observe.go
@@ -60,7 +60,7 @@
 func (p *Process) observeServer(ctx context.Context, o *local.Shard, b sardineknot.BackendServer) {
 	r, err := p.Forwarder.Load(ctx, b)
 	if err != nil {
-		p.Log.Debug().Str("event", "load_unknown").Str("server", string(b.Name)).Err(err).Send()
+		p.Log.Debug().Stringer("event", sardineknot.LogLoadUnknown).Str("server", string(b.Name)).Err(err).Send()
 		return
 	}
 	o.Observe(r)
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -33,6 +33,7 @@
 	"sardineknot.example/sardineknot/internal/peer/h2c"
 	"sardineknot.example/sardineknot/internal/platform/mirror"
 	"sardineknot.example/sardineknot/internal/policy/memory"
+	"sardineknot.example/sardineknot/internal/report/exposition"
 	"sardineknot.example/sardineknot/internal/slots/twirp"
 )
 
@@ -126,7 +127,7 @@
 	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.sweep, p.follow, p.observe, p.stages().Run, p.connections.Run) {
 		g.Go(func() error { return f(w) })
 	}
-	p.Log.Info().Str("event", "started").Str("zone", string(p.Settings.Zone)).Send()
+	p.Log.Info().Stringer("event", sardineknot.LogStarted).Str("zone", string(p.Settings.Zone)).Send()
 	select {
 	case <-ctx.Done():
 		p.stop(l)
@@ -137,7 +138,7 @@
 		s.server.Close()
 	}
 	err := g.Wait()
-	p.Log.Info().Str("event", "stopped").Err(err).Send()
+	p.Log.Info().Stringer("event", sardineknot.LogStopped).Err(err).Send()
 	return err
 }
 
@@ -277,7 +278,11 @@
 }
 
 func (p *Process) serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	metrics.WriteOnce(p.Metrics, w)
+	w.Header().Set("Content-Type", exposition.ContentType)
+	err := exposition.Write(w, p.Metrics)
+	if err != nil {
+		p.Log.Debug().Stringer("event", sardineknot.LogMetricsNotSent).Err(err).Send()
+	}
 }
 
 func (p *Process) listen(a netip.AddrPort) (net.Listener, error) {
--- a/internal/host/gateway/reload.go
+++ b/internal/host/gateway/reload.go
@@ -18,7 +18,7 @@
 	for {
 		select {
 		case <-p.Reload:
-			p.Log.Info().Str("event", "reload_asked").Send()
+			p.Log.Info().Stringer("event", sardineknot.LogReloadAsked).Send()
 			p.reload()
 		case <-t.C:
 			p.reload()
@@ -33,7 +33,7 @@
 func (p *Process) reload() {
 	s, err := p.Load()
 	if err != nil {
-		p.Log.Error().Str("event", "settings_refused").Err(err).Send()
+		p.Log.Error().Stringer("event", sardineknot.LogSettingsRefused).Err(err).Send()
 		return
 	}
 	p.settingsLock.Lock()
@@ -42,7 +42,7 @@
 		return
 	}
 	r := restarts(p.Settings, s)
-	p.Log.Info().Str("event", "settings_changed").Float64("retry_ratio", s.RetryRatio).Float64("retry_slack", s.RetrySlack).
+	p.Log.Info().Stringer("event", sardineknot.LogSettingsChanged).Float64("retry_ratio", s.RetryRatio).Float64("retry_slack", s.RetrySlack).
 		Dur("stop_limit_ms", s.StopLimit).Bool("needs_restart", r).Send()
 	p.budgets.SetBounds(s.RetryRatio, s.RetrySlack)
 	p.Settings.RetryRatio, p.Settings.RetrySlack, p.Settings.StopLimit = s.RetryRatio, s.RetrySlack, s.StopLimit
--- a/internal/host/gateway/stop.go
+++ b/internal/host/gateway/stop.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"sardineknot.example/sardineknot"
 )
 
 const (
@@ -24,12 +26,12 @@
 		d = defaultStopLimit
 	}
 	e := p.clock.Now().Add(d - stopMargin)
-	p.Log.Info().Str("event", "leaving").Int("calls", p.handler.Active()).Send()
+	p.Log.Info().Stringer("event", sardineknot.LogLeaving).Int("calls", p.handler.Active()).Send()
 	p.registry.Leave()
 	p.handler.Leave()
 	time.Sleep(acceptTime)
 	ctx, cancel := context.WithDeadline(context.Background(), e)
 	defer cancel()
 	err := l[0].server.Shutdown(ctx)
-	p.Log.Info().Str("event", "drained").Int("calls", p.handler.Active()).Err(err).Send()
+	p.Log.Info().Stringer("event", sardineknot.LogDrained).Int("calls", p.handler.Active()).Err(err).Send()
 }
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -150,7 +150,7 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	p.log.Info().Str("event", "listening").Str("address", l.Addr().String()).Send()
+	p.log.Info().Stringer("event", sardineknot.LogListening).Str("address", l.Addr().String()).Send()
 	return l, nil
 }
 
--- a/internal/host/process/stop.go
+++ b/internal/host/process/stop.go
@@ -43,13 +43,13 @@
 	case <-work.Done():
 		return
 	}
-	p.log.Info().Str("event", "leaving").Send()
+	p.log.Info().Stringer("event", sardineknot.LogLeaving).Send()
 	p.node.Leave(work)
 	_ = p.clock.Sleep(work, p.settings.PlacementValidity)
 	p.guard.Close()
-	p.log.Info().Str("event", "admission_closed").Int("running", p.running()).Send()
+	p.log.Info().Stringer("event", sardineknot.LogAdmissionClosed).Int("running", p.running()).Send()
 	p.drain(work)
-	p.log.Info().Str("event", "drained").Int("running", p.running()).Send()
+	p.log.Info().Stringer("event", sardineknot.LogDrained).Int("running", p.running()).Send()
 }
 
 // drain waits until nothing runs, for the time DrainLimit at most.
--- a/internal/membership/store/registry.go
+++ b/internal/membership/store/registry.go
@@ -148,7 +148,7 @@
 	}
 	m.aside = min(maxAside, max(firstAside, 2*m.aside))
 	m.asideUntil = t.Add(m.aside)
-	r.Log.Warn().Str("event", "host_set_aside").Str("peer", string(n)).Dur("for_ms", m.aside).Send()
+	r.Log.Warn().Stringer("event", sardineknot.LogHostSetAside).Str("peer", string(n)).Dur("for_ms", m.aside).Send()
 	r.refreshLocked()
 }
 
@@ -184,7 +184,7 @@
 	}
 	h, err := decode(i, e.Value)
 	if err != nil {
-		r.Log.Warn().Str("event", "host_entry_refused").Str("peer", n).Err(err).Send()
+		r.Log.Warn().Stringer("event", sardineknot.LogHostEntryRefused).Str("peer", n).Err(err).Send()
 		return
 	}
 	r.addLocked(h)
@@ -202,7 +202,7 @@
 	if m == nil || m.host.Incarnation != h.Incarnation {
 		m = &member{}
 		r.hosts[h.ID] = m
-		r.Log.Info().Str("event", "host_joined").Str("peer", string(h.ID)).Str("address", h.CallerAddress.String()).Send()
+		r.Log.Info().Stringer("event", sardineknot.LogHostJoined).Str("peer", string(h.ID)).Str("address", h.CallerAddress.String()).Send()
 	}
 	m.host = h
 	m.goneAt = time.Time{}
@@ -223,7 +223,7 @@
 	for i, m := range r.hosts {
 		if r.expiredLocked(n, m) {
 			delete(r.hosts, i)
-			r.Log.Info().Str("event", "host_gone").Str("peer", string(i)).Send()
+			r.Log.Info().Stringer("event", sardineknot.LogHostGone).Str("peer", string(i)).Send()
 			continue
 		}
 		h := m.host
@@ -288,7 +288,7 @@
 		err = k.put(ctx)
 	}
 	if err != nil && ctx.Err() == nil {
-		k.registry.Log.Warn().Str("event", "registration_failed").Err(err).Send()
+		k.registry.Log.Warn().Stringer("event", sardineknot.LogRegistrationFailed).Err(err).Send()
 	}
 }
 
--- a/internal/membership/twirp/node.go
+++ b/internal/membership/twirp/node.go
@@ -205,6 +205,6 @@
 		if ok && o.State == h.State && o.Incarnation == h.Incarnation {
 			continue
 		}
-		n.Log.Info().Str("event", "host_state").Str("peer", string(h.ID)).Str("state", h.State.String()).Uint64("incarnation", uint64(h.Incarnation)).Send()
+		n.Log.Info().Stringer("event", sardineknot.LogHostState).Str("peer", string(h.ID)).Str("state", h.State.String()).Uint64("incarnation", uint64(h.Incarnation)).Send()
 	}
 }
--- a/internal/membership/twirp/run.go
+++ b/internal/membership/twirp/run.go
@@ -52,7 +52,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.pausedLocked(t) {
-		n.Log.Warn().Str("event", "paused").Dur("gap", t.Sub(n.ticked)).Send()
+		n.Log.Warn().Stringer("event", sardineknot.LogPaused).Dur("gap", t.Sub(n.ticked)).Send()
 		n.unconfirmed = true
 		n.view.Resume(t)
 	}
@@ -166,7 +166,7 @@
 	}
 	n.unconfirmed = false
 	n.refreshLocked(t)
-	n.Log.Info().Str("event", "confirmed").Uint64("incarnation", n.view.Self().GetIncarnation()).Send()
+	n.Log.Info().Stringer("event", sardineknot.LogConfirmed).Uint64("incarnation", n.view.Self().GetIncarnation()).Send()
 }
 
 // checkStore notes whether the key-value service answers.
@@ -178,7 +178,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if b := err != nil; b != n.storeLost {
-		n.Log.Warn().Str("event", "store_reachable").Bool("reachable", !b).Bool("most_hosts_lost", n.view.LostMost()).Send()
+		n.Log.Warn().Stringer("event", sardineknot.LogStoreReachable).Bool("reachable", !b).Bool("most_hosts_lost", n.view.LostMost()).Send()
 		n.storeLost = b
 	}
 }
--- a/internal/orders/controller/controller.go
+++ b/internal/orders/controller/controller.go
@@ -87,7 +87,7 @@
 	}
 	err = c.order(ctx, s, w)
 	if err != nil {
-		c.Log.Warn().Str("event", "order_failed").Str("server", string(s.Name)).Err(err).Send()
+		c.Log.Warn().Stringer("event", sardineknot.LogOrderFailed).Str("server", string(s.Name)).Err(err).Send()
 	}
 	return true
 }
@@ -102,6 +102,6 @@
 	if err != nil && !errors.As(err, &t) {
 		return err
 	}
-	c.Log.Info().Str("event", "order_given").Str("server", string(s.Name)).Int64("number", int64(o.Number)).AnErr("stale", err).Send()
+	c.Log.Info().Stringer("event", sardineknot.LogOrderGiven).Str("server", string(s.Name)).Int64("number", int64(o.Number)).AnErr("stale", err).Send()
 	return c.Ledger.Done(ctx, o)
 }
--- a/internal/orders/stages/controller.go
+++ b/internal/orders/stages/controller.go
@@ -116,6 +116,6 @@
 	if err == nil {
 		err = c.Ledger.Done(ctx, o)
 	}
-	c.Log.Info().Str("event", "order_given").Str("server", string(s.Name)).Str("role", string(n.Role)).
+	c.Log.Info().Stringer("event", sardineknot.LogOrderGiven).Str("server", string(s.Name)).Str("role", string(n.Role)).
 		Int64("number", int64(o.Number)).Err(err).Send()
 }
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -150,15 +150,15 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if c != nil {
-		m.Log.Info().Str("event", "store_history_lost").Send()
+		m.Log.Info().Stringer("event", sardineknot.LogStoreHistoryLost).Send()
 	}
 	if r == m.reachable {
 		return
 	}
 	m.reachable, m.contact = r, m.Clock.Now()
 	if r {
-		m.Log.Info().Str("event", "store_regained").Send()
+		m.Log.Info().Stringer("event", sardineknot.LogStoreRegained).Send()
 		return
 	}
-	m.Log.Warn().Str("event", "store_lost").Err(err).Send()
+	m.Log.Warn().Stringer("event", sardineknot.LogStoreLost).Err(err).Send()
 }
--- a/internal/slots/openai/watcher.go
+++ b/internal/slots/openai/watcher.go
@@ -151,7 +151,7 @@
 
 func (w *Watcher) cancel(ctx context.Context, b sardineknot.BackendServer, h sardineknot.HeldRequest) {
 	err := w.Engine.Cancel(ctx, b, h.EngineKey)
-	w.Log.Info().Str("event", "orphan_cancelled").Str("server", string(b.Name)).Str("request", h.EngineKey).Str("owner", string(h.Owner)).Err(err).Send()
+	w.Log.Info().Stringer("event", sardineknot.LogOrphanCancelled).Str("server", string(b.Name)).Str("request", h.EngineKey).Str("owner", string(h.Owner)).Err(err).Send()
 }
 
 // forget removes the orphans that are gone.
