command/check: the template of the deployment and settings for the platform are checked

Cause: 'check deploy/settings.jsonc' answered with unknown fields of the other kind of settings. Ruled out: knowing placeholders outside platform/. Conclusion: a template is filled with examples by platform.FillTemplate first.

--- a/cmd/sardineknot/main.go
+++ b/cmd/sardineknot/main.go
@@ -53,7 +53,7 @@
 		&explain.Command{},
 		&burn.Command{},
 		&demo.Command{},
-		&check.Command{},
+		&check.Command{Fill: platform.FillTemplate},
 		p,
 		&apply.Command{Clock: clock.System{}},
 		&show.Command{},
--- a/internal/command/check/command.go
+++ b/internal/command/check/command.go
@@ -3,6 +3,7 @@
 package check
 
 import (
+	"bytes"
 	"context"
 	"flag"
 	"fmt"
@@ -20,8 +21,14 @@
 	"sardineknot.example/sardineknot/internal/operator/target"
 )
 
+// gatewayField is in all settings for the users' platform and in no others.
+const gatewayField = `"LookupAddress"`
+
 // Command is the subcommand "check".
 type Command struct {
+	// Fill replaces the placeholders in a template of settings by examples.
+	Fill func(template []byte) ([]byte, error)
+
 	target target.Target
 	// problems are what was found.
 	problems []*sardineknot.PositionError
@@ -41,7 +48,8 @@
 	return `check [-json] PATH...
   Checks files with settings and directories with declarations, offline, and
   prints every problem with its file, line, column and field. The entry hosts
-  of several files must not share an ID or an address.
+  of several files must not share an ID or an address. Files for the users'
+  platform, and templates of them, are known by their LookupAddress.
   Exit status: 0 all valid, 1 problems were found, 2 wrong usage.
   Example: sardineknot check examples/akstursbok/entry-1.jsonc examples/akstursbok/declarations
 `
@@ -79,6 +87,29 @@
 		_, err = declarations.Load(os.DirFS(p), p)
 		return err
 	}
+	b, err := os.ReadFile(p)
+	if err != nil {
+		return err
+	}
+	if bytes.Contains(b, []byte(gatewayField)) {
+		return c.checkGateway(p, b)
+	}
+	return c.checkHost(p)
+}
+
+// checkGateway checks the settings b of an entry host on the users' platform, or
+// a template of them.
+func (c *Command) checkGateway(p string, b []byte) error {
+	b, err := c.Fill(b)
+	if err != nil {
+		return err
+	}
+	_, err = settings.ParseGateway(p, b)
+	return err
+}
+
+// checkHost checks the settings of an entry host of the project's own interface.
+func (c *Command) checkHost(p string) error {
 	s, err := settings.Load(p)
 	if err != nil {
 		return err
--- a/internal/operator/settings/gateway.go
+++ b/internal/operator/settings/gateway.go
@@ -13,7 +13,16 @@
 // LoadGateway returns the settings of an entry host on the users' platform in
 // the file at path. It fails as Load does.
 func LoadGateway(path string) (sardineknot.GatewaySettings, error) {
-	d := hujson.Open(os.DirFS(filepath.Dir(path)), filepath.Base(path), path)
+	return gateway(hujson.Open(os.DirFS(filepath.Dir(path)), filepath.Base(path), path))
+}
+
+// ParseGateway returns the settings in b, which the file name holds. It fails as
+// LoadGateway does.
+func ParseGateway(name string, b []byte) (sardineknot.GatewaySettings, error) {
+	return gateway(hujson.Parse(name, b))
+}
+
+func gateway(d *hujson.Document) (sardineknot.GatewaySettings, error) {
 	var s sardineknot.GatewaySettings
 	if d.Decode(&s) {
 		checkGateway(d, s)
