policy/memory: an engine that loses answers of prefills goes after others

New: each prefill engine has the part of its prefills that was lost of late; what such a loss costs counts like work that waits on it. Test: TestLost; fails without the term. Ruled out: resting at one lost answer, since a reset says little.

--- a/internal/policy/memory/engine.go
+++ b/internal/policy/memory/engine.go
@@ -18,6 +18,10 @@
 	// firstRest and maxRest bound the time until a stopped engine is tried
 	// again.
 	firstRest = 500 * time.Millisecond
+	// lostShare is the weight of a prefill in the part that is lost, and lostCost
+	// what a lost one costs, in prefills: another one, and room that waits for it.
+	lostShare = 0.2
+	lostCost  = 3
 	maxRest   = 4 * time.Second
 )
 
@@ -43,6 +47,8 @@
 	known   []growth.Span
 	knownAt time.Time
 	with    []growth.Span
+	// lost is the part of the prefills whose results were lost.
+	lost average
 	// failures counts failures in a row. restsUntil is set from failureLimit
 	// on, and rest is the length of that time.
 	failures   int
@@ -118,6 +124,7 @@
 // averageShare is the weight of a new value.
 const averageShare = 0.1
 
-func (a *average) add(v float64) {
-	a.value += averageShare * (v - a.value)
-}
+func (a *average) add(v float64) { a.addShare(v, averageShare) }
+
+// addShare adds v with the weight w.
+func (a *average) addShare(v, w float64) { a.value += w * (v - a.value) }
--- a/internal/policy/memory/job.go
+++ b/internal/policy/memory/job.go
@@ -121,6 +121,7 @@
 	if len(e.reading) == 0 {
 		e.busy = now
 	}
+	e.lost.addShare(0, lostShare)
 	if e == j.decode || e.server.Name == j.Kept || j.PromptTokens == 0 {
 		return
 	}
@@ -148,6 +149,7 @@
 func (s *Scheduler) cacheLost(now time.Time, j *job, n sardineknot.BackendServerName) {
 	j.reader = nil
 	if e := s.engines[n]; e != nil {
+		e.lost.addShare(1, lostShare)
 		e.stop(now)
 	}
 }
@@ -155,6 +157,9 @@
 // failed notes that an engine failed j.
 func (s *Scheduler) failed(now time.Time, j *job, v sardineknot.JobEvent) {
 	e := s.engines[v.Server]
+	if e != nil && e == j.prefill {
+		e.lost.addShare(1, lostShare)
+	}
 	switch {
 	case e == nil:
 	case v.Unreachable:
--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -143,6 +143,7 @@
 		if p.server.Name == j.Kept {
 			return p
 		}
+		w += time.Duration(lostCost * p.lost.value * float64(j.cost))
 		if p.server.Zone != d.server.Zone {
 			w += crossZone
 		}
--- a/internal/policy/memory/scheduler_test.go
+++ b/internal/policy/memory/scheduler_test.go
@@ -194,6 +194,26 @@
 	})
 }
 
+func TestLost(t *testing.T) {
+	t.Run("an engine that loses some answers goes after others", func(t *testing.T) {
+		// A third of the answers of most engines was lost, never two in a row.
+		is := is.New(t)
+		s := memory.NewScheduler()
+		s.SetServers(start, []sardineknot.BackendServer{
+			server("p", sardineknot.RolePrefill), server("q", sardineknot.RolePrefill), server("d", sardineknot.RoleDecode),
+		}, nil)
+		for i, k := range []sardineknot.JobEventKind{sardineknot.JobFailed, sardineknot.JobPrefillDone, sardineknot.JobFailed, sardineknot.JobPrefillDone} {
+			id := fmt.Sprint("lost", i)
+			j := job(id, start, 1000, 1000)
+			j.Kept = "p"
+			is.Equal(granted(s.Submit(start, j), id).Prefill, j.Kept)
+			s.Report(start, event(id, k, "p", 0))
+			s.Report(start, event(id, sardineknot.JobFinished, "d", 1000))
+		}
+		is.Equal(granted(s.Submit(start, job("next", start, 1000, 1000)), "next").Prefill, sardineknot.BackendServerName("q"))
+	})
+}
+
 func TestUnreachable(t *testing.T) {
 	// Engines that were gone stayed in the list of servers while the store was
 	// away. Each was tried twice, as the emptiest, and each try cost a prefill.
