--- a/internal/policy/memory/scheduler_test.go
+++ b/internal/policy/memory/scheduler_test.go
@@ -202,7 +202,7 @@
 		s.SetServers(start, []sardineknot.BackendServer{
 			server("p", sardineknot.RolePrefill), server("q", sardineknot.RolePrefill), server("d", sardineknot.RoleDecode),
 		}, nil)
-		for i, k := range []sardineknot.JobEventKind{sardineknot.JobFailed, sardineknot.JobPrefillDone, sardineknot.JobFailed, sardineknot.JobPrefillDone} {
+		for i, k := range []sardineknot.JobEventKind{sardineknot.JobFailed, sardineknot.JobDecodeStarted, sardineknot.JobFailed, sardineknot.JobDecodeStarted} {
 			id := fmt.Sprint("lost", i)
 			j := job(id, start, 1000, 1000)
 			j.Kept = "p"
