--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -6,15 +6,12 @@
 import (
 	"context"
 	"math/rand/v2"
-	"net"
 	"net/http"
-	"net/netip"
 	"os"
 	"runtime/debug"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
@@ -33,7 +30,6 @@
 	"sardineknot.example/sardineknot/internal/peer/h2c"
 	"sardineknot.example/sardineknot/internal/platform/mirror"
 	"sardineknot.example/sardineknot/internal/policy/memory"
-	"sardineknot.example/sardineknot/internal/report/exposition"
 	"sardineknot.example/sardineknot/internal/slots/twirp"
 )
 
@@ -239,62 +235,3 @@
 		}
 	}
 }
-
-// endpoint is a server and the address that it listens on.
-type endpoint struct {
-	address netip.AddrPort
-	server  *http.Server
-}
-
-// servers returns the servers of the process, that for callers first.
-func (p *Process) servers() []endpoint {
-	m := http.NewServeMux()
-	m.Handle(p.slots.Handler())
-	return []endpoint{
-		{p.Settings.CallerAddress, &http.Server{
-			Handler: p.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: p.connections.Track,
-		}},
-		{p.Settings.LookupAddress, &http.Server{Handler: p.Lookup(p.usable), ReadHeaderTimeout: headerTimeout}},
-		{p.Settings.ReadyAddress, &http.Server{Handler: p.Ready(p.ready), ReadHeaderTimeout: headerTimeout}},
-		{p.Settings.MetricsAddress, &http.Server{Handler: http.HandlerFunc(p.serveMetrics), ReadHeaderTimeout: headerTimeout}},
-		{p.Settings.PeerAddress, h2c.NewServer(m)},
-	}
-}
-
-// usable returns the hosts that callers may use.
-func (p *Process) usable() []sardineknot.EntryHost {
-	var l []sardineknot.EntryHost
-	for _, h := range p.registry.Hosts() {
-		if h.State == sardineknot.EntryHostAlive {
-			l = append(l, h)
-		}
-	}
-	return l
-}
-
-// ready reports whether the host takes calls.
-func (p *Process) ready() bool {
-	return p.source.Current().Revision > 0 && p.registry.Self().State == sardineknot.EntryHostAlive
-}
-
-func (p *Process) serveMetrics(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", exposition.ContentType)
-	err := exposition.Write(w, p.Metrics)
-	if err != nil {
-		p.Log.Debug().Stringer("event", sardineknot.LogMetricsNotSent).Err(err).Send()
-	}
-}
-
-func (p *Process) listen(a netip.AddrPort) (net.Listener, error) {
-	l, err := net.Listen("tcp", a.String())
-	return l, errors.WithStack(err)
-}
-
-// serve answers on l until s is closed.
-func serve(s *http.Server, l net.Listener) error {
-	err := s.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return errors.WithStack(err)
-}
