policy/memory: the reserve of an engine follows what is uncertain

Cause: a fixed tenth of each engine was kept free, also where all answers were about to end, and too little where eight long ones had just begun. New: a reserve of half the root of the sum of squares of what is to come, within 0.96 of the memory. Test: TestReserve; fails with the fixed share.

--- a/internal/policy/memory/engine.go
+++ b/internal/policy/memory/engine.go
@@ -1,6 +1,7 @@
 package memory
 
 import (
+	"math"
 	"time"
 
 	"sardineknot.example/sardineknot"
@@ -99,7 +100,7 @@
 }
 
 // peak returns the greatest memory that e is expected to need with the
-// additional span p.
+// additional span p, and a reserve for answers that turn out longer.
 func (e *engine) peak(now time.Time, p growth.Span) float64 {
 	if !e.knownAt.Equal(now) {
 		e.known = e.known[:0]
@@ -110,7 +111,18 @@
 		e.knownAt = now
 	}
 	e.with = append(append(e.with[:0], e.known...), p)
-	return growth.Peak(e.with)
+	return growth.Peak(e.with) + reserve(e.with)
+}
+
+// reserve returns the memory to keep free for errors in the forecasts of l. Those
+// of many answers make up for each other, and answers near their end leave little
+// to err about.
+func reserve(l []growth.Span) float64 {
+	var q float64
+	for _, a := range l {
+		q += a.Left * a.Left
+	}
+	return doubt * math.Sqrt(q)
 }
 
 // changed notes that what e is expected to need is to be worked out again.
--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -9,9 +9,13 @@
 )
 
 const (
-	// fill is the share of an engine's memory that forecasts may fill. The
-	// rest is for answers that turn out longer.
-	fill = 0.90
+	// fill is the share of an engine's memory that forecasts and the reserve may
+	// fill. The rest is for what the owner learns late.
+	fill = 0.96
+	// doubt is the part by which the rest of an answer may be longer than
+	// forecast, as far as the reserve goes. It is somewhat more than the standard
+	// deviation.
+	doubt = 0.5
 	// overrunShare is the part of its present length by which an answer is
 	// expected to go on that is far longer than was forecast.
 	overrunShare = 0.1
--- a/internal/policy/memory/scheduler_test.go
+++ b/internal/policy/memory/scheduler_test.go
@@ -132,6 +132,26 @@
 	})
 }
 
+func TestReserve(t *testing.T) {
+	t.Run("answers near their end need less reserve", func(t *testing.T) {
+		// In bursts a fixed reserve kept a tenth of each engine free, also where
+		// all answers were about to end.
+		is := is.New(t)
+		s := newScheduler(1)
+		for i := range 7 {
+			id := fmt.Sprintf("ending%d", i)
+			j := job(id, start, 5000, 4000)
+			j.MaxTokens = 4000
+			is.Equal(granted(s.Submit(start, j), id).Decode, sardineknot.BackendServerName("d0"))
+			s.Report(start, event(id, sardineknot.JobDecodeStarted, "d0", 0))
+			s.Report(start, event(id, sardineknot.JobProgress, "d0", 3900))
+		}
+		j := job("next", start, 12000, 400)
+		j.MaxTokens = 500
+		is.Equal(granted(s.Submit(start, j), "next").Decode, sardineknot.BackendServerName("d0"))
+	})
+}
+
 func TestForeign(t *testing.T) {
 	t.Run("requests that another host placed take room", func(t *testing.T) {
 		is := is.New(t)
