policy/memory: a prefill that was read before tells nothing of the speed

Cause: reading the change as a newcomer: a job whose KV cache is used again is granted any prefill engine and ends its prefill at once, and that time was learned from. Conclusion: jobs with Kept are left out.

--- a/internal/policy/memory/job.go
+++ b/internal/policy/memory/job.go
@@ -122,7 +122,7 @@
 		e.busy = now
 	}
 	e.lost.addShare(0, lostShare)
-	if e == j.decode || e.server.Name == j.Kept || j.PromptTokens == 0 {
+	if e == j.decode || j.Kept != "" || j.PromptTokens == 0 {
 		return
 	}
 	w := now.Sub(j.started)
--- a/scheduler.go
+++ b/scheduler.go
@@ -91,7 +91,8 @@
 	// JobProgress tells how many tokens a running decode has generated.
 	JobProgress
 	// JobCacheLost tells that the result of the prefill on the server could not
-	// be imported. The job goes on: the decode engine reads the prompt itself.
+	// be imported. The job goes on: the decode engine reads the prompt itself. The
+	// server is empty if the result may have been imported before.
 	JobCacheLost
 )
 
