--- a/internal/bench/pattern/constants.go
+++ b/internal/bench/pattern/constants.go
@@ -58,7 +58,7 @@
 // akstursbok returns eleven engines with few slots and large KV caches.
 func akstursbok() Pattern {
 	e := bothEngines()
-	e.Readers, e.Runners = 3, 8
+	e.PrefillEngines, e.DecodeEngines = 3, 8
 	e.Slots, e.Memory = 24, 76997
 	e.Step, e.StepPerRequest, e.StepPerThousand = 588*time.Microsecond, 3360*time.Nanosecond, 1220*time.Nanosecond
 	e.First, e.EventTokens = 3400*time.Microsecond, 73
@@ -82,7 +82,7 @@
 // kessler returns twelve engines with many slots.
 func kessler() Pattern {
 	e := bothEngines()
-	e.Readers, e.Runners = 3, 9
+	e.PrefillEngines, e.DecodeEngines = 3, 9
 	e.Slots, e.Memory = 48, 95864
 	e.Step, e.StepPerRequest, e.StepPerThousand = 592*time.Microsecond, 1720*time.Nanosecond, 1630*time.Nanosecond
 	e.First, e.EventTokens = 5*time.Millisecond, 72
--- a/internal/bench/pattern/pattern.go
+++ b/internal/bench/pattern/pattern.go
@@ -50,9 +50,8 @@
 
 // engines describes the engines. All are equal but for their stage.
 type engines struct {
-	// Readers is the number of prefill engines, Runners that of decode engines.
-	Readers int
-	Runners int
+	PrefillEngines int
+	DecodeEngines  int
 	// Slots is the number of answers that an engine works on, Queue the number
 	// of requests that may wait for one, and Memory is in tokens.
 	Slots  int
--- a/internal/bench/pool/runner.go
+++ b/internal/bench/pool/decode.go
@@ -7,8 +7,8 @@
 	"sardineknot.example/sardineknot"
 )
 
-// runner is a decode engine. It works in steps.
-type runner struct {
+// decodeEngine generates answers in steps.
+type decodeEngine struct {
 	pool   *Pool
 	server sardineknot.BackendServer
 	// speed is the number of engines that it stands for.
@@ -32,7 +32,7 @@
 	dead    bool
 }
 
-// answer is a request on a runner.
+// answer is a request on a decode engine.
 type answer struct {
 	try *try
 	// order is the place in the order of acceptance.
@@ -48,7 +48,7 @@
 }
 
 // accept takes t, and reports false if the engine is full or gone.
-func (r *runner) accept(t *try, unread bool) bool {
+func (r *decodeEngine) accept(t *try, unread bool) bool {
 	if r.dead || len(r.waiting) >= r.pool.pattern.Queue*r.speed {
 		return false
 	}
@@ -67,7 +67,7 @@
 }
 
 // admit moves answers that fit into memory.
-func (r *runner) admit() {
+func (r *decodeEngine) admit() {
 	for len(r.waiting) > 0 && len(r.running) < r.server.Slots {
 		a := r.waiting[0]
 		if len(r.running) > 0 && r.used()+r.blocks(a.held+1) > r.server.MemoryTokens {
@@ -79,7 +79,7 @@
 }
 
 // used returns the memory in use.
-func (r *runner) used() int {
+func (r *decodeEngine) used() int {
 	var n int
 	for _, a := range r.running {
 		n += r.blocks(a.held)
@@ -88,13 +88,13 @@
 }
 
 // blocks rounds tokens up to whole blocks.
-func (r *runner) blocks(tokens int) int {
+func (r *decodeEngine) blocks(tokens int) int {
 	b := r.pool.pattern.Block
 	return (tokens + b - 1) / b * b
 }
 
 // step begins the next steps unless some are under way.
-func (r *runner) step() {
+func (r *decodeEngine) step() {
 	if r.stepping || r.dead || len(r.running) == 0 {
 		return
 	}
@@ -111,7 +111,7 @@
 
 // interrupt ends the steps that are under way after the present one, since the
 // requests of the engine change.
-func (r *runner) interrupt() {
+func (r *decodeEngine) interrupt() {
 	if !r.stepping || r.steps == 1 {
 		return
 	}
@@ -121,7 +121,7 @@
 
 // plan works out the next steps: how many there are until something happens, the
 // time of each, and what is read in them.
-func (r *runner) plan() {
+func (r *decodeEngine) plan() {
 	p := r.pool.pattern
 	var m int
 	r.reading, r.chunk = nil, 0
@@ -143,7 +143,7 @@
 }
 
 // complete ends n steps.
-func (r *runner) complete(n int) {
+func (r *decodeEngine) complete(n int) {
 	r.stepping = false
 	for _, x := range slices.Clone(r.running) {
 		if x.unread == 0 && !x.try.ended {
@@ -160,7 +160,7 @@
 }
 
 // generate adds n tokens to x, which end an event at most.
-func (r *runner) generate(x *answer, n int) {
+func (r *decodeEngine) generate(x *answer, n int) {
 	x.held += n
 	x.left -= n
 	x.pending += n
@@ -176,7 +176,7 @@
 }
 
 // preempt takes the newest answers out of memory until the others fit.
-func (r *runner) preempt() {
+func (r *decodeEngine) preempt() {
 	for len(r.running) > 1 && r.used() > r.server.MemoryTokens {
 		b := slices.MaxFunc(r.running, func(a, b *answer) int { return a.order - b.order })
 		r.running = without(r.running, b)
@@ -191,7 +191,7 @@
 }
 
 // drop takes a off r.
-func (r *runner) drop(a *answer) {
+func (r *decodeEngine) drop(a *answer) {
 	r.interrupt()
 	r.running = without(r.running, a)
 	r.waiting = without(r.waiting, a)
@@ -200,7 +200,7 @@
 }
 
 // crash ends r with all that runs on it.
-func (r *runner) crash() {
+func (r *decodeEngine) crash() {
 	r.dead = true
 	r.version++
 	r.stepping = false
--- a/internal/bench/pool/pool.go
+++ b/internal/bench/pool/pool.go
@@ -40,8 +40,8 @@
 	random  *rand.Rand
 	asks    []*ask
 	tries   map[sardineknot.RequestKey]*try
-	readers []*reader
-	runners []*runner
+	prefill []*prefillEngine
+	decode  []*decodeEngine
 	// linkFactor is the factor on the time of transfers by engine.
 	linkFactor map[sardineknot.BackendServerName]float64
 	// linkFree is the time at which the link of an engine is free.
--- a/internal/bench/pool/reader.go
+++ b/internal/bench/pool/prefill.go
@@ -6,8 +6,8 @@
 	"sardineknot.example/sardineknot"
 )
 
-// reader is a prefill engine. It reads one prompt after the other.
-type reader struct {
+// prefillEngine reads one prompt after the other.
+type prefillEngine struct {
 	pool   *Pool
 	server sardineknot.BackendServer
 	// speed is the number of engines that it stands for.
@@ -22,7 +22,7 @@
 }
 
 // read takes the prompt of t.
-func (r *reader) read(t *try) {
+func (r *prefillEngine) read(t *try) {
 	if r.dead {
 		r.pool.After(brokenTime, func() { r.pool.failLive(t, r.server, true) })
 		return
@@ -32,7 +32,7 @@
 }
 
 // next begins with the next prompt if none is being read.
-func (r *reader) next() {
+func (r *prefillEngine) next() {
 	if r.current != nil || len(r.queue) == 0 {
 		return
 	}
@@ -51,7 +51,7 @@
 }
 
 // done ends the work on t.
-func (r *reader) done(t *try) {
+func (r *prefillEngine) done(t *try) {
 	r.current = nil
 	r.pool.read += t.job.PromptTokens
 	t.lapsed = r.lapsing
@@ -60,7 +60,7 @@
 }
 
 // drop takes t off r. What was read of it is lost.
-func (r *reader) drop(t *try) {
+func (r *prefillEngine) drop(t *try) {
 	if r.current == t {
 		r.pool.read += t.job.PromptTokens
 		r.pool.vain += t.job.PromptTokens
@@ -73,7 +73,7 @@
 }
 
 // crash ends r with all that it reads.
-func (r *reader) crash() {
+func (r *prefillEngine) crash() {
 	r.dead = true
 	l := r.queue
 	if r.current != nil {
--- a/internal/bench/pool/try.go
+++ b/internal/bench/pool/try.go
@@ -20,16 +20,16 @@
 type try struct {
 	ask *ask
 	job sardineknot.Job
-	// reader and runner are the engines that were granted, or nil.
-	reader *reader
-	runner *runner
+	// prefill and decode are the engines that were granted, or nil.
+	prefill *prefillEngine
+	decode  *decodeEngine
 	// cached is the time at which the prefill ended, or zero. lapsed tells that
 	// its result is lost.
 	cached time.Time
 	lapsed bool
-	// sent tells that the runner was sent the request.
+	// sent tells that the decode engine was sent the request.
 	sent bool
-	// answer is what the runner works on, or nil.
+	// answer is what the decode engine works on, or nil.
 	answer *answer
 	// events is the number of events of this try.
 	events int
@@ -71,31 +71,31 @@
 		p.drop(t)
 		p.refused(t.ask, d.RetryAfter)
 	case sardineknot.ActionDecode:
-		t.runner = p.runner(d.Server)
+		t.decode = p.findDecode(d.Server)
 		if !t.cached.IsZero() {
 			p.send(t)
 		}
 	case sardineknot.ActionPrefill:
-		t.reader = p.reader(d.Server)
-		if t.reader == nil {
-			t.runner = p.runner(d.Server)
+		t.prefill = p.findPrefill(d.Server)
+		if t.prefill == nil {
+			t.decode = p.findDecode(d.Server)
 			p.run(t, true)
 			return
 		}
-		t.reader.read(t)
+		t.prefill.read(t)
 	}
 }
 
 // prefilled notes the end of the prefill of t.
 func (p *Pool) prefilled(t *try) {
 	t.cached = p.Now()
-	p.report(t, sardineknot.JobPrefillDone, t.reader.server.Name)
-	if t.runner != nil {
+	p.report(t, sardineknot.JobPrefillDone, t.prefill.server.Name)
+	if t.decode != nil {
 		p.send(t)
 	}
 }
 
-// send moves the KV cache of t to its runner, which begins then.
+// send moves the KV cache of t to its decode engine, which begins then.
 func (p *Pool) send(t *try) {
 	t.sent = true
 	d, ok := p.transfer(t)
@@ -110,25 +110,25 @@
 	})
 }
 
-// cacheLost goes on with t after its KV cache was lost. Its runner reads the
-// prompt if that is short.
+// cacheLost goes on with t after its KV cache was lost. Its decode engine
+// reads the prompt if that is short.
 func (p *Pool) cacheLost(t *try) {
 	p.vain += t.job.PromptTokens
-	p.report(t, sardineknot.JobCacheLost, t.reader.server.Name)
+	p.report(t, sardineknot.JobCacheLost, t.prefill.server.Name)
 	if t.job.PromptTokens > sardineknot.MaxSelfRead {
-		p.fail(t, t.reader.server, false)
+		p.fail(t, t.prefill.server, false)
 		return
 	}
 	p.run(t, true)
 }
 
-// run gives t to its runner. unread tells that the runner reads the prompt.
+// run gives t to its decode engine. unread tells that this reads the prompt.
 func (p *Pool) run(t *try, unread bool) {
-	if !t.runner.accept(t, unread) {
+	if !t.decode.accept(t, unread) {
 		if !unread {
 			p.vain += t.job.PromptTokens
 		}
-		p.fail(t, t.runner.server, t.runner.dead)
+		p.fail(t, t.decode.server, t.decode.dead)
 		return
 	}
 	p.begun++
@@ -157,11 +157,11 @@
 	if t.ask.try == t {
 		t.ask.try = nil
 	}
-	if t.reader != nil && t.cached.IsZero() {
-		t.reader.drop(t)
+	if t.prefill != nil && t.cached.IsZero() {
+		t.prefill.drop(t)
 	}
 	if t.answer != nil {
-		t.runner.drop(t.answer)
+		t.decode.drop(t.answer)
 	}
 }
 
@@ -172,16 +172,16 @@
 	switch {
 	case t.events == 1:
 		t.ask.runs++
-		p.report(t, sardineknot.JobDecodeStarted, t.runner.server.Name)
+		p.report(t, sardineknot.JobDecodeStarted, t.decode.server.Name)
 	case p.Now().Sub(t.reported) >= p.pattern.ProgressEvery || p.ideal:
-		p.report(t, sardineknot.JobProgress, t.runner.server.Name)
+		p.report(t, sardineknot.JobProgress, t.decode.server.Name)
 	}
 }
 
 // finished notes the end of the answer of t.
 func (p *Pool) finished(t *try) {
 	t.answer = nil
-	p.report(t, sardineknot.JobFinished, t.runner.server.Name)
+	p.report(t, sardineknot.JobFinished, t.decode.server.Name)
 	p.drop(t)
 	p.delivered(t.ask)
 }
