bench/pool: a new owner takes over tries whose prompts are being read

Cause: reading as a newcomer: after the loss of an owner such tries were offered again while their prefill went on, and could run twice. Two fields that nothing read go.

--- a/internal/bench/pool/fault.go
+++ b/internal/bench/pool/fault.go
@@ -78,7 +78,7 @@
 		if t == nil {
 			continue
 		}
-		if t.answer == nil {
+		if t.decode == nil {
 			p.offer(t)
 			continue
 		}
@@ -87,5 +87,4 @@
 			p.decided(a.Adopt(p.Now(), sardineknot.RunningJob{Job: t.job, Grant: g, Tokens: t.events * p.pattern.EventTokens}))
 		}
 	}
-	p.held = nil
 }
--- a/internal/bench/pool/pool.go
+++ b/internal/bench/pool/pool.go
@@ -28,9 +28,8 @@
 	// create makes a scheduler, at first and when its owner is lost.
 	create    func() sardineknot.Scheduler
 	scheduler sardineknot.Scheduler
-	// down tells that no scheduler decides. held keeps the tries meanwhile.
+	// down tells that no scheduler decides.
 	down bool
-	held []*try
 	// ideal tells that there are no delays and no faults, and one engine of each
 	// stage. The decode engine has the memory, slots and speed of all; the
 	// prefill engine is as fast as all engines of both stages.
--- a/internal/bench/pool/try.go
+++ b/internal/bench/pool/try.go
@@ -27,8 +27,6 @@
 	// its result is lost.
 	cached time.Time
 	lapsed bool
-	// sent tells that the decode engine was sent the request.
-	sent bool
 	// answer is what the decode engine works on, or nil.
 	answer *answer
 	// events is the number of events of this try.
@@ -48,13 +46,9 @@
 	p.After(p.hop(), func() { p.offer(t) })
 }
 
-// offer gives t to the scheduler.
+// offer gives t to the scheduler. Without one it waits for the next.
 func (p *Pool) offer(t *try) {
-	if t.ended {
-		return
-	}
-	if p.down {
-		p.held = append(p.held, t)
+	if t.ended || p.down {
 		return
 	}
 	p.decided(p.scheduler.Submit(p.Now(), t.job))
@@ -97,7 +91,6 @@
 
 // send moves the KV cache of t to its decode engine, which begins then.
 func (p *Pool) send(t *try) {
-	t.sent = true
 	d, ok := p.transfer(t)
 	p.After(p.hop()+d, func() {
 		switch {
