--- a/entryhost.go
+++ b/entryhost.go
@@ -58,6 +58,9 @@
 	PeerAddress netip.AddrPort
 	// Zone is the availability zone of the host.
 	Zone AvailabilityZone
+	// Processor is the processor capacity of the host, in cores. Zero means
+	// unknown.
+	Processor float64
 	// State only advances within one incarnation, except that a suspect host
 	// may become alive again.
 	State EntryHostState
--- a/gatewaysettings.go
+++ b/gatewaysettings.go
@@ -29,6 +29,11 @@
 	Store netip.AddrPort
 	// MemoryMegabytes is the memory limit of the process. Zero means unlimited.
 	MemoryMegabytes int64
+	// ProcessorShare is the part of a core that the process may use, and
+	// ProcessorSpeed how many times as fast as a usual core it is. Zero means
+	// unknown for the share and 1 for the speed.
+	ProcessorShare float64
+	ProcessorSpeed float64
 	// StopLimit is the time that the platform gives the process to stop before
 	// it kills the process. Zero means 8 s.
 	StopLimit time.Duration
@@ -41,3 +46,12 @@
 	// "info".
 	LogLevel string
 }
+
+// Processor returns the processor capacity of the host in usual cores. Zero
+// means unknown.
+func (s GatewaySettings) Processor() float64 {
+	if s.ProcessorSpeed == 0 {
+		return s.ProcessorShare
+	}
+	return s.ProcessorShare * s.ProcessorSpeed
+}
--- a/internal/bench/memorysim/decode.go
+++ b/internal/bench/memorysim/decode.go
@@ -34,6 +34,8 @@
 	// version is incremented to invalidate the scheduled end of the batch.
 	version int
 	dead    bool
+	// slowdown multiplies the duration of steps. Zero means 1.
+	slowdown float64
 }
 
 // answer is the answer to a request, which a decode engine has queued or is
@@ -153,6 +155,7 @@
 		e.stepTime += time.Duration(e.chunkTokens*p.LocalPrefillFactor) * p.PrefillPerToken
 		e.steps = 1
 	}
+	e.stepTime = slowed(e.stepTime, e.slowdown)
 }
 
 // complete ends the running batch after count steps and starts the next one.
--- a/internal/bench/memorysim/fault.go
+++ b/internal/bench/memorysim/fault.go
@@ -1,6 +1,8 @@
 package memorysim
 
 import (
+	"time"
+
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/bench/pattern"
 )
@@ -36,11 +38,36 @@
 		for _, e := range d {
 			s.linkFactor[e.server.Name] = factor
 		}
+	case pattern.FaultSlowEngines:
+		s.setSlowdown(r, d, factor, on)
 	case pattern.FaultSchedulerLoss:
 		s.setSchedulerDown(on)
 	}
 }
 
+// setSlowdown makes the given engines slower by factor if on is true, and as fast
+// as usual otherwise. Prefills and steps that are running are not affected.
+func (s *Simulation) setSlowdown(prefill []*prefillEngine, decode []*decodeEngine, factor float64, on bool) {
+	if !on {
+		factor = 0
+	}
+	for _, e := range prefill {
+		e.slowdown = factor
+	}
+	for _, e := range decode {
+		e.slowdown = factor
+	}
+}
+
+// slowed returns duration on an engine with the given slowdown factor. Zero
+// means usual speed.
+func slowed(duration time.Duration, factor float64) time.Duration {
+	if factor == 0 {
+		return duration
+	}
+	return time.Duration(factor * float64(duration))
+}
+
 // affectedEngines returns the number of engines that a fault affects: the given
 // fraction of total, rounded.
 func affectedEngines(total int, share float64) int { return min(total, int(share*float64(total)+0.5)) }
--- a/internal/bench/memorysim/prefill.go
+++ b/internal/bench/memorysim/prefill.go
@@ -22,6 +22,8 @@
 	// expiring reports whether the KV cache of each prefill is lost as soon as
 	// it is complete.
 	expiring bool
+	// slowdown multiplies the duration of prefills. Zero means 1.
+	slowdown float64
 }
 
 // enqueue adds the attempt to the queue. If the engine has crashed, the attempt
@@ -46,7 +48,7 @@
 	e.version++
 	v := e.version
 	s := e.simulation
-	d := time.Duration(a.job.PromptTokens) * s.pattern.PrefillPerToken / time.Duration(e.speed)
+	d := slowed(time.Duration(a.job.PromptTokens)*s.pattern.PrefillPerToken/time.Duration(e.speed), e.slowdown)
 	s.After(d, func() {
 		if e.version == v {
 			e.complete(a)
--- a/internal/bench/pattern/constants.go
+++ b/internal/bench/pattern/constants.go
@@ -6,12 +6,12 @@
 	"sardineknot.example/sardineknot"
 )
 
-// All returns all patterns: the base pattern of each of the two deployments,
-// and variants of it with other bursts, with heavier load, with each kind of
-// fault, and with callers that disconnect early.
+// All returns all patterns: the base pattern of each deployment, and variants of
+// it with other bursts, with heavier load, with each kind of fault, and with
+// callers that disconnect early.
 func All() []Pattern {
 	var l []Pattern
-	for _, p := range []Pattern{akstursbok(), kessler()} {
+	for _, p := range []Pattern{akstursbok(), kessler(), annex()} {
 		l = append(l, p)
 		l = append(l, variants(p)...)
 	}
@@ -43,6 +43,7 @@
 		{Kind: FaultCrash, From: 18 * time.Second, Length: 5 * time.Second, Share: 0.2},
 		{Kind: FaultCacheLoss, From: 17 * time.Second, Length: 4 * time.Second, Share: 0.35},
 		{Kind: FaultSlowLinks, From: 17 * time.Second, Length: 6 * time.Second, Share: 0.3, Factor: 30},
+		{Kind: FaultSlowEngines, From: 8 * time.Second, Length: 6 * time.Second, Share: 1.0 / 6, Factor: 4.5},
 		{Kind: FaultSchedulerLoss, From: 18 * time.Second, Length: 1600 * time.Millisecond},
 	} {
 		v := base
@@ -105,7 +106,21 @@
 	}
 }
 
-// commonEngines returns the engine parameters that both deployments share.
+// annex returns the pattern of a deployment of 66 engines with few slots, which
+// one scheduler serves.
+func annex() Pattern {
+	p := akstursbok()
+	p.Name = "annex"
+	p.PrefillEngines, p.DecodeEngines = 17, 49
+	p.Slots, p.Memory = 16, 70837
+	for i, r := range []float64{60.1, 2.37} {
+		p.Kinds[i].Rate = r
+	}
+	p.Zones = append(p.Zones, "isafjordur-e", "hofn-f")
+	return p
+}
+
+// commonEngines returns the engine parameters that all deployments share.
 func commonEngines() engines {
 	return engines{
 		Queue: 2, Block: 16,
@@ -117,7 +132,7 @@
 	}
 }
 
-// commonCallers returns the caller parameters that both deployments share, for
+// commonCallers returns the caller parameters that all deployments share, for
 // two kinds of work. firstRate and secondRate are the mean numbers of requests
 // per second for firstWork and secondWork.
 func commonCallers(firstWork, secondWork sardineknot.WorkName, firstRate, secondRate float64) callers {
--- a/internal/bench/pattern/pattern.go
+++ b/internal/bench/pattern/pattern.go
@@ -20,6 +20,8 @@
 	FaultCacheLoss = "lapse"
 	// FaultSlowLinks slows down the KV cache transfers from and to engines.
 	FaultSlowLinks = "slow links"
+	// FaultSlowEngines makes engines prefill and generate more slowly.
+	FaultSlowEngines = "slow engines"
 	// FaultSchedulerLoss stops the scheduler. After the fault, a new scheduler
 	// starts without the state of the previous one.
 	FaultSchedulerLoss = "owner lost"
@@ -48,8 +50,8 @@
 	Length time.Duration
 	// Share is the fraction of the engines of each role that the fault affects.
 	Share float64
-	// Factor multiplies the duration of transfers. It applies to FaultSlowLinks
-	// only.
+	// Factor multiplies the duration of transfers for FaultSlowLinks, and that of
+	// prefills and steps for FaultSlowEngines.
 	Factor float64
 }
 
--- a/internal/caller/gateway/handler.go
+++ b/internal/caller/gateway/handler.go
@@ -219,7 +219,7 @@
 // refuse answers and logs a request that was not admitted.
 func (h *Handler) refuse(writer *answerWriter, r *http.Request, err error) {
 	s := h.sendError(writer, err)
-	h.Log.Warn().Stringer("event", sardineknot.LogCallRefused).Str("host", r.Host).Str("path", r.URL.Path).Int("status", s).Err(err).Send()
+	h.Log.Warn().Stringer("event", sardineknot.LogCallRefused).Str("called_host", r.Host).Str("path", r.URL.Path).Int("status", s).Err(err).Send()
 }
 
 // sendError sends the status code that corresponds to err, with an empty body,
--- a/internal/configuration/store/source.go
+++ b/internal/configuration/store/source.go
@@ -87,37 +87,36 @@
 
 // Apply applies a changed entry of the service. An entry with a zero revision
 // was removed. The change is not visible in Current until Commit is called.
-func (s *Source) Apply(e sardineknot.StoreEntry) {
+// Apply reports whether the entry says more than is known: most writes of
+// backend servers only show that the server is alive.
+func (s *Source) Apply(e sardineknot.StoreEntry) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if e.Revision == 0 {
-		s.removeLocked(e.Key)
-		return
+		return s.removeLocked(e.Key)
 	}
 	c, ok, err := s.Decoder.DecodeConfiguration(e)
 	if ok {
-		s.acceptLocked(c, err)
-		return
+		return s.acceptLocked(c, err)
 	}
 	b, ok, err := s.Decoder.DecodeServer(e)
-	if ok {
-		s.putLocked(e.Key, b, err)
-	}
+	return ok && s.putLocked(e.Key, b, err)
 }
 
-func (s *Source) acceptLocked(c *sardineknot.Configuration, err error) {
+func (s *Source) acceptLocked(c *sardineknot.Configuration, err error) bool {
 	if err != nil {
 		s.Log.Error().Stringer("event", sardineknot.LogConfigurationRefused).Err(err).Send()
-		return
+		return true
 	}
 	if c.Revision <= s.base.Revision {
-		return
+		return false
 	}
 	s.Log.Info().Stringer("event", sardineknot.LogConfigurationAccepted).Int64("revision", int64(c.Revision)).Int("routes", len(c.Routes)).Send()
 	s.base, s.dirty = c, true
+	return true
 }
 
-func (s *Source) putLocked(k string, b sardineknot.BackendServer, err error) {
+func (s *Source) putLocked(k string, b sardineknot.BackendServer, err error) bool {
 	o := s.servers[k]
 	if err != nil {
 		if o != nil {
@@ -125,24 +124,26 @@
 			s.dirty = true
 		}
 		s.Log.Warn().Stringer("event", sardineknot.LogServerEntryRefused).Str("server", string(b.Name)).Err(err).Send()
-		return
+		return true
 	}
 	if o != nil && o.removedAt.IsZero() && o.BackendServer == b {
-		return
+		return false
 	}
 	s.servers[k] = &server{BackendServer: b}
 	s.dirty = true
 	s.Log.Info().Stringer("event", sardineknot.LogServerKnown).Str("server", string(b.Name)).Str("address", b.Address.String()).
 		Str("service", b.Service).Str("role", string(b.Role)).Str("state", string(b.State)).Send()
+	return true
 }
 
-func (s *Source) removeLocked(k string) {
+func (s *Source) removeLocked(k string) bool {
 	o := s.servers[k]
 	if o == nil || !o.removedAt.IsZero() {
-		return
+		return false
 	}
 	o.removedAt = s.Clock.Now()
 	s.dirty = true
+	return true
 }
 
 // Commit puts all applied changes in force. It removes the servers whose
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -25,10 +25,13 @@
 	"sardineknot.example/sardineknot/internal/caller/idle"
 	configuration "sardineknot.example/sardineknot/internal/configuration/store"
 	"sardineknot.example/sardineknot/internal/host/clock"
+	"sardineknot.example/sardineknot/internal/membership/followers"
 	"sardineknot.example/sardineknot/internal/membership/rendezvous"
 	membership "sardineknot.example/sardineknot/internal/membership/store"
 	"sardineknot.example/sardineknot/internal/peer/h2c"
+	"sardineknot.example/sardineknot/internal/platform/changelog"
 	"sardineknot.example/sardineknot/internal/platform/mirror"
+	feed "sardineknot.example/sardineknot/internal/platform/twirp"
 	"sardineknot.example/sardineknot/internal/policy/memory"
 	"sardineknot.example/sardineknot/internal/slots/twirp"
 )
@@ -41,13 +44,6 @@
 	// garbage collection. It is below the default of 100 because memory is
 	// scarcer than processor time.
 	gcPercent = 50
-	// pollDelay is the base delay between two calls that returned changes of the
-	// store. pollDelayPerHost is added for each entry host, because every host
-	// polls the store. maxPollDelay limits the sum, so that changes take effect
-	// in time.
-	pollDelay        = 250 * time.Millisecond
-	pollDelayPerHost = 8 * time.Millisecond
-	maxPollDelay     = 750 * time.Millisecond
 	// refreshInterval is the interval at which time-dependent state, such as
 	// expired exclusions and grace periods, is updated.
 	refreshInterval = 300 * time.Millisecond
@@ -57,6 +53,10 @@
 	// slotSettlingTime is the time that a new owner of a shard waits for other
 	// hosts to announce the running jobs of the shard.
 	slotSettlingTime = 300 * time.Millisecond
+	// maxShardServers is the number of engines up to which one host decides
+	// about a whole pool. In a divided pool, jobs wait in one part while engines
+	// of another are free.
+	maxShardServers = 128
 	// orphanGracePeriod is the time for which a host must be dead before its
 	// jobs are cancelled.
 	orphanGracePeriod = 2 * time.Second
@@ -82,8 +82,8 @@
 	// EngineOrders sends orders to engines.
 	EngineOrders sardineknot.EngineOrderClient
 	// NewLookupHandler returns the handler for callers that look up which entry
-	// hosts to use. hosts returns the hosts that are alive.
-	NewLookupHandler func(hosts func() []sardineknot.EntryHost) http.Handler
+	// hosts to use, which directory selects.
+	NewLookupHandler func(directory sardineknot.HostDirectory) http.Handler
 	// NewReadyHandler returns the handler for the platform's readiness checks.
 	// ready reports whether this host accepts calls.
 	NewReadyHandler func(ready func() bool) http.Handler
@@ -100,14 +100,24 @@
 	// Metrics holds all metrics of the process.
 	Metrics metrics.Registry
 
-	// settingsLock guards the fields of Settings that a reload changes.
+	// settingsLock guards lastRead and the fields of Settings that a reload
+	// changes.
 	settingsLock sync.Mutex
+	// lastRead holds the settings that were read last. They differ from Settings
+	// if a change requires a restart.
+	lastRead sardineknot.GatewaySettings
 
 	clock    clock.System
 	registry *membership.Registry
 	source   *configuration.Source
 	mirror   *mirror.Mirror
-	handler  *caller.Handler
+	// entries holds what this host has read from the key-value service. feed
+	// reads it, and serves it to other hosts.
+	entries *changelog.Log
+	feed    *feed.Feed
+	// followers selects the hosts that read from the key-value service.
+	followers *followers.Selector
+	handler   *caller.Handler
 	// connections tracks the connections of callers.
 	connections *idle.Connections
 	slots       *twirp.Pool
@@ -119,6 +129,7 @@
 // gracefully. It returns early, with the error, if a server or a task fails.
 func (p *Process) Run(ctx context.Context) error {
 	p.setMemoryLimit()
+	p.lastRead = p.Settings
 	p.assemble()
 	g, w := errgroup.WithContext(context.WithoutCancel(ctx))
 	w, cancel := context.WithCancel(w)
@@ -167,17 +178,15 @@
 		CallerAddress: s.CallerAddress,
 		PeerAddress:   s.PeerAddress,
 		Zone:          s.Zone,
+		Processor:     s.Processor(),
 	}
-	p.mirror = &mirror.Mirror{Feed: p.Feed, Clock: p.clock, Sleep: p.clock.Sleep, PollDelay: p.pollDelay, Log: p.Log}
 	p.registry = membership.NewRegistry(h)
+	p.peers = h2c.NewTransport(p.Metrics)
+	p.addFeed()
 	p.registry.Store, p.registry.Clock, p.registry.Reachability, p.registry.Log = p.Store, p.clock, p.mirror.Reachability, p.Log
 	p.source = configuration.NewSource()
 	p.source.Decoder, p.source.Clock, p.source.Reachability, p.source.Log = p.EntryDecoder, p.clock, p.mirror.Reachability, p.Log
-	p.mirror.OnChange = func(e sardineknot.StoreEntry) {
-		p.registry.Apply(e)
-		p.source.Apply(e)
-	}
-	p.mirror.OnBatch = p.source.Commit
+	p.mirror.OnChange, p.mirror.OnBatch = p.applyEntry, p.commitEntries
 	p.addSlots()
 	p.addCallHandler(h)
 }
@@ -185,7 +194,6 @@
 // addSlots creates the slot pool, which grants engines to jobs.
 func (p *Process) addSlots() {
 	n := uint64(p.registry.Self().Incarnation)
-	p.peers = h2c.NewTransport(p.Metrics)
 	p.slots = &twirp.Pool{
 		Members:           p.registry,
 		Ranker:            rendezvous.NewRanker(p.registry),
@@ -198,6 +206,7 @@
 		HeartbeatInterval: slotHeartbeatInterval,
 		OwnerUnreachable:  p.registry.Exclude,
 		ActAsOwner:        true,
+		MaxShardServers:   maxShardServers,
 	}
 }
 
@@ -225,12 +234,6 @@
 	}
 }
 
-// pollDelay returns the delay between two calls that return changes of the
-// store.
-func (p *Process) pollDelay() time.Duration {
-	return min(maxPollDelay, pollDelay+time.Duration(len(p.registry.Hosts()))*pollDelayPerHost)
-}
-
 // refresh periodically commits the configuration, updates the membership and
 // cancels orphaned jobs, until ctx is done. It always returns nil.
 func (p *Process) refresh(ctx context.Context) error {
--- a/internal/host/gateway/reload.go
+++ b/internal/host/gateway/reload.go
@@ -40,9 +40,10 @@
 	}
 	p.settingsLock.Lock()
 	defer p.settingsLock.Unlock()
-	if s == p.Settings {
+	if s == p.lastRead {
 		return
 	}
+	p.lastRead = s
 	r := needsRestart(p.Settings, s)
 	p.Log.Info().Stringer("event", sardineknot.LogSettingsChanged).Float64("retry_ratio", s.RetryRatio).Float64("retry_slack", s.RetrySlack).
 		Dur("stop_limit_ms", s.StopLimit).Bool("needs_restart", r).Send()
--- a/internal/host/gateway/servers.go
+++ b/internal/host/gateway/servers.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/caller/lookup"
 	"sardineknot.example/sardineknot/internal/peer/h2c"
 	"sardineknot.example/sardineknot/internal/report/exposition"
 )
@@ -22,28 +23,18 @@
 func (p *Process) servers() []endpoint {
 	m := http.NewServeMux()
 	m.Handle(p.slots.Handler())
+	m.Handle(p.feed.Handler())
 	return []endpoint{
 		{p.Settings.CallerAddress, &http.Server{
 			Handler: p.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: p.connections.Track,
 		}},
-		{p.Settings.LookupAddress, &http.Server{Handler: p.NewLookupHandler(p.aliveHosts), ReadHeaderTimeout: headerTimeout}},
+		{p.Settings.LookupAddress, &http.Server{Handler: p.NewLookupHandler(lookup.NewDirectory(p.registry)), ReadHeaderTimeout: headerTimeout}},
 		{p.Settings.ReadyAddress, &http.Server{Handler: p.NewReadyHandler(p.ready), ReadHeaderTimeout: headerTimeout}},
 		{p.Settings.MetricsAddress, &http.Server{Handler: http.HandlerFunc(p.serveMetrics), ReadHeaderTimeout: headerTimeout}},
 		{p.Settings.PeerAddress, h2c.NewServer(m)},
 	}
 }
 
-// aliveHosts returns the entry hosts that are alive, which callers may use.
-func (p *Process) aliveHosts() []sardineknot.EntryHost {
-	var l []sardineknot.EntryHost
-	for _, h := range p.registry.Hosts() {
-		if h.State == sardineknot.EntryHostAlive {
-			l = append(l, h)
-		}
-	}
-	return l
-}
-
 // ready reports whether the host accepts calls: it has a configuration and is
 // alive.
 func (p *Process) ready() bool {
--- a/internal/host/logline/writer.go
+++ b/internal/host/logline/writer.go
@@ -85,7 +85,8 @@
 // parseFields appends the members of the JSON object data to w.fields.
 func (w *writer) parseFields(data []byte) error {
 	d := &w.decoder
-	d.Reset(bytes.NewBuffer(data))
+	// A field that occurs twice must not cost the line.
+	d.Reset(bytes.NewBuffer(data), jsontext.AllowDuplicateNames(true))
 	_, err := d.ReadToken()
 	if err != nil {
 		return err
--- a/internal/host/logline/writer_test.go
+++ b/internal/host/logline/writer_test.go
@@ -30,6 +30,16 @@
 	is.New(t).Equal(s, `warn event=tested empty="" error="rejected \"x\"\non line 2" host=a list="[\"x\",\"y z\"]" took_ms=1.5`+"\n")
 }
 
+// TestRepeatedField guards against the loss of a whole line because one of its
+// fields is also a field of the logger.
+func TestRepeatedField(t *testing.T) {
+	var b bytes.Buffer
+	l := NewLogger(&b, zerolog.InfoLevel).With().Str("host", "a").Logger()
+	l.Info().Str("event", "tested").Str("host", "b").Send()
+	_, s, _ := strings.Cut(b.String(), " level=")
+	is.New(t).Equal(strings.TrimSpace(s), "info event=tested host=a host=b")
+}
+
 func BenchmarkLine(b *testing.B) {
 	l := NewLogger(io.Discard, zerolog.InfoLevel).With().Str("host", "front-1").Logger()
 	b.ReportAllocs()
--- /dev/null
+++ b/internal/membership/followers/selector_test.go
@@ -0,0 +1,96 @@
+package followers_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/membership/followers"
+)
+
+// members is a fake sardineknot.Membership of one host.
+type members struct {
+	sardineknot.Membership
+	self  int
+	hosts []sardineknot.EntryHost
+}
+
+func (m *members) Self() sardineknot.EntryHost    { return m.hosts[m.self] }
+func (m *members) Hosts() []sardineknot.EntryHost { return m.hosts }
+
+// newHosts returns hosts that are spread evenly over zones.
+func newHosts(count, zones int) []sardineknot.EntryHost {
+	var l []sardineknot.EntryHost
+	for i := range count {
+		l = append(l, sardineknot.EntryHost{ID: sardineknot.EntryHostID(fmt.Sprint(i)), Zone: sardineknot.AvailabilityZone(fmt.Sprint(i % zones))})
+	}
+	return l
+}
+
+// selected returns the followers of each zone.
+func selected(hosts []sardineknot.EntryHost) map[sardineknot.AvailabilityZone][]sardineknot.EntryHost {
+	m := make(map[sardineknot.AvailabilityZone][]sardineknot.EntryHost)
+	for i, h := range hosts {
+		if followers.NewSelector(&members{self: i, hosts: hosts}).FollowsStore() {
+			m[h.Zone] = append(m[h.Zone], h)
+		}
+	}
+	return m
+}
+
+func TestSelector(t *testing.T) {
+	t.Run("two hosts of each zone follow the service", func(t *testing.T) {
+		is := is.New(t)
+		f := selected(newHosts(295, 6))
+		is.Equal(len(f), 6)
+		for _, l := range f {
+			is.Equal(len(l), 2)
+		}
+	})
+	t.Run("all hosts of a small zone do", func(t *testing.T) {
+		is.New(t).Equal(len(selected(newHosts(4, 4))), 4)
+	})
+	t.Run("strong hosts do before weak ones", func(t *testing.T) {
+		is := is.New(t)
+		l := newHosts(60, 3)
+		for i := range l {
+			l[i].Processor = 0.2
+			if i < 6 {
+				l[i].Processor = 0.8
+			}
+		}
+		for _, f := range selected(l) {
+			is.Equal(len(f), 2)
+			is.Equal(f[0].Processor, 0.8)
+			is.Equal(f[1].Processor, 0.8)
+		}
+	})
+	t.Run("a dead follower is replaced", func(t *testing.T) {
+		is := is.New(t)
+		l := newHosts(60, 3)
+		f := selected(l)["0"][0]
+		for i := range l {
+			if l[i].ID == f.ID {
+				l[i].State = sardineknot.EntryHostDead
+			}
+		}
+		n := 0
+		for _, h := range selected(l)["0"] {
+			if h.State == sardineknot.EntryHostAlive {
+				n++
+			}
+		}
+		is.Equal(n, 2)
+	})
+	t.Run("peers of the own zone come first", func(t *testing.T) {
+		is := is.New(t)
+		l := newHosts(60, 3)
+		for i := range l {
+			p := followers.NewSelector(&members{self: i, hosts: l}).Peers()
+			is.True(len(p) == 6 || len(p) == 5)
+			is.Equal(p[0].Zone, l[i].Zone)
+		}
+	})
+}
--- a/internal/membership/store/decode.go
+++ b/internal/membership/store/decode.go
@@ -23,7 +23,7 @@
 	if err != nil {
 		return sardineknot.EntryHost{}, errors.WithStack(err)
 	}
-	h := sardineknot.EntryHost{ID: i, Incarnation: v.Incarnation, CallerAddress: c, PeerAddress: p, Zone: v.Zone}
+	h := sardineknot.EntryHost{ID: i, Incarnation: v.Incarnation, CallerAddress: c, PeerAddress: p, Zone: v.Zone, Processor: v.Processor}
 	if v.Leaving {
 		h.State = sardineknot.EntryHostLeaving
 	}
--- a/internal/membership/store/key.go
+++ b/internal/membership/store/key.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -13,20 +14,22 @@
 type hostKey struct {
 	registry *Registry
 	name     string
-	// lease is the lease of the key, or zero if there is none.
+	// lease is the lease of the key, or zero if there is none. ttl is its time
+	// to live.
 	lease sardineknot.LeaseID
+	ttl   time.Duration
 	// revision is the store revision of the key that was last written or read.
 	revision sardineknot.StoreRevision
 	// upToDate reports whether the store holds the current state of this host.
 	upToDate bool
 }
 
-// maintain renews the lease and writes the key if necessary. It logs a failure;
-// the next call retries.
-func (k *hostKey) maintain(ctx context.Context) {
+// maintain renews the lease, which is to have the given time to live, and
+// writes the key if necessary. It logs a failure; the next call retries.
+func (k *hostKey) maintain(ctx context.Context, ttl time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := k.renew(ctx)
+	err := k.renew(ctx, ttl)
 	if err == nil && !k.upToDate {
 		err = k.put(ctx)
 	}
@@ -35,20 +38,31 @@
 	}
 }
 
-// renew renews the lease, or obtains a new one if there is none or it has
-// expired. A new lease requires the key to be written again.
-func (k *hostKey) renew(ctx context.Context) error {
+// renew renews the lease, or obtains a new one if there is none, if it has
+// expired, or if its time to live is far from ttl. A new lease requires the key
+// to be written again. An old lease is left to expire.
+func (k *hostKey) renew(ctx context.Context, ttl time.Duration) error {
 	var u *sardineknot.UnknownError
-	if k.lease != 0 {
+	if k.lease != 0 && k.fits(ttl) {
 		err := k.registry.Store.KeepAlive(ctx, k.lease)
 		if !errors.As(err, &u) {
 			return err
 		}
 	}
 	k.upToDate = false
-	var err error
-	k.lease, err = k.registry.Store.GrantLease(ctx, leaseTTL)
-	return err
+	i, err := k.registry.Store.GrantLease(ctx, ttl)
+	if err != nil {
+		return err
+	}
+	k.lease, k.ttl = i, ttl
+	return nil
+}
+
+// fits reports whether the time to live of the lease is close enough to ttl: a
+// lease that is too short lapses between renewals, and one that is too long
+// keeps the key of a host that has failed.
+func (k *hostKey) fits(ttl time.Duration) bool {
+	return k.ttl >= ttl*9/10 && k.ttl <= ttl*3/2
 }
 
 // put writes the key. On a conflict it overwrites the stored value, which was
@@ -88,6 +102,7 @@
 		CallerAddress: h.CallerAddress.String(),
 		PeerAddress:   h.PeerAddress.String(),
 		Zone:          h.Zone,
+		Processor:     h.Processor,
 		Leaving:       h.State == sardineknot.EntryHostLeaving,
 	})
 	return b
--- a/internal/membership/store/registry.go
+++ b/internal/membership/store/registry.go
@@ -24,21 +24,33 @@
 const (
 	// KeyPrefix is the prefix of the keys of entry hosts.
 	KeyPrefix = "hosts/"
-	// leaseTTL is the time to live of the lease of a host's key.
-	leaseTTL = 1600 * time.Millisecond
-	// renewInterval is the time between renewals of the lease.
-	renewInterval = 450 * time.Millisecond
+	// minRenewInterval and maxRenewInterval bound the time between renewals of
+	// the lease. In between, renewInterval makes all hosts together renew
+	// renewalsPerSecond times a second.
+	minRenewInterval  = 450 * time.Millisecond
+	maxRenewInterval  = 1200 * time.Millisecond
+	renewalsPerSecond = 300
+	// leaseTTL is the time to live of the lease of a host's key, in renewal
+	// intervals.
+	leaseTTL = 3.5
 	// callTimeout bounds one attempt to renew the lease and write the key.
 	callTimeout = 600 * time.Millisecond
 	// minExclusionTime and maxExclusionTime bound the time for which a host
-	// that did not answer is excluded. The time doubles with each exclusion of
-	// the same incarnation.
+	// that did not answer is excluded. The time is at least the time to live of
+	// leases, so that the key of a host that has failed is gone before the
+	// exclusion ends. It doubles with each exclusion of the same incarnation.
 	minExclusionTime = 2 * time.Second
 	maxExclusionTime = 15 * time.Second
+	// exclusionMemory is the time after the end of an exclusion in which another
+	// one is longer. A host that was in use for longer has recovered.
+	exclusionMemory = 30 * time.Second
 	// reregistrationGrace is the time after an outage of the service during
 	// which hosts whose keys were removed are kept, so that they can write
 	// their keys again.
 	reregistrationGrace = 3 * time.Second
+	// maxLoggedNames is the maximum number of hosts whose names a log line
+	// lists.
+	maxLoggedNames = 8
 )
 
 // Registry implements sardineknot.Membership. It is safe for concurrent use.
@@ -65,6 +77,9 @@
 	changed chan struct{}
 	// rewrite signals Run to write the key of this host again.
 	rewrite chan struct{}
+	// joined and gone hold the hosts that were added and removed since the last
+	// log line about them.
+	joined, gone []string
 }
 
 // member is the state of another host.
@@ -85,6 +100,7 @@
 	CallerAddress string
 	PeerAddress   string
 	Zone          sardineknot.AvailabilityZone
+	Processor     float64
 	Leaving       bool
 }
 
@@ -154,7 +170,10 @@
 	if m == nil || t.Before(m.excludedUntil) {
 		return
 	}
-	m.exclusionTime = min(maxExclusionTime, max(minExclusionTime, 2*m.exclusionTime))
+	if t.Sub(m.excludedUntil) > exclusionMemory {
+		m.exclusionTime = 0
+	}
+	m.exclusionTime = min(maxExclusionTime, max(minExclusionTime, ttlFor(len(r.list)), 2*m.exclusionTime))
 	m.excludedUntil = t.Add(m.exclusionTime)
 	r.Log.Warn().Stringer("event", sardineknot.LogHostSetAside).Str("peer", string(n)).Dur("for_ms", m.exclusionTime).Send()
 	r.refreshLocked()
@@ -174,11 +193,13 @@
 }
 
 // Apply applies a changed entry of the key-value service. An entry with a zero
-// revision was removed. Entries of other keys are ignored.
-func (r *Registry) Apply(e sardineknot.StoreEntry) {
+// revision was removed. Entries of other keys are ignored. The change is not
+// visible in Hosts until Refresh is called. Apply reports whether the entry is
+// that of a host.
+func (r *Registry) Apply(e sardineknot.StoreEntry) bool {
 	n, ok := strings.CutPrefix(e.Key, KeyPrefix)
 	if !ok {
-		return
+		return false
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -187,25 +208,25 @@
 		if e.Revision == 0 {
 			r.requestWrite()
 		}
-		return
+		return true
 	}
 	if e.Revision == 0 {
 		r.removeLocked(i)
-		return
+		return true
 	}
 	h, err := decode(i, e.Value)
 	if err != nil {
 		r.Log.Warn().Stringer("event", sardineknot.LogHostEntryRefused).Str("peer", n).Err(err).Send()
-		return
+		return true
 	}
 	r.addLocked(h)
+	return true
 }
 
 func (r *Registry) removeLocked(i sardineknot.EntryHostID) {
 	if m := r.hosts[i]; m != nil && m.keyRemovedAt.IsZero() {
 		m.keyRemovedAt = r.Clock.Now()
 	}
-	r.refreshLocked()
 }
 
 func (r *Registry) addLocked(h sardineknot.EntryHost) {
@@ -213,15 +234,15 @@
 	if m == nil || m.host.Incarnation != h.Incarnation {
 		m = &member{}
 		r.hosts[h.ID] = m
-		r.Log.Info().Stringer("event", sardineknot.LogHostJoined).Str("peer", string(h.ID)).Str("address", h.CallerAddress.String()).Send()
+		r.joined = append(r.joined, string(h.ID))
 	}
 	m.host = h
 	m.keyRemovedAt = time.Time{}
-	r.refreshLocked()
 }
 
-// Refresh ends exclusions whose time has passed and removes hosts whose keys
-// were removed, except during an outage of the service and shortly after it.
+// Refresh puts all applied changes in force. It ends exclusions whose time has
+// passed and removes hosts whose keys were removed, except during an outage of
+// the service and shortly after it.
 func (r *Registry) Refresh() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -236,7 +257,7 @@
 	for i, m := range r.hosts {
 		if r.expiredLocked(n, m) {
 			delete(r.hosts, i)
-			r.Log.Info().Stringer("event", sardineknot.LogHostGone).Str("peer", string(i)).Send()
+			r.gone = append(r.gone, string(i))
 			continue
 		}
 		h := m.host
@@ -246,6 +267,7 @@
 		l = append(l, h)
 	}
 	slices.SortFunc(l, func(a, b sardineknot.EntryHost) int { return cmp.Compare(a.ID, b.ID) })
+	r.logChangesLocked(len(l))
 	if slices.Equal(l, r.list) {
 		return
 	}
@@ -254,6 +276,43 @@
 	r.changed = make(chan struct{})
 }
 
+// logChangesLocked writes one line about all hosts that joined or went since
+// the last line, so that the number of lines does not grow with the number of
+// hosts. count is the number of known hosts.
+func (r *Registry) logChangesLocked(count int) {
+	if len(r.joined)+len(r.gone) == 0 {
+		return
+	}
+	slices.Sort(r.joined)
+	slices.Sort(r.gone)
+	r.Log.Info().Stringer("event", sardineknot.LogHostsChanged).Int("hosts", count).
+		Int("joined", len(r.joined)).Str("joined_peers", someNames(r.joined)).
+		Int("gone", len(r.gone)).Str("gone_peers", someNames(r.gone)).Send()
+	r.joined, r.gone = nil, nil
+}
+
+// someNames returns the first maxLoggedNames of names, separated by commas.
+func someNames(names []string) string {
+	return strings.Join(names[:min(len(names), maxLoggedNames)], ",")
+}
+
+// renewIntervalFor returns the time between renewals of the lease of a host that
+// knows the given number of hosts. It is the longest one for a host that knows
+// no other, because a new lease after each join of a large fleet costs more than
+// a longer one in a small fleet.
+func renewIntervalFor(hosts int) time.Duration {
+	if hosts == 1 {
+		return maxRenewInterval
+	}
+	return min(maxRenewInterval, max(minRenewInterval, time.Duration(hosts)*time.Second/renewalsPerSecond))
+}
+
+// ttlFor returns the time to live of the lease of a host that knows the given
+// number of hosts.
+func ttlFor(hosts int) time.Duration {
+	return time.Duration(leaseTTL * float64(renewIntervalFor(hosts)))
+}
+
 // expiredLocked reports whether host m is to be removed: its key was removed,
 // and the service has answered for longer than reregistrationGrace. Before
 // that, the host may still write its key again, because an outage of the
@@ -270,17 +329,19 @@
 // expire with its lease.
 func (r *Registry) Run(ctx context.Context) error {
 	k := &hostKey{registry: r, name: KeyPrefix + string(r.Self().ID)}
-	t := time.NewTicker(renewInterval)
-	defer t.Stop()
 	for {
-		k.maintain(ctx)
+		n := len(r.Hosts())
+		t := time.NewTimer(renewIntervalFor(n))
+		k.maintain(ctx, ttlFor(n))
 		select {
 		case <-r.rewrite:
 			k.upToDate = false
 		case <-t.C:
 			r.Refresh()
 		case <-ctx.Done():
+			t.Stop()
 			return nil
 		}
+		t.Stop()
 	}
 }
--- a/internal/membership/store/registry_test.go
+++ b/internal/membership/store/registry_test.go
@@ -1,8 +1,10 @@
 package store_test
 
 import (
+	"bytes"
 	"context"
 	"net/netip"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -26,6 +28,8 @@
 	// leases maps each lease to whether it is still valid.
 	leases   map[sardineknot.LeaseID]bool
 	revision sardineknot.StoreRevision
+	// ttl is the time to live of the lease granted last.
+	ttl time.Duration
 	// notify holds the functions that are called with each change.
 	notify []func(sardineknot.StoreEntry)
 	// loseReply makes the next write take effect but return an error.
@@ -33,6 +37,14 @@
 	sardineknot.Store
 }
 
+// hostEntry returns the entry of the host with the given number.
+func hostEntry(number int) sardineknot.StoreEntry {
+	return sardineknot.StoreEntry{
+		Key:   store.KeyPrefix + strconv.Itoa(number),
+		Value: []byte(`{"Incarnation":1,"CallerAddress":"127.0.0.1:1","PeerAddress":"127.0.0.1:1","Zone":"z"}`),
+	}
+}
+
 func newService() *service {
 	return &service{entries: make(map[string]sardineknot.StoreEntry), leases: make(map[sardineknot.LeaseID]bool)}
 }
@@ -43,9 +55,10 @@
 	return s.entries[k], nil
 }
 
-func (s *service) GrantLease(context.Context, time.Duration) (sardineknot.LeaseID, error) {
+func (s *service) GrantLease(_ context.Context, ttl time.Duration) (sardineknot.LeaseID, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.ttl = ttl
 	n := sardineknot.LeaseID(len(s.leases) + 1)
 	s.leases[n] = true
 	return n, nil
@@ -105,7 +118,10 @@
 	r.Store, r.Clock, r.Log = s, clock.System{}, zerolog.Nop()
 	r.Reachability = func() (bool, time.Time) { return true, time.Time{} }
 	s.mu.Lock()
-	s.notify = append(s.notify, r.Apply)
+	s.notify = append(s.notify, func(e sardineknot.StoreEntry) {
+		r.Apply(e)
+		r.Refresh()
+	})
 	for _, e := range s.entries {
 		r.Apply(e)
 	}
@@ -176,6 +192,30 @@
 		is.Equal(aliveHosts(a), "a")
 		is.Equal(aliveHosts(b), "a")
 	})
+	run(t, "small fleets renew often and large ones seldom", func(t *testing.T, is *is.I, s *service) {
+		for i := range 299 {
+			s.putLocked(hostEntry(i))
+		}
+		start(t, s, "a")
+		advance(10 * time.Second)
+		is.Equal(s.ttl, 4200*time.Millisecond)
+		s.expireLeases()
+		start(t, s, "b")
+		advance(10 * time.Second)
+		is.Equal(s.ttl, 1575*time.Millisecond)
+	})
+	run(t, "an exclusion long ago does not lengthen the next", func(t *testing.T, is *is.I, s *service) {
+		a := start(t, s, "a")
+		start(t, s, "b")
+		advance(time.Second)
+		for range 3 {
+			a.Exclude("b")
+			advance(time.Minute)
+		}
+		a.Exclude("b")
+		advance(4 * time.Second)
+		is.Equal(aliveHosts(a), "a b")
+	})
 	run(t, "host that does not answer is excluded temporarily", func(t *testing.T, is *is.I, s *service) {
 		a := start(t, s, "a")
 		start(t, s, "b")
@@ -186,3 +226,22 @@
 		is.Equal(aliveHosts(a), "a b")
 	})
 }
+
+// TestHostLines covers the start of a large fleet: each host learns of each
+// other, and must not write a line for each.
+func TestHostLines(t *testing.T) {
+	is := is.New(t)
+	var b bytes.Buffer
+	r := store.NewRegistry(sardineknot.EntryHost{ID: "self", Incarnation: 1})
+	r.Log, r.Clock = zerolog.New(&b), clock.System{}
+	r.Reachability = func() (bool, time.Time) { return true, time.Time{} }
+	for i := range 295 {
+		e := hostEntry(i)
+		e.Revision = 1
+		r.Apply(e)
+	}
+	r.Refresh()
+	is.Equal(strings.Count(b.String(), "\n"), 1)
+	is.True(strings.Contains(b.String(), `"joined":295`))
+	is.True(b.Len() < 400)
+}
--- a/internal/operator/settings/gateway.go
+++ b/internal/operator/settings/gateway.go
@@ -43,6 +43,9 @@
 	if s.RetryRatio < 0 || s.RetrySlack < 0 {
 		d.ReportValue("/RetryRatio", s.RetryRatio, "RetryRatio and RetrySlack of at least 0")
 	}
+	if s.ProcessorShare < 0 || s.ProcessorSpeed < 0 {
+		d.ReportValue("/ProcessorShare", s.ProcessorShare, "ProcessorShare and ProcessorSpeed of at least 0")
+	}
 	if s.StopLimit < 0 || s.StopLimit > maxDuration {
 		d.ReportValue("/StopLimit", s.StopLimit, "0s to 1h")
 	}
--- a/internal/orders/roles/controller.go
+++ b/internal/orders/roles/controller.go
@@ -1,7 +1,7 @@
 // Package roles runs on the owners of pool shards and orders engines to
 // change their roles.
 //
-// Each shard has at most one role change at a time, followed by a cooldown. A
+// Each shard has one group of role changes at a time, followed by a cooldown. A
 // host sends orders only after it has owned the shard for some time, so that
 // two hosts between which the ownership alternates do not send alternating
 // orders. In addition, the ledger separates the orders of different hosts to
@@ -10,9 +10,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/orders/ledger"
@@ -32,6 +34,12 @@
 	cooldownRounds = 12
 	// callTimeout bounds the time to query the states of a shard's engines.
 	callTimeout = 500 * time.Millisecond
+	// maxConcurrentCalls is the maximum number of concurrent queries and orders
+	// of a shard.
+	maxConcurrentCalls = 8
+	// enginesPerFailure is the number of engines for each of which one may fail
+	// to answer without delaying role changes.
+	enginesPerFailure = 16
 	// orderTimeout bounds an order, including the wait in the ledger.
 	orderTimeout = 8 * time.Second
 )
@@ -41,6 +49,9 @@
 type Controller struct {
 	// OwnedShards returns the shards that this host owns.
 	OwnedShards func() []shard.Shard
+	// PrefillShare returns the share of the engines of the named shard that
+	// prefills occupy. ok is false if it is unknown.
+	PrefillShare func(name string) (share float64, ok bool)
 	// Engine queries engines and sends them orders.
 	Engine sardineknot.EngineOrderClient
 	// Ledger issues the orders with their fencing tokens.
@@ -78,40 +89,68 @@
 	o := make(map[string]int)
 	for _, s := range c.OwnedShards() {
 		o[s.Name] = 0
-		n, ok := rolebalance.Next(s.Servers)
+		v, ok := c.PrefillShare(s.Name)
+		if !ok {
+			v = 0
+		}
+		n := rolebalance.Plan(s.Servers, v)
 		if c.cooldown[s.Name] > 0 {
 			c.cooldown[s.Name]--
 			continue
 		}
-		if !ok {
+		if len(n) == 0 {
 			continue
 		}
 		o[s.Name] = c.steadyRounds[s.Name] + 1
 		if o[s.Name] >= minSteadyRounds && !c.isChanging(ctx, s) {
 			o[s.Name] = 0
 			c.cooldown[s.Name] = cooldownRounds
-			c.sendOrder(ctx, n)
+			c.sendOrders(ctx, n)
 		}
 	}
 	c.steadyRounds = o
 }
 
 // isChanging reports whether an engine of the shard is loading, has a role
-// other than the declared one, or cannot be queried. It ignores engines that
-// accept no new work.
+// other than the declared one, or, in a small shard, cannot be queried. In a
+// large shard some engine is always failing, and must not keep the others from
+// changing. Engines that accept no new work are ignored.
 func (c *Controller) isChanging(ctx context.Context, definition shard.Shard) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	for _, b := range definition.Servers {
-		if b.State != sardineknot.BackendJoining {
-			continue
-		}
-		e, l, err := c.Engine.State(ctx, b)
-		if err != nil || l || e.Role != b.Role {
-			return true
-		}
+	var g errgroup.Group
+	g.SetLimit(maxConcurrentCalls)
+	var a, f atomic.Int64
+	l := definition.JoiningServers()
+	for _, b := range l {
+		g.Go(func() error {
+			e, u, err := c.Engine.State(ctx, b)
+			switch {
+			case err != nil:
+				f.Add(1)
+			case u || e.Role != b.Role:
+				a.Add(1)
+			}
+			return nil
+		})
+	}
+	// The queries count their failures and return nil.
+	_ = g.Wait()
+	return a.Load() > 0 || int(f.Load()) > len(l)/enginesPerFailure
+}
+
+// sendOrders sends the orders for changes, several at a time.
+func (c *Controller) sendOrders(ctx context.Context, changes []rolebalance.RoleChange) {
+	var g errgroup.Group
+	g.SetLimit(maxConcurrentCalls)
+	for _, n := range changes {
+		g.Go(func() error {
+			c.sendOrder(ctx, n)
+			return nil
+		})
 	}
-	return false
+	// The orders log their errors and return nil.
+	_ = g.Wait()
 }
 
 // sendOrder issues an order through the ledger, sends it to the engine and
--- /dev/null
+++ b/internal/platform/changelog/log.go
@@ -0,0 +1,149 @@
+package changelog
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sardineknot.example/sardineknot"
+)
+
+// maxChanges is the number of changes that are kept besides the current
+// entries. Readers that are further behind read all entries again.
+const maxChanges = 4096
+
+// Log holds the current entries and the recent changes. It is safe for
+// concurrent use. Use NewLog to create one.
+type Log struct {
+	mu sync.Mutex
+	// entries holds the current entries by key.
+	entries map[string]sardineknot.StoreEntry
+	// pending holds the changes recorded since the last Commit.
+	pending []sardineknot.StoreEntry
+	// batches holds the kept batches in the order of their revisions. None is
+	// empty.
+	batches []batch
+	// changes is the number of changes in batches.
+	changes int
+	// start is the revision after which batches is complete. end is the
+	// revision up to which the log is complete. Both are zero before the first
+	// Commit.
+	start, end sardineknot.StoreRevision
+	// grown is closed and replaced when a batch is added.
+	grown chan struct{}
+}
+
+// batch is a group of changes that were recorded together.
+type batch struct {
+	// end is the revision up to which the log is complete with this batch.
+	end     sardineknot.StoreRevision
+	changes []sardineknot.StoreEntry
+}
+
+// NewLog returns an empty log.
+func NewLog() *Log {
+	return &Log{entries: make(map[string]sardineknot.StoreEntry), grown: make(chan struct{})}
+}
+
+// Record records a change. An entry with a zero revision was removed. Readers
+// do not see the change before the next Commit.
+func (l *Log) Record(entry sardineknot.StoreEntry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.pending = append(l.pending, entry)
+}
+
+// Commit makes the recorded changes visible to readers. The log is then
+// complete up to revision.
+func (l *Log) Commit(revision sardineknot.StoreRevision) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, e := range l.pending {
+		if e.Revision == 0 {
+			delete(l.entries, e.Key)
+			continue
+		}
+		l.entries[e.Key] = e
+	}
+	if l.end == 0 {
+		l.start = revision
+		l.pending = nil
+	}
+	l.end = max(l.end, revision)
+	if len(l.pending) == 0 {
+		return
+	}
+	l.batches = append(l.batches, batch{end: l.end, changes: l.pending})
+	l.changes += len(l.pending)
+	l.pending = nil
+	l.trimLocked()
+	close(l.grown)
+	l.grown = make(chan struct{})
+}
+
+// trimLocked discards the oldest batches until at most maxChanges changes are
+// left.
+func (l *Log) trimLocked() {
+	n := 0
+	for l.changes > maxChanges {
+		l.changes -= len(l.batches[n].changes)
+		l.start = l.batches[n].end
+		n++
+	}
+	l.batches = slices.Delete(l.batches, 0, n)
+}
+
+// Snapshot returns the current entries, in no particular order, and the
+// revision up to which they are complete. The revision is zero before the first
+// Commit.
+func (l *Log) Snapshot() ([]sardineknot.StoreEntry, sardineknot.StoreRevision) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := make([]sardineknot.StoreEntry, 0, len(l.entries))
+	for _, e := range l.entries {
+		r = append(r, e)
+	}
+	return r, l.end
+}
+
+// Next returns the changes made after revision, and the revision up to which
+// they are complete, which is never below the given one. If there are no such
+// changes yet, Next waits for them, for at most timeout. It fails with a
+// CompactedError if the log does not reach back to revision.
+func (l *Log) Next(ctx context.Context, revision sardineknot.StoreRevision, timeout time.Duration) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
+	t := time.NewTimer(timeout)
+	defer t.Stop()
+	for {
+		r, n, g, err := l.after(revision)
+		if err != nil || len(r) > 0 {
+			return r, n, err
+		}
+		select {
+		case <-g:
+		case <-t.C:
+			return nil, n, nil
+		case <-ctx.Done():
+			return nil, revision, errors.WithStack(ctx.Err())
+		}
+	}
+}
+
+// after returns the changes of all batches that end after revision, the
+// revision up to which they are complete, and a channel that is closed when the
+// next batch is added.
+func (l *Log) after(revision sardineknot.StoreRevision) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if revision < l.start || l.end == 0 {
+		return nil, revision, nil, errors.WithStack(&sardineknot.CompactedError{After: revision})
+	}
+	i, _ := slices.BinarySearchFunc(l.batches, revision+1, func(b batch, r sardineknot.StoreRevision) int { return int(b.end - r) })
+	var r []sardineknot.StoreEntry
+	for _, b := range l.batches[i:] {
+		r = append(r, b.changes...)
+	}
+	return r, max(revision, l.end), l.grown, nil
+}
--- /dev/null
+++ b/internal/platform/changelog/log_test.go
@@ -0,0 +1,114 @@
+package changelog_test
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/platform/changelog"
+)
+
+// put commits a batch that sets the given keys to revision.
+func put(l *changelog.Log, revision sardineknot.StoreRevision, keys ...string) {
+	for _, k := range keys {
+		l.Record(sardineknot.StoreEntry{Key: k, Revision: revision})
+	}
+	l.Commit(revision)
+}
+
+// describe returns entries as text, such as "a@1 b@0".
+func describe(entries []sardineknot.StoreEntry) string {
+	var r []string
+	for _, e := range entries {
+		r = append(r, fmt.Sprintf("%s@%d", e.Key, e.Revision))
+	}
+	return strings.Join(r, " ")
+}
+
+// checkNext checks the changes after revision, and the next revision.
+func checkNext(t *testing.T, l *changelog.Log, revision sardineknot.StoreRevision, want string, next sardineknot.StoreRevision) {
+	t.Helper()
+	r, n, err := l.Next(t.Context(), revision, time.Millisecond)
+	is := is.New(t)
+	is.NoErr(err)
+	is.Equal(describe(r), want)
+	is.Equal(n, next)
+}
+
+// checkCompacted checks that the changes after revision are not kept.
+func checkCompacted(t *testing.T, l *changelog.Log, revision sardineknot.StoreRevision) {
+	t.Helper()
+	_, _, err := l.Next(t.Context(), revision, 0)
+	var c *sardineknot.CompactedError
+	is.New(t).True(errors.As(err, &c))
+}
+
+func TestLog(t *testing.T) {
+	t.Run("a reader gets the batches that it lacks", func(t *testing.T) {
+		l := changelog.NewLog()
+		put(l, 10, "a", "b")
+		put(l, 20, "c")
+		put(l, 30, "a")
+		checkNext(t, l, 10, "c@20 a@30", 30)
+		checkNext(t, l, 15, "c@20 a@30", 30)
+		checkNext(t, l, 20, "a@30", 30)
+		checkNext(t, l, 30, "", 30)
+	})
+	t.Run("a reader that is ahead keeps its revision", func(t *testing.T) {
+		l := changelog.NewLog()
+		put(l, 10, "a")
+		checkNext(t, l, 40, "", 40)
+		put(l, 50, "b")
+		checkNext(t, l, 40, "b@50", 50)
+	})
+	t.Run("the snapshot has no removed entries", func(t *testing.T) {
+		is := is.New(t)
+		l := changelog.NewLog()
+		put(l, 10, "a", "b")
+		l.Record(sardineknot.StoreEntry{Key: "a"})
+		l.Commit(11)
+		r, n := l.Snapshot()
+		is.Equal(describe(r), "b@10")
+		is.Equal(n, sardineknot.StoreRevision(11))
+		checkNext(t, l, 10, "a@0", 11)
+	})
+	t.Run("changes before the first batch and discarded changes are missing", func(t *testing.T) {
+		l := changelog.NewLog()
+		checkCompacted(t, l, 0)
+		put(l, 10, "a")
+		checkCompacted(t, l, 9)
+		for i := range 5000 {
+			put(l, sardineknot.StoreRevision(11+i), "a")
+		}
+		checkCompacted(t, l, 500)
+		checkNext(t, l, 5009, "a@5010", 5010)
+	})
+	t.Run("a reader waits for the next batch", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			l := changelog.NewLog()
+			put(l, 10, "a")
+			time.AfterFunc(time.Second, func() { put(l, 20, "b") })
+			b := time.Now()
+			r, _, err := l.Next(t.Context(), 10, time.Minute)
+			is.NoErr(err)
+			is.Equal(describe(r), "b@20")
+			is.Equal(time.Since(b), time.Second)
+		})
+	})
+	t.Run("a cancelled reader stops waiting", func(t *testing.T) {
+		l := changelog.NewLog()
+		put(l, 10, "a")
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		_, _, err := l.Next(ctx, 10, time.Minute)
+		is.New(t).True(errors.Is(err, context.Canceled))
+	})
+}
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -20,12 +20,7 @@
 const (
 	// longPollTimeout is the maximum time for which the service holds a call
 	// while there are no changes.
-	longPollTimeout = 2 * time.Second
-	// longPollMargin is the time that a call may take in addition to
-	// longPollTimeout before it fails.
-	longPollMargin = 600 * time.Millisecond
-	// snapshotTimeout bounds a read of all keys.
-	snapshotTimeout = 2 * time.Second
+	longPollTimeout = time.Second
 	// minBackoff and maxBackoff bound the delay after a failed call. The delay
 	// doubles with each consecutive failure.
 	minBackoff = 100 * time.Millisecond
@@ -35,7 +30,7 @@
 // Mirror follows all keys of the service. It is safe for concurrent use. The
 // exported fields must be set before Run is called.
 type Mirror struct {
-	// Feed reads from the key-value service.
+	// Feed reads from the key-value service. It bounds the time of each call.
 	Feed sardineknot.ChangeFeed
 	// Clock provides the current time.
 	Clock sardineknot.Clock
@@ -50,8 +45,9 @@
 	// entry with a zero revision was removed.
 	OnChange func(sardineknot.StoreEntry)
 	// OnBatch is called after each batch of changes, which may be empty, from
-	// the goroutine that calls OnChange.
-	OnBatch func()
+	// the goroutine that calls OnChange. All changes up to revision were
+	// reported.
+	OnBatch func(revision sardineknot.StoreRevision)
 
 	mu sync.Mutex
 	// reachabilityChanged is the time at which reachable last changed.
@@ -103,8 +99,6 @@
 	if revision == 0 {
 		return m.loadSnapshot(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, longPollTimeout+longPollMargin)
-	defer cancel()
 	l, n, err := m.Feed.Next(ctx, revision, longPollTimeout)
 	if err != nil {
 		return revision, err
@@ -112,7 +106,7 @@
 	for _, e := range l {
 		m.apply(e)
 	}
-	m.OnBatch()
+	m.OnBatch(n)
 	return n, nil
 }
 
@@ -120,8 +114,6 @@
 // since the last read. It returns the revision to pass to the next call of
 // poll.
 func (m *Mirror) loadSnapshot(ctx context.Context) (sardineknot.StoreRevision, error) {
-	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
-	defer cancel()
 	l, n, err := m.Feed.Snapshot(ctx)
 	if err != nil {
 		return 0, err
@@ -136,7 +128,7 @@
 			m.apply(sardineknot.StoreEntry{Key: s})
 		}
 	}
-	m.OnBatch()
+	m.OnBatch(n)
 	return n, nil
 }
 
--- a/internal/platform/mirror/mirror_test.go
+++ b/internal/platform/mirror/mirror_test.go
@@ -80,7 +80,7 @@
 		m := &mirror.Mirror{
 			Feed: f, Clock: clock.System{}, Sleep: clock.System{}.Sleep, PollDelay: func() time.Duration { return 100 * time.Millisecond }, Log: zerolog.Nop(),
 			OnChange: func(e sardineknot.StoreEntry) { seen[e.Key] = e.Revision },
-			OnBatch:  func() {},
+			OnBatch:  func(sardineknot.StoreRevision) {},
 		}
 		d := make(chan error)
 		go func() { d <- m.Run(ctx) }()
--- /dev/null
+++ b/internal/platform/twirp/cluster_test.go
@@ -0,0 +1,315 @@
+package twirp_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/host/clock"
+	"sardineknot.example/sardineknot/internal/membership/followers"
+	"sardineknot.example/sardineknot/internal/platform/changelog"
+	"sardineknot.example/sardineknot/internal/platform/mirror"
+	"sardineknot.example/sardineknot/internal/platform/twirp"
+)
+
+var errCut = errors.New("cut off")
+
+// service is a fake key-value service. log holds all entries and the history.
+type service struct {
+	log  atomic.Pointer[changelog.Log]
+	down atomic.Bool
+	// calls counts the calls, including those that fail.
+	calls atomic.Int64
+	// revision is the revision of the last write.
+	revision sardineknot.StoreRevision
+}
+
+// put writes an entry.
+func (s *service) put(key, value string) {
+	s.revision++
+	l := s.log.Load()
+	l.Record(sardineknot.StoreEntry{Key: key, Value: []byte(value), Revision: s.revision})
+	l.Commit(s.revision)
+}
+
+// forget makes the service discard its history.
+func (s *service) forget() {
+	l, _ := s.log.Load().Snapshot()
+	n := changelog.NewLog()
+	for _, e := range l {
+		n.Record(e)
+	}
+	s.revision += 100
+	n.Commit(s.revision)
+	s.log.Store(n)
+}
+
+// hostFeed is the access of one host to the service.
+type hostFeed struct {
+	service *service
+	cut     atomic.Bool
+}
+
+func (f *hostFeed) call() error {
+	f.service.calls.Add(1)
+	if f.service.down.Load() || f.cut.Load() {
+		return errCut
+	}
+	return nil
+}
+
+// Snapshot implements sardineknot.ChangeFeed.
+func (f *hostFeed) Snapshot(context.Context) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
+	err := f.call()
+	if err != nil {
+		return nil, 0, err
+	}
+	l, n := f.service.log.Load().Snapshot()
+	return l, n, nil
+}
+
+// Next implements sardineknot.ChangeFeed.
+func (f *hostFeed) Next(ctx context.Context, revision sardineknot.StoreRevision, timeout time.Duration) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
+	err := f.call()
+	if err != nil {
+		return nil, revision, err
+	}
+	return f.service.log.Load().Next(ctx, revision, timeout)
+}
+
+// cluster is a set of hosts that follow the service and each other in virtual
+// time, without a network.
+type cluster struct {
+	service *service
+	hosts   []*host
+}
+
+// host is one entry host of a cluster. It implements sardineknot.Membership:
+// all hosts count as alive, so that failed followers are found by calls only.
+type host struct {
+	sardineknot.Membership
+	cluster *cluster
+	entry   sardineknot.EntryHost
+	list    []sardineknot.EntryHost
+	store   *hostFeed
+	feed    *twirp.Feed
+	mirror  *mirror.Mirror
+	handler http.Handler
+	dead    atomic.Bool
+
+	mu sync.Mutex
+	// seen holds the values that the host has read, by key. seenAt holds the
+	// time of the last change of each.
+	seen   map[string]string
+	seenAt map[string]time.Time
+}
+
+func (h *host) Self() sardineknot.EntryHost    { return h.entry }
+func (h *host) Hosts() []sardineknot.EntryHost { return h.list }
+
+// RoundTrip implements http.RoundTripper. It calls the handler of the addressed
+// host. A dead host does not answer.
+func (h *host) RoundTrip(r *http.Request) (*http.Response, error) {
+	for _, o := range h.cluster.hosts {
+		if o.entry.PeerAddress.String() != r.URL.Host {
+			continue
+		}
+		if o.dead.Load() {
+			<-r.Context().Done()
+			return nil, r.Context().Err()
+		}
+		w := httptest.NewRecorder()
+		o.handler.ServeHTTP(w, r)
+		return w.Result(), nil
+	}
+	return nil, errCut
+}
+
+func (h *host) apply(e sardineknot.StoreEntry) {
+	h.mu.Lock()
+	h.seen[e.Key] = string(e.Value)
+	h.seenAt[e.Key] = time.Now()
+	h.mu.Unlock()
+	// Entries of the kind "beat" tell nothing new.
+	if !strings.HasPrefix(e.Key, "beat") {
+		h.feed.Entries.Record(e)
+	}
+}
+
+// get returns the value of key that the host has read, and when.
+func (h *host) get(key string) (string, time.Time) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.seen[key], h.seenAt[key]
+}
+
+// start starts count hosts that are spread over zones.
+func start(t *testing.T, count, zones int) *cluster {
+	c := &cluster{service: &service{}}
+	c.service.log.Store(changelog.NewLog())
+	c.service.put("config", "1")
+	var l []sardineknot.EntryHost
+	for i := range count {
+		l = append(l, sardineknot.EntryHost{
+			ID: sardineknot.EntryHostID(fmt.Sprintf("host-%d", i)), Zone: sardineknot.AvailabilityZone(fmt.Sprintf("zone-%d", i%zones)),
+			PeerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1),
+		})
+	}
+	for _, e := range l {
+		c.hosts = append(c.hosts, newHost(c, e, l))
+	}
+	for _, h := range c.hosts {
+		go func() { _ = h.mirror.Run(t.Context()) }()
+	}
+	advance(10 * time.Second)
+	return c
+}
+
+func newHost(c *cluster, self sardineknot.EntryHost, list []sardineknot.EntryHost) *host {
+	h := &host{cluster: c, entry: self, list: list, store: &hostFeed{service: c.service}, seen: make(map[string]string), seenAt: make(map[string]time.Time)}
+	h.feed = &twirp.Feed{
+		Store: h.store, Entries: changelog.NewLog(), Selector: followers.NewSelector(h), Clock: clock.System{}, Client: &http.Client{Transport: h},
+		Log: zerolog.Nop(), StoreCalls: metrics.NewCounter(), PeerCalls: metrics.NewCounter(),
+	}
+	_, h.handler = h.feed.Handler()
+	h.mirror = &mirror.Mirror{
+		Feed: h.feed, Clock: clock.System{}, Sleep: clock.System{}.Sleep, Log: zerolog.Nop(),
+		PollDelay: func() time.Duration { return 100 * time.Millisecond }, OnChange: h.apply, OnBatch: h.feed.Entries.Commit,
+	}
+	h.feed.Reachability = h.mirror.Reachability
+	return h
+}
+
+// advance lets the hosts run for d in virtual time.
+func advance(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// followers returns the hosts that read from the service.
+func (c *cluster) followers() []*host {
+	var l []*host
+	for _, h := range c.hosts {
+		if h.feed.Selector.FollowsStore() {
+			l = append(l, h)
+		}
+	}
+	return l
+}
+
+// checkChange writes a configuration and checks that every live host for which
+// in returns true has read it within limit.
+func (c *cluster) checkChange(t *testing.T, value string, limit time.Duration, in func(*host) bool) {
+	t.Helper()
+	b := time.Now()
+	c.service.put("config", value)
+	advance(limit)
+	for _, h := range c.hosts {
+		if h.dead.Load() || !in(h) {
+			continue
+		}
+		v, s := h.get("config")
+		if v != value || s.Sub(b) > limit {
+			t.Errorf("%s has read %q after %v, want %q", h.entry.ID, v, s.Sub(b), value)
+		}
+	}
+}
+
+func everyHost(*host) bool { return true }
+
+// countCalls returns the number of calls to the service a second, over ten
+// seconds in which backend servers write as often as they do on a busy day.
+func (c *cluster) countCalls() int64 {
+	n := c.service.calls.Load()
+	for i := range 500 {
+		c.service.put(fmt.Sprintf("beat-%d", i%70), "x")
+		advance(20 * time.Millisecond)
+	}
+	return (c.service.calls.Load() - n) / 10
+}
+
+// run runs f as a subtest in virtual time.
+func run(t *testing.T, name string, f func(t *testing.T)) {
+	t.Run(name, func(t *testing.T) { synctest.Test(t, f) })
+}
+
+// TestManyHosts covers the load "many small entry hosts": the calls to the
+// service must not grow with the number of hosts, because its rates do not.
+func TestManyHosts(t *testing.T) {
+	for _, n := range []int{7, 63, 295} {
+		run(t, fmt.Sprintf("%d hosts", n), func(t *testing.T) {
+			is := is.New(t)
+			c := start(t, n, 6)
+			is.True(len(c.followers()) <= 12)
+			is.True(c.countCalls() <= 12*10) // each follower waits for 100 ms after each call
+			c.checkChange(t, "2", time.Second, everyHost)
+		})
+	}
+}
+
+// TestFailures covers hosts and connections that fail: changes must still be in
+// force everywhere within the bound of four seconds.
+func TestFailures(t *testing.T) {
+	const bound = 4 * time.Second
+	run(t, "a follower of each zone is dead", func(t *testing.T) {
+		c := start(t, 60, 3)
+		for i, h := range c.followers() {
+			h.dead.Store(i%2 == 0)
+		}
+		c.checkChange(t, "2", bound, everyHost)
+	})
+	run(t, "all followers of a zone are dead", func(t *testing.T) {
+		c := start(t, 60, 3)
+		for _, h := range c.followers() {
+			h.dead.Store(h.entry.Zone == "zone-0")
+		}
+		c.checkChange(t, "2", bound, everyHost)
+	})
+	run(t, "followers of a zone are cut off from the service only", func(t *testing.T) {
+		c := start(t, 60, 3)
+		for _, h := range c.followers() {
+			h.store.cut.Store(h.entry.Zone == "zone-0")
+		}
+		advance(5 * time.Second)
+		c.checkChange(t, "2", bound, func(h *host) bool { return !h.store.cut.Load() })
+	})
+	run(t, "all followers are dead", func(t *testing.T) {
+		c := start(t, 60, 3)
+		for _, h := range c.followers() {
+			h.dead.Store(true)
+		}
+		advance(5 * time.Second)
+		c.checkChange(t, "2", bound, everyHost)
+	})
+	run(t, "an outage of the service does not multiply the calls", func(t *testing.T) {
+		is := is.New(t)
+		c := start(t, 295, 6)
+		c.service.down.Store(true)
+		advance(5 * time.Second)
+		n := c.service.calls.Load()
+		advance(10 * time.Second)
+		n = (c.service.calls.Load() - n) / 10
+		is.True(n <= 12*10+295/2) // followers, and others at storeInterval
+		c.service.down.Store(false)
+		c.checkChange(t, "2", bound, everyHost)
+	})
+	run(t, "the service has forgotten its history", func(t *testing.T) {
+		c := start(t, 60, 3)
+		c.service.forget()
+		c.checkChange(t, "2", bound, everyHost)
+	})
+}
--- /dev/null
+++ b/internal/platform/twirp/feed.go
@@ -0,0 +1,208 @@
+package twirp
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/platform/changelog"
+	rpc "sardineknot.example/sardineknot/internal/rpc/changes"
+)
+
+const (
+	// maxPeerWait is the longest time for which a follower holds a call. It
+	// bounds the time after which the failure of a follower is noticed.
+	maxPeerWait = time.Second
+	// retryWait replaces maxPeerWait after a follower has failed, so that the
+	// search for another one is short.
+	retryWait = 100 * time.Millisecond
+	// peerMargin is the time that a call may take in addition to the time for
+	// which the follower holds it.
+	peerMargin = 400 * time.Millisecond
+	// maxPeersTried is the number of followers that are asked within one call.
+	maxPeersTried = 3
+	// storeMargin is the time that a call to the service may take in addition
+	// to the time for which the service holds it.
+	storeMargin = 600 * time.Millisecond
+	// snapshotTimeout bounds a read of all keys of the service.
+	snapshotTimeout = 2 * time.Second
+	// storeInterval is the least time between two calls to the service of a
+	// host that is not a follower.
+	storeInterval = 2 * time.Second
+)
+
+// Feed is a sardineknot.ChangeFeed that reads from the service or from a
+// follower. It also serves this host's log to other hosts. It is safe for
+// concurrent use. The exported fields must be set before use.
+type Feed struct {
+	// Store reads from the service.
+	Store sardineknot.ChangeFeed
+	// Entries holds what this host has read.
+	Entries *changelog.Log
+	// Selector selects the followers.
+	Selector sardineknot.FollowerSelector
+	// Reachability reports whether this host has an up-to-date view of the
+	// service.
+	Reachability func() (reachable bool, since time.Time)
+	// Clock provides the current time.
+	Clock sardineknot.Clock
+	// Client sends requests to other entry hosts.
+	Client *http.Client
+	// Log receives an event when the source of the changes changes.
+	Log zerolog.Logger
+	// StoreCalls and PeerCalls count the calls to the service and to followers.
+	StoreCalls, PeerCalls metrics.Counter
+
+	mu sync.Mutex
+	// peers is the last result of Selector.Peers. current is the index in it
+	// of the follower to ask.
+	peers   []sardineknot.EntryHostID
+	current int
+	// source is the follower that answered last. It is empty if the service
+	// itself did.
+	source sardineknot.EntryHostID
+	// storeAskedAt is the time of the last call to the service.
+	storeAskedAt time.Time
+}
+
+var _ sardineknot.ChangeFeed = (*Feed)(nil)
+
+// Snapshot implements sardineknot.ChangeFeed.
+func (f *Feed) Snapshot(ctx context.Context) (entries []sardineknot.StoreEntry, revision sardineknot.StoreRevision, err error) {
+	err = f.read(ctx, maxPeerWait, func(ctx context.Context, peer rpc.Changes, _ time.Duration) error {
+		var e error
+		entries, revision, e = snapshotFrom(ctx, peer)
+		return e
+	}, func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+		defer cancel()
+		var e error
+		entries, revision, e = f.Store.Snapshot(ctx)
+		return e
+	})
+	return entries, revision, err
+}
+
+// Next implements sardineknot.ChangeFeed.
+func (f *Feed) Next(ctx context.Context, revision sardineknot.StoreRevision, timeout time.Duration) (changes []sardineknot.StoreEntry, next sardineknot.StoreRevision, err error) {
+	err = f.read(ctx, min(timeout, maxPeerWait), func(ctx context.Context, peer rpc.Changes, wait time.Duration) error {
+		var e error
+		changes, next, e = nextFrom(ctx, peer, revision, wait)
+		return e
+	}, func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, timeout+storeMargin)
+		defer cancel()
+		var e error
+		changes, next, e = f.Store.Next(ctx, revision, timeout)
+		return e
+	})
+	return changes, next, err
+}
+
+// read calls askPeer with followers until one answers. If none does, or if this
+// host reads from the service itself, it calls askStore. A CompactedError is an
+// answer.
+func (f *Feed) read(ctx context.Context, wait time.Duration, askPeer func(context.Context, rpc.Changes, time.Duration) error, askStore func(context.Context) error) error {
+	var l []sardineknot.EntryHost
+	if !f.Selector.FollowsStore() {
+		l = f.Selector.Peers()
+	}
+	if len(l) == 0 {
+		return f.readStore(ctx, askStore)
+	}
+	f.setPeers(l)
+	var err error
+	for range min(maxPeersTried, len(l)) {
+		h := f.currentPeer(l)
+		f.PeerCalls.Inc(1)
+		err = callPeer(ctx, f.Client, h, wait, askPeer)
+		if isAnswer(err) {
+			f.setSource(h.ID)
+			return err
+		}
+		if ctx.Err() != nil {
+			return err
+		}
+		f.nextPeer()
+		wait = min(wait, retryWait)
+	}
+	if f.mayAskStore() {
+		return f.readStore(ctx, askStore)
+	}
+	return err
+}
+
+// readStore calls askStore and records that the service is the source.
+func (f *Feed) readStore(ctx context.Context, askStore func(context.Context) error) error {
+	f.StoreCalls.Inc(1)
+	err := askStore(ctx)
+	if isAnswer(err) {
+		f.setSource("")
+	}
+	return err
+}
+
+// setPeers records the followers of list. If they have changed, the first one
+// is asked next.
+func (f *Feed) setPeers(list []sardineknot.EntryHost) {
+	n := make([]sardineknot.EntryHostID, 0, len(list))
+	for _, h := range list {
+		n = append(n, h.ID)
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if slices.Equal(n, f.peers) {
+		return
+	}
+	f.peers, f.current = n, 0
+}
+
+func (f *Feed) currentPeer(list []sardineknot.EntryHost) sardineknot.EntryHost {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return list[f.current%len(list)]
+}
+
+func (f *Feed) nextPeer() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.current++
+}
+
+// mayAskStore reports whether the last call to the service was at least
+// storeInterval ago, and if so records a call.
+func (f *Feed) mayAskStore() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.Clock.Now()
+	if n.Sub(f.storeAskedAt) < storeInterval {
+		return false
+	}
+	f.storeAskedAt = n
+	return true
+}
+
+// setSource records and logs that peer, or the service if peer is empty, has
+// answered.
+func (f *Feed) setSource(peer sardineknot.EntryHostID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.source == peer {
+		return
+	}
+	f.source = peer
+	f.Log.Info().Stringer("event", sardineknot.LogStoreSource).Str("peer", string(peer)).Bool("direct", peer == "").Send()
+}
+
+// isAnswer reports whether a call that returned err was answered.
+func isAnswer(err error) bool {
+	var c *sardineknot.CompactedError
+	return err == nil || errors.As(err, &c)
+}
--- /dev/null
+++ b/internal/platform/twirp/service.go
@@ -0,0 +1,82 @@
+package twirp
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/twitchtv/twirp"
+
+	"sardineknot.example/sardineknot"
+	rpc "sardineknot.example/sardineknot/internal/rpc/changes"
+)
+
+// service serves the log of this host to other hosts.
+type service struct {
+	feed *Feed
+}
+
+var _ rpc.Changes = (*service)(nil)
+
+// Handler returns the handler of requests from other hosts, and the path prefix
+// under which it must be registered.
+func (f *Feed) Handler() (path string, handler http.Handler) {
+	s := rpc.NewChangesServer(&service{feed: f})
+	return s.PathPrefix(), s
+}
+
+// Snapshot implements rpc.Changes.
+func (s *service) Snapshot(context.Context, *rpc.SnapshotRequest) (*rpc.SnapshotResponse, error) {
+	err := s.check()
+	if err != nil {
+		return nil, err
+	}
+	l, n := s.feed.Entries.Snapshot()
+	return &rpc.SnapshotResponse{Entries: entriesMessage(l), Revision: int64(n)}, nil
+}
+
+// Next implements rpc.Changes.
+func (s *service) Next(ctx context.Context, request *rpc.NextRequest) (*rpc.NextResponse, error) {
+	err := s.check()
+	if err != nil {
+		return nil, err
+	}
+	w := time.Duration(request.GetWaitMicros()) * time.Microsecond
+	l, n, err := s.feed.Entries.Next(ctx, sardineknot.StoreRevision(request.GetRevision()), min(w, maxPeerWait))
+	var c *sardineknot.CompactedError
+	if errors.As(err, &c) {
+		return &rpc.NextResponse{Compacted: true}, nil
+	}
+	if err != nil {
+		return nil, twirp.Canceled.Error(err.Error())
+	}
+	if len(l) == 0 {
+		// The service may have failed during the wait.
+		err = s.check()
+	}
+	if err != nil {
+		return nil, err
+	}
+	return &rpc.NextResponse{Entries: entriesMessage(l), Revision: int64(n)}, nil
+}
+
+// check returns an error if this host does not read from the service itself, or
+// cannot reach it. Answers of such a host might be outdated without limit.
+func (s *service) check() error {
+	k, _ := s.feed.Reachability()
+	if !k {
+		return twirp.Unavailable.Error("the key-value service does not answer")
+	}
+	if !s.feed.followsDirectly() {
+		return twirp.FailedPrecondition.Error("this host does not read from the key-value service")
+	}
+	return nil
+}
+
+// followsDirectly reports whether the last answer came from the service.
+func (f *Feed) followsDirectly() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.source == ""
+}
--- a/internal/policy/memory/engine.go
+++ b/internal/policy/memory/engine.go
@@ -41,8 +41,7 @@
 	decodes  []*job
 	// busyUntil is the expected end of all prefills on the engine.
 	busyUntil time.Time
-	// tokenRate is the number of tokens that one answer generates per second.
-	tokenRate ewma
+	pace
 	// foreignRequests lists the requests that were not placed by this
 	// scheduler. foreignLength is the predicted length of their answers.
 	foreignRequests []foreignRequest
@@ -64,6 +63,15 @@
 	backoffUntil time.Time
 }
 
+// prefillWait returns the time until e can start another prefill. A prefill that
+// is overdue is expected to take as long again as it is late.
+func (e *engine) prefillWait(now time.Time) time.Duration {
+	if len(e.prefills) == 0 {
+		return 0
+	}
+	return e.busyUntil.Sub(now).Abs()
+}
+
 func (e *engine) idle() bool { return len(e.prefills)+len(e.decodes) == 0 }
 
 // usable reports whether e may receive a job at time now. Once its backoff has
--- a/internal/policy/memory/job.go
+++ b/internal/policy/memory/job.go
@@ -23,6 +23,9 @@
 	decode *engine
 	// prefillTime is the estimated duration of the prefill.
 	prefillTime time.Duration
+	// usualPrefill is the time from startedAt to the end of the prefill on an
+	// engine of usual speed.
+	usualPrefill time.Duration
 	// startedAt is the time at which the job was granted its engines.
 	startedAt time.Time
 	// length is the predicted length of the answer.
@@ -61,7 +64,7 @@
 // time now, and updates the token rate of its decode engine.
 func (j *job) recordProgress(now time.Time, tokens int) {
 	if !j.tokensReportedAt.IsZero() && now.After(j.tokensReportedAt) && float64(tokens) > j.tokens {
-		j.decode.tokenRate.add((float64(tokens) - j.tokens) / now.Sub(j.tokensReportedAt).Seconds())
+		j.decode.observeTokens(now, float64(tokens)-j.tokens, now.Sub(j.tokensReportedAt))
 	}
 	j.tokens, j.tokensReportedAt = float64(tokens), now
 	j.decode.invalidateSpans()
@@ -136,6 +139,7 @@
 		return
 	}
 	w := now.Sub(j.startedAt)
+	e.observePrefill(now, j.usualPrefill, w)
 	if w > 0 && w < maxObservedPrefillTime {
 		s.prefillPerToken.add(min(w.Seconds()/float64(j.PromptTokens), maxPrefillPerToken.Seconds()))
 	}
@@ -149,6 +153,7 @@
 	}
 	if tokens > 0 {
 		s.lengths.observe(j.Job, tokens)
+		s.observeDemand(j, tokens)
 	}
 	s.endPrefill(now, j)
 	s.remove(j)
--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/policy/growth"
 )
 
 const (
@@ -85,10 +86,15 @@
 }
 
 // place starts j if there are engines with room for it, and reports whether it
-// started j.
-func (s *Scheduler) place(now time.Time, j *job) bool {
+// started j. It skips the search for engines if a smaller job is in m, and adds
+// j to m if it fits on no engine.
+func (s *Scheduler) place(now time.Time, j *job, m *misfits) bool {
+	if m.covers(j.span(now)) {
+		return false
+	}
 	d := s.chooseDecode(now, j)
 	if d == nil {
+		m.add(j.span(now))
 		return false
 	}
 	p, ok := s.choosePrefill(now, j, d)
@@ -99,16 +105,40 @@
 	return true
 }
 
+// misfits remembers the smallest job that fitted on no decode engine. While
+// engines only get jobs, no larger job fits either. It keeps the time of a
+// decision bounded when many jobs wait for many engines.
+type misfits struct {
+	smallest growth.Span
+	found    bool
+}
+
+// covers reports whether a job with the span a is at least as large as the
+// remembered one.
+func (m *misfits) covers(a growth.Span) bool {
+	return m.found && a.InUse >= m.smallest.InUse && a.Remaining >= m.smallest.Remaining
+}
+
+// add remembers a job with the span a if it is smaller than the remembered one.
+func (m *misfits) add(a growth.Span) {
+	if !m.found || a.InUse+a.Remaining < m.smallest.InUse+m.smallest.Remaining {
+		m.smallest, m.found = a, true
+	}
+}
+
 // chooseDecode returns the decode engine with the lowest utilization including
-// j, or nil if j fits on none.
+// j, or nil if j fits on none. The utilization of a slow engine counts as
+// higher, because its answers hold their memory for longer.
 func (s *Scheduler) chooseDecode(now time.Time, j *job) *engine {
 	var b *engine
 	var m float64
 	for _, e := range s.decode {
 		f, ok := e.utilization(now, j)
-		if !ok {
+		v := e.relativeRate(now, s.typicalRate)
+		if !ok || v < slowRate && !e.keepsTargets(now, j) {
 			continue
 		}
+		f /= v
 		if b == nil || f < m {
 			b, m = e, f
 		}
@@ -148,20 +178,21 @@
 }
 
 // preferredPrefill returns the prefill engine that still holds the KV cache of
-// j, or else the one that can start j first, with penalties for its loss rate
+// j, or else the one that can finish j first, with penalties for its loss rate
 // and for a zone other than that of decode. It returns nil if all engines are
 // backlogged or unusable.
 func (s *Scheduler) preferredPrefill(now time.Time, j *job, decode *engine) *engine {
 	var e *engine
 	var m time.Duration
 	for _, p := range s.prefill {
-		w := max(0, p.busyUntil.Sub(now))
+		w := p.prefillWait(now)
 		if !p.usable(now) || w > maxPrefillBacklog {
 			continue
 		}
 		if p.server.Name == j.CachedOn {
 			return p
 		}
+		w += time.Duration(p.prefillPace(now) * float64(j.prefillTime))
 		w += time.Duration(lossCost * p.lossRate.value * float64(j.prefillTime))
 		if p.server.Zone != decode.server.Zone {
 			w += crossZonePenalty
@@ -177,8 +208,10 @@
 func (s *Scheduler) start(now time.Time, j *job, prefillEngine, decodeEngine *engine) {
 	j.prefill, j.cacheSource, j.decode = prefillEngine, prefillEngine, decodeEngine
 	j.startedAt = now
+	w := prefillEngine.prefillWait(now)
+	j.usualPrefill = w + j.prefillTime
 	prefillEngine.prefills = append(prefillEngine.prefills, j)
-	prefillEngine.busyUntil = later(prefillEngine.busyUntil, now).Add(j.prefillTime)
+	prefillEngine.busyUntil = now.Add(w + time.Duration(prefillEngine.prefillPace(now)*float64(j.prefillTime)))
 	decodeEngine.decodes = append(decodeEngine.decodes, j)
 	decodeEngine.invalidateSpans()
 	// The shard reads both engines of the grant when it receives the prefill
--- a/internal/policy/memory/scheduler.go
+++ b/internal/policy/memory/scheduler.go
@@ -36,8 +36,14 @@
 	lastMaxTokens int
 	// prefillPerToken is the prefill time per prompt token, in seconds.
 	prefillPerToken ewma
+	// demand is the work of jobs for engines of both roles.
+	demand demand
 	// refusals spaces out the retries of refused callers.
 	refusals refusals
+	// typicalRate is the token rate of most decode engines at the last call of
+	// schedule, or zero if none was observed. rates is a buffer for it.
+	typicalRate float64
+	rates       []float64
 	// ended records recently ended jobs, which load reports may still list.
 	ended endedCalls
 	// lastExpiry is the time of the last search for jobs past eventTimeout.
@@ -89,7 +95,7 @@
 func (s *Scheduler) engine(backend sardineknot.BackendServer) *engine {
 	e := s.engines[backend.Name]
 	if e == nil || e.server.Born != backend.Born || e.server.Role != backend.Role {
-		e = &engine{tokenRate: ewma{value: initialTokensPerSecond}}
+		e = &engine{pace: newPace()}
 		s.engines[backend.Name] = e
 	}
 	e.server, e.removed = backend, false
@@ -120,9 +126,15 @@
 	case sardineknot.JobPrefillDone:
 		s.endPrefill(now, j)
 	case sardineknot.JobDecodeStarted, sardineknot.JobProgress:
+		p := j.prefill
 		s.endPrefill(now, j)
 		j.recordEngineSuccess()
 		j.recordProgress(now, event.Tokens)
+		if p == nil {
+			// Progress makes no room, and is reported several times a second
+			// for each answer. Waiting jobs are rechecked by Wake.
+			return nil
+		}
 	case sardineknot.JobCacheLost:
 		s.handleCacheLost(now, j, event.Server)
 	case sardineknot.JobFinished:
@@ -178,11 +190,16 @@
 // longer start in time.
 func (s *Scheduler) schedule(now time.Time) {
 	s.expire(now)
+	if len(s.queue) == 0 {
+		return
+	}
+	s.typicalRate = s.typicalTokenRate()
 	l := s.sortedQueue(now)
 	s.queue = s.queue[:0]
+	var m misfits
 	for _, j := range l {
 		switch {
-		case s.place(now, j):
+		case s.place(now, j, &m):
 		case s.pastLatestStart(now, j):
 			s.refuse(now, j)
 		default:
--- a/internal/slots/shard/shard.go
+++ b/internal/slots/shard/shard.go
@@ -2,8 +2,8 @@
 // independently.
 //
 // The shards depend only on the configuration, so that all entry hosts with
-// the same configuration compute the same shards. A pool of at most maxServers
-// servers is one shard. A larger pool is split by availability zone, and a
+// the same configuration compute the same shards. A pool of at most a given
+// number of servers is one shard. A larger pool is split by availability zone, and a
 // large zone is split further. Zones that lack servers of one role are
 // combined, so that every shard has servers of both roles. Adding or removing
 // a server moves few others between shards.
@@ -20,10 +20,6 @@
 	"sardineknot.example/sardineknot"
 )
 
-// maxServers is the number of servers up to which a pool or a zone is not
-// split.
-const maxServers = 16
-
 // Shard is a part of a pool.
 type Shard struct {
 	// Name is unique within a configuration. The rank of the hosts for this
@@ -50,8 +46,9 @@
 	return l
 }
 
-// Split returns the shards of each engine pool in configuration.
-func Split(configuration *sardineknot.Configuration) map[sardineknot.PoolName][]Shard {
+// Split returns the shards of each engine pool in configuration. Pools and zones
+// of at most maxServers servers are not split.
+func Split(configuration *sardineknot.Configuration, maxServers int) map[sardineknot.PoolName][]Shard {
 	p := make(map[sardineknot.PoolName][]sardineknot.BackendServer)
 	for _, s := range configuration.BackendServers {
 		if s.Role != sardineknot.RolePlain {
@@ -60,12 +57,12 @@
 	}
 	m := make(map[sardineknot.PoolName][]Shard, len(p))
 	for n, l := range p {
-		m[n] = splitPool(n, l)
+		m[n] = splitPool(n, l, maxServers)
 	}
 	return m
 }
 
-func splitPool(pool sardineknot.PoolName, servers []sardineknot.BackendServer) []Shard {
+func splitPool(pool sardineknot.PoolName, servers []sardineknot.BackendServer, maxServers int) []Shard {
 	if len(servers) <= maxServers {
 		return []Shard{newShard(pool, "", 0, servers)}
 	}
@@ -76,20 +73,20 @@
 	var r []Shard
 	var o []sardineknot.BackendServer
 	for _, k := range sortedZones(z) {
-		if shardCount(z[k]) == 0 {
+		if shardCount(z[k], maxServers) == 0 {
 			o = append(o, z[k]...)
 			continue
 		}
-		r = append(r, splitZone(pool, k, z[k])...)
+		r = append(r, splitZone(pool, k, z[k], maxServers)...)
 	}
 	if len(o) == 0 {
 		return r
 	}
-	return append(r, splitZone(pool, "", o)...)
+	return append(r, splitZone(pool, "", o, maxServers)...)
 }
 
-func splitZone(pool sardineknot.PoolName, zone sardineknot.AvailabilityZone, servers []sardineknot.BackendServer) []Shard {
-	p := make([][]sardineknot.BackendServer, max(shardCount(servers), 1))
+func splitZone(pool sardineknot.PoolName, zone sardineknot.AvailabilityZone, servers []sardineknot.BackendServer, maxServers int) []Shard {
+	p := make([][]sardineknot.BackendServer, max(shardCount(servers, maxServers), 1))
 	for _, r := range groupByRole(servers) {
 		distribute(pool, r, p)
 	}
@@ -104,7 +101,7 @@
 // split, or zero if the zone lacks servers of one role. The number is a power
 // of two, so that it seldom changes, unless a role has too few servers for
 // every shard to get one.
-func shardCount(servers []sardineknot.BackendServer) int {
+func shardCount(servers []sardineknot.BackendServer, maxServers int) int {
 	r := groupByRole(servers)
 	if len(r) < 2 {
 		return 0
--- a/internal/slots/shard/shard_test.go
+++ b/internal/slots/shard/shard_test.go
@@ -10,6 +10,9 @@
 	"sardineknot.example/sardineknot/internal/slots/shard"
 )
 
+// maxServers is the size up to which pools and zones are not split.
+const maxServers = 16
+
 const pool = sardineknot.PoolName("model/m@1")
 
 // servers returns the given numbers of prefill and decode engines in zone.
@@ -33,7 +36,7 @@
 	for _, s := range groups {
 		c.BackendServers = append(c.BackendServers, s...)
 	}
-	return shard.Split(&c)[pool]
+	return shard.Split(&c, maxServers)[pool]
 }
 
 // shardByServer returns the name of the shard of each server.
--- a/internal/slots/twirp/choose.go
+++ b/internal/slots/twirp/choose.go
@@ -65,8 +65,9 @@
 func (l *shardLink) hasFreeSlots() bool { return l.loadPerSlot() < 1 }
 
 // loadPerSlot returns the number of running and waiting jobs of the shard
-// divided by its slots. It returns zero if the load is unknown or older than
-// maxLoadAge.
+// divided by its slots. A shard in which jobs wait is full, even if it has free
+// slots: its engines then lack memory. loadPerSlot returns zero if the load is
+// unknown or older than maxLoadAge.
 func (l *shardLink) loadPerSlot() float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -74,7 +75,11 @@
 	if n == 0 || l.pool.Clock.Now().Sub(l.loadAt) > maxLoadAge {
 		return 0
 	}
-	return float64(l.load.GetRunning()+l.load.GetWaiting()) / float64(n)
+	v := float64(l.load.GetRunning()+l.load.GetWaiting()) / float64(n)
+	if w := l.load.GetWaiting(); w > 0 {
+		v = max(v, 1+float64(w)/float64(n))
+	}
+	return v
 }
 
 // setLoad records the load that the owner reported. It ignores nil.
--- a/internal/slots/twirp/pool.go
+++ b/internal/slots/twirp/pool.go
@@ -28,6 +28,9 @@
 // maxShardsTried bounds the number of shards that are tried for one job.
 const maxShardsTried = 2
 
+// defaultMaxShardServers replaces a MaxShardServers of zero.
+const defaultMaxShardServers = 16
+
 // noEngineRetryAfter is the retry delay for a job whose pool has no engine.
 const noEngineRetryAfter = time.Second
 
@@ -67,6 +70,11 @@
 	// set, hosts that cannot reach the owner are granted nothing.
 	ActAsOwner bool
 
+	// MaxShardServers is the number of servers up to which a pool, or a zone of
+	// a larger pool, is one shard. It must be the same on all hosts. Zero means
+	// 16.
+	MaxShardServers int
+
 	// linkByJob maps the RequestKey of each job of this host to its *shardLink.
 	linkByJob sync.Map
 
@@ -236,6 +244,14 @@
 	}
 }
 
+// maxShardServers returns MaxShardServers or its default.
+func (p *Pool) maxShardServers() int {
+	if p.MaxShardServers == 0 {
+		return defaultMaxShardServers
+	}
+	return p.MaxShardServers
+}
+
 // stale reports whether the configuration has changed since the last refresh.
 func (p *Pool) stale() bool {
 	p.mu.Lock()
--- a/internal/slots/twirp/refresh.go
+++ b/internal/slots/twirp/refresh.go
@@ -48,7 +48,7 @@
 	for s := range p.links {
 		g[s] = true
 	}
-	for n, r := range shard.Split(current) {
+	for n, r := range shard.Split(current, p.maxShardServers()) {
 		for _, s := range r {
 			l := p.links[s.Name]
 			if l == nil {
--- a/logevent.go
+++ b/logevent.go
@@ -55,6 +55,9 @@
 	// LogStoreHistoryLost reports that the store has discarded changes that
 	// this host has not read, so that all keys are read again.
 	LogStoreHistoryLost LogEvent = "store_history_lost"
+	// LogStoreSource reports from where this host now reads the changes of the
+	// store: from the store itself, or from the entry host "peer".
+	LogStoreSource LogEvent = "store_source"
 	// LogConfigurationAccepted reports that a new configuration was read from
 	// the store.
 	LogConfigurationAccepted LogEvent = "configuration_accepted"
@@ -85,10 +88,9 @@
 	// LogLeavingBackendServers reports which backend servers receive no new
 	// work because they are leaving.
 	LogLeavingBackendServers LogEvent = "leaving_backend_servers"
-	// LogHostJoined reports that an entry host was added.
-	LogHostJoined LogEvent = "host_joined"
-	// LogHostGone reports that an entry host was removed.
-	LogHostGone LogEvent = "host_gone"
+	// LogHostsChanged reports how many entry hosts were added and removed since
+	// the line before, how many are known, and the names of some of them.
+	LogHostsChanged LogEvent = "hosts_changed"
 	// LogHostSetAside reports that an entry host is not used for some time
 	// because it did not answer this one.
 	LogHostSetAside LogEvent = "host_set_aside"
--- a/membership.go
+++ b/membership.go
@@ -1,5 +1,7 @@
 package sardineknot
 
+import "net/netip"
+
 // Membership provides this host's view of the entry hosts.
 type Membership interface {
 	// Self returns this host.
@@ -15,6 +17,24 @@
 	Changed() <-chan struct{}
 }
 
+// FollowerSelector selects the entry hosts that read from the platform's
+// key-value service. The other hosts read from these.
+type FollowerSelector interface {
+	// FollowsStore reports whether this host reads from the service.
+	FollowsStore() bool
+	// Peers returns the hosts that this host asks for changes, in the order in
+	// which it tries them. It never contains this host.
+	Peers() []EntryHost
+}
+
+// HostDirectory selects the entry hosts that callers connect to.
+type HostDirectory interface {
+	// Hosts returns at most limit hosts for a caller at the given address and
+	// in the given zone. The result is stable for a caller while no host comes
+	// or goes.
+	Hosts(caller netip.Addr, zone AvailabilityZone, limit int) []EntryHost
+}
+
 // Ranker selects the owner of a shard among the live hosts. Hosts with the same
 // membership view select the same owner.
 type Ranker interface {
