policy/memory, slots/twirp: the end of a prefill is reported at once

The end of a prefill was reported with up to 250 ms delay, so that engines counted as overdue and as slow.

--- a/internal/policy/memory/engine.go
+++ b/internal/policy/memory/engine.go
@@ -13,6 +13,9 @@
 	// of Scheduler.prefillPerToken and engine.tokenRate, before any observation.
 	initialPrefillPerToken = 20 * time.Microsecond
 	initialTokensPerSecond = 1300
+	// reportDelay is the time after the end of a prefill within which its host
+	// usually reports it.
+	reportDelay = 100 * time.Millisecond
 	// failureThreshold is the number of consecutive failures that trips an
 	// engine. Like an open circuit breaker, a tripped engine gets no jobs until
 	// a backoff has passed, and then a single job as a probe.
@@ -64,12 +67,14 @@
 }
 
 // prefillWait returns the time until e can start another prefill. A prefill that
-// is overdue is expected to take as long again as it is late.
+// is late by more than reportDelay is expected to take as long again as it is
+// late.
 func (e *engine) prefillWait(now time.Time) time.Duration {
-	if len(e.prefills) == 0 {
-		return 0
+	w := e.busyUntil.Sub(now)
+	if len(e.prefills) > 0 && w < -reportDelay {
+		return -w
 	}
-	return e.busyUntil.Sub(now).Abs()
+	return max(0, w)
 }
 
 func (e *engine) idle() bool { return len(e.prefills)+len(e.decodes) == 0 }
--- a/internal/slots/twirp/outbox.go
+++ b/internal/slots/twirp/outbox.go
@@ -10,9 +10,10 @@
 )
 
 const (
-	// finalEventDelay is the longest time for which the last event of a job is
-	// queued, to be piggybacked on another message. progressEventDelay is the
-	// longest time for all other events.
+	// finalEventDelay is the longest time for which the last event of a job, or
+	// the end of its prefill, is queued, to be piggybacked on another message:
+	// both tell that an engine is free. progressEventDelay is the longest time
+	// for all other events.
 	finalEventDelay    = 20 * time.Millisecond
 	progressEventDelay = 250 * time.Millisecond
 	// maxEvents bounds the events queued for one owner.
@@ -69,7 +70,7 @@
 		l.events = append(l.events, eventMessage(event, l.pool.Members.Self().ID))
 	}
 	d := progressEventDelay
-	if isFinal(event.Kind) {
+	if isFinal(event.Kind) || event.Kind == sardineknot.JobPrefillDone {
 		d = finalEventDelay
 	}
 	l.scheduleLocked(d)
