--- a/internal/policy/memory/pace.go
+++ b/internal/policy/memory/pace.go
@@ -18,9 +18,12 @@
 	maxPrefillPace = 8
 	// minRelativeRate is a lower bound of the relative token rate.
 	minRelativeRate = 0.1
-	// slowRate is the relative token rate below which an engine gets only jobs
-	// whose targets it is expected to keep.
-	slowRate = 0.6
+	// slowRate is the relative token rate below which an engine counts as slow.
+	// It then gets only jobs whose targets it is expected to keep. slowPrefill is
+	// the prefill pace above which an engine counts as slow. Smaller differences
+	// come from the load of engines and the delay of events.
+	slowRate    = 0.6
+	slowPrefill = 2
 )
 
 // pace is the speed of an engine, derived from the events of its jobs.
@@ -56,18 +59,26 @@
 }
 
 // prefillPace returns the expected duration of a prefill relative to the usual
-// one, at least 1.
+// one. It is 1 unless the engine is slow.
 func (p *pace) prefillPace(now time.Time) float64 {
-	return max(1, faded(now, p.prefillSeenAt, p.prefillRatio.value))
+	v := faded(now, p.prefillSeenAt, p.prefillRatio.value)
+	if v < slowPrefill {
+		return 1
+	}
+	return v
 }
 
 // relativeRate returns the token rate relative to typical, the rate of most
-// engines. It is in [minRelativeRate, 1].
+// engines, but at least minRelativeRate. It is 1 unless the engine is slow.
 func (p *pace) relativeRate(now time.Time, typical float64) float64 {
 	if typical <= 0 {
 		return 1
 	}
-	return min(1, max(minRelativeRate, faded(now, p.tokensSeenAt, p.tokenRate.value/typical)))
+	v := faded(now, p.tokensSeenAt, p.tokenRate.value/typical)
+	if v >= slowRate {
+		return 1
+	}
+	return max(minRelativeRate, v)
 }
 
 // faded returns value, a ratio observed at the time seenAt, moved towards 1 by
--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -135,7 +135,7 @@
 	for _, e := range s.decode {
 		f, ok := e.utilization(now, j)
 		v := e.relativeRate(now, s.typicalRate)
-		if !ok || v < slowRate && !e.keepsTargets(now, j) {
+		if !ok || v < 1 && !e.keepsTargets(now, j) {
 			continue
 		}
 		f /= v
