--- a/internal/host/gateway/observe.go
+++ b/internal/host/gateway/observe.go
@@ -77,25 +77,13 @@
 	l := ledger.NewLedger(p.Store, p.clock, p.registry.Self(), p.clock.Sleep)
 	l.SeparateHosts = true
 	return &roles.Controller{
-		OwnedShards:  p.ownedShards,
-		PrefillShare: p.prefillShare,
-		Engine:       p.EngineOrders,
-		Ledger:       l,
-		Log:          p.Log,
+		OwnedShards: p.ownedShards,
+		Engine:      p.EngineOrders,
+		Ledger:      l,
+		Log:         p.Log,
 	}
 }
 
-// prefillShare returns the share of the engines of the named shard that prefills
-// occupy. ok is false if this host does not know it.
-func (p *Process) prefillShare(name string) (share float64, ok bool) {
-	for o, d := range p.slots.OwnedShards() {
-		if d.Name == name {
-			return o.PrefillShare()
-		}
-	}
-	return 0, false
-}
-
 // ownedShards returns the shards that this host owns. It returns none while the
 // store is unreachable, because another host may then consider itself the owner
 // as well.
--- a/internal/orders/roles/controller.go
+++ b/internal/orders/roles/controller.go
@@ -49,9 +49,6 @@
 type Controller struct {
 	// OwnedShards returns the shards that this host owns.
 	OwnedShards func() []shard.Shard
-	// PrefillShare returns the share of the engines of the named shard that
-	// prefills occupy. ok is false if it is unknown.
-	PrefillShare func(name string) (share float64, ok bool)
 	// Engine queries engines and sends them orders.
 	Engine sardineknot.EngineOrderClient
 	// Ledger issues the orders with their fencing tokens.
@@ -89,11 +86,7 @@
 	o := make(map[string]int)
 	for _, s := range c.OwnedShards() {
 		o[s.Name] = 0
-		v, ok := c.PrefillShare(s.Name)
-		if !ok {
-			v = 0
-		}
-		n := rolebalance.Plan(s.Servers, v)
+		n := rolebalance.Plan(s.Servers)
 		if c.cooldown[s.Name] > 0 {
 			c.cooldown[s.Name]--
 			continue
--- a/internal/policy/memory/job.go
+++ b/internal/policy/memory/job.go
@@ -153,7 +153,6 @@
 	}
 	if tokens > 0 {
 		s.lengths.observe(j.Job, tokens)
-		s.observeDemand(j, tokens)
 	}
 	s.endPrefill(now, j)
 	s.remove(j)
--- a/internal/policy/memory/scheduler.go
+++ b/internal/policy/memory/scheduler.go
@@ -36,8 +36,6 @@
 	lastMaxTokens int
 	// prefillPerToken is the prefill time per prompt token, in seconds.
 	prefillPerToken ewma
-	// demand is the work of jobs for engines of both roles.
-	demand demand
 	// refusals spaces out the retries of refused callers.
 	refusals refusals
 	// typicalRate is the token rate of most decode engines at the last call of
--- a/internal/policy/rolebalance/plan.go
+++ b/internal/policy/rolebalance/plan.go
@@ -13,12 +13,10 @@
 )
 
 const (
-	// usualShare is the share of the engines that prefills occupy, if it was not
-	// measured. A prompt occupies a prefill engine for a tenth of a second, and
-	// its answer a tenth of a decode engine's memory for some four seconds.
-	usualShare = 0.175
-	// minShare and maxShare bound a measured share.
-	minShare, maxShare = 0.05, 0.6
+	// prefillShare is the share of the engines that prefills occupy on average.
+	// A prompt occupies a prefill engine for a tenth of a second, and its answer
+	// a tenth of a decode engine's memory for some four seconds.
+	prefillShare = 0.175
 	// staffing is the reserve of prefill engines, in square roots of the number
 	// that is busy on average.
 	staffing = 0.8
@@ -46,9 +44,8 @@
 
 // Plan returns the next changes of roles that bring the number of prefill engines
 // closer to the target. All of them may be made at the same time. It returns none
-// if no change is needed. share is the share of the engines that prefills occupy;
-// zero means that it is unknown. Engines that are not joining are ignored.
-func Plan(engines []sardineknot.BackendServer, share float64) []RoleChange {
+// if no change is needed. Engines that are not joining are ignored.
+func Plan(engines []sardineknot.BackendServer) []RoleChange {
 	var p, d []sardineknot.BackendServer
 	for _, s := range engines {
 		switch {
@@ -64,7 +61,7 @@
 		return nil
 	}
 	m := n / enginesPerChange
-	w := target(n, share)
+	w := target(n)
 	l := max(minPrefill-1, int(lossShare*float64(w)))
 	switch {
 	case len(p) > w:
@@ -78,11 +75,8 @@
 
 // target returns the number of prefill engines among the given number of
 // engines.
-func target(engines int, share float64) int {
-	if share <= 0 {
-		share = usualShare
-	}
-	b := min(maxShare, max(minShare, share)) * float64(engines)
+func target(engines int) int {
+	b := prefillShare * float64(engines)
 	return max(minPrefill, int(math.Round(b+staffing*math.Sqrt(b))))
 }
 
--- a/internal/slots/local/count.go
+++ b/internal/slots/local/count.go
@@ -20,18 +20,6 @@
 	return s.decodeSlots, len(s.jobs) - waiting, waiting
 }
 
-// PrefillShare returns the share of the servers that prefills need, as the
-// scheduler measures it. ok is false if the scheduler does not know it.
-func (s *Shard) PrefillShare() (share float64, ok bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	d, ok := s.scheduler.(sardineknot.RoleDemand)
-	if !ok {
-		return 0, false
-	}
-	return d.PrefillShare()
-}
-
 // JobStatus reports whether the job with this key is in the shard, which means
 // that it has not ended, and whether the end of the job is recorded.
 func (s *Shard) JobStatus(key sardineknot.RequestKey) (active, ended bool) {
--- a/scheduler.go
+++ b/scheduler.go
@@ -50,15 +50,6 @@
 	OwnerIncarnation Incarnation
 }
 
-// RoleDemand is implemented by schedulers that measure how much work there is
-// for engines of each role.
-type RoleDemand interface {
-	// PrefillShare returns the share of the engines that prefills would occupy
-	// if every engine were always busy with prefills or full of answers. ok is
-	// false while too few jobs were observed.
-	PrefillShare() (share float64, ok bool)
-}
-
 // Action is the kind of a scheduling decision.
 type Action int
 
