membership/store, host/gateway: fewer calls to the store at a start

Changed: the first write waits for the first reading and knows the revision; polls are seldom in the first two seconds. Test: TestRegistry, one write.

--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -19,6 +19,9 @@
 	pollDelay        = 250 * time.Millisecond
 	pollDelayPerHost = 8 * time.Millisecond
 	maxPollDelay     = 750 * time.Millisecond
+	// joinTime is the time after the start in which a host that considers itself
+	// a follower polls seldom: it does not know yet which hosts are there.
+	joinTime = 2 * time.Second
 	// peerPollDelay is the delay between two calls to a follower. It gathers
 	// changes that followers learn of one after the other.
 	peerPollDelay = 100 * time.Millisecond
@@ -43,6 +46,9 @@
 	if !p.followers.FollowsStore() {
 		return peerPollDelay
 	}
+	if p.clock.Now().Sub(p.startedAt) < joinTime {
+		return maxPollDelay
+	}
 	return min(maxPollDelay, pollDelay+time.Duration(len(p.registry.Hosts()))*pollDelayPerHost)
 }
 
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -107,10 +107,12 @@
 	// if a change requires a restart.
 	lastRead sardineknot.GatewaySettings
 
-	clock    clock.System
-	registry *membership.Registry
-	source   *configuration.Source
-	mirror   *mirror.Mirror
+	clock clock.System
+	// startedAt is the time at which Run was called.
+	startedAt time.Time
+	registry  *membership.Registry
+	source    *configuration.Source
+	mirror    *mirror.Mirror
 	// entries holds what this host has read from the key-value service. feed
 	// reads it, and serves it to other hosts.
 	entries *changelog.Log
@@ -128,6 +130,7 @@
 // Run serves until ctx is done, and returns once the host has stopped
 // gracefully. It returns early, with the error, if a server or a task fails.
 func (p *Process) Run(ctx context.Context) error {
+	p.startedAt = p.clock.Now()
 	p.setMemoryLimit()
 	p.lastRead = p.Settings
 	p.assemble()
--- a/internal/membership/store/registry.go
+++ b/internal/membership/store/registry.go
@@ -48,6 +48,9 @@
 	// which hosts whose keys were removed are kept, so that they can write
 	// their keys again.
 	reregistrationGrace = 3 * time.Second
+	// firstWriteDelay bounds the time for which the first write of the key
+	// waits for the entries of the service.
+	firstWriteDelay = 500 * time.Millisecond
 	// maxLoggedNames is the maximum number of hosts whose names a log line
 	// lists.
 	maxLoggedNames = 8
@@ -77,6 +80,11 @@
 	changed chan struct{}
 	// rewrite signals Run to write the key of this host again.
 	rewrite chan struct{}
+	// ownRevision is the revision of the key of this host that Apply received
+	// last. refreshed is closed by the first call of Refresh.
+	ownRevision sardineknot.StoreRevision
+	refreshed   chan struct{}
+	refreshOnce sync.Once
 	// joined and gone hold the hosts that were added and removed since the last
 	// log line about them.
 	joined, gone []string
@@ -114,6 +122,8 @@
 		list:    []sardineknot.EntryHost{self},
 		changed: make(chan struct{}),
 		rewrite: make(chan struct{}, 1),
+
+		refreshed: make(chan struct{}),
 	}
 }
 
@@ -205,6 +215,7 @@
 	defer r.mu.Unlock()
 	i := sardineknot.EntryHostID(n)
 	if i == r.self.ID {
+		r.ownRevision = e.Revision
 		if e.Revision == 0 {
 			r.requestWrite()
 		}
@@ -244,6 +255,7 @@
 // passed and removes hosts whose keys were removed, except during an outage of
 // the service and shortly after it.
 func (r *Registry) Refresh() {
+	r.refreshOnce.Do(func() { close(r.refreshed) })
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.refreshLocked()
@@ -325,10 +337,32 @@
 	return k && now.Sub(t) > reregistrationGrace
 }
 
+// lastOwnRevision returns the revision of the key of this host that Apply
+// received last, or zero.
+func (r *Registry) lastOwnRevision() sardineknot.StoreRevision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.ownRevision
+}
+
+// waitForEntries waits until the entries of the service were read, so that the
+// first write replaces the key of an earlier incarnation without a conflict. It
+// waits for at most firstWriteDelay.
+func (r *Registry) waitForEntries(ctx context.Context) {
+	t := time.NewTimer(firstWriteDelay)
+	defer t.Stop()
+	select {
+	case <-r.refreshed:
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // Run maintains the key of this host until ctx is done. The key is then left to
 // expire with its lease.
 func (r *Registry) Run(ctx context.Context) error {
-	k := &hostKey{registry: r, name: KeyPrefix + string(r.Self().ID)}
+	r.waitForEntries(ctx)
+	k := &hostKey{registry: r, name: KeyPrefix + string(r.Self().ID), revision: r.lastOwnRevision()}
 	for {
 		n := len(r.Hosts())
 		t := time.NewTimer(renewIntervalFor(n))
--- a/internal/membership/store/registry_test.go
+++ b/internal/membership/store/registry_test.go
@@ -28,6 +28,8 @@
 	// leases maps each lease to whether it is still valid.
 	leases   map[sardineknot.LeaseID]bool
 	revision sardineknot.StoreRevision
+	// writes counts the calls of CompareAndSwap.
+	writes int
 	// ttl is the time to live of the lease granted last.
 	ttl time.Duration
 	// notify holds the functions that are called with each change.
@@ -76,6 +78,7 @@
 func (s *service) CompareAndSwap(_ context.Context, k string, r sardineknot.StoreRevision, v []byte, _ sardineknot.LeaseID) (sardineknot.StoreRevision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.writes++
 	if s.entries[k].Revision != r {
 		return 0, errors.WithStack(&sardineknot.ConflictError{Key: k, Expected: r})
 	}
@@ -204,6 +207,14 @@
 		advance(10 * time.Second)
 		is.Equal(s.ttl, 1575*time.Millisecond)
 	})
+	run(t, "the key of an earlier incarnation is replaced with one write", func(t *testing.T, is *is.I, s *service) {
+		e := hostEntry(1)
+		e.Key = store.KeyPrefix + "a"
+		s.putLocked(e)
+		start(t, s, "a").Refresh()
+		advance(3 * time.Second)
+		is.Equal(s.writes, 1)
+	})
 	run(t, "an exclusion long ago does not lengthen the next", func(t *testing.T, is *is.I, s *service) {
 		a := start(t, s, "a")
 		start(t, s, "b")
