--- a/internal/membership/followers/selector_test.go
+++ b/internal/membership/followers/selector_test.go
@@ -84,6 +84,9 @@
 		}
 		is.Equal(n, 2)
 	})
+}
+
+func TestPeers(t *testing.T) {
 	t.Run("peers of the own zone come first", func(t *testing.T) {
 		is := is.New(t)
 		l := newHosts(60, 3)
--- a/internal/membership/store/registry_test.go
+++ b/internal/membership/store/registry_test.go
@@ -195,6 +195,9 @@
 		is.Equal(aliveHosts(a), "a")
 		is.Equal(aliveHosts(b), "a")
 	})
+}
+
+func TestLease(t *testing.T) {
 	run(t, "small fleets renew often and large ones seldom", func(t *testing.T, is *is.I, s *service) {
 		for i := range 299 {
 			s.putLocked(hostEntry(i))
@@ -215,6 +218,9 @@
 		advance(3 * time.Second)
 		is.Equal(s.writes, 1)
 	})
+}
+
+func TestExclude(t *testing.T) {
 	run(t, "an exclusion long ago does not lengthen the next", func(t *testing.T, is *is.I, s *service) {
 		a := start(t, s, "a")
 		start(t, s, "b")
--- a/internal/platform/changelog/log_test.go
+++ b/internal/platform/changelog/log_test.go
@@ -90,6 +90,9 @@
 		checkCompacted(t, l, 500)
 		checkNext(t, l, 5009, "a@5010", 5010)
 	})
+}
+
+func TestWait(t *testing.T) {
 	t.Run("a reader waits for the next batch", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			is := is.New(t)
--- a/logfields_test.go
+++ b/logfields_test.go
@@ -67,19 +67,27 @@
 		if methodName(call) == "Err" {
 			l = append(l, "error")
 		}
-		if len(call.Args) > 0 {
-			if b, ok := call.Args[0].(*ast.BasicLit); ok && b.Kind == token.STRING {
-				s, err := strconv.Unquote(b.Value)
-				if err == nil {
-					l = append(l, s)
-				}
-			}
+		if s, ok := firstLiteral(call); ok {
+			l = append(l, s)
 		}
 		call = receiverCall(call)
 	}
 	return l
 }
 
+// firstLiteral returns the first argument of call if it is a string literal.
+func firstLiteral(call *ast.CallExpr) (text string, ok bool) {
+	if len(call.Args) == 0 {
+		return "", false
+	}
+	b, ok := call.Args[0].(*ast.BasicLit)
+	if !ok || b.Kind != token.STRING {
+		return "", false
+	}
+	s, err := strconv.Unquote(b.Value)
+	return s, err == nil
+}
+
 // receiverCall returns the call whose result is the receiver of call, or nil.
 func receiverCall(call *ast.CallExpr) *ast.CallExpr {
 	s, ok := call.Fun.(*ast.SelectorExpr)
