--- a/internal/platform/twirp/feed.go
+++ b/internal/platform/twirp/feed.go
@@ -31,8 +31,10 @@
 	// storeMargin is the time that a call to the service may take in addition
 	// to the time for which the service holds it.
 	storeMargin = 600 * time.Millisecond
-	// snapshotTimeout bounds a read of all keys of the service.
-	snapshotTimeout = 2 * time.Second
+	// snapshotTimeout bounds a read of all keys of the service. The keys of
+	// thousands of backend servers take many pages, each with a time limit of
+	// its own.
+	snapshotTimeout = 20 * time.Second
 	// storeInterval is the least time between two calls to the service of a
 	// host that is not a follower.
 	storeInterval = 2 * time.Second
