--- a/internal/membership/store/registry.go
+++ b/internal/membership/store/registry.go
@@ -25,14 +25,14 @@
 	// KeyPrefix is the prefix of the keys of entry hosts.
 	KeyPrefix = "hosts/"
 	// minRenewInterval and maxRenewInterval bound the time between renewals of
-	// the lease. In between, renewInterval makes all hosts together renew
-	// renewalsPerSecond times a second.
+	// the lease. In between, all hosts together renew renewalsPerSecond times a
+	// second.
 	minRenewInterval  = 450 * time.Millisecond
 	maxRenewInterval  = 1200 * time.Millisecond
 	renewalsPerSecond = 300
-	// leaseTTL is the time to live of the lease of a host's key, in renewal
-	// intervals.
-	leaseTTL = 3.5
+	// intervalsPerLease is the time to live of the lease of a host's key, in
+	// renewal intervals.
+	intervalsPerLease = 3.5
 	// callTimeout bounds one attempt to renew the lease and write the key.
 	callTimeout = 600 * time.Millisecond
 	// minExclusionTime and maxExclusionTime bound the time for which a host
@@ -322,7 +322,7 @@
 // ttlFor returns the time to live of the lease of a host that knows the given
 // number of hosts.
 func ttlFor(hosts int) time.Duration {
-	return time.Duration(leaseTTL * float64(renewIntervalFor(hosts)))
+	return time.Duration(intervalsPerLease * float64(renewIntervalFor(hosts)))
 }
 
 // expiredLocked reports whether host m is to be removed: its key was removed,
--- a/internal/policy/memory/engine.go
+++ b/internal/policy/memory/engine.go
@@ -14,8 +14,10 @@
 	initialPrefillPerToken = 20 * time.Microsecond
 	initialTokensPerSecond = 1300
 	// reportDelay is the time after the end of a prefill within which its host
-	// usually reports it.
-	reportDelay = 100 * time.Millisecond
+	// usually reports it. After lostReportDelay the report is lost, for instance
+	// because the host has failed.
+	reportDelay     = 100 * time.Millisecond
+	lostReportDelay = time.Second
 	// failureThreshold is the number of consecutive failures that trips an
 	// engine. Like an open circuit breaker, a tripped engine gets no jobs until
 	// a backoff has passed, and then a single job as a probe.
@@ -68,10 +70,10 @@
 
 // prefillWait returns the time until e can start another prefill. A prefill that
 // is late by more than reportDelay is expected to take as long again as it is
-// late.
+// late, unless its report is lost.
 func (e *engine) prefillWait(now time.Time) time.Duration {
 	w := e.busyUntil.Sub(now)
-	if len(e.prefills) > 0 && w < -reportDelay {
+	if len(e.prefills) > 0 && w < -reportDelay && w > -lostReportDelay {
 		return -w
 	}
 	return max(0, w)
--- a/internal/policy/memory/pace_test.go
+++ b/internal/policy/memory/pace_test.go
@@ -83,6 +83,15 @@
 			is.True(granted(d, n).DecodeEngine != "d0")
 		}
 	})
+	t.Run("the lost report of a prefill does not block its engine", func(t *testing.T) {
+		is := is.New(t)
+		s := newScheduler(6)
+		s.Submit(start, job("lost", start, 5000, 100))
+		at := start.Add(500 * time.Millisecond)
+		is.Equal(granted(s.Submit(at, job("early", at, 5000, 100)), "early").PrefillEngine, sardineknot.BackendServerName("d0"))
+		at = start.Add(1500 * time.Millisecond)
+		is.Equal(granted(s.Submit(at, job("late", at, 5000, 100)), "late").PrefillEngine, sardineknot.BackendServerName("p"))
+	})
 	t.Run("a slow prefill engine gets fewer prompts", func(t *testing.T) {
 		is := is.New(t)
 		s := newScheduler(6)
--- a/logevent.go
+++ b/logevent.go
@@ -45,7 +45,8 @@
 
 // Events of the store and of the data read from it.
 const (
-	// LogStoreLost reports that the store no longer answers.
+	// LogStoreLost reports that the store no longer answers, nor any of the
+	// entry hosts that this host asked instead.
 	LogStoreLost LogEvent = "store_lost"
 	// LogStoreRegained reports that the store answers again.
 	LogStoreRegained LogEvent = "store_regained"
