--- a/internal/policy/memory/pace_test.go
+++ b/internal/policy/memory/pace_test.go
@@ -83,6 +83,11 @@
 			is.True(granted(d, n).DecodeEngine != "d0")
 		}
 	})
+}
+
+// TestSlowPrefills covers prefill engines under the same load, and hosts that end
+// before they report the end of a prefill.
+func TestSlowPrefills(t *testing.T) {
 	t.Run("the lost report of a prefill does not block its engine", func(t *testing.T) {
 		is := is.New(t)
 		s := newScheduler(6)
