policy/memory: the decode engine that a test of lost reports expects

Cause: the test was new and had not run: the job goes to the emptier decode engine, d1, which prefills the prompt itself; the check is as strict.

--- a/internal/policy/memory/pace_test.go
+++ b/internal/policy/memory/pace_test.go
@@ -93,7 +93,7 @@
 		s := newScheduler(6)
 		s.Submit(start, job("lost", start, 5000, 100))
 		at := start.Add(500 * time.Millisecond)
-		is.Equal(granted(s.Submit(at, job("early", at, 5000, 100)), "early").PrefillEngine, sardineknot.BackendServerName("d0"))
+		is.Equal(granted(s.Submit(at, job("early", at, 5000, 100)), "early").PrefillEngine, sardineknot.BackendServerName("d1"))
 		at = start.Add(1500 * time.Millisecond)
 		is.Equal(granted(s.Submit(at, job("late", at, 5000, 100)), "late").PrefillEngine, sardineknot.BackendServerName("p"))
 	})
