caller/idle: report connections that are closed as idle

The logs can't tell an answer that was lost with a connection closed as idle from one whose caller had left. Ruled out: no other line is missing; a stream given up for silence shows as engine_failed and call_ended.

--- a/internal/caller/idle/connections.go
+++ b/internal/caller/idle/connections.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"sardineknot.example/sardineknot"
 )
 
@@ -33,6 +35,8 @@
 	IdleTimeout func() time.Duration
 	// Clock returns the current time.
 	Clock sardineknot.Clock
+	// Log receives an event whenever connections are closed.
+	Log zerolog.Logger
 
 	mu sync.Mutex
 	// expiries holds the time from which each idle connection may be closed.
@@ -74,10 +78,15 @@
 	t := c.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	k := 0
 	for n, e := range c.expiries {
 		if t.After(e) {
 			n.Close()
 			delete(c.expiries, n)
+			k++
 		}
 	}
+	if k > 0 {
+		c.Log.Info().Stringer("event", sardineknot.LogIdleConnectionsClosed).Int("count", k).Send()
+	}
 }
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -218,7 +218,10 @@
 	b := &sharedbudget.Budgets{Clock: p.clock, Hosts: func() int { return len(p.registry.Hosts()) }}
 	b.SetBounds(p.Settings.RetryRatio, p.Settings.RetrySlack)
 	p.budgets = b
-	p.connections = &idle.Connections{Clock: p.clock, IdleTimeout: func() time.Duration { return p.source.Current().CallerLimits.IdleTime }}
+	p.connections = &idle.Connections{
+		Clock: p.clock, Log: p.Log,
+		IdleTimeout: func() time.Duration { return p.source.Current().CallerLimits.IdleTime },
+	}
 	n := uint64(self.Incarnation)
 	p.handler = &caller.Handler{
 		Source:  p.source,
--- a/logevent.go
+++ b/logevent.go
@@ -113,6 +113,9 @@
 	// LogCallRefused reports why an HTTP request was rejected before it became
 	// a call.
 	LogCallRefused LogEvent = "call_refused"
+	// LogIdleConnectionsClosed reports how many connections of callers were
+	// closed because they had been idle for too long.
+	LogIdleConnectionsClosed LogEvent = "idle_connections_closed"
 	// LogCallRetried reports why a call is sent to another server.
 	LogCallRetried LogEvent = "call_retried"
 	// LogCallFailed reports why an attempt to run a call on a server failed.
