answer/events: leave a silent engine only for one that has sent an event

Seen by callers: a connection that ends in the middle of an answer, without an error of the backend server, after its engine had been silent for 0.6 s (events) or 1.2 s (header). Cause: the host reserved another engine, closed the exchange with the silent one, and only then tried the other. Retry budget, prefill, KV cache, connection and the other engine could still fail; the header had been sent, so that the caller's connection was reset. Class: giving up what works before its replacement does. Fix: the takeover runs beside the silent stream up to its first event and is accepted under the same lock that a relayed event takes. If it fails, the stream stays, and the takeover is tried again while the silence lasts. A grant of the silent engine itself is given back. Conclusion: silence alone no longer ends an answer.

--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -1,6 +1,7 @@
 package events
 
 import (
+	"bufio"
 	"context"
 	"net/http"
 	"strconv"
@@ -19,77 +20,136 @@
 	prefill sardineknot.BackendServer
 	decode  sardineknot.BackendServer
 	cache   promptCache
-	// ctx is the context of the call.
-	ctx context.Context
-	// ended is set when runAttempt returns. It is guarded by the mutex of the
-	// session.
-	ended bool
-	// stop cancels the exchange with the decode engine and records its argument
-	// as the reason for the cancellation.
+	// number is the number of earlier attempts of the call.
+	number int
+	// resumeAfter is the identifier of the last event that the caller has, as far
+	// as the attempt knows.
+	resumeAfter int
+	// replaces is the silent engine whose stream the attempt takes over. It is
+	// empty for any other attempt.
+	replaces sardineknot.BackendServerName
+	// ctx is the context of all exchanges of the attempt. stop cancels it and
+	// records its argument as the cause.
+	ctx  context.Context
 	stop context.CancelCauseFunc
+	// response is the response of the decode engine, whose events reader reads.
+	// It is nil until the engine has sent its header.
+	response *sardineknot.Response
+	reader   *bufio.Reader
+	// first is an event that was read before the attempt was accepted as the
+	// one that continues the stream, or nil.
+	first *event
 	// eventCount is the number of events relayed by this attempt.
 	eventCount int
+	// silence starts a takeover when the engine has been silent, and ended is
+	// set when the attempt has ended. Both are guarded by the mutex of the
+	// session.
+	silence *time.Timer
+	ended   bool
+}
+
+// newAttempt returns an attempt that continues the call from its current state.
+func (s *session) newAttempt() *attempt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.newAttemptLocked()
 }
 
-// runAttempt makes one attempt. It fails with a NotRunError if no engine is
-// granted.
-func (s *session) runAttempt(ctx context.Context) error {
-	a := &attempt{session: s, ctx: ctx, job: s.nextJob(s.relayedEvents, s.attempts, s.headerSent)}
-	a.job.CachedOn = s.cachedOn
-	defer a.markEnded()
+func (s *session) newAttemptLocked() *attempt {
+	a := &attempt{session: s, number: s.attempts, resumeAfter: s.lastEventID, job: s.nextJob()}
+	a.ctx, a.stop = context.WithCancelCause(s.ctx)
 	s.attempts++
-	err := a.acquireEngines(ctx)
-	if err != nil {
-		return err
+	return a
+}
+
+// run makes the attempt: it opens the stream, unless that is done, and relays it
+// to its end. It fails with a NotRunError if no engine is granted.
+func (a *attempt) run() error {
+	defer a.end()
+	if a.response == nil {
+		err := a.open()
+		if err != nil {
+			return err
+		}
 	}
-	err = a.runPrefill(ctx)
+	return a.relayStream()
+}
+
+// end releases what the attempt holds. No takeover begins after that.
+func (a *attempt) end() {
+	a.mu.Lock()
+	a.ended = true
+	if a.silence != nil {
+		a.silence.Stop()
+	}
+	a.mu.Unlock()
+	a.stop(nil)
+}
+
+// open acquires engines and starts the stream.
+func (a *attempt) open() error {
+	err := a.acquireEngines()
 	if err != nil {
 		return err
 	}
-	p, err := a.startDecode(ctx)
+	err = a.runPrefill()
 	if err != nil {
 		return err
 	}
-	return a.relayStream(ctx, p)
+	return a.startDecode()
 }
 
 // acquireEngines waits for a grant and looks up its prefill and decode engines.
-func (a *attempt) acquireEngines(ctx context.Context) error {
+func (a *attempt) acquireEngines() error {
 	n := a.Clock.Now()
-	g, err := a.acquireGrant(ctx)
+	g, err := a.Slots.Acquire(a.ctx, a.job)
 	if err != nil {
 		return err
 	}
 	a.Log.Info().Stringer("event", sardineknot.LogEnginesGranted).Str("request", string(a.call.ID)).Str("prefill", string(g.PrefillEngine)).
 		Str("decode", string(g.DecodeEngine)).Dur("waited_ms", a.Clock.Now().Sub(n)).Int("prompt", a.job.PromptTokens).
 		Int("expected", a.job.ExpectedTokens).Int("longest", a.job.MaxTokens).Send()
-	a.prefill, err = a.findServer(g.PrefillEngine)
-	if err == nil {
-		a.decode, err = a.findServer(g.DecodeEngine)
-	}
+	err = a.checkGrant(g)
 	if err != nil {
 		a.report(sardineknot.JobCancelled, "")
 	}
 	return err
 }
 
-// acquireGrant returns the reserved grant, or waits for a new one.
-func (a *attempt) acquireGrant(ctx context.Context) (sardineknot.Grant, error) {
-	a.mu.Lock()
-	s := a.reservation
-	a.reservation = nil
-	a.mu.Unlock()
-	if s == nil {
-		return a.Slots.Acquire(ctx, a.job)
+// checkGrant looks up the engines of g. It fails if the attempt was cancelled
+// meanwhile. A takeover also needs retry budget and an engine other than the
+// silent one.
+func (a *attempt) checkGrant(g sardineknot.Grant) (err error) {
+	if a.ctx.Err() != nil {
+		return errors.WithStack(context.Cause(a.ctx))
+	}
+	a.prefill, err = a.findServer(g.PrefillEngine)
+	if err != nil {
+		return err
+	}
+	a.decode, err = a.findServer(g.DecodeEngine)
+	if err != nil || a.replaces == "" {
+		return err
 	}
-	a.job = s.job
-	return s.grant, nil
+	if a.decode.Name == a.replaces {
+		return errors.WithStack(&sardineknot.NotRunError{Reason: "only the silent engine has room", RetryAfter: failureRetryAfter})
+	}
+	return a.spendRetry()
+}
+
+// spendRetry charges a retry to the budget. It fails with a NotRunError if the
+// budget is exhausted.
+func (a *attempt) spendRetry() error {
+	if a.Budget.AllowRetry(a.call.Service) {
+		return nil
+	}
+	return errors.WithStack(&sardineknot.NotRunError{Reason: "retry budget is exhausted", RetryAfter: failureRetryAfter})
 }
 
 // runPrefill has the prefill engine compute the KV cache of the prompt, unless
 // it is also the decode engine or the KV cache of an earlier attempt can be
 // reused.
-func (a *attempt) runPrefill(ctx context.Context) error {
+func (a *attempt) runPrefill() error {
 	if a.reuseCache() {
 		a.report(sardineknot.JobPrefillDone, a.prefill.Name)
 		return nil
@@ -97,73 +157,90 @@
 	if a.prefill.Name == a.decode.Name {
 		return nil
 	}
-	if a.attempts > 1 && !a.Budget.AllowRetry(a.call.Service) {
-		a.report(sardineknot.JobCancelled, "")
-		return errors.WithStack(&sardineknot.NotRunError{Reason: "retry budget is exhausted", RetryAfter: failureRetryAfter})
+	if a.number > 0 {
+		err := a.spendRetry()
+		if err != nil {
+			a.report(sardineknot.JobCancelled, "")
+			return err
+		}
 	}
-	ctx, cancel := context.WithTimeout(ctx, prefillTimeout)
+	ctx, cancel := context.WithTimeout(a.ctx, prefillTimeout)
 	defer cancel()
 	k, err := a.Forwarder.Prefill(ctx, a.prefill, a.call, a.call.Deadline)
 	if err != nil {
 		a.recordPrefillFailure(err)
-		a.reportFailure(ctx, err, a.prefill.Name)
+		a.reportFailure(err, a.prefill.Name)
 		return err
 	}
 	a.cache = promptCache{KVCacheReference: k, createdAt: a.Clock.Now()}
-	a.cachedOn = a.prefill.Name
+	a.setCachedOn(a.prefill.Name)
 	a.report(sardineknot.JobPrefillDone, a.prefill.Name)
 	return nil
 }
 
-// startDecode forwards the call to the decode engine and returns its response.
-// If the engine refuses the KV cache, the engine prefills the prompt itself,
-// provided that the prompt has at most MaxLocalPrefillTokens tokens and the
-// retry budget allows it.
-func (a *attempt) startDecode(ctx context.Context) (*sardineknot.Response, error) {
-	p, err := a.forward(ctx, a.cache.KVCacheReference)
+// startDecode forwards the call to the decode engine and waits for the header of
+// its response. If the engine refuses the KV cache, the engine prefills the
+// prompt itself, provided that the prompt has at most MaxLocalPrefillTokens
+// tokens and the retry budget allows it.
+func (a *attempt) startDecode() error {
+	a.watchSilence(headerTimeout)
+	p, err := a.forward(a.cache.KVCacheReference)
 	var r *sardineknot.RefusedError
 	if errors.As(err, &r) && a.cache.Handle != "" {
 		a.Log.Info().Stringer("event", sardineknot.LogCacheRefused).Str("request", string(a.call.ID)).Str("prefill", string(a.prefill.Name)).
 			Str("decode", string(a.decode.Name)).Err(err).Send()
 		a.discardCache()
 		if a.job.PromptTokens <= sardineknot.MaxLocalPrefillTokens && a.Budget.AllowRetry(a.call.Service) {
-			p, err = a.forward(ctx, sardineknot.KVCacheReference{})
+			p, err = a.forward(sardineknot.KVCacheReference{})
 		}
 	}
-	if err == nil {
-		return p, nil
-	}
 	var u *sardineknot.UnsentError
 	if !errors.As(err, &r) && !errors.As(err, &u) {
-		a.executions++
+		a.recordExecution()
+	}
+	if err != nil {
+		a.retainCache(err)
+		a.reportFailure(err, a.decode.Name)
+		return err
 	}
-	a.retainCache(err)
-	a.reportFailure(ctx, err, a.decode.Name)
-	return nil, err
+	a.response = p
+	a.reader = bufio.NewReaderSize(p.Body, readBytes)
+	return nil
+}
+
+func (a *attempt) forward(k sardineknot.KVCacheReference) (*sardineknot.Response, error) {
+	o := sardineknot.ForwardOptions{Deadline: a.call.Deadline, Cache: k, ResumeAfter: a.resumeAfter, FreshConnection: !a.call.Route.Repeatable()}
+	return a.Forwarder.Forward(a.ctx, a.decode, a.call, o)
 }
 
-func (a *attempt) forward(ctx context.Context, k sardineknot.KVCacheReference) (*sardineknot.Response, error) {
-	ctx, a.stop = context.WithCancelCause(ctx)
-	if a.call.Route.Resumable {
-		e := time.AfterFunc(headerTimeout, a.cancelSilent)
-		defer e.Stop()
+// openStream opens the stream and reads its first event. A response that is not
+// a stream is a failure.
+func (a *attempt) openStream() error {
+	err := a.open()
+	if err != nil {
+		return err
+	}
+	if a.response.Status == http.StatusOK {
+		a.first, err = a.readEvent()
+	} else {
+		err = a.statusError()
 	}
-	o := sardineknot.ForwardOptions{Deadline: a.call.Deadline, Cache: k, ResumeAfter: a.lastEventID, FreshConnection: !a.call.Route.Repeatable()}
-	p, err := a.Forwarder.Forward(ctx, a.decode, a.call, o)
 	if err != nil {
-		a.stop(nil)
+		a.response.Body.Close()
+		a.reportFailure(err, a.decode.Name)
 	}
-	return p, err
+	return err
 }
 
-// cancelSilent cancels the exchange with an engine that has not sent a response
-// header in time.
-func (a *attempt) cancelSilent() { a.stop(errSilent) }
+// statusError returns the error for a response that is not a stream.
+func (a *attempt) statusError() error {
+	return errors.WithStack(&sardineknot.RequestFailedError{Reason: string(a.decode.Name) + " answered " + strconv.Itoa(a.response.Status)})
+}
 
 // reportFailure reports that engine n failed the job, or that the job was
-// cancelled if the caller has disconnected.
-func (a *attempt) reportFailure(ctx context.Context, err error, n sardineknot.BackendServerName) {
-	if errors.Is(ctx.Err(), context.Canceled) {
+// cancelled if the caller has disconnected or the stream goes on elsewhere.
+func (a *attempt) reportFailure(err error, n sardineknot.BackendServerName) {
+	if a.superseded() {
 		a.report(sardineknot.JobCancelled, "")
 		return
 	}
@@ -180,44 +257,3 @@
 
 // tokens returns the number of tokens that this attempt has generated.
 func (a *attempt) tokens() int { return a.eventCount * a.eventTokens() }
-
-// relayStream relays the stream p to the caller and reports the end of the job.
-func (a *attempt) relayStream(ctx context.Context, p *sardineknot.Response) error {
-	defer a.stop(nil)
-	defer p.Body.Close()
-	a.executions++
-	if p.Status != http.StatusOK {
-		return a.relayFailure(ctx, p)
-	}
-	if !a.headerSent {
-		a.headerSent = true
-		a.writer.SendHeader(p.Status, p.Header)
-	}
-	err := a.copyEvents(p)
-	if err != nil {
-		a.reportFailure(ctx, err, a.decode.Name)
-		return err
-	}
-	a.report(sardineknot.JobFinished, a.decode.Name)
-	a.Log.Info().Stringer("event", sardineknot.LogStreamEnded).Str("request", string(a.call.ID)).Str("server", string(a.decode.Name)).
-		Int("tries", a.attempts).Dur("first_ms", a.timeToFirst).Dur("pause_ms", a.longestPause).Int("tokens", a.tokens()).Int("expected", a.job.ExpectedTokens).Int("longest", a.job.MaxTokens).Send()
-	return nil
-}
-
-// relayFailure relays a response whose status is not 200. It fails instead if
-// the call may be retried or the response header was already sent.
-func (a *attempt) relayFailure(ctx context.Context, p *sardineknot.Response) error {
-	b, err := readAll(p)
-	e := errors.WithStack(&sardineknot.RequestFailedError{Reason: string(a.decode.Name) + " answered " + strconv.Itoa(p.Status)})
-	a.reportFailure(ctx, e, a.decode.Name)
-	if err != nil || a.headerSent {
-		return e
-	}
-	if p.Status >= http.StatusInternalServerError && a.executions < a.call.Route.Attempts && a.call.Route.Repeatable() {
-		return e
-	}
-	h := p.Header.Clone()
-	h.Set("Content-Length", strconv.Itoa(len(b)))
-	a.writer.SendHeader(p.Status, h)
-	return a.writer.Write(b)
-}
--- a/internal/answer/events/cache.go
+++ b/internal/answer/events/cache.go
@@ -28,8 +28,7 @@
 // reports whether there was one. A cache older than cacheLifetime is released
 // instead.
 func (a *attempt) reuseCache() bool {
-	c := a.retainedCache
-	a.retainedCache = promptCache{}
+	c := a.takeRetainedCache()
 	if c.Handle == "" {
 		return false
 	}
@@ -67,17 +66,42 @@
 		a.releaseCache(a.cache.KVCacheReference)
 		return
 	}
+	a.releaseRetainedCache()
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.retainedCache = a.cache
 }
 
+// takeRetainedCache returns the retained KV cache, which is no longer retained.
+func (s *session) takeRetainedCache() promptCache {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.retainedCache
+	s.retainedCache = promptCache{}
+	return c
+}
+
+// releaseRetainedCache releases the retained KV cache, if any.
+func (s *session) releaseRetainedCache() {
+	s.releaseCache(s.takeRetainedCache().KVCacheReference)
+}
+
 // recordPrefillFailure updates cachedOn after the prefill engine failed with
 // err. If the outcome is unknown, the engine has probably computed the KV
 // cache, so the next attempt is to prefer this engine. An engine that timed out
 // or accepted no connection is not preferred.
 func (a *attempt) recordPrefillFailure(err error) {
 	var u *sardineknot.UnavailableError
-	a.cachedOn = ""
 	if errors.As(err, &u) && !errors.Is(err, context.DeadlineExceeded) {
-		a.cachedOn = a.prefill.Name
+		a.setCachedOn(a.prefill.Name)
+		return
 	}
+	a.setCachedOn("")
+}
+
+// setCachedOn sets the prefill engine that probably caches the prompt.
+func (s *session) setCachedOn(n sardineknot.BackendServerName) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.cachedOn = n
 }
--- a/internal/answer/events/doc.go
+++ b/internal/answer/events/doc.go
@@ -7,5 +7,6 @@
 // imports it. If the cache is lost in between, the decode engine prefills the
 // prompt itself. On a resumable route, a stream that breaks off continues on
 // another engine after its last complete event, so that the caller sees one
-// uninterrupted answer.
+// uninterrupted answer. While an engine is silent, another one is prepared; the
+// stream moves when that one has sent an event, and stays otherwise.
 package events
--- a/internal/answer/events/relay.go
+++ b/internal/answer/events/relay.go
@@ -4,8 +4,8 @@
 	"bufio"
 	"bytes"
 	"io"
+	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/pkg/errors"
 
@@ -15,11 +15,6 @@
 const (
 	// progressEvents is the number of events between two progress reports.
 	progressEvents = 8
-	// silenceTimeout is the time without an event after which another engine is
-	// requested for a resumable stream. An engine that runs out of memory
-	// causes such silence: it suspends one answer and later recomputes it,
-	// while its other answers pause.
-	silenceTimeout = 600 * time.Millisecond
 	// maxEventBytes bounds the size of an event.
 	maxEventBytes = 1 << 20
 	// maxFailureBytes bounds the body of a response that is not a stream.
@@ -28,13 +23,18 @@
 	readBytes = 4 << 10
 )
 
-// errSilent is the cancellation cause of an exchange in which the engine sent
-// nothing within headerTimeout or silenceTimeout.
-var errSilent = errors.New("the engine is silent")
-
 // errTruncated reports a stream that ended in the middle of an event.
 var errTruncated = errors.New("stream ended in the middle of an event")
 
+// event is an event of a stream. The last event is followed by one with end set,
+// which has no text.
+type event struct {
+	text []byte
+	// id is the identifier of the event, or zero if it has none.
+	id  int
+	end bool
+}
+
 // writeError reports that writing to the caller failed.
 type writeError struct {
 	cause error
@@ -43,39 +43,77 @@
 // Error implements error.
 func (e *writeError) Error() string { return "write to the caller failed: " + e.cause.Error() }
 
-// copyEvents relays the events of p to the caller and skips those that the
-// caller already has. It returns nil at the end of the stream.
-func (a *attempt) copyEvents(p *sardineknot.Response) error {
-	r := bufio.NewReaderSize(p.Body, readBytes)
+// relayStream relays the stream to the caller and reports the end of the job.
+func (a *attempt) relayStream() error {
+	defer a.response.Body.Close()
+	if a.response.Status != http.StatusOK {
+		return a.relayFailure()
+	}
+	a.sendHeader(a.response.Status, a.response.Header)
+	err := a.copyEvents()
+	if err != nil {
+		a.reportFailure(err, a.decode.Name)
+		return err
+	}
+	a.report(sardineknot.JobFinished, a.decode.Name)
+	a.Log.Info().Stringer("event", sardineknot.LogStreamEnded).Str("request", string(a.call.ID)).Str("server", string(a.decode.Name)).
+		Int("tries", a.number+1).Dur("first_ms", a.timeToFirst).Dur("pause_ms", a.longestPause).Int("tokens", a.tokens()).Int("expected", a.job.ExpectedTokens).Int("longest", a.job.MaxTokens).Send()
+	return nil
+}
+
+// relayFailure relays a response whose status is not 200. It fails instead if
+// the call may be retried or the response header was already sent.
+func (a *attempt) relayFailure() error {
+	b, err := io.ReadAll(io.LimitReader(a.response.Body, maxFailureBytes))
+	e := a.statusError()
+	a.reportFailure(e, a.decode.Name)
+	if err != nil || a.headerSent || a.response.Status >= http.StatusInternalServerError && a.mayRunAgain() {
+		return e
+	}
+	h := a.response.Header.Clone()
+	h.Set("Content-Length", strconv.Itoa(len(b)))
+	a.sendHeader(a.response.Status, h)
+	return a.writer.Write(b)
+}
+
+// copyEvents relays the events of the stream to the caller. It returns nil at
+// the end of the stream.
+func (a *attempt) copyEvents() error {
 	for {
-		b, n, err := a.nextEvent(r)
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
+		e, err := a.nextEvent()
 		if err != nil {
 			return err
 		}
-		if n > 0 && n <= a.lastEventID {
-			continue
+		if e.end {
+			return nil
 		}
-		if err := a.writer.Write(b); err != nil {
+		if !a.claimEvent(e.id) {
+			return errSilent
+		}
+		if err := a.writer.Write(e.text); err != nil {
 			return errors.WithStack(&writeError{cause: err})
 		}
-		a.relayedEvents++
-		a.relayedEventsAtomic.Store(int64(a.relayedEvents))
 		a.recordEventTime()
 		a.reportProgress()
-		if n > 0 {
-			a.lastEventID = n
-		}
 	}
 }
 
+// nextEvent returns the next event that the caller does not have. While it
+// waits, the engine is watched for silence.
+func (a *attempt) nextEvent() (*event, error) {
+	if e := a.first; e != nil {
+		a.first = nil
+		return e, nil
+	}
+	a.watchSilence(silenceTimeout)
+	return a.readEvent()
+}
+
 // recordEventTime updates timeToFirst, longestPause and lastEventAt for an
 // event that has just been relayed.
 func (a *attempt) recordEventTime() {
 	n := a.Clock.Now()
-	if a.relayedEvents == 1 {
+	if a.lastEventAt.IsZero() {
 		a.timeToFirst = n.Sub(a.call.ArrivedAt)
 	} else {
 		a.longestPause = max(a.longestPause, n.Sub(a.lastEventAt))
@@ -95,16 +133,23 @@
 	}
 }
 
-// nextEvent returns the next complete event and its identifier, which is zero
-// if the event has none. If the stream may fail over, failOver is called after
-// silenceTimeout without an event.
-func (a *attempt) nextEvent(r *bufio.Reader) (event []byte, id int, err error) {
-	if a.mayFailOver() {
-		p := a.relayedEvents
-		e := time.AfterFunc(silenceTimeout, func() { a.failOver(p) })
-		defer e.Stop()
+// readEvent reads the next complete event, and skips events up to resumeAfter.
+func (a *attempt) readEvent() (*event, error) {
+	for {
+		e, err := readEvent(a.reader)
+		if err != nil {
+			return nil, err
+		}
+		if e.end || e.id == 0 || e.id > a.resumeAfter {
+			return e, nil
+		}
 	}
+}
+
+// readEvent reads an event from r.
+func readEvent(r *bufio.Reader) (*event, error) {
 	var b bytes.Buffer
+	e := &event{}
 	for {
 		l, err := r.ReadSlice('\n')
 		b.Write(l)
@@ -112,23 +157,22 @@
 		case errors.Is(err, bufio.ErrBufferFull) && b.Len() < maxEventBytes:
 			continue
 		case errors.Is(err, io.EOF) && b.Len() > 0:
-			return nil, 0, errors.WithStack(errTruncated)
+			return nil, errors.WithStack(errTruncated)
+		case errors.Is(err, io.EOF):
+			e.end = true
+			return e, nil
 		case err != nil:
-			return nil, 0, err
+			return nil, err
 		}
 		if v, ok := bytes.CutPrefix(l, []byte("id:")); ok {
-			id, _ = strconv.Atoi(string(bytes.TrimSpace(v)))
+			e.id, _ = strconv.Atoi(string(bytes.TrimSpace(v)))
 		}
 		if len(bytes.TrimRight(l, "\r\n")) == 0 {
-			return b.Bytes(), id, nil
+			e.text = b.Bytes()
+			return e, nil
 		}
 		if b.Len() > maxEventBytes {
-			return nil, 0, errors.New("event is too long")
+			return nil, errors.New("event is too long")
 		}
 	}
 }
-
-func readAll(p *sardineknot.Response) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(p.Body, maxFailureBytes))
-	return b, errors.WithStack(err)
-}
--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"net/http"
 	"strconv"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -14,17 +14,16 @@
 )
 
 const (
-	// maxAttempts bounds the attempts of one call.
-	maxAttempts = 5
+	// maxAttempts bounds the attempts of one call, and maxTakeovers those that
+	// are to replace a silent engine.
+	maxAttempts  = 5
+	maxTakeovers = 5
 	// resumeTarget is the time within which an interrupted stream should
 	// produce its next event.
 	resumeTarget = 2500 * time.Millisecond
 	// prefillTimeout bounds a prefill. It is independent of the latency target
 	// of the first event.
 	prefillTimeout = 1500 * time.Millisecond
-	// headerTimeout bounds the wait for the response header on a resumable
-	// route.
-	headerTimeout = 1200 * time.Millisecond
 	// releaseTimeout bounds the request that releases a KV cache.
 	releaseTimeout = 500 * time.Millisecond
 	// failureRetryAfter is the Retry-After time of a call that no engine
@@ -56,101 +55,140 @@
 // session is the state of one call over all its attempts.
 type session struct {
 	*Runner
+	// ctx is the context of the call.
+	ctx    context.Context
 	call   *sardineknot.Call
 	writer sardineknot.AnswerWriter
-	// headerSent reports whether the response header was sent to the caller.
-	headerSent bool
-	// lastEventID is the identifier of the last event that the caller has. Zero
-	// means none.
-	lastEventID int
-	// relayedEvents is the number of events sent to the caller.
-	relayedEvents int
 	// timeToFirst is the time from the arrival of the call to its first event,
 	// longestPause the longest time between two events, and lastEventAt the
 	// time of the last event.
 	timeToFirst  time.Duration
 	longestPause time.Duration
 	lastEventAt  time.Time
-	// reservation is the grant that was acquired in advance for the next
-	// attempt, or nil.
-	reservation *reservation
-	// mu guards reservation and the field ended of the current attempt.
+
+	// mu guards the fields below. Only the goroutine that runs the call changes
+	// headerSent, lastEventID and relayedEvents.
 	mu sync.Mutex
-	// relayedEventsAtomic mirrors relayedEvents for other goroutines.
-	relayedEventsAtomic atomic.Int64
+	// headerSent reports whether the response header was sent to the caller.
+	headerSent bool
+	// lastEventID is the identifier of the last event that the caller has. Zero
+	// means none.
+	lastEventID int
+	// relayedEvents is the number of events sent to the caller.
+	relayedEvents int
+	// takeover is the takeover in progress, or nil.
+	takeover *takeover
 	// cachedOn is the prefill engine that probably still caches the prompt, or
 	// empty. Decode engines discard their KV cache when a stream breaks off.
 	cachedOn sardineknot.BackendServerName
 	// retainedCache is the KV cache of an earlier attempt that was probably not
 	// imported. The zero value means that there is none.
 	retainedCache promptCache
-	// attempts counts all attempts, and executions those that may have run on
-	// an engine.
+	// attempts counts all attempts, takeovers those of them that were to replace
+	// a silent engine, and executions those that may have run on an engine.
 	attempts   int
+	takeovers  int
 	executions int
 }
 
 // Run implements sardineknot.CallRunner.
 func (r *Runner) Run(ctx context.Context, c *sardineknot.Call, w sardineknot.AnswerWriter) error {
 	r.Budget.RecordCall(c.Service)
-	s := &session{Runner: r, call: c, writer: w, lastEventID: c.Generation.ResumeAfter}
-	defer s.cancelReservation()
-	defer func() { s.releaseCache(s.retainedCache.KVCacheReference) }()
+	s := &session{Runner: r, ctx: ctx, call: c, writer: w, lastEventID: c.Generation.ResumeAfter}
+	defer s.releaseRetainedCache()
+	defer s.dropTakeover()
+	a := s.newAttempt()
 	for {
-		err := s.runAttempt(ctx)
+		err := a.run()
 		if err == nil {
 			return nil
 		}
-		if !s.mayRetry(ctx, err) {
+		n := s.finishTakeover()
+		if n == nil && !s.mayRetry(err) {
 			return s.finalError(err)
 		}
-		s.Log.Info().Stringer("event", sardineknot.LogStreamRetried).Str("request", string(c.ID)).Int("try", s.attempts).
-			Int("after", s.lastEventID).Err(err).Send()
+		if n == nil {
+			n = s.newAttempt()
+		}
+		s.Log.Info().Stringer("event", sardineknot.LogStreamRetried).Str("request", string(c.ID)).Int("try", n.number).
+			Int("after", n.resumeAfter).Err(err).Send()
+		a = n
 	}
 }
 
-// mayRetry reports whether another attempt may follow one that failed with err.
-// It consumes retry budget unless an engine is already reserved.
-func (s *session) mayRetry(ctx context.Context, err error) bool {
+// mayRetry reports whether another attempt may follow one that failed with err,
+// and consumes retry budget for it.
+func (s *session) mayRetry(err error) bool {
 	var n *sardineknot.NotRunError
 	var w *writeError
-	if ctx.Err() != nil || errors.As(err, &n) || errors.As(err, &w) || s.attempts >= maxAttempts {
+	if s.ctx.Err() != nil || errors.As(err, &n) || errors.As(err, &w) {
 		return false
 	}
-	if s.executions > 0 && !s.call.Route.Repeatable() {
+	return s.mayAttempt() && s.Budget.AllowRetry(s.call.Service)
+}
+
+// mayAttempt reports whether the call has attempts left.
+func (s *session) mayAttempt() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.attempts-s.takeovers >= maxAttempts || s.executions >= s.call.Route.Attempts {
 		return false
 	}
-	if s.executions >= s.call.Route.Attempts {
-		return false
+	return s.executions == 0 || s.call.Route.Repeatable()
+}
+
+// mayRunAgain reports whether another engine may run a call that has run.
+func (s *session) mayRunAgain() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.takeover != nil || s.executions < s.call.Route.Attempts && s.call.Route.Repeatable()
+}
+
+// recordExecution records that an engine may have run the call.
+func (s *session) recordExecution() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.executions++
+}
+
+// sendHeader sends the response header to the caller, unless the header of an
+// earlier attempt was sent.
+func (s *session) sendHeader(status int, header http.Header) {
+	s.mu.Lock()
+	k := s.headerSent
+	s.headerSent = true
+	s.mu.Unlock()
+	if !k {
+		s.writer.SendHeader(status, header)
 	}
-	// The retry budget was charged when the reservation was requested.
-	return s.reservation != nil || s.Budget.AllowRetry(s.call.Service)
 }
 
 // finalError converts err, with which the last attempt failed, to the error of
 // the call.
 func (s *session) finalError(err error) error {
+	s.mu.Lock()
+	k := s.executions > 0
+	s.mu.Unlock()
 	var n *sardineknot.NotRunError
-	if s.executions > 0 && errors.As(err, &n) {
+	if k && errors.As(err, &n) {
 		// The refusal concerns only the last attempt; an earlier one may have
 		// run.
 		return errors.WithStack(&sardineknot.RequestFailedError{Reason: n.Reason})
 	}
-	if s.executions > 0 || errors.As(err, &n) {
+	if k || errors.As(err, &n) {
 		return err
 	}
 	return errors.WithStack(&sardineknot.NotRunError{Reason: err.Error(), RetryAfter: failureRetryAfter})
 }
 
-// nextJob returns the job of the attempt with the given number. relayed is the
-// number of events that the caller has received from earlier attempts. resumed
-// reports whether the response header was already sent to the caller. If so,
-// the job is due within resumeTarget and has priority zero.
-func (s *session) nextJob(relayed, number int, resumed bool) sardineknot.Job {
+// nextJob returns the job of the next attempt. If the response header was already
+// sent to the caller, the job is due within resumeTarget and has priority zero.
+// The caller must hold mu.
+func (s *session) nextJob() sardineknot.Job {
 	c, p := s.call, s.call.Generation
-	g := relayed * s.eventTokens()
+	g := s.relayedEvents * s.eventTokens()
 	j := sardineknot.Job{
-		Key:                sardineknot.RequestKey{Account: sardineknot.ClientAccountName(s.Self.ID), ID: c.ID + sardineknot.RequestID("/"+strconv.Itoa(number))},
+		Key:                sardineknot.RequestKey{Account: sardineknot.ClientAccountName(s.Self.ID), ID: c.ID + sardineknot.RequestID("/"+strconv.Itoa(s.attempts))},
 		Pool:               sardineknot.ServicePoolName(c.Service, p.Model),
 		Work:               sardineknot.WorkName(c.Route.Name),
 		Zone:               s.Self.Zone,
@@ -162,12 +200,13 @@
 		FirstTokenDeadline: c.ArrivedAt.Add(c.Route.Target),
 		CallerDeadline:     c.Deadline,
 		PerToken:           c.Route.PauseTarget,
+		CachedOn:           s.cachedOn,
 		Owner:              s.Self.ID,
 	}
 	if p.ExpectedTokens > 0 {
 		j.ExpectedTokens = max(1, p.ExpectedTokens-g-p.ResumeAfter*s.eventTokens())
 	}
-	if resumed {
+	if s.headerSent {
 		j.FirstTokenDeadline = s.Clock.Now().Add(resumeTarget)
 		j.Priority = 0
 	}
--- /dev/null
+++ b/internal/answer/events/takeover.go
@@ -0,0 +1,185 @@
+package events
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sardineknot.example/sardineknot"
+)
+
+const (
+	// headerTimeout is the time without a response header after which another
+	// engine is prepared for a resumable stream.
+	headerTimeout = 1200 * time.Millisecond
+	// silenceTimeout is the time without an event after which another engine is
+	// prepared for a resumable stream. An engine that runs out of memory causes
+	// such silence: it suspends one answer and later recomputes it, while its
+	// other answers pause.
+	silenceTimeout = 600 * time.Millisecond
+)
+
+// errSilent is the cancellation cause of an attempt whose engine was silent
+// until another engine continued its stream.
+var errSilent = errors.New("the engine is silent")
+
+// errSuperseded is the cancellation cause of a takeover that is not needed,
+// because the silent engine went on or the call has ended.
+var errSuperseded = errors.New("the stream goes on elsewhere")
+
+// takeover prepares another engine for the stream of a silent one. The silent
+// engine is left only when the other one has sent an event: if the takeover
+// fails at any step before that, the stream stays where it is, because a late
+// answer is better than none.
+type takeover struct {
+	// from is the attempt whose engine is silent, and to the attempt on the
+	// other engine.
+	from, to *attempt
+	// done is closed when the takeover has succeeded or failed.
+	done chan struct{}
+	// accepted reports whether the stream continues with to. It is guarded by
+	// the mutex of the session.
+	accepted bool
+}
+
+// watchSilence starts a takeover if nothing is relayed for limit. It replaces an
+// earlier watch of the attempt. Streams that may not be resumed are not watched.
+func (a *attempt) watchSilence(limit time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.call.Route.Resumable || a.replaces != "" && a.response == nil {
+		return
+	}
+	if a.silence == nil {
+		a.silence = time.AfterFunc(limit, a.takeOver)
+		return
+	}
+	a.silence.Reset(limit)
+}
+
+// takeOver makes one takeover. If it fails while the engine is still silent,
+// another one follows after silenceTimeout.
+func (a *attempt) takeOver() {
+	t := a.newTakeover()
+	if t == nil {
+		return
+	}
+	defer close(t.done)
+	err := t.to.openStream()
+	if err == nil && t.accept() {
+		a.stop(errSilent)
+		return
+	}
+	t.to.discard(err)
+	if t.withdraw() {
+		a.Log.Info().Stringer("event", sardineknot.LogSilentStreamStays).Str("request", string(a.call.ID)).Str("server", string(a.decode.Name)).Err(err).Send()
+		a.watchSilence(silenceTimeout)
+	}
+}
+
+// newTakeover returns a takeover of the stream of a, or nil if a has ended, a
+// takeover is in progress or the route allows no other engine.
+func (a *attempt) newTakeover() *takeover {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.ended || a.takeover != nil || a.executions >= a.call.Route.Attempts || a.takeovers >= maxTakeovers {
+		return nil
+	}
+	a.takeovers++
+	t := &takeover{from: a, to: a.newAttemptLocked(), done: make(chan struct{})}
+	t.to.replaces = a.decode.Name
+	a.takeover = t
+	return t
+}
+
+// accept makes the other engine the one that continues the stream, and reports
+// whether it did. It does not if the silent engine has gone on meanwhile.
+func (t *takeover) accept() bool {
+	t.from.mu.Lock()
+	defer t.from.mu.Unlock()
+	t.accepted = t.from.takeover == t
+	return t.accepted
+}
+
+// withdraw removes a failed takeover from its session, and reports whether the
+// stream still waits for its silent engine.
+func (t *takeover) withdraw() bool {
+	t.from.mu.Lock()
+	defer t.from.mu.Unlock()
+	if t.from.takeover != t {
+		return false
+	}
+	t.from.takeover = nil
+	return !t.from.ended
+}
+
+// finishTakeover waits for the takeover in progress, if any, and returns the
+// attempt that continues the stream. It returns nil if there is none.
+func (s *session) finishTakeover() *attempt {
+	s.mu.Lock()
+	t := s.takeover
+	s.mu.Unlock()
+	if t == nil {
+		return nil
+	}
+	<-t.done
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.takeover = nil
+	if !t.accepted {
+		return nil
+	}
+	return t.to
+}
+
+// dropTakeover cancels the takeover in progress, if any, once the call has
+// ended.
+func (s *session) dropTakeover() {
+	s.mu.Lock()
+	t := s.takeover
+	s.takeover = nil
+	k := t != nil && t.accepted
+	s.mu.Unlock()
+	if t != nil {
+		t.to.stop(errSuperseded)
+	}
+	if k {
+		t.to.discard(nil)
+	}
+}
+
+// claimEvent reports whether the attempt may relay an event. It may unless
+// another engine has taken the stream over. A takeover in progress is cancelled.
+func (a *attempt) claimEvent(id int) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if t := a.takeover; t != nil && t.from == a {
+		if t.accepted {
+			return false
+		}
+		a.takeover = nil
+		t.to.stop(errSuperseded)
+	}
+	a.relayedEvents++
+	if id > 0 {
+		a.lastEventID, a.resumeAfter = id, id
+	}
+	return true
+}
+
+// discard ends an attempt that does not continue the stream. err is the error
+// with which it failed, or nil if its stream is open.
+func (a *attempt) discard(err error) {
+	if err == nil {
+		a.response.Body.Close()
+		a.report(sardineknot.JobCancelled, "")
+	}
+	a.stop(errSuperseded)
+}
+
+// superseded reports whether the attempt was cancelled because the stream goes
+// on elsewhere or its caller has disconnected.
+func (a *attempt) superseded() bool {
+	return errors.Is(a.session.ctx.Err(), context.Canceled) || errors.Is(context.Cause(a.ctx), errSuperseded)
+}
