caller/idle: answer a request that was read as its connection expired

Seen by callers: a whole request on a kept connection that gets neither an answer nor a refusal, when it arrives as the connection expires. Cause: Connections closed the connection itself. net/http reports a connection as active only after it has read the header, so that a connection with a request just read from it counted as idle: the request ran, and its answer had nowhere to go. Class: closing what another part is about to use, on a state that is late. Fix: the read deadline is set instead, on which the server closes the connection unless it has a request, and is removed when the connection turns out to be active. Conclusion: fixed as far as a test without network shows.

--- a/internal/caller/idle/connections.go
+++ b/internal/caller/idle/connections.go
@@ -4,15 +4,21 @@
 // which IdleTimeout of http.Server does not support. A shorter timeout applies
 // only to connections that become idle after the change, because callers whose
 // connections were idle before the change still rely on the previous timeout.
+//
+// A connection is closed by its server, after its read deadline was set to a time
+// in the past. If the server has just read a request, the deadline is removed and
+// the request is answered.
 package idle
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
@@ -39,8 +45,18 @@
 	Log zerolog.Logger
 
 	mu sync.Mutex
-	// expiries holds the time from which each idle connection may be closed.
-	expiries map[net.Conn]time.Time
+	// idle holds the state of each idle connection.
+	idle map[net.Conn]*idleConnection
+}
+
+// idleConnection is the state of a connection without a request.
+type idleConnection struct {
+	// since is the time at which the connection became idle, and limit the idle
+	// timeout at that time.
+	since time.Time
+	limit time.Duration
+	// expired is set once the read deadline was set.
+	expired bool
 }
 
 // Track records a change of the state of a connection. It is used as ConnState
@@ -48,15 +64,19 @@
 func (c *Connections) Track(connection net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.expiries, connection)
+	i := c.idle[connection]
+	delete(c.idle, connection)
+	if i != nil && i.expired && state == http.StateActive {
+		c.setReadDeadline(connection, time.Time{})
+	}
 	l := c.IdleTimeout()
 	if l <= 0 || state != http.StateIdle && state != http.StateNew {
 		return
 	}
-	if c.expiries == nil {
-		c.expiries = make(map[net.Conn]time.Time)
+	if c.idle == nil {
+		c.idle = make(map[net.Conn]*idleConnection)
 	}
-	c.expiries[connection] = c.Clock.Now().Add(l + margin)
+	c.idle[connection] = &idleConnection{since: c.Clock.Now(), limit: l}
 }
 
 // Run closes expired connections until ctx is done. It always returns nil.
@@ -73,20 +93,40 @@
 	}
 }
 
-// closeExpired closes the connections whose idle timeout has passed.
+// closeExpired makes the server close the connections whose idle timeout has
+// passed.
 func (c *Connections) closeExpired() {
-	t := c.Clock.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	k := 0
-	for n, e := range c.expiries {
-		if t.After(e) {
-			n.Close()
-			delete(c.expiries, n)
-			k++
+	n := 0
+	for k, i := range c.idle {
+		if !c.expiredLocked(i) {
+			continue
+		}
+		c.setReadDeadline(k, pastDeadline)
+		if !i.expired {
+			n++
 		}
+		i.expired = true
 	}
-	if k > 0 {
-		c.Log.Info().Stringer("event", sardineknot.LogIdleConnectionsClosed).Int("count", k).Send()
+	if n > 0 {
+		c.Log.Info().Stringer("event", sardineknot.LogIdleConnectionsClosed).Int("count", n).Send()
 	}
 }
+
+// expiredLocked reports whether the idle timeout of i has passed.
+func (c *Connections) expiredLocked(i *idleConnection) bool {
+	return c.Clock.Now().Sub(i.since) > i.limit+margin
+}
+
+// setReadDeadline sets the read deadline of connection. It fails only for a
+// connection that is closed already.
+func (c *Connections) setReadDeadline(connection net.Conn, deadline time.Time) {
+	err := connection.SetReadDeadline(deadline)
+	if err != nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, io.ErrClosedPipe) {
+		c.Log.Warn().Stringer("event", sardineknot.LogIdleConnectionsClosed).Err(err).Send()
+	}
+}
+
+// pastDeadline is a read deadline that has passed.
+var pastDeadline = time.Unix(1, 0)
--- a/internal/caller/idle/connections_test.go
+++ b/internal/caller/idle/connections_test.go
@@ -14,14 +14,15 @@
 	"sardineknot.example/sardineknot/internal/host/clock"
 )
 
-// conn is a fake connection that records whether it was closed.
+// conn is a fake connection that records whether its server closes it, which it
+// does when the read deadline is in the past.
 type conn struct {
 	net.Conn
 	closed bool
 }
 
-func (c *conn) Close() error {
-	c.closed = true
+func (c *conn) SetReadDeadline(d time.Time) error {
+	c.closed = !d.IsZero() && d.Before(time.Now())
 	return nil
 }
 
--- a/internal/caller/idle/race_test.go
+++ b/internal/caller/idle/race_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,13 +30,32 @@
 func (l *pipeListener) Close() error   { return nil }
 func (l *pipeListener) Addr() net.Addr { return &net.TCPAddr{} }
 
+// limit is the idle timeout of the tests in this file.
+const limit = 4 * time.Second
+
+// serve serves connection with s until the returned function is called.
+func serve(s *http.Server, connection net.Conn) (stop func()) {
+	l := &pipeListener{conns: make(chan net.Conn, 1)}
+	l.conns <- connection
+	go func() { _ = s.Serve(l) }()
+	return func() { close(l.conns); s.Close() }
+}
+
+// newConnections returns connections that are checked until the test ends.
+func newConnections(t *testing.T) *idle.Connections {
+	c := &idle.Connections{IdleTimeout: func() time.Duration { return limit }, Clock: clock.System{}}
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(cancel)
+	go func() { _ = c.Run(ctx) }()
+	return c
+}
+
 // serveAtExpiry serves a caller that sends a second request just before its idle
 // connection expires. The connection expires after the server has read the
 // request and before the server reports the connection as active. It returns the
 // status of the answer to the second request.
 func serveAtExpiry(t *testing.T) (status int, err error) {
-	const limit = 4 * time.Second
-	c := &idle.Connections{IdleTimeout: func() time.Duration { return limit }, Clock: clock.System{}}
+	c := newConnections(t)
 	requests := 0
 	s := &http.Server{
 		Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}),
@@ -47,15 +67,9 @@
 			c.Track(n, x)
 		},
 	}
-	ctx, cancel := context.WithCancel(t.Context())
-	defer cancel()
-	go func() { _ = c.Run(ctx) }()
 	caller, n := net.Pipe()
 	defer caller.Close()
-	l := &pipeListener{conns: make(chan net.Conn, 1)}
-	l.conns <- n
-	go func() { _ = s.Serve(l) }()
-	defer func() { close(l.conns); s.Close() }()
+	defer serve(s, n)()
 	r := bufio.NewReader(caller)
 	for i := range 2 {
 		time.Sleep(time.Duration(i) * limit)
@@ -91,23 +105,51 @@
 	})
 }
 
+// TestServerClosesExpired checks that a server closes an idle connection, and
+// one that never carried a request, soon after the limit and not before.
+func TestServerClosesExpired(t *testing.T) {
+	for _, requests := range []int{0, 1} {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			c := newConnections(t)
+			s := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ConnState: c.Track, ReadHeaderTimeout: time.Minute}
+			caller, n := net.Pipe()
+			defer caller.Close()
+			defer serve(s, n)()
+			r := bufio.NewReader(caller)
+			for range requests {
+				_, err := get(caller, r)
+				is.NoErr(err)
+			}
+			b := time.Now()
+			_, err := r.ReadByte()
+			is.True(err != nil)
+			is.True(time.Since(b) > limit)
+			is.True(time.Since(b) < limit+3*time.Second)
+		})
+	}
+}
+
 // TestLongerLimit guards against closing a connection that became idle before
 // the idle timeout was raised: its caller goes by the longer timeout.
 func TestLongerLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		l := 4 * time.Second
-		c := &idle.Connections{IdleTimeout: func() time.Duration { return l }, Clock: clock.System{}}
+		var l atomic.Int64
+		l.Store(int64(limit))
+		c := &idle.Connections{IdleTimeout: func() time.Duration { return time.Duration(l.Load()) }, Clock: clock.System{}}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go func() { _ = c.Run(ctx) }()
 		n := &conn{}
 		c.Track(n, http.StateIdle)
 		time.Sleep(3500 * time.Millisecond)
-		l = 20 * time.Second
+		l.Store(int64(20 * time.Second))
 		time.Sleep(12500 * time.Millisecond)
+		synctest.Wait()
 		is.True(!n.closed) // four fifths of the longer timeout have passed
 		time.Sleep(10 * time.Second)
+		synctest.Wait()
 		is.True(n.closed)
 	})
 }
