caller/idle: a longer idle timeout applies to connections that are idle already

Seen by callers: connections that are closed while the idle timeout in force allows their use. Cause: the expiry was fixed when a connection became idle, so that a configuration with a longer timeout did not reach it; callers go by the new one. Evidence: TestLongerLimit failed before and passes; 20 runs with the race detector. Ruled out: a shorter timeout, which must not close connections that became idle under a longer one, and doesn't.

--- a/internal/caller/idle/connections.go
+++ b/internal/caller/idle/connections.go
@@ -3,7 +3,8 @@
 // The idle timeout comes from the configuration and may change at any time,
 // which IdleTimeout of http.Server does not support. A shorter timeout applies
 // only to connections that become idle after the change, because callers whose
-// connections were idle before the change still rely on the previous timeout.
+// connections were idle before the change still rely on the previous timeout. A
+// longer one applies to all connections.
 //
 // A connection is closed by its server, after its read deadline was set to a time
 // in the past. If the server has just read a request, the deadline is removed and
@@ -116,7 +117,8 @@
 
 // expiredLocked reports whether the idle timeout of i has passed.
 func (c *Connections) expiredLocked(i *idleConnection) bool {
-	return c.Clock.Now().Sub(i.since) > i.limit+margin
+	l := max(i.limit, c.IdleTimeout())
+	return c.Clock.Now().Sub(i.since) > l+margin
 }
 
 // setReadDeadline sets the read deadline of connection. It fails only for a
