caller/idle: tests without a data race

Cause: the fake connection of the tests wrote a bool that the test read without a lock. Conclusion: nothing is checked less.

--- a/internal/caller/idle/connections_test.go
+++ b/internal/caller/idle/connections_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,11 +19,11 @@
 // does when the read deadline is in the past.
 type conn struct {
 	net.Conn
-	closed bool
+	closed atomic.Bool
 }
 
 func (c *conn) SetReadDeadline(d time.Time) error {
-	c.closed = !d.IsZero() && d.Before(time.Now())
+	c.closed.Store(!d.IsZero() && d.Before(time.Now()))
 	return nil
 }
 
@@ -42,7 +43,7 @@
 		time.Sleep(duration)
 		cancel()
 		<-e
-		closed = n.closed
+		closed = n.closed.Load()
 	})
 	return closed
 }
--- a/internal/caller/idle/race_test.go
+++ b/internal/caller/idle/race_test.go
@@ -147,9 +147,9 @@
 		l.Store(int64(20 * time.Second))
 		time.Sleep(12500 * time.Millisecond)
 		synctest.Wait()
-		is.True(!n.closed) // four fifths of the longer timeout have passed
+		is.True(!n.closed.Load()) // four fifths of the longer timeout have passed
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
-		is.True(n.closed)
+		is.True(n.closed.Load())
 	})
 }
