answer/events: an engine that owes its header counts as an attempt

An execution is counted when the exchange returns, so that a takeover from an engine with a late header saw none: a call with one attempt was sent to two engines, one with two to three. Evidence: TestLateHeaderSpendsAttempt failed before and passes; 5 runs with the race detector. Conclusion: a route's attempts bound takeovers also while the header is late.

--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -41,11 +41,12 @@
 	first *event
 	// eventCount is the number of events relayed by this attempt.
 	eventCount int
-	// silence starts a takeover when the engine has been silent, and ended is
-	// set when the attempt has ended. Both are guarded by the mutex of the
-	// session.
-	silence *time.Timer
-	ended   bool
+	// silence starts a takeover when the engine has been silent. executed is set
+	// once the attempt counts as one that may have run, and ended when it has
+	// ended. All three are guarded by the mutex of the session.
+	silence  *time.Timer
+	executed bool
+	ended    bool
 }
 
 // newAttempt returns an attempt that continues the call from its current state.
@@ -208,6 +209,14 @@
 	return nil
 }
 
+// recordExecution records that an engine may have run the call.
+func (a *attempt) recordExecution() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.executed = true
+	a.executions++
+}
+
 func (a *attempt) forward(k sardineknot.KVCacheReference) (*sardineknot.Response, error) {
 	o := sardineknot.ForwardOptions{Deadline: a.call.Deadline, Cache: k, ResumeAfter: a.resumeAfter, FreshConnection: !a.call.Route.Repeatable()}
 	return a.Forwarder.Forward(a.ctx, a.decode, a.call, o)
--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -144,13 +144,6 @@
 	return s.takeover != nil || s.executions < s.call.Route.Attempts && s.call.Route.Repeatable()
 }
 
-// recordExecution records that an engine may have run the call.
-func (s *session) recordExecution() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.executions++
-}
-
 // sendHeader sends the response header to the caller, unless the header of an
 // earlier attempt was sent.
 func (s *session) sendHeader(status int, header http.Header) {
--- a/internal/answer/events/silence_test.go
+++ b/internal/answer/events/silence_test.go
@@ -91,6 +91,22 @@
 	})
 }
 
+// TestLateHeaderSpendsAttempt guards against running a call on more engines than
+// its route allows, because an engine that owes its response header was not
+// counted.
+func TestLateHeaderSpendsAttempt(t *testing.T) {
+	for n := 1; n <= 2; n++ {
+		synctest.Test(t, func(t *testing.T) {
+			e := &engines{answers: []answer{{status: 200, body: one + two, delay: 5 * time.Second}, {status: 200, body: one, err: errReset}, {status: 200, body: one + two}}}
+			c := newCall(true)
+			c.Route.Attempts = n
+			s := &slots{decode: []sardineknot.BackendServerName{"d", "e", "d"}}
+			_ = newRunner(e, s).Run(t.Context(), c, &writer{})
+			is.New(t).True(len(e.sends) <= n)
+		})
+	}
+}
+
 // TestLateHeader checks that a stream whose engine never answers begins on
 // another engine.
 func TestLateHeader(t *testing.T) {
--- a/internal/answer/events/takeover.go
+++ b/internal/answer/events/takeover.go
@@ -83,7 +83,12 @@
 func (a *attempt) newTakeover() *takeover {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.ended || a.takeover != nil || a.executions >= a.call.Route.Attempts || a.takeovers >= maxTakeovers {
+	n := a.executions
+	if !a.executed {
+		// The silent engine may run the call although it owes its header.
+		n++
+	}
+	if a.ended || a.takeover != nil || n >= a.call.Route.Attempts || a.takeovers >= maxTakeovers {
 		return nil
 	}
 	a.takeovers++
