answer/events: limit the time that two engines work on one stream

The silent engine is left at the other one's first event, however late that is: two engines could work on a stream for seconds, and a stream whose first engine failed meanwhile waited for a takeover without a limit. Fix: from the send to the other engine on, 300 ms for its first event; then it is given up and the stream stays. If the silent engine has failed by then, the other one has the time of any engine to send its header. Conclusion: at most 300 ms of overlap; no takeover lasts without a limit.

--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -25,9 +25,8 @@
 	// resumeAfter is the identifier of the last event that the caller has, as far
 	// as the attempt knows.
 	resumeAfter int
-	// replaces is the silent engine whose stream the attempt takes over. It is
-	// empty for any other attempt.
-	replaces sardineknot.BackendServerName
+	// replacing is the takeover that the attempt belongs to, or nil.
+	replacing *takeover
 	// ctx is the context of all exchanges of the attempt. stop cancels it and
 	// records its argument as the cause.
 	ctx  context.Context
@@ -129,10 +128,10 @@
 		return err
 	}
 	a.decode, err = a.findServer(g.DecodeEngine)
-	if err != nil || a.replaces == "" {
+	if err != nil || a.replacing == nil {
 		return err
 	}
-	if a.decode.Name == a.replaces {
+	if a.decode.Name == a.replacing.from.decode.Name {
 		return errors.WithStack(&sardineknot.NotRunError{Reason: "only the silent engine has room", RetryAfter: failureRetryAfter})
 	}
 	return a.spendRetry()
@@ -184,7 +183,11 @@
 // prompt itself, provided that the prompt has at most MaxLocalPrefillTokens
 // tokens and the retry budget allows it.
 func (a *attempt) startDecode() error {
-	a.watchSilence(headerTimeout)
+	if a.replacing != nil {
+		a.replacing.limitOverlap()
+	} else {
+		a.watchSilence(headerTimeout)
+	}
 	p, err := a.forward(a.cache.KVCacheReference)
 	var r *sardineknot.RefusedError
 	if errors.As(err, &r) && a.cache.Handle != "" {
--- a/internal/answer/events/runner_test.go
+++ b/internal/answer/events/runner_test.go
@@ -107,6 +107,9 @@
 	prefills   int
 	prefillErr error
 	released   int
+	// sentAt and leftAt are the times at which each request was sent and its
+	// exchange was cancelled. leftAt is zero for an exchange that goes on.
+	sentAt, leftAt []time.Time
 }
 
 func (e *engines) Prefill(context.Context, sardineknot.BackendServer, *sardineknot.Call, time.Time) (sardineknot.KVCacheReference, error) {
@@ -131,7 +134,7 @@
 }
 
 func (e *engines) Forward(ctx context.Context, s sardineknot.BackendServer, _ *sardineknot.Call, o sardineknot.ForwardOptions) (*sardineknot.Response, error) {
-	a := e.nextAnswer(s, o)
+	a := e.nextAnswer(ctx, s, o)
 	select {
 	case <-time.After(a.delay):
 	case <-ctx.Done():
@@ -144,9 +147,17 @@
 }
 
 // nextAnswer records a request to s and returns the answer to it.
-func (e *engines) nextAnswer(s sardineknot.BackendServer, o sardineknot.ForwardOptions) answer {
+func (e *engines) nextAnswer(ctx context.Context, s sardineknot.BackendServer, o sardineknot.ForwardOptions) answer {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	n := len(e.sentAt)
+	e.sentAt = append(e.sentAt, time.Now())
+	e.leftAt = append(e.leftAt, time.Time{})
+	context.AfterFunc(ctx, func() {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.leftAt[n] = time.Now()
+	})
 	a := e.answers[0]
 	e.answers = e.answers[1:]
 	e.sends = append(e.sends, o)
@@ -206,7 +217,7 @@
 
 func newRunner(e *engines, s sardineknot.SlotPool) *events.Runner {
 	c := sardineknot.Configuration{Revision: 1, Services: []sardineknot.Service{{Name: "llm", Engine: &sardineknot.EngineLimits{EventTokens: 10}}}}
-	for _, n := range []sardineknot.BackendServerName{"p", "d", "e"} {
+	for _, n := range []sardineknot.BackendServerName{"p", "d", "e", "f"} {
 		c.BackendServers = append(c.BackendServers, sardineknot.BackendServer{Name: n, State: sardineknot.BackendJoining})
 	}
 	return &events.Runner{Source: &source{c}, Forwarder: e, Slots: s, Budget: unlimitedBudget{}, Clock: clock.System{}, Log: zerolog.Nop()}
--- a/internal/answer/events/takeover.go
+++ b/internal/answer/events/takeover.go
@@ -18,6 +18,9 @@
 	// such silence: it suspends one answer and later recomputes it, while its
 	// other answers pause.
 	silenceTimeout = 600 * time.Millisecond
+	// maxOverlap is the longest time for which the silent engine and the one
+	// that is to replace it may both work on a stream.
+	maxOverlap = 300 * time.Millisecond
 )
 
 // errSilent is the cancellation cause of an attempt whose engine was silent
@@ -38,9 +41,14 @@
 	from, to *attempt
 	// done is closed when the takeover has succeeded or failed.
 	done chan struct{}
-	// accepted reports whether the stream continues with to. It is guarded by
-	// the mutex of the session.
+	// accepted reports whether the stream continues with to. overlap ends the
+	// takeover after maxOverlap. The fields below are guarded by the mutex of
+	// the session.
 	accepted bool
+	overlap  *time.Timer
+	// extended is set once the silent engine has failed and the other one got
+	// more time.
+	extended bool
 }
 
 // watchSilence starts a takeover if nothing is relayed for limit. It replaces an
@@ -48,7 +56,7 @@
 func (a *attempt) watchSilence(limit time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.call.Route.Resumable || a.replaces != "" && a.response == nil {
+	if !a.call.Route.Resumable {
 		return
 	}
 	if a.silence == nil {
@@ -93,11 +101,35 @@
 	}
 	a.takeovers++
 	t := &takeover{from: a, to: a.newAttemptLocked(), done: make(chan struct{})}
-	t.to.replaces = a.decode.Name
+	t.to.replacing = t
 	a.takeover = t
 	return t
 }
 
+// limitOverlap limits the time from now to the first event of the other engine,
+// which begins to work on the stream.
+func (t *takeover) limitOverlap() {
+	t.from.mu.Lock()
+	defer t.from.mu.Unlock()
+	t.overlap = time.AfterFunc(maxOverlap, t.expire)
+}
+
+// expire gives the other engine up, unless it has continued the stream. If the
+// silent engine has failed meanwhile, the other one has as much time as any
+// engine to send its header.
+func (t *takeover) expire() {
+	t.from.mu.Lock()
+	defer t.from.mu.Unlock()
+	switch {
+	case t.accepted:
+	case t.from.ended && !t.extended:
+		t.extended = true
+		t.overlap.Reset(headerTimeout)
+	default:
+		t.to.stop(errSilent)
+	}
+}
+
 // accept makes the other engine the one that continues the stream, and reports
 // whether it did. It does not if the silent engine has gone on meanwhile.
 func (t *takeover) accept() bool {
