answer/events: a slow caller is no silent engine

The watch for silence went on while an event was written, so that a caller who read slowly made a sound engine look silent, and the stream moved. Evidence: TestSlowCaller failed before (two sends) and passes; 3 runs with the race detector. Conclusion: the watch pauses from an event until the next one is awaited.

--- a/internal/answer/events/silence_test.go
+++ b/internal/answer/events/silence_test.go
@@ -107,6 +107,34 @@
 	}
 }
 
+// slowWriter is a fake response writer whose first write blocks.
+type slowWriter struct {
+	writer
+	slept bool
+}
+
+func (w *slowWriter) Write(b []byte) error {
+	if !w.slept {
+		w.slept = true
+		time.Sleep(shortSilence)
+	}
+	return w.writer.Write(b)
+}
+
+// TestSlowCaller guards against taking an engine for silent while its events wait
+// for a slow caller.
+func TestSlowCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		e := &engines{answers: []answer{{status: 200, body: one + two}, {status: 200, body: two}}}
+		s := &slots{decode: []sardineknot.BackendServerName{"d", "e"}}
+		w := &slowWriter{}
+		is.NoErr(newRunner(e, s).Run(t.Context(), newCall(true), w))
+		is.Equal(w.got(), one+two)
+		is.Equal(len(e.sends), 1)
+	})
+}
+
 // TestLateHeader checks that a stream whose engine never answers begins on
 // another engine.
 func TestLateHeader(t *testing.T) {
--- a/internal/answer/events/takeover.go
+++ b/internal/answer/events/takeover.go
@@ -187,10 +187,14 @@
 }
 
 // claimEvent reports whether the attempt may relay an event. It may unless
-// another engine has taken the stream over. A takeover in progress is cancelled.
+// another engine has taken the stream over. A takeover in progress is cancelled,
+// and the watch for silence pauses until the next event is awaited.
 func (a *attempt) claimEvent(id int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if a.silence != nil {
+		a.silence.Stop()
+	}
 	if t := a.takeover; t != nil && t.from == a {
 		if t.accepted {
 			return false
