answer/events: takeovers of one silent stream spend few retries

The budget is shared, so that streams whose engine broke off were refused. Conclusion: at most six retries a silent stream.

--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -40,6 +40,9 @@
 	first *event
 	// eventCount is the number of events relayed by this attempt.
 	eventCount int
+	// takeoverDelay is the delay before the next takeover. Only the goroutine of
+	// a takeover uses it.
+	takeoverDelay time.Duration
 	// silence starts a takeover when the engine has been silent. executed is set
 	// once the attempt counts as one that may have run, and ended when it has
 	// ended. All three are guarded by the mutex of the session.
@@ -180,8 +183,7 @@
 
 // startDecode forwards the call to the decode engine and waits for the header of
 // its response. If the engine refuses the KV cache, the engine prefills the
-// prompt itself, provided that the prompt has at most MaxLocalPrefillTokens
-// tokens and the retry budget allows it.
+// prompt itself, if it may and the retry budget allows it.
 func (a *attempt) startDecode() error {
 	if a.replacing != nil {
 		a.replacing.limitOverlap()
@@ -194,7 +196,7 @@
 		a.Log.Info().Stringer("event", sardineknot.LogCacheRefused).Str("request", string(a.call.ID)).Str("prefill", string(a.prefill.Name)).
 			Str("decode", string(a.decode.Name)).Err(err).Send()
 		a.discardCache()
-		if a.job.PromptTokens <= sardineknot.MaxLocalPrefillTokens && a.Budget.AllowRetry(a.call.Service) {
+		if a.mayPrefillLocally() && a.Budget.AllowRetry(a.call.Service) {
 			p, err = a.forward(sardineknot.KVCacheReference{})
 		}
 	}
@@ -212,6 +214,12 @@
 	return nil
 }
 
+// mayPrefillLocally reports whether the decode engine may prefill the prompt
+// itself. That takes too long for a takeover.
+func (a *attempt) mayPrefillLocally() bool {
+	return a.replacing == nil && a.job.PromptTokens <= sardineknot.MaxLocalPrefillTokens
+}
+
 // recordExecution records that an engine may have run the call.
 func (a *attempt) recordExecution() {
 	a.mu.Lock()
--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -17,7 +17,7 @@
 	// maxAttempts bounds the attempts of one call, and maxTakeovers those that
 	// are to replace a silent engine.
 	maxAttempts  = 5
-	maxTakeovers = 5
+	maxTakeovers = 3
 	// resumeTarget is the time within which an interrupted stream should
 	// produce its next event.
 	resumeTarget = 2500 * time.Millisecond
--- a/internal/answer/events/silence_test.go
+++ b/internal/answer/events/silence_test.go
@@ -135,6 +135,26 @@
 	})
 }
 
+// TestTakeoverBudget guards against one silent stream that spends the retries of
+// all others on takeovers that fail.
+func TestTakeoverBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		refusal := answer{err: errors.WithStack(&sardineknot.RefusedError{Server: "e", Status: 503})}
+		l := []answer{{status: 200, body: one, continuation: two, pause: 9 * time.Second}}
+		s := &slots{decode: []sardineknot.BackendServerName{"d"}}
+		for range 20 {
+			l = append(l, refusal)
+			s.decode = append(s.decode, "e")
+		}
+		r := newRunner(&engines{answers: l}, &grantsOnce{s})
+		b := &limitedBudget{left: 100}
+		r.Budget = b
+		is.NoErr(r.Run(t.Context(), newCall(true), &writer{}))
+		is.True(100-b.left <= 6)
+	})
+}
+
 // TestLateHeader checks that a stream whose engine never answers begins on
 // another engine.
 func TestLateHeader(t *testing.T) {
--- a/internal/answer/events/takeover.go
+++ b/internal/answer/events/takeover.go
@@ -67,7 +67,7 @@
 }
 
 // takeOver makes one takeover. If it fails while the engine is still silent,
-// another one follows after silenceTimeout.
+// another one follows after a delay that doubles each time.
 func (a *attempt) takeOver() {
 	t := a.newTakeover()
 	if t == nil {
@@ -82,7 +82,8 @@
 	t.to.discard(err)
 	if t.withdraw() {
 		a.Log.Info().Stringer("event", sardineknot.LogSilentStreamStays).Str("request", string(a.call.ID)).Str("server", string(a.decode.Name)).Err(err).Send()
-		a.watchSilence(silenceTimeout)
+		a.takeoverDelay = max(silenceTimeout, 2*a.takeoverDelay)
+		a.watchSilence(a.takeoverDelay)
 	}
 }
 
