answer/events: an engine without an event takes no stream over

A stream that ended without a new event counted as its first event, so that the silent engine was left and the answer looked complete. Evidence: TestEmptyTakeover failed before (one of two events) and passes; 3 runs with the race detector. Conclusion: only an event makes a takeover.

--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -240,11 +240,7 @@
 	if err != nil {
 		return err
 	}
-	if a.response.Status == http.StatusOK {
-		a.first, err = a.readEvent()
-	} else {
-		err = a.statusError()
-	}
+	a.first, err = a.readFirst()
 	if err != nil {
 		a.response.Body.Close()
 		a.reportFailure(err, a.decode.Name)
@@ -252,6 +248,19 @@
 	return err
 }
 
+// readFirst returns the first event of the stream that the caller does not have.
+// It fails if there is none.
+func (a *attempt) readFirst() (*event, error) {
+	if a.response.Status != http.StatusOK {
+		return nil, a.statusError()
+	}
+	e, err := a.readEvent()
+	if err == nil && e.end {
+		err = errors.WithStack(errTruncated)
+	}
+	return e, err
+}
+
 // statusError returns the error for a response that is not a stream.
 func (a *attempt) statusError() error {
 	return errors.WithStack(&sardineknot.RequestFailedError{Reason: string(a.decode.Name) + " answered " + strconv.Itoa(a.response.Status)})
--- a/internal/answer/events/relay.go
+++ b/internal/answer/events/relay.go
@@ -23,8 +23,9 @@
 	readBytes = 4 << 10
 )
 
-// errTruncated reports a stream that ended in the middle of an event.
-var errTruncated = errors.New("stream ended in the middle of an event")
+// errTruncated reports a stream that ended in the middle of an event, or without
+// one.
+var errTruncated = errors.New("stream ended before an event was complete")
 
 // event is an event of a stream. The last event is followed by one with end set,
 // which has no text.
--- a/internal/answer/events/silence_test.go
+++ b/internal/answer/events/silence_test.go
@@ -155,6 +155,13 @@
 	})
 }
 
+// TestEmptyTakeover guards against leaving an engine for one that ends the stream
+// without an event.
+func TestEmptyTakeover(t *testing.T) {
+	e := &engines{answers: []answer{{status: 200, body: one, continuation: two, pause: shortSilence}, {status: 200, body: one}}}
+	servesWhole(t, e, &grantsOnce{&slots{decode: []sardineknot.BackendServerName{"d", "e"}}}, nil)
+}
+
 // TestLateHeader checks that a stream whose engine never answers begins on
 // another engine.
 func TestLateHeader(t *testing.T) {
