caller/idle: the longest idle timeout since a connection became idle applies

A timeout that was raised and lowered again, or removed, closed connections that their callers could still rely on; the package comment says otherwise. Conclusion: every change of the timeout leaves idle connections the longer time.

--- a/internal/caller/idle/connections.go
+++ b/internal/caller/idle/connections.go
@@ -52,8 +52,8 @@
 
 // idleConnection is the state of a connection without a request.
 type idleConnection struct {
-	// since is the time at which the connection became idle, and limit the idle
-	// timeout at that time.
+	// since is the time at which the connection became idle, and limit the
+	// longest idle timeout since then.
 	since time.Time
 	limit time.Duration
 	// expired is set once the read deadline was set.
@@ -115,10 +115,15 @@
 	}
 }
 
-// expiredLocked reports whether the idle timeout of i has passed.
+// expiredLocked reports whether the idle timeout of i has passed. The longest
+// timeout since the connection became idle applies.
 func (c *Connections) expiredLocked(i *idleConnection) bool {
-	l := max(i.limit, c.IdleTimeout())
-	return c.Clock.Now().Sub(i.since) > l+margin
+	l := c.IdleTimeout()
+	if l <= 0 {
+		return false
+	}
+	i.limit = max(i.limit, l)
+	return c.Clock.Now().Sub(i.since) > i.limit+margin
 }
 
 // setReadDeadline sets the read deadline of connection. It fails only for a
--- a/internal/caller/idle/race_test.go
+++ b/internal/caller/idle/race_test.go
@@ -130,26 +130,44 @@
 	}
 }
 
-// TestLongerLimit guards against closing a connection that became idle before
-// the idle timeout was raised: its caller goes by the longer timeout.
-func TestLongerLimit(t *testing.T) {
+// closedAfter reports whether a connection that became idle under the first of
+// limits is closed at the end. Each limit is in force for the duration beside it.
+func closedAfter(t *testing.T, limits, durations []time.Duration) (closed bool) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
 		var l atomic.Int64
-		l.Store(int64(limit))
+		l.Store(int64(limits[0]))
 		c := &idle.Connections{IdleTimeout: func() time.Duration { return time.Duration(l.Load()) }, Clock: clock.System{}}
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		go func() { _ = c.Run(ctx) }()
 		n := &conn{}
 		c.Track(n, http.StateIdle)
-		time.Sleep(3500 * time.Millisecond)
-		l.Store(int64(20 * time.Second))
-		time.Sleep(12500 * time.Millisecond)
-		synctest.Wait()
-		is.True(!n.closed.Load()) // four fifths of the longer timeout have passed
-		time.Sleep(10 * time.Second)
+		for i, x := range limits {
+			l.Store(int64(x))
+			time.Sleep(durations[i])
+		}
 		synctest.Wait()
-		is.True(n.closed.Load())
+		closed = n.closed.Load()
+	})
+	return closed
+}
+
+// TestChangedLimit guards against closing a connection that its caller may still
+// use by an idle timeout that has been in force since it became idle.
+func TestChangedLimit(t *testing.T) {
+	const longer = 5 * limit
+	early := limit - time.Second
+	t.Run("longer limit", func(t *testing.T) {
+		is.New(t).True(!closedAfter(t, []time.Duration{limit, longer}, []time.Duration{early, longer - limit}))
+		is.New(t).True(closedAfter(t, []time.Duration{limit, longer}, []time.Duration{early, longer + limit}))
+	})
+	t.Run("longer and shorter again", func(t *testing.T) {
+		l := []time.Duration{limit, longer, limit}
+		is.New(t).True(!closedAfter(t, l, []time.Duration{early, early, longer - 2*limit}))
+		is.New(t).True(closedAfter(t, l, []time.Duration{early, early, longer}))
+	})
+	t.Run("no limit any more", func(t *testing.T) {
+		is.New(t).True(!closedAfter(t, []time.Duration{limit, 0}, []time.Duration{early, time.Hour}))
 	})
 }
