answer/events: a call whose engine has left is no unknown route

Seen by callers: 404 for a route that exists, if the engine that was granted for the last retry has just left the configuration after an earlier attempt ran. Cause: the lookup's UnknownError was the call's error, which the handler answers with 404. Evidence: TestServerGone/after_the_call_ran failed before and passes. Conclusion: 502, which promises nothing.

--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -163,10 +163,10 @@
 	k := s.executions > 0
 	s.mu.Unlock()
 	var n *sardineknot.NotRunError
-	if k && errors.As(err, &n) {
-		// The refusal concerns only the last attempt; an earlier one may have
-		// run.
-		return errors.WithStack(&sardineknot.RequestFailedError{Reason: n.Reason})
+	var u *sardineknot.UnknownError
+	if k && (errors.As(err, &n) || errors.As(err, &u)) {
+		// The error concerns only the last attempt; an earlier one may have run.
+		return errors.WithStack(&sardineknot.RequestFailedError{Reason: err.Error()})
 	}
 	if k || errors.As(err, &n) {
 		return err
--- a/internal/answer/events/runner_test.go
+++ b/internal/answer/events/runner_test.go
@@ -414,6 +414,32 @@
 	})
 }
 
+// TestServerGone guards against an UnknownError, which callers see as 404, for a
+// call whose engine has left the configuration.
+func TestServerGone(t *testing.T) {
+	var u *sardineknot.UnknownError
+	var n *sardineknot.NotRunError
+	t.Run("before the call ran", func(t *testing.T) {
+		is := is.New(t)
+		s := &slots{decode: []sardineknot.BackendServerName{"gone"}}
+		r := newRunner(&engines{}, &grantsOnce{slots: s})
+		r.Budget = &limitedBudget{}
+		err := r.Run(t.Context(), newCall(true), &writer{})
+		is.True(!errors.As(err, &u))
+		is.True(errors.As(err, &n))
+	})
+	t.Run("after the call ran", func(t *testing.T) {
+		is := is.New(t)
+		e := &engines{answers: []answer{{err: errReset}}}
+		s := &slots{decode: []sardineknot.BackendServerName{"d", "gone"}}
+		r := newRunner(e, &grantsOnce{slots: s})
+		r.Budget = &limitedBudget{left: 1}
+		err := r.Run(t.Context(), newCall(true), &writer{})
+		is.True(!errors.As(err, &u))
+		is.True(err != nil && !errors.As(err, &n))
+	})
+}
+
 // grantsOnce is a fake slot pool that grants each decode engine once and then
 // refuses jobs.
 type grantsOnce struct{ *slots }
