--- a/internal/answer/events/runner_test.go
+++ b/internal/answer/events/runner_test.go
@@ -10,11 +10,8 @@
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
-	"sardineknot.example/sardineknot/internal/answer/events"
-	"sardineknot.example/sardineknot/internal/host/clock"
 )
 
-
 func TestStream(t *testing.T) {
 	t.Run("relays events and reports completion", func(t *testing.T) {
 		is := is.New(t)
