platform, answer/events: log software versions and the call that a caller resumes

No line named a server's software version, so that the logs could not tell a continuation at another version from a server that changed its version. Ruled out: nothing.

--- a/backend.go
+++ b/backend.go
@@ -5,6 +5,10 @@
 // BackendServerName identifies a backend server within a deployment.
 type BackendServerName string
 
+// SoftwareVersion identifies a version of the software of backend servers, which
+// is independent of the version of the model that they serve.
+type SoftwareVersion string
+
 // BackendRole is the kind of work that a backend server accepts.
 type BackendRole string
 
@@ -51,6 +55,10 @@
 	// empty for plain services.
 	Model   string
 	Version string
+	// SoftwareVersion is the version of the software that the server runs. Parts
+	// of answers from servers of different versions do not fit together. It is
+	// empty if the version is unknown.
+	SoftwareVersion SoftwareVersion
 	// Service names the service that a plain service offers. It is set for an
 	// engine if routes refer to the engine by service; the engine's pool is
 	// then determined by Service and Model.
--- a/call.go
+++ b/call.go
@@ -59,6 +59,9 @@
 	// ResumeAfter is the identifier of the last event that the caller has
 	// received. Zero requests the answer from its beginning.
 	ResumeAfter int
+	// Origin is the identifier of the call that brought the first event of a
+	// resumed stream. It is empty if the caller did not name it.
+	Origin RequestID
 }
 
 // ForwardOptions holds the parameters for forwarding a call to one backend
--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -109,16 +109,22 @@
 	if err != nil {
 		return err
 	}
-	a.Log.Info().Stringer("event", sardineknot.LogEnginesGranted).Str("request", string(a.call.ID)).Str("prefill", string(g.PrefillEngine)).
-		Str("decode", string(g.DecodeEngine)).Dur("waited_ms", a.Clock.Now().Sub(n)).Int("prompt", a.job.PromptTokens).
-		Int("expected", a.job.ExpectedTokens).Int("longest", a.job.MaxTokens).Send()
 	err = a.checkGrant(g)
+	a.logGrant(g, a.Clock.Now().Sub(n))
 	if err != nil {
 		a.report(sardineknot.JobCancelled, "")
 	}
 	return err
 }
 
+// logGrant logs the grant g, for which the attempt waited for w.
+func (a *attempt) logGrant(g sardineknot.Grant, w time.Duration) {
+	a.Log.Info().Stringer("event", sardineknot.LogEnginesGranted).Str("request", string(a.call.ID)).Str("prefill", string(g.PrefillEngine)).
+		Str("decode", string(g.DecodeEngine)).Str("version", string(a.decode.SoftwareVersion)).Str("origin", string(a.call.Generation.Origin)).
+		Int("after", a.resumeAfter).Dur("waited_ms", w).Int("prompt", a.job.PromptTokens).
+		Int("expected", a.job.ExpectedTokens).Int("longest", a.job.MaxTokens).Send()
+}
+
 // checkGrant looks up the engines of g. It fails if the attempt was cancelled
 // meanwhile. A takeover also needs retry budget and an engine other than the
 // silent one.
--- a/internal/configuration/store/source.go
+++ b/internal/configuration/store/source.go
@@ -132,7 +132,8 @@
 	s.servers[k] = &server{BackendServer: b}
 	s.dirty = true
 	s.Log.Info().Stringer("event", sardineknot.LogServerKnown).Str("server", string(b.Name)).Str("address", b.Address.String()).
-		Str("service", b.Service).Str("role", string(b.Role)).Str("state", string(b.State)).Send()
+		Str("service", b.Service).Str("role", string(b.Role)).Str("state", string(b.State)).
+		Str("version", string(b.SoftwareVersion)).Send()
 	return true
 }
 
