answer/events, versions: a stream goes on only at the software version that began it

Cause: no part of the code knew software versions: a continuation was placed like a new stream, and a host to which a caller came back knew only the last event. Class: a constraint of the first attempt that the later ones don't inherit, here also across hosts. Fix: a job names the software version that its decode engine must have, once an event was relayed; the scheduler grants only such engines, places limited jobs first in mixed pools, and refuses at once if there is none. versions/twirp keeps the version on the relaying host and two others before the first event is written, and a host to which a caller comes back asks three by rank. If nobody knows and there were several versions, the call is refused. Ruled out: the owner of the pool as the only record (it is killed together with the streams that it relays); the platform's store (a write a stream, up to 1,500 a second at the size designed for); a server that changes its version under its name (every version in the record has new names; open).

--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -137,6 +137,10 @@
 		return err
 	}
 	a.decode, err = a.findServer(g.DecodeEngine)
+	if err != nil {
+		return err
+	}
+	err = a.checkVersion()
 	if err != nil || a.replacing == nil {
 		return err
 	}
--- a/internal/answer/events/fake_test.go
+++ b/internal/answer/events/fake_test.go
@@ -212,12 +212,23 @@
 func (unlimitedBudget) RecordCall(sardineknot.ServiceName)      {}
 func (unlimitedBudget) AllowRetry(sardineknot.ServiceName) bool { return true }
 
+// versions is a fake sardineknot.StreamVersions that knows the streams in the
+// map.
+type versions map[sardineknot.RequestID]sardineknot.SoftwareVersion
+
+func (v versions) Record(s sardineknot.RequestID, x sardineknot.SoftwareVersion) { v[s] = x }
+
+func (v versions) Find(_ context.Context, s sardineknot.RequestID, _ sardineknot.ServiceName) (sardineknot.SoftwareVersion, bool) {
+	x, ok := v[s]
+	return x, ok
+}
+
 func newRunner(e *engines, s sardineknot.SlotPool) *events.Runner {
 	c := sardineknot.Configuration{Revision: 1, Services: []sardineknot.Service{{Name: "llm", Engine: &sardineknot.EngineLimits{EventTokens: 10}}}}
 	for _, n := range []sardineknot.BackendServerName{"p", "d", "e", "f"} {
 		c.BackendServers = append(c.BackendServers, sardineknot.BackendServer{Name: n, State: sardineknot.BackendJoining})
 	}
-	return &events.Runner{Source: &source{c}, Forwarder: e, Slots: s, Budget: unlimitedBudget{}, Clock: clock.System{}, Log: zerolog.Nop()}
+	return &events.Runner{Source: &source{c}, Forwarder: e, Slots: s, Budget: unlimitedBudget{}, Versions: versions{}, Clock: clock.System{}, Log: zerolog.Nop()}
 }
 
 func newCall(resumable bool) *sardineknot.Call {
--- a/internal/answer/events/relay.go
+++ b/internal/answer/events/relay.go
@@ -91,6 +91,9 @@
 		if !a.claimEvent(e.id) {
 			return errSilent
 		}
+		if a.lastEventAt.IsZero() {
+			a.recordVersion()
+		}
 		if err := a.writer.Write(e.text); err != nil {
 			return errors.WithStack(&writeError{cause: err})
 		}
--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -42,6 +42,8 @@
 	Slots sardineknot.SlotPool
 	// Budget limits the retries of each service.
 	Budget sardineknot.RetryBudget
+	// Versions keeps the software versions that began streams.
+	Versions sardineknot.StreamVersions
 	// Self is this entry host.
 	Self sardineknot.EntryHost
 	// Clock returns the current time.
@@ -76,6 +78,9 @@
 	lastEventID int
 	// relayedEvents is the number of events sent to the caller.
 	relayedEvents int
+	// version is the software version of the engine that began the stream. It is
+	// empty until the stream has begun, and if engines have no versions.
+	version sardineknot.SoftwareVersion
 	// takeover is the takeover in progress, or nil.
 	takeover *takeover
 	// cachedOn is the prefill engine that probably still caches the prompt, or
@@ -97,6 +102,10 @@
 	s := &session{Runner: r, ctx: ctx, call: c, writer: w, lastEventID: c.Generation.ResumeAfter}
 	defer s.releaseRetainedCache()
 	defer s.dropTakeover()
+	err := s.findVersion()
+	if err != nil {
+		return err
+	}
 	a := s.newAttempt()
 	for {
 		err := a.run()
@@ -194,6 +203,7 @@
 		CallerDeadline:     c.Deadline,
 		PerToken:           c.Route.PauseTarget,
 		CachedOn:           s.cachedOn,
+		SoftwareVersion:    s.version,
 		Owner:              s.Self.ID,
 	}
 	if p.ExpectedTokens > 0 {
--- a/internal/answer/events/takeover.go
+++ b/internal/answer/events/takeover.go
@@ -204,6 +204,7 @@
 		t.to.stop(errSuperseded)
 	}
 	a.relayedEvents++
+	a.version = a.decode.SoftwareVersion
 	if id > 0 {
 		a.lastEventID, a.resumeAfter = id, id
 	}
--- /dev/null
+++ b/internal/answer/events/version.go
@@ -0,0 +1,44 @@
+package events
+
+import (
+	"github.com/pkg/errors"
+
+	"sardineknot.example/sardineknot"
+)
+
+// findVersion finds the software version that began a resumed stream. It fails
+// with a NotRunError if that is unknown: another version could not continue the
+// stream.
+func (s *session) findVersion() error {
+	g := s.call.Generation
+	if g.ResumeAfter == 0 {
+		return nil
+	}
+	v, ok := s.Versions.Find(s.ctx, g.Origin, s.call.Service)
+	if !ok {
+		return errors.WithStack(&sardineknot.NotRunError{Reason: "the software version that began the stream is unknown", RetryAfter: failureRetryAfter})
+	}
+	s.version = v
+	return nil
+}
+
+// recordVersion records the software version of the engine that begins the
+// stream, or that goes on with a resumed one.
+func (a *attempt) recordVersion() {
+	n := a.call.ID
+	if a.call.Generation.ResumeAfter > 0 {
+		n = a.call.Generation.Origin
+	}
+	if n != "" {
+		a.Versions.Record(n, a.decode.SoftwareVersion)
+	}
+}
+
+// checkVersion fails with a NotRunError if the decode engine must not continue
+// the stream.
+func (a *attempt) checkVersion() error {
+	if a.job.SoftwareVersion == "" || a.job.SoftwareVersion == a.decode.SoftwareVersion {
+		return nil
+	}
+	return errors.WithStack(&sardineknot.NotRunError{Reason: "the granted engine has another software version", RetryAfter: failureRetryAfter})
+}
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -34,6 +34,7 @@
 	feed "sardineknot.example/sardineknot/internal/platform/twirp"
 	"sardineknot.example/sardineknot/internal/policy/memory"
 	"sardineknot.example/sardineknot/internal/slots/twirp"
+	versions "sardineknot.example/sardineknot/internal/versions/twirp"
 )
 
 const (
@@ -123,8 +124,10 @@
 	// connections tracks the connections of callers.
 	connections *idle.Connections
 	slots       *twirp.Pool
-	peers       *h2c.Transport
-	budgets     *sharedbudget.Budgets
+	// versions keeps the software versions that began streams.
+	versions *versions.Directory
+	peers    *h2c.Transport
+	budgets  *sharedbudget.Budgets
 }
 
 // Run serves until ctx is done, and returns once the host has stopped
@@ -145,7 +148,7 @@
 		}
 		g.Go(func() error { return serve(s.server, n) })
 	}
-	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.refresh, p.watchSettings, p.observeLoads, p.newRoleController().Run, p.connections.Run) {
+	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.versions.Run, p.refresh, p.watchSettings, p.observeLoads, p.newRoleController().Run, p.connections.Run) {
 		g.Go(func() error { return f(w) })
 	}
 	p.Log.Info().Stringer("event", sardineknot.LogStarted).Str("zone", string(p.Settings.Zone)).Send()
@@ -191,6 +194,8 @@
 	p.source.Decoder, p.source.Clock, p.source.Reachability, p.source.Log = p.EntryDecoder, p.clock, p.mirror.Reachability, p.Log
 	p.mirror.OnChange, p.mirror.OnBatch = p.applyEntry, p.commitEntries
 	p.addSlots()
+	p.versions = versions.NewDirectory(p.clock)
+	p.versions.Members, p.versions.Source, p.versions.Client, p.versions.Log = p.registry, p.source, p.peers.Client(), p.Log
 	p.addCallHandler(h)
 }
 
@@ -232,7 +237,7 @@
 		},
 		Stream: &events.Runner{
 			Source: p.source, Forwarder: p.Forwarder, Slots: p.slots,
-			Budget: b, Self: self, Clock: p.clock, Log: p.Log,
+			Budget: b, Versions: p.versions, Self: self, Clock: p.clock, Log: p.Log,
 		},
 		Clock:   p.clock,
 		Log:     p.Log,
--- a/internal/policy/memory/job.go
+++ b/internal/policy/memory/job.go
@@ -35,6 +35,11 @@
 	// the first report.
 	tokens           float64
 	tokensReportedAt time.Time
+	// limited is set if the software version that the job requires excludes some
+	// decode engines, and servable if there is an engine of that version, as of
+	// the last call of schedule.
+	limited  bool
+	servable bool
 	// refusedBefore is set if a job with the same prompt was refused shortly
 	// before. This job is then probably a retry by the same caller.
 	refusedBefore bool
--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -59,6 +59,12 @@
 			}
 			return 1
 		}
+		if a.limited != b.limited {
+			if a.limited {
+				return -1
+			}
+			return 1
+		}
 		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.arrivedAt.Compare(b.arrivedAt))
 	})
 	return l
@@ -66,8 +72,12 @@
 
 // late reports whether the first event of j would miss its deadline if j
 // started now. Resumed jobs and those of callers that were refused before
-// always count as late.
+// always count as late, but not jobs that only some engines may run: they get
+// these engines before jobs that any engine may run.
 func (j *job) late(now time.Time) bool {
+	if j.limited {
+		return false
+	}
 	return j.refusedBefore || j.Resumed || now.Add(j.prefillTime+firstEventMargin).After(j.FirstTokenDeadline)
 }
 
@@ -94,7 +104,9 @@
 	}
 	d := s.chooseDecode(now, j)
 	if d == nil {
-		m.add(j.span(now))
+		if !j.limited {
+			m.add(j.span(now))
+		}
 		return false
 	}
 	p, ok := s.choosePrefill(now, j, d)
@@ -133,6 +145,9 @@
 	var b *engine
 	var m float64
 	for _, e := range s.decode {
+		if !j.mayRunOn(e) {
+			continue
+		}
 		f, ok := e.utilization(now, j)
 		v := e.relativeRate(now, s.typicalRate)
 		if !ok || v < 1 && !e.keepsTargets(now, j) {
@@ -146,6 +161,28 @@
 	return b
 }
 
+// mayRunOn reports whether e has the software version that j requires.
+func (j *job) mayRunOn(e *engine) bool {
+	return j.SoftwareVersion == "" || j.SoftwareVersion == e.server.SoftwareVersion
+}
+
+// limitJob determines whether only some decode engines may run j. It reports
+// whether any engine may.
+func (s *Scheduler) limitJob(j *job) bool {
+	if j.SoftwareVersion == "" || len(s.decode) == 0 {
+		j.limited = false
+		return true
+	}
+	n := 0
+	for _, e := range s.decode {
+		if j.mayRunOn(e) {
+			n++
+		}
+	}
+	j.limited = n < len(s.decode)
+	return n > 0
+}
+
 // utilization returns the forecast peak memory of e including j, relative to
 // its capacity. ok is false if j does not fit.
 func (e *engine) utilization(now time.Time, j *job) (share float64, ok bool) {
@@ -231,14 +268,14 @@
 	s.decisions = append(s.decisions, sardineknot.Decision{Key: j.Key, Action: action, Server: e.server.Name})
 }
 
-// refuse ends j without running it.
-func (s *Scheduler) refuse(now time.Time, j *job) {
+// refuse ends j without running it, for the given reason.
+func (s *Scheduler) refuse(now time.Time, j *job, reason string) {
 	delete(s.jobs, j.Key)
 	s.refusals.record(now, j)
 	s.decisions = append(s.decisions, sardineknot.Decision{
 		Key:        j.Key,
 		Action:     sardineknot.ActionRefuse,
-		Reason:     "no engine has room in time",
+		Reason:     reason,
 		RetryAfter: s.refusals.retryAfter(now),
 	})
 }
--- a/internal/policy/memory/scheduler.go
+++ b/internal/policy/memory/scheduler.go
@@ -192,14 +192,19 @@
 		return
 	}
 	s.typicalRate = s.typicalTokenRate()
+	for _, j := range s.queue {
+		j.servable = s.limitJob(j)
+	}
 	l := s.sortedQueue(now)
 	s.queue = s.queue[:0]
 	var m misfits
 	for _, j := range l {
 		switch {
+		case !j.servable:
+			s.refuse(now, j, "no engine has the software version that began the answer")
 		case s.place(now, j, &m):
 		case s.pastLatestStart(now, j):
-			s.refuse(now, j)
+			s.refuse(now, j, "no engine has room in time")
 		default:
 			j.recheckAt = now.Add(recheckInterval)
 			s.queue = append(s.queue, j)
--- a/internal/slots/twirp/message.go
+++ b/internal/slots/twirp/message.go
@@ -28,6 +28,7 @@
 		PatienceMicros:   job.CallerDeadline.Sub(now).Microseconds(),
 		Resumed:          job.Resumed,
 		Kept:             string(job.CachedOn),
+		SoftwareVersion:  string(job.SoftwareVersion),
 	}
 }
 
@@ -50,6 +51,7 @@
 		CallerDeadline:     now.Add(micros(message.GetPatienceMicros())),
 		Resumed:            message.GetResumed(),
 		CachedOn:           sardineknot.BackendServerName(message.GetKept()),
+		SoftwareVersion:    sardineknot.SoftwareVersion(message.GetSoftwareVersion()),
 	}
 }
 
--- /dev/null
+++ b/internal/versions/twirp/directory.go
@@ -0,0 +1,213 @@
+package twirp
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/membership/rendezvous"
+	rpc "sardineknot.example/sardineknot/internal/rpc/versions"
+	"sardineknot.example/sardineknot/internal/versions/history"
+)
+
+const (
+	// replicas is the number of other hosts to which a record is sent, and asked
+	// the number of hosts that are asked for one. More hosts are asked, because
+	// hosts that have come since then may rank first.
+	replicas = 2
+	asked    = 3
+	// callTimeout bounds a call to another host.
+	callTimeout = 250 * time.Millisecond
+	// maxSends bounds the concurrent calls that send records. Further records
+	// stay on this host.
+	maxSends = 64
+	// minStreamTime is the least time for which records are kept. They are kept
+	// longer if a route allows streams to last longer.
+	minStreamTime = 15 * time.Second
+)
+
+// Directory is a sardineknot.StreamVersions. All exported fields must be set
+// before use.
+type Directory struct {
+	// Members lists the entry hosts.
+	Members sardineknot.Membership
+	// Source provides the backend servers and the routes.
+	Source sardineknot.ConfigurationSource
+	// Clock returns the current time.
+	Clock sardineknot.Clock
+	// Client sends requests to other entry hosts.
+	Client *http.Client
+	// Log receives an event for each record that another host did not get, and
+	// for each version that was not found.
+	Log zerolog.Logger
+
+	records records
+	history history.History
+	// startedAt is the time at which NewDirectory was called.
+	startedAt time.Time
+	// sends holds an element for each call in progress that sends a record.
+	sends chan struct{}
+}
+
+var _ sardineknot.StreamVersions = (*Directory)(nil)
+
+// NewDirectory returns a directory without records that knows the servers since
+// the current time of clock.
+func NewDirectory(clock sardineknot.Clock) *Directory {
+	return &Directory{Clock: clock, startedAt: clock.Now(), sends: make(chan struct{}, maxSends)}
+}
+
+// Run follows the backend servers until ctx is done. It always returns nil.
+func (d *Directory) Run(ctx context.Context) error {
+	for {
+		c := d.Source.Changed()
+		d.history.Observe(d.Clock.Now(), d.Source.Current().BackendServers)
+		select {
+		case <-c:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// Record implements sardineknot.StreamVersions.
+func (d *Directory) Record(stream sardineknot.RequestID, version sardineknot.SoftwareVersion) {
+	if version == "" {
+		return
+	}
+	d.put(stream, version)
+	for _, h := range d.peers(stream, replicas) {
+		select {
+		case d.sends <- struct{}{}:
+			go d.send(h, stream, version)
+		default:
+			d.Log.Debug().Stringer("event", sardineknot.LogVersionNotSent).Str("request", string(stream)).Str("peer", string(h.ID)).Send()
+		}
+	}
+}
+
+// put keeps a record on this host.
+func (d *Directory) put(stream sardineknot.RequestID, version sardineknot.SoftwareVersion) {
+	n := d.Clock.Now()
+	d.records.put(n, n.Add(-d.streamTime()), stream, version)
+}
+
+// send sends a record to host.
+func (d *Directory) send(host sardineknot.EntryHost, stream sardineknot.RequestID, version sardineknot.SoftwareVersion) {
+	defer func() { <-d.sends }()
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	_, err := d.client(host).Record(ctx, &rpc.RecordRequest{Stream: string(stream), Version: string(version)})
+	if err != nil {
+		d.Log.Debug().Stringer("event", sardineknot.LogVersionNotSent).Str("request", string(stream)).Str("peer", string(host.ID)).Err(err).Send()
+	}
+}
+
+// Find implements sardineknot.StreamVersions.
+func (d *Directory) Find(ctx context.Context, stream sardineknot.RequestID, service sardineknot.ServiceName) (sardineknot.SoftwareVersion, bool) {
+	if v, ok := d.records.get(stream); ok {
+		return v, true
+	}
+	l := d.seen(service)
+	if len(l) <= 1 && d.Clock.Now().Sub(d.startedAt) > d.streamTime() {
+		return only(l), true
+	}
+	v, o := d.ask(ctx, stream, service)
+	if v != "" {
+		return v, true
+	}
+	l = union(l, o)
+	if len(l) <= 1 {
+		return only(l), true
+	}
+	d.Log.Warn().Stringer("event", sardineknot.LogVersionUnknown).Str("request", string(stream)).Str("service", string(service)).Int("versions", len(l)).Send()
+	return "", false
+}
+
+// seen returns the versions of service that this host has seen since the oldest
+// stream whose caller may come back began.
+func (d *Directory) seen(service sardineknot.ServiceName) []sardineknot.SoftwareVersion {
+	return d.history.Seen(service, d.Clock.Now().Add(-d.streamTime()))
+}
+
+// streamTime returns the longest time for which a caller may come back after a
+// stream has begun.
+func (d *Directory) streamTime() time.Duration {
+	t := minStreamTime
+	for _, r := range d.Source.Current().Routes {
+		if r.Kind == sardineknot.RouteStream {
+			t = max(t, r.Timeout)
+		}
+	}
+	return t
+}
+
+// ask asks other hosts for the version that began stream. It returns an empty
+// version if none of them knows it, with the versions of service that they have
+// seen.
+func (d *Directory) ask(ctx context.Context, stream sardineknot.RequestID, service sardineknot.ServiceName) (sardineknot.SoftwareVersion, []sardineknot.SoftwareVersion) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	l := d.peers(stream, asked)
+	a := make(chan *rpc.FindResponse, len(l))
+	for _, h := range l {
+		go func() {
+			p, err := d.client(h).Find(ctx, &rpc.FindRequest{Stream: string(stream), Service: string(service)})
+			if err != nil {
+				d.Log.Debug().Stringer("event", sardineknot.LogVersionNotSent).Str("request", string(stream)).Str("peer", string(h.ID)).Err(err).Send()
+			}
+			a <- p
+		}()
+	}
+	var o []sardineknot.SoftwareVersion
+	for range l {
+		p := <-a
+		if v := p.GetVersion(); v != "" {
+			return sardineknot.SoftwareVersion(v), nil
+		}
+		for _, v := range p.GetSeen() {
+			o = union(o, []sardineknot.SoftwareVersion{sardineknot.SoftwareVersion(v)})
+		}
+	}
+	return "", o
+}
+
+// peers returns the first count other hosts that are not known to be dead, by
+// their rank for stream.
+func (d *Directory) peers(stream sardineknot.RequestID, count int) []sardineknot.EntryHost {
+	var l []sardineknot.EntryHost
+	s := d.Members.Self().ID
+	for _, h := range d.Members.Hosts() {
+		if h.ID != s && h.State != sardineknot.EntryHostDead {
+			l = append(l, h)
+		}
+	}
+	slices.SortFunc(l, func(a, b sardineknot.EntryHost) int {
+		return cmp.Compare(rendezvous.Weight(string(stream), b.ID), rendezvous.Weight(string(stream), a.ID))
+	})
+	return l[:min(count, len(l))]
+}
+
+func (d *Directory) client(host sardineknot.EntryHost) rpc.Versions {
+	return rpc.NewVersionsProtobufClient("http://"+host.PeerAddress.String(), d.Client)
+}
+
+// only returns the only element of versions, or an empty version.
+func only(versions []sardineknot.SoftwareVersion) sardineknot.SoftwareVersion {
+	if len(versions) == 0 {
+		return ""
+	}
+	return versions[0]
+}
+
+// union returns the elements of a and b, each once.
+func union(a, b []sardineknot.SoftwareVersion) []sardineknot.SoftwareVersion {
+	l := append(slices.Clone(a), b...)
+	slices.Sort(l)
+	return slices.Compact(l)
+}
--- /dev/null
+++ b/internal/versions/twirp/directory_test.go
@@ -0,0 +1,256 @@
+package twirp_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/host/clock"
+	"sardineknot.example/sardineknot/internal/versions/twirp"
+)
+
+// streamTime is the longest time for which a stream of the test may last.
+const streamTime = 20 * time.Second
+
+// fleet is a set of entry hosts without sockets. It is an http.RoundTripper, the
+// membership and the configuration source of all of them.
+type fleet struct {
+	sardineknot.Membership
+	mu      sync.Mutex
+	hosts   []sardineknot.EntryHost
+	muxes   map[string]*http.ServeMux
+	current *sardineknot.Configuration
+	changed chan struct{}
+	calls   int
+}
+
+// newFleet returns a fleet without hosts whose servers have the given versions.
+func newFleet(versions ...sardineknot.SoftwareVersion) *fleet {
+	f := &fleet{muxes: make(map[string]*http.ServeMux), changed: make(chan struct{})}
+	f.setVersions(versions...)
+	return f
+}
+
+// setVersions replaces the servers by one of each version.
+func (f *fleet) setVersions(versions ...sardineknot.SoftwareVersion) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	c := &sardineknot.Configuration{Revision: 1, Routes: []sardineknot.Route{{Kind: sardineknot.RouteStream, Timeout: streamTime}}}
+	for _, v := range versions {
+		c.BackendServers = append(c.BackendServers, sardineknot.BackendServer{Service: "llm", SoftwareVersion: v})
+	}
+	f.current = c
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+func (f *fleet) Current() *sardineknot.Configuration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.current
+}
+
+func (f *fleet) Changed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.changed
+}
+
+func (f *fleet) Hosts() []sardineknot.EntryHost {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.hosts
+}
+
+func (f *fleet) RoundTrip(request *http.Request) (*http.Response, error) {
+	f.mu.Lock()
+	m := f.muxes[request.URL.Host]
+	f.calls++
+	f.mu.Unlock()
+	if m == nil {
+		return nil, errors.New("connection refused")
+	}
+	w := httptest.NewRecorder()
+	m.ServeHTTP(w, request)
+	return w.Result(), nil
+}
+
+// member is the membership of one host of a fleet.
+type member struct {
+	*fleet
+	self sardineknot.EntryHost
+}
+
+func (m member) Self() sardineknot.EntryHost { return m.self }
+
+// start starts host n, or starts it again, until ctx is done.
+func (f *fleet) start(ctx context.Context, n int) *twirp.Directory {
+	h := sardineknot.EntryHost{ID: sardineknot.EntryHostID(fmt.Sprint("h", n)), PeerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 1)}
+	d := twirp.NewDirectory(clock.System{})
+	d.Members, d.Source, d.Client, d.Log = member{f, h}, f, &http.Client{Transport: f}, zerolog.Nop()
+	m := http.NewServeMux()
+	m.Handle(d.Handler())
+	f.mu.Lock()
+	if f.muxes[h.PeerAddress.String()] == nil {
+		f.hosts = append(f.hosts, h)
+	}
+	f.muxes[h.PeerAddress.String()] = m
+	f.mu.Unlock()
+	go func() { _ = d.Run(ctx) }()
+	synctest.Wait()
+	return d
+}
+
+// kill ends host n. The others still list it.
+func (f *fleet) kill(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.muxes[f.hosts[n].PeerAddress.String()] = nil
+}
+
+// startAll starts count hosts and lets streamTime pass.
+func (f *fleet) startAll(ctx context.Context, count int) []*twirp.Directory {
+	var l []*twirp.Directory
+	for n := range count {
+		l = append(l, f.start(ctx, n))
+	}
+	time.Sleep(streamTime + time.Second)
+	return l
+}
+
+// run runs test in a bubble with virtual time.
+func run(t *testing.T, test func(t *testing.T, ctx context.Context)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		test(t, ctx)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// finds checks that d finds version for a stream.
+func finds(t *testing.T, d *twirp.Directory, stream sardineknot.RequestID, version sardineknot.SoftwareVersion) {
+	t.Helper()
+	v, ok := d.Find(t.Context(), stream, "llm")
+	is.New(t).True(ok)
+	is.New(t).Equal(v, version)
+}
+
+// findsNone checks that d does not find the version of a stream.
+func findsNone(t *testing.T, d *twirp.Directory, stream sardineknot.RequestID) {
+	t.Helper()
+	_, ok := d.Find(t.Context(), stream, "llm")
+	is.New(t).True(!ok)
+}
+
+// TestTwoVersions guards against a stream that another host continues at another
+// software version than the one that began it, or cannot continue at all.
+func TestTwoVersions(t *testing.T) {
+	t.Run("every host finds the version, also after the host that relayed the stream was killed", func(t *testing.T) {
+		run(t, func(t *testing.T, ctx context.Context) {
+			f := newFleet("v1", "v2")
+			l := f.startAll(ctx, 7)
+			l[0].Record("a", "v2")
+			synctest.Wait()
+			f.kill(0)
+			for _, d := range l[1:] {
+				finds(t, d, "a", "v2")
+			}
+		})
+	})
+	t.Run("an unknown stream is not continued", func(t *testing.T) {
+		run(t, func(t *testing.T, ctx context.Context) {
+			findsNone(t, newFleet("v1", "v2").startAll(ctx, 3)[0], "unknown")
+		})
+	})
+	t.Run("a host without others knows its own streams", func(t *testing.T) {
+		run(t, func(t *testing.T, ctx context.Context) {
+			d := newFleet("v1", "v2").startAll(ctx, 1)[0]
+			d.Record("a", "v1")
+			finds(t, d, "a", "v1")
+			findsNone(t, d, "b")
+		})
+	})
+	t.Run("the first version that was recorded stays", func(t *testing.T) {
+		run(t, func(t *testing.T, ctx context.Context) {
+			d := newFleet("v1", "v2").startAll(ctx, 1)[0]
+			d.Record("a", "v1")
+			d.Record("a", "v2")
+			finds(t, d, "a", "v1")
+		})
+	})
+	t.Run("records expire", func(t *testing.T) {
+		run(t, func(t *testing.T, ctx context.Context) {
+			d := newFleet("v1", "v2").startAll(ctx, 1)[0]
+			for n := range 1000 {
+				d.Record(sardineknot.RequestID(fmt.Sprint("a", n)), "v1")
+			}
+			time.Sleep(streamTime + time.Second)
+			for n := range 1000 {
+				d.Record(sardineknot.RequestID(fmt.Sprint("b", n)), "v1")
+			}
+			findsNone(t, d, "a0")
+			finds(t, d, "b0", "v1")
+		})
+	})
+}
+
+// TestOneVersion checks when an unknown stream may go on at the only version.
+func TestOneVersion(t *testing.T) {
+	t.Run("without a call to another host if there was no other version", func(t *testing.T) {
+		run(t, func(t *testing.T, ctx context.Context) {
+			f := newFleet("v1")
+			l := f.startAll(ctx, 3)
+			f.calls = 0
+			finds(t, l[0], "unknown", "v1")
+			is.New(t).Equal(f.calls, 0)
+		})
+	})
+	t.Run("not while a stream of a version that has gone may come back", func(t *testing.T) {
+		run(t, func(t *testing.T, ctx context.Context) {
+			f := newFleet("v1", "v2")
+			l := f.startAll(ctx, 3)
+			f.setVersions("v2")
+			time.Sleep(streamTime - time.Second)
+			findsNone(t, l[0], "unknown")
+			time.Sleep(2 * time.Second)
+			finds(t, l[0], "unknown", "v2")
+		})
+	})
+	t.Run("a host that has just started asks others what they have seen", func(t *testing.T) {
+		run(t, func(t *testing.T, ctx context.Context) {
+			f := newFleet("v1", "v2")
+			l := f.startAll(ctx, 3)
+			l[1].Record("a", "v1")
+			f.setVersions("v2")
+			f.kill(0)
+			d := f.start(ctx, 0)
+			findsNone(t, d, "unknown")
+			finds(t, d, "a", "v1")
+		})
+	})
+	t.Run("after all hosts were started again", func(t *testing.T) {
+		run(t, func(t *testing.T, ctx context.Context) {
+			f := newFleet("v1")
+			f.startAll(ctx, 3)
+			finds(t, f.start(ctx, 0), "unknown", "v1")
+		})
+	})
+	t.Run("servers without versions", func(t *testing.T) {
+		run(t, func(t *testing.T, ctx context.Context) {
+			finds(t, newFleet("").startAll(ctx, 2)[0], "unknown", "")
+		})
+	})
+}
--- /dev/null
+++ b/internal/versions/twirp/records.go
@@ -0,0 +1,69 @@
+package twirp
+
+import (
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sardineknot.example/sardineknot"
+)
+
+const (
+	// shardCount is the number of shards, each under its own lock.
+	shardCount = 16
+	// maxShardRecords bounds the records of a shard. The oldest are dropped
+	// beyond it.
+	maxShardRecords = 8192
+)
+
+// records holds the versions that began recent streams. The zero value is empty.
+type records struct {
+	shards [shardCount]recordShard
+}
+
+// recordShard holds the records of the streams whose hash selects the shard.
+type recordShard struct {
+	mu       sync.Mutex
+	versions map[sardineknot.RequestID]sardineknot.SoftwareVersion
+	// order lists the records by the time at which they were put.
+	order []datedStream
+}
+
+// datedStream is a stream and the time at which its record was put.
+type datedStream struct {
+	stream sardineknot.RequestID
+	at     time.Time
+}
+
+func (r *records) shard(stream sardineknot.RequestID) *recordShard {
+	return &r.shards[xxhash.Sum64String(string(stream))%shardCount]
+}
+
+// put records version for stream at time now, unless a version is recorded, and
+// drops the records that were put before expired.
+func (r *records) put(now, expired time.Time, stream sardineknot.RequestID, version sardineknot.SoftwareVersion) {
+	s := r.shard(stream)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.order) > 0 && (s.order[0].at.Before(expired) || len(s.order) >= maxShardRecords) {
+		delete(s.versions, s.order[0].stream)
+		s.order = s.order[1:]
+	}
+	if _, ok := s.versions[stream]; ok {
+		return
+	}
+	if s.versions == nil {
+		s.versions = make(map[sardineknot.RequestID]sardineknot.SoftwareVersion)
+	}
+	s.versions[stream] = version
+	s.order = append(s.order, datedStream{stream: stream, at: now})
+}
+
+func (r *records) get(stream sardineknot.RequestID) (version sardineknot.SoftwareVersion, ok bool) {
+	s := r.shard(stream)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	version, ok = s.versions[stream]
+	return version, ok
+}
--- a/logevent.go
+++ b/logevent.go
@@ -134,6 +134,13 @@
 	LogCacheRefused LogEvent = "cache_refused"
 	// LogReleaseFailed reports that releasing a KV cache failed.
 	LogReleaseFailed LogEvent = "release_failed"
+	// LogVersionNotSent reports that another entry host was not reached to keep
+	// or to tell the software version that began a stream.
+	LogVersionNotSent LogEvent = "version_not_sent"
+	// LogVersionUnknown reports that no entry host knows the software version
+	// that began a stream whose caller has come back, while the servers have had
+	// several versions.
+	LogVersionUnknown LogEvent = "version_unknown"
 	// LogStreamRetried reports why a stream is continued on another engine, and
 	// after which event.
 	LogStreamRetried LogEvent = "stream_retried"
--- a/scheduler.go
+++ b/scheduler.go
@@ -34,6 +34,9 @@
 	// in an earlier attempt and probably still holds it. It is empty if no
 	// engine is known to hold the cache.
 	CachedOn BackendServerName
+	// SoftwareVersion is the software version that the decode engine must have,
+	// because an engine of this version began the answer. Empty means any.
+	SoftwareVersion SoftwareVersion
 	// Priority orders jobs. Smaller values are scheduled first.
 	Priority int
 	// FirstTokenDeadline is the time at which the first token is due.
