answer/service: a silent server keeps its call until another one has answered

Seen by callers: a call of a plain service that may be repeated failed with `context deadline exceeded` though its server would have answered in time. A server that answers after 2 s and a deadline of 3 s gave a failure after 1.5 s with an exhausted retry budget. Cause: every attempt but the last was cancelled at half of the remaining time, and only then the retry budget, the circuits and the other server were asked. Fix: at half of the remaining time another attempt starts beside the silent one, if the budget allows it. The first answer counts; an attempt that is refused or fails leaves the other one running until the deadline. Ruled out: asking only the budget before the cancellation. Not changed: at most three attempts, the budget, and the time until the second attempt. A silent call now holds its slot beside the other attempt's until one of them is answered. Conclusion: silence alone no longer ends a call before its deadline.

--- a/internal/answer/service/repeatable.go
+++ b/internal/answer/service/repeatable.go
@@ -10,19 +10,31 @@
 )
 
 // runRepeatable sends c until a backend server answers, maxAttempts is reached,
-// the deadline passes or the retry budget is exhausted.
+// the deadline passes or the retry budget is exhausted. The deadline of c is
+// the deadline of ctx.
 func (r *Runner) runRepeatable(ctx context.Context, c sardineknot.ServiceCall) (sardineknot.ServiceAnswer, error) {
 	r.Retries.RecordCall()
-	m := make(map[sardineknot.BackendServerName]bool)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s := newAttempts(r, c)
+	defer s.silence.Stop()
+	s.start(ctx, 0)
 	u := true
-	for n := 1; ; n++ {
-		a, err := r.sendWithTimeout(ctx, c, m, n)
-		if err == nil || errors.Is(ctx.Err(), context.Canceled) {
-			return a, err
-		}
-		u = u && didNotRun(err)
-		if n == maxAttempts || !r.waitForRetry(ctx, c, n) {
-			return a, finalError(err, u)
+	for {
+		select {
+		case <-s.silence.C:
+			s.retry(ctx)
+		case e := <-s.ends:
+			s.running--
+			if e.err == nil || errors.Is(ctx.Err(), context.Canceled) {
+				s.overtake(e.number)
+				return e.answer, e.err
+			}
+			u = u && didNotRun(e.err)
+			s.retry(ctx)
+			if s.running == 0 {
+				return e.answer, finalError(e.err, u)
+			}
 		}
 	}
 }
@@ -36,29 +48,6 @@
 	return errors.WithStack(&sardineknot.RequestFailedError{Reason: err.Error(), RetryAfter: retryAfter})
 }
 
-// sendWithTimeout sends c as attempt n, counted from one. It limits every
-// attempt but the last to half of the remaining time, so that an unresponsive
-// connection leaves time for another attempt.
-func (r *Runner) sendWithTimeout(ctx context.Context, c sardineknot.ServiceCall, tried map[sardineknot.BackendServerName]bool, n int) (sardineknot.ServiceAnswer, error) {
-	d := c.Deadline.Sub(r.Clock.Now())
-	if n < maxAttempts {
-		d /= 2
-	}
-	ctx, cancel := context.WithTimeout(ctx, d)
-	defer cancel()
-	return r.send(ctx, c, tried)
-}
-
-// waitForRetry waits for the backoff before the n-th retry. It returns false if
-// the time or the retry budget does not suffice.
-func (r *Runner) waitForRetry(ctx context.Context, c sardineknot.ServiceCall, n int) bool {
-	w, ok := r.Retries.Next(n)
-	if !ok || !r.Clock.Now().Add(w).Before(c.Deadline) {
-		return false
-	}
-	return sleep(ctx, w)
-}
-
 // sleep waits for d. It returns false if ctx is done first.
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
--- a/internal/answer/service/runner.go
+++ b/internal/answer/service/runner.go
@@ -3,7 +3,8 @@
 // entry host in package gateway.
 //
 // After a failure, a repeatable call is sent to another backend server, within
-// its deadline and the retry budget. An unrepeatable call is claimed in the
+// its deadline and the retry budget. If its server is silent, the call is sent to
+// another one as well, and the first answer counts. An unrepeatable call is claimed in the
 // store before it is sent. It is sent to another backend server only if no
 // server that received it before can have run it.
 package service
@@ -109,25 +110,39 @@
 	return a, newOutcomeUnknownError(k, "the call was sent before and its answer is no longer kept")
 }
 
-// send sends c to a backend server and records the result with its circuit
-// breaker. It prefers servers that are not in tried, and adds the chosen server
-// to tried.
+// send sends c to a backend server that pick chooses.
 func (r *Runner) send(ctx context.Context, c sardineknot.ServiceCall, tried map[sardineknot.BackendServerName]bool) (sardineknot.ServiceAnswer, error) {
+	s, err := r.pick(c, tried)
+	if err != nil {
+		return sardineknot.ServiceAnswer{}, err
+	}
+	return r.sendTo(ctx, c, s)
+}
+
+// pick chooses a backend server for c, to which c must be sent by sendTo. It
+// prefers servers that are not in tried, and adds the chosen server to tried.
+func (r *Runner) pick(c sardineknot.ServiceCall, tried map[sardineknot.BackendServerName]bool) (sardineknot.BackendServer, error) {
 	t := r.Clock.Now()
 	if !t.Before(c.Deadline) {
-		return sardineknot.ServiceAnswer{}, errors.WithStack(&sardineknot.NotRunError{Reason: "the deadline has passed", RetryAfter: retryAfter})
+		return sardineknot.BackendServer{}, errors.WithStack(&sardineknot.NotRunError{Reason: "the deadline has passed", RetryAfter: retryAfter})
 	}
 	l := r.Configuration.Current().AcceptingServers(sardineknot.PoolName("service/" + c.Work.Service))
 	s, w, ok := r.Circuits.Pick(t, l, tried)
 	if !ok {
-		return sardineknot.ServiceAnswer{}, errors.WithStack(&sardineknot.NotRunError{Reason: "no backend server accepts calls of " + c.Work.Service, RetryAfter: w})
+		return s, errors.WithStack(&sardineknot.NotRunError{Reason: "no backend server accepts calls of " + c.Work.Service, RetryAfter: w})
 	}
 	tried[s.Name] = true
+	return s, nil
+}
+
+// sendTo sends c to s and records the result with the circuit breaker of s. An
+// attempt that was overtaken by a later one is a failure of its silent server.
+func (r *Runner) sendTo(ctx context.Context, c sardineknot.ServiceCall, s sardineknot.BackendServer) (sardineknot.ServiceAnswer, error) {
 	a, err := r.Service.Call(ctx, s, c)
 	switch {
 	case err == nil:
 		r.Circuits.Done(r.Clock.Now(), s.Name, breaker.Succeeded)
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled) && !errors.Is(context.Cause(ctx), errOvertaken):
 		r.Circuits.Done(r.Clock.Now(), s.Name, breaker.Abandoned)
 	default:
 		r.Circuits.Done(r.Clock.Now(), s.Name, breaker.Failed)
