answer/generation, backend/openai: a silent stream stays open until it is resumed

Seen by callers: an answer that breaks off (InterruptedError) after its engine was silent for the progress timeout, 1 s, though the engine would have gone on; with an exhausted retry budget and a resume that the engine refuses or leaves without a response. Cause: the client cancelled the request of a stream without an event for the progress timeout, and only then the engine was asked to resume it. Fix: Next reports the silence and leaves the stream open; it may be called again. The old stream is closed when the resume has succeeded. If it fails while the engine is silent, the old stream is read on. The event ID of an event whose data come after a silence is kept. Ruled out: a sound engine that is silent for two seconds and resumes its streams: the second resume reaches it, and the case `the stream is resumed` passes before and after. Not changed: an unresponsive engine is left three silences after its last token (TestUnresponsiveEngineIsLeft passes before and after). A resume that has a response gets the whole progress timeout for its first event, which ran from the request before. Open: after two resumes without a token the attempt is given up before the retry budget is asked.

--- a/internal/answer/generation/attemptstate.go
+++ b/internal/answer/generation/attemptstate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"github.com/pkg/errors"
@@ -98,59 +97,6 @@
 	return min(a.job.FirstTokenDeadline.Sub(a.Clock.Now())/2, maxTransferTime)
 }
 
-// streamTokens copies the stream c to the buffer. err is the error of opening
-// c, or nil. An interrupted stream is resumed as long as it makes progress, and
-// at most maxResumes times without progress.
-func (a *attempt) streamTokens(ctx context.Context, s sardineknot.BackendServer, c sardineknot.TokenStream, err error) error {
-	for r := 0; ; r++ {
-		o := a.buffer.Len()
-		if err == nil {
-			err = a.copyTokens(c)
-		}
-		if a.buffer.Len() > o {
-			r = 0
-		}
-		if err == nil || ctx.Err() != nil || r >= maxResumes || !isInterrupted(err) {
-			return err
-		}
-		a.Log.Warn().Stringer("event", sardineknot.LogStreamResumed).Str("request", a.job.Key.String()).Str("server", string(s.Name)).Err(err).Send()
-		e := a.updateIncarnation(ctx)
-		if e != nil {
-			return e
-		}
-		c, err = a.Engine.Resume(ctx, s, a.engineRequest, a.buffer.Len())
-	}
-}
-
-// copyTokens copies tokens from c to the buffer. It returns nil after the
-// explicit end of the stream, and an InterruptedError if this host has
-// meanwhile got a new incarnation.
-func (a *attempt) copyTokens(c sardineknot.TokenStream) error {
-	defer c.Close()
-	f := false
-	for {
-		k, err := c.Next()
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-		err = a.buffer.Append(k)
-		if err != nil {
-			return err
-		}
-		if !f {
-			f = true
-			a.onFirstToken()
-			a.report(sardineknot.JobDecodeStarted)
-		}
-		if a.Self().Incarnation != a.engineRequest.OwnerIncarnation {
-			return errors.WithStack(&sardineknot.InterruptedError{Offset: a.buffer.Len(), Reason: "this host has a new incarnation"})
-		}
-	}
-}
-
 // updateIncarnation sets the owner incarnation of the attempt to the current
 // incarnation of this host. If the process was paused or the incarnation has
 // changed, it first confirms with the directory that this host still produces
--- /dev/null
+++ b/internal/answer/generation/silence_test.go
@@ -0,0 +1,127 @@
+package generation_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/backend/budget"
+)
+
+const (
+	// progress is the time after which a silentStream reports a silence.
+	progress = time.Second
+	// tokensBefore is the number of tokens before the silence of an engine.
+	tokensBefore = 4
+)
+
+// silentStream is a fake stream of ten tokens from an engine that is silent
+// after tokensBefore tokens until the time wake.
+type silentStream struct {
+	next           int
+	wake           time.Time
+	silent, closed bool
+}
+
+func (s *silentStream) Next() (sardineknot.Token, error) {
+	if s.next >= tokensBefore && !s.closed {
+		time.Sleep(min(progress, time.Until(s.wake)))
+	}
+	s.silent = s.next >= tokensBefore && !s.closed && time.Now().Before(s.wake)
+	if s.silent || s.closed {
+		return sardineknot.Token{}, &sardineknot.InterruptedError{Offset: s.next}
+	}
+	if s.next == 10 {
+		return sardineknot.Token{}, io.EOF
+	}
+	s.next++
+	return sardineknot.Token{Index: s.next - 1}, nil
+}
+
+func (s *silentStream) Silent() bool { return s.silent }
+
+func (s *silentStream) Close() error {
+	s.closed = true
+	return nil
+}
+
+// silence makes the engine silent for d in the middle of its stream, and
+// exhausts the retry budget.
+func (x *fixture) silence(d time.Duration) {
+	w := time.Now().Add(d)
+	x.runner.Retries = budget.NewBudget(0, 0)
+	x.engines.decode = func(context.Context, sardineknot.EngineRequest) (sardineknot.TokenStream, error) {
+		return &silentStream{wake: w}, nil
+	}
+}
+
+// acceptResumes lets the silent engine resume its stream, which stays silent for
+// d from now.
+func (x *fixture) acceptResumes(d time.Duration) {
+	w := time.Now().Add(d)
+	x.engines.resume = func(_ sardineknot.EngineRequest, o int) (sardineknot.TokenStream, error) {
+		return &silentStream{next: o, wake: w}, nil
+	}
+}
+
+// failResumes lets each resume end without a response after progress.
+func (x *fixture) failResumes() {
+	x.engines.resume = func(sardineknot.EngineRequest, int) (sardineknot.TokenStream, error) {
+		time.Sleep(progress)
+		return nil, newUnavailableError()
+	}
+}
+
+// Guards against answers that break off although their engine goes on: the host
+// closes the stream of an engine that is silent for a moment, and the engine
+// does not resume it.
+func TestSilentEngineKeepsStream(t *testing.T) {
+	run(t, "two seconds, the stream is resumed", func(t *testing.T, x *fixture) {
+		x.silence(2 * time.Second)
+		x.acceptResumes(2 * time.Second)
+		checkComplete(t, x, "a/1/0")
+	})
+	run(t, "two seconds, the engine refuses to resume", func(t *testing.T, x *fixture) {
+		x.silence(2 * time.Second)
+		checkComplete(t, x, "a/1/0")
+	})
+	run(t, "two seconds, the resume has no response", func(t *testing.T, x *fixture) {
+		x.silence(2 * time.Second)
+		x.failResumes()
+		checkComplete(t, x, "a/1/0")
+	})
+}
+
+// Guards against answers that come late because the host waits longer for an
+// unresponsive engine, which may go on, than the resumptions take.
+func TestUnresponsiveEngineIsLeft(t *testing.T) {
+	run(t, "three seconds after its last token", func(t *testing.T, x *fixture) {
+		d := x.engines.decode
+		x.silence(time.Hour)
+		x.failResumes()
+		x.runner.Retries = budget.NewBudget(0, 1)
+		e := x.engines.decode
+		x.engines.decode = func(ctx context.Context, r sardineknot.EngineRequest) (sardineknot.TokenStream, error) {
+			if r.Attempt > 0 {
+				return d(ctx, r)
+			}
+			return e(ctx, r)
+		}
+		n := time.Now()
+		checkComplete(t, x, "a/1/0", "a/1/1")
+		is.New(t).True(time.Since(n) < 3*progress+100*time.Millisecond) // three silences and the backoff
+	})
+}
+
+// Guards against a fake of a silent engine that hides a lost connection: a
+// closed stream has no more tokens.
+func TestSilentStreamIsClosed(t *testing.T) {
+	s := &silentStream{}
+	is.New(t).NoErr(s.Close())
+	_, err := s.Next()
+	is.New(t).True(err != nil && !s.Silent())
+}
--- /dev/null
+++ b/internal/answer/generation/tokens.go
@@ -0,0 +1,92 @@
+package generation
+
+import (
+	"context"
+	"io"
+
+	"github.com/pkg/errors"
+
+	"sardineknot.example/sardineknot"
+)
+
+// silentStream is implemented by streams that report a silence of their engine.
+type silentStream interface {
+	// Silent reports whether the last call of Next failed only because no event
+	// arrived in time. Next may then be called again.
+	Silent() bool
+}
+
+// isSilent reports whether c is open and its engine is silent. c may be nil.
+func isSilent(c sardineknot.TokenStream) bool {
+	s, ok := c.(silentStream)
+	return ok && s.Silent()
+}
+
+// streamTokens copies the stream c to the buffer and closes it. err is the
+// error of opening c, or nil. An interrupted stream is resumed as long as it
+// makes progress, and at most maxResumes times without progress. If a silent
+// engine does not resume the stream, c stays open, since the engine may go on;
+// the further wait for c counts as one of the resumptions.
+func (a *attempt) streamTokens(ctx context.Context, s sardineknot.BackendServer, c sardineknot.TokenStream, err error) error {
+	defer func() { closeStream(c) }()
+	for r := 0; ; r++ {
+		o := a.buffer.Len()
+		if err == nil {
+			err = a.copyTokens(c)
+		}
+		if a.buffer.Len() > o {
+			r = 0
+		}
+		if err == nil || ctx.Err() != nil || r >= maxResumes || !isInterrupted(err) {
+			return err
+		}
+		a.Log.Warn().Stringer("event", sardineknot.LogStreamResumed).Str("request", a.job.Key.String()).Str("server", string(s.Name)).Err(err).Send()
+		e := a.updateIncarnation(ctx)
+		if e != nil {
+			return e
+		}
+		n, e := a.Engine.Resume(ctx, s, a.engineRequest, a.buffer.Len())
+		if e != nil && isSilent(c) {
+			err = nil
+			r++
+			continue
+		}
+		closeStream(c)
+		c, err = n, e
+	}
+}
+
+// closeStream closes c, which may be nil.
+func closeStream(c sardineknot.TokenStream) {
+	if c != nil {
+		c.Close()
+	}
+}
+
+// copyTokens copies tokens from c to the buffer. It returns nil after the
+// explicit end of the stream, and an InterruptedError if this host has
+// meanwhile got a new incarnation.
+func (a *attempt) copyTokens(c sardineknot.TokenStream) error {
+	f := false
+	for {
+		k, err := c.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		err = a.buffer.Append(k)
+		if err != nil {
+			return err
+		}
+		if !f {
+			f = true
+			a.onFirstToken()
+			a.report(sardineknot.JobDecodeStarted)
+		}
+		if a.Self().Incarnation != a.engineRequest.OwnerIncarnation {
+			return errors.WithStack(&sardineknot.InterruptedError{Offset: a.buffer.Len(), Reason: "this host has a new incarnation"})
+		}
+	}
+}
--- a/internal/backend/openai/client.go
+++ b/internal/backend/openai/client.go
@@ -32,17 +32,17 @@
 
 // Client is a sardineknot.EngineClient. It is safe for concurrent use.
 type Client struct {
-	// progressTimeout is the longest time without an event within a stream. It
-	// is positive.
+	// progressTimeout is the time without an event after which a stream reports
+	// a silence. It is positive.
 	progressTimeout time.Duration
 	transport       *http.Transport
 }
 
 var _ sardineknot.EngineClient = (*Client)(nil)
 
-// NewClient returns a client that interrupts a stream if no event arrives for
-// the duration progress. Zero means one second. NewClient panics if progress is
-// negative.
+// NewClient returns a client whose streams report a silence if no event arrives
+// for the duration progress. Zero means one second. NewClient panics if progress
+// is negative.
 func NewClient(progress time.Duration) *Client {
 	if progress < 0 {
 		panic(&sardineknot.InvalidError{What: "progress", Got: progress.String(), Expected: "no negative duration"})
--- a/internal/backend/openai/stream.go
+++ b/internal/backend/openai/stream.go
@@ -22,25 +22,33 @@
 	endOfStream   = "[DONE]"
 )
 
-// stream is a sardineknot.TokenStream that reads server-sent events.
+// stream is a sardineknot.TokenStream that reads server-sent events. A stream
+// without an event for the progress timeout stays open: Next fails, and goes on
+// if it is called again and the engine has sent an event.
 type stream struct {
 	client *Client
 	server sardineknot.BackendServer
-	// body is the body of the response.
-	body    io.ReadCloser
-	scanner *bufio.Scanner
+	// lines receives the lines of the response, and is closed at its end.
+	lines <-chan string
 	// nextIndex is the index of the token to be read next.
 	nextIndex int
-	// watchdog cancels the request after progressTimeout without an event.
-	watchdog *time.Timer
-	cancel   context.CancelFunc
+	// eventID is the event ID that was read last. A silence may follow it before
+	// the data of its event.
+	eventID string
+	// started reports whether the progress timeout applies.
+	started bool
+	// silent reports whether the last call of Next failed because no event
+	// arrived in time.
+	silent bool
+	// cancel ends the request.
+	cancel context.CancelFunc
 }
 
 // stream opens a stream by calling open. offset is the index of the first
-// token. The progress timeout of a resumed stream runs from the start. The
-// progress timeout of a new stream runs only from its first event, since the
-// request may wait in the engine's queue or for the transfer of its KV cache;
-// the caller bounds that wait through ctx.
+// token. The response to a resumed stream is due within the progress timeout,
+// and so is each event. The progress timeout of a new stream applies only from
+// its first event, since the request may wait in the engine's queue or for the
+// transfer of its KV cache; the caller bounds that wait through ctx.
 func (c *Client) stream(ctx context.Context, backend sardineknot.BackendServer, offset int, resumed bool, open func(context.Context) (*http.Response, error)) (sardineknot.TokenStream, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	t := time.AfterFunc(c.progressTimeout, cancel)
@@ -48,39 +56,82 @@
 		t.Stop()
 	}
 	p, err := open(ctx)
+	t.Stop()
 	if err != nil {
-		t.Stop()
 		cancel()
 		return nil, err
 	}
-	b := bufio.NewScanner(p.Body)
+	l := make(chan string)
+	go readLines(ctx, p.Body, l)
+	return &stream{client: c, server: backend, lines: l, nextIndex: offset, started: resumed, cancel: cancel}, nil
+}
+
+// readLines sends the lines of body to lines until body ends or ctx is done.
+// It then closes both.
+func readLines(ctx context.Context, body io.ReadCloser, lines chan<- string) {
+	defer close(lines)
+	defer body.Close()
+	b := bufio.NewScanner(body)
 	b.Buffer(nil, maxEventBytes)
-	return &stream{client: c, server: backend, body: p.Body, scanner: b, nextIndex: offset, watchdog: t, cancel: cancel}, nil
+	for b.Scan() {
+		select {
+		case lines <- b.Text():
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // Next implements sardineknot.TokenStream.
 func (s *stream) Next() (sardineknot.Token, error) {
-	var id string
-	for s.scanner.Scan() {
-		s.watchdog.Reset(s.client.progressTimeout)
-		k, v, _ := strings.Cut(s.scanner.Text(), ": ")
+	for {
+		l, err := s.nextLine()
+		if err != nil {
+			return sardineknot.Token{}, err
+		}
+		k, v, _ := strings.Cut(l, ": ")
 		switch {
 		case k == "id":
-			id = v
+			s.eventID = v
 		case k == "data" && v == endOfStream:
 			return sardineknot.Token{}, io.EOF
 		case k == "data":
-			return s.decodeToken(id, v)
+			return s.decodeToken(s.eventID, v)
 		}
 	}
-	return sardineknot.Token{}, s.interrupted("stream ended without [DONE]")
 }
 
+// nextLine returns the next line of the response. It fails with an
+// InterruptedError if there is none within the progress timeout.
+func (s *stream) nextLine() (string, error) {
+	var c <-chan time.Time
+	if s.started {
+		t := time.NewTimer(s.client.progressTimeout)
+		defer t.Stop()
+		c = t.C
+	}
+	s.silent = false
+	select {
+	case l, ok := <-s.lines:
+		if !ok {
+			return "", s.interrupted("stream ended without [DONE]")
+		}
+		s.started = true
+		return l, nil
+	case <-c:
+		s.silent = true
+		return "", s.interrupted("no event for " + s.client.progressTimeout.String())
+	}
+}
+
+// Silent reports whether the last call of Next failed because no event arrived
+// in time. Next may then be called again.
+func (s *stream) Silent() bool { return s.silent }
+
 // Close implements sardineknot.TokenStream.
 func (s *stream) Close() error {
-	s.watchdog.Stop()
 	s.cancel()
-	return errors.WithStack(s.body.Close())
+	return nil
 }
 
 // decodeToken decodes one event. It fails with an InterruptedError if the event
