answer/generation: a silent engine is given up only if another attempt is allowed

Seen by callers: an answer that breaks off (InterruptedError, or 410 `lost` after the death of its host) three silences after its last token, 3 s by default, though its engine would have gone on. It needs an exhausted retry budget, the last attempt, or a caller with tokens that this host does not have. Cause: after two resumes without a token the attempt ended and its request was cancelled on the engine; only then the retry budget was asked. Same class as answer/events: giving up what works before its replacement is known to be possible. Fix: the attempt asks for the next one before it ends, which charges the budget once. If no other attempt may follow, the stream is resumed and read on until the next token is due, which is the latency target of a first token after the silence was first seen. An engine whose connection broke is given up as before, since nothing is left to wait for. Open: another attempt that is allowed may fail still, in the prefill or on the other engine. The silent engine has been left by then; answer/events runs both at once, this package does not. A stream within the budget is left after 3 s as before.

--- a/internal/answer/generation/attempt.go
+++ b/internal/answer/generation/attempt.go
@@ -53,7 +53,7 @@
 		MaxTokens:        n.request.MaxTokens,
 		Priority:         n.request.Work.Priority,
 	}
-	return &attempt{run: n, job: n.newJob(e), engineRequest: e, pauses: n.PauseDetector.Pauses(), onFirstToken: func() {}}
+	return &attempt{run: n, job: n.newJob(e), engineRequest: e, pauses: n.PauseDetector.Pauses(), onFirstToken: func() {}, canLeave: n.reserveRetry}
 }
 
 func (n *run) newJob(e sardineknot.EngineRequest) sardineknot.Job {
--- a/internal/answer/generation/attemptstate.go
+++ b/internal/answer/generation/attemptstate.go
@@ -24,6 +24,8 @@
 	pauses int
 	// onFirstToken is called when the first token arrives.
 	onFirstToken func()
+	// canLeave reports whether another attempt may follow if this one fails.
+	canLeave func() bool
 }
 
 // prefillAndDecode runs the prefill and the decode on the granted engines.
--- a/internal/answer/generation/runner.go
+++ b/internal/answer/generation/runner.go
@@ -36,7 +36,8 @@
 	// run has the number of the last recorded attempt plus maxAttempts, so that
 	// no number is used twice.
 	maxAttempts = 4
-	// maxResumes bounds the resumptions of one attempt that yield no new token.
+	// maxResumes is the number of resumptions without a new token after which an
+	// attempt gives up its engine.
 	maxResumes = 2
 	// retryAfter is the Retry-After time of failed requests.
 	retryAfter = time.Second
@@ -99,6 +100,8 @@
 	// engineCalled is set once the run has called an engine, so that the
 	// request may have run.
 	engineCalled bool
+	// reservation decides whether an attempt may follow the current one.
+	reservation reservation
 }
 
 // Run produces the answer to q in b and then ends b. offset is the number of
@@ -133,7 +136,7 @@
 			return err
 		}
 	}
-	if n.buffer.Len() < n.offset || !n.buffer.FromStart() {
+	if !n.canRestart() {
 		return errors.WithStack(&sardineknot.AnswerLostError{Key: n.request.Key, Offset: n.offset})
 	}
 	n.Retries.RecordCall()
@@ -146,6 +149,7 @@
 func (n *run) runAttempts(ctx context.Context, unregistered bool) error {
 	var err error
 	for i := range maxAttempts {
+		n.reservation.start(i)
 		if i > 0 {
 			n.record.Attempt++
 			n.record.DecodeEngine = ""
@@ -160,7 +164,7 @@
 			return err
 		}
 		n.Log.Warn().Stringer("event", sardineknot.LogAttemptFailed).Str("request", n.request.Key.String()).Int("attempt", n.record.Attempt).Err(err).Send()
-		if i+1 == maxAttempts || !n.mayRetry(ctx, i) {
+		if !n.mayRetry(ctx, i) {
 			return err
 		}
 	}
@@ -168,11 +172,11 @@
 }
 
 // mayRetry waits for the backoff after attempt i and reports whether another
-// attempt may follow. It reports false if the backoff passes the deadline, the
-// retry budget is exhausted or ctx is done.
+// attempt may follow. It reports false if maxAttempts is reached, the backoff
+// passes the deadline, the retry budget is exhausted or ctx is done.
 func (n *run) mayRetry(ctx context.Context, i int) bool {
 	p := n.backoff(i)
-	if n.Clock.Now().Add(p).After(n.deadline()) || !n.Retries.AllowRetry() {
+	if n.Clock.Now().Add(p).After(n.deadline()) || !n.reserveRetry() {
 		return false
 	}
 	t := time.NewTimer(p)
--- a/internal/answer/generation/silence_test.go
+++ b/internal/answer/generation/silence_test.go
@@ -96,6 +96,56 @@
 	})
 }
 
+// Guards against answers that break off although their engine goes on: the host
+// gives up an engine that is silent for longer than the resumptions take, and no
+// other attempt is allowed.
+func TestSilentEngineIsKeptWithoutRetry(t *testing.T) {
+	const long = 4 * time.Second
+	run(t, "retry budget is exhausted", func(t *testing.T, x *fixture) {
+		x.silence(long)
+		x.acceptResumes(long)
+		checkComplete(t, x, "a/1/0")
+	})
+	run(t, "retry budget is exhausted, the engine refuses to resume", func(t *testing.T, x *fixture) {
+		x.silence(long)
+		checkComplete(t, x, "a/1/0")
+	})
+	run(t, "last attempt", func(t *testing.T, x *fixture) {
+		x.silence(long)
+		x.runner.Retries = budget.NewBudget(0, 10)
+		x.engines.prefill = func(_ context.Context, r sardineknot.EngineRequest) error {
+			if r.Attempt < 3 {
+				return newUnavailableError()
+			}
+			return nil
+		}
+		checkComplete(t, x, "a/1/0", "a/1/1", "a/1/2", "a/1/3")
+	})
+	run(t, "stream of a dead host whose caller has tokens", func(t *testing.T, x *fixture) {
+		x.directory.previous = &sardineknot.AnswerRecord{Host: "other", DecodeEngine: "d", Attempt: 2}
+		w := time.Now().Add(long)
+		x.engines.resume = func(_ sardineknot.EngineRequest, o int) (sardineknot.TokenStream, error) {
+			if o == 0 {
+				return nil, &sardineknot.RefusedError{Server: "d"}
+			}
+			return &silentStream{next: o, wake: w}, nil
+		}
+		_, err := x.produce(t.Context(), tokensBefore)
+		is.New(t).Equal(err, io.EOF)
+		is.New(t).Equal(x.buffer.Len(), 10)
+	})
+}
+
+// Guards against answers that never end, because their engine is silent for good
+// and no other attempt is allowed.
+func TestSilentEngineIsLeftInTheEnd(t *testing.T) {
+	run(t, "after the latency target of a first token", func(t *testing.T, x *fixture) {
+		x.silence(time.Hour)
+		x.acceptResumes(time.Hour)
+		checkEnd[*sardineknot.InterruptedError](t, x, 0, firstToken+progress)
+	})
+}
+
 // Guards against answers that come late because the host waits longer for an
 // unresponsive engine, which may go on, than the resumptions take.
 func TestUnresponsiveEngineIsLeft(t *testing.T) {
--- a/internal/answer/generation/takeover.go
+++ b/internal/answer/generation/takeover.go
@@ -43,6 +43,7 @@
 	a := n.newAttempt()
 	a.server = p.DecodeEngine
 	a.usedServers = append(a.usedServers, s)
+	a.canLeave = n.canRestart
 	if o, ok := n.Slots.(adoptingPool); ok {
 		o.Adopt(sardineknot.RunningJob{Job: a.job, Grant: sardineknot.Grant{DecodeEngine: p.DecodeEngine}, Tokens: n.offset, TakenOver: true})
 	}
--- a/internal/answer/generation/tokens.go
+++ b/internal/answer/generation/tokens.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -23,12 +24,13 @@
 }
 
 // streamTokens copies the stream c to the buffer and closes it. err is the
-// error of opening c, or nil. An interrupted stream is resumed as long as it
-// makes progress, and at most maxResumes times without progress. If a silent
-// engine does not resume the stream, c stays open, since the engine may go on;
-// the further wait for c counts as one of the resumptions.
+// error of opening c, or nil. An interrupted stream is resumed until givesUp
+// reports true. If a silent engine does not resume the stream, c stays open,
+// since the engine may go on; the further wait for c counts as one of the
+// resumptions.
 func (a *attempt) streamTokens(ctx context.Context, s sardineknot.BackendServer, c sardineknot.TokenStream, err error) error {
 	defer func() { closeStream(c) }()
+	d := a.deadline()
 	for r := 0; ; r++ {
 		o := a.buffer.Len()
 		if err == nil {
@@ -36,8 +38,9 @@
 		}
 		if a.buffer.Len() > o {
 			r = 0
+			d = a.deadline()
 		}
-		if err == nil || ctx.Err() != nil || r >= maxResumes || !isInterrupted(err) {
+		if err == nil || ctx.Err() != nil || !isInterrupted(err) || a.givesUp(c, r, d) {
 			return err
 		}
 		a.Log.Warn().Stringer("event", sardineknot.LogStreamResumed).Str("request", a.job.Key.String()).Str("server", string(s.Name)).Err(err).Send()
@@ -56,6 +59,16 @@
 	}
 }
 
+// givesUp reports whether the attempt ends after a number of resumes of the
+// stream c without progress. If the engine is silent and no other attempt may
+// follow, the attempt goes on until the next token is due.
+func (a *attempt) givesUp(c sardineknot.TokenStream, resumes int, due time.Time) bool {
+	if resumes < maxResumes {
+		return false
+	}
+	return !isSilent(c) || !a.Clock.Now().Before(due) || a.canLeave()
+}
+
 // closeStream closes c, which may be nil.
 func closeStream(c sardineknot.TokenStream) {
 	if c != nil {
