answer/generation: a late first token is waited for if no other attempt is allowed

Seen by callers: a request that fails at half of its time to the first token, at most 5 s after the start of the decode, though its engine would have sent the first token in time; with an exhausted retry budget or in the last attempt. Cause: the decode was cancelled after transferLimit, which takes it out of the engine's queue, and only then the retry budget was asked. Same class as answer/events: giving up what works before its replacement is known to be possible. Evidence: TestLateFirstToken, 2 of 3 cases failed before this commit and pass now; 30 runs with the race detector. The third, no token by the deadline, passes before and after. Fix: the time limit asks for the next attempt, which charges the budget once, and cancels the decode only if that is allowed. Otherwise the deadline of the request ends it. Open: an attempt that is allowed may be as slow or fail; the first engine has been left by then.

--- a/internal/answer/generation/attemptstate.go
+++ b/internal/answer/generation/attemptstate.go
@@ -24,7 +24,8 @@
 	pauses int
 	// onFirstToken is called when the first token arrives.
 	onFirstToken func()
-	// canLeave reports whether another attempt may follow if this one fails.
+	// canLeave reports whether another attempt may follow if this one fails. It
+	// is safe for concurrent use.
 	canLeave func() bool
 }
 
@@ -64,7 +65,7 @@
 // decode streams the answer of engine n to the buffer. It registers the engine
 // with the directory while the decode starts, and reads the stream only after
 // the registration. A decode without a first token within transferLimit is
-// cancelled.
+// cancelled if another attempt may follow.
 func (a *attempt) decode(ctx context.Context, n sardineknot.BackendServerName, k sardineknot.KVCacheLocation) error {
 	s, err := a.useServer(n)
 	if err != nil {
@@ -75,7 +76,12 @@
 	go func() { g <- a.updateRecord(ctx) }()
 	x, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w := time.AfterFunc(a.transferLimit(), cancel)
+	w := time.AfterFunc(a.transferLimit(), func() {
+		if a.canLeave() {
+			cancel()
+		}
+	})
+	defer w.Stop()
 	f := a.onFirstToken
 	a.onFirstToken = func() {
 		w.Stop()
--- a/internal/answer/generation/silence_test.go
+++ b/internal/answer/generation/silence_test.go
@@ -175,3 +175,68 @@
 	_, err := s.Next()
 	is.New(t).True(err != nil && !s.Silent())
 }
+
+// Guards against requests that fail although their engine would have sent the
+// first token in time: the decode is cancelled after half of the remaining time,
+// and no other attempt is allowed.
+func TestLateFirstToken(t *testing.T) {
+	run(t, "retry budget is exhausted", func(t *testing.T, x *fixture) {
+		x.lateDecode(firstToken * 6 / 10)
+		x.runner.Retries = budget.NewBudget(0, 0)
+		checkComplete(t, x, "a/1/0")
+	})
+	run(t, "last attempt", func(t *testing.T, x *fixture) {
+		x.lateDecode(firstToken * 6 / 10)
+		x.engines.prefill = func(_ context.Context, r sardineknot.EngineRequest) error {
+			if r.Attempt < 3 {
+				return newUnavailableError()
+			}
+			return nil
+		}
+		checkComplete(t, x, "a/1/0", "a/1/1", "a/1/2", "a/1/3")
+	})
+	run(t, "no token by the deadline", func(t *testing.T, x *fixture) {
+		x.lateDecode(firstToken + time.Second)
+		x.runner.Retries = budget.NewBudget(0, 0)
+		checkEnd[*sardineknot.RequestFailedError](t, x, 0, firstToken)
+	})
+}
+
+// lateDecode lets each decode wait in the engine's queue for d.
+func (x *fixture) lateDecode(d time.Duration) {
+	e := x.engines.decode
+	x.engines.decode = func(ctx context.Context, r sardineknot.EngineRequest) (sardineknot.TokenStream, error) {
+		select {
+		case <-time.After(d):
+			return e(ctx, r)
+		case <-ctx.Done():
+			return nil, newUnavailableError()
+		}
+	}
+}
+
+// slowStream is a fake stream that pauses for firstToken after its first token.
+type slowStream struct{ stream }
+
+func (s *slowStream) Next() (sardineknot.Token, error) {
+	if s.next == 1 {
+		time.Sleep(firstToken)
+	}
+	return s.stream.Next()
+}
+
+// Guards against a retry budget that is used up without retries, because the
+// time limit of a decode that has ended charges the next attempt.
+func TestEndedDecodeChargesNothing(t *testing.T) {
+	run(t, "decode fails at once", func(t *testing.T, x *fixture) {
+		x.runner.Retries = budget.NewBudget(0, 2)
+		x.engines.decode = func(_ context.Context, r sardineknot.EngineRequest) (sardineknot.TokenStream, error) {
+			if r.Attempt == 0 {
+				return nil, newUnavailableError()
+			}
+			return &slowStream{stream{0, 10, io.EOF}}, nil
+		}
+		checkComplete(t, x, "a/1/0", "a/1/1")
+		is.New(t).True(x.runner.Retries.AllowRetry()) // only one of two retries is used
+	})
+}
