answer/generation: failing tests of engines that are left before another one has a token

Seen by callers: an answer breaks off after a silence of 4 s, because the other attempts fail in the prefill; a request fails whose first token takes 6 of its 10 s on every engine. Both with retries left. Cause: attempts run one after the other. Since the retry budget is asked first, a silent engine is kept if no other attempt is allowed; if one is allowed, the engine is left when the attempt starts, not when it has a token. Why not mended here: the other attempt must run beside the silent one. The grant of its engines then comes before the report that the silent engine failed, so that it may name the silent engine again, and the directory must keep the record of the first attempt until the second is accepted. That needs the scenarios of silent engines besides the tests of this package.

--- a/internal/answer/generation/silence_test.go
+++ b/internal/answer/generation/silence_test.go
@@ -240,3 +240,27 @@
 		is.New(t).True(x.runner.Retries.AllowRetry()) // only one of two retries is used
 	})
 }
+
+// Guards against answers and requests that fail although their engine goes on in
+// time: the host leaves the silent engine for another attempt that is allowed,
+// and that attempt fails or takes as long.
+func TestSilentEngineIsKeptBesideRetry(t *testing.T) {
+	run(t, "other attempts fail in the prefill", func(t *testing.T, x *fixture) {
+		x.silence(4 * time.Second)
+		x.acceptResumes(4 * time.Second)
+		x.runner.Retries = budget.NewBudget(0, 10)
+		x.engines.prefill = func(_ context.Context, r sardineknot.EngineRequest) error {
+			if r.Attempt > 0 {
+				return newUnavailableError()
+			}
+			return nil
+		}
+		_, err := x.produce(t.Context(), 0)
+		is.New(t).Equal(err, io.EOF)
+	})
+	run(t, "other attempts have a late first token as well", func(t *testing.T, x *fixture) {
+		x.lateDecode(firstToken * 6 / 10)
+		_, err := x.produce(t.Context(), 0)
+		is.New(t).Equal(err, io.EOF)
+	})
+}
