--- a/internal/answer/generation/runner.go
+++ b/internal/answer/generation/runner.go
@@ -5,9 +5,11 @@
 //
 // An interrupted stream is first resumed on the same engine over a new
 // connection. If that fails, a new attempt continues from the tokens generated
-// so far, within the deadline and the retry budget. The requests that a failed
-// attempt left on engines are cancelled. If the entry host that produced an
-// answer fails, another host takes over the stream from the engine.
+// so far, within the deadline and the retry budget. A silent engine is given up
+// only if such an attempt is allowed or the next token is overdue, since it may
+// go on. The requests that a failed attempt left on engines are cancelled. If the
+// entry host that produced an answer fails, another host takes over the stream
+// from the engine.
 //
 // Attempts of a request are numbered across all its runs on all entry hosts, so
 // that a request that an engine still holds for one attempt is never mistaken
