--- a/internal/answer/generation/runner.go
+++ b/internal/answer/generation/runner.go
@@ -5,9 +5,11 @@
 //
 // An interrupted stream is first resumed on the same engine over a new
 // connection. If that fails, a new attempt continues from the tokens generated
-// so far, within the deadline and the retry budget. The requests that a failed
-// attempt left on engines are cancelled. If the entry host that produced an
-// answer fails, another host takes over the stream from the engine.
+// so far, within the deadline and the retry budget. A silent engine is given up
+// only if such an attempt is allowed or the next token is overdue, since it may
+// go on. The requests that a failed attempt left on engines are cancelled. If the
+// entry host that produced an answer fails, another host takes over the stream
+// from the engine.
 //
 // Attempts of a request are numbered across all its runs on all entry hosts, so
 // that a request that an engine still holds for one attempt is never mistaken
@@ -36,7 +38,8 @@
 	// run has the number of the last recorded attempt plus maxAttempts, so that
 	// no number is used twice.
 	maxAttempts = 4
-	// maxResumes bounds the resumptions of one attempt that yield no new token.
+	// maxResumes is the number of resumptions without a new token after which an
+	// attempt gives up its engine.
 	maxResumes = 2
 	// retryAfter is the Retry-After time of failed requests.
 	retryAfter = time.Second
@@ -99,6 +102,8 @@
 	// engineCalled is set once the run has called an engine, so that the
 	// request may have run.
 	engineCalled bool
+	// reservation decides whether an attempt may follow the current one.
+	reservation reservation
 }
 
 // Run produces the answer to q in b and then ends b. offset is the number of
@@ -133,7 +138,7 @@
 			return err
 		}
 	}
-	if n.buffer.Len() < n.offset || !n.buffer.FromStart() {
+	if !n.canRestart() {
 		return errors.WithStack(&sardineknot.AnswerLostError{Key: n.request.Key, Offset: n.offset})
 	}
 	n.Retries.RecordCall()
@@ -146,6 +151,7 @@
 func (n *run) runAttempts(ctx context.Context, unregistered bool) error {
 	var err error
 	for i := range maxAttempts {
+		n.reservation.start(i)
 		if i > 0 {
 			n.record.Attempt++
 			n.record.DecodeEngine = ""
@@ -160,7 +166,7 @@
 			return err
 		}
 		n.Log.Warn().Stringer("event", sardineknot.LogAttemptFailed).Str("request", n.request.Key.String()).Int("attempt", n.record.Attempt).Err(err).Send()
-		if i+1 == maxAttempts || !n.mayRetry(ctx, i) {
+		if !n.mayRetry(ctx, i) {
 			return err
 		}
 	}
@@ -168,11 +174,11 @@
 }
 
 // mayRetry waits for the backoff after attempt i and reports whether another
-// attempt may follow. It reports false if the backoff passes the deadline, the
-// retry budget is exhausted or ctx is done.
+// attempt may follow. It reports false if maxAttempts is reached, the backoff
+// passes the deadline, the retry budget is exhausted or ctx is done.
 func (n *run) mayRetry(ctx context.Context, i int) bool {
 	p := n.backoff(i)
-	if n.Clock.Now().Add(p).After(n.deadline()) || !n.Retries.AllowRetry() {
+	if n.Clock.Now().Add(p).After(n.deadline()) || !n.reserveRetry() {
 		return false
 	}
 	t := time.NewTimer(p)
