answer/events: an engine that was given up takes no stream over

Seen by callers: an answer that breaks off after a silence. Cause: the time limit of a takeover cancelled the other engine at the moment its first event had been read; the takeover was accepted all the same, the silent engine left, and the cancelled stream failed at its next read. Conclusion: a cancelled attempt is never accepted.

--- a/internal/answer/events/takeover.go
+++ b/internal/answer/events/takeover.go
@@ -132,11 +132,12 @@
 }
 
 // accept makes the other engine the one that continues the stream, and reports
-// whether it did. It does not if the silent engine has gone on meanwhile.
+// whether it did. It does not if the silent engine has gone on meanwhile, or if
+// the other one was given up as its event arrived.
 func (t *takeover) accept() bool {
 	t.from.mu.Lock()
 	defer t.from.mu.Unlock()
-	t.accepted = t.from.takeover == t
+	t.accepted = t.from.takeover == t && t.to.ctx.Err() == nil
 	return t.accepted
 }
 
