answer/events: no takeover after an event has arrived

Cause: a timer that had fired just before an event was relayed began its takeover after it: the stream was moved while its caller read slowly, and both engines worked on it until the write ended. Fix: the watch is a flag under the lock that relaying takes; a failed takeover arms the next one under the same lock. Conclusion: a takeover begins only while an event is awaited.

--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -40,15 +40,16 @@
 	first *event
 	// eventCount is the number of events relayed by this attempt.
 	eventCount int
-	// takeoverDelay is the delay before the next takeover. Only the goroutine of
-	// a takeover uses it.
+	// silence starts a takeover when the engine has been silent, if watched is
+	// set. executed is set once the attempt counts as one that may have run, and
+	// ended when it has ended. All four are guarded by the mutex of the session.
+	silence *time.Timer
+	watched bool
+	// takeoverDelay is the delay before the next takeover. It is guarded by the
+	// mutex of the session.
 	takeoverDelay time.Duration
-	// silence starts a takeover when the engine has been silent. executed is set
-	// once the attempt counts as one that may have run, and ended when it has
-	// ended. All three are guarded by the mutex of the session.
-	silence  *time.Timer
-	executed bool
-	ended    bool
+	executed      bool
+	ended         bool
 }
 
 // newAttempt returns an attempt that continues the call from its current state.
--- a/internal/answer/events/takeover.go
+++ b/internal/answer/events/takeover.go
@@ -56,9 +56,14 @@
 func (a *attempt) watchSilence(limit time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.watchSilenceLocked(limit)
+}
+
+func (a *attempt) watchSilenceLocked(limit time.Duration) {
 	if !a.call.Route.Resumable {
 		return
 	}
+	a.watched = true
 	if a.silence == nil {
 		a.silence = time.AfterFunc(limit, a.takeOver)
 		return
@@ -82,13 +87,12 @@
 	t.to.discard(err)
 	if t.withdraw() {
 		a.Log.Info().Stringer("event", sardineknot.LogSilentStreamStays).Str("request", string(a.call.ID)).Str("server", string(a.decode.Name)).Err(err).Send()
-		a.takeoverDelay = max(silenceTimeout, 2*a.takeoverDelay)
-		a.watchSilence(a.takeoverDelay)
 	}
 }
 
-// newTakeover returns a takeover of the stream of a, or nil if a has ended, a
-// takeover is in progress or the route allows no other engine.
+// newTakeover returns a takeover of the stream of a, or nil if a has ended, an
+// event has just arrived, a takeover is in progress or the route allows no other
+// engine.
 func (a *attempt) newTakeover() *takeover {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -97,7 +101,7 @@
 		// The silent engine may run the call although it owes its header.
 		n++
 	}
-	if a.ended || a.takeover != nil || n >= a.call.Route.Attempts || a.takeovers >= maxTakeovers {
+	if a.ended || !a.watched || a.takeover != nil || n >= a.call.Route.Attempts || a.takeovers >= maxTakeovers {
 		return nil
 	}
 	a.takeovers++
@@ -142,15 +146,21 @@
 }
 
 // withdraw removes a failed takeover from its session, and reports whether the
-// stream still waits for its silent engine.
+// stream still waits for its silent engine. If so, another takeover follows.
 func (t *takeover) withdraw() bool {
-	t.from.mu.Lock()
-	defer t.from.mu.Unlock()
-	if t.from.takeover != t {
+	a := t.from
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.takeover != t {
+		return false
+	}
+	a.takeover = nil
+	if a.ended {
 		return false
 	}
-	t.from.takeover = nil
-	return !t.from.ended
+	a.takeoverDelay = max(silenceTimeout, 2*a.takeoverDelay)
+	a.watchSilenceLocked(a.takeoverDelay)
+	return true
 }
 
 // finishTakeover waits for the takeover in progress, if any, and returns the
@@ -197,6 +207,7 @@
 	if a.silence != nil {
 		a.silence.Stop()
 	}
+	a.watched = false
 	if t := a.takeover; t != nil && t.from == a {
 		if t.accepted {
 			return false
