answer, configuration, demo: one copy of the wait that a context ends

Cause: nine places wrote out the same select between a timer and the end of a context: generation (3), ownership, service, twirp (2 in the answer directory), configuration/writer and demo/deployment, besides clock.System.Sleep, which does just that. They call it now. It returns the stacked error of the context, as the places with an error did.

Ruled out: a Sleep field passed in, as the mirror and the order ledger have; it needs changes to every constructor, and these places used the system's timers before. The stand-in engine keeps its own wait, since it reports false also if the context ends at the same moment as the timer.

Tests of answer, configuration and the root pass, the linter is clean.

Conclusion: no change of behaviour; new waits use clock.System.Sleep.

--- a/internal/answer/generation/record.go
+++ b/internal/answer/generation/record.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/host/clock"
 )
 
 // directoryRetryDelay is the delay before a failed call to the directory is
@@ -26,10 +27,9 @@
 		if n.Clock.Now().Add(directoryRetryDelay).After(n.request.Deadline) {
 			return nil, errors.WithStack(&sardineknot.NotRunError{Reason: err.Error(), RetryAfter: retryAfter})
 		}
-		select {
-		case <-time.After(directoryRetryDelay):
-		case <-ctx.Done():
-			return nil, errors.WithStack(ctx.Err())
+		err = clock.System{}.Sleep(ctx, directoryRetryDelay)
+		if err != nil {
+			return nil, err
 		}
 	}
 }
@@ -64,10 +64,9 @@
 		if err == nil {
 			return nil
 		}
-		select {
-		case <-time.After(directoryRetryDelay):
-		case <-ctx.Done():
-			return errors.WithStack(ctx.Err())
+		err = clock.System{}.Sleep(ctx, directoryRetryDelay)
+		if err != nil {
+			return err
 		}
 	}
 }
--- a/internal/answer/generation/runner.go
+++ b/internal/answer/generation/runner.go
@@ -29,6 +29,7 @@
 	"sardineknot.example/sardineknot/internal/answer/cancel"
 	"sardineknot.example/sardineknot/internal/answer/pause"
 	"sardineknot.example/sardineknot/internal/backend/budget"
+	"sardineknot.example/sardineknot/internal/host/clock"
 )
 
 const (
@@ -175,14 +176,7 @@
 	if n.Clock.Now().Add(p).After(n.deadline()) || !n.Retries.AllowRetry() {
 		return false
 	}
-	t := time.NewTimer(p)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.System{}.Sleep(ctx, p) == nil
 }
 
 // backoff returns the backoff after attempt i, uniformly distributed between
--- a/internal/answer/ownership/check.go
+++ b/internal/answer/ownership/check.go
@@ -12,6 +12,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/answer/pause"
+	"sardineknot.example/sardineknot/internal/host/clock"
 )
 
 // retryDelay is the delay before a failed call to the directory is retried.
@@ -65,10 +66,9 @@
 		if err == nil {
 			return nil
 		}
-		select {
-		case <-time.After(retryDelay):
-		case <-ctx.Done():
-			return errors.WithStack(ctx.Err())
+		err = clock.System{}.Sleep(ctx, retryDelay)
+		if err != nil {
+			return err
 		}
 	}
 }
--- a/internal/answer/service/repeatable.go
+++ b/internal/answer/service/repeatable.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/host/clock"
 )
 
 // runRepeatable sends c until a backend server answers, maxAttempts is reached,
@@ -56,17 +56,5 @@
 	if !ok || !r.Clock.Now().Add(w).Before(c.Deadline) {
 		return false
 	}
-	return sleep(ctx, w)
-}
-
-// sleep waits for d. It returns false if ctx is done first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.System{}.Sleep(ctx, w) == nil
 }
--- a/internal/answer/service/unrepeatable.go
+++ b/internal/answer/service/unrepeatable.go
@@ -9,6 +9,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/answer/join"
+	"sardineknot.example/sardineknot/internal/host/clock"
 )
 
 const (
@@ -101,7 +102,7 @@
 		if !didNotRun(err) {
 			return p, newOutcomeUnknownError(c.Key, err.Error())
 		}
-		if n < maxAttempts && !sleep(ctx, r.Retries.Backoff(n)) {
+		if n < maxAttempts && (clock.System{}).Sleep(ctx, r.Retries.Backoff(n)) != nil {
 			break
 		}
 	}
--- a/internal/answer/twirp/directory.go
+++ b/internal/answer/twirp/directory.go
@@ -19,6 +19,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/answer/directory"
+	"sardineknot.example/sardineknot/internal/host/clock"
 	rpc "sardineknot.example/sardineknot/internal/rpc/answers"
 )
 
@@ -129,9 +130,7 @@
 		if d.forget(ctx, s, r) == nil {
 			return
 		}
-		select {
-		case <-time.After(callTimeout):
-		case <-ctx.Done():
+		if (clock.System{}).Sleep(ctx, callTimeout) != nil {
 			return
 		}
 	}
--- a/internal/answer/twirp/shardview.go
+++ b/internal/answer/twirp/shardview.go
@@ -6,6 +6,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/answer/directory"
+	"sardineknot.example/sardineknot/internal/host/clock"
 )
 
 // reregisterDelay is the delay before a failed registration with a new owner is
@@ -49,9 +50,7 @@
 	l := append(s.ownRecords(), s.replicasOfDeadHosts(d.IsDead)...)
 	for _, r := range l {
 		for d.reregisterRecord(ctx, s, r) != nil {
-			select {
-			case <-time.After(reregisterDelay):
-			case <-ctx.Done():
+			if (clock.System{}).Sleep(ctx, reregisterDelay) != nil {
 				return
 			}
 			n, _, ok := s.snapshot()
--- a/internal/configuration/writer/swap.go
+++ b/internal/configuration/writer/swap.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/host/clock"
 )
 
 const (
@@ -89,10 +90,5 @@
 // backOff waits for the delay after attempt i, or until ctx is done. Attempts
 // are numbered from zero.
 func backOff(ctx context.Context, i int) {
-	t := time.NewTimer(retryDelay << i)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	_ = clock.System{}.Sleep(ctx, retryDelay<<i)
 }
--- a/internal/demo/deployment/deployment.go
+++ b/internal/demo/deployment/deployment.go
@@ -19,6 +19,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/configuration/writer"
+	"sardineknot.example/sardineknot/internal/host/clock"
 	"sardineknot.example/sardineknot/internal/host/process"
 	"sardineknot.example/sardineknot/internal/operator/declarations"
 	"sardineknot.example/sardineknot/internal/platform/etcd"
@@ -290,10 +291,9 @@
 		if err == nil && p.StatusCode == http.StatusOK {
 			return nil
 		}
-		select {
-		case <-ctx.Done():
-			return errors.WithStack(ctx.Err())
-		case <-time.After(readyPollInterval):
+		err = clock.System{}.Sleep(ctx, readyPollInterval)
+		if err != nil {
+			return err
 		}
 	}
 }
