membership: one conversion of a record to an entry host

Cause: gossip and twirp each had a function entryHost that read the same six fields of a member's record; only the way to the state was written differently, with the same result. twirp calls gossip.EntryHost now, next to the records' other functions.

Ruled out: the conversion in membership/store, which fails on an address that does not parse; here it becomes the zero AddrPort.

Tests of membership pass.

Conclusion: no change of behaviour.

--- a/internal/membership/gossip/read.go
+++ b/internal/membership/gossip/read.go
@@ -33,7 +33,7 @@
 		if e.record.GetBackend() {
 			continue
 		}
-		h := entryHost(e.record)
+		h := EntryHost(e.record)
 		if h.State == sardineknot.EntryHostAlive && v.isFlapping(now, e) {
 			h.State = sardineknot.EntryHostSuspect
 		}
--- a/internal/membership/gossip/record.go
+++ b/internal/membership/gossip/record.go
@@ -111,8 +111,9 @@
 	return hash(m)
 }
 
-func entryHost(m *api.Member) sardineknot.EntryHost {
-	// An address that does not parse is left as the zero AddrPort.
+// EntryHost converts m, the record of an entry host. An address that does not
+// parse becomes the zero AddrPort.
+func EntryHost(m *api.Member) sardineknot.EntryHost {
 	c, _ := netip.ParseAddrPort(m.GetCallerAddress())
 	p, _ := netip.ParseAddrPort(m.GetPeerAddress())
 	return sardineknot.EntryHost{
--- a/internal/membership/twirp/exchange.go
+++ b/internal/membership/twirp/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/netip"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -170,7 +169,7 @@
 // of peer m, is greater than that of this host.
 func (n *Node) reportRevision(m *api.Member, revision int64) {
 	if n.RevisionReported != nil && revision > int64(n.Revision()) {
-		n.RevisionReported(entryHost(m), sardineknot.Revision(revision))
+		n.RevisionReported(gossip.EntryHost(m), sardineknot.Revision(revision))
 	}
 }
 
@@ -192,18 +191,3 @@
 		Zone:          string(h.Zone),
 	}
 }
-
-// entryHost converts m, the record of an entry host.
-func entryHost(m *api.Member) sardineknot.EntryHost {
-	// An address that does not parse is left as the zero AddrPort.
-	c, _ := netip.ParseAddrPort(m.GetCallerAddress())
-	p, _ := netip.ParseAddrPort(m.GetPeerAddress())
-	return sardineknot.EntryHost{
-		ID:            sardineknot.EntryHostID(m.GetId()),
-		Incarnation:   sardineknot.Incarnation(m.GetIncarnation()),
-		CallerAddress: c,
-		PeerAddress:   p,
-		Zone:          sardineknot.AvailabilityZone(m.GetZone()),
-		State:         sardineknot.EntryHostState(m.GetState()),
-	}
-}
--- a/internal/membership/twirp/node.go
+++ b/internal/membership/twirp/node.go
@@ -133,7 +133,7 @@
 func (n *Node) Self() sardineknot.EntryHost {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return entryHost(n.view.Self())
+	return gossip.EntryHost(n.view.Self())
 }
 
 // Hosts implements sardineknot.Membership.
@@ -166,7 +166,7 @@
 	defer n.mu.Unlock()
 	var l []sardineknot.EntryHost
 	for _, m := range n.view.Fingers() {
-		l = append(l, entryHost(m))
+		l = append(l, gossip.EntryHost(m))
 	}
 	return l
 }
