policy/indexheap: one heap of elements that know their position

Cause: fairness had two heaps and timed one that differed only in their order; Len, Swap, Push and Pop with the upkeep of the index stood three times. They are the type Heap of the new package indexheap now; an element says what precedes what and keeps its index.

Ruled out: the heaps of oracle and of bench/timeline, whose elements have no index. The calls to container/heap stay as they were, so that the order among equal elements is the same.

--- a/internal/policy/fairness/class.go
+++ b/internal/policy/fairness/class.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/policy/indexheap"
 )
 
 // class holds the waiting jobs of one priority.
@@ -11,7 +12,7 @@
 	priority int
 	// accounts has one entry for each account with waiting jobs.
 	accounts     map[sardineknot.ClientAccountName]*accountQueue
-	accountOrder accountHeap
+	accountOrder indexheap.Heap[*accountQueue]
 }
 
 // accountQueue holds the waiting jobs of one account and priority.
@@ -23,7 +24,7 @@
 	// startTag is the virtual time at which the account is next due for
 	// service.
 	startTag float64
-	items    itemHeap
+	items    indexheap.Heap[*item]
 	// index is the position in class.accountOrder.
 	index int
 }
@@ -54,76 +55,30 @@
 	return n
 }
 
-// accountHeap is a min-heap of accounts, ordered by the number of running jobs,
-// then by start tag, then by the earliest deadline of the waiting jobs.
-type accountHeap []*accountQueue
-
-func (h accountHeap) Len() int { return len(h) }
-
-func (h accountHeap) Less(i, j int) bool {
-	if h[i].running != h[j].running {
-		return h[i].running < h[j].running
+// Before reports whether a precedes b in class.accountOrder: it has fewer
+// running jobs, then the smaller start tag, then the earlier first deadline of
+// its waiting jobs.
+func (a *accountQueue) Before(b *accountQueue) bool {
+	if a.running != b.running {
+		return a.running < b.running
 	}
-	if h[i].startTag != h[j].startTag {
-		return h[i].startTag < h[j].startTag
+	if a.startTag != b.startTag {
+		return a.startTag < b.startTag
 	}
-	return h[i].items[0].before(h[j].items[0])
-}
-
-func (h accountHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index = i
-	h[j].index = j
-}
-
-// Push implements heap.Interface.
-func (h *accountHeap) Push(x any) {
-	n := x.(*accountQueue)
-	n.index = len(*h)
-	*h = append(*h, n)
-}
-
-// Pop implements heap.Interface.
-func (h *accountHeap) Pop() any {
-	n := len(*h) - 1
-	x := (*h)[n]
-	(*h)[n] = nil
-	*h = (*h)[:n]
-	return x
+	return a.items[0].Before(b.items[0])
 }
 
-// itemHeap is a min-heap of waiting jobs, ordered by deadline, then by arrival.
-type itemHeap []*item
+// SetIndex records the position of a in class.accountOrder.
+func (a *accountQueue) SetIndex(index int) { a.index = index }
 
-func (i *item) before(j *item) bool {
+// Before reports whether i precedes j in the queue of their account: it has the
+// earlier deadline, or the same one and arrived earlier.
+func (i *item) Before(j *item) bool {
 	if !i.deadline.Equal(j.deadline) {
 		return i.deadline.Before(j.deadline)
 	}
 	return i.sequence < j.sequence
 }
 
-func (h itemHeap) Len() int { return len(h) }
-
-func (h itemHeap) Less(i, j int) bool { return h[i].before(h[j]) }
-
-func (h itemHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].index = i
-	h[j].index = j
-}
-
-// Push implements heap.Interface.
-func (h *itemHeap) Push(x any) {
-	n := x.(*item)
-	n.index = len(*h)
-	*h = append(*h, n)
-}
-
-// Pop implements heap.Interface.
-func (h *itemHeap) Pop() any {
-	n := len(*h) - 1
-	x := (*h)[n]
-	(*h)[n] = nil
-	*h = (*h)[:n]
-	return x
-}
+// SetIndex records the position of i in queue.items.
+func (i *item) SetIndex(index int) { i.index = index }
--- a/internal/policy/timed/job.go
+++ b/internal/policy/timed/job.go
@@ -97,30 +97,8 @@
 
 func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
 
-// startHeap is a min-heap of queued jobs, ordered by their latest start.
-type startHeap []*job
+// Before reports whether the latest start of j is before that of other.
+func (j *job) Before(other *job) bool { return j.latestStart.Before(other.latestStart) }
 
-func (h startHeap) Len() int           { return len(h) }
-func (h startHeap) Less(i, j int) bool { return h[i].latestStart.Before(h[j].latestStart) }
-
-func (h startHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].heapIndex = i
-	h[j].heapIndex = j
-}
-
-// Push implements heap.Interface.
-func (h *startHeap) Push(x any) {
-	j := x.(*job)
-	j.heapIndex = len(*h)
-	*h = append(*h, j)
-}
-
-// Pop implements heap.Interface.
-func (h *startHeap) Pop() any {
-	n := len(*h) - 1
-	x := (*h)[n]
-	(*h)[n] = nil
-	*h = (*h)[:n]
-	return x
-}
+// SetIndex records the position of j in Scheduler.byLatestStart.
+func (j *job) SetIndex(index int) { j.heapIndex = index }
--- a/internal/policy/timed/scheduler.go
+++ b/internal/policy/timed/scheduler.go
@@ -15,6 +15,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/policy/fairness"
+	"sardineknot.example/sardineknot/internal/policy/indexheap"
 	"sardineknot.example/sardineknot/internal/policy/lengths"
 	"sardineknot.example/sardineknot/internal/policy/links"
 	"sardineknot.example/sardineknot/internal/policy/prefixes"
@@ -56,7 +57,7 @@
 	// them in the order of service, byLatestStart as a heap ordered by
 	// job.latestStart.
 	queue         *fairness.Queue
-	byLatestStart startHeap
+	byLatestStart indexheap.Heap[*job]
 	// pending lists the prefilling and ready jobs that have no slot, in the
 	// order in which their prefills are expected to end.
 	pending []*job
