command/usage: one way from an error to the exit status

Cause: bench, simulate and serve ended with the same five lines that print an error and choose the status, and plan, show, demo and explain with two of them. usage.ExitStatus does it once.

Ruled out: apply, which has statuses of its own, and the failures of serve and show that count as wrong usage.

Conclusion: no change of behaviour.

--- a/internal/command/bench/command.go
+++ b/internal/command/bench/command.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"flag"
-	"fmt"
 	"os"
 	"slices"
 	"strconv"
@@ -83,12 +82,7 @@
 	if usage.WrongArguments(c, f, 0, 0) {
 		return subcommands.ExitUsageError
 	}
-	err := c.run(ctx)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
-	return subcommands.ExitSuccess
+	return usage.ExitStatus(c.run(ctx))
 }
 
 func (c *Command) run(ctx context.Context) error {
--- a/internal/command/demo/command.go
+++ b/internal/command/demo/command.go
@@ -75,8 +75,7 @@
 	for _, n := range []string{"akstursbok", "kessler"} {
 		err := c.runDeployment(ctx, os.Stdout, n)
 		if err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return subcommands.ExitFailure
+			return usage.ExitStatus(err)
 		}
 	}
 	fmt.Println("\nAll requests were answered whole, and both deployments stopped gracefully.")
--- a/internal/command/explain/command.go
+++ b/internal/command/explain/command.go
@@ -41,8 +41,7 @@
 	s := timeline.NewTimeline(f.Arg(0))
 	err := readAll(s, f.Args()[1:])
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
+		return usage.ExitStatus(err)
 	}
 	ok := s.Write(os.Stdout)
 	fmt.Fprintf(os.Stderr, "%d lines are not log events\n", s.Skipped)
--- a/internal/command/plan/command.go
+++ b/internal/command/plan/command.go
@@ -72,8 +72,7 @@
 		err = c.print(p)
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
+		return usage.ExitStatus(err)
 	}
 	c.changed = !p.Empty()
 	if c.changed {
--- a/internal/command/serve/command.go
+++ b/internal/command/serve/command.go
@@ -52,12 +52,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
-	err = process.NewProcess(s, logline.NewLogger(os.Stderr, v)).Run(ctx)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
-	return subcommands.ExitSuccess
+	return usage.ExitStatus(process.NewProcess(s, logline.NewLogger(os.Stderr, v)).Run(ctx))
 }
 
 // parseLevel returns the log level called name. An empty name means info.
--- a/internal/command/show/command.go
+++ b/internal/command/show/command.go
@@ -98,8 +98,7 @@
 		err = c.print(s)
 	}
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
+		return usage.ExitStatus(err)
 	}
 	return s.exitStatus()
 }
--- a/internal/command/simulate/command.go
+++ b/internal/command/simulate/command.go
@@ -85,12 +85,7 @@
 	if usage.WrongArguments(c, f, 0, 0) {
 		return subcommands.ExitUsageError
 	}
-	err := c.run(ctx)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return subcommands.ExitFailure
-	}
-	return subcommands.ExitSuccess
+	return usage.ExitStatus(c.run(ctx))
 }
 
 // combination is a pattern together with a scheduler. It is run once for each
--- a/internal/command/usage/usage.go
+++ b/internal/command/usage/usage.go
@@ -1,5 +1,5 @@
-// Package usage reports wrong command-line arguments and prints the usage of the
-// command.
+// Package usage reports wrong command-line arguments, prints the usage of the
+// command, and turns the error of a command into its exit status.
 package usage
 
 import (
@@ -35,3 +35,13 @@
 	fmt.Fprint(os.Stderr, c.Usage())
 	return true
 }
+
+// ExitStatus returns the exit status of a command that ended with err. If err is
+// not nil, it prints err to the standard error and returns ExitFailure.
+func ExitStatus(err error) subcommands.ExitStatus {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return subcommands.ExitFailure
+	}
+	return subcommands.ExitSuccess
+}
