standin/etcd: one frame for the calls that read or change keys

Cause: range, txn and keepalive each decoded the body, counted the call, took the lock, removed expired leases and wrote the response. respond does that once; each call keeps what is its own.

Ruled out: grant, which does not remove expired leases, and watch, which streams.

--- a/internal/standin/etcd/server.go
+++ b/internal/standin/etcd/server.go
@@ -98,36 +98,24 @@
 
 func (s *Server) serveRange(w http.ResponseWriter, r *http.Request) {
 	var q api.RangeRequest
-	if !decodeBody(w, r, &q) {
-		return
-	}
-	s.log.Count("read")
-	s.mu.Lock()
-	s.expireLocked()
-	l := s.rangeLocked(string(q.GetKey()), string(q.GetRangeEnd()))
-	if q.GetKeysOnly() {
-		l = withoutValues(l)
-	}
-	h := s.headerLocked()
-	s.mu.Unlock()
-	writeMessage(w, &api.RangeResponse{Header: h, Kvs: l, Count: int64(len(l))})
+	s.respond(w, r, &q, "read", func() proto.Message {
+		l := s.rangeLocked(string(q.GetKey()), string(q.GetRangeEnd()))
+		if q.GetKeysOnly() {
+			l = withoutValues(l)
+		}
+		return &api.RangeResponse{Header: s.headerLocked(), Kvs: l, Count: int64(len(l))}
+	})
 }
 
 func (s *Server) serveTxn(w http.ResponseWriter, r *http.Request) {
 	var q api.TxnRequest
-	if !decodeBody(w, r, &q) {
-		return
-	}
-	s.log.Count("write")
-	s.mu.Lock()
-	s.expireLocked()
-	ok := s.compareLocked(q.GetCompare())
-	if ok {
-		s.applyLocked(q.GetSuccess())
-	}
-	h := s.headerLocked()
-	s.mu.Unlock()
-	writeMessage(w, &api.TxnResponse{Header: h, Succeeded: ok})
+	s.respond(w, r, &q, "write", func() proto.Message {
+		ok := s.compareLocked(q.GetCompare())
+		if ok {
+			s.applyLocked(q.GetSuccess())
+		}
+		return &api.TxnResponse{Header: s.headerLocked(), Succeeded: ok}
+	})
 }
 
 func (s *Server) serveGrant(w http.ResponseWriter, r *http.Request) {
@@ -147,20 +135,30 @@
 
 func (s *Server) serveKeepAlive(w http.ResponseWriter, r *http.Request) {
 	var q api.LeaseKeepAliveRequest
-	if !decodeBody(w, r, &q) {
+	s.respond(w, r, &q, "lease", func() proto.Message {
+		l, ok := s.leases[q.GetID()]
+		if ok {
+			l.expiry = time.Now().Add(l.ttl)
+			s.leases[q.GetID()] = l
+		}
+		p := &api.LeaseKeepAliveResponse{ID: q.GetID(), TTL: int64(l.ttl / time.Second)}
+		return &api.LeaseKeepAliveResult{Result: p}
+	})
+}
+
+// respond decodes the body of r into q, counts the call as kind and responds
+// with the message that answer returns. It calls answer with s.mu held, after it
+// has removed the expired leases.
+func (s *Server) respond(w http.ResponseWriter, r *http.Request, q proto.Message, kind string, answer func() proto.Message) {
+	if !decodeBody(w, r, q) {
 		return
 	}
-	s.log.Count("lease")
+	s.log.Count(kind)
 	s.mu.Lock()
 	s.expireLocked()
-	l, ok := s.leases[q.GetID()]
-	if ok {
-		l.expiry = time.Now().Add(l.ttl)
-		s.leases[q.GetID()] = l
-	}
+	m := answer()
 	s.mu.Unlock()
-	p := &api.LeaseKeepAliveResponse{ID: q.GetID(), TTL: int64(l.ttl / time.Second)}
-	writeMessage(w, &api.LeaseKeepAliveResult{Result: p})
+	writeMessage(w, m)
 }
 
 func (s *Server) headerLocked() *api.ResponseHeader {
