answer/service, policy/memory: test fakes and a fixture that stood twice

Cause: the tests of service wrote out the same two fake calls twice each (one that takes a second, one whose reply is lost), and those of memory the same engines three times. They are named once; the checks are untouched.

Ruled out: the loops over report and submit in the tests of memory, which have the same shape but other numbers; naming them would hide what each test is about.

Tests of both packages pass.

Conclusion: the same tests, shorter.

--- a/internal/answer/service/runner_test.go
+++ b/internal/answer/service/runner_test.go
@@ -54,6 +54,18 @@
 	return sardineknot.ServiceAnswer{Status: 200, Body: c.Body}, nil
 }
 
+// takeSecond is a call of a backend that takes a second and then fails if its
+// context has ended.
+func takeSecond(ctx context.Context, _ sardineknot.BackendServer, _ int) error {
+	time.Sleep(time.Second)
+	return ctx.Err()
+}
+
+// loseReply is a call of a backend whose reply is lost.
+func loseReply(context.Context, sardineknot.BackendServer, int) error {
+	return &sardineknot.UnavailableError{Peer: "a", Cause: errors.New("reset")}
+}
+
 // ledger is a fake claim ledger. If fail is not nil, every method returns it as
 // the error: claims take effect nevertheless, and releases do not.
 type ledger struct {
@@ -213,10 +225,7 @@
 		expectRuns(t, f, 1)
 	})
 	runVirtual(t, "continues after its caller disconnects", func(t *testing.T, f *fixture) {
-		f.backend.call = func(ctx context.Context, _ sardineknot.BackendServer, _ int) error {
-			time.Sleep(time.Second)
-			return ctx.Err()
-		}
+		f.backend.call = takeSecond
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second/2)
 		defer cancel()
 		_, err := f.x.Run(ctx, newCall(true))
@@ -241,9 +250,7 @@
 		expectCall(t, f.y, c, "verk/r1 was used before")
 	})
 	runVirtual(t, "lost reply of the backend server", func(t *testing.T, f *fixture) {
-		f.backend.call = func(context.Context, sardineknot.BackendServer, int) error {
-			return &sardineknot.UnavailableError{Peer: "a", Cause: errors.New("reset")}
-		}
+		f.backend.call = loseReply
 		expect(t, f.x, "outcome of")
 		expect(t, f.x, "outcome of")
 		expect(t, f.y, "outcome of")
@@ -329,10 +336,7 @@
 		expectRuns(t, f, 2)
 	})
 	runVirtual(t, "first caller disconnects", func(t *testing.T, f *fixture) {
-		f.backend.call = func(ctx context.Context, _ sardineknot.BackendServer, _ int) error {
-			time.Sleep(time.Second)
-			return ctx.Err()
-		}
+		f.backend.call = takeSecond
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second/2)
 		defer cancel()
 		go f.x.Run(ctx, newCall(false))
@@ -354,9 +358,7 @@
 		is.New(t).True(err != nil && ended)
 	})
 	runVirtual(t, "retry budget limits retries", func(t *testing.T, f *fixture) {
-		f.backend.call = func(context.Context, sardineknot.BackendServer, int) error {
-			return &sardineknot.UnavailableError{Peer: "a", Cause: errors.New("reset")}
-		}
+		f.backend.call = loseReply
 		for range 200 {
 			expectCall(t, f.x, newCall(false), "")
 			time.Sleep(time.Minute)
--- a/internal/policy/memory/scheduler_test.go
+++ b/internal/policy/memory/scheduler_test.go
@@ -40,6 +40,16 @@
 	return s
 }
 
+// newTwoPrefills returns a scheduler with the prefill engines p and q and the
+// decode engine d.
+func newTwoPrefills() *memory.Scheduler {
+	s := memory.NewScheduler()
+	s.SetServers(start, []sardineknot.BackendServer{
+		server("p", sardineknot.RolePrefill), server("q", sardineknot.RolePrefill), server("d", sardineknot.RoleDecode),
+	}, nil)
+	return s
+}
+
 func job(id string, at time.Time, prompt, expected int) sardineknot.Job {
 	return sardineknot.Job{
 		Key:          sardineknot.RequestKey{ID: sardineknot.RequestID(id + "/0")},
@@ -193,10 +203,7 @@
 	})
 	t.Run("a prefill engine whose results are lost is tripped", func(t *testing.T) {
 		is := is.New(t)
-		s := memory.NewScheduler()
-		s.SetServers(start, []sardineknot.BackendServer{
-			server("p", sardineknot.RolePrefill), server("q", sardineknot.RolePrefill), server("d", sardineknot.RoleDecode),
-		}, nil)
+		s := newTwoPrefills()
 		s.Submit(start, job("old", start, 1000, 1000))
 		s.Report(start, event("old", sardineknot.JobPrefillDone, "p", 0))
 		s.Report(start, event("old", sardineknot.JobDecodeStarted, "d", 0))
@@ -223,10 +230,7 @@
 		// Most engines lost a third of the answers but never two in a row, so
 		// the limit of consecutive failures was not reached.
 		is := is.New(t)
-		s := memory.NewScheduler()
-		s.SetServers(start, []sardineknot.BackendServer{
-			server("p", sardineknot.RolePrefill), server("q", sardineknot.RolePrefill), server("d", sardineknot.RoleDecode),
-		}, nil)
+		s := newTwoPrefills()
 		for i, k := range []sardineknot.JobEventKind{sardineknot.JobFailed, sardineknot.JobDecodeStarted, sardineknot.JobFailed, sardineknot.JobDecodeStarted} {
 			id := fmt.Sprint("lost", i)
 			j := job(id, start, 1000, 1000)
@@ -265,10 +269,7 @@
 
 func TestCachedPrompt(t *testing.T) {
 	is := is.New(t)
-	s := memory.NewScheduler()
-	s.SetServers(start, []sardineknot.BackendServer{
-		server("p", sardineknot.RolePrefill), server("q", sardineknot.RolePrefill), server("d", sardineknot.RoleDecode),
-	}, nil)
+	s := newTwoPrefills()
 	for i, k := range []sardineknot.BackendServerName{"p", "q", "q", "p"} {
 		j := job(fmt.Sprint("again", i), start, 2000, 1000)
 		j.CachedOn = k
