bench/pattern: what both deployments share stands once

These parts are in commonCallers and commonBursts now.

Ruled out: the engines' figures, which differ in all but their shape.

Conclusion: no change of behaviour.

--- a/internal/bench/pattern/constants.go
+++ b/internal/bench/pattern/constants.go
@@ -67,15 +67,7 @@
 	e.FirstTokenOverhead, e.EventTokens = 3400*time.Microsecond, 73
 	e.TransferPerToken, e.TransferSetup = 226*time.Nanosecond, 310*time.Microsecond
 	c := commonCallers("trip-summary", "tax-note", 8.6, 0.45)
-	c.Kinds[0].Attempts, c.Kinds[1].Attempts = 2, 1
-	c.Bursts = []burst{
-		{From: 6 * time.Second, Length: 5 * time.Second, Factor: 1.9},
-		{From: 17 * time.Second, Length: 4 * time.Second, Factor: 2.2},
-		{Kind: "trip-summary", From: 17 * time.Second, Length: 5 * time.Second, Factor: 2},
-		{Kind: "tax-note", From: 22 * time.Second, Length: 5 * time.Second, Factor: 2},
-		{From: 27 * time.Second, Length: 4 * time.Second, Factor: 1.6},
-	}
-	c.LateValue = 0.2
+	c.Bursts[0].Factor, c.Bursts[1].Factor = 1.9, 2.2
 	return Pattern{
 		Name: "akstursbok", Duration: 34 * time.Second, engines: e, callers: c,
 		Zones: []sardineknot.AvailabilityZone{"reykjavik-a", "akureyri-b", "egilsstadir-c", "selfoss-d"},
@@ -91,15 +83,7 @@
 	e.FirstTokenOverhead, e.EventTokens = 5*time.Millisecond, 72
 	e.TransferPerToken, e.TransferSetup = 119*time.Nanosecond, 210*time.Microsecond
 	c := commonCallers("dossier-summary", "report-opinion", 10.1, 1.34)
-	c.Kinds[0].Attempts, c.Kinds[1].Attempts = 2, 1
-	c.Bursts = []burst{
-		{From: 6 * time.Second, Length: 5 * time.Second, Factor: 1.8},
-		{From: 17 * time.Second, Length: 4 * time.Second, Factor: 2.1},
-		{Kind: "dossier-summary", From: 17 * time.Second, Length: 5 * time.Second, Factor: 2},
-		{Kind: "report-opinion", From: 22 * time.Second, Length: 5 * time.Second, Factor: 2},
-		{From: 27 * time.Second, Length: 4 * time.Second, Factor: 1.6},
-	}
-	c.LateValue = 0.2
+	c.Bursts[0].Factor, c.Bursts[1].Factor = 1.8, 2.1
 	return Pattern{
 		Name: "kessler", Duration: 32 * time.Second, engines: e, callers: c,
 		Zones: []sardineknot.AvailabilityZone{"curitiba-a", "curitiba-b", "ponta-grossa", "guarapuava"},
@@ -141,11 +125,24 @@
 		EventsMean: 70, EventsSpread: 0.5, EventsMax: 130, HintSpread: 0.5,
 	}
 	l := []kind{k, k}
-	l[0].Name, l[0].Rate = firstWork, firstRate
-	l[1].Name, l[1].Rate = secondWork, secondRate
+	l[0].Name, l[0].Rate, l[0].Attempts = firstWork, firstRate, 2
+	l[1].Name, l[1].Rate, l[1].Attempts = secondWork, secondRate, 1
 	return callers{
-		Kinds: l, RateAmplitude: 0.15, RatePeriod: 11 * time.Second,
+		Kinds: l, Bursts: commonBursts(firstWork, secondWork), RateAmplitude: 0.15, RatePeriod: 11 * time.Second,
 		FirstEventTarget: 900 * time.Millisecond, PauseTarget: 300 * time.Millisecond, CallerTimeout: 14 * time.Second,
-		MaxResubmissions: 1, DisconnectWithin: 3 * time.Second,
+		MaxResubmissions: 1, DisconnectWithin: 3 * time.Second, LateValue: 0.2,
+	}
+}
+
+// commonBursts returns the bursts that all deployments share. The factors of the
+// first two, which apply to both kinds of work, are left for the deployment to
+// set.
+func commonBursts(firstWork, secondWork sardineknot.WorkName) []burst {
+	return []burst{
+		{From: 6 * time.Second, Length: 5 * time.Second},
+		{From: 17 * time.Second, Length: 4 * time.Second},
+		{Kind: firstWork, From: 17 * time.Second, Length: 5 * time.Second, Factor: 2},
+		{Kind: secondWork, From: 22 * time.Second, Length: 5 * time.Second, Factor: 2},
+		{From: 27 * time.Second, Length: 4 * time.Second, Factor: 1.6},
 	}
 }
