operator/settings: one reader for both kinds of settings files

Cause: read and readGateway decoded, checked and reported alike; only the type of the settings and their check differ. read takes the check now.

Ruled out: one exported Load for both, which would change the callers.

Tests of operator and of the command serve pass.

Conclusion: no change of behaviour.

--- a/internal/operator/settings/gateway.go
+++ b/internal/operator/settings/gateway.go
@@ -4,8 +4,6 @@
 	"os"
 	"path/filepath"
 
-	"github.com/pkg/errors"
-
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/operator/hujson"
 )
@@ -14,25 +12,14 @@
 // is the platform on which `sardineknot gateway` runs, from the file at path.
 // It fails with the same errors as Load.
 func LoadGateway(path string) (sardineknot.GatewaySettings, error) {
-	return readGateway(hujson.Open(os.DirFS(filepath.Dir(path)), filepath.Base(path), path))
+	return read(hujson.Open(os.DirFS(filepath.Dir(path)), filepath.Base(path), path), checkGateway)
 }
 
 // ParseGateway returns the settings in content. name is the name of the file in
 // the positions of problems. ParseGateway fails with the same errors as
 // LoadGateway.
 func ParseGateway(name string, content []byte) (sardineknot.GatewaySettings, error) {
-	return readGateway(hujson.Parse(name, content))
-}
-
-func readGateway(d *hujson.Document) (sardineknot.GatewaySettings, error) {
-	var s sardineknot.GatewaySettings
-	if d.Decode(&s) {
-		checkGateway(d, s)
-	}
-	if !d.OK() {
-		return sardineknot.GatewaySettings{}, errors.WithStack(sardineknot.NewInvalidFilesError(d.Problems()))
-	}
-	return s, nil
+	return read(hujson.Parse(name, content), checkGateway)
 }
 
 // checkGateway records the problems of s, the settings decoded from d, in d.
--- a/internal/operator/settings/load.go
+++ b/internal/operator/settings/load.go
@@ -16,21 +16,23 @@
 // InvalidFilesError that lists all problems of the file.
 func Load(path string) (sardineknot.Settings, error) {
 	d := hujson.Open(os.DirFS(filepath.Dir(path)), filepath.Base(path), path)
-	return read(d)
+	return read(d, check)
 }
 
 // Parse returns the settings in content. It fails with the same errors as Load.
 func Parse(content []byte) (sardineknot.Settings, error) {
-	return read(hujson.Parse("settings", content))
+	return read(hujson.Parse("settings", content), check)
 }
 
-func read(d *hujson.Document) (sardineknot.Settings, error) {
-	var s sardineknot.Settings
+// read decodes d and lets check record the problems of the decoded settings in
+// d. It fails with an InvalidFilesError if d has problems.
+func read[S any](d *hujson.Document, check func(*hujson.Document, S)) (settings S, err error) {
+	var s S
 	if d.Decode(&s) {
 		check(d, s)
 	}
 	if !d.OK() {
-		return sardineknot.Settings{}, errors.WithStack(sardineknot.NewInvalidFilesError(d.Problems()))
+		return settings, errors.WithStack(sardineknot.NewInvalidFilesError(d.Problems()))
 	}
 	return s, nil
 }
