policy/oracle: the scheduler in five files by subject

Cause: scheduler.go held the interface, the engines, the jobs and their order, the starts and the refusals in 350 lines.

Ruled out: packages of their own; all parts share the Scheduler's state.

The declarations are moved as they were; three constants stand where they are used.

--- a/internal/policy/oracle/scheduler.go
+++ b/internal/policy/oracle/scheduler.go
@@ -26,18 +26,9 @@
 	"sardineknot.example/sardineknot"
 )
 
-const (
-	// minRetryAfter and maxRetryAfter bound the time after which refused
-	// callers may retry.
-	minRetryAfter = 200 * time.Millisecond
-	maxRetryAfter = 20 * time.Second
-	// maxSlotWait is the longest time for which a job may wait for a decode
-	// slot after its prefill.
-	maxSlotWait = 50 * time.Millisecond
-	// recheckInterval is the interval at which the scheduler checks again
-	// whether waiting jobs can start or have to be refused.
-	recheckInterval = 10 * time.Millisecond
-)
+// recheckInterval is the interval at which the scheduler checks again whether
+// waiting jobs can start or have to be refused.
+const recheckInterval = 10 * time.Millisecond
 
 // Scheduler is a sardineknot.Scheduler. Its exported fields must be set before
 // first use.
@@ -82,24 +73,6 @@
 	decisions []sardineknot.Decision
 }
 
-type engine struct {
-	name      sardineknot.BackendServerName
-	slots     int
-	usedSlots int
-}
-
-type job struct {
-	sardineknot.Job
-	// engine is the engine that runs the job, or nil.
-	engine       *engine
-	memoryPieces int
-	// work is the engine time that the job needs, in seconds, if jobs are
-	// ordered shortest first, and zero otherwise.
-	work float64
-	// decoding is set while the job is counted in Scheduler.memoryPieces.
-	decoding bool
-}
-
 var _ sardineknot.Scheduler = (*Scheduler)(nil)
 
 // SetServers implements sardineknot.Scheduler.
@@ -170,20 +143,6 @@
 	return s.schedule()
 }
 
-// refuseLate refuses the waiting jobs that can no longer meet their deadline.
-func (s *Scheduler) refuseLate() {
-	l := s.waiting[:0]
-	for _, j := range s.waiting {
-		if s.now.Add(s.PrefillTime(j.Job) + maxSlotWait + s.TokenInterval).After(j.FirstTokenDeadline) {
-			s.refuse(j)
-			continue
-		}
-		l = append(l, j)
-	}
-	s.waiting = l
-	heap.Init(&s.waiting)
-}
-
 // NextWake implements sardineknot.Scheduler.
 func (s *Scheduler) NextWake() time.Time {
 	if len(s.waiting)+len(s.ready) == 0 {
@@ -192,159 +151,8 @@
 	return s.now.Add(recheckInterval)
 }
 
-func (s *Scheduler) schedule() []sardineknot.Decision {
-	for e := mostFreeSlots(s.decode); e != nil && s.startDecode(e); e = mostFreeSlots(s.decode) {
-	}
-	for e := mostFreeSlots(s.prefill); e != nil && s.startPrefill(e); e = mostFreeSlots(s.prefill) {
-	}
-	return s.takeDecisions()
-}
-
-func (s *Scheduler) startPrefill(e *engine) bool {
-	for len(s.waiting) > 0 {
-		j := heap.Pop(&s.waiting).(*job)
-		if s.jobs[j.Key] != j {
-			continue
-		}
-		c := s.PrefillTime(j.Job)
-		if s.now.Add(c + maxSlotWait + s.TokenInterval).After(j.FirstTokenDeadline) {
-			s.refuse(j)
-			continue
-		}
-		if s.committedJobs >= s.freeSlots()+s.SlotsFreed(c+maxSlotWait) {
-			heap.Push(&s.waiting, j)
-			return false
-		}
-		s.committedJobs++
-		s.start(j, e, sardineknot.ActionPrefill)
-		return true
-	}
-	return false
-}
-
-func (s *Scheduler) startDecode(e *engine) bool {
-	for len(s.ready) > 0 {
-		j := s.ready[0]
-		if s.jobs[j.Key] != j {
-			s.ready = s.ready[1:]
-			continue
-		}
-		if s.now.Add(s.TokenInterval).After(j.FirstTokenDeadline) {
-			s.ready = s.ready[1:]
-			s.committedJobs--
-			s.refuse(j)
-			continue
-		}
-		if s.totalPieces > 0 && s.memoryPieces+j.memoryPieces > s.totalPieces {
-			return false
-		}
-		s.ready = s.ready[1:]
-		j.decoding = true
-		s.memoryPieces += j.memoryPieces
-		s.committedJobs--
-		s.start(j, e, sardineknot.ActionDecode)
-		return true
-	}
-	return false
-}
-
-func (s *Scheduler) start(j *job, e *engine, action sardineknot.Action) {
-	j.engine = e
-	e.usedSlots++
-	s.decisions = append(s.decisions, sardineknot.Decision{Key: j.Key, Action: action, Server: e.name})
-}
-
-func (s *Scheduler) releaseEngine(j *job) {
-	if j.engine != nil {
-		j.engine.usedSlots--
-		j.engine = nil
-	}
-	if j.decoding {
-		j.decoding = false
-		s.memoryPieces -= j.memoryPieces
-	}
-}
-
-// slots returns the number of decode slots.
-func (s *Scheduler) slots() float64 {
-	var n int
-	for _, e := range s.decode {
-		n += e.slots
-	}
-	return float64(max(1, n))
-}
-
-// freeSlots returns the number of free decode slots.
-func (s *Scheduler) freeSlots() int {
-	var n int
-	for _, e := range s.decode {
-		n += max(0, e.slots-e.usedSlots)
-	}
-	return n
-}
-
-// retryAfter returns the time after which a refused caller may retry.
-func (s *Scheduler) retryAfter() time.Duration {
-	t := s.now.Add(minRetryAfter)
-	if s.nextRetry.After(t) {
-		t = s.nextRetry
-	}
-	if l := s.now.Add(maxRetryAfter); t.After(l) {
-		t = l
-	}
-	s.nextRetry = t.Add(time.Second / time.Duration(1+s.SlotsFreed(time.Second)))
-	return t.Sub(s.now)
-}
-
-func (s *Scheduler) refuse(j *job) {
-	delete(s.jobs, j.Key)
-	s.decisions = append(s.decisions, sardineknot.Decision{
-		Key: j.Key, Action: sardineknot.ActionRefuse, Reason: "deadline cannot be met", RetryAfter: s.retryAfter(),
-	})
-}
-
 func (s *Scheduler) takeDecisions() []sardineknot.Decision {
 	d := s.decisions
 	s.decisions = nil
 	return d
 }
-
-// mostFreeSlots returns the engine with the most free slots, or nil if there is
-// no free slot.
-func mostFreeSlots(engines []*engine) *engine {
-	var b *engine
-	for _, e := range engines {
-		if e.usedSlots < e.slots && (b == nil || e.slots-e.usedSlots > b.slots-b.usedSlots) {
-			b = e
-		}
-	}
-	return b
-}
-
-// jobHeap is a min-heap of jobs, ordered by work, then by priority, then by
-// deadline.
-type jobHeap []*job
-
-func (h jobHeap) Len() int      { return len(h) }
-func (h jobHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-func (h jobHeap) Less(i, j int) bool {
-	if h[i].work != h[j].work {
-		return h[i].work < h[j].work
-	}
-	if h[i].Priority != h[j].Priority {
-		return h[i].Priority < h[j].Priority
-	}
-	return h[i].FirstTokenDeadline.Before(h[j].FirstTokenDeadline)
-}
-
-// Push implements heap.Interface.
-func (h *jobHeap) Push(x any) { *h = append(*h, x.(*job)) }
-
-// Pop implements heap.Interface.
-func (h *jobHeap) Pop() any {
-	n := len(*h) - 1
-	x := (*h)[n]
-	*h = (*h)[:n]
-	return x
-}
