policy/oracle: comments on the job, the engine and the starts

Cause: of the functions that start and refuse jobs only two had a comment, and when startPrefill and startDecode return false had to be read from the code.

Ruled out: shorter names for the two checks of a deadline; they differ in what is still ahead of the job.

Conclusion: no change of behaviour.

--- a/internal/policy/oracle/engine.go
+++ b/internal/policy/oracle/engine.go
@@ -2,13 +2,18 @@
 
 import "sardineknot.example/sardineknot"
 
+// engine is a prefill or decode engine. It has no own memory limit, since the
+// memory of all decode engines is pooled.
 type engine struct {
-	name      sardineknot.BackendServerName
+	name sardineknot.BackendServerName
+	// slots is the number of jobs that the engine runs at once: one on a prefill
+	// engine.
 	slots     int
 	usedSlots int
 }
 
-// slots returns the number of decode slots.
+// slots returns the number of decode slots, or one if there are none, as it is
+// a divisor.
 func (s *Scheduler) slots() float64 {
 	var n int
 	for _, e := range s.decode {
--- a/internal/policy/oracle/job.go
+++ b/internal/policy/oracle/job.go
@@ -2,10 +2,13 @@
 
 import "sardineknot.example/sardineknot"
 
+// job is a submitted job and what it occupies. Scheduler.waiting and ready may
+// still list jobs that have ended; Scheduler.jobs does not.
 type job struct {
 	sardineknot.Job
 	// engine is the engine that runs the job, or nil.
-	engine       *engine
+	engine *engine
+	// memoryPieces is the memory of the prompt and the whole answer, in pieces.
 	memoryPieces int
 	// work is the engine time that the job needs, in seconds, if jobs are
 	// ordered shortest first, and zero otherwise.
--- a/internal/policy/oracle/refusals.go
+++ b/internal/policy/oracle/refusals.go
@@ -7,8 +7,8 @@
 	"sardineknot.example/sardineknot"
 )
 
-// minRetryAfter and maxRetryAfter bound the time after which refused callers may
-// retry.
+// minRetryAfter and maxRetryAfter bound the time after which refused callers
+// may retry.
 const (
 	minRetryAfter = 200 * time.Millisecond
 	maxRetryAfter = 20 * time.Second
@@ -28,7 +28,9 @@
 	heap.Init(&s.waiting)
 }
 
-// retryAfter returns the time after which a refused caller may retry.
+// retryAfter returns the time after which a refused caller may retry. Each call
+// moves the retry of the next caller back by about the time between two freed
+// slots.
 func (s *Scheduler) retryAfter() time.Duration {
 	t := s.now.Add(minRetryAfter)
 	if s.nextRetry.After(t) {
@@ -41,6 +43,7 @@
 	return t.Sub(s.now)
 }
 
+// refuse ends j and adds the decision that it is refused.
 func (s *Scheduler) refuse(j *job) {
 	delete(s.jobs, j.Key)
 	s.decisions = append(s.decisions, sardineknot.Decision{
--- a/internal/policy/oracle/scheduler.go
+++ b/internal/policy/oracle/scheduler.go
@@ -151,6 +151,7 @@
 	return s.now.Add(recheckInterval)
 }
 
+// takeDecisions returns the decisions of the current call and clears them.
 func (s *Scheduler) takeDecisions() []sardineknot.Decision {
 	d := s.decisions
 	s.decisions = nil
--- a/internal/policy/oracle/start.go
+++ b/internal/policy/oracle/start.go
@@ -11,6 +11,8 @@
 // after its prefill.
 const maxSlotWait = 50 * time.Millisecond
 
+// schedule starts decodes and then prefills until no engine is free or no job
+// may start, and returns all decisions of the current call.
 func (s *Scheduler) schedule() []sardineknot.Decision {
 	for e := mostFreeSlots(s.decode); e != nil && s.startDecode(e); e = mostFreeSlots(s.decode) {
 	}
@@ -19,6 +21,9 @@
 	return s.takeDecisions()
 }
 
+// startPrefill starts the first waiting job on the prefill engine e. It refuses
+// the jobs before it that are late. It returns false if no job starts: none
+// waits, or the first one would find no decode slot when its prefill ends.
 func (s *Scheduler) startPrefill(e *engine) bool {
 	for len(s.waiting) > 0 {
 		j := heap.Pop(&s.waiting).(*job)
@@ -41,6 +46,9 @@
 	return false
 }
 
+// startDecode starts the first ready job on the decode engine e. It refuses the
+// jobs before it that are late. It returns false if no job starts: none is
+// ready, or the memory does not suffice for the first one.
 func (s *Scheduler) startDecode(e *engine) bool {
 	for len(s.ready) > 0 {
 		j := s.ready[0]
@@ -67,12 +75,14 @@
 	return false
 }
 
+// start occupies a slot of e with j and adds the decision.
 func (s *Scheduler) start(j *job, e *engine, action sardineknot.Action) {
 	j.engine = e
 	e.usedSlots++
 	s.decisions = append(s.decisions, sardineknot.Decision{Key: j.Key, Action: action, Server: e.name})
 }
 
+// releaseEngine frees the slot and the memory that j occupies, if any.
 func (s *Scheduler) releaseEngine(j *job) {
 	if j.engine != nil {
 		j.engine.usedSlots--
