policy/timed: names for the two sides of a job, comments on the steps of jobs

Cause: engine.add and engine.remove took 0 or 1 for the prefill or the decode engine of a job, and a reader had to look up which is which in two places. Eighteen functions, most of which move a job from one state to the next, had no comment.

Ruled out: two lists of jobs in an engine, one for each side; an engine has one role at a time and one list.

Figures: five calls have a name in place of a number.

Conclusion: no change of behaviour.

--- a/internal/policy/timed/admit.go
+++ b/internal/policy/timed/admit.go
@@ -145,12 +145,14 @@
 	return t.Sub(now)
 }
 
+// enqueue holds j as queued.
 func (s *Scheduler) enqueue(j *job) {
 	s.jobs[j.Key] = j
 	s.queue.Push(j.Key, j.Priority, j.FirstTokenDeadline)
 	heap.Push(&s.byLatestStart, j)
 }
 
+// dequeue takes j out of the queue, but not out of jobs.
 func (s *Scheduler) dequeue(j *job) {
 	s.queue.Remove(j.Key)
 	heap.Remove(&s.byLatestStart, j.heapIndex)
@@ -166,6 +168,7 @@
 	}
 }
 
+// refuse adds the decision that j is refused. It does not remove j.
 func (s *Scheduler) refuse(j *job, reason string, after time.Duration) {
 	s.decisions = append(s.decisions, sardineknot.Decision{
 		Key:        j.Key,
--- a/internal/policy/timed/adopt.go
+++ b/internal/policy/timed/adopt.go
@@ -33,16 +33,20 @@
 	return s.takeDecisions()
 }
 
+// adoptPrefill holds j as prefilling since now on prefillEngine, without a
+// slot.
 func (s *Scheduler) adoptPrefill(now time.Time, j *job, prefillEngine *engine) {
 	j.state = prefilling
 	j.prefill = prefillEngine
-	prefillEngine.add(j, 0)
+	prefillEngine.add(j, prefillSide)
 	prefillEngine.busyUntil = now.Add(j.prefillTime)
 	j.expectedEnd = prefillEngine.busyUntil
 	s.prefixes.Record(j.PrefixHashes, prefillEngine.server.Name)
 	s.pending = append(s.pending, j)
 }
 
+// adoptDecode holds j with a slot on decode: as importing if its answer has no
+// tokens yet, and otherwise as decoding, with a start estimated from tokens.
 func (s *Scheduler) adoptDecode(now time.Time, j *job, decode *engine, tokens int) {
 	s.reserveSlot(j, decode)
 	j.resultExpiry = now.Add(s.ResultLifetime)
--- a/internal/policy/timed/dispatch.go
+++ b/internal/policy/timed/dispatch.go
@@ -80,6 +80,9 @@
 	return s.slotSupply(now, b, j, candidate.prefill.server.Zone) >= float64(len(s.pending)+1)
 }
 
+// startPrefill sends j to the prefill engine of candidate. If candidate has a
+// decode engine, it reserves a slot there, and otherwise adds j to the pending
+// jobs.
 func (s *Scheduler) startPrefill(now time.Time, j *job, candidate choice) {
 	s.dequeue(j)
 	s.queue.AddRunning(j.Key.Account, 1)
@@ -88,7 +91,7 @@
 	j.prefixHits, j.prefillTime = candidate.prefixHits, candidate.prefillTime
 	j.stateStart, j.expectedEnd = now, candidate.prefillEnd
 	candidate.prefill.breaker.Begin(now)
-	candidate.prefill.add(j, 0)
+	candidate.prefill.add(j, prefillSide)
 	candidate.prefill.busyUntil = candidate.prefillEnd
 	s.prefixes.Record(j.PrefixHashes, candidate.prefill.server.Name)
 	s.decide(j, sardineknot.ActionPrefill, candidate.prefill)
--- a/internal/policy/timed/driver_test.go
+++ b/internal/policy/timed/driver_test.go
@@ -12,8 +12,10 @@
 
 // driver runs a Scheduler with an explicit clock and records its decisions.
 type driver struct {
-	is  *is.I
-	s   *Scheduler
+	is *is.I
+	// s is the scheduler under test.
+	s *Scheduler
+	// now is the time that is passed to s.
 	now time.Time
 	// servers are the arguments of the next call of SetServers.
 	servers []sardineknot.BackendServer
@@ -46,6 +48,8 @@
 	return v
 }
 
+// server returns a backend server that is named by kind and index, in one of
+// four zones.
 func server(index int, kind string, role sardineknot.BackendRole, slots int) sardineknot.BackendServer {
 	return sardineknot.BackendServer{
 		Name:  sardineknot.BackendServerName(fmt.Sprintf("%s%d", kind, index)),
@@ -108,6 +112,8 @@
 	}
 }
 
+// report reports an event of job id. It has no effect if s does not hold the
+// job.
 func (v *driver) report(id string, kind sardineknot.JobEventKind, server sardineknot.BackendServerName, tokens int) {
 	for _, j := range v.s.jobs {
 		if string(j.Key.ID) == id {
--- a/internal/policy/timed/engine.go
+++ b/internal/policy/timed/engine.go
@@ -41,17 +41,18 @@
 	missingReports int
 }
 
-// add appends j to the jobs of e. side is the index into j.engineIndex: 0 if e
-// prefills j, and 1 if e decodes j.
-func (e *engine) add(j *job, side int) {
-	j.engineIndex[side] = len(e.jobs)
+// add appends j to the jobs of e, as the engine of the given side of j.
+func (e *engine) add(j *job, as side) {
+	j.engineIndex[as] = len(e.jobs)
 	e.jobs = append(e.jobs, j)
 }
 
-func (e *engine) remove(j *job, side int) {
-	i, n := j.engineIndex[side], len(e.jobs)-1
+// remove removes j, which was added with the same side, from the jobs of e. The
+// last job takes its position.
+func (e *engine) remove(j *job, as side) {
+	i, n := j.engineIndex[as], len(e.jobs)-1
 	e.jobs[i] = e.jobs[n]
-	e.jobs[i].engineIndex[side] = i
+	e.jobs[i].engineIndex[as] = i
 	e.jobs[n] = nil
 	e.jobs = e.jobs[:n]
 }
--- a/internal/policy/timed/events.go
+++ b/internal/policy/timed/events.go
@@ -6,6 +6,9 @@
 	"sardineknot.example/sardineknot"
 )
 
+// handlePrefillDone makes j ready and starts its decode if a slot is reserved.
+// It gives the slot up if the KV cache can no longer reach it in time, and then
+// puts j before all other pending jobs.
 func (s *Scheduler) handlePrefillDone(now time.Time, j *job) {
 	if j.state != prefilling {
 		return
@@ -24,6 +27,8 @@
 	}
 }
 
+// handleDecodeStarted makes j decoding. The time since the import began is an
+// observation of the link and of the delay of events.
 func (s *Scheduler) handleDecodeStarted(now time.Time, j *job) {
 	if j.state != importing {
 		return
@@ -37,6 +42,7 @@
 	j.stateStart = now
 }
 
+// handleFinished removes j and learns from the length of its answer.
 func (s *Scheduler) handleFinished(now time.Time, j *job, tokens int) {
 	s.freed++
 	s.observeAnswer(now, j, tokens)
@@ -88,13 +94,14 @@
 	delete(s.jobs, j.Key)
 }
 
+// endPrefill takes j off its prefill engine, if it occupies one.
 func (s *Scheduler) endPrefill(now time.Time, j *job) {
 	e := j.prefill
 	if e == nil {
 		return
 	}
 	j.prefill = nil
-	e.remove(j, 0)
+	e.remove(j, prefillSide)
 	e.updateBusyUntil(now.Add(-s.eventDelay))
 }
 
--- a/internal/policy/timed/job.go
+++ b/internal/policy/timed/job.go
@@ -64,11 +64,21 @@
 	latestStart time.Time
 	// heapIndex is the position in Scheduler.byLatestStart.
 	heapIndex int
-	// engineIndex is the position in the jobs of the prefill engine (index 0)
-	// and of the decode engine (index 1).
+	// engineIndex holds the position in the jobs of the prefill engine and of
+	// the decode engine, each at the index of its side.
 	engineIndex [2]int
 }
 
+// side says for which of its two engines a job is listed.
+type side int
+
+const (
+	prefillSide side = iota
+	decodeSide
+)
+
+// newJob returns the queued job of spec with its estimates as of now. The
+// scheduler does not hold the job yet.
 func (s *Scheduler) newJob(spec sardineknot.Job) *job {
 	n := &job{Job: spec, cacheBytes: float64(spec.PromptTokens) * s.BytesPerToken}
 	q := s.lengths.Quantile(spec.Key.Account, spec.Work, reservedQuantile, spec.MaxTokens)
@@ -95,6 +105,7 @@
 	return seconds(s.prefillPerToken * float64(max(minPrefillTokens, tokens-hits*sardineknot.TokensPerMemoryPiece)))
 }
 
+// seconds converts a number of seconds.
 func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
 
 // Before reports whether the latest start of j is before that of other.
--- a/internal/policy/timed/place.go
+++ b/internal/policy/timed/place.go
@@ -46,6 +46,7 @@
 	return p, append(known, p)
 }
 
+// findPath computes the best path of j from the given zone.
 func (s *Scheduler) findPath(now time.Time, j *job, from sardineknot.AvailabilityZone) path {
 	p := path{from: from}
 	var b, l time.Duration
@@ -86,17 +87,18 @@
 // reserveSlot reserves a slot and memory on e for j.
 func (s *Scheduler) reserveSlot(j *job, e *engine) {
 	j.decode = e
-	e.add(j, 1)
+	e.add(j, decodeSide)
 	e.memoryPieces += j.memoryPieces
 }
 
+// releaseSlot frees the slot and memory of j, if it has any.
 func (s *Scheduler) releaseSlot(j *job) {
 	e := j.decode
 	if e == nil {
 		return
 	}
 	j.decode = nil
-	e.remove(j, 1)
+	e.remove(j, decodeSide)
 	e.memoryPieces -= j.memoryPieces
 }
 
--- a/internal/policy/timed/reconcile.go
+++ b/internal/policy/timed/reconcile.go
@@ -82,6 +82,8 @@
 	s.pruneEngines()
 }
 
+// expireOn removes the jobs on e that have exceeded maxStateTime. It goes
+// backwards because the last job takes the position of a removed one.
 func (s *Scheduler) expireOn(now time.Time, e *engine) {
 	for i := len(e.jobs) - 1; i >= 0; i-- {
 		j := e.jobs[i]
--- a/internal/policy/timed/scheduler.go
+++ b/internal/policy/timed/scheduler.go
@@ -178,10 +178,12 @@
 	s.startQueued(now)
 }
 
+// decide adds the decision that e performs action for j.
 func (s *Scheduler) decide(j *job, action sardineknot.Action, e *engine) {
 	s.decisions = append(s.decisions, sardineknot.Decision{Key: j.Key, Action: action, Server: e.server.Name})
 }
 
+// takeDecisions returns the decisions of the current call and clears them.
 func (s *Scheduler) takeDecisions() []sardineknot.Decision {
 	d := s.decisions
 	s.decisions = nil
