--- a/internal/answer/service/runner.go
+++ b/internal/answer/service/runner.go
@@ -68,62 +68,62 @@
 	nonce atomic.Uint64
 }
 
-// Run runs c and returns the answer. If a run of the same call is in progress
-// or its answer is kept, Run returns the result of that run. It fails with a
-// NotRunError if the call did not run, with a RequestFailedError if it may have
-// run and may be repeated, and with an OutcomeUnknownError if it may have run
-// and must not be repeated.
-func (r *Runner) Run(ctx context.Context, c sardineknot.ServiceCall) (sardineknot.ServiceAnswer, error) {
-	ctx, cancel := context.WithDeadline(ctx, c.Deadline.Add(deadlineGrace))
+// Run runs call and returns the answer. If a run of the same call is in
+// progress or its answer is kept, Run returns the result of that run. It fails
+// with a NotRunError if the call did not run, with a RequestFailedError if it
+// may have run and may be repeated, and with an OutcomeUnknownError if it may
+// have run and must not be repeated.
+func (r *Runner) Run(ctx context.Context, call sardineknot.ServiceCall) (sardineknot.ServiceAnswer, error) {
+	ctx, cancel := context.WithDeadline(ctx, call.Deadline.Add(deadlineGrace))
 	defer cancel()
 	f := r.runRepeatable
-	if c.Work.Unrepeatable {
+	if call.Work.Unrepeatable {
 		f = r.runUnrepeatable
 	}
-	a, err := r.Calls.Do(ctx, c, f)
+	a, err := r.Calls.Do(ctx, call, f)
 	if !errors.Is(err, context.DeadlineExceeded) {
 		return a, err
 	}
-	if c.Work.Unrepeatable {
-		return a, newOutcomeUnknownError(c.Key, "the deadline passed while the call was running")
+	if call.Work.Unrepeatable {
+		return a, newOutcomeUnknownError(call.Key, "the deadline passed while the call was running")
 	}
 	return a, errors.WithStack(&sardineknot.RequestFailedError{Reason: "the deadline passed", RetryAfter: retryAfter})
 }
 
-// Join returns the outcome of the unrepeatable call with key k, whose claim
-// this host holds or held. content is a digest of the call's content. Join
-// waits until the call has ended; if ctx is done first, it fails with the error
-// of ctx. It fails with a NotRunError if no backend server ran the call and this
-// host gave up the claim, with an OutcomeUnknownError if the call may have run,
-// and with a ContentMismatchError if the call of this host has different
-// content.
-func (r *Runner) Join(ctx context.Context, k sardineknot.RequestKey, content [32]byte) (sardineknot.ServiceAnswer, error) {
-	a, ok, err := r.Calls.Wait(ctx, k, content)
+// Join returns the outcome of the unrepeatable call with the given key, whose
+// claim this host holds or held. content is a digest of the call's content.
+// Join waits until the call has ended; if ctx is done first, it fails with the
+// error of ctx. It fails with a NotRunError if no backend server ran the call
+// and this host gave up the claim, with an OutcomeUnknownError if the call may
+// have run, and with a ContentMismatchError if the call of this host has
+// different content.
+func (r *Runner) Join(ctx context.Context, key sardineknot.RequestKey, content [32]byte) (sardineknot.ServiceAnswer, error) {
+	a, ok, err := r.Calls.Wait(ctx, key, content)
 	if ok && (err == nil || !didNotRun(err)) {
 		return a, err
 	}
-	ok, err = r.Releases.Flush(ctx, k)
+	ok, err = r.Releases.Flush(ctx, key)
 	if err != nil || ok {
 		return a, errors.WithStack(&sardineknot.NotRunError{Reason: "the claim was released before the call was sent", RetryAfter: retryAfter})
 	}
-	return a, newOutcomeUnknownError(k, "the call was sent before and its answer is no longer kept")
+	return a, newOutcomeUnknownError(key, "the call was sent before and its answer is no longer kept")
 }
 
-// send sends c to a backend server and records the result with its circuit
+// send sends call to a backend server and records the result with its circuit
 // breaker. It prefers servers that are not in tried, and adds the chosen server
 // to tried.
-func (r *Runner) send(ctx context.Context, c sardineknot.ServiceCall, tried map[sardineknot.BackendServerName]bool) (sardineknot.ServiceAnswer, error) {
+func (r *Runner) send(ctx context.Context, call sardineknot.ServiceCall, tried map[sardineknot.BackendServerName]bool) (sardineknot.ServiceAnswer, error) {
 	t := r.Clock.Now()
-	if !t.Before(c.Deadline) {
+	if !t.Before(call.Deadline) {
 		return sardineknot.ServiceAnswer{}, errors.WithStack(&sardineknot.NotRunError{Reason: "the deadline has passed", RetryAfter: retryAfter})
 	}
-	l := r.Configuration.Current().AcceptingServers(sardineknot.PoolName("service/" + c.Work.Service))
+	l := r.Configuration.Current().AcceptingServers(sardineknot.PoolName("service/" + call.Work.Service))
 	s, w, ok := r.Circuits.Pick(t, l, tried)
 	if !ok {
-		return sardineknot.ServiceAnswer{}, errors.WithStack(&sardineknot.NotRunError{Reason: "no backend server accepts calls of " + c.Work.Service, RetryAfter: w})
+		return sardineknot.ServiceAnswer{}, errors.WithStack(&sardineknot.NotRunError{Reason: "no backend server accepts calls of " + call.Work.Service, RetryAfter: w})
 	}
 	tried[s.Name] = true
-	a, err := r.Service.Call(ctx, s, c)
+	a, err := r.Service.Call(ctx, s, call)
 	switch {
 	case err == nil:
 		r.Circuits.Done(r.Clock.Now(), s.Name, breaker.Succeeded)
@@ -131,7 +131,7 @@
 		r.Circuits.Done(r.Clock.Now(), s.Name, breaker.Abandoned)
 	default:
 		r.Circuits.Done(r.Clock.Now(), s.Name, breaker.Failed)
-		r.Log.Warn().Stringer("event", sardineknot.LogCallFailed).Str("request", c.Key.String()).Str("server", string(s.Name)).Err(err).Send()
+		r.Log.Warn().Stringer("event", sardineknot.LogCallFailed).Str("request", call.Key.String()).Str("server", string(s.Name)).Err(err).Send()
 	}
 	return a, err
 }
@@ -154,7 +154,7 @@
 }
 
 // newOutcomeUnknownError returns an OutcomeUnknownError for the request with
-// key k.
-func newOutcomeUnknownError(k sardineknot.RequestKey, reason string) error {
-	return errors.WithStack(&sardineknot.OutcomeUnknownError{Key: k, Reason: reason})
+// the given key.
+func newOutcomeUnknownError(key sardineknot.RequestKey, reason string) error {
+	return errors.WithStack(&sardineknot.OutcomeUnknownError{Key: key, Reason: reason})
 }
