--- a/internal/configuration/revision/head.go
+++ b/internal/configuration/revision/head.go
@@ -7,18 +7,20 @@
 	"sardineknot.example/sardineknot"
 )
 
-func decode(raw []byte) (h sardineknot.ConfigurationHead, err error) {
+// decode returns the head whose stored form is raw. An empty raw counts as a
+// head of revision zero.
+func decode(raw []byte) (head sardineknot.ConfigurationHead, err error) {
 	if len(raw) == 0 {
-		return h, nil
+		return head, nil
 	}
-	err = json.Unmarshal(raw, &h)
-	return h, errors.WithStack(err)
+	err = json.Unmarshal(raw, &head)
+	return head, errors.WithStack(err)
 }
 
-// encode returns the stored form of h with the references l.
-func encode(h sardineknot.ConfigurationHead, l []sardineknot.BundleReference) []byte {
-	h.Bundles = l
-	b, err := json.Marshal(h)
+// encode returns the stored form of head with the given references.
+func encode(head sardineknot.ConfigurationHead, references []sardineknot.BundleReference) []byte {
+	head.Bundles = references
+	b, err := json.Marshal(head)
 	if err != nil {
 		panic(err)
 	}
--- a/internal/configuration/revision/tracker.go
+++ b/internal/configuration/revision/tracker.go
@@ -93,10 +93,11 @@
 }
 
 // Offer puts the configuration with head raw in force if its revision is
-// greater than the one in force. s must contain the referenced bundles that the
-// tracker does not hold. Offer fails as Check does, and with an InvalidError or
-// an UnknownError if the bundles do not match the references in the head.
-func (t *Tracker) Offer(raw []byte, s bundle.Set) (accepted bool, err error) {
+// greater than the one in force. received must contain the referenced bundles
+// that the tracker does not hold. Offer fails as Check does, and with an
+// InvalidError or an UnknownError if the bundles do not match the references in
+// the head.
+func (t *Tracker) Offer(raw []byte, received bundle.Set) (accepted bool, err error) {
 	_, ok, err := t.Check(raw)
 	if err != nil || !ok {
 		return false, err
@@ -105,7 +106,7 @@
 	if err != nil {
 		return false, err
 	}
-	b, d := t.collectBundles(h, s)
+	b, d := t.collectBundles(h, received)
 	for _, r := range h.Bundles {
 		if d[r.Hash] != nil {
 			continue
@@ -118,10 +119,10 @@
 	return t.install(h, raw, b, d), nil
 }
 
-// SetMinRevision records that revision r is in force elsewhere, so that smaller
+// SetMinRevision records that revision is in force elsewhere, so that smaller
 // revisions are rejected. Zero removes the minimum.
-func (t *Tracker) SetMinRevision(r sardineknot.Revision) {
+func (t *Tracker) SetMinRevision(revision sardineknot.Revision) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.minRevision = r
+	t.minRevision = revision
 }
