claims/groupcommit, policy/memory: comments where a reader had to guess

Cause: eight functions and a type of groupcommit had no comment, among them the wait in Ledger.submit, after whose end an operation may still take effect; the numbers of the simulation's actions and the arguments of the fixture's jobs were not explained.

Conclusion: no change of behaviour.

--- a/internal/claims/groupcommit/ledger.go
+++ b/internal/claims/groupcommit/ledger.go
@@ -106,6 +106,8 @@
 	return fmt.Sprintf("claim/%d", shardIndex(digestOf(key)))
 }
 
+// submit hands the claim of attempt, or its release, to its shard and waits for
+// the outcome. If ctx is done first, the operation may still take effect.
 func (l *Ledger) submit(ctx context.Context, attempt sardineknot.ClaimAttempt, release bool) (sardineknot.ClaimResult, error) {
 	d := digestOf(attempt.Key)
 	o := operation{
@@ -127,6 +129,7 @@
 	}
 }
 
+// shardIndex returns the index of the shard of key in Ledger.shards.
 func shardIndex(key digest) uint64 {
 	return binary.BigEndian.Uint64(key[:]) % ShardCount
 }
@@ -135,6 +138,7 @@
 	return errors.WithStack(&sardineknot.UnavailableError{Peer: "claim ledger", Cause: cause})
 }
 
+// orDefault returns value, or fallback if value is zero.
 func orDefault[T int | time.Duration](value, fallback T) T {
 	if value == 0 {
 		return fallback
--- a/internal/claims/groupcommit/load.go
+++ b/internal/claims/groupcommit/load.go
@@ -139,6 +139,8 @@
 	return m, nil
 }
 
+// decodeArchive returns the bucket in entry, an archive. It fails if the value
+// is malformed.
 func decodeArchive(entry sardineknot.StoreEntry) (*bucket, error) {
 	var p claimstore.Bucket
 	err := proto.Unmarshal(entry.Value, &p)
--- a/internal/claims/groupcommit/record.go
+++ b/internal/claims/groupcommit/record.go
@@ -46,6 +46,8 @@
 	newest int64
 }
 
+// newBucket returns a bucket of the records in contents. newest is the time of
+// the newest of them, in seconds since 1970.
 func newBucket(contents []record, newest int64) *bucket {
 	b := &bucket{records: contents, byKey: make(map[digest][]int), newest: newest}
 	for i, e := range contents {
@@ -62,6 +64,8 @@
 	return destination
 }
 
+// encode returns the stored form of b, in which each incarnation of a holder
+// stands once.
 func (b *bucket) encode() *claimstore.Bucket {
 	type process struct {
 		id                sardineknot.EntryHostID
--- a/internal/claims/groupcommit/shard.go
+++ b/internal/claims/groupcommit/shard.go
@@ -26,6 +26,8 @@
 	done chan outcome
 }
 
+// outcome is what the caller of an operation gets: the result, or the error of
+// the write or read that was to confirm it.
 type outcome struct {
 	result sardineknot.ClaimResult
 	err    error
@@ -58,6 +60,7 @@
 	lastUsed time.Time
 }
 
+// submit adds op to the pending operations and starts the worker if none runs.
 func (s *shard) submit(op operation) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/claims/groupcommit/simulation_test.go
+++ b/internal/claims/groupcommit/simulation_test.go
@@ -186,11 +186,14 @@
 }
 
 // step is one action of the simulation: kind selects the action, and a, b and c
-// are its parameters.
+// are its parameters. What each of them means is up to the action.
 type step struct {
 	kind, a, b, c int
 }
 
+// apply performs action and waits until all goroutines wait. Several kinds
+// select the same action to make it more likely; most of them complete a call,
+// so that calls do not pile up.
 func (s *simulation) apply(action step) {
 	switch action.kind {
 	case 0, 1, 6, 7:
--- a/internal/claims/groupcommit/write.go
+++ b/internal/claims/groupcommit/write.go
@@ -139,6 +139,8 @@
 	}
 }
 
+// encodeHead returns the stored form of next as the head that this host writes
+// with the current group.
 func (s *shard) encodeHead(next *state) *claimstore.Head {
 	h := &claimstore.Head{
 		Writer:      string(s.ledger.self.ID),
--- a/internal/policy/memory/fixture_test.go
+++ b/internal/policy/memory/fixture_test.go
@@ -47,6 +47,9 @@
 	return s
 }
 
+// job returns a job that arrives at time at, with a prompt of that many tokens
+// and an answer whose caller expects that many. granted, refused and event name
+// it by the same id.
 func job(id string, at time.Time, prompt, expected int) sardineknot.Job {
 	return sardineknot.Job{
 		Key:          sardineknot.RequestKey{ID: sardineknot.RequestID(id + "/0")},
@@ -81,6 +84,7 @@
 	return false
 }
 
+// event returns the event of job id on the named server.
 func event(id string, kind sardineknot.JobEventKind, server sardineknot.BackendServerName, tokens int) sardineknot.JobEvent {
 	return sardineknot.JobEvent{Key: sardineknot.RequestKey{ID: sardineknot.RequestID(id + "/0")}, Kind: kind, Server: server, Tokens: tokens}
 }
