--- a/internal/answer/service/attempts.go
+++ b/internal/answer/service/attempts.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/host/clock"
 )
 
 // errOvertaken is the cancellation cause of an attempt whose server was silent
@@ -68,7 +69,7 @@
 
 // run makes attempt n and sends its result to s.ends.
 func (s *attempts) run(ctx context.Context, n int, wait time.Duration) {
-	if !sleep(ctx, wait) {
+	if (clock.System{}).Sleep(ctx, wait) != nil {
 		s.ends <- attemptEnd{number: n, err: newNotRunError(ctx.Err())}
 		return
 	}
--- a/internal/answer/service/repeatable.go
+++ b/internal/answer/service/repeatable.go
@@ -2,21 +2,20 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
 )
 
-// runRepeatable sends c until a backend server answers, maxAttempts is reached,
-// the deadline passes or the retry budget is exhausted. The deadline of c is
-// the deadline of ctx.
-func (r *Runner) runRepeatable(ctx context.Context, c sardineknot.ServiceCall) (sardineknot.ServiceAnswer, error) {
+// runRepeatable sends call until a backend server answers, maxAttempts is
+// reached, the deadline passes or the retry budget is exhausted. The deadline of
+// call is the deadline of ctx.
+func (r *Runner) runRepeatable(ctx context.Context, call sardineknot.ServiceCall) (sardineknot.ServiceAnswer, error) {
 	r.Retries.RecordCall()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	s := newAttempts(r, c)
+	s := newAttempts(r, call)
 	defer s.silence.Stop()
 	s.start(ctx, 0)
 	u := true
@@ -47,15 +46,3 @@
 	}
 	return errors.WithStack(&sardineknot.RequestFailedError{Reason: err.Error(), RetryAfter: retryAfter})
 }
-
-// sleep waits for d. It returns false if ctx is done first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/answer/service/silence_test.go
+++ b/internal/answer/service/silence_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/host/clock"
 )
 
 const (
@@ -23,7 +24,7 @@
 // fails when its context is done.
 func answerAfter(delay func(s sardineknot.BackendServer) time.Duration) func(context.Context, sardineknot.BackendServer, int) error {
 	return func(ctx context.Context, s sardineknot.BackendServer, _ int) error {
-		if !sleep(ctx, delay(s)) {
+		if (clock.System{}).Sleep(ctx, delay(s)) != nil {
 			return &sardineknot.UnavailableError{Peer: string(s.Name), Cause: ctx.Err()}
 		}
 		return nil
--- a/internal/policy/timed/job.go
+++ b/internal/policy/timed/job.go
@@ -64,11 +64,21 @@
 	latestStart time.Time
 	// heapIndex is the position in Scheduler.byLatestStart.
 	heapIndex int
-	// engineIndex is the position in the jobs of the prefill engine (index 0)
-	// and of the decode engine (index 1).
+	// engineIndex holds the position in the jobs of the prefill engine and of
+	// the decode engine, each at the index of its side.
 	engineIndex [2]int
 }
 
+// side says for which of its two engines a job is listed.
+type side int
+
+const (
+	prefillSide side = iota
+	decodeSide
+)
+
+// newJob returns the queued job of spec with its estimates as of now. The
+// scheduler does not hold the job yet.
 func (s *Scheduler) newJob(spec sardineknot.Job) *job {
 	n := &job{Job: spec, cacheBytes: float64(spec.PromptTokens) * s.BytesPerToken}
 	q := s.lengths.Quantile(spec.Key.Account, spec.Work, reservedQuantile, spec.MaxTokens)
@@ -95,32 +105,11 @@
 	return seconds(s.prefillPerToken * float64(max(minPrefillTokens, tokens-hits*sardineknot.TokensPerMemoryPiece)))
 }
 
+// seconds converts a number of seconds.
 func seconds(value float64) time.Duration { return time.Duration(value * float64(time.Second)) }
 
-// startHeap is a min-heap of queued jobs, ordered by their latest start.
-type startHeap []*job
-
-func (h startHeap) Len() int           { return len(h) }
-func (h startHeap) Less(i, j int) bool { return h[i].latestStart.Before(h[j].latestStart) }
+// Before reports whether the latest start of j is before that of other.
+func (j *job) Before(other *job) bool { return j.latestStart.Before(other.latestStart) }
 
-func (h startHeap) Swap(i, j int) {
-	h[i], h[j] = h[j], h[i]
-	h[i].heapIndex = i
-	h[j].heapIndex = j
-}
-
-// Push implements heap.Interface.
-func (h *startHeap) Push(x any) {
-	j := x.(*job)
-	j.heapIndex = len(*h)
-	*h = append(*h, j)
-}
-
-// Pop implements heap.Interface.
-func (h *startHeap) Pop() any {
-	n := len(*h) - 1
-	x := (*h)[n]
-	(*h)[n] = nil
-	*h = (*h)[:n]
-	return x
-}
+// SetIndex records the position of j in Scheduler.byLatestStart.
+func (j *job) SetIndex(index int) { j.heapIndex = index }
--- a/internal/policy/timed/scheduler.go
+++ b/internal/policy/timed/scheduler.go
@@ -15,6 +15,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/policy/fairness"
+	"sardineknot.example/sardineknot/internal/policy/indexheap"
 	"sardineknot.example/sardineknot/internal/policy/lengths"
 	"sardineknot.example/sardineknot/internal/policy/links"
 	"sardineknot.example/sardineknot/internal/policy/prefixes"
@@ -56,7 +57,7 @@
 	// them in the order of service, byLatestStart as a heap ordered by
 	// job.latestStart.
 	queue         *fairness.Queue
-	byLatestStart startHeap
+	byLatestStart indexheap.Heap[*job]
 	// pending lists the prefilling and ready jobs that have no slot, in the
 	// order in which their prefills are expected to end.
 	pending []*job
@@ -177,10 +178,12 @@
 	s.startQueued(now)
 }
 
+// decide adds the decision that e performs action for j.
 func (s *Scheduler) decide(j *job, action sardineknot.Action, e *engine) {
 	s.decisions = append(s.decisions, sardineknot.Decision{Key: j.Key, Action: action, Server: e.server.Name})
 }
 
+// takeDecisions returns the decisions of the current call and clears them.
 func (s *Scheduler) takeDecisions() []sardineknot.Decision {
 	d := s.decisions
 	s.decisions = nil
