configuration/leaving, platform: a server that says in an answer that it leaves gets nothing new

Seen: while the store is away, or its entry for a server is late, an entry host goes on sending calls and prompts to a server whose answers say in their header that it is leaving.

Cause: the header was passed on to the caller and never read here. The entry in the store was the only word on a server's state.

The configuration source records the process (name and Born) in a set of its own package and lays the state BackendLeaving over it at once; the choice of plain servers, the scheduler, load queries and role orders follow from that. The store's later word on the same process has no effect; a process with another Born or name is another one. The event server_leaving_seen names the host that got the answer, and `sardineknot explain` adds it to the cause.

Ruled out: a mark on the address, which would hit the next server there; a mark that ends after some time, since the store's word may be older than any such time. A Born of zero is one process like any other: such a server stays leaving under its name.

--- a/call.go
+++ b/call.go
@@ -121,6 +121,14 @@
 	Load(ctx context.Context, server BackendServer) (LoadReport, error)
 }
 
+// ServerObserver receives what backend servers say about themselves in the
+// headers of their answers. Implementations are safe for concurrent use.
+type ServerObserver interface {
+	// ObserveLeaving records that server has said that it is leaving. The process
+	// is identified by server.Name and server.Born.
+	ObserveLeaving(server BackendServer)
+}
+
 // CallDecoder decodes the HTTP requests of callers.
 type CallDecoder interface {
 	// DecodeCall returns the call that request describes, with now as its
--- a/internal/configuration/store/source.go
+++ b/internal/configuration/store/source.go
@@ -6,6 +6,9 @@
 // server is removed at once. If the entry is removed during an outage of the
 // service or shortly after it, the server is kept for a short time, in which it
 // may write the entry again.
+//
+// A server that has said in an answer that it is leaving counts as leaving from
+// then on, whatever its entry says later.
 package store
 
 import (
@@ -17,6 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/configuration/leaving"
 )
 
 // reregistrationGrace is the time after an outage of the service during which
@@ -47,6 +51,8 @@
 	base *sardineknot.Configuration
 	// servers holds the backend servers with a valid entry, by key.
 	servers map[string]*server
+	// leaving holds the processes that have said that they are leaving.
+	leaving *leaving.Set
 	// dirty is true while current does not reflect all applied entries.
 	dirty bool
 }
@@ -68,6 +74,7 @@
 		base:    &sardineknot.Configuration{},
 		changed: make(chan struct{}),
 		servers: make(map[string]*server),
+		leaving: leaving.NewSet(),
 	}
 }
 
@@ -158,11 +165,32 @@
 		return
 	}
 	s.dirty = false
-	s.current = s.composeLocked()
+	s.replaceLocked(s.composeLocked())
+}
+
+// replaceLocked puts c in force.
+func (s *Source) replaceLocked(c *sardineknot.Configuration) {
+	c.BackendServers = s.leaving.Overlay(c.BackendServers)
+	s.current = c
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
+// MarkLeaving records that the process which was born at the given time under
+// name has said that it is leaving. It has the state BackendLeaving in Current at
+// once and for good. Entries that were applied and not committed stay invisible.
+// witness names the entry host that got the answer.
+func (s *Source) MarkLeaving(name sardineknot.BackendServerName, born int64, witness sardineknot.EntryHostID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.leaving.Add(name, born) {
+		return
+	}
+	s.Log.Info().Stringer("event", sardineknot.LogServerLeavingSeen).Str("server", string(name)).Int64("born", born).Str("witness", string(witness)).Send()
+	c := *s.current
+	s.replaceLocked(&c)
+}
+
 // expireLocked removes the servers whose entries were removed, unless the
 // service is unavailable or has been available for less than
 // reregistrationGrace.
--- a/internal/report/timeline/cause.go
+++ b/internal/report/timeline/cause.go
@@ -17,6 +17,41 @@
 	return nil
 }
 
+// serverEvents maps the events of backend servers that explain how requests to
+// them end to what such an event says about its server.
+var serverEvents = map[string]string{
+	"server_leaving_seen": "said that it was leaving",
+}
+
+// explainServers describes what the backend servers that the events of the
+// request name had said until its last event, to the hosts that logged these
+// events. It returns "" if they had said nothing.
+func (s *Timeline) explainServers() string {
+	var b strings.Builder
+	l := s.events[len(s.events)-1]
+	for _, e := range s.servers {
+		if !e.at.After(l.at) && s.names(e.fields["server"], e.fields["host"]) {
+			fmt.Fprintf(&b, "; server %s %s (%+.3fs)", e.fields["server"], serverEvents[e.name], e.at.Sub(s.events[0].at).Seconds())
+		}
+	}
+	return b.String()
+}
+
+// names reports whether an event that host logged names server.
+func (s *Timeline) names(server, host string) bool {
+	for _, e := range s.events {
+		if e.fields["host"] != host {
+			continue
+		}
+		for _, k := range []string{"server", "prefill", "decode"} {
+			if e.fields[k] == server {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // cause returns an explanation of the outcome of the request.
 func (s *Timeline) cause() string {
 	e := s.lastEvent("call_ended")
--- a/internal/report/timeline/timeline.go
+++ b/internal/report/timeline/timeline.go
@@ -26,6 +26,9 @@
 type Timeline struct {
 	request string
 	events  []event
+	// servers holds the events of backend servers that explain how requests to
+	// them end.
+	servers []event
 	// Skipped is the number of lines that were not log events.
 	Skipped int
 }
@@ -67,11 +70,14 @@
 		s.Skipped++
 		return
 	}
-	if f["request"] != s.request {
-		return
-	}
 	_, x, _ := strings.Cut(line[i:], " event=")
-	s.events = append(s.events, event{at: t, name: f["event"], fields: f, text: x})
+	e := event{at: t, name: f["event"], fields: f, text: x}
+	switch {
+	case f["request"] == s.request:
+		s.events = append(s.events, e)
+	case serverEvents[e.name] != "":
+		s.servers = append(s.servers, e)
+	}
 }
 
 // parse returns the key=value pairs of line. Values may be quoted.
@@ -105,6 +111,6 @@
 	for _, e := range s.events {
 		fmt.Fprintf(w, "%+8.3fs %s %s\n", e.at.Sub(b).Seconds(), e.fields["host"], e.text)
 	}
-	fmt.Fprintf(w, "cause: %s\n", s.cause())
+	fmt.Fprintf(w, "cause: %s%s\n", s.cause(), s.explainServers())
 	return true
 }
--- a/internal/report/timeline/timeline_test.go
+++ b/internal/report/timeline/timeline_test.go
@@ -62,3 +62,23 @@
 		})
 	}
 }
+
+// TestServers guards against an explanation that is silent about why a server got
+// nothing from a host: the events of servers bear no identifier of a request.
+func TestServers(t *testing.T) {
+	const leaving = `time=2026-01-02T03:04:05.3Z level=info event=server_leaving_seen host=a server=d born=1 witness=a`
+	t.Run("a server of the request was leaving", func(t *testing.T) {
+		x, _ := reconstruct(t, begin, leaving, end+`200`)
+		assertCause(t, x, "answered completely; server d said that it was leaving (+0.200s)")
+	})
+	for n, l := range map[string]string{
+		"another server":               strings.Replace(leaving, "server=d", "server=e", 1),
+		"another host":                 strings.Replace(leaving, "host=a", "host=b", 1),
+		"after the end of the request": strings.Replace(leaving, "05.3Z", "07.3Z", 1),
+	} {
+		t.Run(n, func(t *testing.T) {
+			x, _ := reconstruct(t, begin, l, end+`200`)
+			is.New(t).True(!strings.Contains(x, "leaving"))
+		})
+	}
+}
--- a/logevent.go
+++ b/logevent.go
@@ -83,6 +83,10 @@
 	LogServerKnown LogEvent = "server_known"
 	// LogServerGone reports that a backend server was removed.
 	LogServerGone LogEvent = "server_gone"
+	// LogServerLeavingSeen reports that a backend server has said in an answer
+	// to the entry host "witness" that it is leaving. This host sends it nothing
+	// new.
+	LogServerLeavingSeen LogEvent = "server_leaving_seen"
 	// LogServerEntryRefused reports why the store entry of a backend server was
 	// rejected.
 	LogServerEntryRefused LogEvent = "server_entry_refused"
