answer/events, slots/twirp: an engine that is leaving here is given back, and its owner hears of it

Seen: a host knows from an answer that an engine is leaving, while the owner of the shard, another host, still takes it for ready and grants it. The call then cost retry budget, and ended as not run where there was none; an engine that began to leave between the grant and the send got the call all the same; and the owner went on granting the engine.

Cause: a grant of a leaving engine was the same as one of an unknown engine, was checked only once, and was reported as a plain cancellation.

Fix: a LeavingError of its own. Before each prefill and each call to a decode engine the attempt looks whether the engine is leaving by now; a KV cache that is ready goes to the next engine. Nothing was sent, so the next attempt costs no retry budget, but counts among the attempts of the call. The report of the returned grant says which process is leaving. It travels with the next request for engines, and the owner lays it over its own configuration and over its shards before it answers that request.

A prefill after the first attempt costs retry budget only if an earlier attempt has sent a prefill or a call; before, the number of the attempt decided, which an attempt that sent nothing also raises.

Ruled out: telling all hosts of each sighting, as the owner decides for all of them; keeping the call waiting for the store.

Conclusion: an engine that is leaving gets no queued, repeated, resumed or taken-over work from a host that has seen so, and the owner grants it to nobody from the first grant given back on.

--- a/errors.go
+++ b/errors.go
@@ -123,6 +123,19 @@
 	return fmt.Sprintf("%s refused the request without running it, status %d", e.Server, e.Status)
 }
 
+// LeavingError reports that a request was not sent to a backend server because
+// the server is leaving.
+type LeavingError struct {
+	// Server and Born identify the process of the server, as in BackendServer.
+	Server BackendServerName
+	Born   int64
+}
+
+// Error implements error.
+func (e *LeavingError) Error() string {
+	return fmt.Sprintf("%s is leaving and gets no new requests", e.Server)
+}
+
 // DeliveryTakenOverError reports that another connection, possibly on another
 // entry host, has taken over the delivery of an answer.
 type DeliveryTakenOverError struct {
--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -112,7 +112,7 @@
 	err = a.checkGrant(g)
 	a.logGrant(g, a.Clock.Now().Sub(n))
 	if err != nil {
-		a.report(sardineknot.JobCancelled, "")
+		a.returnGrant(err)
 	}
 	return err
 }
@@ -170,12 +170,10 @@
 	if a.prefill.Name == a.decode.Name {
 		return nil
 	}
-	if a.number > 0 {
-		err := a.spendRetry()
-		if err != nil {
-			a.report(sardineknot.JobCancelled, "")
-			return err
-		}
+	err := a.allowPrefill()
+	if err != nil {
+		a.returnGrant(err)
+		return err
 	}
 	ctx, cancel := context.WithTimeout(a.ctx, prefillTimeout)
 	defer cancel()
@@ -195,6 +193,12 @@
 // its response. If the engine refuses the KV cache, the engine prefills the
 // prompt itself, if it may and the retry budget allows it.
 func (a *attempt) startDecode() error {
+	err := a.checkAccepting(a.decode)
+	if err != nil {
+		a.retainCache(err)
+		a.returnGrant(err)
+		return err
+	}
 	if a.replacing != nil {
 		a.replacing.limitOverlap()
 	} else {
@@ -206,7 +210,7 @@
 		a.Log.Info().Stringer("event", sardineknot.LogCacheRefused).Str("request", string(a.call.ID)).Str("prefill", string(a.prefill.Name)).
 			Str("decode", string(a.decode.Name)).Err(err).Send()
 		a.discardCache()
-		if a.mayPrefillLocally() && a.Budget.AllowRetry(a.call.Service) {
+		if a.mayPrefillLocally() && a.checkAccepting(a.decode) == nil && a.Budget.AllowRetry(a.call.Service) {
 			p, err = a.forward(sardineknot.KVCacheReference{})
 		}
 	}
--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -94,6 +94,8 @@
 	attempts   int
 	takeovers  int
 	executions int
+	// prefills counts the attempts that have sent a prefill to an engine.
+	prefills int
 }
 
 // Run implements sardineknot.CallRunner.
@@ -126,13 +128,17 @@
 }
 
 // mayRetry reports whether another attempt may follow one that failed with err,
-// and consumes retry budget for it.
+// and consumes retry budget for it. An attempt that sent nothing to its engine
+// costs none.
 func (s *session) mayRetry(err error) bool {
 	var n *sardineknot.NotRunError
 	var w *writeError
 	if s.ctx.Err() != nil || errors.As(err, &n) || errors.As(err, &w) {
 		return false
 	}
+	if isLeaving(err) {
+		return s.mayAttempt()
+	}
 	return s.mayAttempt() && s.Budget.AllowRetry(s.call.Service)
 }
 
@@ -173,7 +179,7 @@
 	s.mu.Unlock()
 	var n *sardineknot.NotRunError
 	var u *sardineknot.UnknownError
-	if k && (errors.As(err, &n) || errors.As(err, &u)) {
+	if k && (errors.As(err, &n) || errors.As(err, &u) || isLeaving(err)) {
 		// The error concerns only the last attempt; an earlier one may have run.
 		return errors.WithStack(&sardineknot.RequestFailedError{Reason: err.Error()})
 	}
@@ -227,12 +233,17 @@
 	return 1
 }
 
-// findServer returns the backend server n if it accepts work, and an
-// UnknownError otherwise.
+// findServer returns the backend server n if it accepts work. It fails with a
+// LeavingError if the server is leaving, and with an UnknownError if there is no
+// such server.
 func (s *session) findServer(n sardineknot.BackendServerName) (sardineknot.BackendServer, error) {
 	for _, b := range s.Source.Current().BackendServers {
-		if b.Name == n && b.State == sardineknot.BackendJoining {
+		switch {
+		case b.Name != n:
+		case b.State == sardineknot.BackendJoining:
 			return b, nil
+		default:
+			return b, errors.WithStack(&sardineknot.LeavingError{Server: n, Born: b.Born})
 		}
 	}
 	return sardineknot.BackendServer{}, errors.WithStack(&sardineknot.UnknownError{What: "BackendServer", Name: string(n)})
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -213,6 +213,7 @@
 		Random:            rand.New(rand.NewPCG(n, n)),
 		HeartbeatInterval: slotHeartbeatInterval,
 		OwnerUnreachable:  p.registry.Exclude,
+		ServerLeaving:     p.source.MarkLeaving,
 		ActAsOwner:        true,
 		MaxShardServers:   maxShardServers,
 	}
--- a/internal/slots/twirp/cluster_test.go
+++ b/internal/slots/twirp/cluster_test.go
@@ -119,6 +119,15 @@
 func (s source) Current() *sardineknot.Configuration { return s.c }
 func (s source) Changed() <-chan struct{}            { return nil }
 
+// newConfiguration returns a configuration with the decode engine "d" in the
+// given state and the prefill engine "p".
+func newConfiguration(state sardineknot.BackendState) *sardineknot.Configuration {
+	return &sardineknot.Configuration{Revision: 1, BackendServers: []sardineknot.BackendServer{
+		{Name: "d", Role: sardineknot.RoleDecode, Model: "m", Version: "1", Slots: 20, State: state},
+		{Name: "p", Role: sardineknot.RolePrefill, Model: "m", Version: "1", Slots: 4, State: sardineknot.BackendJoining},
+	}}
+}
+
 // recordingScheduler is a fake scheduler that grants engines at once and
 // records the submitted, adopted and ended jobs. A host uses the same one each
 // time that it becomes the owner.
@@ -129,9 +138,16 @@
 	ended     []sardineknot.RequestKey
 	// hold disables grants, so that jobs wait.
 	hold bool
+	// servers is the number of servers that accept new work, and serversAtSubmit
+	// that number at the submission of each job.
+	servers         int
+	serversAtSubmit []int
 }
 
-func (*recordingScheduler) SetServers(time.Time, []sardineknot.BackendServer, []sardineknot.Link) []sardineknot.Decision {
+func (s *recordingScheduler) SetServers(_ time.Time, servers []sardineknot.BackendServer, _ []sardineknot.Link) []sardineknot.Decision {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.servers = len(servers)
 	return nil
 }
 
@@ -139,6 +155,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.submitted = append(s.submitted, job.Key)
+	s.serversAtSubmit = append(s.serversAtSubmit, s.servers)
 	if s.hold {
 		return nil
 	}
@@ -181,6 +198,8 @@
 	// schedulers holds the scheduler of each host.
 	schedulers map[sardineknot.EntryHostID]*recordingScheduler
 	pools      map[sardineknot.EntryHostID]*twirp.Pool
+	// sources holds the configuration source of each host.
+	sources map[sardineknot.EntryHostID]*changingSource
 	// owner owns the shard. successor becomes the owner when owner is dead, and
 	// requester only when both are dead.
 	owner, successor, requester sardineknot.EntryHost
@@ -209,6 +228,7 @@
 		network:    &network{muxes: make(map[string]*http.ServeMux)},
 		schedulers: make(map[sardineknot.EntryHostID]*recordingScheduler),
 		pools:      make(map[sardineknot.EntryHostID]*twirp.Pool),
+		sources:    make(map[sardineknot.EntryHostID]*changingSource),
 	}
 	for _, e := range h.list {
 		c.start(t, e)
@@ -220,12 +240,12 @@
 func (c *testCluster) start(t *testing.T, host sardineknot.EntryHost) {
 	m := members{c.hosts, host}
 	l := &recordingScheduler{}
+	v := &changingSource{}
+	v.Store(newConfiguration(sardineknot.BackendJoining))
+	c.sources[host.ID] = v
 	p := &twirp.Pool{
 		Members: m, Ranker: rendezvous.NewRanker(m), Clock: clock.System{}, Client: &http.Client{Transport: c.network},
-		Source: source{&sardineknot.Configuration{Revision: 1, BackendServers: []sardineknot.BackendServer{
-			{Name: "d", Role: sardineknot.RoleDecode, Model: "m", Version: "1", Slots: 20, State: sardineknot.BackendJoining},
-			{Name: "p", Role: sardineknot.RolePrefill, Model: "m", Version: "1", Slots: 4, State: sardineknot.BackendJoining},
-		}}},
+		Source:          v,
 		CreateScheduler: func(sardineknot.PoolName) sardineknot.Scheduler { return l.create() },
 		SettlingTime:    settle, Random: rand.New(rand.NewPCG(1, 1)),
 	}
--- a/internal/slots/twirp/message.go
+++ b/internal/slots/twirp/message.go
@@ -64,6 +64,8 @@
 		Tokens:      int32(event.Tokens),
 		Owner:       string(self),
 		Unreachable: event.Unreachable,
+		Leaving:     event.Leaving,
+		Born:        event.Born,
 	}
 }
 
@@ -74,6 +76,8 @@
 		Server:      sardineknot.BackendServerName(message.GetServer()),
 		Tokens:      int(message.GetTokens()),
 		Unreachable: message.GetUnreachable(),
+		Leaving:     message.GetLeaving(),
+		Born:        message.GetBorn(),
 	}
 }
 
--- a/internal/slots/twirp/pool.go
+++ b/internal/slots/twirp/pool.go
@@ -64,6 +64,10 @@
 	// OwnerUnreachable is called with the owner of a shard when a request to it
 	// fails. No lock is held during the call. It may be nil.
 	OwnerUnreachable func(sardineknot.EntryHostID)
+	// ServerLeaving is called when the entry host witness reports that the process
+	// of server that was born at the given time is leaving. Source must reflect it
+	// when ServerLeaving returns. It may be nil.
+	ServerLeaving func(server sardineknot.BackendServerName, born int64, witness sardineknot.EntryHostID)
 	// ActAsOwner makes this host serve requests for a shard even if, by its own
 	// view of the membership, another host owns the shard. Hosts whose views of
 	// the membership differ can then grant the same engine twice. If it is not
@@ -140,9 +144,7 @@
 
 // Acquire implements sardineknot.SlotPool.
 func (p *Pool) Acquire(ctx context.Context, job sardineknot.Job) (sardineknot.Grant, error) {
-	if p.stale() {
-		p.refresh()
-	}
+	p.refreshIfStale()
 	var err error
 	t := make(map[*shardLink]bool)
 	for range maxShardsTried {
@@ -252,6 +254,13 @@
 	return p.MaxShardServers
 }
 
+// refreshIfStale applies the current configuration if it has changed.
+func (p *Pool) refreshIfStale() {
+	if p.stale() {
+		p.refresh()
+	}
+}
+
 // stale reports whether the configuration has changed since the last refresh.
 func (p *Pool) stale() bool {
 	p.mu.Lock()
--- a/internal/slots/twirp/service.go
+++ b/internal/slots/twirp/service.go
@@ -20,6 +20,7 @@
 
 // Acquire implements rpc.Slots.
 func (s *service) Acquire(ctx context.Context, request *rpc.AcquireRequest) (*rpc.AcquireResponse, error) {
+	s.learnLeaving(request.GetEvents())
 	n := s.pool.Clock.Now()
 	o, err := s.ownedShard(request.GetShard())
 	if err != nil {
@@ -36,6 +37,7 @@
 
 // PrefillDone implements rpc.Slots.
 func (s *service) PrefillDone(ctx context.Context, request *rpc.PrefillDoneRequest) (*rpc.PrefillDoneResponse, error) {
+	s.learnLeaving(request.GetEvents())
 	n := s.pool.Clock.Now()
 	o, err := s.ownedShard(request.GetShard())
 	if err != nil {
@@ -54,6 +56,7 @@
 
 // Report implements rpc.Slots.
 func (s *service) Report(_ context.Context, request *rpc.ReportRequest) (*rpc.ReportResponse, error) {
+	s.learnLeaving(request.GetEvents())
 	o, err := s.ownedShard(request.GetShard())
 	if err != nil {
 		return nil, err
@@ -62,6 +65,20 @@
 	return &rpc.ReportResponse{Load: loadMessage(o)}, nil
 }
 
+// learnLeaving records the servers that events report as leaving. The shards of
+// this host grant them to no job after that.
+func (s *service) learnLeaving(events []*rpc.Event) {
+	if s.pool.ServerLeaving == nil {
+		return
+	}
+	for _, e := range events {
+		if e.GetLeaving() {
+			s.pool.ServerLeaving(sardineknot.BackendServerName(e.GetServer()), e.GetBorn(), sardineknot.EntryHostID(e.GetOwner()))
+			s.pool.refreshIfStale()
+		}
+	}
+}
+
 // ownedShard returns the named shard, or a Twirp error if this host does not
 // own it. A host that the others have declared dead does not count as the owner
 // until it has applied its new incarnation: it then replaces its shards, and
--- a/scheduler.go
+++ b/scheduler.go
@@ -123,6 +123,11 @@
 	// Unreachable reports, with JobFailed, that Server does not accept
 	// connections.
 	Unreachable bool
+	// Leaving reports, with JobCancelled, that the engines of the job were not
+	// used because the process of Server that was born at Born, as in
+	// BackendServer.Born, is leaving.
+	Leaving bool
+	Born    int64
 }
 
 // Scheduler decides which jobs of one shard of a pool run on which servers, and
