backend/backoff, answer/plain: a server that wants no requests for a time gets none

Seen: a backend server that answers 503 with Retry-After gets further calls, load queries and orders from the same host within that time.

Cause: Retry-After was passed on to callers and never read here. The circuit of a plain server opens only at the third failure in a row and then for a second; a pool without another server waits for one, and tells its callers to return when a circuit may be half-open.

A set of its own package keeps the end by process (name and Born). Plain calls, load queries, states and orders leave the server alone until then. If every server of a plain pool has asked so, callers are refused at once until the first end and a random quarter more at most, so that they do not return together. The event server_backed_off has the time; `sardineknot explain` adds it to the cause.

Ruled out: a longer open time of the circuit, which a call in progress that succeeds would close; a first request as a probe within the time, which the server has asked not to get.

--- a/call.go
+++ b/call.go
@@ -127,6 +127,9 @@
 	// ObserveLeaving records that server has said that it is leaving. The process
 	// is identified by server.Name and server.Born.
 	ObserveLeaving(server BackendServer)
+	// ObserveBackoff records that server has turned a request away and wants no
+	// requests from this host for the duration wait, which is positive.
+	ObserveBackoff(server BackendServer, wait time.Duration)
 }
 
 // CallDecoder decodes the HTTP requests of callers.
--- a/errors.go
+++ b/errors.go
@@ -136,6 +136,19 @@
 	return fmt.Sprintf("%s is leaving and gets no new requests", e.Server)
 }
 
+// BackedOffError reports that a request was not sent to a backend server because
+// the server has asked for no requests for some time.
+type BackedOffError struct {
+	Server BackendServerName
+	// Left is the time until the server may get requests again.
+	Left time.Duration
+}
+
+// Error implements error.
+func (e *BackedOffError) Error() string {
+	return fmt.Sprintf("%s has asked for no requests for another %v", e.Server, e.Left)
+}
+
 // DeliveryTakenOverError reports that another connection, possibly on another
 // entry host, has taken over the delivery of an answer.
 type DeliveryTakenOverError struct {
--- a/internal/answer/plain/runner.go
+++ b/internal/answer/plain/runner.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/backend/backoff"
 	"sardineknot.example/sardineknot/internal/backend/breaker"
 )
 
@@ -44,6 +45,8 @@
 	Forwarder sardineknot.Forwarder
 	// Circuits selects backend servers by their circuit breakers.
 	Circuits *breaker.Set
+	// Backoffs records which backend servers want no calls from this host.
+	Backoffs *backoff.Set
 	// Budget limits the retries of each service.
 	Budget sardineknot.RetryBudget
 	// Clock returns the current time.
@@ -127,12 +130,17 @@
 }
 
 // pick selects a server with free capacity, preferably one that is not in
-// tried. It waits for one up to queueTimeout and then fails with a NotRunError.
+// tried. It waits for one up to queueTimeout and then fails with a NotRunError. It
+// fails at once if every server has asked for no calls.
 func (r *Runner) pick(ctx context.Context, c *sardineknot.Call, tried map[sardineknot.BackendServerName]bool) (sardineknot.BackendServer, error) {
 	e := r.Clock.Now().Add(queueTimeout)
 	for {
 		l := r.Source.Current().AcceptingServers(sardineknot.PlainPoolName(c.Service))
-		s, w, ok := r.Circuits.Pick(r.Clock.Now(), l, tried)
+		a, d := r.Backoffs.Available(r.Clock.Now(), l)
+		if d > 0 {
+			return sardineknot.BackendServer{}, errors.WithStack(r.Backoffs.Refusal(d))
+		}
+		s, w, ok := r.Circuits.Pick(r.Clock.Now(), a, tried)
 		if ok {
 			return s, nil
 		}
--- a/internal/host/gateway/observe.go
+++ b/internal/host/gateway/observe.go
@@ -61,8 +61,11 @@
 
 // observeEngine queries the load of engine and passes it to the scheduler of
 // owned, the shard that contains the engine. If the query fails, the failure is
-// only logged.
+// only logged. An engine that has asked for no requests is not queried.
 func (p *Process) observeEngine(ctx context.Context, owned *local.Shard, engine sardineknot.BackendServer) {
+	if p.backoffs.Left(p.clock.Now(), engine) > 0 {
+		return
+	}
 	r, err := p.Forwarder.Load(ctx, engine)
 	if err != nil {
 		p.Log.Debug().Stringer("event", sardineknot.LogLoadUnknown).Str("server", string(engine.Name)).Err(err).Send()
@@ -78,7 +81,7 @@
 	l.SeparateHosts = true
 	return &roles.Controller{
 		OwnedShards: p.ownedShards,
-		Engine:      p.EngineOrders,
+		Engine:      &orderClient{EngineOrderClient: p.EngineOrders, backoffs: p.backoffs, clock: p.clock},
 		Ledger:      l,
 		Log:         p.Log,
 	}
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -19,6 +19,7 @@
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/answer/events"
 	"sardineknot.example/sardineknot/internal/answer/plain"
+	"sardineknot.example/sardineknot/internal/backend/backoff"
 	"sardineknot.example/sardineknot/internal/backend/breaker"
 	"sardineknot.example/sardineknot/internal/backend/sharedbudget"
 	caller "sardineknot.example/sardineknot/internal/caller/gateway"
@@ -113,7 +114,9 @@
 	startedAt time.Time
 	registry  *membership.Registry
 	source    *configuration.Source
-	mirror    *mirror.Mirror
+	// backoffs records which backend servers want no requests from this host.
+	backoffs *backoff.Set
+	mirror   *mirror.Mirror
 	// entries holds what this host has read from the key-value service. feed
 	// reads it, and serves it to other hosts.
 	entries *changelog.Log
@@ -193,6 +196,8 @@
 	p.source = configuration.NewSource()
 	p.source.Decoder, p.source.Clock, p.source.Reachability, p.source.Log = p.EntryDecoder, p.clock, p.mirror.Reachability, p.Log
 	p.mirror.OnChange, p.mirror.OnBatch = p.applyEntry, p.commitEntries
+	n := uint64(h.Incarnation)
+	p.backoffs = backoff.NewSet(rand.NewPCG(n, n+2))
 	p.addSlots()
 	p.versions = versions.NewDirectory(p.clock)
 	p.versions.Members, p.versions.Source, p.versions.Client, p.versions.Log = p.registry, p.source, p.peers.Client(), p.Log
@@ -233,7 +238,7 @@
 		Source:  p.source,
 		Decoder: p.RequestDecoder,
 		Plain: &plain.Runner{
-			Source: p.source, Forwarder: p.Forwarder, Circuits: breaker.NewSet(rand.NewPCG(n, n+1)),
+			Source: p.source, Forwarder: p.Forwarder, Circuits: breaker.NewSet(rand.NewPCG(n, n+1)), Backoffs: p.backoffs,
 			Budget: b, Clock: p.clock, Log: p.Log,
 		},
 		Stream: &events.Runner{
--- a/internal/host/gateway/signals.go
+++ b/internal/host/gateway/signals.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "sardineknot.example/sardineknot"
+import (
+	"time"
+
+	"sardineknot.example/sardineknot"
+)
 
 var _ sardineknot.ServerObserver = (*Process)(nil)
 
@@ -8,3 +12,10 @@
 func (p *Process) ObserveLeaving(server sardineknot.BackendServer) {
 	p.source.MarkLeaving(server.Name, server.Born, p.Settings.ID)
 }
+
+// ObserveBackoff implements sardineknot.ServerObserver.
+func (p *Process) ObserveBackoff(server sardineknot.BackendServer, wait time.Duration) {
+	if p.backoffs.Record(p.clock.Now(), server, wait) {
+		p.Log.Info().Stringer("event", sardineknot.LogServerBackedOff).Str("server", string(server.Name)).Dur("left_ms", wait).Send()
+	}
+}
--- a/internal/report/timeline/cause.go
+++ b/internal/report/timeline/cause.go
@@ -21,6 +21,7 @@
 // them end to what such an event says about its server.
 var serverEvents = map[string]string{
 	"server_leaving_seen": "said that it was leaving",
+	"server_backed_off":   "turned a request away and asked for no others for some time",
 }
 
 // explainServers describes what the backend servers that the events of the
--- a/internal/report/timeline/timeline_test.go
+++ b/internal/report/timeline/timeline_test.go
@@ -71,6 +71,11 @@
 		x, _ := reconstruct(t, begin, leaving, end+`200`)
 		assertCause(t, x, "answered completely; server d said that it was leaving (+0.200s)")
 	})
+	t.Run("a server of the request had asked for no requests", func(t *testing.T) {
+		l := `time=2026-01-02T03:04:05.4Z level=info event=server_backed_off host=a server=p left_ms=2000`
+		x, _ := reconstruct(t, begin, l, end+`200`)
+		assertCause(t, x, "server p turned a request away and asked for no others for some time (+0.300s)")
+	})
 	for n, l := range map[string]string{
 		"another server":               strings.Replace(leaving, "server=d", "server=e", 1),
 		"another host":                 strings.Replace(leaving, "host=a", "host=b", 1),
--- a/logevent.go
+++ b/logevent.go
@@ -87,6 +87,9 @@
 	// to the entry host "witness" that it is leaving. This host sends it nothing
 	// new.
 	LogServerLeavingSeen LogEvent = "server_leaving_seen"
+	// LogServerBackedOff reports that a backend server has turned a request away
+	// and gets nothing from this host for "left_ms".
+	LogServerBackedOff LogEvent = "server_backed_off"
 	// LogServerEntryRefused reports why the store entry of a backend server was
 	// rejected.
 	LogServerEntryRefused LogEvent = "server_entry_refused"
