answer/events, policy/memory: an engine that wants no requests for a time is not granted to that host

Seen: an engine that answers 503 with Retry-After gets further calls, prefills, releases of KV caches and load queries from the same host within that time, since the owner of the shard grants it on. A pool of such engines lets callers wait for their deadline.

Cause: the owner learns only that a job failed on the engine. Its breaker trips at the second failure in a row, for half a second.

Fix: each job tells the owner which engines want nothing from its host, with the time left, and the scheduler grants them to jobs of other hosts only. The list comes anew with each attempt, so an owner keeps no state for it and a new owner knows it at once. A grant from before is given back at no cost of retry budget, and looked at again before each send. A pool of which no engine could run the job refuses the call at once with the first end and a random part more; a stream that has begun waits up to its own target instead. The refusal of a KV cache by an engine that accepts nothing says nothing about the cache or its prefill engine: the cache is kept for the next attempt.

Ruled out: an event that blocks the engine for the jobs of all hosts. It would take an engine from hosts that it serves, for as long as it told one.

Conclusion: no request of any kind goes to such an engine from the host that it told.

--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -105,6 +105,10 @@
 // acquireEngines waits for a grant and looks up its prefill and decode engines.
 func (a *attempt) acquireEngines() error {
 	n := a.Clock.Now()
+	err := a.checkPool(n)
+	if err != nil {
+		return err
+	}
 	g, err := a.Slots.Acquire(a.ctx, a.job)
 	if err != nil {
 		return err
@@ -191,7 +195,9 @@
 
 // startDecode forwards the call to the decode engine and waits for the header of
 // its response. If the engine refuses the KV cache, the engine prefills the
-// prompt itself, if it may and the retry budget allows it.
+// prompt itself, if it may and the retry budget allows it. The refusal of an
+// engine that accepts no work at all says nothing about the cache, which goes to
+// the next engine.
 func (a *attempt) startDecode() error {
 	err := a.checkAccepting(a.decode)
 	if err != nil {
@@ -206,11 +212,11 @@
 	}
 	p, err := a.forward(a.cache.KVCacheReference)
 	var r *sardineknot.RefusedError
-	if errors.As(err, &r) && a.cache.Handle != "" {
+	if errors.As(err, &r) && a.cache.Handle != "" && a.checkAccepting(a.decode) == nil {
 		a.Log.Info().Stringer("event", sardineknot.LogCacheRefused).Str("request", string(a.call.ID)).Str("prefill", string(a.prefill.Name)).
 			Str("decode", string(a.decode.Name)).Err(err).Send()
 		a.discardCache()
-		if a.mayPrefillLocally() && a.checkAccepting(a.decode) == nil && a.Budget.AllowRetry(a.call.Service) {
+		if a.mayPrefillLocally() && a.Budget.AllowRetry(a.call.Service) {
 			p, err = a.forward(sardineknot.KVCacheReference{})
 		}
 	}
--- a/internal/answer/events/fake_test.go
+++ b/internal/answer/events/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"strings"
@@ -14,6 +15,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/answer/events"
+	"sardineknot.example/sardineknot/internal/backend/backoff"
 	"sardineknot.example/sardineknot/internal/host/clock"
 )
 
@@ -228,7 +230,7 @@
 	for _, n := range []sardineknot.BackendServerName{"p", "d", "e", "f"} {
 		c.BackendServers = append(c.BackendServers, sardineknot.BackendServer{Name: n, State: sardineknot.BackendJoining})
 	}
-	return &events.Runner{Source: &source{c}, Forwarder: e, Slots: s, Budget: unlimitedBudget{}, Versions: versions{}, Clock: clock.System{}, Log: zerolog.Nop()}
+	return &events.Runner{Source: &source{c}, Forwarder: e, Slots: s, Budget: unlimitedBudget{}, Backoffs: backoff.NewSet(rand.NewPCG(1, 1)), Versions: versions{}, Clock: clock.System{}, Log: zerolog.Nop()}
 }
 
 func newCall(resumable bool) *sardineknot.Call {
--- a/internal/answer/events/leaving_test.go
+++ b/internal/answer/events/leaving_test.go
@@ -130,6 +130,7 @@
 		e.onForward = func() { markLeaving(r, "d") }
 		is.NoErr(r.Run(t.Context(), newCall(false), &writer{}))
 		is.Equal(e.servers, []sardineknot.BackendServerName{"d", "e"})
+		is.Equal(e.prefills, 1) // the KV cache goes to the other engine
 	})
 	t.Run("a stream that breaks off does not go on there", func(t *testing.T) {
 		is := is.New(t)
--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/backend/backoff"
 )
 
 const (
@@ -40,6 +41,8 @@
 	Forwarder sardineknot.Forwarder
 	// Slots grants engines to attempts.
 	Slots sardineknot.SlotPool
+	// Backoffs records which engines want no requests from this host.
+	Backoffs *backoff.Set
 	// Budget limits the retries of each service.
 	Budget sardineknot.RetryBudget
 	// Versions keeps the software versions that began streams.
@@ -136,7 +139,7 @@
 	if s.ctx.Err() != nil || errors.As(err, &n) || errors.As(err, &w) {
 		return false
 	}
-	if isLeaving(err) {
+	if isNotSent(err) {
 		return s.mayAttempt()
 	}
 	return s.mayAttempt() && s.Budget.AllowRetry(s.call.Service)
@@ -179,7 +182,7 @@
 	s.mu.Unlock()
 	var n *sardineknot.NotRunError
 	var u *sardineknot.UnknownError
-	if k && (errors.As(err, &n) || errors.As(err, &u) || isLeaving(err)) {
+	if k && (errors.As(err, &n) || errors.As(err, &u) || isNotSent(err)) {
 		// The error concerns only the last attempt; an earlier one may have run.
 		return errors.WithStack(&sardineknot.RequestFailedError{Reason: err.Error()})
 	}
@@ -197,7 +200,7 @@
 	g := s.relayedEvents * s.eventTokens()
 	j := sardineknot.Job{
 		Key:                sardineknot.RequestKey{Account: sardineknot.ClientAccountName(s.Self.ID), ID: c.ID + sardineknot.RequestID("/"+strconv.Itoa(s.attempts))},
-		Pool:               sardineknot.ServicePoolName(c.Service, p.Model),
+		Pool:               s.pool(),
 		Work:               sardineknot.WorkName(c.Route.Name),
 		Zone:               s.Self.Zone,
 		PrefixHashes:       p.PrefixHashes,
@@ -210,6 +213,7 @@
 		PerToken:           c.Route.PauseTarget,
 		CachedOn:           s.cachedOn,
 		SoftwareVersion:    s.version,
+		Backoffs:           s.poolBackoffs(),
 		Owner:              s.Self.ID,
 	}
 	if p.ExpectedTokens > 0 {
@@ -222,6 +226,11 @@
 	return j
 }
 
+// pool returns the pool of engines that serve the call.
+func (s *session) pool() sardineknot.PoolName {
+	return sardineknot.ServicePoolName(s.call.Service, s.call.Generation.Model)
+}
+
 // eventTokens returns the number of tokens per event of the service, at least
 // one.
 func (s *session) eventTokens() int {
@@ -233,26 +242,11 @@
 	return 1
 }
 
-// findServer returns the backend server n if it accepts work. It fails with a
-// LeavingError if the server is leaving, and with an UnknownError if there is no
-// such server.
-func (s *session) findServer(n sardineknot.BackendServerName) (sardineknot.BackendServer, error) {
-	for _, b := range s.Source.Current().BackendServers {
-		switch {
-		case b.Name != n:
-		case b.State == sardineknot.BackendJoining:
-			return b, nil
-		default:
-			return b, errors.WithStack(&sardineknot.LeavingError{Server: n, Born: b.Born})
-		}
-	}
-	return sardineknot.BackendServer{}, errors.WithStack(&sardineknot.UnknownError{What: "BackendServer", Name: string(n)})
-}
-
 // releaseCache asks the engine in the background to free a KV cache that will
-// not be imported. It has no effect if k is empty.
+// not be imported. It has no effect if k is empty, or if the engine wants no
+// requests: it frees the cache itself after some time.
 func (s *session) releaseCache(k sardineknot.KVCacheReference) {
-	if k.Handle == "" {
+	if k.Handle == "" || s.backedOffAt(k.Address) {
 		return
 	}
 	go func() {
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -242,7 +242,7 @@
 			Budget: b, Clock: p.clock, Log: p.Log,
 		},
 		Stream: &events.Runner{
-			Source: p.source, Forwarder: p.Forwarder, Slots: p.slots,
+			Source: p.source, Forwarder: p.Forwarder, Slots: p.slots, Backoffs: p.backoffs,
 			Budget: b, Versions: p.versions, Self: self, Clock: p.clock, Log: p.Log,
 		},
 		Clock:   p.clock,
--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -104,7 +104,7 @@
 	}
 	d := s.chooseDecode(now, j)
 	if d == nil {
-		if !j.limited {
+		if !j.limited && len(j.Backoffs) == 0 {
 			m.add(j.span(now))
 		}
 		return false
@@ -145,7 +145,7 @@
 	var b *engine
 	var m float64
 	for _, e := range s.decode {
-		if !j.mayRunOn(e) {
+		if !j.mayRunOn(e) || j.barredFrom(now, e) {
 			continue
 		}
 		f, ok := e.utilization(now, j)
@@ -166,6 +166,16 @@
 	return j.SoftwareVersion == "" || j.SoftwareVersion == e.server.SoftwareVersion
 }
 
+// barredFrom reports whether e wants no requests from the holder of j.
+func (j *job) barredFrom(now time.Time, e *engine) bool {
+	for _, b := range j.Backoffs {
+		if b.Server == e.server.Name && now.Before(b.Until) {
+			return true
+		}
+	}
+	return false
+}
+
 // limitJob determines whether only some decode engines may run j. It reports
 // whether any engine may.
 func (s *Scheduler) limitJob(j *job) bool {
@@ -217,13 +227,13 @@
 // preferredPrefill returns the prefill engine that still holds the KV cache of
 // j, or else the one that can finish j first, with penalties for its loss rate
 // and for a zone other than that of decode. It returns nil if all engines are
-// backlogged or unusable.
+// backlogged or unusable, or want no requests from the holder of j.
 func (s *Scheduler) preferredPrefill(now time.Time, j *job, decode *engine) *engine {
 	var e *engine
 	var m time.Duration
 	for _, p := range s.prefill {
 		w := p.prefillWait(now)
-		if !p.usable(now) || w > maxPrefillBacklog {
+		if !p.usable(now) || w > maxPrefillBacklog || j.barredFrom(now, p) {
 			continue
 		}
 		if p.server.Name == j.CachedOn {
--- a/internal/slots/twirp/cluster_test.go
+++ b/internal/slots/twirp/cluster_test.go
@@ -142,6 +142,8 @@
 	// that number at the submission of each job.
 	servers         int
 	serversAtSubmit []int
+	// backoffs holds those of the submitted jobs.
+	backoffs []sardineknot.ServerBackoff
 }
 
 func (s *recordingScheduler) SetServers(_ time.Time, servers []sardineknot.BackendServer, _ []sardineknot.Link) []sardineknot.Decision {
@@ -155,6 +157,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.submitted = append(s.submitted, job.Key)
+	s.backoffs = append(s.backoffs, job.Backoffs...)
 	s.serversAtSubmit = append(s.serversAtSubmit, s.servers)
 	if s.hold {
 		return nil
--- a/internal/slots/twirp/message.go
+++ b/internal/slots/twirp/message.go
@@ -7,8 +7,9 @@
 	rpc "sardineknot.example/sardineknot/internal/rpc/slots"
 )
 
-// jobMessage converts job to a message. FirstTokenDeadline and CallerDeadline
-// are sent as durations from now, because the clocks of hosts differ.
+// jobMessage converts job to a message. FirstTokenDeadline, CallerDeadline and the
+// ends of backoffs are sent as durations from now, because the clocks of hosts
+// differ.
 func jobMessage(job sardineknot.Job, now time.Time) *rpc.Job {
 	return &rpc.Job{
 		Account:          string(job.Key.Account),
@@ -29,6 +30,7 @@
 		Resumed:          job.Resumed,
 		Kept:             string(job.CachedOn),
 		SoftwareVersion:  string(job.SoftwareVersion),
+		Backoffs:         backoffMessages(job.Backoffs, now),
 	}
 }
 
@@ -52,9 +54,27 @@
 		Resumed:            message.GetResumed(),
 		CachedOn:           sardineknot.BackendServerName(message.GetKept()),
 		SoftwareVersion:    sardineknot.SoftwareVersion(message.GetSoftwareVersion()),
+		Backoffs:           backoffsFromMessages(message.GetBackoffs(), now),
 	}
 }
 
+func backoffMessages(backoffs []sardineknot.ServerBackoff, now time.Time) []*rpc.Backoff {
+	var l []*rpc.Backoff
+	for _, b := range backoffs {
+		l = append(l, &rpc.Backoff{Server: string(b.Server), LeftMicros: b.Until.Sub(now).Microseconds()})
+	}
+	return l
+}
+
+// backoffsFromMessages is the inverse of backoffMessages.
+func backoffsFromMessages(messages []*rpc.Backoff, now time.Time) []sardineknot.ServerBackoff {
+	var l []sardineknot.ServerBackoff
+	for _, m := range messages {
+		l = append(l, sardineknot.ServerBackoff{Server: sardineknot.BackendServerName(m.GetServer()), Until: now.Add(micros(m.GetLeftMicros()))})
+	}
+	return l
+}
+
 func eventMessage(event sardineknot.JobEvent, self sardineknot.EntryHostID) *rpc.Event {
 	return &rpc.Event{
 		Account:     string(event.Key.Account),
--- a/internal/slots/twirp/pool_test.go
+++ b/internal/slots/twirp/pool_test.go
@@ -41,6 +41,17 @@
 		checkCounts(t, cluster, cluster.owner, 1, 0, 0)
 		checkCounts(t, cluster, cluster.requester, 0, 0, 0)
 	})
+	run(t, "the owner learns which engines the host may not use", func(t *testing.T, cluster *testCluster) {
+		is := is.New(t)
+		j := cluster.job("1")
+		j.Backoffs = []sardineknot.ServerBackoff{{Server: "d", Until: time.Now().Add(3 * time.Second)}}
+		_, err := cluster.pools[cluster.requester.ID].Acquire(t.Context(), j)
+		is.NoErr(err)
+		l := cluster.schedulers[cluster.owner.ID].backoffs
+		is.Equal(len(l), 1)
+		is.Equal(l[0].Server, sardineknot.BackendServerName("d"))
+		is.Equal(time.Until(l[0].Until), 3*time.Second)
+	})
 	run(t, "events are piggybacked on the next request", func(t *testing.T, cluster *testCluster) {
 		checkGranted(t, cluster, "1")
 		cluster.pools[cluster.requester.ID].Report(cluster.job("1"), sardineknot.JobEvent{Key: cluster.job("1").Key, Kind: sardineknot.JobFinished})
--- a/scheduler.go
+++ b/scheduler.go
@@ -37,6 +37,9 @@
 	// SoftwareVersion is the software version that the decode engine must have,
 	// because an engine of this version began the answer. Empty means any.
 	SoftwareVersion SoftwareVersion
+	// Backoffs lists the engines that have asked Owner for no requests for some
+	// time. The job is not granted such an engine before its backoff ends.
+	Backoffs []ServerBackoff
 	// Priority orders jobs. Smaller values are scheduled first.
 	Priority int
 	// FirstTokenDeadline is the time at which the first token is due.
@@ -53,6 +56,15 @@
 	OwnerIncarnation Incarnation
 }
 
+// ServerBackoff tells that a backend server wants no requests from an entry host
+// before a point in time.
+type ServerBackoff struct {
+	// Server wants no requests.
+	Server BackendServerName
+	// Until is the end of the backoff.
+	Until time.Time
+}
+
 // Action is the kind of a scheduling decision.
 type Action int
 
