--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -106,6 +106,10 @@
 // acquireEngines waits for a grant and looks up its prefill and decode engines.
 func (a *attempt) acquireEngines() error {
 	n := a.Clock.Now()
+	err := a.checkPool(n)
+	if err != nil {
+		return err
+	}
 	g, err := a.Slots.Acquire(a.ctx, a.job)
 	if err != nil {
 		return err
@@ -113,7 +117,7 @@
 	err = a.checkGrant(g)
 	a.logGrant(g, a.Clock.Now().Sub(n))
 	if err != nil {
-		a.report(sardineknot.JobCancelled, "")
+		a.returnGrant(err)
 	}
 	return err
 }
@@ -171,12 +175,10 @@
 	if a.prefill.Name == a.decode.Name {
 		return nil
 	}
-	if a.number > 0 {
-		err := a.spendRetry()
-		if err != nil {
-			a.report(sardineknot.JobCancelled, "")
-			return err
-		}
+	err := a.allowPrefill()
+	if err != nil {
+		a.returnGrant(err)
+		return err
 	}
 	ctx, cancel := context.WithTimeout(a.ctx, prefillTimeout)
 	defer cancel()
@@ -194,8 +196,16 @@
 
 // startDecode forwards the call to the decode engine and waits for the header of
 // its response. If the engine refuses the KV cache, the engine prefills the
-// prompt itself, if it may and the retry budget allows it.
+// prompt itself, if it may and the retry budget allows it. The refusal of an
+// engine that accepts no work at all says nothing about the cache, which goes to
+// the next engine.
 func (a *attempt) startDecode() error {
+	err := a.checkAccepting(a.decode)
+	if err != nil {
+		a.retainCache(err)
+		a.returnGrant(err)
+		return err
+	}
 	if a.replacing != nil {
 		a.replacing.limitOverlap()
 	} else {
@@ -203,7 +213,7 @@
 	}
 	p, err := a.forward(a.cache.KVCacheReference)
 	var r *sardineknot.RefusedError
-	if errors.As(err, &r) && a.cache.Handle != "" {
+	if errors.As(err, &r) && a.cache.Handle != "" && a.checkAccepting(a.decode) == nil {
 		a.Log.Info().Stringer("event", sardineknot.LogCacheRefused).Str("request", string(a.call.ID)).Str("prefill", string(a.prefill.Name)).
 			Str("decode", string(a.decode.Name)).Err(err).Send()
 		a.discardCache()
--- /dev/null
+++ b/internal/host/gateway/signals.go
@@ -0,0 +1,21 @@
+package gateway
+
+import (
+	"time"
+
+	"sardineknot.example/sardineknot"
+)
+
+var _ sardineknot.ServerObserver = (*Process)(nil)
+
+// ObserveLeaving implements sardineknot.ServerObserver.
+func (p *Process) ObserveLeaving(server sardineknot.BackendServer) {
+	p.source.MarkLeaving(server.Name, server.Born, p.Settings.ID)
+}
+
+// ObserveBackoff implements sardineknot.ServerObserver.
+func (p *Process) ObserveBackoff(server sardineknot.BackendServer, wait time.Duration) {
+	if p.backoffs.Record(p.clock.Now(), server, wait) {
+		p.Log.Info().Stringer("event", sardineknot.LogServerBackedOff).Str("server", string(server.Name)).Dur("left_ms", wait).Send()
+	}
+}
--- a/scheduler.go
+++ b/scheduler.go
@@ -37,6 +37,9 @@
 	// SoftwareVersion is the software version that the decode engine must have,
 	// because an engine of this version began the answer. Empty means any.
 	SoftwareVersion SoftwareVersion
+	// Backoffs lists the engines that have asked Owner for no requests for some
+	// time. The job is not granted such an engine before its backoff ends.
+	Backoffs []ServerBackoff
 	// Priority orders jobs. Smaller values are scheduled first.
 	Priority int
 	// FirstTokenDeadline is the time at which the first token is due.
@@ -53,6 +56,15 @@
 	OwnerIncarnation Incarnation
 }
 
+// ServerBackoff tells that a backend server wants no requests from an entry host
+// before a point in time.
+type ServerBackoff struct {
+	// Server wants no requests.
+	Server BackendServerName
+	// Until is the end of the backoff.
+	Until time.Time
+}
+
 // Action is the kind of a scheduling decision.
 type Action int
 
@@ -123,6 +135,11 @@
 	// Unreachable reports, with JobFailed, that Server does not accept
 	// connections.
 	Unreachable bool
+	// Leaving reports, with JobCancelled, that the engines of the job were not
+	// used because the process of Server that was born at Born, as in
+	// BackendServer.Born, is leaving.
+	Leaving bool
+	Born    int64
 }
 
 // Scheduler decides which jobs of one shard of a pool run on which servers, and
