sardineknot: revisions and leases of the store carry their era

The platform's store may come back from an older copy of itself. It then gives out revisions and lease numbers again, so that a plain number says neither which of two revisions is newer nor whose lease it is.

StoreRevision and LeaseID become structs of an era and a number. Compare is the only order of revisions: by era first, by number within an era. No behaviour changes yet: all revisions are of era zero, also those of etcd, which has none. The garbage list of the configuration writer keeps the bare number, so that its stored format is as before.

Ruled out: an era in the high bits of one integer, which a reader and a log line cannot tell from a number; an era beside the revision in each signature, which leaves the comparison to each caller.

Conclusion: the types are in place for the adapter and the mirror to fill in.

--- a/errors.go
+++ b/errors.go
@@ -82,14 +82,13 @@
 type ConflictError struct {
 	// Key is the key in the store.
 	Key string
-	// Expected is the revision that the writer expected. Zero means that the
-	// key was expected to be absent.
+	// Expected is the revision that the writer expected.
 	Expected StoreRevision
 }
 
 // Error implements error.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("key %q is no longer at revision %d", e.Key, e.Expected)
+	return fmt.Sprintf("key %q is no longer at revision %d of era %d", e.Key, e.Expected.Number, e.Expected.Era)
 }
 
 // UnavailableError reports that a peer could not be reached or did not answer
--- a/internal/claims/direct/ledger.go
+++ b/internal/claims/direct/ledger.go
@@ -31,7 +31,7 @@
 // Claim implements sardineknot.ClaimLedger.
 func (l *Ledger) Claim(ctx context.Context, attempt sardineknot.ClaimAttempt) (sardineknot.ClaimResult, error) {
 	v := encode(attempt)
-	_, err := l.store.CompareAndSwap(ctx, keyPrefix+attempt.Key.String(), 0, []byte(v), 0)
+	_, err := l.store.CompareAndSwap(ctx, keyPrefix+attempt.Key.String(), sardineknot.StoreRevision{}, []byte(v), sardineknot.LeaseID{})
 	var c *sardineknot.ConflictError
 	if err == nil {
 		return result(v, v), nil
--- a/internal/claims/groupcommit/ledger_test.go
+++ b/internal/claims/groupcommit/ledger_test.go
@@ -228,7 +228,7 @@
 		x.MaxBucketRecords, y.MaxBucketRecords = 1, 1
 		k := sardineknot.RequestKey{Account: "verk", ID: "r"}
 		p := &x.shards[shardIndex(digestOf(k))]
-		_, err := s.CompareAndSwap(context.Background(), p.archiveKey(0), 0, []byte("orphan"), 0)
+		_, err := s.CompareAndSwap(context.Background(), p.archiveKey(0), sardineknot.StoreRevision{}, []byte("orphan"), sardineknot.LeaseID{})
 		is.New(t).NoErr(err)
 		for i := range 100 {
 			expectHolder(t, x, attempt(fmt.Sprint(i), "x", 1), "x")
@@ -238,7 +238,7 @@
 		}
 		e, err := s.Get(context.Background(), p.archiveKey(0))
 		is.New(t).NoErr(err)
-		is.New(t).Equal(e.Revision, sardineknot.StoreRevision(0))
+		is.New(t).True(e.Revision.Absent())
 	})
 }
 
--- a/internal/claims/groupcommit/load.go
+++ b/internal/claims/groupcommit/load.go
@@ -104,7 +104,7 @@
 // is missing.
 func (s *shard) readArchive(ctx context.Context, sequence uint64) (*bucket, error) {
 	e, err := s.ledger.store.Get(ctx, s.archiveKey(sequence))
-	if err != nil || e.Revision == 0 {
+	if err != nil || e.Revision.Absent() {
 		return nil, err
 	}
 	return decodeArchive(e)
--- a/internal/claims/groupcommit/property_test.go
+++ b/internal/claims/groupcommit/property_test.go
@@ -78,7 +78,7 @@
 
 func (g *gatedStore) CompareAndSwap(ctx context.Context, key string, expected sardineknot.StoreRevision, value []byte, lease sardineknot.LeaseID) (revision sardineknot.StoreRevision, err error) {
 	if !g.await(func() { revision, err = g.fakeStore.CompareAndSwap(ctx, key, expected, value, lease) }) {
-		return 0, noReply()
+		return sardineknot.StoreRevision{}, noReply()
 	}
 	return revision, err
 }
--- a/internal/claims/groupcommit/store_test.go
+++ b/internal/claims/groupcommit/store_test.go
@@ -81,7 +81,7 @@
 		if s.entries[key].Revision != expected {
 			return errors.WithStack(&sardineknot.ConflictError{Key: key, Expected: expected})
 		}
-		s.revision++
+		s.revision.Number++
 		newRevision = s.revision
 		s.entries[key] = sardineknot.StoreEntry{Key: key, Value: value, Revision: newRevision}
 		return nil
--- a/internal/claims/groupcommit/write.go
+++ b/internal/claims/groupcommit/write.go
@@ -36,7 +36,7 @@
 		return false, newUnavailableError(errors.New("the head of the shard is full"))
 	}
 	s.ledger.writes.Inc(1)
-	r, err := s.ledger.store.CompareAndSwap(ctx, s.headKey(), s.state.revision, b, 0)
+	r, err := s.ledger.store.CompareAndSwap(ctx, s.headKey(), s.state.revision, b, sardineknot.LeaseID{})
 	if err != nil {
 		return s.resolveWrite(ctx, err)
 	}
@@ -112,7 +112,7 @@
 	}
 	k := s.archiveKey(s.state.sequence)
 	s.ledger.writes.Inc(1)
-	_, err = s.ledger.store.CompareAndSwap(ctx, k, 0, b, 0)
+	_, err = s.ledger.store.CompareAndSwap(ctx, k, sardineknot.StoreRevision{}, b, sardineknot.LeaseID{})
 	if err == nil {
 		return nil
 	}
@@ -132,7 +132,7 @@
 func (s *shard) removeArchives(ctx context.Context, sequences []uint64) {
 	for _, n := range sequences {
 		e, err := s.ledger.store.Get(ctx, s.archiveKey(n))
-		if err != nil || e.Revision == 0 {
+		if err != nil || e.Revision.Absent() {
 			continue
 		}
 		_ = s.ledger.store.Delete(ctx, e.Key, e.Revision)
--- a/internal/configuration/etcd/reader.go
+++ b/internal/configuration/etcd/reader.go
@@ -150,7 +150,7 @@
 // fullReadPeriod calls returns false. Each call increments readsSinceFull.
 func (r *Reader) headUnchanged(ctx context.Context) (bool, error) {
 	r.readsSinceFull++
-	if r.seenRevision == 0 || r.readsSinceFull >= fullReadPeriod {
+	if r.seenRevision.Absent() || r.readsSinceFull >= fullReadPeriod {
 		return false, nil
 	}
 	l, err := r.Store.Keys(ctx, sardineknot.ConfigurationHeadKey)
--- a/internal/configuration/etcd/reader_test.go
+++ b/internal/configuration/etcd/reader_test.go
@@ -61,7 +61,7 @@
 	is.New(t).NoErr(err)
 	h, err := json.Marshal(sardineknot.ConfigurationHead{Revision: r, Bundles: l})
 	is.New(t).NoErr(err)
-	s.revision++
+	s.revision.Number++
 	s.values = map[string][]byte{sardineknot.ConfigurationHeadKey: h}
 	for n, c := range b {
 		s.values[sardineknot.ConfigurationBundlePrefix+n] = c
--- a/internal/configuration/store/source.go
+++ b/internal/configuration/store/source.go
@@ -85,14 +85,14 @@
 	return s.changed
 }
 
-// Apply applies a changed entry of the service. An entry with a zero revision
-// was removed. The change is not visible in Current until Commit is called.
+// Apply applies a changed entry of the service. An entry without a revision
+// number was removed. The change is not visible in Current until Commit is called.
 // Apply reports whether the entry says more than is known: most writes of
 // backend servers only show that the server is alive.
 func (s *Source) Apply(e sardineknot.StoreEntry) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if e.Revision == 0 {
+	if e.Revision.Absent() {
 		return s.removeLocked(e.Key)
 	}
 	c, ok, err := s.Decoder.DecodeConfiguration(e)
--- a/internal/configuration/store/source_test.go
+++ b/internal/configuration/store/source_test.go
@@ -56,7 +56,7 @@
 }
 
 func (s *testSource) put(k, v string) {
-	s.Apply(sardineknot.StoreEntry{Key: k, Value: []byte(v), Revision: 1})
+	s.Apply(sardineknot.StoreEntry{Key: k, Value: []byte(v), Revision: sardineknot.StoreRevision{Number: 1}})
 	s.Commit()
 }
 
--- a/internal/configuration/writer/bundles.go
+++ b/internal/configuration/writer/bundles.go
@@ -32,7 +32,7 @@
 	var r sardineknot.StoreRevision
 	var err error
 	for i := range maxAttempts {
-		_, err = w.store.CompareAndSwap(ctx, k, r, b, 0)
+		_, err = w.store.CompareAndSwap(ctx, k, r, b, sardineknot.LeaseID{})
 		if err == nil || !isResolvable(err) {
 			return err
 		}
--- a/internal/configuration/writer/collect.go
+++ b/internal/configuration/writer/collect.go
@@ -32,9 +32,9 @@
 // candidate is a bundle that a collection found unreferenced.
 type candidate struct {
 	Hash string
-	// StoreRevision is the store revision of the bundle in that collection. A
+	// StoreRevision is the number of the store revision of the bundle in that collection. A
 	// bundle that was written since is a different candidate.
-	StoreRevision sardineknot.StoreRevision
+	StoreRevision int64
 	// Since is the time of that collection according to the operator's clock.
 	Since time.Time
 }
@@ -89,8 +89,8 @@
 			continue
 		}
 		c, ok := o[h]
-		if !ok || c.StoreRevision != e.Revision {
-			c = candidate{Hash: h, StoreRevision: e.Revision, Since: n.AcceptedAt}
+		if !ok || c.StoreRevision != e.Revision.Number {
+			c = candidate{Hash: h, StoreRevision: e.Revision.Number, Since: n.AcceptedAt}
 		}
 		if n.AcceptedAt.Sub(c.Since) < collectAge || w.store.Delete(ctx, e.Key, e.Revision) != nil {
 			k.Candidates = append(k.Candidates, c)
@@ -98,7 +98,7 @@
 	}
 	b, err := json.Marshal(k)
 	if err == nil {
-		_, _ = w.store.CompareAndSwap(ctx, garbageKey, r, b, 0)
+		_, _ = w.store.CompareAndSwap(ctx, garbageKey, r, b, sardineknot.LeaseID{})
 	}
 }
 
@@ -107,8 +107,8 @@
 func (w *Writer) garbage(ctx context.Context) (garbage, sardineknot.StoreRevision, error) {
 	var g garbage
 	e, err := w.store.Get(ctx, garbageKey)
-	if err != nil || e.Revision == 0 {
-		return g, 0, err
+	if err != nil || e.Revision.Absent() {
+		return g, sardineknot.StoreRevision{}, err
 	}
 	err = json.Unmarshal(e.Value, &g)
 	return g, e.Revision, errors.WithStack(err)
--- a/internal/configuration/writer/swap.go
+++ b/internal/configuration/writer/swap.go
@@ -26,7 +26,7 @@
 		return errors.WithStack(err)
 	}
 	for i := range maxAttempts {
-		_, err = w.store.CompareAndSwap(ctx, sardineknot.ConfigurationHeadKey, seen, b, 0)
+		_, err = w.store.CompareAndSwap(ctx, sardineknot.ConfigurationHeadKey, seen, b, sardineknot.LeaseID{})
 		if err == nil || !isResolvable(err) {
 			return err
 		}
--- a/internal/configuration/writer/writer.go
+++ b/internal/configuration/writer/writer.go
@@ -53,8 +53,8 @@
 func (w *Writer) Head(ctx context.Context) (sardineknot.ConfigurationHead, sardineknot.StoreRevision, error) {
 	var h sardineknot.ConfigurationHead
 	e, err := w.store.Get(ctx, sardineknot.ConfigurationHeadKey)
-	if err != nil || e.Revision == 0 {
-		return h, 0, err
+	if err != nil || e.Revision.Absent() {
+		return h, sardineknot.StoreRevision{}, err
 	}
 	err = json.Unmarshal(e.Value, &h)
 	return h, e.Revision, errors.WithStack(err)
@@ -108,7 +108,7 @@
 		return nil, err
 	}
 	for i, e := range l {
-		if e.Revision != 0 {
+		if !e.Revision.Absent() {
 			s[h.Bundles[i].Hash] = e.Value
 		}
 	}
--- a/internal/configuration/writer/writer_test.go
+++ b/internal/configuration/writer/writer_test.go
@@ -49,7 +49,7 @@
 		return s.Store.CompareAndSwap(ctx, key, expected, value, lease)
 	}
 	s.onHeadSwap = nil
-	return 0, f(func() error {
+	return sardineknot.StoreRevision{}, f(func() error {
 		_, err := s.Store.CompareAndSwap(ctx, key, expected, value, lease)
 		return err
 	})
@@ -208,7 +208,7 @@
 		c.Contracts = append(c.Contracts, sardineknot.Contract{Account: a})
 	}
 	w := writer.NewWriter(s)
-	i.NoErr(w.Write(t.Context(), c, sardineknot.ConfigurationHead{}, 0))
+	i.NoErr(w.Write(t.Context(), c, sardineknot.ConfigurationHead{}, sardineknot.StoreRevision{}))
 	c.Contracts[7].Burst = 1
 	s.reads.Store(0)
 	s.writes.Store(0)
--- a/internal/demo/deployment/deployment.go
+++ b/internal/demo/deployment/deployment.go
@@ -158,7 +158,7 @@
 // apply writes the configuration to the store as the first revision.
 func (d *Deployment) apply(ctx context.Context) error {
 	h := sardineknot.ConfigurationHead{Author: "demo"}
-	return writer.NewWriter(etcd.NewClient(d.store, 0)).Write(ctx, d.Configuration, h, 0)
+	return writer.NewWriter(etcd.NewClient(d.store, 0)).Write(ctx, d.Configuration, h, sardineknot.StoreRevision{})
 }
 
 // startEntryHosts starts count entry hosts and waits until all of them are
--- a/internal/host/process/control_test.go
+++ b/internal/host/process/control_test.go
@@ -70,7 +70,7 @@
 	for _, v := range s {
 		c.hosts = append(c.hosts, NewProcess(v, zerolog.Nop()))
 	}
-	i.NoErr(writer.NewWriter(c.hosts[0].store).Write(t.Context(), c.configuration(), sardineknot.ConfigurationHead{}, 0))
+	i.NoErr(writer.NewWriter(c.hosts[0].store).Write(t.Context(), c.configuration(), sardineknot.ConfigurationHead{}, sardineknot.StoreRevision{}))
 	c.run(t)
 	return c
 }
--- a/internal/host/process/overhead_test.go
+++ b/internal/host/process/overhead_test.go
@@ -57,7 +57,7 @@
 	s.CallerAddress, s.PeerAddress, s.AdminAddress = freeAddress(t), freeAddress(t), freeAddress(t)
 	f.entry = s.CallerAddress
 	p := NewProcess(s, zerolog.Nop())
-	i.NoErr(writer.NewWriter(p.store).Write(t.Context(), f.configuration(), sardineknot.ConfigurationHead{}, 0))
+	i.NoErr(writer.NewWriter(p.store).Write(t.Context(), f.configuration(), sardineknot.ConfigurationHead{}, sardineknot.StoreRevision{}))
 	ctx, cancel := context.WithCancel(context.Background())
 	d := make(chan error, 1)
 	go func() { d <- p.Run(ctx) }()
--- a/internal/membership/store/key.go
+++ b/internal/membership/store/key.go
@@ -14,7 +14,7 @@
 type hostKey struct {
 	registry *Registry
 	name     string
-	// lease is the lease of the key, or zero if there is none. ttl is its time
+	// lease is the lease of the key, or the zero value if there is none. ttl is its time
 	// to live.
 	lease sardineknot.LeaseID
 	ttl   time.Duration
@@ -43,7 +43,7 @@
 // to be written again. An old lease is left to expire.
 func (k *hostKey) renew(ctx context.Context, ttl time.Duration) error {
 	var u *sardineknot.UnknownError
-	if k.lease != 0 && k.fits(ttl) {
+	if k.lease != (sardineknot.LeaseID{}) && k.fits(ttl) {
 		err := k.registry.Store.KeepAlive(ctx, k.lease)
 		if !errors.As(err, &u) {
 			return err
@@ -77,7 +77,7 @@
 		k.revision, k.upToDate = n, true
 		return nil
 	case errors.As(err, &u):
-		k.lease = 0
+		k.lease = sardineknot.LeaseID{}
 		return err
 	case !errors.As(err, &c):
 		return err
--- a/internal/membership/store/registry.go
+++ b/internal/membership/store/registry.go
@@ -202,8 +202,8 @@
 	return m == nil || m.host.Incarnation > n
 }
 
-// Apply applies a changed entry of the key-value service. An entry with a zero
-// revision was removed. Entries of other keys are ignored. The change is not
+// Apply applies a changed entry of the key-value service. An entry without a
+// revision number was removed. Entries of other keys are ignored. The change is not
 // visible in Hosts until Refresh is called. Apply reports whether the entry is
 // that of a host.
 func (r *Registry) Apply(e sardineknot.StoreEntry) bool {
@@ -216,12 +216,12 @@
 	i := sardineknot.EntryHostID(n)
 	if i == r.self.ID {
 		r.ownRevision = e.Revision
-		if e.Revision == 0 {
+		if e.Revision.Absent() {
 			r.requestWrite()
 		}
 		return true
 	}
-	if e.Revision == 0 {
+	if e.Revision.Absent() {
 		r.removeLocked(i)
 		return true
 	}
@@ -338,7 +338,7 @@
 }
 
 // lastOwnRevision returns the revision of the key of this host that Apply
-// received last, or zero.
+// received last.
 func (r *Registry) lastOwnRevision() sardineknot.StoreRevision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/membership/store/registry_test.go
+++ b/internal/membership/store/registry_test.go
@@ -61,7 +61,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ttl = ttl
-	n := sardineknot.LeaseID(len(s.leases) + 1)
+	n := sardineknot.LeaseID{Number: int64(len(s.leases) + 1)}
 	s.leases[n] = true
 	return n, nil
 }
@@ -80,18 +80,18 @@
 	defer s.mu.Unlock()
 	s.writes++
 	if s.entries[k].Revision != r {
-		return 0, errors.WithStack(&sardineknot.ConflictError{Key: k, Expected: r})
+		return sardineknot.StoreRevision{}, errors.WithStack(&sardineknot.ConflictError{Key: k, Expected: r})
 	}
 	s.putLocked(sardineknot.StoreEntry{Key: k, Value: v})
 	if s.loseReply {
 		s.loseReply = false
-		return 0, errors.WithStack(&sardineknot.UnavailableError{Peer: "store", Cause: context.DeadlineExceeded})
+		return sardineknot.StoreRevision{}, errors.WithStack(&sardineknot.UnavailableError{Peer: "store", Cause: context.DeadlineExceeded})
 	}
 	return s.revision, nil
 }
 
 func (s *service) putLocked(e sardineknot.StoreEntry) {
-	s.revision++
+	s.revision.Number++
 	e.Revision = s.revision
 	s.entries[e.Key] = e
 	for _, f := range s.notify {
@@ -254,7 +254,7 @@
 	r.Reachability = func() (bool, time.Time) { return true, time.Time{} }
 	for i := range 295 {
 		e := hostEntry(i)
-		e.Revision = 1
+		e.Revision = sardineknot.StoreRevision{Number: 1}
 		r.Apply(e)
 	}
 	r.Refresh()
--- a/internal/orders/ledger/ledger.go
+++ b/internal/orders/ledger/ledger.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return sardineknot.EngineOrder{}, err
 	}
-	if r != 0 && l.mustWait(server, v) {
+	if !r.Absent() && l.mustWait(server, v) {
 		err = l.sleep(ctx, v.Validity+waitMargin)
 		if err != nil {
 			return sardineknot.EngineOrder{}, err
@@ -114,12 +114,12 @@
 	return l.write(ctx, order.Server, r, v)
 }
 
-// read returns the record of an engine and its revision, which is zero if
-// there is no record.
+// read returns the record of an engine and its revision, which tells
+// whether there is a record.
 func (l *Ledger) read(ctx context.Context, server sardineknot.BackendServerName) (record, sardineknot.StoreRevision, error) {
 	e, err := l.store.Get(ctx, recordKeyPrefix+string(server))
-	if err != nil || e.Revision == 0 {
-		return record{}, 0, err
+	if err != nil || e.Revision.Absent() {
+		return record{}, e.Revision, err
 	}
 	var v record
 	err = json.Unmarshal(e.Value, &v, codec.Durations())
@@ -133,6 +133,6 @@
 	if err != nil {
 		return errors.WithStack(err)
 	}
-	_, err = l.store.CompareAndSwap(ctx, recordKeyPrefix+string(server), seen, b, 0)
+	_, err = l.store.CompareAndSwap(ctx, recordKeyPrefix+string(server), seen, b, sardineknot.LeaseID{})
 	return err
 }
--- a/internal/platform/changelog/log.go
+++ b/internal/platform/changelog/log.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sort"
 	"sync"
 	"time"
 
@@ -48,7 +49,7 @@
 	return &Log{entries: make(map[string]sardineknot.StoreEntry), grown: make(chan struct{})}
 }
 
-// Record records a change. An entry with a zero revision was removed. Readers
+// Record records a change. An entry without a revision number was removed. Readers
 // do not see the change before the next Commit.
 func (l *Log) Record(entry sardineknot.StoreEntry) {
 	l.mu.Lock()
@@ -62,17 +63,17 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, e := range l.pending {
-		if e.Revision == 0 {
+		if e.Revision.Absent() {
 			delete(l.entries, e.Key)
 			continue
 		}
 		l.entries[e.Key] = e
 	}
-	if l.end == 0 {
+	if l.end.Absent() {
 		l.start = revision
 		l.pending = nil
 	}
-	l.end = max(l.end, revision)
+	l.end = l.end.Later(revision)
 	if len(l.pending) == 0 {
 		return
 	}
@@ -137,13 +138,13 @@
 func (l *Log) after(revision sardineknot.StoreRevision) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if revision < l.start || l.end == 0 {
+	if revision.Compare(l.start) < 0 || l.end.Absent() {
 		return nil, revision, nil, errors.WithStack(&sardineknot.CompactedError{After: revision})
 	}
-	i, _ := slices.BinarySearchFunc(l.batches, revision+1, func(b batch, r sardineknot.StoreRevision) int { return int(b.end - r) })
+	i := sort.Search(len(l.batches), func(i int) bool { return l.batches[i].end.Compare(revision) > 0 })
 	var r []sardineknot.StoreEntry
 	for _, b := range l.batches[i:] {
 		r = append(r, b.changes...)
 	}
-	return r, max(revision, l.end), l.grown, nil
+	return r, revision.Later(l.end), l.grown, nil
 }
--- a/internal/platform/changelog/log_test.go
+++ b/internal/platform/changelog/log_test.go
@@ -15,8 +15,12 @@
 	"sardineknot.example/sardineknot/internal/platform/changelog"
 )
 
-// put commits a batch that sets the given keys to revision.
-func put(l *changelog.Log, revision sardineknot.StoreRevision, keys ...string) {
+// at returns a revision of the first era.
+func at(number int64) sardineknot.StoreRevision { return sardineknot.StoreRevision{Number: number} }
+
+// put commits a batch that sets the given keys to a revision of the first era.
+func put(l *changelog.Log, number int64, keys ...string) {
+	revision := at(number)
 	for _, k := range keys {
 		l.Record(sardineknot.StoreEntry{Key: k, Revision: revision})
 	}
@@ -27,25 +31,26 @@
 func describe(entries []sardineknot.StoreEntry) string {
 	var r []string
 	for _, e := range entries {
-		r = append(r, fmt.Sprintf("%s@%d", e.Key, e.Revision))
+		r = append(r, fmt.Sprintf("%s@%d", e.Key, e.Revision.Number))
 	}
 	return strings.Join(r, " ")
 }
 
-// checkNext checks the changes after revision, and the next revision.
-func checkNext(t *testing.T, l *changelog.Log, revision sardineknot.StoreRevision, want string, next sardineknot.StoreRevision) {
+// checkNext checks the changes after a revision of the first era, and the next
+// revision.
+func checkNext(t *testing.T, l *changelog.Log, after int64, want string, next int64) {
 	t.Helper()
-	r, n, err := l.Next(t.Context(), revision, time.Millisecond)
+	r, n, err := l.Next(t.Context(), at(after), time.Millisecond)
 	is := is.New(t)
 	is.NoErr(err)
 	is.Equal(describe(r), want)
-	is.Equal(n, next)
+	is.Equal(n, at(next))
 }
 
-// checkCompacted checks that the changes after revision are not kept.
-func checkCompacted(t *testing.T, l *changelog.Log, revision sardineknot.StoreRevision) {
+// checkCompacted checks that the changes after a revision of the first era are not kept.
+func checkCompacted(t *testing.T, l *changelog.Log, after int64) {
 	t.Helper()
-	_, _, err := l.Next(t.Context(), revision, 0)
+	_, _, err := l.Next(t.Context(), at(after), 0)
 	var c *sardineknot.CompactedError
 	is.New(t).True(errors.As(err, &c))
 }
@@ -73,10 +78,10 @@
 		l := changelog.NewLog()
 		put(l, 10, "a", "b")
 		l.Record(sardineknot.StoreEntry{Key: "a"})
-		l.Commit(11)
+		l.Commit(at(11))
 		r, n := l.Snapshot()
 		is.Equal(describe(r), "b@10")
-		is.Equal(n, sardineknot.StoreRevision(11))
+		is.Equal(n, at(11))
 		checkNext(t, l, 10, "a@0", 11)
 	})
 	t.Run("changes before the first batch and discarded changes are missing", func(t *testing.T) {
@@ -85,7 +90,7 @@
 		put(l, 10, "a")
 		checkCompacted(t, l, 9)
 		for i := range 5000 {
-			put(l, sardineknot.StoreRevision(11+i), "a")
+			put(l, int64(11+i), "a")
 		}
 		checkCompacted(t, l, 500)
 		checkNext(t, l, 5009, "a@5010", 5010)
@@ -100,7 +105,7 @@
 			put(l, 10, "a")
 			time.AfterFunc(time.Second, func() { put(l, 20, "b") })
 			b := time.Now()
-			r, _, err := l.Next(t.Context(), 10, time.Minute)
+			r, _, err := l.Next(t.Context(), at(10), time.Minute)
 			is.NoErr(err)
 			is.Equal(describe(r), "b@20")
 			is.Equal(time.Since(b), time.Second)
@@ -111,7 +116,7 @@
 		put(l, 10, "a")
 		ctx, cancel := context.WithCancel(t.Context())
 		cancel()
-		_, _, err := l.Next(ctx, 10, time.Minute)
+		_, _, err := l.Next(ctx, at(10), time.Minute)
 		is.New(t).True(errors.Is(err, context.Canceled))
 	})
 }
--- a/internal/platform/etcd/client.go
+++ b/internal/platform/etcd/client.go
@@ -89,9 +89,9 @@
 // CompareAndSwap implements sardineknot.Store.
 func (c *Client) CompareAndSwap(ctx context.Context, key string, expected sardineknot.StoreRevision, value []byte, lease sardineknot.LeaseID) (sardineknot.StoreRevision, error) {
 	if len(value) > sardineknot.MaxStoreValueBytes {
-		return 0, errors.WithStack(&sardineknot.InvalidError{What: "value of " + key, Got: "too many bytes", Expected: "at most 1 MiB"})
+		return sardineknot.StoreRevision{}, errors.WithStack(&sardineknot.InvalidError{What: "value of " + key, Got: "too many bytes", Expected: "at most 1 MiB"})
 	}
-	p := &api.PutRequest{Key: []byte(key), Value: value, Lease: int64(lease)}
+	p := &api.PutRequest{Key: []byte(key), Value: value, Lease: lease.Number}
 	o := &api.RequestOp{Request: &api.RequestOp_RequestPut{RequestPut: p}}
 	return c.swap(ctx, key, expected, o)
 }
@@ -110,14 +110,14 @@
 	s := int64((ttl + time.Second - 1) / time.Second)
 	var r api.LeaseGrantResponse
 	err := c.call(ctx, "/v3/lease/grant", &api.LeaseGrantRequest{TTL: s}, &r)
-	return sardineknot.LeaseID(r.GetID()), err
+	return sardineknot.LeaseID{Number: r.GetID()}, err
 }
 
 // KeepAlive implements sardineknot.Store. It fails with an UnknownError if the
 // lease has expired.
 func (c *Client) KeepAlive(ctx context.Context, id sardineknot.LeaseID) error {
 	var r api.LeaseKeepAliveResult
-	err := c.call(ctx, "/v3/lease/keepalive", &api.LeaseKeepAliveRequest{ID: int64(id)}, &r)
+	err := c.call(ctx, "/v3/lease/keepalive", &api.LeaseKeepAliveRequest{ID: id.Number}, &r)
 	if err != nil {
 		return err
 	}
@@ -135,19 +135,19 @@
 			Key:         []byte(key),
 			Target:      api.Compare_MOD,
 			Result:      api.Compare_EQUAL,
-			ModRevision: int64(expected),
+			ModRevision: expected.Number,
 		}},
 		Success: []*api.RequestOp{o},
 	}
 	var r api.TxnResponse
 	err := c.call(ctx, "/v3/kv/txn", q, &r)
 	if err != nil {
-		return 0, err
+		return sardineknot.StoreRevision{}, err
 	}
 	if !r.GetSucceeded() {
-		return 0, errors.WithStack(&sardineknot.ConflictError{Key: key, Expected: expected})
+		return sardineknot.StoreRevision{}, errors.WithStack(&sardineknot.ConflictError{Key: key, Expected: expected})
 	}
-	return sardineknot.StoreRevision(r.GetHeader().GetRevision()), nil
+	return sardineknot.StoreRevision{Number: r.GetHeader().GetRevision()}, nil
 }
 
 // call posts q to path and decodes the response into r. All failures are
@@ -208,7 +208,7 @@
 	return sardineknot.StoreEntry{
 		Key:      string(v.GetKey()),
 		Value:    v.GetValue(),
-		Revision: sardineknot.StoreRevision(v.GetModRevision()),
+		Revision: sardineknot.StoreRevision{Number: v.GetModRevision()},
 	}
 }
 
--- a/internal/platform/etcd/watch.go
+++ b/internal/platform/etcd/watch.go
@@ -19,7 +19,7 @@
 	q := &api.WatchRequest{CreateRequest: &api.WatchCreateRequest{
 		Key:           []byte(prefix),
 		RangeEnd:      prefixEnd(prefix),
-		StartRevision: int64(revision) + 1,
+		StartRevision: revision.Number + 1,
 	}}
 	p, err := c.post(ctx, "/v3/watch", q)
 	if err != nil {
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -42,7 +42,7 @@
 	// available again, or has discarded changes that the mirror needs.
 	Log zerolog.Logger
 	// OnChange is called with each changed entry, from a single goroutine. An
-	// entry with a zero revision was removed.
+	// entry without a revision number was removed.
 	OnChange func(sardineknot.StoreEntry)
 	// OnBatch is called after each batch of changes, which may be empty, from
 	// the goroutine that calls OnChange. All changes up to revision were
@@ -84,7 +84,7 @@
 			at, p = n, minBackoff
 			_ = m.Sleep(ctx, m.PollDelay())
 		case errors.As(err, &c):
-			at = 0
+			at = sardineknot.StoreRevision{}
 		default:
 			_ = m.Sleep(ctx, p)
 			p = min(2*p, maxBackoff)
@@ -93,10 +93,10 @@
 	return nil
 }
 
-// poll reads the changes made after revision, or all keys if revision is zero.
-// It returns the revision to pass to the next call.
+// poll reads the changes made after revision, or all keys if revision
+// has no number. It returns the revision to pass to the next call.
 func (m *Mirror) poll(ctx context.Context, revision sardineknot.StoreRevision) (sardineknot.StoreRevision, error) {
-	if revision == 0 {
+	if revision.Absent() {
 		return m.loadSnapshot(ctx)
 	}
 	l, n, err := m.Feed.Next(ctx, revision, longPollTimeout)
@@ -116,7 +116,7 @@
 func (m *Mirror) loadSnapshot(ctx context.Context) (sardineknot.StoreRevision, error) {
 	l, n, err := m.Feed.Snapshot(ctx)
 	if err != nil {
-		return 0, err
+		return sardineknot.StoreRevision{}, err
 	}
 	k := make(map[string]bool, len(l))
 	for _, e := range l {
@@ -137,9 +137,9 @@
 func (m *Mirror) apply(e sardineknot.StoreEntry) {
 	o := m.entries[e.Key]
 	switch {
-	case e.Revision == 0:
+	case e.Revision.Absent():
 		delete(m.entries, e.Key)
-	case e.Revision <= o.Revision:
+	case e.Revision.Compare(o.Revision) <= 0:
 		return
 	default:
 		m.entries[e.Key] = sardineknot.StoreEntry{Key: e.Key, Revision: e.Revision}
--- a/internal/platform/mirror/mirror_test.go
+++ b/internal/platform/mirror/mirror_test.go
@@ -67,8 +67,11 @@
 	g()
 }
 
-func entry(k string, r sardineknot.StoreRevision) sardineknot.StoreEntry {
-	return sardineknot.StoreEntry{Key: k, Revision: r}
+// at returns a revision of the first era.
+func at(number int64) sardineknot.StoreRevision { return sardineknot.StoreRevision{Number: number} }
+
+func entry(k string, number int64) sardineknot.StoreEntry {
+	return sardineknot.StoreEntry{Key: k, Revision: at(number)}
 }
 
 // runMirror runs a mirror of f while g runs. seen holds the revisions that the
@@ -99,31 +102,31 @@
 
 func TestMirror(t *testing.T) {
 	t.Run("reports entries and changes", func(t *testing.T) {
-		f := &feed{entries: []sardineknot.StoreEntry{entry("a", 1)}, at: 1}
+		f := &feed{entries: []sardineknot.StoreEntry{entry("a", 1)}, at: at(1)}
 		runMirror(t, f, func(_ *mirror.Mirror, seen map[string]sardineknot.StoreRevision) {
 			is := is.New(t)
-			is.Equal(seen["a"], sardineknot.StoreRevision(1))
-			f.set(func() { f.changes, f.at = []sardineknot.StoreEntry{entry("b", 2), entry("a", 0)}, 3 })
+			is.Equal(seen["a"], at(1))
+			f.set(func() { f.changes, f.at = []sardineknot.StoreEntry{entry("b", 2), entry("a", 0)}, at(3) })
 			advance(3 * time.Second)
-			is.Equal(seen["b"], sardineknot.StoreRevision(2))
-			is.Equal(seen["a"], sardineknot.StoreRevision(0))
+			is.Equal(seen["b"], at(2))
+			is.Equal(seen["a"], at(0))
 		})
 	})
 	t.Run("reads all keys after a compaction", func(t *testing.T) {
-		f := &feed{entries: []sardineknot.StoreEntry{entry("a", 1), entry("b", 1)}, at: 1}
+		f := &feed{entries: []sardineknot.StoreEntry{entry("a", 1), entry("b", 1)}, at: at(1)}
 		runMirror(t, f, func(_ *mirror.Mirror, seen map[string]sardineknot.StoreRevision) {
 			f.set(func() {
-				f.entries, f.at = []sardineknot.StoreEntry{entry("b", 5)}, 5
-				f.err = errors.WithStack(&sardineknot.CompactedError{After: 1})
+				f.entries, f.at = []sardineknot.StoreEntry{entry("b", 5)}, at(5)
+				f.err = errors.WithStack(&sardineknot.CompactedError{After: at(1)})
 			})
 			advance(5 * time.Second)
 			is := is.New(t)
-			is.Equal(seen["a"], sardineknot.StoreRevision(0)) // removed while changes were missed
-			is.Equal(seen["b"], sardineknot.StoreRevision(5))
+			is.Equal(seen["a"], at(0)) // removed while changes were missed
+			is.Equal(seen["b"], at(5))
 		})
 	})
 	t.Run("reports whether the store answers", func(t *testing.T) {
-		f := &feed{at: 1}
+		f := &feed{at: at(1)}
 		runMirror(t, f, func(m *mirror.Mirror, _ map[string]sardineknot.StoreRevision) {
 			is := is.New(t)
 			k, _ := m.Reachability()
--- a/internal/platform/twirp/cluster_test.go
+++ b/internal/platform/twirp/cluster_test.go
@@ -40,7 +40,7 @@
 
 // put writes an entry.
 func (s *service) put(key, value string) {
-	s.revision++
+	s.revision.Number++
 	l := s.log.Load()
 	l.Record(sardineknot.StoreEntry{Key: key, Value: []byte(value), Revision: s.revision})
 	l.Commit(s.revision)
@@ -53,7 +53,7 @@
 	for _, e := range l {
 		n.Record(e)
 	}
-	s.revision += 100
+	s.revision.Number += 100
 	n.Commit(s.revision)
 	s.log.Store(n)
 }
@@ -76,7 +76,7 @@
 func (f *hostFeed) Snapshot(context.Context) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
 	err := f.call()
 	if err != nil {
-		return nil, 0, err
+		return nil, sardineknot.StoreRevision{}, err
 	}
 	l, n := f.service.log.Load().Snapshot()
 	return l, n, nil
--- a/internal/platform/twirp/peer.go
+++ b/internal/platform/twirp/peer.go
@@ -27,28 +27,28 @@
 func snapshotFrom(ctx context.Context, peer rpc.Changes) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
 	a, err := peer.Snapshot(ctx, &rpc.SnapshotRequest{})
 	if err != nil {
-		return nil, 0, err
+		return nil, sardineknot.StoreRevision{}, err
 	}
-	return entriesFromMessage(a.GetEntries()), sardineknot.StoreRevision(a.GetRevision()), nil
+	return entriesFromMessage(a.GetEntries()), sardineknot.StoreRevision{Number: a.GetRevision()}, nil
 }
 
 // nextFrom reads the changes of peer after revision, for which peer waits for
 // at most wait. It fails with a CompactedError if peer does not have them.
 func nextFrom(ctx context.Context, peer rpc.Changes, revision sardineknot.StoreRevision, wait time.Duration) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
-	a, err := peer.Next(ctx, &rpc.NextRequest{Revision: int64(revision), WaitMicros: wait.Microseconds()})
+	a, err := peer.Next(ctx, &rpc.NextRequest{Revision: revision.Number, WaitMicros: wait.Microseconds()})
 	if err != nil {
 		return nil, revision, err
 	}
 	if a.GetCompacted() {
-		return nil, 0, errors.WithStack(&sardineknot.CompactedError{After: revision})
+		return nil, sardineknot.StoreRevision{}, errors.WithStack(&sardineknot.CompactedError{After: revision})
 	}
-	return entriesFromMessage(a.GetEntries()), sardineknot.StoreRevision(a.GetRevision()), nil
+	return entriesFromMessage(a.GetEntries()), sardineknot.StoreRevision{Number: a.GetRevision()}, nil
 }
 
 func entriesFromMessage(message []*rpc.Entry) []sardineknot.StoreEntry {
 	l := make([]sardineknot.StoreEntry, 0, len(message))
 	for _, e := range message {
-		l = append(l, sardineknot.StoreEntry{Key: e.GetKey(), Value: e.GetValue(), Revision: sardineknot.StoreRevision(e.GetRevision())})
+		l = append(l, sardineknot.StoreEntry{Key: e.GetKey(), Value: e.GetValue(), Revision: sardineknot.StoreRevision{Number: e.GetRevision()}})
 	}
 	return l
 }
@@ -56,7 +56,7 @@
 func entriesMessage(entries []sardineknot.StoreEntry) []*rpc.Entry {
 	l := make([]*rpc.Entry, 0, len(entries))
 	for _, e := range entries {
-		l = append(l, &rpc.Entry{Key: e.Key, Value: e.Value, Revision: int64(e.Revision)})
+		l = append(l, &rpc.Entry{Key: e.Key, Value: e.Value, Revision: e.Revision.Number})
 	}
 	return l
 }
--- a/internal/platform/twirp/service.go
+++ b/internal/platform/twirp/service.go
@@ -33,7 +33,7 @@
 		return nil, err
 	}
 	l, n := s.feed.Entries.Snapshot()
-	return &rpc.SnapshotResponse{Entries: entriesMessage(l), Revision: int64(n)}, nil
+	return &rpc.SnapshotResponse{Entries: entriesMessage(l), Revision: n.Number}, nil
 }
 
 // Next implements rpc.Changes.
@@ -43,7 +43,7 @@
 		return nil, err
 	}
 	w := time.Duration(request.GetWaitMicros()) * time.Microsecond
-	l, n, err := s.feed.Entries.Next(ctx, sardineknot.StoreRevision(request.GetRevision()), min(w, maxPeerWait))
+	l, n, err := s.feed.Entries.Next(ctx, sardineknot.StoreRevision{Number: request.GetRevision()}, min(w, maxPeerWait))
 	var c *sardineknot.CompactedError
 	if errors.As(err, &c) {
 		return &rpc.NextResponse{Compacted: true}, nil
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &rpc.NextResponse{Entries: entriesMessage(l), Revision: int64(n)}, nil
+	return &rpc.NextResponse{Entries: entriesMessage(l), Revision: n.Number}, nil
 }
 
 // check returns an error if this host does not read from the service itself, or
--- a/store.go
+++ b/store.go
@@ -5,14 +5,6 @@
 	"time"
 )
 
-// StoreRevision is the revision of a key in the platform's key-value service.
-// Zero means that the key is absent.
-type StoreRevision int64
-
-// LeaseID identifies a lease in the platform's key-value service. Zero means no
-// lease.
-type LeaseID int64
-
 // StoreEntry is a key with its value.
 type StoreEntry struct {
 	// Key is not empty.
@@ -20,7 +12,7 @@
 	// Value is at most MaxStoreValueBytes long. It is nil if the key is
 	// absent.
 	Value []byte
-	// Revision is zero if and only if the key is absent.
+	// Revision says in its Number whether the key is absent.
 	Revision StoreRevision
 }
 
