platform: the era of the store is read from all answers

Seen: after the store came back from an older copy, a watch went on from a revision of before, with the changes of other keys under it; a renewal of a lease of before prolonged the lease of another client that had got the number since; a write under a revision of before replaced what somebody else had written.

Cause: the client ignored the header of the era, and the numbers are given out again.

Fix: the client reads the era of each answer and gives it to revisions, entries and leases. An answer of an era before the latest known one counts as none. A revision or a lease of an earlier era fails before the call is sent. If the call itself finds the new era, a watch fails as after lost history, a write as after a conflict, and a renewal as that of a lease that has ended.

Ruled out: a condition on the era within the write, which the store does not offer. A write that crosses the store's return may thus still take effect; it is reported as a conflict, so that its writer reads again.

Conclusion: nothing of an earlier era is used knowingly. Those who keep state of the store have yet to act on a new era.

--- a/errors.go
+++ b/errors.go
@@ -108,6 +108,17 @@
 // Unwrap returns the cause.
 func (e *UnavailableError) Unwrap() error { return e.Cause }
 
+// StaleEraError reports that data of the store is of an era before the latest
+// one that is known, and is therefore not used.
+type StaleEraError struct {
+	Got, Latest StoreEra
+}
+
+// Error implements error.
+func (e *StaleEraError) Error() string {
+	return fmt.Sprintf("data of era %d of the store, expected era %d", e.Got, e.Latest)
+}
+
 // RefusedError reports that a backend server refused a request without running
 // it.
 type RefusedError struct {
--- a/feed.go
+++ b/feed.go
@@ -10,14 +10,14 @@
 //
 // Every method fails with an UnavailableError if the service does not answer.
 type ChangeFeed interface {
-	// Snapshot returns all entries and a revision. Each entry was read at that
+	// Snapshot returns all entries and a revision, all of one era. Each entry was read at that
 	// revision or later, so that Next, called with the revision, returns every
 	// change that the entries do not reflect.
 	Snapshot(ctx context.Context) ([]StoreEntry, StoreRevision, error)
 	// Next returns the changes that were made after revision, and the revision
 	// to pass to the next call. If there are no such changes yet, Next waits
 	// for them, for at most timeout. It fails with a CompactedError if the
-	// service no longer keeps these changes.
+	// service no longer keeps these changes, or if a new era has begun.
 	Next(ctx context.Context, revision StoreRevision, timeout time.Duration) ([]StoreEntry, StoreRevision, error)
 }
 
--- a/store.go
+++ b/store.go
@@ -21,10 +21,16 @@
 
 // Store is the platform's key-value service.
 //
-// Every method fails with an UnavailableError if the service does not answer. A
-// write that fails with this error may have taken effect.
+// Every method fails with an UnavailableError if the service does not answer, or
+// if its answer is of an era before the latest one known. A write that fails
+// with this error may have taken effect.
+//
+// A revision or a lease of an earlier era counts as one that the service does
+// not have. If a write or a renewal is the call that finds the new era, its
+// failure does not tell whether it took effect.
 type Store interface {
-	// Get returns the entry of key. An absent key is not an error.
+	// Get returns the entry of key. An absent key is not an error; its revision
+	// holds the era.
 	Get(ctx context.Context, key string) (StoreEntry, error)
 	// List returns the entries whose keys start with prefix, ordered by key.
 	List(ctx context.Context, prefix string) ([]StoreEntry, error)
