internal/platform/changelog: the log begins anew with an era

Seen: after a change of era a follower's log held entries of both eras, passed changes of the old one on, and kept readers waiting at a revision that the store had given out again.

Cause: the log ordered its batches by number alone.

Fix: the first batch of a later era replaces all entries and batches and wakes the readers, which then read all entries again. A batch of an earlier era is dropped. A reader that is an era ahead is told that the log is behind, so that it asks elsewhere.

Ruled out: a log for each era, of which all but the last hold only what the store has lost.

Conclusion: one log, one era. The first batch of an era must be complete, which Precedes tells to the one who records.

--- a/internal/platform/changelog/doc.go
+++ b/internal/platform/changelog/doc.go
@@ -6,4 +6,7 @@
 // the batch before it to its own end. A reader names the last revision that it
 // has read and gets every batch that ends after it. It may therefore get
 // changes that it knows already.
+//
+// The log holds one era of the service. When a new one begins, so does the log:
+// readers of the era before read all entries again.
 package changelog
--- a/internal/platform/changelog/log.go
+++ b/internal/platform/changelog/log.go
@@ -33,7 +33,7 @@
 	// revision up to which the log is complete. Both are zero before the first
 	// Commit.
 	start, end sardineknot.StoreRevision
-	// grown is closed and replaced when a batch is added.
+	// grown is closed and replaced when a batch is added or an era begins.
 	grown chan struct{}
 }
 
@@ -57,22 +57,29 @@
 	l.pending = append(l.pending, entry)
 }
 
+// Precedes reports whether the log has no state of era yet. The first batch of
+// an era must hold all entries, whether they tell something new or not.
+func (l *Log) Precedes(era sardineknot.StoreEra) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.end.Era < era
+}
+
 // Commit makes the recorded changes visible to readers. The log is then
-// complete up to revision.
+// complete up to revision. If a new era begins, the recorded changes replace all
+// entries. Changes of an earlier era are discarded.
 func (l *Log) Commit(revision sardineknot.StoreRevision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, e := range l.pending {
-		if e.Revision.Absent() {
-			delete(l.entries, e.Key)
-			continue
-		}
-		l.entries[e.Key] = e
-	}
-	if l.end.Absent() {
-		l.start = revision
+	switch {
+	case revision.Era < l.end.Era:
 		l.pending = nil
+		return
+	case revision.Era > l.end.Era || l.end.Absent():
+		l.beginLocked(revision)
+		return
 	}
+	l.applyLocked()
 	l.end = l.end.Later(revision)
 	if len(l.pending) == 0 {
 		return
@@ -81,6 +88,32 @@
 	l.changes += len(l.pending)
 	l.pending = nil
 	l.trimLocked()
+	l.notifyLocked()
+}
+
+// beginLocked begins an era, or the first one, with the recorded changes.
+// Readers that wait for changes of the era before notice it.
+func (l *Log) beginLocked(revision sardineknot.StoreRevision) {
+	clear(l.entries)
+	l.applyLocked()
+	l.pending, l.batches, l.changes = nil, nil, 0
+	l.start, l.end = revision, revision
+	l.notifyLocked()
+}
+
+// applyLocked applies the recorded changes to the entries.
+func (l *Log) applyLocked() {
+	for _, e := range l.pending {
+		if e.Revision.Absent() {
+			delete(l.entries, e.Key)
+			continue
+		}
+		l.entries[e.Key] = e
+	}
+}
+
+// notifyLocked wakes the readers that wait.
+func (l *Log) notifyLocked() {
 	close(l.grown)
 	l.grown = make(chan struct{})
 }
@@ -113,7 +146,8 @@
 // Next returns the changes made after revision, and the revision up to which
 // they are complete, which is never below the given one. If there are no such
 // changes yet, Next waits for them, for at most timeout. It fails with a
-// CompactedError if the log does not reach back to revision.
+// CompactedError if the log does not reach back to revision, and with a
+// StaleEraError if revision is of a later era than the log.
 func (l *Log) Next(ctx context.Context, revision sardineknot.StoreRevision, timeout time.Duration) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
 	t := time.NewTimer(timeout)
 	defer t.Stop()
@@ -134,10 +168,13 @@
 
 // after returns the changes of all batches that end after revision, the
 // revision up to which they are complete, and a channel that is closed when the
-// next batch is added.
+// next batch is added or an era begins.
 func (l *Log) after(revision sardineknot.StoreRevision) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, <-chan struct{}, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if revision.Era > l.end.Era {
+		return nil, revision, nil, errors.WithStack(&sardineknot.StaleEraError{Got: l.end.Era, Latest: revision.Era})
+	}
 	if revision.Compare(l.start) < 0 || l.end.Absent() {
 		return nil, revision, nil, errors.WithStack(&sardineknot.CompactedError{After: revision})
 	}
--- a/internal/platform/changelog/log_test.go
+++ b/internal/platform/changelog/log_test.go
@@ -120,3 +120,66 @@
 		is.New(t).True(errors.Is(err, context.Canceled))
 	})
 }
+
+// putEra commits a batch that sets the given keys to a revision of an era.
+func putEra(l *changelog.Log, era sardineknot.StoreEra, number int64, keys ...string) {
+	r := sardineknot.StoreRevision{Era: era, Number: number}
+	for _, k := range keys {
+		l.Record(sardineknot.StoreEntry{Key: k, Revision: r})
+	}
+	l.Commit(r)
+}
+
+// checkSnapshot checks the entries of the log, of which there is one at most.
+func checkSnapshot(t *testing.T, l *changelog.Log, want string, revision sardineknot.StoreRevision) {
+	t.Helper()
+	is := is.New(t)
+	r, n := l.Snapshot()
+	is.Equal(describe(r), want)
+	is.Equal(n, revision)
+}
+
+// TestLogEra covers a service that came back from an older copy and gives out
+// revisions again: changes of both eras must not be mixed.
+func TestLogEra(t *testing.T) {
+	t.Run("a new era begins with its own entries", func(t *testing.T) {
+		l := changelog.NewLog()
+		put(l, 10, "a")
+		put(l, 30, "b")
+		putEra(l, 1, 20, "c")
+		checkSnapshot(t, l, "c@20", sardineknot.StoreRevision{Era: 1, Number: 20})
+		checkCompacted(t, l, 10)
+		checkCompacted(t, l, 30)
+		putEra(l, 1, 30, "d")
+		r, n, err := l.Next(t.Context(), sardineknot.StoreRevision{Era: 1, Number: 20}, time.Millisecond)
+		is := is.New(t)
+		is.NoErr(err)
+		is.Equal(describe(r), "d@30")
+		is.Equal(n, sardineknot.StoreRevision{Era: 1, Number: 30})
+	})
+	t.Run("a batch of an earlier era is dropped", func(t *testing.T) {
+		l := changelog.NewLog()
+		putEra(l, 1, 20, "c")
+		put(l, 30, "a")
+		checkSnapshot(t, l, "c@20", sardineknot.StoreRevision{Era: 1, Number: 20})
+	})
+	t.Run("a reader of a later era is told so", func(t *testing.T) {
+		l := changelog.NewLog()
+		put(l, 30, "a")
+		_, _, err := l.Next(t.Context(), sardineknot.StoreRevision{Era: 1, Number: 20}, 0)
+		var s *sardineknot.StaleEraError
+		is.New(t).True(errors.As(err, &s))
+	})
+	t.Run("a reader that waits learns of a new era", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			l := changelog.NewLog()
+			put(l, 10, "a")
+			time.AfterFunc(time.Second, func() { putEra(l, 1, 20) })
+			b := time.Now()
+			_, _, err := l.Next(t.Context(), at(10), time.Minute)
+			var c *sardineknot.CompactedError
+			is.New(t).True(errors.As(err, &c))
+			is.New(t).Equal(time.Since(b), time.Second)
+		})
+	})
+}
