internal/membership/store: the host's key is written under a new lease in a new era

Seen: after the store came back from an older copy, a host went on renewing its lease by number. The number may have been granted to another client since: the host then kept that client's keys alive, and its own key, lost with the copy, was written under the lease of somebody else.

Cause: nothing told the registry of the new era, and a lease was known by its number only.

Fix: BeginEra makes the host write its key at once. A lease of an earlier era is not renewed; a new one is granted first. If a write finds that its lease is gone, the attempt is made once more at once, not at the next renewal.

Ruled out: ending the old lease, whose number may be somebody else's.

Conclusion: the key is back within 50 ms of the host's learning of the era, in virtual time, also after a second return during the recovery.

--- a/internal/membership/store/key.go
+++ b/internal/membership/store/key.go
@@ -29,21 +29,33 @@
 func (k *hostKey) maintain(ctx context.Context, ttl time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := k.renew(ctx, ttl)
-	if err == nil && !k.upToDate {
-		err = k.put(ctx)
+	err := k.update(ctx, ttl)
+	var u *sardineknot.UnknownError
+	if errors.As(err, &u) {
+		// The lease was granted before the service came back from an older copy.
+		err = k.update(ctx, ttl)
 	}
 	if err != nil && ctx.Err() == nil {
 		k.registry.Log.Warn().Stringer("event", sardineknot.LogRegistrationFailed).Err(err).Send()
 	}
 }
 
+// update renews the lease and writes the key if necessary. It fails with an
+// UnknownError if the lease has expired before the key was written.
+func (k *hostKey) update(ctx context.Context, ttl time.Duration) error {
+	err := k.renew(ctx, ttl)
+	if err != nil || k.upToDate {
+		return err
+	}
+	return k.put(ctx)
+}
+
 // renew renews the lease, or obtains a new one if there is none, if it has
-// expired, or if its time to live is far from ttl. A new lease requires the key
+// expired or is of an earlier era, or if its time to live is far from ttl. A new lease requires the key
 // to be written again. An old lease is left to expire.
 func (k *hostKey) renew(ctx context.Context, ttl time.Duration) error {
 	var u *sardineknot.UnknownError
-	if k.lease != (sardineknot.LeaseID{}) && k.fits(ttl) {
+	if k.lease != (sardineknot.LeaseID{}) && k.lease.Era >= k.registry.latestEra() && k.fits(ttl) {
 		err := k.registry.Store.KeepAlive(ctx, k.lease)
 		if !errors.As(err, &u) {
 			return err
--- a/internal/membership/store/registry.go
+++ b/internal/membership/store/registry.go
@@ -84,6 +84,8 @@
 	// last. refreshed is closed by the first call of Refresh.
 	ownRevision sardineknot.StoreRevision
 	refreshed   chan struct{}
+	// era is the era of the service that BeginEra received last.
+	era         sardineknot.StoreEra
 	refreshOnce sync.Once
 	// joined and gone hold the hosts that were added and removed since the last
 	// log line about them.
@@ -234,6 +236,23 @@
 	return true
 }
 
+// BeginEra makes Run write the key of this host again under a new lease, because
+// the service came back from an older copy. A lease of an earlier era is neither
+// renewed nor used: its number may meanwhile be that of another client.
+func (r *Registry) BeginEra(era sardineknot.StoreEra) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.era = era
+	r.requestWrite()
+}
+
+// latestEra returns the era that BeginEra received last.
+func (r *Registry) latestEra() sardineknot.StoreEra {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.era
+}
+
 func (r *Registry) removeLocked(i sardineknot.EntryHostID) {
 	if m := r.hosts[i]; m != nil && m.keyRemovedAt.IsZero() {
 		m.keyRemovedAt = r.Clock.Now()
--- a/internal/membership/store/registry_test.go
+++ b/internal/membership/store/registry_test.go
@@ -34,6 +34,12 @@
 	ttl time.Duration
 	// notify holds the functions that are called with each change.
 	notify []func(sardineknot.StoreEntry)
+	// keyLeases holds the lease that each key was last written under.
+	keyLeases map[string]sardineknot.LeaseID
+	// renewed holds the leases that were renewed since the last restore.
+	renewed []sardineknot.LeaseID
+	// restored holds the functions that are called with each new era.
+	restored []func(sardineknot.StoreEra)
 	// loseReply makes the next write take effect but return an error.
 	loseReply bool
 	sardineknot.Store
@@ -48,7 +54,7 @@
 }
 
 func newService() *service {
-	return &service{entries: make(map[string]sardineknot.StoreEntry), leases: make(map[sardineknot.LeaseID]bool)}
+	return &service{entries: make(map[string]sardineknot.StoreEntry), leases: make(map[sardineknot.LeaseID]bool), keyLeases: make(map[string]sardineknot.LeaseID)}
 }
 
 func (s *service) Get(_ context.Context, k string) (sardineknot.StoreEntry, error) {
@@ -61,7 +67,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.ttl = ttl
-	n := sardineknot.LeaseID{Number: int64(len(s.leases) + 1)}
+	n := sardineknot.LeaseID{Era: s.revision.Era, Number: int64(len(s.leases) + 1)}
 	s.leases[n] = true
 	return n, nil
 }
@@ -69,19 +75,22 @@
 func (s *service) KeepAlive(_ context.Context, i sardineknot.LeaseID) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.renewed = append(s.renewed, i)
+	i.Era = s.revision.Era // as the service, which sees numbers only
 	if !s.leases[i] {
 		return errors.WithStack(&sardineknot.UnknownError{What: "Lease"})
 	}
 	return nil
 }
 
-func (s *service) CompareAndSwap(_ context.Context, k string, r sardineknot.StoreRevision, v []byte, _ sardineknot.LeaseID) (sardineknot.StoreRevision, error) {
+func (s *service) CompareAndSwap(_ context.Context, k string, r sardineknot.StoreRevision, v []byte, i sardineknot.LeaseID) (sardineknot.StoreRevision, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.writes++
 	if s.entries[k].Revision != r {
 		return sardineknot.StoreRevision{}, errors.WithStack(&sardineknot.ConflictError{Key: k, Expected: r})
 	}
+	s.keyLeases[k] = i
 	s.putLocked(sardineknot.StoreEntry{Key: k, Value: v})
 	if s.loseReply {
 		s.loseReply = false
@@ -114,6 +123,48 @@
 	}
 }
 
+// restore makes the service come back from an empty copy: it begins an era and
+// grants leases from the first number on. The first is granted to another client.
+func (s *service) restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = sardineknot.StoreRevision{Era: s.revision.Era + 1}
+	clear(s.leases)
+	s.leases[sardineknot.LeaseID{Era: s.revision.Era, Number: 1}] = true
+	s.renewed = nil
+	for _, f := range s.restored {
+		f(s.revision.Era)
+	}
+	for k := range s.entries {
+		delete(s.entries, k)
+		for _, f := range s.notify {
+			f(sardineknot.StoreEntry{Key: k, Revision: sardineknot.StoreRevision{Era: s.revision.Era}})
+		}
+	}
+}
+
+// forgetRenewals clears the record of renewed leases.
+func (s *service) forgetRenewals() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.renewed = nil
+}
+
+// checkEra checks that key exists under a lease of the current era, and that no
+// lease of an earlier one was renewed.
+func (s *service) checkEra(t *testing.T, key string) {
+	t.Helper()
+	is := is.New(t)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	is.True(!s.entries[key].Revision.Absent())
+	is.Equal(s.keyLeases[key].Era, s.revision.Era)
+	is.True(s.keyLeases[key].Number > 1)
+	for _, i := range s.renewed {
+		is.Equal(i.Era, s.revision.Era)
+	}
+}
+
 // start runs a registry of host n on s until the test ends.
 func start(t *testing.T, s *service, n sardineknot.EntryHostID) *store.Registry {
 	a := netip.MustParseAddrPort("127.0.0.1:1")
@@ -125,6 +176,7 @@
 		r.Apply(e)
 		r.Refresh()
 	})
+	s.restored = append(s.restored, r.BeginEra)
 	for _, e := range s.entries {
 		r.Apply(e)
 	}
@@ -262,3 +314,51 @@
 	is.True(strings.Contains(b.String(), `"joined":295`))
 	is.True(b.Len() < 400)
 }
+
+// TestRestore covers a service that comes back from an older copy and grants the
+// number of a host's lease to another client: the host must take a new lease and
+// write its key at once, before its renewal is due.
+func TestRestore(t *testing.T) {
+	run(t, "the key is written at once under a new lease", func(t *testing.T, is *is.I, s *service) {
+		a, b := start(t, s, "a"), start(t, s, "b")
+		advance(3 * time.Second)
+		s.restore()
+		advance(50 * time.Millisecond)
+		s.checkEra(t, store.KeyPrefix+"a")
+		s.checkEra(t, store.KeyPrefix+"b")
+		is.Equal(aliveHosts(a), "a b")
+		advance(10 * time.Second)
+		s.checkEra(t, store.KeyPrefix+"a")
+		is.Equal(aliveHosts(b), "a b")
+	})
+	run(t, "a second return during the recovery", func(t *testing.T, is *is.I, s *service) {
+		start(t, s, "a")
+		advance(3 * time.Second)
+		s.restore()
+		s.restore()
+		advance(50 * time.Millisecond)
+		s.checkEra(t, store.KeyPrefix+"a")
+		s.restore()
+		advance(50 * time.Millisecond)
+		s.checkEra(t, store.KeyPrefix+"a")
+		is.Equal(s.revision.Era, sardineknot.StoreEra(3))
+	})
+	run(t, "a host that is slow to learn of it", func(t *testing.T, is *is.I, s *service) {
+		start(t, s, "a")
+		advance(3 * time.Second)
+		s.mu.Lock()
+		l := s.restored
+		s.restored = nil // cut off
+		s.mu.Unlock()
+		s.restore()
+		advance(5 * time.Second)
+		for _, f := range l {
+			f(1)
+		}
+		advance(50 * time.Millisecond)
+		s.forgetRenewals()
+		advance(10 * time.Second)
+		s.checkEra(t, store.KeyPrefix+"a")
+		is.Equal(s.revision.Era, sardineknot.StoreEra(1))
+	})
+}
