internal/platform/mirror: everything is read again in a new era

Cause: the mirror knew lost history, not lost writes.

Fix: a new era counts as a new start of the store (Reachability), so that both graces run from then. All entries of the era count as newer. The mirror logs store_restored with both eras, counts store.restores, and tells the registry, which writes its key again. The first entries of an era are all recorded for readers, whether they tell something new or not.

Ruled out: a grace of its own for the new era, a second rule beside the first.

Conclusion: the mirror holds one era and never goes back to an earlier one.

--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -31,7 +31,7 @@
 func (p *Process) addFeed() {
 	p.entries = changelog.NewLog()
 	p.followers = followers.NewSelector(p.registry)
-	p.mirror = &mirror.Mirror{Clock: p.clock, Sleep: p.clock.Sleep, PollDelay: p.pollDelay, Log: p.Log}
+	p.mirror = &mirror.Mirror{Clock: p.clock, Sleep: p.clock.Sleep, PollDelay: p.pollDelay, Log: p.Log, Restores: metrics.GetOrRegisterCounter("store.restores", p.Metrics)}
 	p.feed = &feed.Feed{
 		Store: p.Feed, Entries: p.entries, Selector: p.followers, Reachability: p.mirror.Reachability, Clock: p.clock, Client: p.peers.Client(), Log: p.Log,
 		StoreCalls: metrics.GetOrRegisterCounter("store.reads", p.Metrics),
@@ -53,11 +53,12 @@
 }
 
 // applyEntry applies a changed entry of the store, and records it for other
-// hosts unless it tells nothing new.
+// hosts unless it tells nothing new. The first entries of an era are all
+// recorded.
 func (p *Process) applyEntry(entry sardineknot.StoreEntry) {
 	h := p.registry.Apply(entry)
 	s := p.source.Apply(entry)
-	if h || s {
+	if h || s || p.entries.Precedes(entry.Revision.Era) {
 		p.entries.Record(entry)
 	}
 }
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -192,7 +192,7 @@
 	p.registry.Store, p.registry.Clock, p.registry.Reachability, p.registry.Log = p.Store, p.clock, p.mirror.Reachability, p.Log
 	p.source = configuration.NewSource()
 	p.source.Decoder, p.source.Clock, p.source.Reachability, p.source.Log = p.EntryDecoder, p.clock, p.mirror.Reachability, p.Log
-	p.mirror.OnChange, p.mirror.OnBatch = p.applyEntry, p.commitEntries
+	p.mirror.OnChange, p.mirror.OnBatch, p.mirror.OnRestore = p.applyEntry, p.commitEntries, p.registry.BeginEra
 	p.addSlots()
 	p.versions = versions.NewDirectory(p.clock)
 	p.versions.Members, p.versions.Source, p.versions.Client, p.versions.Log = p.registry, p.source, p.peers.Client(), p.Log
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -3,7 +3,9 @@
 //
 // After each answer of the service the mirror pauses, so that frequent small
 // changes are batched into few calls. If the service has discarded changes that
-// the mirror has not read yet, the mirror reads all keys again.
+// the mirror has not read yet, the mirror reads all keys again. It does so too if
+// the service came back from an older copy, which begins a new era; the mirror
+// never goes back to an earlier one.
 package mirror
 
 import (
@@ -12,6 +14,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
@@ -48,19 +51,27 @@
 	// the goroutine that calls OnChange. All changes up to revision were
 	// reported.
 	OnBatch func(revision sardineknot.StoreRevision)
+	// OnRestore is called, from the same goroutine, when the service has come
+	// back from an older copy, before the entries of the new era are reported.
+	OnRestore func(era sardineknot.StoreEra)
+	// Restores counts the calls of OnRestore.
+	Restores metrics.Counter
 
 	mu sync.Mutex
-	// reachabilityChanged is the time at which reachable last changed.
+	// reachabilityChanged is the time at which reachable last changed, or at
+	// which a new era was found.
 	reachabilityChanged time.Time
 	reachable           bool
 
-	// entries holds the entries of all keys, without their values. Only Run
-	// uses it.
+	// entries holds the entries of all keys, without their values. loaded
+	// reports whether they were read at least once. Only Run uses both.
 	entries map[string]sardineknot.StoreEntry
+	loaded  bool
 }
 
 // Reachability reports whether the service answers. since is the time at which
-// it last started or stopped answering, or zero if it has not answered yet.
+// it last started or stopped answering, or zero if it has not answered yet. A
+// return from an older copy counts as a new start.
 func (m *Mirror) Reachability() (reachable bool, since time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -84,7 +95,7 @@
 			at, p = n, minBackoff
 			_ = m.Sleep(ctx, m.PollDelay())
 		case errors.As(err, &c):
-			at = sardineknot.StoreRevision{}
+			at.Number = 0
 		default:
 			_ = m.Sleep(ctx, p)
 			p = min(2*p, maxBackoff)
@@ -93,16 +104,19 @@
 	return nil
 }
 
-// poll reads the changes made after revision, or all keys if revision
-// has no number. It returns the revision to pass to the next call.
+// poll reads the changes made after revision, or all keys if revision has no
+// number. It returns the revision to pass to the next call.
 func (m *Mirror) poll(ctx context.Context, revision sardineknot.StoreRevision) (sardineknot.StoreRevision, error) {
 	if revision.Absent() {
-		return m.loadSnapshot(ctx)
+		return m.loadSnapshot(ctx, revision.Era)
 	}
 	l, n, err := m.Feed.Next(ctx, revision, longPollTimeout)
 	if err != nil {
 		return revision, err
 	}
+	if n.Era != revision.Era {
+		return revision, errors.WithStack(&sardineknot.CompactedError{After: revision})
+	}
 	for _, e := range l {
 		m.apply(e)
 	}
@@ -111,13 +125,21 @@
 }
 
 // loadSnapshot reads all keys and reports those that changed or were removed
-// since the last read. It returns the revision to pass to the next call of
-// poll.
-func (m *Mirror) loadSnapshot(ctx context.Context) (sardineknot.StoreRevision, error) {
+// since the last read, which was of the given era. It returns the revision to
+// pass to the next call of poll. It fails with a StaleEraError if what was read
+// is of an earlier era.
+func (m *Mirror) loadSnapshot(ctx context.Context, era sardineknot.StoreEra) (sardineknot.StoreRevision, error) {
 	l, n, err := m.Feed.Snapshot(ctx)
 	if err != nil {
 		return sardineknot.StoreRevision{}, err
 	}
+	if n.Era < era {
+		return sardineknot.StoreRevision{}, errors.WithStack(&sardineknot.StaleEraError{Got: n.Era, Latest: era})
+	}
+	if m.loaded && n.Era > era {
+		m.beginEra(era, n.Era)
+	}
+	m.loaded = true
 	k := make(map[string]bool, len(l))
 	for _, e := range l {
 		k[e.Key] = true
@@ -125,13 +147,24 @@
 	}
 	for s := range m.entries {
 		if !k[s] {
-			m.apply(sardineknot.StoreEntry{Key: s})
+			m.apply(sardineknot.StoreEntry{Key: s, Revision: sardineknot.StoreRevision{Era: n.Era}})
 		}
 	}
 	m.OnBatch(n)
 	return n, nil
 }
 
+// beginEra records that the service has come back from an older copy. Entries
+// that it lost are then treated as those that lapsed during an outage.
+func (m *Mirror) beginEra(previous, era sardineknot.StoreEra) {
+	m.mu.Lock()
+	m.reachabilityChanged = m.Clock.Now()
+	m.mu.Unlock()
+	m.Restores.Inc(1)
+	m.Log.Warn().Stringer("event", sardineknot.LogStoreRestored).Int64("old_era", int64(previous)).Int64("new_era", int64(era)).Send()
+	m.OnRestore(era)
+}
+
 // apply records e and passes it to OnChange. It ignores an entry whose revision
 // is not greater than the known one, but always reports a removal.
 func (m *Mirror) apply(e sardineknot.StoreEntry) {
--- a/internal/platform/twirp/cluster_test.go
+++ b/internal/platform/twirp/cluster_test.go
@@ -189,6 +189,7 @@
 	h.mirror = &mirror.Mirror{
 		Feed: h.feed, Clock: clock.System{}, Sleep: clock.System{}.Sleep, Log: zerolog.Nop(),
 		PollDelay: func() time.Duration { return 100 * time.Millisecond }, OnChange: h.apply, OnBatch: h.feed.Entries.Commit,
+		Restores: metrics.NewCounter(), OnRestore: func(sardineknot.StoreEra) {},
 	}
 	h.feed.Reachability = h.mirror.Reachability
 	return h
--- a/logevent.go
+++ b/logevent.go
@@ -56,6 +56,10 @@
 	// LogStoreHistoryLost reports that the store has discarded changes that
 	// this host has not read, so that all keys are read again.
 	LogStoreHistoryLost LogEvent = "store_history_lost"
+	// LogStoreRestored reports that the store came back from an older copy, with
+	// the eras "old_era" and "new_era". This host reads all keys again and
+	// writes its own again.
+	LogStoreRestored LogEvent = "store_restored"
 	// LogStoreSource reports from where this host now reads the changes of the
 	// store: from the store itself, or from the entry host "peer".
 	LogStoreSource LogEvent = "store_source"
