internal/platform/twirp: hosts tell each other the era of what they pass on

Seen: after the store came back from an older copy, a host that reads from a follower never left the revision of the first era; each of its calls failed as after lost history, 20 calls a second with a read of all entries in half of them. Hosts whose followers had died stayed with a follower that still told the era before.

Cause: the messages carried the number of the revision only.

Evidence: TestRestore failed in its part on quiet hosts (200 calls in 10 s, expected one a second), TestHostsBehind in the part on a follower that is an era behind. The other parts passed before: a second return during the recovery, more revisions before anyone asks, a cut host that comes back. They are kept.

A follower that is an era behind refuses, so that the next one is asked. An answer of an era before the latest one that the reader knows counts as none.

Conclusion: readers wait for changes as before, in one era at a time.

--- a/internal/platform/twirp/cluster_test.go
+++ b/internal/platform/twirp/cluster_test.go
@@ -58,10 +58,24 @@
 	s.log.Store(n)
 }
 
+// restore makes the service come back from a copy that holds the given entries:
+// it begins an era and gives out revisions from the number of the copy on.
+func (s *service) restore(number int64, entries map[string]string) {
+	s.revision = sardineknot.StoreRevision{Era: s.revision.Era + 1, Number: number}
+	n := changelog.NewLog()
+	for k, v := range entries {
+		n.Record(sardineknot.StoreEntry{Key: k, Value: []byte(v), Revision: s.revision})
+	}
+	n.Commit(s.revision)
+	s.log.Store(n)
+}
+
 // hostFeed is the access of one host to the service.
 type hostFeed struct {
 	service *service
 	cut     atomic.Bool
+	// old, if set, replaces the state of the service for this host.
+	old atomic.Pointer[changelog.Log]
 }
 
 func (f *hostFeed) call() error {
@@ -78,7 +92,11 @@
 	if err != nil {
 		return nil, sardineknot.StoreRevision{}, err
 	}
-	l, n := f.service.log.Load().Snapshot()
+	s := f.service.log.Load()
+	if o := f.old.Load(); o != nil {
+		s = o
+	}
+	l, n := s.Snapshot()
 	return l, n, nil
 }
 
@@ -88,6 +106,9 @@
 	if err != nil {
 		return nil, revision, err
 	}
+	if o := f.old.Load(); o != nil {
+		return o.Next(ctx, revision, timeout)
+	}
 	return f.service.log.Load().Next(ctx, revision, timeout)
 }
 
--- a/internal/platform/twirp/feed.go
+++ b/internal/platform/twirp/feed.go
@@ -13,6 +13,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/platform/changelog"
+	"sardineknot.example/sardineknot/internal/platform/era"
 	rpc "sardineknot.example/sardineknot/internal/rpc/changes"
 )
 
@@ -62,6 +63,9 @@
 	// StoreCalls and PeerCalls count the calls to the service and to followers.
 	StoreCalls, PeerCalls metrics.Counter
 
+	// latest is the latest era of an answer.
+	latest era.Latest
+
 	mu sync.Mutex
 	// peers is the last result of Selector.Peers. current is the index in it
 	// of the follower to ask.
@@ -81,13 +85,13 @@
 	err = f.read(ctx, maxPeerWait, func(ctx context.Context, peer rpc.Changes, _ time.Duration) error {
 		var e error
 		entries, revision, e = snapshotFrom(ctx, peer)
-		return e
+		return f.admit(revision, e)
 	}, func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 		defer cancel()
 		var e error
 		entries, revision, e = f.Store.Snapshot(ctx)
-		return e
+		return f.admit(revision, e)
 	})
 	return entries, revision, err
 }
@@ -97,17 +101,26 @@
 	err = f.read(ctx, min(timeout, maxPeerWait), func(ctx context.Context, peer rpc.Changes, wait time.Duration) error {
 		var e error
 		changes, next, e = nextFrom(ctx, peer, revision, wait)
-		return e
+		return f.admit(next, e)
 	}, func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, timeout+storeMargin)
 		defer cancel()
 		var e error
 		changes, next, e = f.Store.Next(ctx, revision, timeout)
-		return e
+		return f.admit(next, e)
 	})
 	return changes, next, err
 }
 
+// admit returns err or, if there is none, an error if revision, the one of an
+// answer, is of an era before the latest one. The answer then counts as none.
+func (f *Feed) admit(revision sardineknot.StoreRevision, err error) error {
+	if err != nil {
+		return err
+	}
+	return f.latest.Admit(revision.Era)
+}
+
 // read calls askPeer with followers until one answers. If none does, or if this
 // host reads from the service itself, it calls askStore. A CompactedError is an
 // answer.
--- a/internal/platform/twirp/peer.go
+++ b/internal/platform/twirp/peer.go
@@ -29,26 +29,29 @@
 	if err != nil {
 		return nil, sardineknot.StoreRevision{}, err
 	}
-	return entriesFromMessage(a.GetEntries()), sardineknot.StoreRevision{Number: a.GetRevision()}, nil
+	e := sardineknot.StoreEra(a.GetEra())
+	return entriesFromMessage(a.GetEntries(), e), sardineknot.StoreRevision{Era: e, Number: a.GetRevision()}, nil
 }
 
 // nextFrom reads the changes of peer after revision, for which peer waits for
 // at most wait. It fails with a CompactedError if peer does not have them.
 func nextFrom(ctx context.Context, peer rpc.Changes, revision sardineknot.StoreRevision, wait time.Duration) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
-	a, err := peer.Next(ctx, &rpc.NextRequest{Revision: revision.Number, WaitMicros: wait.Microseconds()})
+	a, err := peer.Next(ctx, &rpc.NextRequest{Era: int64(revision.Era), Revision: revision.Number, WaitMicros: wait.Microseconds()})
 	if err != nil {
 		return nil, revision, err
 	}
 	if a.GetCompacted() {
 		return nil, sardineknot.StoreRevision{}, errors.WithStack(&sardineknot.CompactedError{After: revision})
 	}
-	return entriesFromMessage(a.GetEntries()), sardineknot.StoreRevision{Number: a.GetRevision()}, nil
+	e := sardineknot.StoreEra(a.GetEra())
+	return entriesFromMessage(a.GetEntries(), e), sardineknot.StoreRevision{Era: e, Number: a.GetRevision()}, nil
 }
 
-func entriesFromMessage(message []*rpc.Entry) []sardineknot.StoreEntry {
+// entriesFromMessage returns the entries of message, which were read in era.
+func entriesFromMessage(message []*rpc.Entry, era sardineknot.StoreEra) []sardineknot.StoreEntry {
 	l := make([]sardineknot.StoreEntry, 0, len(message))
 	for _, e := range message {
-		l = append(l, sardineknot.StoreEntry{Key: e.GetKey(), Value: e.GetValue(), Revision: sardineknot.StoreRevision{Number: e.GetRevision()}})
+		l = append(l, sardineknot.StoreEntry{Key: e.GetKey(), Value: e.GetValue(), Revision: sardineknot.StoreRevision{Era: era, Number: e.GetRevision()}})
 	}
 	return l
 }
--- a/internal/platform/twirp/service.go
+++ b/internal/platform/twirp/service.go
@@ -33,7 +33,7 @@
 		return nil, err
 	}
 	l, n := s.feed.Entries.Snapshot()
-	return &rpc.SnapshotResponse{Entries: entriesMessage(l), Revision: n.Number}, nil
+	return &rpc.SnapshotResponse{Entries: entriesMessage(l), Era: int64(n.Era), Revision: n.Number}, nil
 }
 
 // Next implements rpc.Changes.
@@ -43,11 +43,15 @@
 		return nil, err
 	}
 	w := time.Duration(request.GetWaitMicros()) * time.Microsecond
-	l, n, err := s.feed.Entries.Next(ctx, sardineknot.StoreRevision{Number: request.GetRevision()}, min(w, maxPeerWait))
+	l, n, err := s.feed.Entries.Next(ctx, sardineknot.StoreRevision{Era: sardineknot.StoreEra(request.GetEra()), Number: request.GetRevision()}, min(w, maxPeerWait))
 	var c *sardineknot.CompactedError
 	if errors.As(err, &c) {
 		return &rpc.NextResponse{Compacted: true}, nil
 	}
+	var o *sardineknot.StaleEraError
+	if errors.As(err, &o) {
+		return nil, twirp.FailedPrecondition.Error(err.Error())
+	}
 	if err != nil {
 		return nil, twirp.Canceled.Error(err.Error())
 	}
@@ -58,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &rpc.NextResponse{Entries: entriesMessage(l), Revision: n.Number}, nil
+	return &rpc.NextResponse{Entries: entriesMessage(l), Era: int64(n.Era), Revision: n.Number}, nil
 }
 
 // check returns an error if this host does not read from the service itself, or
