internal/configuration/store: tests of a store that comes back older

The version in force is the operators', which does not depend on the store's revisions.

They pass with the code as it was, which decides by the operators' version and by the start of the store alone: no fault was found here.

--- a/internal/configuration/store/source_test.go
+++ b/internal/configuration/store/source_test.go
@@ -113,3 +113,46 @@
 		is.Equal(s.servers(), 0)
 	})
 }
+
+// TestRestore covers a service that comes back from an older copy: its revisions
+// are newer, by their era, but the operators' version in the copy is older.
+func TestRestore(t *testing.T) {
+	putIn := func(s *testSource, era sardineknot.StoreEra, key, value string) {
+		s.Apply(sardineknot.StoreEntry{Key: key, Value: []byte(value), Revision: sardineknot.StoreRevision{Era: era, Number: 1}})
+		s.Commit()
+	}
+	t.Run("an older version does not replace the one in force", func(t *testing.T) {
+		is := is.New(t)
+		s := newTestSource()
+		s.put("rev", "333")
+		putIn(s, 1, "rev", "22")
+		is.Equal(s.Current().Revision, sardineknot.Revision(3))
+		putIn(s, 1, "rev", "4444") // the next version
+		is.Equal(s.Current().Revision, sardineknot.Revision(4))
+		putIn(s, 2, "rev", "333")
+		is.Equal(s.Current().Revision, sardineknot.Revision(4))
+	})
+	t.Run("a version that was lost stays in force", func(t *testing.T) {
+		is := is.New(t)
+		s := newTestSource()
+		s.put("rev", "333")
+		s.Apply(sardineknot.StoreEntry{Key: "rev", Revision: sardineknot.StoreRevision{Era: 1}})
+		s.Commit()
+		is.Equal(s.Current().Revision, sardineknot.Revision(3))
+		is.Equal(s.servers(), 1)
+	})
+	t.Run("a server that was lost has time to register again", func(t *testing.T) {
+		is := is.New(t)
+		s := newTestSource()
+		s.since = s.now // a new era counts as a new start of the service
+		s.Apply(sardineknot.StoreEntry{Key: "a", Revision: sardineknot.StoreRevision{Era: 1}})
+		s.Commit()
+		s.now = s.now.Add(2100 * time.Millisecond)
+		s.Commit()
+		is.Equal(s.servers(), 1)
+		putIn(s, 1, "a", "s")
+		s.now = s.now.Add(time.Second)
+		s.Commit()
+		is.Equal(s.servers(), 1)
+	})
+}
