internal/orders/ledger: fencing tokens never go back

Seen: after the store came back from an older copy without the record of an order, the same process issued the lost token again, without waiting for the order that may still have been on its way; and it marked an order of another host with the same token as done.

Cause: the token was counted on from the store's record alone, and an order was known by its token alone.

Fix: the process keeps, for each engine, the greatest token that it has used or seen, and goes on above it. A token is recorded as used before it is written, so that a write that meets the store's return never gives it out twice. An order is marked as done only under this process's own record.

Ruled out: the era in the high digits of the token, which keeps tokens growing for processes that saw none, but jumps by orders of magnitude, which engines may not take.

Conclusion: tokens of one process never go back. A process that has seen none of the lost ones may still use one again; an engine that checks fencing decides.

--- a/internal/orders/ledger/ledger.go
+++ b/internal/orders/ledger/ledger.go
@@ -47,6 +47,9 @@
 	self  sardineknot.EntryHost
 	// sleep waits for a duration, or until the context is done.
 	sleep func(context.Context, time.Duration) error
+	// tokens holds what this process knows of the tokens, also if the store has
+	// lost it.
+	tokens tokens
 }
 
 // record is the value stored for an engine.
@@ -71,8 +74,10 @@
 
 // IssueOrder returns an order to server with a new fencing token. For an engine
 // that does not check fencing tokens it first waits until every earlier order
-// is done or can no longer be sent. It fails with a ConflictError if another
-// host issued an order in the meantime, and with an UnavailableError if the
+// is done or can no longer be sent. It waits too if the store has lost the record
+// of an order that this process knows of, because later ones may be lost as well.
+// It fails with a ConflictError if another host issued an order or the store came
+// back from an older copy in the meantime, and with an UnavailableError if the
 // store does not respond. If the store has nevertheless written the token, the
 // token is never used.
 func (l *Ledger) IssueOrder(ctx context.Context, server sardineknot.BackendServer, want sardineknot.EngineState) (sardineknot.EngineOrder, error) {
@@ -80,14 +85,18 @@
 	if err != nil {
 		return sardineknot.EngineOrder{}, err
 	}
-	if !r.Absent() && l.mustWait(server, v) {
+	o := l.tokens.see(server.Name, v.Number, r.Era)
+	if o {
+		v.Validity = max(v.Validity, orderValidity)
+	}
+	if o || !r.Absent() && l.mustWait(server, v) {
 		err = l.sleep(ctx, v.Validity+waitMargin)
 		if err != nil {
 			return sardineknot.EngineOrder{}, err
 		}
 	}
 	t := l.clock.Now()
-	v = record{Number: v.Number + 1, Holder: l.self.ID, Incarnation: l.self.Incarnation, Validity: orderValidity}
+	v = record{Number: l.tokens.next(server.Name, r.Era), Holder: l.self.ID, Incarnation: l.self.Incarnation, Validity: orderValidity}
 	err = l.write(ctx, server.Name, r, v)
 	if err != nil {
 		return sardineknot.EngineOrder{}, err
@@ -107,13 +116,23 @@
 // does not have to wait. It has no effect if a later order was issued.
 func (l *Ledger) MarkDone(ctx context.Context, order sardineknot.EngineOrder) error {
 	v, r, err := l.read(ctx, order.Server)
-	if err != nil || v.Number != order.Token || v.Done {
+	if err != nil {
 		return err
 	}
+	l.tokens.see(order.Server, v.Number, r.Era)
+	if !l.issued(v, order) || v.Done {
+		return nil
+	}
 	v.Done = true
 	return l.write(ctx, order.Server, r, v)
 }
 
+// issued reports whether value is the record of order, issued by this process.
+// If the store has lost that record, another host may have used the token again.
+func (l *Ledger) issued(value record, order sardineknot.EngineOrder) bool {
+	return value.Number == order.Token && value.Holder == l.self.ID && value.Incarnation == l.self.Incarnation
+}
+
 // read returns the record of an engine and its revision, which tells
 // whether there is a record.
 func (l *Ledger) read(ctx context.Context, server sardineknot.BackendServerName) (record, sardineknot.StoreRevision, error) {
