--- /dev/null
+++ b/internal/host/gateway/follow_test.go
@@ -0,0 +1,68 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"sardineknot.example/sardineknot"
+	configuration "sardineknot.example/sardineknot/internal/configuration/store"
+	membership "sardineknot.example/sardineknot/internal/membership/store"
+	"sardineknot.example/sardineknot/internal/platform/changelog"
+)
+
+// decoder is a fake sardineknot.StoreEntryDecoder to which each entry is that of
+// a server.
+type decoder struct{}
+
+func (decoder) DecodeConfiguration(sardineknot.StoreEntry) (*sardineknot.Configuration, bool, error) {
+	return nil, false, nil
+}
+
+func (decoder) DecodeServer(entry sardineknot.StoreEntry) (sardineknot.BackendServer, bool, error) {
+	return sardineknot.BackendServer{Name: sardineknot.BackendServerName(entry.Key), Service: string(entry.Value)}, true, nil
+}
+
+func newTestProcess() *Process {
+	p := &Process{registry: membership.NewRegistry(sardineknot.EntryHost{ID: "a"}), source: configuration.NewSource(), entries: changelog.NewLog()}
+	r := func() (bool, time.Time) { return true, time.Time{} }
+	p.registry.Clock, p.registry.Reachability, p.registry.Log = p.clock, r, zerolog.Nop()
+	p.source.Decoder, p.source.Clock, p.source.Reachability, p.source.Log = decoder{}, p.clock, r, zerolog.Nop()
+	return p
+}
+
+// put applies entries with equal values at a revision and commits them.
+func (p *Process) put(revision sardineknot.StoreRevision, keys ...string) {
+	for _, k := range keys {
+		p.applyEntry(sardineknot.StoreEntry{Key: k, Value: []byte("s"), Revision: revision})
+	}
+	p.commitEntries(revision)
+}
+
+// checkPassedOn checks the number and the era of the entries that other hosts
+// get.
+func checkPassedOn(t *testing.T, p *Process, count int, revision sardineknot.StoreRevision) {
+	t.Helper()
+	is := is.New(t)
+	l, n := p.entries.Snapshot()
+	is.Equal(len(l), count)
+	is.Equal(n, revision)
+	for _, e := range l {
+		is.Equal(e.Revision.Era, revision.Era)
+	}
+}
+
+// TestPassedOnInNewEra covers a follower after the store came back from an older
+// copy: an entry that tells the follower nothing new must still reach hosts that
+// read the new era from it.
+func TestPassedOnInNewEra(t *testing.T) {
+	p := newTestProcess()
+	p.put(sardineknot.StoreRevision{Number: 10}, "one", "two")
+	checkPassedOn(t, p, 2, sardineknot.StoreRevision{Number: 10})
+	p.put(sardineknot.StoreRevision{Era: 1, Number: 5}, "one", "two", "three")
+	checkPassedOn(t, p, 3, sardineknot.StoreRevision{Era: 1, Number: 5})
+	p.put(sardineknot.StoreRevision{Era: 1, Number: 6}, "one")
+	checkPassedOn(t, p, 3, sardineknot.StoreRevision{Era: 1, Number: 6})
+}
