--- a/internal/membership/store/key.go
+++ b/internal/membership/store/key.go
@@ -70,6 +70,13 @@
 	return nil
 }
 
+// latestEra returns the era that BeginEra received last.
+func (r *Registry) latestEra() sardineknot.StoreEra {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.era
+}
+
 // fits reports whether the time to live of the lease is close enough to ttl: a
 // lease that is too short lapses between renewals, and one that is too long
 // keeps the key of a host that has failed.
--- a/internal/membership/store/registry.go
+++ b/internal/membership/store/registry.go
@@ -246,13 +246,6 @@
 	r.requestWrite()
 }
 
-// latestEra returns the era that BeginEra received last.
-func (r *Registry) latestEra() sardineknot.StoreEra {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.era
-}
-
 func (r *Registry) removeLocked(i sardineknot.EntryHostID) {
 	if m := r.hosts[i]; m != nil && m.keyRemovedAt.IsZero() {
 		m.keyRemovedAt = r.Clock.Now()
