--- a/errors.go
+++ b/errors.go
@@ -82,14 +82,13 @@
 type ConflictError struct {
 	// Key is the key in the store.
 	Key string
-	// Expected is the revision that the writer expected. Zero means that the
-	// key was expected to be absent.
+	// Expected is the revision that the writer expected.
 	Expected StoreRevision
 }
 
 // Error implements error.
 func (e *ConflictError) Error() string {
-	return fmt.Sprintf("key %q is no longer at revision %d", e.Key, e.Expected)
+	return fmt.Sprintf("key %q is no longer at revision %d of era %d", e.Key, e.Expected.Number, e.Expected.Era)
 }
 
 // UnavailableError reports that a peer could not be reached or did not answer
@@ -109,6 +108,17 @@
 // Unwrap returns the cause.
 func (e *UnavailableError) Unwrap() error { return e.Cause }
 
+// StaleEraError reports that data of the store is of an era before the latest
+// one that is known, and is therefore not used.
+type StaleEraError struct {
+	Got, Latest StoreEra
+}
+
+// Error implements error.
+func (e *StaleEraError) Error() string {
+	return fmt.Sprintf("data of era %d of the store, expected era %d", e.Got, e.Latest)
+}
+
 // RefusedError reports that a backend server refused a request without running
 // it.
 type RefusedError struct {
--- a/internal/configuration/store/leaving_test.go
+++ b/internal/configuration/store/leaving_test.go
@@ -67,7 +67,7 @@
 	})
 	t.Run("does not commit applied entries", func(t *testing.T) {
 		s := newLeavingSource()
-		s.Apply(sardineknot.StoreEntry{Key: "b", Value: []byte("1"), Revision: 2})
+		s.Apply(sardineknot.StoreEntry{Key: "b", Value: []byte("1"), Revision: sardineknot.StoreRevision{Number: 2}})
 		s.MarkLeaving("a", 2, "h")
 		is.New(t).Equal(s.servers(), 1)
 	})
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -195,7 +195,7 @@
 	p.registry.Store, p.registry.Clock, p.registry.Reachability, p.registry.Log = p.Store, p.clock, p.mirror.Reachability, p.Log
 	p.source = configuration.NewSource()
 	p.source.Decoder, p.source.Clock, p.source.Reachability, p.source.Log = p.EntryDecoder, p.clock, p.mirror.Reachability, p.Log
-	p.mirror.OnChange, p.mirror.OnBatch = p.applyEntry, p.commitEntries
+	p.mirror.OnChange, p.mirror.OnBatch, p.mirror.OnRestore = p.applyEntry, p.commitEntries, p.registry.BeginEra
 	n := uint64(h.Incarnation)
 	p.backoffs = backoff.NewSet(rand.NewPCG(n, n+2))
 	p.addSlots()
--- a/internal/membership/store/key.go
+++ b/internal/membership/store/key.go
@@ -14,7 +14,7 @@
 type hostKey struct {
 	registry *Registry
 	name     string
-	// lease is the lease of the key, or zero if there is none. ttl is its time
+	// lease is the lease of the key, or the zero value if there is none. ttl is its time
 	// to live.
 	lease sardineknot.LeaseID
 	ttl   time.Duration
@@ -29,21 +29,33 @@
 func (k *hostKey) maintain(ctx context.Context, ttl time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	err := k.renew(ctx, ttl)
-	if err == nil && !k.upToDate {
-		err = k.put(ctx)
+	err := k.update(ctx, ttl)
+	var u *sardineknot.UnknownError
+	if errors.As(err, &u) {
+		// The lease was granted before the service came back from an older copy.
+		err = k.update(ctx, ttl)
 	}
 	if err != nil && ctx.Err() == nil {
 		k.registry.Log.Warn().Stringer("event", sardineknot.LogRegistrationFailed).Err(err).Send()
 	}
 }
 
+// update renews the lease and writes the key if necessary. It fails with an
+// UnknownError if the lease has expired before the key was written.
+func (k *hostKey) update(ctx context.Context, ttl time.Duration) error {
+	err := k.renew(ctx, ttl)
+	if err != nil || k.upToDate {
+		return err
+	}
+	return k.put(ctx)
+}
+
 // renew renews the lease, or obtains a new one if there is none, if it has
-// expired, or if its time to live is far from ttl. A new lease requires the key
+// expired or is of an earlier era, or if its time to live is far from ttl. A new lease requires the key
 // to be written again. An old lease is left to expire.
 func (k *hostKey) renew(ctx context.Context, ttl time.Duration) error {
 	var u *sardineknot.UnknownError
-	if k.lease != 0 && k.fits(ttl) {
+	if k.lease != (sardineknot.LeaseID{}) && k.lease.Era >= k.registry.latestEra() && k.fits(ttl) {
 		err := k.registry.Store.KeepAlive(ctx, k.lease)
 		if !errors.As(err, &u) {
 			return err
@@ -58,6 +70,13 @@
 	return nil
 }
 
+// latestEra returns the era that BeginEra received last.
+func (r *Registry) latestEra() sardineknot.StoreEra {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.era
+}
+
 // fits reports whether the time to live of the lease is close enough to ttl: a
 // lease that is too short lapses between renewals, and one that is too long
 // keeps the key of a host that has failed.
@@ -77,7 +96,7 @@
 		k.revision, k.upToDate = n, true
 		return nil
 	case errors.As(err, &u):
-		k.lease = 0
+		k.lease = sardineknot.LeaseID{}
 		return err
 	case !errors.As(err, &c):
 		return err
--- a/internal/membership/store/registry.go
+++ b/internal/membership/store/registry.go
@@ -84,6 +84,8 @@
 	// last. refreshed is closed by the first call of Refresh.
 	ownRevision sardineknot.StoreRevision
 	refreshed   chan struct{}
+	// era is the era of the service that BeginEra received last.
+	era         sardineknot.StoreEra
 	refreshOnce sync.Once
 	// joined and gone hold the hosts that were added and removed since the last
 	// log line about them.
@@ -202,8 +204,8 @@
 	return m == nil || m.host.Incarnation > n
 }
 
-// Apply applies a changed entry of the key-value service. An entry with a zero
-// revision was removed. Entries of other keys are ignored. The change is not
+// Apply applies a changed entry of the key-value service. An entry without a
+// revision number was removed. Entries of other keys are ignored. The change is not
 // visible in Hosts until Refresh is called. Apply reports whether the entry is
 // that of a host.
 func (r *Registry) Apply(e sardineknot.StoreEntry) bool {
@@ -216,12 +218,12 @@
 	i := sardineknot.EntryHostID(n)
 	if i == r.self.ID {
 		r.ownRevision = e.Revision
-		if e.Revision == 0 {
+		if e.Revision.Absent() {
 			r.requestWrite()
 		}
 		return true
 	}
-	if e.Revision == 0 {
+	if e.Revision.Absent() {
 		r.removeLocked(i)
 		return true
 	}
@@ -234,6 +236,16 @@
 	return true
 }
 
+// BeginEra makes Run write the key of this host again under a new lease, because
+// the service came back from an older copy. A lease of an earlier era is neither
+// renewed nor used: its number may meanwhile be that of another client.
+func (r *Registry) BeginEra(era sardineknot.StoreEra) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.era = era
+	r.requestWrite()
+}
+
 func (r *Registry) removeLocked(i sardineknot.EntryHostID) {
 	if m := r.hosts[i]; m != nil && m.keyRemovedAt.IsZero() {
 		m.keyRemovedAt = r.Clock.Now()
@@ -338,7 +350,7 @@
 }
 
 // lastOwnRevision returns the revision of the key of this host that Apply
-// received last, or zero.
+// received last.
 func (r *Registry) lastOwnRevision() sardineknot.StoreRevision {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/platform/twirp/cluster_test.go
+++ b/internal/platform/twirp/cluster_test.go
@@ -40,7 +40,7 @@
 
 // put writes an entry.
 func (s *service) put(key, value string) {
-	s.revision++
+	s.revision.Number++
 	l := s.log.Load()
 	l.Record(sardineknot.StoreEntry{Key: key, Value: []byte(value), Revision: s.revision})
 	l.Commit(s.revision)
@@ -53,7 +53,19 @@
 	for _, e := range l {
 		n.Record(e)
 	}
-	s.revision += 100
+	s.revision.Number += 100
+	n.Commit(s.revision)
+	s.log.Store(n)
+}
+
+// restore makes the service come back from a copy that holds the given entries:
+// it begins an era and gives out revisions from the number of the copy on.
+func (s *service) restore(number int64, entries map[string]string) {
+	s.revision = sardineknot.StoreRevision{Era: s.revision.Era + 1, Number: number}
+	n := changelog.NewLog()
+	for k, v := range entries {
+		n.Record(sardineknot.StoreEntry{Key: k, Value: []byte(v), Revision: s.revision})
+	}
 	n.Commit(s.revision)
 	s.log.Store(n)
 }
@@ -62,6 +74,8 @@
 type hostFeed struct {
 	service *service
 	cut     atomic.Bool
+	// old, if set, replaces the state of the service for this host.
+	old atomic.Pointer[changelog.Log]
 }
 
 func (f *hostFeed) call() error {
@@ -76,9 +90,13 @@
 func (f *hostFeed) Snapshot(context.Context) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
 	err := f.call()
 	if err != nil {
-		return nil, 0, err
+		return nil, sardineknot.StoreRevision{}, err
 	}
-	l, n := f.service.log.Load().Snapshot()
+	s := f.service.log.Load()
+	if o := f.old.Load(); o != nil {
+		s = o
+	}
+	l, n := s.Snapshot()
 	return l, n, nil
 }
 
@@ -88,6 +106,9 @@
 	if err != nil {
 		return nil, revision, err
 	}
+	if o := f.old.Load(); o != nil {
+		return o.Next(ctx, revision, timeout)
+	}
 	return f.service.log.Load().Next(ctx, revision, timeout)
 }
 
@@ -189,6 +210,7 @@
 	h.mirror = &mirror.Mirror{
 		Feed: h.feed, Clock: clock.System{}, Sleep: clock.System{}.Sleep, Log: zerolog.Nop(),
 		PollDelay: func() time.Duration { return 100 * time.Millisecond }, OnChange: h.apply, OnBatch: h.feed.Entries.Commit,
+		Restores: metrics.NewCounter(), OnRestore: func(sardineknot.StoreEra) {},
 	}
 	h.feed.Reachability = h.mirror.Reachability
 	return h
