--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -40,16 +40,19 @@
 	first *event
 	// eventCount is the number of events relayed by this attempt.
 	eventCount int
+
+	// The fields below are guarded by the mutex of the session.
+
 	// silence starts a takeover when the engine has been silent, if watched is
-	// set. executed is set once the attempt counts as one that may have run, and
-	// ended when it has ended. All four are guarded by the mutex of the session.
+	// set. watched is set while an event or the header is awaited.
 	silence *time.Timer
 	watched bool
-	// takeoverDelay is the delay before the next takeover. It is guarded by the
-	// mutex of the session.
+	// takeoverDelay is the delay before the next takeover.
 	takeoverDelay time.Duration
-	executed      bool
-	ended         bool
+	// executed is set once the attempt counts as one that may have run, and
+	// ended when it has ended.
+	executed bool
+	ended    bool
 }
 
 // newAttempt returns an attempt that continues the call from its current state.
--- a/internal/answer/events/takeover.go
+++ b/internal/answer/events/takeover.go
@@ -198,9 +198,10 @@
 	}
 }
 
-// claimEvent reports whether the attempt may relay an event. It may unless
-// another engine has taken the stream over. A takeover in progress is cancelled,
-// and the watch for silence pauses until the next event is awaited.
+// claimEvent reports whether the attempt may relay the event with the given
+// identifier, and counts it as relayed. It may unless another engine has taken
+// the stream over. A takeover in progress is cancelled, and the watch for silence
+// pauses until the next event is awaited.
 func (a *attempt) claimEvent(id int) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/answer/service/runner.go
+++ b/internal/answer/service/runner.go
@@ -4,9 +4,9 @@
 //
 // After a failure, a repeatable call is sent to another backend server, within
 // its deadline and the retry budget. If its server is silent, the call is sent to
-// another one as well, and the first answer counts. An unrepeatable call is claimed in the
-// store before it is sent. It is sent to another backend server only if no
-// server that received it before can have run it.
+// another one as well, and the first answer counts. An unrepeatable call is
+// claimed in the store before it is sent. It is sent to another backend server
+// only if no server that received it before can have run it.
 package service
 
 import (
@@ -119,8 +119,8 @@
 	return r.sendTo(ctx, call, s)
 }
 
-// pick chooses a backend server for call, to which call must be sent by sendTo. It
-// prefers servers that are not in tried, and adds the chosen server to tried.
+// pick chooses a backend server for call, to which call must be sent by sendTo.
+// It prefers servers that are not in tried, and adds the chosen server to tried.
 func (r *Runner) pick(call sardineknot.ServiceCall, tried map[sardineknot.BackendServerName]bool) (sardineknot.BackendServer, error) {
 	t := r.Clock.Now()
 	if !t.Before(call.Deadline) {
--- a/internal/membership/store/key.go
+++ b/internal/membership/store/key.go
@@ -14,8 +14,8 @@
 type hostKey struct {
 	registry *Registry
 	name     string
-	// lease is the lease of the key, or the zero value if there is none. ttl is its time
-	// to live.
+	// lease is the lease of the key, or the zero value if there is none. ttl is
+	// its time to live.
 	lease sardineknot.LeaseID
 	ttl   time.Duration
 	// revision is the store revision of the key that was last written or read.
@@ -51,8 +51,8 @@
 }
 
 // renew renews the lease, or obtains a new one if there is none, if it has
-// expired or is of an earlier era, or if its time to live is far from ttl. A new lease requires the key
-// to be written again. An old lease is left to expire.
+// expired or is of an earlier era, or if its time to live is far from ttl. A new
+// lease requires the key to be written again. An old lease is left to expire.
 func (k *hostKey) renew(ctx context.Context, ttl time.Duration) error {
 	var u *sardineknot.UnknownError
 	if k.lease != (sardineknot.LeaseID{}) && k.lease.Era >= k.registry.latestEra() && k.fits(ttl) {
--- a/internal/membership/store/registry.go
+++ b/internal/membership/store/registry.go
@@ -205,9 +205,9 @@
 }
 
 // Apply applies a changed entry of the key-value service. An entry without a
-// revision number was removed. Entries of other keys are ignored. The change is not
-// visible in Hosts until Refresh is called. Apply reports whether the entry is
-// that of a host.
+// revision number was removed. Entries of other keys are ignored. The change is
+// not visible in Hosts until Refresh is called. Apply reports whether the entry
+// is that of a host.
 func (r *Registry) Apply(e sardineknot.StoreEntry) bool {
 	n, ok := strings.CutPrefix(e.Key, KeyPrefix)
 	if !ok {
--- a/internal/platform/changelog/log.go
+++ b/internal/platform/changelog/log.go
@@ -49,8 +49,8 @@
 	return &Log{entries: make(map[string]sardineknot.StoreEntry), grown: make(chan struct{})}
 }
 
-// Record records a change. An entry without a revision number was removed. Readers
-// do not see the change before the next Commit.
+// Record records a change. An entry without a revision number was removed.
+// Readers do not see the change before the next Commit.
 func (l *Log) Record(entry sardineknot.StoreEntry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
