--- a/call.go
+++ b/call.go
@@ -56,6 +56,10 @@
 	// PrefixHashes holds the hashes of leading parts of the prompt, shortest
 	// first. The last hash covers the whole prompt.
 	PrefixHashes []uint64
+	// Parts holds the parts of the prompt that other requests may share, in their
+	// order. The last part of a prompt belongs to one request or one session and
+	// is not among them. There are at most MaxPromptParts.
+	Parts PromptPartList
 	// ResumeAfter is the identifier of the last event that the caller has
 	// received. Zero requests the answer from its beginning.
 	ResumeAfter int
--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -129,7 +129,7 @@
 func (a *attempt) logGrant(g sardineknot.Grant, w time.Duration) {
 	a.Log.Info().Stringer("event", sardineknot.LogEnginesGranted).Str("request", string(a.call.ID)).Str("prefill", string(g.PrefillEngine)).
 		Str("decode", string(g.DecodeEngine)).Str("version", string(a.decode.SoftwareVersion)).Str("origin", string(a.call.Generation.Origin)).
-		Int("after", a.resumeAfter).Dur("waited_ms", w).Int("prompt", a.job.PromptTokens).
+		Stringer("parts", a.call.Generation.Parts).Int("after", a.resumeAfter).Dur("waited_ms", w).Int("prompt", a.job.PromptTokens).
 		Int("expected", a.job.ExpectedTokens).Int("longest", a.job.MaxTokens).Send()
 }
 
@@ -297,7 +297,8 @@
 		a.report(sardineknot.JobCancelled, "")
 		return
 	}
-	a.Log.Warn().Stringer("event", sardineknot.LogEngineFailed).Str("request", string(a.call.ID)).Str("server", string(n)).Err(err).Send()
+	a.Log.Warn().Stringer("event", sardineknot.LogEngineFailed).Str("request", string(a.call.ID)).Str("server", string(n)).
+		Stringer("parts", a.call.Generation.Parts).Int("relayed", a.eventCount).Err(err).Send()
 	var u *sardineknot.UnsentError
 	a.Slots.Report(a.job, sardineknot.JobEvent{
 		Key: a.job.Key, Kind: sardineknot.JobFailed, Server: n, Tokens: a.tokens(), Unreachable: errors.As(err, &u),
--- a/logevent.go
+++ b/logevent.go
@@ -4,7 +4,8 @@
 // "event". Lines about a call carry the identifier of the call in the field
 // "request"; lines about a backend server or an entry host carry "server" or
 // "peer". Fields with durations have names that end with "_ms" and are in
-// milliseconds. No line contains any part of a prompt, a body or a header.
+// milliseconds. No line contains any text of a prompt, a body or a header; parts
+// of prompts appear as hashes.
 type LogEvent string
 
 // String implements fmt.Stringer.
