quarantine, answer/events: parts of prompts that crash engines are barred at all hosts

What was running when an engine ended was forgotten with the attempt; each host took it for a failure of that engine, and parts were known as hashes of whole prefixes only. Class: a property of the request is charged to the server, and what one host sees binds no other. Ways weighed: the owner of the slots judges (its death loses the evidence, and large pools have several owners); every host judges by shared evidence (chosen). Why it works: each host reports which requests an engine broke off before or within 0.5 s of their first event, and which answers went on for 1 s; all hosts get the reports within 0.1 s and count, for each part, the engine processes that ended under it since an answer on it last began. A part with four such crashes at different moments is barred for 10 minutes, checked before the grant, the prefill, the decode, retries and takeovers. Crashes that a barred part explains count for no other part; parts that were sound before need twice as many; crashes that no part can explain raise the number.

--- a/internal/answer/events/accepting.go
+++ b/internal/answer/events/accepting.go
@@ -29,9 +29,13 @@
 }
 
 // checkAccepting fails if the engine, which the attempt was granted, accepts no
-// work from this host by now. An engine that is no longer known may still be
-// used.
+// work from this host by now, or no engine may get the request. An engine that is
+// no longer known may still be used.
 func (a *attempt) checkAccepting(engine sardineknot.BackendServer) error {
+	err := a.Guard.Check(a.call.Generation.Parts)
+	if err != nil {
+		return err
+	}
 	b, err := a.findServer(engine.Name)
 	if b.Born != engine.Born || !isNotSent(err) {
 		return nil
--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -38,8 +38,12 @@
 	// first is an event that was read before the attempt was accepted as the
 	// one that continues the stream, or nil.
 	first *event
-	// eventCount is the number of events relayed by this attempt.
+	// eventCount is the number of events relayed by this attempt, and begunAt the
+	// time of the first of them. sound is set once the engine is known not to end
+	// because of the request.
 	eventCount int
+	begunAt    time.Time
+	sound      bool
 
 	// The fields below are guarded by the mutex of the session.
 
@@ -109,7 +113,11 @@
 // acquireEngines waits for a grant and looks up its prefill and decode engines.
 func (a *attempt) acquireEngines() error {
 	n := a.Clock.Now()
-	err := a.checkPool(n)
+	err := a.Guard.Check(a.call.Generation.Parts)
+	if err != nil {
+		return err
+	}
+	err = a.checkPool(n)
 	if err != nil {
 		return err
 	}
@@ -297,6 +305,7 @@
 		a.report(sardineknot.JobCancelled, "")
 		return
 	}
+	a.reportCrash(err, n)
 	a.Log.Warn().Stringer("event", sardineknot.LogEngineFailed).Str("request", string(a.call.ID)).Str("server", string(n)).
 		Stringer("parts", a.call.Generation.Parts).Int("relayed", a.eventCount).Err(err).Send()
 	var u *sardineknot.UnsentError
--- a/internal/answer/events/fake_test.go
+++ b/internal/answer/events/fake_test.go
@@ -225,12 +225,49 @@
 	return x, ok
 }
 
+// guard is a fake sardineknot.PromptGuard. It bars all requests while barred is
+// set, and records reports.
+type guard struct {
+	mu      sync.Mutex
+	barred  bool
+	crashes []sardineknot.BackendServerName
+	sound   int
+}
+
+func (g *guard) Check(sardineknot.PromptPartList) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.barred {
+		return nil
+	}
+	return errors.WithStack(&sardineknot.NotRunError{Reason: "barred", RetryAfter: time.Minute})
+}
+
+func (g *guard) ReportCrash(p sardineknot.ServerProcess, _ sardineknot.PromptPartList) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.crashes = append(g.crashes, p.Name)
+}
+
+func (g *guard) ReportSound(sardineknot.PromptPartList, time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sound++
+}
+
+// bar makes g bar all requests.
+func (g *guard) bar() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.barred = true
+}
+
 func newRunner(e *engines, s sardineknot.SlotPool) *events.Runner {
 	c := sardineknot.Configuration{Revision: 1, Services: []sardineknot.Service{{Name: "llm", Engine: &sardineknot.EngineLimits{EventTokens: 10}}}}
 	for _, n := range []sardineknot.BackendServerName{"p", "d", "e", "f"} {
 		c.BackendServers = append(c.BackendServers, sardineknot.BackendServer{Name: n, State: sardineknot.BackendJoining})
 	}
-	return &events.Runner{Source: &source{c}, Forwarder: e, Slots: s, Budget: unlimitedBudget{}, Backoffs: backoff.NewSet(rand.NewPCG(1, 1)), Versions: versions{}, Clock: clock.System{}, Log: zerolog.Nop()}
+	return &events.Runner{Source: &source{c}, Forwarder: e, Slots: s, Budget: unlimitedBudget{}, Backoffs: backoff.NewSet(rand.NewPCG(1, 1)), Versions: versions{}, Guard: &guard{}, Clock: clock.System{}, Log: zerolog.Nop()}
 }
 
 func newCall(resumable bool) *sardineknot.Call {
--- a/internal/answer/events/relay.go
+++ b/internal/answer/events/relay.go
@@ -56,6 +56,7 @@
 		a.reportFailure(err, a.decode.Name)
 		return err
 	}
+	a.reportSound()
 	a.report(sardineknot.JobFinished, a.decode.Name)
 	a.Log.Info().Stringer("event", sardineknot.LogStreamEnded).Str("request", string(a.call.ID)).Str("server", string(a.decode.Name)).
 		Int("tries", a.number+1).Dur("first_ms", a.timeToFirst).Dur("pause_ms", a.longestPause).Int("tokens", a.tokens()).Int("expected", a.job.ExpectedTokens).Int("longest", a.job.MaxTokens).Send()
@@ -129,8 +130,12 @@
 // progress after every progressEvents events.
 func (a *attempt) reportProgress() {
 	a.eventCount++
+	if a.lastEventAt.Sub(a.begunAt) >= soundTime && a.eventCount > 1 {
+		a.reportSound()
+	}
 	switch {
 	case a.eventCount == 1:
+		a.begunAt = a.lastEventAt
 		a.report(sardineknot.JobDecodeStarted, a.decode.Name)
 	case a.eventCount%progressEvents == 0:
 		a.report(sardineknot.JobProgress, a.decode.Name)
--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -43,6 +43,8 @@
 	Slots sardineknot.SlotPool
 	// Backoffs records which engines want no requests from this host.
 	Backoffs *backoff.Set
+	// Guard keeps requests from engines that would crash them.
+	Guard sardineknot.PromptGuard
 	// Budget limits the retries of each service.
 	Budget sardineknot.RetryBudget
 	// Versions keeps the software versions that began streams.
--- a/internal/backend/backoff/set.go
+++ b/internal/backend/backoff/set.go
@@ -23,12 +23,6 @@
 	minSpread     = 100 * time.Millisecond
 )
 
-// process identifies one process of a backend server.
-type process struct {
-	name sardineknot.BackendServerName
-	born int64
-}
-
 // Set holds the backoffs of one entry host. It is safe for concurrent use. It
 // does not read a clock.
 type Set struct {
@@ -36,7 +30,7 @@
 	random *rand.Rand
 	// until holds the end of each backoff. Ends that have passed are deleted by
 	// Record.
-	until map[process]time.Time
+	until map[sardineknot.ServerProcess]time.Time
 	// last is the latest end ever recorded.
 	last time.Time
 }
@@ -46,7 +40,7 @@
 	if source == nil {
 		panic(&sardineknot.InvalidError{What: "source", Got: "nil", Expected: "a source of random numbers"})
 	}
-	return &Set{random: rand.New(source), until: make(map[process]time.Time)}
+	return &Set{random: rand.New(source), until: make(map[sardineknot.ServerProcess]time.Time)}
 }
 
 // Record records that server wants no requests for the duration wait from now on.
@@ -59,7 +53,7 @@
 			delete(s.until, p)
 		}
 	}
-	p, e := process{server.Name, server.Born}, now.Add(wait)
+	p, e := server.Process(), now.Add(wait)
 	o, ok := s.until[p]
 	if !ok || e.After(o) {
 		s.until[p] = e
@@ -81,7 +75,7 @@
 	if !now.Before(s.last) {
 		return 0
 	}
-	return max(0, s.until[process{server.Name, server.Born}].Sub(now))
+	return max(0, s.until[server.Process()].Sub(now))
 }
 
 // Any reports whether some server wants no requests.
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -34,6 +34,7 @@
 	"sardineknot.example/sardineknot/internal/platform/mirror"
 	feed "sardineknot.example/sardineknot/internal/platform/twirp"
 	"sardineknot.example/sardineknot/internal/policy/memory"
+	quarantine "sardineknot.example/sardineknot/internal/quarantine/twirp"
 	"sardineknot.example/sardineknot/internal/slots/twirp"
 	versions "sardineknot.example/sardineknot/internal/versions/twirp"
 )
@@ -129,8 +130,10 @@
 	slots       *twirp.Pool
 	// versions keeps the software versions that began streams.
 	versions *versions.Directory
-	peers    *h2c.Transport
-	budgets  *sharedbudget.Budgets
+	// guard knows the parts of prompts that crash engines.
+	guard   *quarantine.Guard
+	peers   *h2c.Transport
+	budgets *sharedbudget.Budgets
 }
 
 // Run serves until ctx is done, and returns once the host has stopped
@@ -151,7 +154,7 @@
 		}
 		g.Go(func() error { return serve(s.server, n) })
 	}
-	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.versions.Run, p.refresh, p.watchSettings, p.observeLoads, p.newRoleController().Run, p.connections.Run) {
+	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.versions.Run, p.guard.Run, p.refresh, p.watchSettings, p.observeLoads, p.newRoleController().Run, p.connections.Run) {
 		g.Go(func() error { return f(w) })
 	}
 	p.Log.Info().Stringer("event", sardineknot.LogStarted).Str("zone", string(p.Settings.Zone)).Send()
@@ -201,9 +204,18 @@
 	p.addSlots()
 	p.versions = versions.NewDirectory(p.clock)
 	p.versions.Members, p.versions.Source, p.versions.Client, p.versions.Log = p.registry, p.source, p.peers.Client(), p.Log
+	p.addGuard()
 	p.addCallHandler(h)
 }
 
+// addGuard creates the guard against prompts that crash engines.
+func (p *Process) addGuard() {
+	n := uint64(p.registry.Self().Incarnation)
+	p.guard = quarantine.NewGuard()
+	p.guard.Members, p.guard.Clock, p.guard.Client = p.registry, p.clock, p.peers.Client()
+	p.guard.Random, p.guard.Log, p.guard.Metrics = rand.New(rand.NewPCG(n, n+3)), p.Log, p.Metrics
+}
+
 // addSlots creates the slot pool, which grants engines to jobs.
 func (p *Process) addSlots() {
 	n := uint64(p.registry.Self().Incarnation)
@@ -242,7 +254,7 @@
 			Budget: b, Clock: p.clock, Log: p.Log,
 		},
 		Stream: &events.Runner{
-			Source: p.source, Forwarder: p.Forwarder, Slots: p.slots, Backoffs: p.backoffs,
+			Source: p.source, Forwarder: p.Forwarder, Slots: p.slots, Backoffs: p.backoffs, Guard: p.guard,
 			Budget: b, Versions: p.versions, Self: self, Clock: p.clock, Log: p.Log,
 		},
 		Clock:   p.clock,
--- a/internal/host/gateway/servers.go
+++ b/internal/host/gateway/servers.go
@@ -25,6 +25,7 @@
 	m.Handle(p.slots.Handler())
 	m.Handle(p.feed.Handler())
 	m.Handle(p.versions.Handler())
+	m.Handle(p.guard.Handler())
 	return []endpoint{
 		{p.Settings.CallerAddress, &http.Server{
 			Handler: p.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: p.connections.Track,
--- /dev/null
+++ b/internal/quarantine/evidence/judge.go
@@ -0,0 +1,192 @@
+package evidence
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"sardineknot.example/sardineknot"
+)
+
+// candidate is a part with the crashes that are evidence against it, the first
+// crash first.
+type candidate struct {
+	part    sardineknot.PromptPart
+	crashes []*crash
+	// count is the number of crashes that are at least minGap apart, and countedAt
+	// the time of the last one that was counted. threshold is the number that is
+	// needed.
+	count     int
+	countedAt time.Time
+	threshold int
+}
+
+// compare compares the evidence against k and b, as cmp.Compare does.
+func (k candidate) compare(b candidate) int {
+	return cmp.Or(cmp.Compare(k.count*b.threshold, b.count*k.threshold), cmp.Compare(b.part, k.part))
+}
+
+// Judge returns the quarantines that the evidence at time now requires in
+// addition to those known, and records them. Quarantines whose probation has
+// ended are dropped.
+func (e *Evidence) Judge(now time.Time) []sardineknot.Quarantine {
+	e.quarantines = slices.DeleteFunc(e.quarantines, func(q sardineknot.Quarantine) bool { return now.Sub(q.Until) > probation })
+	e.dropCrashes(now)
+	l := e.renew(now)
+	for {
+		q, ok := e.next(now)
+		if !ok {
+			return l
+		}
+		e.AddQuarantine(q)
+		l = append(l, q)
+	}
+}
+
+// renew extends the quarantines that have ended and that explain a later crash.
+func (e *Evidence) renew(now time.Time) []sardineknot.Quarantine {
+	var l []sardineknot.Quarantine
+	for i, q := range e.quarantines {
+		if now.Before(q.Until) {
+			continue
+		}
+		for _, c := range e.settled(now) {
+			if c.at.After(q.Until) && c.explainedBy(q) && !e.isSound(q, c.at) {
+				d := min(maxQuarantineTime, quarantineTime<<min(q.Strikes, 10))
+				q.Until, q.Strikes = now.Add(d), q.Strikes+1
+				e.quarantines[i] = q
+				l = append(l, q)
+				break
+			}
+		}
+	}
+	return l
+}
+
+// isSound reports whether an answer on one of the parts of quarantine has begun
+// after time after without a crash, and another one on each of its other parts.
+func (e *Evidence) isSound(quarantine sardineknot.Quarantine, after time.Time) bool {
+	return !slices.ContainsFunc(quarantine.Parts, func(p sardineknot.PromptPart) bool { return !e.sound.at(p).After(after) })
+}
+
+// settled returns the crashes whose suspects are known at time now, the first
+// crash first.
+func (e *Evidence) settled(now time.Time) []*crash {
+	l := slices.Collect(maps.Values(e.crashes))
+	l = slices.DeleteFunc(l, func(c *crash) bool { return now.Sub(c.at) < settlingTime })
+	slices.SortFunc(l, func(a, b *crash) int {
+		return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.process.Name, b.process.Name), cmp.Compare(a.process.Born, b.process.Born))
+	})
+	return l
+}
+
+// next returns the quarantine of the part with the most evidence against it. ok
+// is false if there is not enough against any part.
+func (e *Evidence) next(now time.Time) (quarantine sardineknot.Quarantine, ok bool) {
+	l := e.candidates(now)
+	if len(l) == 0 {
+		return sardineknot.Quarantine{}, false
+	}
+	b := slices.MaxFunc(l, candidate.compare)
+	if b.count < b.threshold {
+		return sardineknot.Quarantine{}, false
+	}
+	q := sardineknot.Quarantine{Until: now.Add(quarantineTime), Strikes: 1}
+	for _, c := range l {
+		if slices.Equal(c.crashes, b.crashes) && inseparable(b, c) {
+			q.Parts = append(q.Parts, c.part)
+		}
+	}
+	slices.Sort(q.Parts)
+	return q, true
+}
+
+// threshold returns the number of crashes that put a part into quarantine at time
+// now if no answer on it is known.
+func (e *Evidence) threshold(now time.Time) int {
+	var k candidate
+	for _, c := range e.settled(now) {
+		if e.refuted(c) {
+			k.add(c)
+		}
+	}
+	return min(maxThreshold, minThreshold+k.count)
+}
+
+// refuted reports whether all parts of all suspects of c are sound.
+func (e *Evidence) refuted(c *crash) bool {
+	return !slices.ContainsFunc(c.parts(), func(p sardineknot.PromptPart) bool { return !e.sound.at(p).After(c.at) })
+}
+
+// inseparable reports whether a suspect of each crash of a has the parts of both
+// candidates.
+func inseparable(a, b candidate) bool {
+	q := sardineknot.Quarantine{Parts: sardineknot.PromptPartList{a.part, b.part}}
+	return !slices.ContainsFunc(a.crashes, func(c *crash) bool { return !c.explainedBy(q) })
+}
+
+// candidates returns the parts against which there is evidence that no
+// quarantine explains.
+func (e *Evidence) candidates(now time.Time) []candidate {
+	m := make(map[sardineknot.PromptPart]*candidate)
+	o := make(map[sardineknot.PromptPart]bool)
+	for _, c := range e.settled(now) {
+		x := e.explained(c)
+		for _, p := range c.parts() {
+			if !c.at.After(e.sound.at(p)) || x && !e.sharesQuarantine(p) {
+				continue
+			}
+			if m[p] == nil {
+				m[p] = &candidate{part: p}
+			}
+			m[p].add(c)
+			o[p] = o[p] || !x
+		}
+	}
+	var l []candidate
+	t := e.threshold(now)
+	for p, k := range m {
+		if !o[p] {
+			continue
+		}
+		k.threshold = t
+		if !e.sound.at(p).IsZero() {
+			k.threshold *= soundFactor
+		}
+		l = append(l, *k)
+	}
+	return l
+}
+
+// add adds a crash that is not earlier than the crashes of k.
+func (k *candidate) add(c *crash) {
+	if k.count == 0 || c.at.Sub(k.countedAt) >= minGap {
+		k.count++
+		k.countedAt = c.at
+	}
+	k.crashes = append(k.crashes, c)
+}
+
+// explained reports whether a suspect of c has the parts of a quarantine.
+func (e *Evidence) explained(c *crash) bool {
+	return slices.ContainsFunc(e.quarantines, c.explainedBy)
+}
+
+// sharesQuarantine reports whether part is in quarantine only together with
+// other parts, so that it may turn out to be the one that matters.
+func (e *Evidence) sharesQuarantine(part sardineknot.PromptPart) bool {
+	return slices.ContainsFunc(e.quarantines, func(q sardineknot.Quarantine) bool {
+		return len(q.Parts) > 1 && slices.Contains(q.Parts, part)
+	})
+}
+
+// parts returns the parts of the suspects of c, each once.
+func (c *crash) parts() sardineknot.PromptPartList {
+	var l sardineknot.PromptPartList
+	for _, s := range c.suspects {
+		l = append(l, s...)
+	}
+	slices.Sort(l)
+	return slices.Compact(l)
+}
--- /dev/null
+++ b/internal/quarantine/twirp/guard.go
@@ -0,0 +1,229 @@
+package twirp
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/quarantine/evidence"
+	rpc "sardineknot.example/sardineknot/internal/rpc/quarantine"
+)
+
+const (
+	// interval is the time between two judgements, and between two messages to
+	// the other hosts.
+	interval = 100 * time.Millisecond
+	// fetchInterval is the time after which another host is asked for what this
+	// host may have missed.
+	fetchInterval = time.Second
+	// callTimeout bounds a call to another host.
+	callTimeout = 250 * time.Millisecond
+	// maxSends bounds the concurrent calls to other hosts.
+	maxSends = 32
+	// maxPending bounds the reports that wait to be sent.
+	maxPending = 1024
+)
+
+// Guard is a sardineknot.PromptGuard. All exported fields must be set before use.
+type Guard struct {
+	// Members lists the entry hosts.
+	Members sardineknot.Membership
+	// Clock returns the current time.
+	Clock sardineknot.Clock
+	// Client sends requests to other entry hosts.
+	Client *http.Client
+	// Random selects the host to ask. It must not be shared.
+	Random *rand.Rand
+	// Log receives an event for each quarantine.
+	Log zerolog.Logger
+	// Metrics receives the number of quarantines and of barred requests.
+	Metrics metrics.Registry
+
+	mu       sync.Mutex
+	evidence *evidence.Evidence
+	// pending is what the other hosts have not been sent yet.
+	pending sardineknot.CrashEvidence
+}
+
+var _ sardineknot.PromptGuard = (*Guard)(nil)
+
+// NewGuard returns a guard that bars nothing.
+func NewGuard() *Guard { return &Guard{evidence: evidence.New()} }
+
+// Check implements sardineknot.PromptGuard.
+func (g *Guard) Check(parts sardineknot.PromptPartList) error {
+	if len(parts) == 0 {
+		return nil
+	}
+	g.mu.Lock()
+	d := g.evidence.Left(g.Clock.Now(), parts)
+	g.mu.Unlock()
+	if d <= 0 {
+		return nil
+	}
+	metrics.GetOrRegisterCounter("quarantine_refusals", g.Metrics).Inc(1)
+	return errors.WithStack(&sardineknot.NotRunError{Reason: "the prompt has a part that crashed engines", RetryAfter: d})
+}
+
+// ReportCrash implements sardineknot.PromptGuard.
+func (g *Guard) ReportCrash(process sardineknot.ServerProcess, parts sardineknot.PromptPartList) {
+	c := sardineknot.EngineCrash{Process: process, Parts: parts, At: g.Clock.Now()}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.evidence.AddCrash(c) && len(g.pending.Crashes) < maxPending {
+		g.pending.Crashes = append(g.pending.Crashes, c)
+		g.pending.Sound = append(g.pending.Sound, g.evidence.Known(parts)...)
+	}
+}
+
+// ReportSound implements sardineknot.PromptGuard.
+func (g *Guard) ReportSound(parts sardineknot.PromptPartList, begun time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, p := range g.evidence.Suspected(parts, begun) {
+		if len(g.pending.Sound) < maxPending {
+			g.pending.Sound = append(g.pending.Sound, sardineknot.SoundPart{Part: p, At: begun})
+		}
+	}
+	for _, p := range parts {
+		g.evidence.AddSound(p, begun)
+	}
+}
+
+// Run judges and exchanges evidence with other hosts until ctx is done. It always
+// returns nil.
+func (g *Guard) Run(ctx context.Context) error {
+	var l errgroup.Group
+	l.Go(func() error { return repeat(ctx, interval, g.judge) })
+	l.Go(func() error { return repeat(ctx, interval, func() { g.send(ctx) }) })
+	l.Go(func() error { return repeat(ctx, fetchInterval, func() { g.fetch(ctx) }) })
+	return l.Wait()
+}
+
+// repeat calls f at the given interval until ctx is done. It always returns nil.
+func repeat(ctx context.Context, interval time.Duration, f func()) error {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		f()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// judge puts the parts into quarantine that the evidence requires.
+func (g *Guard) judge() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n := g.Clock.Now()
+	for _, q := range g.evidence.Judge(n) {
+		g.pending.Quarantines = append(g.pending.Quarantines, q)
+		g.record(n, q, true)
+	}
+}
+
+// record logs and counts a new quarantine. found is true if this host has found
+// it, and false if another host has reported it.
+func (g *Guard) record(now time.Time, quarantine sardineknot.Quarantine, found bool) {
+	metrics.GetOrRegisterCounter("quarantines", g.Metrics).Inc(1)
+	g.Log.Warn().Stringer("event", sardineknot.LogPartsQuarantined).Stringer("parts", quarantine.Parts).
+		Dur("left_ms", quarantine.Until.Sub(now)).Int("strikes", quarantine.Strikes).Bool("found", found).Send()
+}
+
+// send sends what this host has learned to all other hosts. A host that does not
+// get it fetches it later.
+func (g *Guard) send(ctx context.Context) {
+	g.mu.Lock()
+	v := g.pending
+	g.pending = sardineknot.CrashEvidence{}
+	g.mu.Unlock()
+	if v.Empty() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	m := evidenceMessage(v, g.Clock.Now())
+	var l errgroup.Group
+	l.SetLimit(maxSends)
+	for _, h := range g.peers() {
+		l.Go(func() error {
+			_, err := g.client(h).Share(ctx, m)
+			g.logFailure(h, err)
+			return nil
+		})
+	}
+	_ = l.Wait() // the calls return no error
+}
+
+// fetch asks a random other host for all that it knows.
+func (g *Guard) fetch(ctx context.Context) {
+	l := g.peers()
+	if len(l) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	h := l[g.Random.IntN(len(l))]
+	g.mu.Lock()
+	d := g.evidence.Digest()
+	g.mu.Unlock()
+	m, err := g.client(h).Fetch(ctx, &rpc.FetchRequest{Digest: d})
+	if err != nil {
+		g.logFailure(h, err)
+		return
+	}
+	g.learn(m)
+}
+
+// learn records what another host has sent.
+func (g *Guard) learn(message *rpc.Evidence) {
+	n := g.Clock.Now()
+	v := evidenceFromMessage(message, n)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, s := range v.Sound {
+		g.evidence.AddSound(s.Part, s.At)
+	}
+	for _, c := range v.Crashes {
+		g.evidence.AddCrash(c)
+	}
+	for _, q := range v.Quarantines {
+		if g.evidence.AddQuarantine(q) {
+			g.record(n, q, false)
+		}
+	}
+}
+
+// logFailure logs err, with which a call to host failed, unless it is nil.
+func (g *Guard) logFailure(host sardineknot.EntryHost, err error) {
+	if err != nil {
+		g.Log.Debug().Stringer("event", sardineknot.LogEvidenceNotSent).Str("peer", string(host.ID)).Err(err).Send()
+	}
+}
+
+// peers returns the other hosts that are not known to be dead.
+func (g *Guard) peers() []sardineknot.EntryHost {
+	var l []sardineknot.EntryHost
+	s := g.Members.Self().ID
+	for _, h := range g.Members.Hosts() {
+		if h.ID != s && h.State != sardineknot.EntryHostDead {
+			l = append(l, h)
+		}
+	}
+	return l
+}
+
+func (g *Guard) client(host sardineknot.EntryHost) rpc.Quarantines {
+	return rpc.NewQuarantinesProtobufClient("http://"+host.PeerAddress.String(), g.Client)
+}
--- a/logevent.go
+++ b/logevent.go
@@ -153,6 +153,14 @@
 	// that began a stream whose caller has come back, while the servers have had
 	// several versions.
 	LogVersionUnknown LogEvent = "version_unknown"
+	// LogPartsQuarantined reports that requests with all of the given parts of
+	// prompts get no engine for "left_ms", because each engine that began such a
+	// request ended. "strikes" counts the quarantines of these parts. "found" is
+	// false if another entry host has found it.
+	LogPartsQuarantined LogEvent = "parts_quarantined"
+	// LogEvidenceNotSent reports that another entry host was not reached to send
+	// or fetch evidence of parts that crash engines. It fetches the evidence later.
+	LogEvidenceNotSent LogEvent = "evidence_not_sent"
 	// LogStreamRetried reports why a stream is continued on another engine, and
 	// after which event.
 	LogStreamRetried LogEvent = "stream_retried"
