quarantine/store: quarantines are kept in the platform's store

What callers would see: a part that is barred crashes engines again after all hosts were killed. Cause: quarantines were in the memory of the hosts only. Class: what must last has to be in the store. One host writes a key for each quarantine, again if the store has lost it; all hosts read it with the other changes. Two calls for each quarantine: none while nothing is barred.

--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -58,7 +58,8 @@
 func (p *Process) applyEntry(entry sardineknot.StoreEntry) {
 	h := p.registry.Apply(entry)
 	s := p.source.Apply(entry)
-	if h || s || p.entries.Precedes(entry.Revision.Era) {
+	q := p.keeper.Apply(entry)
+	if h || s || q || p.entries.Precedes(entry.Revision.Era) {
 		p.entries.Record(entry)
 	}
 }
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -34,6 +34,7 @@
 	"sardineknot.example/sardineknot/internal/platform/mirror"
 	feed "sardineknot.example/sardineknot/internal/platform/twirp"
 	"sardineknot.example/sardineknot/internal/policy/memory"
+	quarantinestore "sardineknot.example/sardineknot/internal/quarantine/store"
 	quarantine "sardineknot.example/sardineknot/internal/quarantine/twirp"
 	"sardineknot.example/sardineknot/internal/slots/twirp"
 	versions "sardineknot.example/sardineknot/internal/versions/twirp"
@@ -131,7 +132,9 @@
 	// versions keeps the software versions that began streams.
 	versions *versions.Directory
 	// guard knows the parts of prompts that crash engines.
-	guard   *quarantine.Guard
+	guard *quarantine.Guard
+	// keeper keeps the quarantines of guard in the key-value service.
+	keeper  *quarantinestore.Keeper
 	peers   *h2c.Transport
 	budgets *sharedbudget.Budgets
 }
@@ -154,7 +157,7 @@
 		}
 		g.Go(func() error { return serve(s.server, n) })
 	}
-	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.versions.Run, p.guard.Run, p.refresh, p.watchSettings, p.observeLoads, p.newRoleController().Run, p.connections.Run) {
+	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.versions.Run, p.guard.Run, p.keeper.Run, p.refresh, p.watchSettings, p.observeLoads, p.newRoleController().Run, p.connections.Run) {
 		g.Go(func() error { return f(w) })
 	}
 	p.Log.Info().Stringer("event", sardineknot.LogStarted).Str("zone", string(p.Settings.Zone)).Send()
@@ -214,6 +217,9 @@
 	p.guard = quarantine.NewGuard()
 	p.guard.Members, p.guard.Clock, p.guard.Client = p.registry, p.clock, p.peers.Client()
 	p.guard.Random, p.guard.Log, p.guard.Metrics = rand.New(rand.NewPCG(n, n+3)), p.Log, p.Metrics
+	p.keeper = &quarantinestore.Keeper{
+		Store: p.Store, Quarantines: p.guard, Ranker: rendezvous.NewRanker(p.registry), Self: p.registry.Self().ID, Clock: p.clock, Log: p.Log,
+	}
 }
 
 // addSlots creates the slot pool, which grants engines to jobs.
--- a/internal/quarantine/evidence/evidence.go
+++ b/internal/quarantine/evidence/evidence.go
@@ -202,7 +202,7 @@
 
 // All returns all that is recorded, of the sound parts those of suspects.
 func (e *Evidence) All() sardineknot.CrashEvidence {
-	v := sardineknot.CrashEvidence{Quarantines: slices.Clone(e.quarantines)}
+	v := sardineknot.CrashEvidence{Quarantines: e.Quarantines()}
 	for _, c := range e.crashes {
 		v.Sound = append(v.Sound, e.Known(c.parts())...)
 		for _, s := range c.suspects {
@@ -212,6 +212,9 @@
 	return v
 }
 
+// Quarantines returns the quarantines and those whose probation has not ended.
+func (e *Evidence) Quarantines() []sardineknot.Quarantine { return slices.Clone(e.quarantines) }
+
 // Digest returns a number that identifies the recorded suspects and quarantines.
 // Hosts with the same evidence have the same digest.
 func (e *Evidence) Digest() uint64 {
--- /dev/null
+++ b/internal/quarantine/store/keeper.go
@@ -0,0 +1,186 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"sardineknot.example/sardineknot"
+)
+
+const (
+	// keyPrefix is the prefix of the keys of quarantines.
+	keyPrefix = "quarantine/"
+	// interval is the time between two comparisons of the known quarantines with
+	// the keys of the service.
+	interval = time.Second
+	// callTimeout bounds a call to the service.
+	callTimeout = time.Second
+	// maxWrites bounds the writes of one comparison.
+	maxWrites = 4
+	// maxKeyParts is the number of parts in a key.
+	maxKeyParts = 8
+)
+
+// Keeper writes and reads the keys of quarantines. It is safe for concurrent use.
+// All exported fields must be set before use.
+type Keeper struct {
+	// Store is the key-value service.
+	Store sardineknot.Store
+	// Quarantines holds the quarantines that this host knows.
+	Quarantines sardineknot.QuarantineList
+	// Ranker selects the host that writes a key, and Self is this host.
+	Ranker sardineknot.Ranker
+	Self   sardineknot.EntryHostID
+	// Clock returns the current time.
+	Clock sardineknot.Clock
+	// Log receives an event for each key that cannot be written or read.
+	Log zerolog.Logger
+
+	mu sync.Mutex
+	// keys holds the keys of the service, with the strikes of their quarantines.
+	keys map[string]storedKey
+}
+
+// storedKey is what this host knows of a key of the service.
+type storedKey struct {
+	revision sardineknot.StoreRevision
+	// strikes is Quarantine.Strikes, or zero if the value could not be read.
+	strikes int
+}
+
+// value is the value of a key.
+type value struct {
+	Parts   sardineknot.PromptPartList
+	Until   time.Time
+	Strikes int
+}
+
+// Apply applies a changed entry of the service, and reports whether it is the
+// entry of a quarantine.
+func (k *Keeper) Apply(entry sardineknot.StoreEntry) bool {
+	if !strings.HasPrefix(entry.Key, keyPrefix) {
+		return false
+	}
+	var v value
+	if entry.Revision.Number != 0 {
+		err := json.Unmarshal(entry.Value, &v)
+		if err != nil || len(v.Parts) == 0 || v.Strikes <= 0 {
+			k.Log.Warn().Stringer("event", sardineknot.LogQuarantineNotRead).Str("key", entry.Key).Err(err).Send()
+			v = value{}
+		}
+	}
+	k.mu.Lock()
+	if k.keys == nil {
+		k.keys = make(map[string]storedKey)
+	}
+	if entry.Revision.Number == 0 {
+		delete(k.keys, entry.Key)
+	} else {
+		k.keys[entry.Key] = storedKey{revision: entry.Revision, strikes: v.Strikes}
+	}
+	k.mu.Unlock()
+	if v.Strikes > 0 {
+		k.Quarantines.AddQuarantine(sardineknot.Quarantine(v))
+	}
+	return true
+}
+
+// Run keeps the keys up to date until ctx is done. It always returns nil.
+func (k *Keeper) Run(ctx context.Context) error {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			k.update(ctx)
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// update writes the quarantines that the service lacks and deletes those that are
+// no longer known, as far as this host is the one to do so.
+func (k *Keeper) update(ctx context.Context) {
+	l := make(map[string]bool)
+	n := 0
+	for _, q := range k.Quarantines.Quarantines() {
+		s := key(q)
+		l[s] = true
+		o := k.stored(s)
+		if o.strikes >= q.Strikes || q.Until.Before(k.Clock.Now()) || n >= maxWrites || !k.owns(s) {
+			continue
+		}
+		n++
+		k.write(ctx, s, o.revision, q)
+	}
+	for s, o := range k.allStored() {
+		if !l[s] && n < maxWrites && k.owns(s) {
+			n++
+			k.remove(ctx, s, o.revision)
+		}
+	}
+}
+
+// write writes quarantine under key, whose known revision is revision.
+func (k *Keeper) write(ctx context.Context, key string, revision sardineknot.StoreRevision, quarantine sardineknot.Quarantine) {
+	b, err := json.Marshal(value(quarantine))
+	if err == nil {
+		c, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		_, err = k.Store.CompareAndSwap(c, key, revision, b, sardineknot.LeaseID{})
+	}
+	k.logFailure(key, err)
+}
+
+// remove deletes key, whose known revision is revision.
+func (k *Keeper) remove(ctx context.Context, key string, revision sardineknot.StoreRevision) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	k.logFailure(key, k.Store.Delete(ctx, key, revision))
+}
+
+// logFailure logs err, with which a write of key failed, unless it is nil or
+// another write came first. The write is repeated with the next comparison.
+func (k *Keeper) logFailure(key string, err error) {
+	var c *sardineknot.ConflictError
+	if err != nil && !errors.As(err, &c) {
+		k.Log.Warn().Stringer("event", sardineknot.LogQuarantineNotWritten).Str("key", key).Err(err).Send()
+	}
+}
+
+// stored returns what is known of key.
+func (k *Keeper) stored(key string) storedKey {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.keys[key]
+}
+
+// allStored returns the known keys.
+func (k *Keeper) allStored() map[string]storedKey {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	m := make(map[string]storedKey, len(k.keys))
+	for s, o := range k.keys {
+		m[s] = o
+	}
+	return m
+}
+
+// owns reports whether this host is the one that writes key.
+func (k *Keeper) owns(key string) bool {
+	h, ok := k.Ranker.Owner(key)
+	return ok && h.ID == k.Self
+}
+
+// key returns the key of quarantine. Keys are limited in length, and the first
+// parts identify a quarantine well enough: the value holds all.
+func key(quarantine sardineknot.Quarantine) string {
+	return keyPrefix + quarantine.Parts[:min(len(quarantine.Parts), maxKeyParts)].String()
+}
--- /dev/null
+++ b/internal/quarantine/store/keeper_test.go
@@ -0,0 +1,201 @@
+package store_test
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/host/clock"
+	"sardineknot.example/sardineknot/internal/quarantine/store"
+)
+
+// service is a fake key-value service that notifies keepers of its changes. It
+// implements sardineknot.Ranker: the first host owns all keys.
+type service struct {
+	sardineknot.Store
+	mu      sync.Mutex
+	entries map[string]sardineknot.StoreEntry
+	keepers []*store.Keeper
+	number  int64
+	writes  int
+	down    bool
+}
+
+func (s *service) CompareAndSwap(_ context.Context, key string, expected sardineknot.StoreRevision, value []byte, _ sardineknot.LeaseID) (sardineknot.StoreRevision, error) {
+	s.mu.Lock()
+	s.writes++
+	o := s.entries[key].Revision
+	if s.down {
+		s.mu.Unlock()
+		return o, errors.WithStack(&sardineknot.UnavailableError{Peer: "store"})
+	}
+	if o.Number != expected.Number {
+		s.mu.Unlock()
+		return o, errors.WithStack(&sardineknot.ConflictError{})
+	}
+	s.number++
+	e := sardineknot.StoreEntry{Key: key, Value: value, Revision: sardineknot.StoreRevision{Number: s.number}}
+	s.entries[key] = e
+	s.mu.Unlock()
+	s.notify(e)
+	return e.Revision, nil
+}
+
+func (s *service) Delete(_ context.Context, key string, _ sardineknot.StoreRevision) error {
+	s.lose(key)
+	return nil
+}
+
+// lose removes key, as a deletion or a restore of the service does.
+func (s *service) lose(key string) {
+	s.mu.Lock()
+	delete(s.entries, key)
+	s.mu.Unlock()
+	s.notify(sardineknot.StoreEntry{Key: key})
+}
+
+func (s *service) notify(entry sardineknot.StoreEntry) {
+	for _, k := range s.keepers {
+		k.Apply(entry)
+	}
+}
+
+func (s *service) Owner(string) (sardineknot.EntryHost, bool) {
+	return sardineknot.EntryHost{ID: "h0"}, true
+}
+
+func (s *service) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+}
+
+// keys returns the keys of the service.
+func (s *service) keys() (l []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for k := range s.entries {
+		l = append(l, k)
+	}
+	return l
+}
+
+// list is a fake sardineknot.QuarantineList.
+type list struct {
+	mu sync.Mutex
+	l  []sardineknot.Quarantine
+}
+
+func (l *list) Quarantines() []sardineknot.Quarantine {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.l)
+}
+
+func (l *list) AddQuarantine(q sardineknot.Quarantine) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.l = slices.DeleteFunc(l.l, func(o sardineknot.Quarantine) bool { return slices.Equal(o.Parts, q.Parts) })
+	l.l = append(l.l, q)
+}
+
+// forget removes all quarantines.
+func (l *list) forget() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.l = nil
+}
+
+// run runs test in virtual time with two hosts.
+func run(t *testing.T, test func(*testing.T, *service, []*list)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &service{entries: make(map[string]sardineknot.StoreEntry)}
+		l := []*list{{}, {}}
+		for i, n := range []sardineknot.EntryHostID{"h0", "h1"} {
+			s.keepers = append(s.keepers, &store.Keeper{Store: s, Quarantines: l[i], Ranker: s, Self: n, Clock: clock.System{}, Log: zerolog.Nop()})
+		}
+		for _, k := range s.keepers {
+			go func() { _ = k.Run(ctx) }()
+		}
+		for _, k := range l {
+			k.AddQuarantine(sardineknot.Quarantine{Parts: sardineknot.PromptPartList{1}, Until: time.Now().Add(time.Minute), Strikes: 1})
+		}
+		test(t, s, l)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// TestKeeper guards against quarantines that end with the hosts that know them.
+func TestKeeper(t *testing.T) {
+	t.Run("one host writes the key, once", func(t *testing.T) {
+		run(t, func(t *testing.T, s *service, _ []*list) {
+			time.Sleep(10 * time.Second)
+			is.New(t).Equal(s.keys(), []string{"quarantine/1"})
+			is.New(t).Equal(s.writes, 1)
+		})
+	})
+	t.Run("a host that starts reads it", func(t *testing.T) {
+		run(t, func(t *testing.T, s *service, l []*list) {
+			time.Sleep(2 * time.Second)
+			l[1].forget()
+			s.notify(s.entries["quarantine/1"])
+			q := l[1].Quarantines()
+			is.New(t).Equal(len(q), 1)
+			is.New(t).Equal(q[0].Strikes, 1)
+		})
+	})
+	t.Run("written again by a service that has lost it, or was down", func(t *testing.T) {
+		run(t, func(t *testing.T, s *service, _ []*list) {
+			time.Sleep(2 * time.Second)
+			s.setDown(true)
+			s.lose("quarantine/1")
+			time.Sleep(5 * time.Second)
+			s.setDown(false)
+			time.Sleep(2 * time.Second)
+			is.New(t).Equal(s.keys(), []string{"quarantine/1"})
+		})
+	})
+}
+
+// TestKeeperReplaces guards against keys that differ from what the hosts know.
+func TestKeeperReplaces(t *testing.T) {
+	t.Run("written again with more strikes", func(t *testing.T) {
+		run(t, func(t *testing.T, s *service, l []*list) {
+			time.Sleep(2 * time.Second)
+			l[0].AddQuarantine(sardineknot.Quarantine{Parts: sardineknot.PromptPartList{1}, Until: time.Now().Add(time.Minute), Strikes: 2})
+			time.Sleep(2 * time.Second)
+			is.New(t).Equal(l[1].Quarantines()[0].Strikes, 2)
+		})
+	})
+	t.Run("removed when it is forgotten", func(t *testing.T) {
+		run(t, func(t *testing.T, s *service, l []*list) {
+			time.Sleep(2 * time.Second)
+			l[0].forget()
+			time.Sleep(2 * time.Second)
+			is.New(t).Equal(len(s.keys()), 0)
+		})
+	})
+	t.Run("entries that cannot be read are left out and replaced", func(t *testing.T) {
+		run(t, func(t *testing.T, s *service, l []*list) {
+			is := is.New(t)
+			l[1].forget()
+			for _, v := range []string{"", "{", `{"Parts":[],"Strikes":1}`, `{"Parts":[1]}`, strings.Repeat("x", 1000)} {
+				is.True(s.keepers[1].Apply(sardineknot.StoreEntry{Key: "quarantine/1", Value: []byte(v), Revision: sardineknot.StoreRevision{Number: 7}}))
+			}
+			is.Equal(len(l[1].Quarantines()), 0)
+			is.True(!s.keepers[1].Apply(sardineknot.StoreEntry{Key: "hosts/1"}))
+		})
+	})
+}
--- a/internal/quarantine/twirp/guard.go
+++ b/internal/quarantine/twirp/guard.go
@@ -53,7 +53,10 @@
 	pending sardineknot.CrashEvidence
 }
 
-var _ sardineknot.PromptGuard = (*Guard)(nil)
+var (
+	_ sardineknot.PromptGuard    = (*Guard)(nil)
+	_ sardineknot.QuarantineList = (*Guard)(nil)
+)
 
 // NewGuard returns a guard that bars nothing.
 func NewGuard() *Guard { return &Guard{evidence: evidence.New()} }
@@ -199,9 +202,27 @@
 		g.evidence.AddCrash(c)
 	}
 	for _, q := range v.Quarantines {
-		if g.evidence.AddQuarantine(q) {
-			g.record(n, q, false)
-		}
+		g.addQuarantineLocked(n, q)
+	}
+}
+
+// Quarantines implements sardineknot.QuarantineList.
+func (g *Guard) Quarantines() []sardineknot.Quarantine {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evidence.Quarantines()
+}
+
+// AddQuarantine implements sardineknot.QuarantineList.
+func (g *Guard) AddQuarantine(quarantine sardineknot.Quarantine) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.addQuarantineLocked(g.Clock.Now(), quarantine)
+}
+
+func (g *Guard) addQuarantineLocked(now time.Time, quarantine sardineknot.Quarantine) {
+	if g.evidence.AddQuarantine(quarantine) {
+		g.record(now, quarantine, false)
 	}
 }
 
--- a/logevent.go
+++ b/logevent.go
@@ -161,6 +161,12 @@
 	// LogEvidenceNotSent reports that another entry host was not reached to send
 	// or fetch evidence of parts that crash engines. It fetches the evidence later.
 	LogEvidenceNotSent LogEvent = "evidence_not_sent"
+	// LogQuarantineNotWritten reports that the quarantine with the key "key" could
+	// not be written to the store, or not be removed. That is tried again.
+	LogQuarantineNotWritten LogEvent = "quarantine_not_written"
+	// LogQuarantineNotRead reports that the store has no proper quarantine under
+	// the key "key".
+	LogQuarantineNotRead LogEvent = "quarantine_not_read"
 	// LogStreamRetried reports why a stream is continued on another engine, and
 	// after which event.
 	LogStreamRetried LogEvent = "stream_retried"
--- a/quarantine.go
+++ b/quarantine.go
@@ -70,6 +70,16 @@
 	return len(e.Crashes)+len(e.Sound)+len(e.Quarantines) == 0
 }
 
+// QuarantineList holds the quarantines that a host knows. Implementations are safe
+// for concurrent use.
+type QuarantineList interface {
+	// Quarantines returns the quarantines, and those that have ended but whose
+	// parts are not forgotten yet.
+	Quarantines() []Quarantine
+	// AddQuarantine records a quarantine, unless one with as many strikes is known.
+	AddQuarantine(quarantine Quarantine)
+}
+
 // PromptGuard keeps requests from engines whose prompts have a part that crashes
 // every engine that begins to write an answer on it. Implementations are safe for
 // concurrent use and share what they learn with all entry hosts.
