backend/http1: response heads are bounded, and unused bodies on every way to a server

Cause: net/http reads a head without a bound. Class: input from a server without a bound. A body that has failed goes on failing; it said io.EOF before, which means a whole response.

--- a/internal/backend/http1/body.go
+++ b/internal/backend/http1/body.go
@@ -18,14 +18,16 @@
 	response *http.Response
 	stop     func() bool
 	context  context.Context
-	// done is set when the connection was returned or closed.
+	// done is set when the connection was returned or closed, and err is what Read
+	// returns then.
 	done bool
+	err  error
 }
 
 // Read implements io.Reader.
 func (b *body) Read(buffer []byte) (int, error) {
 	if b.done {
-		return 0, io.EOF
+		return 0, b.err
 	}
 	n, err := b.response.Body.Read(buffer)
 	switch {
@@ -35,8 +37,8 @@
 		b.finish()
 		return n, io.EOF
 	default:
-		b.abort()
-		return n, errors.WithStack(&sardineknot.UnavailableError{Peer: b.conn.server.String(), Cause: cause(b.context, err)})
+		b.abort(errors.WithStack(&sardineknot.UnavailableError{Peer: b.conn.server.String(), Cause: cause(b.context, err)}))
+		return n, b.err
 	}
 }
 
@@ -44,7 +46,7 @@
 // read to its end.
 func (b *body) Close() error {
 	if !b.done {
-		b.abort()
+		b.abort(errors.WithStack(errClosed))
 	}
 	return nil
 }
@@ -53,7 +55,7 @@
 // request and the response are complete and no further bytes were received.
 // Otherwise it closes the connection.
 func (b *body) finish() {
-	b.done = true
+	b.done, b.err = true, io.EOF
 	s := b.stop()
 	if !s || b.response.Close || b.conn.reader.Buffered() > 0 || !b.requestSent() {
 		b.conn.Close()
@@ -79,9 +81,12 @@
 	}
 }
 
-// abort closes the connection.
-func (b *body) abort() {
-	b.done = true
+// errClosed is what Read returns after Close, if the body was not read to its end.
+var errClosed = errors.New("the body is closed")
+
+// abort closes the connection. Read returns err from now on.
+func (b *body) abort(err error) {
+	b.done, b.err = true, err
 	b.stop()
 	b.conn.Close()
 }
--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -35,6 +35,7 @@
 	net.Conn
 	client *Client
 	server netip.AddrPort
+	head   *headReader
 	reader *bufio.Reader
 	// idleSince is the time at which the connection became idle, and
 	// idleTimeout the time for which it may stay idle.
@@ -47,7 +48,8 @@
 }
 
 func newConn(owner *Client, address netip.AddrPort, socket net.Conn) *conn {
-	return &conn{Conn: socket, client: owner, server: address, reader: bufio.NewReaderSize(socket, bufferBytes), idleTimeout: maxIdleTime}
+	h := &headReader{Conn: socket, left: -1}
+	return &conn{Conn: socket, client: owner, server: address, head: h, reader: bufio.NewReaderSize(h, bufferBytes), idleTimeout: maxIdleTime}
 }
 
 // startIdleRead starts a read on the idle connection, which detects that the
@@ -106,7 +108,9 @@
 func (k *conn) readResponse(exchange sardineknot.ExchangeRequest) (*http.Response, error) {
 	r := &http.Request{Method: exchange.Method}
 	for range maxStrayResponses {
+		k.head.begin()
 		p, err := http.ReadResponse(k.reader, r)
+		k.head.end()
 		if err != nil {
 			return nil, errors.WithStack(err)
 		}
@@ -126,9 +130,9 @@
 // discardBody reads and drops the body of a late response to an earlier request,
 // so that the next response on the connection can be read. It fails if the
 // server closes the connection after the late response, or if the body is longer
-// than maxStrayBytes.
+// than maxStrayBytes. It never closes the body, since that would read it to its
+// end.
 func discardBody(response *http.Response) error {
-	defer response.Body.Close()
 	if response.Close {
 		return errors.New("server closes the connection after a response to another request")
 	}
