answer/plain, backend/memory: answers share a budget of memory

Cause: each call was bounded by itself, and all calls together were not. Fix: beyond 64 KB an answer takes its memory from a budget of 16 MB that all share; answers are kept in pieces, so nothing is copied as they grow. An answer that gets no memory fails as one that is too long.

--- a/internal/answer/plain/runner.go
+++ b/internal/answer/plain/runner.go
@@ -11,7 +11,6 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"time"
@@ -22,6 +21,7 @@
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/backend/backoff"
 	"sardineknot.example/sardineknot/internal/backend/breaker"
+	"sardineknot.example/sardineknot/internal/backend/memory"
 )
 
 const (
@@ -32,8 +32,6 @@
 	// queuePollInterval is the interval at which a waiting call tries again to
 	// find a server.
 	queuePollInterval = 10 * time.Millisecond
-	// maxAnswerBytes bounds the size of an answer.
-	maxAnswerBytes = 16 << 20
 )
 
 // Runner relays calls to plain services. It implements sardineknot.CallRunner.
@@ -49,6 +47,8 @@
 	Backoffs *backoff.Set
 	// Budget limits the retries of each service.
 	Budget sardineknot.RetryBudget
+	// Memory bounds the memory of all answers together.
+	Memory *memory.Budget
 	// Clock returns the current time.
 	Clock sardineknot.Clock
 	// Log receives an event for each retry.
@@ -61,7 +61,7 @@
 // whole answer was read.
 type outcome struct {
 	reply *sardineknot.Response
-	body  []byte
+	body  answer
 	err   error
 }
 
@@ -94,6 +94,8 @@
 func (r *Runner) Run(ctx context.Context, c *sardineknot.Call, w sardineknot.AnswerWriter) error {
 	r.Budget.RecordCall(c.Service)
 	t := make(map[sardineknot.BackendServerName]bool)
+	var l []outcome
+	defer func() { r.release(l) }()
 	var last outcome
 	// a counts the servers that may have run the call.
 	for n, a := 0, 0; n < maxAttempts; n++ {
@@ -103,6 +105,7 @@
 		}
 		t[s.Name] = true
 		o := r.send(ctx, s, c)
+		l = append(l, o)
 		if o.mayHaveRun() {
 			a++
 		}
@@ -119,6 +122,13 @@
 	return r.finish(w, last, last.err)
 }
 
+// release gives the memory of the answers of outcomes back.
+func (r *Runner) release(outcomes []outcome) {
+	for _, o := range outcomes {
+		r.Memory.Release(&o.body.held)
+	}
+}
+
 // preferred returns the outcome to report to the caller: an answer rather than
 // an error, and an error of a call that may have run rather than one of a call
 // that did not.
@@ -161,30 +171,15 @@
 // circuit breaker of s.
 func (r *Runner) send(ctx context.Context, s sardineknot.BackendServer, c *sardineknot.Call) outcome {
 	p, err := r.Forwarder.Forward(ctx, s, c, sardineknot.ForwardOptions{Deadline: c.Deadline, FreshConnection: !c.Route.Repeatable()})
-	var b []byte
+	var b answer
 	if err == nil {
-		b, err = readAll(s, p)
+		b, err = r.readAnswer(s, p)
 	}
 	o := outcome{reply: p, body: b, err: err}
 	r.recordOutcome(ctx, s.Name, o)
 	return o
 }
 
-// readAll returns the whole body of p. An answer longer than maxAnswerBytes is
-// an error, since a truncated one would look complete.
-func readAll(s sardineknot.BackendServer, p *sardineknot.Response) ([]byte, error) {
-	defer p.Body.Close()
-	b, err := io.ReadAll(io.LimitReader(p.Body, maxAnswerBytes+1))
-	if err == nil && len(b) > maxAnswerBytes {
-		err = errors.WithStack(&sardineknot.UnavailableError{Peer: string(s.Name), Cause: errAnswerTooLong})
-	}
-	return b, err
-}
-
-// errAnswerTooLong is the cause of the error for an answer longer than
-// maxAnswerBytes.
-var errAnswerTooLong = errors.New("the answer is too long")
-
 // recordOutcome records o with the circuit breaker of server s. A call that was
 // not sent, or whose caller has disconnected, counts neither as success nor as
 // failure.
@@ -220,9 +215,9 @@
 		return finalError(o, err)
 	}
 	h := o.reply.Header.Clone()
-	h.Set("Content-Length", strconv.Itoa(len(o.body)))
+	h.Set("Content-Length", strconv.Itoa(o.body.length))
 	w.SendHeader(o.reply.Status, h)
-	return w.Write(o.body)
+	return o.body.write(w)
 }
 
 // finalError returns the error of o if the call may have run, and err as a
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -22,6 +22,7 @@
 	"sardineknot.example/sardineknot/internal/backend/backoff"
 	"sardineknot.example/sardineknot/internal/backend/breaker"
 	"sardineknot.example/sardineknot/internal/backend/limited"
+	servermemory "sardineknot.example/sardineknot/internal/backend/memory"
 	"sardineknot.example/sardineknot/internal/backend/sharedbudget"
 	caller "sardineknot.example/sardineknot/internal/caller/gateway"
 	"sardineknot.example/sardineknot/internal/caller/idle"
@@ -266,13 +267,14 @@
 		Clock: p.clock, Log: p.Log,
 		IdleTimeout: func() time.Duration { return p.source.Current().CallerLimits.IdleTime },
 	}
+	m := &servermemory.Budget{}
 	n := uint64(self.Incarnation)
 	p.handler = &caller.Handler{
 		Source:  p.source,
 		Decoder: p.RequestDecoder,
 		Plain: &plain.Runner{
 			Source: p.source, Forwarder: p.calls, Circuits: breaker.NewSet(rand.NewPCG(n, n+1)), Backoffs: p.backoffs,
-			Budget: b, Clock: p.clock, Log: p.Log,
+			Budget: b, Memory: m, Clock: p.clock, Log: p.Log,
 		},
 		Stream: &events.Runner{
 			Source: p.source, Forwarder: p.calls, Slots: p.slots, Backoffs: p.backoffs, Guard: p.guard,
