answer/events: a stream without a whole event gets a status

What callers saw: an engine answers 200 and breaks off inside its first event, at both attempts: the connection is reset, with neither answer nor refusal, though nothing was sent to the caller yet. Cause: the header was sent as soon as the engine's was read. A stream that ended without any event, possible when it has neither a length nor chunks, counted as whole. Class: committed before there is anything to commit to. Fix: the header goes with the first whole event. A stream without events was broken off, unless it goes on after the last event that the caller has. An event without end still costs too much memory, which is next.

--- a/internal/answer/events/fake_test.go
+++ b/internal/answer/events/fake_test.go
@@ -86,6 +86,8 @@
 	// err is returned at the end of the body. If there is no body, the exchange
 	// fails with err.
 	err error
+	// empty makes the body end without text.
+	empty bool
 	// silent keeps the body open after its text until the exchange is
 	// cancelled.
 	silent bool
@@ -139,7 +141,7 @@
 	case <-ctx.Done():
 		return nil, context.Cause(ctx)
 	}
-	if a.body == "" && !a.silent {
+	if a.body == "" && !a.silent && !a.empty {
 		return nil, a.err
 	}
 	return &sardineknot.Response{Status: a.status, Header: http.Header{"Engine": {string(s.Name)}}, Body: &body{Reader: strings.NewReader(a.body), answer: a, ctx: ctx}}, nil
--- a/internal/answer/events/relay.go
+++ b/internal/answer/events/relay.go
@@ -50,7 +50,6 @@
 	if a.response.Status != http.StatusOK {
 		return a.relayFailure()
 	}
-	a.sendHeader(a.response.Status, a.response.Header)
 	err := a.copyEvents()
 	if err != nil {
 		a.reportFailure(err, a.decode.Name)
@@ -78,8 +77,9 @@
 	return a.writer.Write(b)
 }
 
-// copyEvents relays the events of the stream to the caller. It returns nil at
-// the end of the stream.
+// copyEvents relays the events of the stream to the caller. The header goes with
+// the first event, so that a stream that has none can still be replaced by one of
+// another engine or by an error. copyEvents returns nil at the end of the stream.
 func (a *attempt) copyEvents() error {
 	for {
 		e, err := a.nextEvent()
@@ -87,11 +87,12 @@
 			return err
 		}
 		if e.end {
-			return nil
+			return a.finishStream()
 		}
 		if !a.claimEvent(e.id) {
 			return errSilent
 		}
+		a.sendHeader(a.response.Status, a.response.Header)
 		if a.lastEventAt.IsZero() {
 			a.recordVersion()
 		}
@@ -103,6 +104,16 @@
 	}
 }
 
+// finishStream ends the answer at the end of the stream. A stream without any event
+// was broken off, unless the caller already has the others.
+func (a *attempt) finishStream() error {
+	if a.resumeAfter == 0 && a.eventCount == 0 {
+		return errors.WithStack(errTruncated)
+	}
+	a.sendHeader(a.response.Status, a.response.Header)
+	return nil
+}
+
 // nextEvent returns the next event that the caller does not have. While it
 // waits, the engine is watched for silence.
 func (a *attempt) nextEvent() (*event, error) {
