answer/events: incomplete events share a budget of memory

What a host saw: engines that send an event without end fill up to 1 MB a stream, twice that while the buffer grows; 24 such streams took more than 32 MB of heap. The body of a failure was cut at 1 MB and looked whole. A line of an event that fills the read buffer was taken apart: its rest could be read as an identifier, or as the empty line that ends the event. Cause: each stream was bounded by itself; a part of a body passed for all of it.

--- a/internal/answer/events/fake_test.go
+++ b/internal/answer/events/fake_test.go
@@ -16,6 +16,7 @@
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/answer/events"
 	"sardineknot.example/sardineknot/internal/backend/backoff"
+	"sardineknot.example/sardineknot/internal/backend/memory"
 	"sardineknot.example/sardineknot/internal/host/clock"
 )
 
@@ -269,7 +270,7 @@
 	for _, n := range []sardineknot.BackendServerName{"p", "d", "e", "f"} {
 		c.BackendServers = append(c.BackendServers, sardineknot.BackendServer{Name: n, State: sardineknot.BackendJoining})
 	}
-	return &events.Runner{Source: &source{c}, Forwarder: e, Slots: s, Budget: unlimitedBudget{}, Backoffs: backoff.NewSet(rand.NewPCG(1, 1)), Versions: versions{}, Guard: &guard{}, Clock: clock.System{}, Log: zerolog.Nop()}
+	return &events.Runner{Source: &source{c}, Forwarder: e, Slots: s, Budget: unlimitedBudget{}, Backoffs: backoff.NewSet(rand.NewPCG(1, 1)), Memory: &memory.Budget{}, Versions: versions{}, Guard: &guard{}, Clock: clock.System{}, Log: zerolog.Nop()}
 }
 
 func newCall(resumable bool) *sardineknot.Call {
--- a/internal/answer/events/relay.go
+++ b/internal/answer/events/relay.go
@@ -1,7 +1,6 @@
 package events
 
 import (
-	"bufio"
 	"bytes"
 	"io"
 	"net/http"
@@ -15,26 +14,14 @@
 const (
 	// progressEvents is the number of events between two progress reports.
 	progressEvents = 8
-	// maxEventBytes bounds the size of an event.
-	maxEventBytes = 1 << 20
-	// maxFailureBytes bounds the body of a response that is not a stream.
+	// maxFailureBytes bounds the body of a response that is not a stream. A longer
+	// one is not relayed, since a part of it would look whole.
 	maxFailureBytes = 1 << 20
-	// readBytes is the size of the read buffer.
-	readBytes = 4 << 10
 )
 
-// errTruncated reports a stream that ended in the middle of an event, or without
-// one.
-var errTruncated = errors.New("stream ended before an event was complete")
-
-// event is an event of a stream. The last event is followed by one with end set,
-// which has no text.
-type event struct {
-	text []byte
-	// id is the identifier of the event, or zero if it has none.
-	id  int
-	end bool
-}
+// errFailureTooLong reports a response that is not a stream and that is longer than
+// maxFailureBytes, or than the memory that is left.
+var errFailureTooLong = errors.New("failure is too long")
 
 // writeError reports that writing to the caller failed.
 type writeError struct {
@@ -65,7 +52,7 @@
 // relayFailure relays a response whose status is not 200. It fails instead if
 // the call may be retried or the response header was already sent.
 func (a *attempt) relayFailure() error {
-	b, err := io.ReadAll(io.LimitReader(a.response.Body, maxFailureBytes))
+	b, err := a.readFailure()
 	e := a.statusError()
 	a.reportFailure(e, a.decode.Name)
 	if err != nil || a.headerSent || a.response.Status >= http.StatusInternalServerError && a.mayRunAgain() {
@@ -77,6 +64,25 @@
 	return a.writer.Write(b)
 }
 
+// readFailure returns the body of a response that is not a stream.
+func (a *attempt) readFailure() ([]byte, error) {
+	var b bytes.Buffer
+	var held int64
+	defer a.Memory.Release(&held)
+	for {
+		if b.Len() > maxFailureBytes || !a.Memory.Grow(&held, growthFactor*b.Len()) {
+			return nil, errors.WithStack(errFailureTooLong)
+		}
+		_, err := io.CopyN(&b, a.response.Body, readBytes)
+		if errors.Is(err, io.EOF) {
+			return b.Bytes(), nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
 // copyEvents relays the events of the stream to the caller. The header goes with
 // the first event, so that a stream that has none can still be replaced by one of
 // another engine or by an error. copyEvents returns nil at the end of the stream.
@@ -152,47 +158,3 @@
 		a.report(sardineknot.JobProgress, a.decode.Name)
 	}
 }
-
-// readEvent reads the next complete event, and skips events up to resumeAfter.
-func (a *attempt) readEvent() (*event, error) {
-	for {
-		e, err := readEvent(a.reader)
-		if err != nil {
-			return nil, err
-		}
-		if e.end || e.id == 0 || e.id > a.resumeAfter {
-			return e, nil
-		}
-	}
-}
-
-// readEvent reads an event from r.
-func readEvent(r *bufio.Reader) (*event, error) {
-	var b bytes.Buffer
-	e := &event{}
-	for {
-		l, err := r.ReadSlice('\n')
-		b.Write(l)
-		switch {
-		case errors.Is(err, bufio.ErrBufferFull) && b.Len() < maxEventBytes:
-			continue
-		case errors.Is(err, io.EOF) && b.Len() > 0:
-			return nil, errors.WithStack(errTruncated)
-		case errors.Is(err, io.EOF):
-			e.end = true
-			return e, nil
-		case err != nil:
-			return nil, err
-		}
-		if v, ok := bytes.CutPrefix(l, []byte("id:")); ok {
-			e.id, _ = strconv.Atoi(string(bytes.TrimSpace(v)))
-		}
-		if len(bytes.TrimRight(l, "\r\n")) == 0 {
-			e.text = b.Bytes()
-			return e, nil
-		}
-		if b.Len() > maxEventBytes {
-			return nil, errors.New("event is too long")
-		}
-	}
-}
--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -12,6 +12,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/backend/backoff"
+	"sardineknot.example/sardineknot/internal/backend/memory"
 )
 
 const (
@@ -47,6 +48,8 @@
 	Guard sardineknot.PromptGuard
 	// Budget limits the retries of each service.
 	Budget sardineknot.RetryBudget
+	// Memory bounds the memory of all incomplete events together.
+	Memory *memory.Budget
 	// Versions keeps the software versions that began streams.
 	Versions sardineknot.StreamVersions
 	// Self is this entry host.
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -278,7 +278,7 @@
 		},
 		Stream: &events.Runner{
 			Source: p.source, Forwarder: p.calls, Slots: p.slots, Backoffs: p.backoffs, Guard: p.guard,
-			Budget: b, Versions: p.versions, Self: self, Clock: p.clock, Log: p.Log,
+			Budget: b, Memory: m, Versions: p.versions, Self: self, Clock: p.clock, Log: p.Log,
 		},
 		Clock:   p.clock,
 		Log:     p.Log,
