--- a/internal/host/gateway/orders_test.go
+++ b/internal/host/gateway/orders_test.go
@@ -19,7 +19,7 @@
 type limits map[sardineknot.BackendServerName]bool
 
 func (limits) Admit(context.Context, sardineknot.BackendServer) time.Duration { return 0 }
-func (l limits) Limited(server sardineknot.BackendServer) bool               { return l[server.Name] }
+func (l limits) Limited(server sardineknot.BackendServer) bool                { return l[server.Name] }
 
 // countingOrders is a fake sardineknot.EngineOrderClient that counts requests.
 type countingOrders struct{ requests int }
