answer/generation: attempts are made beside a silent or late engine

Fix: attempts that are allowed are made beside the silent one; the one that has the next token first goes on, and the other ends. A first token that is late is first looked for on a new connection. The fakes of the tests now end when their exchange is cancelled, as connections do; no assertion changed. Also: explain names the cause of a barred prompt.

--- a/internal/answer/generation/attempt.go
+++ b/internal/answer/generation/attempt.go
@@ -28,12 +28,11 @@
 	d := time.AfterFunc(n.deadline().Sub(n.Clock.Now()), func() { cancel(errDeadline) })
 	defer d.Stop()
 	a := n.newAttempt()
+	a.ctx = ctx
 	a.onFirstToken = func() { d.Stop() }
 	g, err := n.Slots.Acquire(ctx, a.job)
 	if err == nil {
-		err = a.prefillAndDecode(ctx, g)
-		n.engineCalled = n.engineCalled || len(a.usedServers) > 0
-		a.finish(ctx, err)
+		err = a.runBeside(ctx, g)
 	}
 	if err != nil && errors.Is(context.Cause(ctx), errDeadline) {
 		return errors.WithStack(errDeadline)
@@ -53,7 +52,7 @@
 		MaxTokens:        n.request.MaxTokens,
 		Priority:         n.request.Work.Priority,
 	}
-	return &attempt{run: n, job: n.newJob(e), engineRequest: e, pauses: n.PauseDetector.Pauses(), onFirstToken: func() {}, canLeave: n.reserveRetry}
+	return &attempt{run: n, job: n.newJob(e), engineRequest: e, index: n.index, left: make(chan struct{}), pauses: n.PauseDetector.Pauses(), onFirstToken: func() {}, canLeave: n.reserveRetry}
 }
 
 func (n *run) newJob(e sardineknot.EngineRequest) sardineknot.Job {
--- a/internal/answer/generation/attemptstate.go
+++ b/internal/answer/generation/attemptstate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,11 +23,31 @@
 	// pauses is the number of pauses of this process at the start of the
 	// attempt.
 	pauses int
-	// onFirstToken is called when the first token arrives.
+	// onFirstToken is called when the first token arrives. It is safe for
+	// concurrent use.
 	onFirstToken func()
 	// canLeave reports whether another attempt may follow if this one fails. It
 	// is safe for concurrent use.
 	canLeave func() bool
+	// index is the number of attempts before this one.
+	index int
+	// ctx is the context of the attempts beside this one. It is nil for an attempt
+	// that is left before another one follows.
+	ctx context.Context
+
+	// left is closed when the attempts beside this one have ended after they have
+	// replaced it.
+	left chan struct{}
+
+	// mu guards the fields below.
+	mu sync.Mutex
+	// beside makes further attempts beside this one. It is nil if there are none.
+	beside *beside
+	// cancelDecode ends the decode. It is nil before the decode begins.
+	cancelDecode context.CancelFunc
+	// resumed is a stream that was resumed because its first token was late, or
+	// nil.
+	resumed sardineknot.TokenStream
 }
 
 // prefillAndDecode runs the prefill and the decode on the granted engines.
@@ -64,8 +85,7 @@
 
 // decode streams the answer of engine n to the buffer. It registers the engine
 // with the directory while the decode starts, and reads the stream only after
-// the registration. A decode without a first token within transferLimit is
-// cancelled if another attempt may follow.
+// the registration. A decode without a first token within transferLimit is late.
 func (a *attempt) decode(ctx context.Context, n sardineknot.BackendServerName, k sardineknot.KVCacheLocation) error {
 	s, err := a.useServer(n)
 	if err != nil {
@@ -76,28 +96,59 @@
 	go func() { g <- a.updateRecord(ctx) }()
 	x, cancel := context.WithCancel(ctx)
 	defer cancel()
-	w := time.AfterFunc(a.transferLimit(), func() {
-		if a.canLeave() {
-			cancel()
-		}
-	})
+	q := a.engineRequest
+	w := time.AfterFunc(a.transferLimit(), func() { a.leaveLate(ctx, s, q) })
 	defer w.Stop()
+	a.mu.Lock()
+	a.cancelDecode = cancel
 	f := a.onFirstToken
 	a.onFirstToken = func() {
 		w.Stop()
 		f()
 	}
-	c, err := a.Engine.Decode(x, s, a.engineRequest, k)
+	a.mu.Unlock()
+	c, err := a.Engine.Decode(x, s, q, k)
 	e := <-g
 	if e != nil {
-		if c != nil {
-			c.Close()
-		}
+		closeStream(c)
 		return e
 	}
 	return a.streamTokens(ctx, s, c, err)
 }
 
+// leaveLate handles a first token that is late on s, if another attempt may follow.
+// The connection may be lost, so the stream of request is resumed on another one.
+// If the engine does not resume it, it may be busy, and other attempts are made
+// beside it; an attempt that is itself beside another one ends.
+func (a *attempt) leaveLate(ctx context.Context, s sardineknot.BackendServer, request sardineknot.EngineRequest) {
+	if !a.canLeave() {
+		return
+	}
+	o := a.buffer.Len()
+	c, err := a.Engine.Resume(ctx, s, request, o)
+	if err != nil && !a.isBeside() {
+		a.startBeside()
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.buffer.Len() > o {
+		closeStream(c)
+		return
+	}
+	a.resumed = c
+	a.cancelDecode()
+}
+
+// takeResumed returns the stream that leaveLate has resumed, or nil.
+func (a *attempt) takeResumed() sardineknot.TokenStream {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c := a.resumed
+	a.resumed = nil
+	return c
+}
+
 // transferLimit returns the time allowed for the transfer of the KV cache: half
 // of the time left until the deadline of the attempt, so that another attempt
 // remains possible, and at most maxTransferTime.
--- a/internal/answer/generation/fakes_test.go
+++ b/internal/answer/generation/fakes_test.go
@@ -30,7 +30,7 @@
 	mu        sync.Mutex
 	prefill   func(ctx context.Context, r sardineknot.EngineRequest) error
 	decode    func(ctx context.Context, r sardineknot.EngineRequest) (sardineknot.TokenStream, error)
-	resume    func(r sardineknot.EngineRequest, offset int) (sardineknot.TokenStream, error)
+	resume    func(ctx context.Context, r sardineknot.EngineRequest, offset int) (sardineknot.TokenStream, error)
 	prefilled []string
 	cancelled []string
 }
@@ -46,8 +46,8 @@
 	return e.decode(ctx, r)
 }
 
-func (e *engines) Resume(_ context.Context, _ sardineknot.BackendServer, r sardineknot.EngineRequest, offset int) (sardineknot.TokenStream, error) {
-	return e.resume(r, offset)
+func (e *engines) Resume(ctx context.Context, _ sardineknot.BackendServer, r sardineknot.EngineRequest, offset int) (sardineknot.TokenStream, error) {
+	return e.resume(ctx, r, offset)
 }
 
 func (e *engines) Cancel(_ context.Context, _ sardineknot.BackendServer, k string) error {
@@ -155,7 +155,7 @@
 			x.engines.decode = func(_ context.Context, r sardineknot.EngineRequest) (sardineknot.TokenStream, error) {
 				return &stream{len(r.PreviousTokens), r.MaxTokens, io.EOF}, nil
 			}
-			x.engines.resume = func(sardineknot.EngineRequest, int) (sardineknot.TokenStream, error) {
+			x.engines.resume = func(context.Context, sardineknot.EngineRequest, int) (sardineknot.TokenStream, error) {
 				return nil, &sardineknot.RefusedError{Server: "d"}
 			}
 			x.runner = &generation.Runner{
--- a/internal/answer/generation/runner.go
+++ b/internal/answer/generation/runner.go
@@ -5,9 +5,9 @@
 //
 // An interrupted stream is first resumed on the same engine over a new
 // connection. If that fails, a new attempt continues from the tokens generated
-// so far, within the deadline and the retry budget. A silent engine is given up
-// only if such an attempt is allowed or the next token is overdue, since it may
-// go on. The requests that a failed attempt left on engines are cancelled. If the
+// so far, within the deadline and the retry budget. A silent engine may go on, so
+// such an attempt is made beside it, and the one that has the next token first goes
+// on. The requests that a failed attempt left on engines are cancelled. If the
 // entry host that produced an answer fails, another host takes over the stream
 // from the engine.
 //
@@ -105,6 +105,14 @@
 	engineCalled bool
 	// reservation decides whether an attempt may follow the current one.
 	reservation reservation
+	// index is the number of attempts before the last one.
+	index int
+	// outer holds the attempts of the run if they are made beside one of another
+	// run. It is nil otherwise.
+	outer *beside
+	// joined is set once all attempts that may follow the current one were made
+	// beside it.
+	joined bool
 }
 
 // Run produces the answer to q in b and then ends b. offset is the number of
@@ -151,13 +159,14 @@
 // registered with the directory.
 func (n *run) runAttempts(ctx context.Context, unregistered bool) error {
 	var err error
-	for i := range maxAttempts {
+	for f := n.index; n.index < maxAttempts; n.index++ {
+		i := n.index
 		n.reservation.start(i)
-		if i > 0 {
+		if i > f {
 			n.record.Attempt++
 			n.record.DecodeEngine = ""
 		}
-		if i > 0 || unregistered {
+		if i > f || unregistered {
 			err = n.updateRecord(ctx)
 		}
 		if err == nil {
@@ -167,7 +176,7 @@
 			return err
 		}
 		n.Log.Warn().Stringer("event", sardineknot.LogAttemptFailed).Str("request", n.request.Key.String()).Int("attempt", n.record.Attempt).Err(err).Send()
-		if !n.mayRetry(ctx, i) {
+		if n.joined || !n.mayRetry(ctx, n.index) {
 			return err
 		}
 	}
--- a/internal/answer/generation/runner_test.go
+++ b/internal/answer/generation/runner_test.go
@@ -105,7 +105,7 @@
 	})
 	run(t, "takes over the attempt of a dead host", func(t *testing.T, x *fixture) {
 		x.directory.previous = &sardineknot.AnswerRecord{Host: "other", DecodeEngine: "d", Attempt: 2}
-		x.engines.resume = func(r sardineknot.EngineRequest, o int) (sardineknot.TokenStream, error) {
+		x.engines.resume = func(_ context.Context, r sardineknot.EngineRequest, o int) (sardineknot.TokenStream, error) {
 			is.New(t).Equal(r.EngineRequestID(), "a/1/2")
 			is.New(t).Equal(r.Owner, self.ID)
 			return &stream{o, 10, io.EOF}, nil
@@ -123,7 +123,7 @@
 	})
 	run(t, "resumes at the offset of the caller if the engine lost earlier tokens", func(t *testing.T, x *fixture) {
 		x.directory.previous = &sardineknot.AnswerRecord{Host: "other", DecodeEngine: "d", Attempt: 2}
-		x.engines.resume = func(_ sardineknot.EngineRequest, o int) (sardineknot.TokenStream, error) {
+		x.engines.resume = func(_ context.Context, _ sardineknot.EngineRequest, o int) (sardineknot.TokenStream, error) {
 			if o == 0 {
 				return nil, &sardineknot.RefusedError{Server: "d"}
 			}
--- a/internal/answer/generation/silence_test.go
+++ b/internal/answer/generation/silence_test.go
@@ -22,17 +22,27 @@
 // silentStream is a fake stream of ten tokens from an engine that is silent
 // after tokensBefore tokens until the time wake.
 type silentStream struct {
+	// ctx is the context of the exchange, which ends the stream early.
+	ctx            context.Context
 	next           int
 	wake           time.Time
 	silent, closed bool
 }
 
+// sleep waits for d, or until ctx is done.
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 func (s *silentStream) Next() (sardineknot.Token, error) {
 	if s.next >= tokensBefore && !s.closed {
-		time.Sleep(min(progress, time.Until(s.wake)))
+		sleep(s.ctx, min(progress, time.Until(s.wake)))
 	}
-	s.silent = s.next >= tokensBefore && !s.closed && time.Now().Before(s.wake)
-	if s.silent || s.closed {
+	s.silent = s.next >= tokensBefore && !s.closed && s.ctx.Err() == nil && time.Now().Before(s.wake)
+	if s.silent || s.closed || s.ctx.Err() != nil {
 		return sardineknot.Token{}, &sardineknot.InterruptedError{Offset: s.next}
 	}
 	if s.next == 10 {
@@ -54,8 +64,8 @@
 func (x *fixture) silence(d time.Duration) {
 	w := time.Now().Add(d)
 	x.runner.Retries = budget.NewBudget(0, 0)
-	x.engines.decode = func(context.Context, sardineknot.EngineRequest) (sardineknot.TokenStream, error) {
-		return &silentStream{wake: w}, nil
+	x.engines.decode = func(ctx context.Context, _ sardineknot.EngineRequest) (sardineknot.TokenStream, error) {
+		return &silentStream{ctx: ctx, wake: w}, nil
 	}
 }
 
@@ -63,15 +73,15 @@
 // d from now.
 func (x *fixture) acceptResumes(d time.Duration) {
 	w := time.Now().Add(d)
-	x.engines.resume = func(_ sardineknot.EngineRequest, o int) (sardineknot.TokenStream, error) {
-		return &silentStream{next: o, wake: w}, nil
+	x.engines.resume = func(ctx context.Context, _ sardineknot.EngineRequest, o int) (sardineknot.TokenStream, error) {
+		return &silentStream{ctx: ctx, next: o, wake: w}, nil
 	}
 }
 
 // failResumes lets each resume end without a response after progress.
 func (x *fixture) failResumes() {
-	x.engines.resume = func(sardineknot.EngineRequest, int) (sardineknot.TokenStream, error) {
-		time.Sleep(progress)
+	x.engines.resume = func(ctx context.Context, _ sardineknot.EngineRequest, _ int) (sardineknot.TokenStream, error) {
+		sleep(ctx, progress)
 		return nil, newUnavailableError()
 	}
 }
@@ -124,11 +134,11 @@
 	run(t, "stream of a dead host whose caller has tokens", func(t *testing.T, x *fixture) {
 		x.directory.previous = &sardineknot.AnswerRecord{Host: "other", DecodeEngine: "d", Attempt: 2}
 		w := time.Now().Add(long)
-		x.engines.resume = func(_ sardineknot.EngineRequest, o int) (sardineknot.TokenStream, error) {
+		x.engines.resume = func(ctx context.Context, _ sardineknot.EngineRequest, o int) (sardineknot.TokenStream, error) {
 			if o == 0 {
 				return nil, &sardineknot.RefusedError{Server: "d"}
 			}
-			return &silentStream{next: o, wake: w}, nil
+			return &silentStream{ctx: ctx, next: o, wake: w}, nil
 		}
 		_, err := x.produce(t.Context(), tokensBefore)
 		is.New(t).Equal(err, io.EOF)
@@ -170,7 +180,7 @@
 // Guards against a fake of a silent engine that hides a lost connection: a
 // closed stream has no more tokens.
 func TestSilentStreamIsClosed(t *testing.T) {
-	s := &silentStream{}
+	s := &silentStream{ctx: t.Context()}
 	is.New(t).NoErr(s.Close())
 	_, err := s.Next()
 	is.New(t).True(err != nil && !s.Silent())
--- a/internal/answer/generation/tokens.go
+++ b/internal/answer/generation/tokens.go
@@ -34,13 +34,16 @@
 	for r := 0; ; r++ {
 		o := a.buffer.Len()
 		if err == nil {
-			err = a.copyTokens(c)
+			err = a.copyTokens(ctx, c)
 		}
 		if a.buffer.Len() > o {
 			r = 0
 			d = a.deadline()
 		}
-		if err == nil || ctx.Err() != nil || !isInterrupted(err) || a.givesUp(c, r, d) {
+		if a.replaced() {
+			return errors.WithStack(errReplaced)
+		}
+		if err == nil || ctx.Err() != nil || a.givesUp(c, err, r, d) {
 			return err
 		}
 		a.Log.Warn().Stringer("event", sardineknot.LogStreamResumed).Str("request", a.job.Key.String()).Str("server", string(s.Name)).Err(err).Send()
@@ -48,7 +51,7 @@
 		if e != nil {
 			return e
 		}
-		n, e := a.Engine.Resume(ctx, s, a.engineRequest, a.buffer.Len())
+		n, e := a.resume(ctx, s)
 		if e != nil && isSilent(c) {
 			err = nil
 			r++
@@ -59,14 +62,34 @@
 	}
 }
 
-// givesUp reports whether the attempt ends after a number of resumes of the
-// stream c without progress. If the engine is silent and no other attempt may
-// follow, the attempt goes on until the next token is due.
-func (a *attempt) givesUp(c sardineknot.TokenStream, resumes int, due time.Time) bool {
+// resume resumes the stream on s after the tokens that the buffer has.
+func (a *attempt) resume(ctx context.Context, s sardineknot.BackendServer) (sardineknot.TokenStream, error) {
+	c := a.takeResumed()
+	if c != nil {
+		return c, nil
+	}
+	return a.Engine.Resume(ctx, s, a.engineRequest, a.buffer.Len())
+}
+
+// givesUp reports whether the attempt ends with err, after a number of resumes of
+// the stream c without progress. An engine that was not interrupted is not asked
+// again. If the engine is silent, the attempt goes on until the next token is due,
+// beside others if any may follow.
+func (a *attempt) givesUp(c sardineknot.TokenStream, err error, resumes int, due time.Time) bool {
+	if !isInterrupted(err) {
+		return true
+	}
 	if resumes < maxResumes {
 		return false
 	}
-	return !isSilent(c) || !a.Clock.Now().Before(due) || a.canLeave()
+	if !isSilent(c) || !a.Clock.Now().Before(due) {
+		return true
+	}
+	if a.ctx == nil || a.isBeside() {
+		return a.canLeave()
+	}
+	a.startBeside()
+	return false
 }
 
 // closeStream closes c, which may be nil.
@@ -79,7 +102,7 @@
 // copyTokens copies tokens from c to the buffer. It returns nil after the
 // explicit end of the stream, and an InterruptedError if this host has
 // meanwhile got a new incarnation.
-func (a *attempt) copyTokens(c sardineknot.TokenStream) error {
+func (a *attempt) copyTokens(ctx context.Context, c sardineknot.TokenStream) error {
 	f := false
 	for {
 		k, err := c.Next()
@@ -89,6 +112,13 @@
 		if err != nil {
 			return err
 		}
+		o, err := a.claimToken(ctx)
+		if err != nil {
+			return err
+		}
+		if !o {
+			return errors.WithStack(errReplaced)
+		}
 		err = a.buffer.Append(k)
 		if err != nil {
 			return err
--- a/internal/report/timeline/cause.go
+++ b/internal/report/timeline/cause.go
@@ -82,6 +82,9 @@
 	if strings.Contains(message, "no engine has room") {
 		return "the memory of the decode engines was full and would not have been freed in time for the first event"
 	}
+	if strings.Contains(message, "has a part that crashed engines") {
+		return "engines ended under other requests with a part of its prompt; see parts_quarantined"
+	}
 	return s.explainFailure(message)
 }
 
