--- a/internal/quarantine/twirp/guard.go
+++ b/internal/quarantine/twirp/guard.go
@@ -159,7 +159,7 @@
 	m := evidenceMessage(v, g.Clock.Now())
 	var l errgroup.Group
 	l.SetLimit(maxSends)
-	for _, h := range g.peers() {
+	for _, h := range sardineknot.OtherHosts(g.Members) {
 		l.Go(func() error {
 			_, err := g.client(h).Share(ctx, m)
 			g.logFailure(h, err)
@@ -171,7 +171,7 @@
 
 // fetch asks a random other host for all that it knows.
 func (g *Guard) fetch(ctx context.Context) {
-	l := g.peers()
+	l := sardineknot.OtherHosts(g.Members)
 	if len(l) == 0 {
 		return
 	}
@@ -233,18 +233,6 @@
 	}
 }
 
-// peers returns the other hosts that are not known to be dead.
-func (g *Guard) peers() []sardineknot.EntryHost {
-	var l []sardineknot.EntryHost
-	s := g.Members.Self().ID
-	for _, h := range g.Members.Hosts() {
-		if h.ID != s && h.State != sardineknot.EntryHostDead {
-			l = append(l, h)
-		}
-	}
-	return l
-}
-
 func (g *Guard) client(host sardineknot.EntryHost) rpc.Quarantines {
 	return rpc.NewQuarantinesProtobufClient("http://"+host.PeerAddress.String(), g.Client)
 }
--- a/internal/quarantine/twirp/message.go
+++ b/internal/quarantine/twirp/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/peer/micros"
 	rpc "sardineknot.example/sardineknot/internal/rpc/quarantine"
 )
 
@@ -33,15 +34,15 @@
 	for _, c := range message.GetCrashes() {
 		v.Crashes = append(v.Crashes, sardineknot.EngineCrash{
 			Process: sardineknot.ServerProcess{Name: sardineknot.BackendServerName(c.GetServer()), Born: c.GetBorn()},
-			Parts:   partsFromNumbers(c.GetParts()), At: now.Add(-micros(c.GetAgeMicros())),
+			Parts:   partsFromNumbers(c.GetParts()), At: now.Add(-micros.Duration(c.GetAgeMicros())),
 		})
 	}
 	for _, s := range message.GetSound() {
-		v.Sound = append(v.Sound, sardineknot.SoundPart{Part: sardineknot.PromptPart(s.GetPart()), At: now.Add(-micros(s.GetAgeMicros()))})
+		v.Sound = append(v.Sound, sardineknot.SoundPart{Part: sardineknot.PromptPart(s.GetPart()), At: now.Add(-micros.Duration(s.GetAgeMicros()))})
 	}
 	for _, q := range message.GetQuarantines() {
 		v.Quarantines = append(v.Quarantines, sardineknot.Quarantine{
-			Parts: partsFromNumbers(q.GetParts()), Until: now.Add(micros(q.GetLeftMicros())), Strikes: int(q.GetStrikes()),
+			Parts: partsFromNumbers(q.GetParts()), Until: now.Add(micros.Duration(q.GetLeftMicros())), Strikes: int(q.GetStrikes()),
 		})
 	}
 	return v
@@ -62,5 +63,3 @@
 	}
 	return l
 }
-
-func micros(count int64) time.Duration { return time.Duration(count) * time.Microsecond }
--- a/internal/serverlimits/twirp/limiter.go
+++ b/internal/serverlimits/twirp/limiter.go
@@ -11,6 +11,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/peer/micros"
 	rpc "sardineknot.example/sardineknot/internal/rpc/serverlimits"
 	"sardineknot.example/sardineknot/internal/serverlimits/table"
 )
@@ -100,7 +101,7 @@
 		return l.table.TakeShare(n, process, len(l.Members.Hosts()))
 	}
 	l.learn(r.GetLimit())
-	return micros(r.GetWaitMicros())
+	return micros.Duration(r.GetWaitMicros())
 }
 
 // failed reports whether the last request for a permit to owner has just failed.
@@ -153,7 +154,7 @@
 	case h.ID != l.Members.Self().ID:
 		l.send([]sardineknot.EntryHost{h}, process, known)
 	default:
-		l.send(l.peers(), process, known)
+		l.send(sardineknot.OtherHosts(l.Members), process, known)
 	}
 }
 
@@ -190,7 +191,7 @@
 	l.record(p, k, false)
 	h, ok := l.owner(p)
 	if ok && h.ID == l.Members.Self().ID && (o.PerSecond > 0) != (k.PerSecond > 0) {
-		go l.send(l.peers(), p, k)
+		go l.send(sardineknot.OtherHosts(l.Members), p, k)
 	}
 	return k
 }
@@ -200,18 +201,6 @@
 	return l.Ranker.Owner(shardPrefix + string(process.Name))
 }
 
-// peers returns the other hosts that are not known to be dead.
-func (l *Limiter) peers() []sardineknot.EntryHost {
-	var p []sardineknot.EntryHost
-	s := l.Members.Self().ID
-	for _, h := range l.Members.Hosts() {
-		if h.ID != s && h.State != sardineknot.EntryHostDead {
-			p = append(p, h)
-		}
-	}
-	return p
-}
-
 func (l *Limiter) client(host sardineknot.EntryHost) rpc.ServerLimits {
 	return rpc.NewServerLimitsProtobufClient("http://"+host.PeerAddress.String(), l.Client)
 }
--- a/internal/serverlimits/twirp/service.go
+++ b/internal/serverlimits/twirp/service.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/peer/micros"
 	rpc "sardineknot.example/sardineknot/internal/rpc/serverlimits"
 )
 
@@ -50,7 +51,5 @@
 // at time now.
 func limitFromMessage(message *rpc.Limit, now time.Time) (sardineknot.ServerProcess, sardineknot.ServerLimit) {
 	p := sardineknot.ServerProcess{Name: sardineknot.BackendServerName(message.GetServer()), Born: message.GetBorn()}
-	return p, sardineknot.ServerLimit{PerSecond: message.GetPerSecond(), At: now.Add(-micros(message.GetAgeMicros()))}
+	return p, sardineknot.ServerLimit{PerSecond: message.GetPerSecond(), At: now.Add(-micros.Duration(message.GetAgeMicros()))}
 }
-
-func micros(count int64) time.Duration { return time.Duration(count) * time.Microsecond }
--- a/internal/slots/twirp/message.go
+++ b/internal/slots/twirp/message.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/peer/micros"
 	rpc "sardineknot.example/sardineknot/internal/rpc/slots"
 )
 
@@ -45,12 +46,12 @@
 		PrefixHashes:       message.GetPrefixes(),
 		MaxTokens:          int(message.GetMaxTokens()),
 		Priority:           int(message.GetPriority()),
-		FirstTokenDeadline: now.Add(micros(message.GetDeadlineMicros())),
-		PerToken:           micros(message.GetPerTokenMicros()),
+		FirstTokenDeadline: now.Add(micros.Duration(message.GetDeadlineMicros())),
+		PerToken:           micros.Duration(message.GetPerTokenMicros()),
 		Owner:              sardineknot.EntryHostID(message.GetOwner()),
 		OwnerIncarnation:   sardineknot.Incarnation(message.GetOwnerIncarnation()),
 		ExpectedTokens:     int(message.GetExpectedTokens()),
-		CallerDeadline:     now.Add(micros(message.GetPatienceMicros())),
+		CallerDeadline:     now.Add(micros.Duration(message.GetPatienceMicros())),
 		Resumed:            message.GetResumed(),
 		CachedOn:           sardineknot.BackendServerName(message.GetKept()),
 		SoftwareVersion:    sardineknot.SoftwareVersion(message.GetSoftwareVersion()),
@@ -70,7 +71,7 @@
 func backoffsFromMessages(messages []*rpc.Backoff, now time.Time) []sardineknot.ServerBackoff {
 	var l []sardineknot.ServerBackoff
 	for _, m := range messages {
-		l = append(l, sardineknot.ServerBackoff{Server: sardineknot.BackendServerName(m.GetServer()), Until: now.Add(micros(m.GetLeftMicros()))})
+		l = append(l, sardineknot.ServerBackoff{Server: sardineknot.BackendServerName(m.GetServer()), Until: now.Add(micros.Duration(m.GetLeftMicros()))})
 	}
 	return l
 }
@@ -134,11 +135,9 @@
 	if message == nil {
 		return nil
 	}
-	return &sardineknot.NotRunError{Reason: message.GetReason(), RetryAfter: micros(message.GetRetryAfterMicros())}
+	return &sardineknot.NotRunError{Reason: message.GetReason(), RetryAfter: micros.Duration(message.GetRetryAfterMicros())}
 }
 
 func requestKey(account, request string) sardineknot.RequestKey {
 	return sardineknot.RequestKey{Account: sardineknot.ClientAccountName(account), ID: sardineknot.RequestID(request)}
 }
-
-func micros(count int64) time.Duration { return time.Duration(count) * time.Microsecond }
--- a/internal/versions/twirp/directory.go
+++ b/internal/versions/twirp/directory.go
@@ -180,13 +180,7 @@
 // peers returns the first count other hosts that are not known to be dead, by
 // their rank for stream.
 func (d *Directory) peers(stream sardineknot.RequestID, count int) []sardineknot.EntryHost {
-	var l []sardineknot.EntryHost
-	s := d.Members.Self().ID
-	for _, h := range d.Members.Hosts() {
-		if h.ID != s && h.State != sardineknot.EntryHostDead {
-			l = append(l, h)
-		}
-	}
+	l := sardineknot.OtherHosts(d.Members)
 	slices.SortFunc(l, func(a, b sardineknot.EntryHost) int {
 		return cmp.Compare(rendezvous.Weight(string(stream), b.ID), rendezvous.Weight(string(stream), a.ID))
 	})
--- a/membership.go
+++ b/membership.go
@@ -17,6 +17,19 @@
 	Changed() <-chan struct{}
 }
 
+// OtherHosts returns the hosts of members that are not known to be dead, without
+// this host.
+func OtherHosts(members Membership) []EntryHost {
+	var l []EntryHost
+	s := members.Self().ID
+	for _, h := range members.Hosts() {
+		if h.ID != s && h.State != EntryHostDead {
+			l = append(l, h)
+		}
+	}
+	return l
+}
+
 // FollowerSelector selects the entry hosts that read from the platform's
 // key-value service. The other hosts read from these.
 type FollowerSelector interface {
