answer/events: a silent engine that was left is not taken for one that ended

Engines that are only silent are left for others, and the exchange that the host itself ended counted as a crash; parts that happen to be on four of them could be barred. The error of a cancelled exchange is an UnavailableError with the cause of the cancellation, and only deadlines were told apart. The fakes of the tests returned the cause alone, so no test saw it; they return what http1 returns now. Figures: TestCrashReports/a_silent_engine_that_was_left failed before (one report), passes. Conclusion: an exchange whose context is done is no evidence.

--- a/internal/answer/events/crash.go
+++ b/internal/answer/events/crash.go
@@ -19,10 +19,14 @@
 )
 
 // reportCrash reports the request as one that may have ended engine n, if the
-// engine broke it off with err before or soon after the first event.
+// engine broke it off with err before or soon after the first event. An exchange
+// that this host has ended says nothing about the engine.
 func (a *attempt) reportCrash(err error, n sardineknot.BackendServerName) {
 	p := a.call.Generation.Parts
-	if len(p) == 0 || !isBrokenOff(err) || a.eventCount > 0 && a.Clock.Now().Sub(a.begunAt) > suspectTime {
+	if len(p) == 0 || a.ctx.Err() != nil || !isBrokenOff(err) {
+		return
+	}
+	if a.eventCount > 0 && a.Clock.Now().Sub(a.begunAt) > suspectTime {
 		return
 	}
 	b := a.decode
--- a/internal/answer/events/crash_test.go
+++ b/internal/answer/events/crash_test.go
@@ -128,6 +128,9 @@
 	t.Run("a stream that has gone on for some time", func(t *testing.T) {
 		reports(t, nil, 0, answer{status: 200, body: one, continuation: two, pause: 550 * time.Millisecond, err: errBrokenOff}, answer{err: errReset})
 	})
+	t.Run("a silent engine that was left", func(t *testing.T) {
+		reports(t, nil, 1, answer{status: 200, silent: true}, answer{status: 200, body: one})
+	})
 	t.Run("an engine that refuses", func(t *testing.T) {
 		reports(t, nil, 1, refusedBusy, answer{status: 200, body: one})
 	})
--- a/internal/answer/events/fake_test.go
+++ b/internal/answer/events/fake_test.go
@@ -140,7 +140,7 @@
 	select {
 	case <-time.After(a.delay):
 	case <-ctx.Done():
-		return nil, context.Cause(ctx)
+		return nil, errCancelled(ctx)
 	}
 	if a.body == "" && !a.silent && !a.empty {
 		return nil, a.err
@@ -167,6 +167,11 @@
 	return a
 }
 
+// errCancelled returns the error of an exchange that ended because ctx is done.
+func errCancelled(ctx context.Context) error {
+	return errors.WithStack(&sardineknot.UnavailableError{Peer: "engine", Cause: context.Cause(ctx)})
+}
+
 // body is the fake response body of an engine. It first returns the scripted
 // text and then, after pause, the continuation if there is one. After that, it
 // blocks until ctx is done if silent is set; otherwise it ends with err, or with
@@ -183,7 +188,7 @@
 		select {
 		case <-time.After(b.pause):
 		case <-b.ctx.Done():
-			return 0, context.Cause(b.ctx)
+			return 0, errCancelled(b.ctx)
 		}
 		b.Reader, b.continuation = strings.NewReader(b.continuation), ""
 		return b.Reader.Read(p)
@@ -193,7 +198,7 @@
 	}
 	if b.silent {
 		<-b.ctx.Done()
-		return 0, context.Cause(b.ctx)
+		return 0, errCancelled(b.ctx)
 	}
 	return n, b.err
 }
