backend/memory: a budget of 8 MB

Cause: TestEndlessAnswers logs the growth of the heap now: 31,112 KB at most with a budget of 16 MB, close to its bound of 32 MB.

--- a/internal/answer/plain/answer.go
+++ b/internal/answer/plain/answer.go
@@ -9,7 +9,7 @@
 )
 
 const (
-	// maxAnswerBytes bounds the size of an answer.
+	// maxAnswerBytes bounds the size of an answer, whatever the budget of memory.
 	maxAnswerBytes = 16 << 20
 	// minChunkBytes and maxChunkBytes bound the pieces in which an answer is read.
 	// A piece is twice as long as the one before.
--- a/internal/backend/memory/budget.go
+++ b/internal/backend/memory/budget.go
@@ -12,14 +12,14 @@
 	// stepBytes is the number of bytes by which they grow beyond that.
 	stepBytes = 64 << 10
 	// defaultBytes replaces a zero limit.
-	defaultBytes = 16 << 20
+	defaultBytes = 8 << 20
 )
 
 // Budget is the memory that all events and answers of a host share. The zero value
-// allows 16 MiB. It is safe for concurrent use.
+// allows 8 MiB. It is safe for concurrent use.
 type Budget struct {
 	// Bytes is the number of bytes of all of them together, beyond those that cost
-	// nothing. Zero means 16 MiB.
+	// nothing. Zero means 8 MiB.
 	Bytes int64
 
 	used atomic.Int64
--- a/internal/backend/memory/budget_test.go
+++ b/internal/backend/memory/budget_test.go
@@ -36,7 +36,7 @@
 		is := is.New(t)
 		b := &memory.Budget{}
 		var h, o int64
-		is.True(b.Grow(&h, 16<<20))
-		is.True(!b.Grow(&o, 16<<20))
+		is.True(b.Grow(&h, 8<<20))
+		is.True(!b.Grow(&o, 8<<20))
 	})
 }
