quarantine/evidence: evidence counts for ten minutes, and judging is bounded

What callers would see: a part that ends an engine every half minute is never barred, since crashes counted for one minute only; and the threshold of a fresh part was raised by crashes of other causes from before its first one. Fix: crashes and sound parts are kept for ten minutes; only crashes of other causes since a part's first raise its threshold.

--- /dev/null
+++ b/internal/quarantine/evidence/bench_test.go
@@ -0,0 +1,30 @@
+package evidence_test
+
+import (
+	"testing"
+	"time"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/quarantine/evidence"
+)
+
+// BenchmarkJudge measures a judgement on as much evidence as is recorded, with ever
+// new parts.
+func BenchmarkJudge(b *testing.B) {
+	e := evidence.New()
+	n := sardineknot.PromptPart(0)
+	for i := range 128 {
+		for range 32 {
+			l := make(sardineknot.PromptPartList, sardineknot.MaxPromptParts)
+			for j := range l {
+				n++
+				l[j] = n
+			}
+			e.AddCrash(sardineknot.EngineCrash{Process: process(i), Parts: l, At: after(time.Duration(i) * 200 * time.Millisecond)})
+		}
+	}
+	for b.Loop() {
+		e.AddCrash(sardineknot.EngineCrash{Process: process(0), Parts: list(0), At: after(0)})
+		e.Judge(after(time.Minute))
+	}
+}
--- a/internal/quarantine/evidence/evidence.go
+++ b/internal/quarantine/evidence/evidence.go
@@ -26,7 +26,7 @@
 	// does not count before it has passed.
 	settlingTime = 1300 * time.Millisecond
 	// retention is the time for which crashes and sound parts are recorded.
-	retention = time.Minute
+	retention = 10 * time.Minute
 	// maxCrashes bounds the recorded crashes, and maxSuspects the suspects of a
 	// crash.
 	maxCrashes  = 128
@@ -52,6 +52,9 @@
 	sound   soundParts
 	// quarantines holds the quarantines and those whose probation has not ended.
 	quarantines []sardineknot.Quarantine
+	// judgeAt is the time from which on a judgement may find something new. It is
+	// zero if there is nothing to judge.
+	judgeAt time.Time
 }
 
 // crash is the end of one engine.
@@ -87,6 +90,7 @@
 	if report.At.Before(c.at) {
 		c.at = report.At
 	}
+	e.schedule(c)
 	k := slices.ContainsFunc(c.suspects, func(l sardineknot.PromptPartList) bool { return slices.Equal(l, report.Parts) })
 	if k || len(c.suspects) >= maxSuspects {
 		return false
@@ -95,6 +99,14 @@
 	return true
 }
 
+// schedule makes the next judgement include c.
+func (e *Evidence) schedule(c *crash) {
+	t := c.at.Add(settlingTime)
+	if e.judgeAt.IsZero() || t.Before(e.judgeAt) {
+		e.judgeAt = t
+	}
+}
+
 // Known returns those of parts that are known to be sound.
 func (e *Evidence) Known(parts sardineknot.PromptPartList) []sardineknot.SoundPart {
 	var l []sardineknot.SoundPart
--- a/internal/quarantine/evidence/evidence_test.go
+++ b/internal/quarantine/evidence/evidence_test.go
@@ -83,6 +83,25 @@
 		bars(t, e, 6*time.Second, worse)
 		allows(t, e, 6*time.Second, system, customer)
 	})
+	t.Run("one crash every two minutes", func(t *testing.T) {
+		e := evidence.New()
+		for i := range 4 {
+			crashes(e, i, 1, time.Duration(i)*2*time.Minute, bad)
+		}
+		bars(t, e, 6*time.Minute+5*time.Second, bad)
+	})
+	t.Run("engines that ended for other reasons before do not matter", func(t *testing.T) {
+		e := evidence.New()
+		crashes(e, 0, 6, 0, customer)
+		sound(e, 6*time.Second, customer)
+		crashes(e, 10, 4, 20*time.Second, bad)
+		bars(t, e, 25*time.Second, bad)
+	})
+}
+
+// TestDoubt guards against a part that crashes engines and is never barred, because
+// it was sound before or always comes with another one.
+func TestDoubt(t *testing.T) {
 	t.Run("engines have written answers on it before", func(t *testing.T) {
 		e := evidence.New()
 		sound(e, -time.Millisecond, bad)
--- a/internal/quarantine/evidence/judge.go
+++ b/internal/quarantine/evidence/judge.go
@@ -20,6 +20,8 @@
 	count     int
 	countedAt time.Time
 	threshold int
+	// unexplained is set if no quarantine explains one of the crashes.
+	unexplained bool
 }
 
 // compare compares the evidence against k and b, as cmp.Compare does.
@@ -32,7 +34,16 @@
 // ended are dropped.
 func (e *Evidence) Judge(now time.Time) []sardineknot.Quarantine {
 	e.quarantines = slices.DeleteFunc(e.quarantines, func(q sardineknot.Quarantine) bool { return now.Sub(q.Until) > probation })
+	if e.judgeAt.IsZero() || now.Before(e.judgeAt) {
+		return nil
+	}
 	e.dropCrashes(now)
+	e.judgeAt = time.Time{}
+	for _, c := range e.crashes {
+		if now.Sub(c.at) < settlingTime {
+			e.schedule(c)
+		}
+	}
 	l := e.renew(now)
 	for {
 		q, ok := e.next(now)
@@ -102,12 +113,13 @@
 	return q, true
 }
 
-// threshold returns the number of crashes that put a part into quarantine at time
-// now if no answer on it is known.
-func (e *Evidence) threshold(now time.Time) int {
+// threshold returns the number of crashes that put a part into quarantine, if the
+// first of them was at time first and no answer on the part is known. causeless
+// holds the crashes that no part can have caused.
+func threshold(causeless []*crash, first time.Time) int {
 	var k candidate
-	for _, c := range e.settled(now) {
-		if e.refuted(c) {
+	for _, c := range causeless {
+		if !c.at.Before(first) {
 			k.add(c)
 		}
 	}
@@ -129,28 +141,13 @@
 // candidates returns the parts against which there is evidence that no
 // quarantine explains.
 func (e *Evidence) candidates(now time.Time) []candidate {
-	m := make(map[sardineknot.PromptPart]*candidate)
-	o := make(map[sardineknot.PromptPart]bool)
-	for _, c := range e.settled(now) {
-		x := e.explained(c)
-		for _, p := range c.parts() {
-			if !c.at.After(e.sound.at(p)) || x && !e.sharesQuarantine(p) {
-				continue
-			}
-			if m[p] == nil {
-				m[p] = &candidate{part: p}
-			}
-			m[p].add(c)
-			o[p] = o[p] || !x
-		}
-	}
+	m, u := e.accuse(now)
 	var l []candidate
-	t := e.threshold(now)
 	for p, k := range m {
-		if !o[p] {
+		if !k.unexplained {
 			continue
 		}
-		k.threshold = t
+		k.threshold = threshold(u, k.crashes[0].at)
 		if !e.sound.at(p).IsZero() {
 			k.threshold *= soundFactor
 		}
@@ -159,6 +156,30 @@
 	return l
 }
 
+// accuse returns the parts against which there is evidence at time now, and the
+// crashes that no part can have caused.
+func (e *Evidence) accuse(now time.Time) (accused map[sardineknot.PromptPart]*candidate, causeless []*crash) {
+	accused = make(map[sardineknot.PromptPart]*candidate)
+	for _, c := range e.settled(now) {
+		if e.refuted(c) {
+			causeless = append(causeless, c)
+			continue
+		}
+		x := e.explained(c)
+		for _, p := range c.parts() {
+			if !c.at.After(e.sound.at(p)) || x && !e.sharesQuarantine(p) {
+				continue
+			}
+			if accused[p] == nil {
+				accused[p] = &candidate{part: p}
+			}
+			accused[p].add(c)
+			accused[p].unexplained = accused[p].unexplained || !x
+		}
+	}
+	return accused, causeless
+}
+
 // add adds a crash that is not earlier than the crashes of k.
 func (k *candidate) add(c *crash) {
 	if k.count == 0 || c.at.Sub(k.countedAt) >= minGap {
--- a/promptpart.go
+++ b/promptpart.go
@@ -11,7 +11,7 @@
 type PromptPart uint64
 
 // MaxPromptParts is the maximum number of parts of a prompt that are known.
-const MaxPromptParts = 64
+const MaxPromptParts = 32
 
 // String returns the hash in hexadecimal.
 func (p PromptPart) String() string { return strconv.FormatUint(uint64(p), 16) }
