--- a/internal/answer/events/crash.go
+++ b/internal/answer/events/crash.go
@@ -20,7 +20,7 @@
 
 // reportCrash reports the request as one that may have ended engine n, if the
 // engine broke it off with err before or soon after the first event. An exchange
-// that this host has ended says nothing about the engine.
+// that this host has ended is no evidence against the engine.
 func (a *attempt) reportCrash(err error, n sardineknot.BackendServerName) {
 	p := a.call.Generation.Parts
 	if len(p) == 0 || a.ctx.Err() != nil || !isBrokenOff(err) {
@@ -36,8 +36,8 @@
 	a.Guard.ReportCrash(b.Process(), p)
 }
 
-// isBrokenOff reports whether err tells that an engine broke off a request that
-// it may have begun.
+// isBrokenOff reports whether err means that an engine broke off a request that it
+// may have begun.
 func isBrokenOff(err error) bool {
 	var u *sardineknot.UnavailableError
 	return errors.Is(err, errTruncated) || errors.As(err, &u) && !errors.Is(err, context.DeadlineExceeded)
--- a/internal/answer/events/limited_test.go
+++ b/internal/answer/events/limited_test.go
@@ -13,7 +13,7 @@
 )
 
 // limitedEngines is a fake sardineknot.Forwarder that sends nothing to the engines
-// in without, since they have no permit left. Each is told once.
+// in without, since they have no permit left. Each denies once.
 type limitedEngines struct {
 	*engines
 	runner  *events.Runner
--- a/internal/answer/generation/beside_test.go
+++ b/internal/answer/generation/beside_test.go
@@ -46,7 +46,7 @@
 func (s *pausingStream) Close() error { return nil }
 
 // TestAttemptsBeside guards against answers that the attempts beside a silent one
-// spoil: tokens that are lost or come twice, and attempts that go on for nobody.
+// spoil: tokens that are lost or duplicated, and attempts that are never cancelled.
 func TestAttemptsBeside(t *testing.T) {
 	run(t, "the engine is silent twice", func(t *testing.T, x *fixture) {
 		x.runner.Retries = budget.NewBudget(0, 10)
--- a/internal/answer/generation/tokens.go
+++ b/internal/answer/generation/tokens.go
@@ -72,8 +72,8 @@
 }
 
 // givesUp reports whether the attempt ends with err, after a number of resumes of
-// the stream c without progress. An engine that was not interrupted is not asked
-// again. If the engine is silent, the attempt goes on until the next token is due,
+// the stream c without progress. A stream that was not interrupted is not
+// resumed. If the engine is silent, the attempt goes on until the next token is due,
 // beside others if any may follow.
 func (a *attempt) givesUp(c sardineknot.TokenStream, err error, resumes int, due time.Time) bool {
 	if !isInterrupted(err) {
--- a/internal/backend/limited/forwarder.go
+++ b/internal/backend/limited/forwarder.go
@@ -14,9 +14,9 @@
 
 // Forwarder is a sardineknot.Forwarder that takes a permit for each call and each
 // prefill. A request without a permit is not sent and fails with a BackedOffError,
-// and the server counts as backed off until the next permit. Limited servers are
-// asked for their load, or to release a KV cache, not at all. All exported fields
-// must be set before use.
+// and the server counts as backed off until the next permit. Limited servers get
+// no load queries and no releases of KV caches. All exported fields must be set
+// before use.
 type Forwarder struct {
 	sardineknot.Forwarder
 	// Limiter issues the permits.
@@ -49,8 +49,8 @@
 	return f.Forwarder.Prefill(ctx, server, call, deadline)
 }
 
-// ReleaseCache implements sardineknot.Forwarder. The engine frees the cache itself
-// after some time if it is not asked to.
+// ReleaseCache implements sardineknot.Forwarder. The engine evicts the cache
+// itself after some time.
 func (f *Forwarder) ReleaseCache(ctx context.Context, cache sardineknot.KVCacheReference) error {
 	for _, b := range f.Source.Current().BackendServers {
 		if b.Address == cache.Address && f.Limiter.Limited(b) {
--- a/internal/host/gateway/orders.go
+++ b/internal/host/gateway/orders.go
@@ -10,7 +10,7 @@
 )
 
 // orderClient is a sardineknot.EngineOrderClient that sends nothing to an engine
-// that has asked for no requests or for few. It then fails with a BackedOffError.
+// that has requested a backoff or named a limit. It then fails with a BackedOffError.
 type orderClient struct {
 	sardineknot.EngineOrderClient
 	backoffs *backoff.Set
@@ -18,7 +18,7 @@
 	clock    sardineknot.Clock
 }
 
-// check fails if server has asked for no requests or for few.
+// check fails if server has requested a backoff or named a limit.
 func (o *orderClient) check(server sardineknot.BackendServer) error {
 	d := o.backoffs.Left(o.clock.Now(), server)
 	if d > 0 || o.limiter.Limited(server) {
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -134,7 +134,7 @@
 	slots       *twirp.Pool
 	// versions keeps the software versions that began streams.
 	versions *versions.Directory
-	// guard knows the parts of prompts that crash engines.
+	// guard bars prompts with parts that crash engines.
 	guard *quarantine.Guard
 	// keeper keeps the quarantines of guard in the key-value service.
 	keeper *quarantinestore.Keeper
--- a/internal/quarantine/evidence/bench_test.go
+++ b/internal/quarantine/evidence/bench_test.go
@@ -24,7 +24,8 @@
 		}
 	}
 	for b.Loop() {
-		e.AddCrash(sardineknot.EngineCrash{Process: process(0), Parts: list(0), At: after(0)})
+		n++
+		e.AddCrash(sardineknot.EngineCrash{Process: process(200), Parts: list(n), At: after(0)})
 		e.Judge(after(time.Minute))
 	}
 }
--- a/internal/quarantine/evidence/evidence.go
+++ b/internal/quarantine/evidence/evidence.go
@@ -90,12 +90,12 @@
 	if report.At.Before(c.at) {
 		c.at = report.At
 	}
-	e.schedule(c)
 	k := slices.ContainsFunc(c.suspects, func(l sardineknot.PromptPartList) bool { return slices.Equal(l, report.Parts) })
 	if k || len(c.suspects) >= maxSuspects {
 		return false
 	}
 	c.suspects = append(c.suspects, slices.Clone(report.Parts[:min(len(report.Parts), sardineknot.MaxPromptParts)]))
+	e.schedule(c)
 	return true
 }
 
@@ -140,7 +140,7 @@
 func (e *Evidence) AddSound(part sardineknot.PromptPart, at time.Time) { e.sound.add(part, at) }
 
 // Suspected returns those of parts against which there is evidence that an answer
-// begun at time at refutes. Other entry hosts need to know of such an answer only.
+// begun at time at refutes. Only such answers are sent to other entry hosts.
 func (e *Evidence) Suspected(parts sardineknot.PromptPartList, at time.Time) sardineknot.PromptPartList {
 	var l sardineknot.PromptPartList
 	for _, p := range parts {
--- a/internal/quarantine/store/keeper.go
+++ b/internal/quarantine/store/keeper.go
@@ -32,7 +32,7 @@
 type Keeper struct {
 	// Store is the key-value service.
 	Store sardineknot.Store
-	// Quarantines holds the quarantines that this host knows.
+	// Quarantines holds the quarantines in force on this host.
 	Quarantines sardineknot.QuarantineList
 	// Ranker selects the host that writes a key, and Self is this host.
 	Ranker sardineknot.Ranker
@@ -47,7 +47,7 @@
 	keys map[string]storedKey
 }
 
-// storedKey is what this host knows of a key of the service.
+// storedKey is the state of a key of the service.
 type storedKey struct {
 	revision sardineknot.StoreRevision
 	// strikes is Quarantine.Strikes, or zero if the value could not be read.
--- a/internal/quarantine/store/keeper_test.go
+++ b/internal/quarantine/store/keeper_test.go
@@ -137,7 +137,7 @@
 	})
 }
 
-// TestKeeper guards against quarantines that end with the hosts that know them.
+// TestKeeper guards against quarantines that are lost when all hosts restart.
 func TestKeeper(t *testing.T) {
 	t.Run("one host writes the key, once", func(t *testing.T) {
 		run(t, func(t *testing.T, s *service, _ []*list) {
@@ -169,7 +169,7 @@
 	})
 }
 
-// TestKeeperReplaces guards against keys that differ from what the hosts know.
+// TestKeeperReplaces guards against keys that differ from the quarantines in force.
 func TestKeeperReplaces(t *testing.T) {
 	t.Run("written again with more strikes", func(t *testing.T) {
 		run(t, func(t *testing.T, s *service, l []*list) {
--- a/internal/quarantine/twirp/guard.go
+++ b/internal/quarantine/twirp/guard.go
@@ -21,8 +21,8 @@
 	// interval is the time between two judgements, and between two messages to
 	// the other hosts.
 	interval = 100 * time.Millisecond
-	// fetchInterval is the time after which another host is asked for what this
-	// host may have missed.
+	// fetchInterval is the time between two fetches of evidence that this host may
+	// have missed.
 	fetchInterval = time.Second
 	// callTimeout bounds a call to another host.
 	callTimeout = 250 * time.Millisecond
@@ -40,7 +40,7 @@
 	Clock sardineknot.Clock
 	// Client sends requests to other entry hosts.
 	Client *http.Client
-	// Random selects the host to ask. It must not be shared.
+	// Random selects the host to fetch from. It must not be shared.
 	Random *rand.Rand
 	// Log receives an event for each quarantine.
 	Log zerolog.Logger
@@ -169,7 +169,7 @@
 	_ = l.Wait() // the calls return no error
 }
 
-// fetch asks a random other host for all that it knows.
+// fetch fetches the evidence of a random other host.
 func (g *Guard) fetch(ctx context.Context) {
 	l := sardineknot.OtherHosts(g.Members)
 	if len(l) == 0 {
--- a/internal/serverlimits/table/table.go
+++ b/internal/serverlimits/table/table.go
@@ -71,9 +71,9 @@
 	return t.setLocked(now, process, sardineknot.ServerLimit{At: now})
 }
 
-// Merge records what another entry host knows of the limit of process, unless
-// this host has learned of it later. It returns what is known then, and whether
-// that differs from before.
+// Merge records the limit of process as reported by another entry host, unless the
+// recorded one is newer. It returns the limit that is recorded then, and whether it
+// differs from before.
 func (t *Table) Merge(now time.Time, process sardineknot.ServerProcess, told sardineknot.ServerLimit) (known sardineknot.ServerLimit, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -87,7 +87,7 @@
 	return t.setLocked(now, process, told)
 }
 
-// outdated reports whether told is newer than what is known.
+// outdated reports whether told is newer than l.
 func (l *limit) outdated(told sardineknot.ServerLimit) bool {
 	if told.PerSecond == l.PerSecond {
 		return told.At.Sub(l.At) > clockTolerance
--- a/internal/serverlimits/twirp/doc.go
+++ b/internal/serverlimits/twirp/doc.go
@@ -4,6 +4,6 @@
 // The owner of a server's limit, the first host by rendezvous hashing, issues a
 // permit for each request to the server. A host that sees a limit begin or end
 // reports it to the owner, which passes it on to all others, so that a host that
-// sends nothing knows it too. A host that cannot reach the owner issues its share
+// sends nothing has it too. A host that cannot reach the owner issues its share
 // among the hosts itself.
 package twirp
--- a/internal/serverlimits/twirp/limiter.go
+++ b/internal/serverlimits/twirp/limiter.go
@@ -54,7 +54,7 @@
 
 var _ sardineknot.ServerLimiter = (*Limiter)(nil)
 
-// NewLimiter returns a limiter that knows no limits.
+// NewLimiter returns a limiter without limits.
 func NewLimiter() *Limiter {
 	return &Limiter{table: table.New(), failedAt: make(map[sardineknot.EntryHostID]time.Time)}
 }
@@ -145,8 +145,8 @@
 	l.Log.Info().Stringer("event", sardineknot.LogServerLimit).Str("server", string(process.Name)).Float64("per_second", known.PerSecond).Bool("seen", seen).Send()
 }
 
-// report reports what this host knows of the limit of process to its owner, or to
-// all other hosts if this host is the owner.
+// report reports the limit of process to its owner, or to all other hosts if this
+// host is the owner.
 func (l *Limiter) report(process sardineknot.ServerProcess, known sardineknot.ServerLimit) {
 	h, ok := l.owner(process)
 	switch {
@@ -178,7 +178,7 @@
 	_ = g.Wait() // the calls return no error
 }
 
-// learn records what another host knows of a limit. The owner passes it on if the
+// learn records a limit that another host has reported. The owner passes it on if the
 // limit has begun or ended.
 func (l *Limiter) learn(message *rpc.Limit) sardineknot.ServerLimit {
 	n := l.Clock.Now()
--- a/internal/serverlimits/twirp/limiter_test.go
+++ b/internal/serverlimits/twirp/limiter_test.go
@@ -42,7 +42,7 @@
 	hosts    []sardineknot.EntryHost
 	muxes    map[string]*http.ServeMux
 	limiters []*twirp.Limiter
-	// limited tells whether the server names its limit. sends holds the times at
+	// limited is set while the server names its limit. sends holds the times at
 	// which it got a request.
 	limited bool
 	sends   []time.Time
@@ -93,7 +93,7 @@
 	return f
 }
 
-// restart starts host n again, which knows nothing then.
+// restart starts host n again, without limits.
 func (f *fleet) restart(n int) {
 	h := f.hosts[n]
 	l := twirp.NewLimiter()
--- a/quarantine.go
+++ b/quarantine.go
@@ -58,7 +58,8 @@
 	return true
 }
 
-// CrashEvidence is what entry hosts know of parts of prompts that crash engines.
+// CrashEvidence is the evidence of parts of prompts that crash engines, as entry
+// hosts exchange it.
 type CrashEvidence struct {
 	Crashes     []EngineCrash
 	Sound       []SoundPart
@@ -70,7 +71,7 @@
 	return len(e.Crashes)+len(e.Sound)+len(e.Quarantines) == 0
 }
 
-// QuarantineList holds the quarantines that a host knows. Implementations are safe
+// QuarantineList holds the quarantines in force on a host. Implementations are safe
 // for concurrent use.
 type QuarantineList interface {
 	// Quarantines returns the quarantines, and those that have ended but whose
--- a/serverlimit.go
+++ b/serverlimit.go
@@ -11,7 +11,7 @@
 	// PerSecond is the number of requests a second. Zero means that the server
 	// names no limit.
 	PerSecond float64
-	// At is the time at which the server said so.
+	// At is the time of the answer that named the limit, or named none.
 	At time.Time
 }
 
