--- a/internal/quarantine/evidence/evidence.go
+++ b/internal/quarantine/evidence/evidence.go
@@ -20,7 +20,7 @@
 	// answers in the last time.
 	soundFactor = 2
 	// minGap is the time between two crashes below which they count as one.
-	minGap = 100 * time.Millisecond
+	minGap = 50 * time.Millisecond
 	// settlingTime is the time after a crash in which its suspects are reported,
 	// and answers on sound parts that begin at once turn out to be sound. The crash
 	// does not count before it has passed.
@@ -165,8 +165,13 @@
 }
 
 // AddQuarantine records a quarantine that another entry host has found, and
-// reports whether it was new or is longer than known.
+// reports whether it was new or is longer than known. A quarantine without parts
+// would bar all requests and is ignored, as is one of too many parts.
 func (e *Evidence) AddQuarantine(quarantine sardineknot.Quarantine) bool {
+	n := len(quarantine.Parts)
+	if n == 0 || n > sardineknot.MaxPromptParts || quarantine.Strikes <= 0 {
+		return false
+	}
 	i := e.find(quarantine.Parts)
 	if i < 0 {
 		e.dropQuarantine()
--- a/internal/quarantine/evidence/evidence_test.go
+++ b/internal/quarantine/evidence/evidence_test.go
@@ -83,6 +83,18 @@
 		bars(t, e, 6*time.Second, worse)
 		allows(t, e, 6*time.Second, system, customer)
 	})
+	t.Run("two such parts on the same engines", func(t *testing.T) {
+		e := evidence.New()
+		for i := range 4 {
+			crashes(e, i, 1, time.Duration(i)*time.Second, bad, sardineknot.PromptPart(100+i))
+		}
+		crashes(e, 2, 2, 2*time.Second, worse, 110)
+		crashes(e, 10, 2, 500*time.Millisecond, worse, 111)
+		bars(t, e, 5*time.Second, bad)
+		allows(t, e, 5*time.Second, worse) // two crashes that it explains alone, two that bad explains too
+		crashes(e, 20, 1, 5*time.Second, worse, 112)
+		bars(t, e, 7*time.Second, worse)
+	})
 	t.Run("one crash every two minutes", func(t *testing.T) {
 		e := evidence.New()
 		for i := range 4 {
--- a/internal/quarantine/evidence/judge.go
+++ b/internal/quarantine/evidence/judge.go
@@ -14,19 +14,33 @@
 type candidate struct {
 	part    sardineknot.PromptPart
 	crashes []*crash
-	// count is the number of crashes that are at least minGap apart, and countedAt
-	// the time of the last one that was counted. threshold is the number that is
-	// needed.
-	count     int
-	countedAt time.Time
+	// count is the number of crashes that are at least minGap apart, and shared the
+	// number of those that a quarantine of another part explains as well. countedAt
+	// is the time of the last one that was counted.
+	count, shared int
+	countedAt     time.Time
+	// threshold is the weight of evidence that is needed.
 	threshold int
 	// unexplained is set if no quarantine explains one of the crashes.
 	unexplained bool
 }
 
+// minOwn is the number of crashes that no quarantine explains from which on the
+// others count as well.
+const minOwn = 2
+
+// weight returns the weight of the evidence against k. A crash with several parts
+// that crash engines counts for the first of them, and half for the others.
+func (k candidate) weight() int {
+	if k.count < minOwn {
+		return k.count
+	}
+	return k.count + k.shared/2
+}
+
 // compare compares the evidence against k and b, as cmp.Compare does.
 func (k candidate) compare(b candidate) int {
-	return cmp.Or(cmp.Compare(k.count*b.threshold, b.count*k.threshold), cmp.Compare(b.part, k.part))
+	return cmp.Or(cmp.Compare(k.weight()*b.threshold, b.weight()*k.threshold), cmp.Compare(b.part, k.part))
 }
 
 // Judge returns the quarantines that the evidence at time now requires in
@@ -100,7 +114,7 @@
 		return sardineknot.Quarantine{}, false
 	}
 	b := slices.MaxFunc(l, candidate.compare)
-	if b.count < b.threshold {
+	if b.weight() < b.threshold {
 		return sardineknot.Quarantine{}, false
 	}
 	q := sardineknot.Quarantine{Until: now.Add(quarantineTime), Strikes: 1}
@@ -167,12 +181,16 @@
 		}
 		x := e.explained(c)
 		for _, p := range c.parts() {
-			if !c.at.After(e.sound.at(p)) || x && !e.sharesQuarantine(p) {
+			if !c.at.After(e.sound.at(p)) {
 				continue
 			}
 			if accused[p] == nil {
 				accused[p] = &candidate{part: p}
 			}
+			if x && !e.sharesQuarantine(p) {
+				accused[p].addShared(c)
+				continue
+			}
 			accused[p].add(c)
 			accused[p].unexplained = accused[p].unexplained || !x
 		}
@@ -182,13 +200,27 @@
 
 // add adds a crash that is not earlier than the crashes of k.
 func (k *candidate) add(c *crash) {
-	if k.count == 0 || c.at.Sub(k.countedAt) >= minGap {
+	if k.isApart(c) {
 		k.count++
 		k.countedAt = c.at
 	}
 	k.crashes = append(k.crashes, c)
 }
 
+// addShared adds a crash that a quarantine of another part explains.
+func (k *candidate) addShared(c *crash) {
+	if k.isApart(c) {
+		k.shared++
+		k.countedAt = c.at
+	}
+}
+
+// isApart reports whether c is at least minGap later than the last crash that was
+// counted.
+func (k *candidate) isApart(c *crash) bool {
+	return k.count+k.shared == 0 || c.at.Sub(k.countedAt) >= minGap
+}
+
 // explained reports whether a suspect of c has the parts of a quarantine.
 func (e *Evidence) explained(c *crash) bool {
 	return slices.ContainsFunc(e.quarantines, c.explainedBy)
