accounts: callers identify themselves by keys of client accounts

Cause: on the platform's path nothing knew a caller's account.

Change: the operators' configuration holds client accounts with digests of their keys. A call that is not public needs such a key (401 otherwise), keys are never forwarded, the account's name is, and a call that waited for a body, an engine or a server is checked again before it is sent. Jobs carry the account and both priorities.

--- /dev/null
+++ b/accounts_test.go
@@ -0,0 +1,38 @@
+package sardineknot_test
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"sardineknot.example/sardineknot"
+)
+
+// TestAdmits guards against a call that is sent although its key was withdrawn, or
+// was given to another client account, while the call waited.
+func TestAdmits(t *testing.T) {
+	k := sardineknot.DigestKey("key")
+	a := sardineknot.ClientAccount{Name: "a", Keys: []sardineknot.KeyDigest{k}}
+	c := &sardineknot.Call{Key: k, Account: &a}
+	admits := func(want bool, accounts ...sardineknot.ClientAccount) {
+		t.Helper()
+		var f sardineknot.Configuration
+		f.SetAccounts(accounts)
+		is.New(t).Equal(f.Admits(c), want)
+	}
+	admits(true, sardineknot.ClientAccount{Name: "b"}, a)
+	admits(false, sardineknot.ClientAccount{Name: "a"})
+	admits(false, sardineknot.ClientAccount{Name: "a"}, sardineknot.ClientAccount{Name: "b", Keys: a.Keys})
+	c.Account = nil
+	admits(true) // a call of a public route
+}
+
+// TestAccountCost guards against limits that count a call by something else than its
+// tokens, or not at all.
+func TestAccountCost(t *testing.T) {
+	is := is.New(t)
+	l := sardineknot.AccountLimit{CountsTokens: true, DefaultTokens: 200}
+	is.Equal(l.Cost(1540), 1540.0)
+	is.Equal(l.Cost(0), 200.0)
+	is.Equal(sardineknot.AccountLimit{}.Cost(1540), 1.0)
+}
--- a/call.go
+++ b/call.go
@@ -42,11 +42,38 @@
 	// Revision is the revision of the configuration that was in force when the
 	// call arrived.
 	Revision Revision
+	// Key is the digest of the caller's key. It is the zero value if the call has
+	// none.
+	Key KeyDigest
+	// Account is the client account of the caller. It is nil if the call needs no
+	// key.
+	Account *ClientAccount
+	// Tokens is the length of the prompt plus the maximum length of the answer, in
+	// tokens, as the caller states them. Zero means that the caller states none.
+	Tokens int
 	// Generation holds the parameters of a generation. It is nil if and only if
 	// the call is not a generation.
 	Generation *Generation
 }
 
+// Priority returns the priority of the call: that of its client account, or that
+// of its route if the account has none. Smaller values are served first.
+func (c *Call) Priority() int {
+	if c.Account != nil && c.Account.HasPriority {
+		return c.Account.Priority
+	}
+	return c.Route.Priority
+}
+
+// AccountName returns the name of the call's client account, or an empty name if it
+// has none.
+func (c *Call) AccountName() ClientAccountName {
+	if c.Account == nil {
+		return ""
+	}
+	return c.Account.Name
+}
+
 // Generation holds the parameters of a call that generates text from a prompt,
 // as far as they determine its cost and how it is scheduled.
 type Generation struct {
--- a/configuration.go
+++ b/configuration.go
@@ -27,6 +27,12 @@
 	Services []Service
 	// CallerLimits limits the size and the duration of what callers send.
 	CallerLimits CallerLimits
+	// Accounts holds the client accounts whose callers identify themselves by keys,
+	// ordered by name. If it is empty, calls carry no keys. It is set by SetAccounts.
+	Accounts []ClientAccount
+
+	// accountsByKey holds the indexes in Accounts by key.
+	accountsByKey map[KeyDigest]int
 }
 
 // Contract returns the contract of account. It fails with an UnknownError if
--- a/errors.go
+++ b/errors.go
@@ -23,6 +23,30 @@
 	return fmt.Sprintf("not run: %s (retry after %v)", e.Reason, e.RetryAfter)
 }
 
+// UnauthorizedError reports that a request has no key, or one that belongs to no
+// client account. The request did not run.
+type UnauthorizedError struct{}
+
+// Error implements error.
+func (*UnauthorizedError) Error() string {
+	return "the request has no key of a client account"
+}
+
+// LimitedError reports that a client account has reached its limit. The request did
+// not run and will not run later.
+type LimitedError struct {
+	// Account is the client account.
+	Account ClientAccountName
+	// RetryAfter is the time after which the request will be within the limit. It
+	// is not negative.
+	RetryAfter time.Duration
+}
+
+// Error implements error.
+func (e *LimitedError) Error() string {
+	return fmt.Sprintf("limit of client account %s is reached (retry after %v)", e.Account, e.RetryAfter)
+}
+
 // OutcomeUnknownError reports that an unrepeatable request may have run. The
 // request is therefore not repeated.
 type OutcomeUnknownError struct {
--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -160,6 +160,9 @@
 		return err
 	}
 	err = a.checkVersion()
+	if err == nil {
+		err = a.checkKey()
+	}
 	if err != nil || a.replacing == nil {
 		return err
 	}
@@ -169,6 +172,18 @@
 	return a.spendRetry()
 }
 
+// checkKey fails with an UnauthorizedError if the key of the call was withdrawn while
+// it waited for engines. A stream that has begun goes on.
+func (a *attempt) checkKey() error {
+	a.mu.Lock()
+	k := a.executions > 0
+	a.mu.Unlock()
+	if k || a.Source.Current().Admits(a.call) {
+		return nil
+	}
+	return errors.WithStack(&sardineknot.UnauthorizedError{})
+}
+
 // spendRetry charges a retry to the budget. It fails with a NotRunError if the
 // budget is exhausted.
 func (a *attempt) spendRetry() error {
--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -140,8 +140,9 @@
 // costs none.
 func (s *session) mayRetry(err error) bool {
 	var n *sardineknot.NotRunError
+	var k *sardineknot.UnauthorizedError
 	var w *writeError
-	if s.ctx.Err() != nil || errors.As(err, &n) || errors.As(err, &w) {
+	if s.ctx.Err() != nil || errors.As(err, &n) || errors.As(err, &k) || errors.As(err, &w) {
 		return false
 	}
 	if isNotSent(err) {
@@ -187,11 +188,12 @@
 	s.mu.Unlock()
 	var n *sardineknot.NotRunError
 	var u *sardineknot.UnknownError
+	var a *sardineknot.UnauthorizedError
 	if k && (errors.As(err, &n) || errors.As(err, &u) || isNotSent(err)) {
 		// The error concerns only the last attempt; an earlier one may have run.
 		return errors.WithStack(&sardineknot.RequestFailedError{Reason: err.Error()})
 	}
-	if k || errors.As(err, &n) {
+	if k || errors.As(err, &n) || errors.As(err, &a) {
 		return err
 	}
 	return errors.WithStack(&sardineknot.NotRunError{Reason: err.Error(), RetryAfter: failureRetryAfter})
@@ -212,7 +214,9 @@
 		PromptTokens:       p.PromptLength + g + p.ResumeAfter*s.eventTokens(),
 		MaxTokens:          max(1, p.MaxTokens-g-p.ResumeAfter*s.eventTokens()),
 		Resumed:            p.ResumeAfter > 0,
-		Priority:           c.Route.Priority,
+		Account:            c.AccountName(),
+		Priority:           c.Priority(),
+		RoutePriority:      c.Route.Priority,
 		FirstTokenDeadline: c.ArrivedAt.Add(c.Route.Target),
 		CallerDeadline:     c.Deadline,
 		PerToken:           c.Route.PauseTarget,
--- a/internal/answer/plain/runner.go
+++ b/internal/answer/plain/runner.go
@@ -148,13 +148,19 @@
 }
 
 // admit selects a server for c as pick does. It fails at once with a NotRunError if
-// no server may get c.
+// no server may get c, and with an UnauthorizedError if the key of c was withdrawn
+// while c waited.
 func (r *Runner) admit(ctx context.Context, c *sardineknot.Call, tried map[sardineknot.BackendServerName]bool) (sardineknot.BackendServer, error) {
 	err := r.Guard.Check(c)
 	if err != nil {
 		return sardineknot.BackendServer{}, err
 	}
-	return r.pick(ctx, c, tried)
+	s, err := r.pick(ctx, c, tried)
+	if err != nil || r.Source.Current().Admits(c) {
+		return s, err
+	}
+	r.Circuits.Done(r.Clock.Now(), s.Name, breaker.Abandoned)
+	return sardineknot.BackendServer{}, errors.WithStack(&sardineknot.UnauthorizedError{})
 }
 
 // pick selects a server with free capacity, preferably one that is not in
@@ -241,7 +247,8 @@
 		return o.err
 	}
 	var n *sardineknot.NotRunError
-	if errors.As(err, &n) {
+	var u *sardineknot.UnauthorizedError
+	if errors.As(err, &n) || errors.As(err, &u) {
 		return err
 	}
 	return errors.WithStack(&sardineknot.NotRunError{Reason: err.Error(), RetryAfter: refusedRetryAfter})
--- a/internal/caller/gateway/handler.go
+++ b/internal/caller/gateway/handler.go
@@ -42,6 +42,9 @@
 	// Plain runs the calls of plain services, and Stream runs generations.
 	Plain  sardineknot.CallRunner
 	Stream sardineknot.CallRunner
+	// Limiter keeps client accounts within their limits. Nil means that there are no
+	// limits.
+	Limiter sardineknot.AccountLimiter
 	// Clock returns the current time.
 	Clock sardineknot.Clock
 	// Log receives one event for each call.
@@ -79,9 +82,10 @@
 }
 
 // admit validates r and returns its call. It fails with a NotRunError if there
-// is no configuration yet, with an UnknownError if no route matches, and with
-// an InvalidError, a headerTooLargeError or an http.MaxBytesError if r violates
-// the format or the limits.
+// is no configuration yet, with an UnknownError if no route matches, with an
+// UnauthorizedError if r lacks the key of a client account, and with an
+// InvalidError, a headerTooLargeError or an http.MaxBytesError if r violates the
+// format or the limits.
 func (h *Handler) admit(r *http.Request) (*sardineknot.Call, error) {
 	n := h.Clock.Now()
 	f := h.waitForConfiguration(r.Context())
@@ -102,6 +106,10 @@
 	}
 	c.Route = t
 	c.Revision = f.Revision
+	err = authorize(f, c)
+	if err != nil {
+		return nil, err
+	}
 	c.Service = t.SelectService(xxhash.Sum64String(string(c.ID)))
 	c.Deadline = n.Add(t.Timeout)
 	if t.Timeout <= 0 || c.CallerDeadline.Before(c.Deadline) {
@@ -111,6 +119,21 @@
 	return c, err
 }
 
+// authorize sets the client account of call to the one that its key belongs to. It
+// fails with an UnauthorizedError if there is none and call needs one under
+// configuration.
+func authorize(configuration *sardineknot.Configuration, call *sardineknot.Call) error {
+	if len(configuration.Accounts) == 0 || call.Route.Public {
+		return nil
+	}
+	a, ok := configuration.AccountByKey(call.Key)
+	if !ok {
+		return errors.WithStack(&sardineknot.UnauthorizedError{})
+	}
+	call.Account = a
+	return nil
+}
+
 // waitForConfiguration returns the configuration in force. If there is none
 // yet, it waits for up to maxConfigurationWait: on a host that has just
 // started, a short wait serves the call sooner than a retry by the caller
@@ -185,11 +208,7 @@
 func (h *Handler) run(ctx context.Context, writer *answerWriter, call *sardineknot.Call) {
 	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
 	defer cancel()
-	q := h.Plain
-	if call.Generation != nil {
-		q = h.Stream
-	}
-	err := q.Run(ctx, call, writer)
+	err := h.runWithinLimit(ctx, writer, call)
 	b := writer.started
 	if err != nil && !b {
 		h.sendError(writer, err)
@@ -202,6 +221,35 @@
 	}
 }
 
+// runWithinLimit takes the cost of call from the limit of its client account and
+// runs it. The cost is given back if call has not run.
+func (h *Handler) runWithinLimit(ctx context.Context, writer *answerWriter, call *sardineknot.Call) error {
+	q := h.Plain
+	if call.Generation != nil {
+		q = h.Stream
+	}
+	if h.Limiter == nil || call.Account == nil || call.Account.Limit.PerSecond <= 0 {
+		return q.Run(ctx, call, writer)
+	}
+	n := call.Account.Limit.Cost(call.Tokens)
+	err := h.Limiter.Admit(ctx, call.Account, n)
+	if err != nil {
+		return err
+	}
+	err = q.Run(ctx, call, writer)
+	if notRun(err) {
+		h.Limiter.Refund(call.Account, n)
+	}
+	return err
+}
+
+// notRun reports whether err guarantees that the call did not run.
+func notRun(err error) bool {
+	var n *sardineknot.NotRunError
+	var u *sardineknot.UnauthorizedError
+	return errors.As(err, &n) || errors.As(err, &u)
+}
+
 // record logs the end of call and updates the metrics. err is nil if the answer
 // was written completely.
 func (h *Handler) record(call *sardineknot.Call, status int, err error) {
@@ -212,7 +260,7 @@
 	if err != nil {
 		e = h.Log.Warn().Err(err)
 	}
-	e.Stringer("event", sardineknot.LogCallEnded).Str("request", string(call.ID)).Str("route", string(call.Route.Name)).Int64("revision", int64(call.Revision)).
+	e.Stringer("event", sardineknot.LogCallEnded).Str("request", string(call.ID)).Str("account", string(call.AccountName())).Str("route", string(call.Route.Name)).Int64("revision", int64(call.Revision)).
 		Str("service", string(call.Service)).Int("status", status).Dur("took_ms", d).Send()
 }
 
@@ -226,16 +274,30 @@
 // and returns that code.
 func (h *Handler) sendError(writer *answerWriter, err error) int {
 	s := statusCode(err)
-	var n *sardineknot.NotRunError
 	t := make(http.Header)
-	if errors.As(err, &n) {
-		t.Set("Retry-After", strconv.FormatFloat(n.RetryAfter.Seconds(), 'f', 3, 64))
+	if d, ok := retryAfter(err); ok {
+		t.Set("Retry-After", strconv.FormatFloat(d.Seconds(), 'f', 3, 64))
 	}
 	t.Set("Content-Length", "0")
 	writer.SendHeader(s, t)
 	return s
 }
 
+// retryAfter returns the time after which the caller may retry a request that failed
+// with err. ok is false if err states none.
+func retryAfter(err error) (wait time.Duration, ok bool) {
+	var n *sardineknot.NotRunError
+	var l *sardineknot.LimitedError
+	switch {
+	case errors.As(err, &n):
+		return n.RetryAfter, true
+	case errors.As(err, &l):
+		return l.RetryAfter, true
+	default:
+		return 0, false
+	}
+}
+
 // statusCode returns the HTTP status code that corresponds to err.
 func statusCode(err error) int {
 	var n *sardineknot.NotRunError
@@ -243,9 +305,15 @@
 	var i *sardineknot.InvalidError
 	var m *http.MaxBytesError
 	var l *headerTooLargeError
+	var k *sardineknot.UnauthorizedError
+	var a *sardineknot.LimitedError
 	switch {
 	case errors.As(err, &l):
 		return http.StatusRequestHeaderFieldsTooLarge
+	case errors.As(err, &k):
+		return http.StatusUnauthorized
+	case errors.As(err, &a):
+		return http.StatusTooManyRequests
 	case errors.As(err, &n):
 		return http.StatusServiceUnavailable
 	case errors.As(err, &u):
--- a/internal/quarantine/fingerprint/fingerprint.go
+++ b/internal/quarantine/fingerprint/fingerprint.go
@@ -34,10 +34,13 @@
 	return r
 }
 
-// fields returns a digest of the header fields of call that its caller sends again
-// with each attempt.
+// fields returns a digest of what the header of call holds with each attempt of its
+// caller: the fields, and the client account that its key belongs to.
 func fields(call *sardineknot.Call) string {
 	var l []string
+	if call.Account != nil {
+		l = append(l, string(call.Account.Name))
+	}
 	for _, n := range slices.Sorted(maps.Keys(call.Header)) {
 		if !slices.Contains(call.AttemptFields, n) {
 			l = append(l, n, strings.Join(call.Header[n], "\n"))
--- a/internal/slots/twirp/message.go
+++ b/internal/slots/twirp/message.go
@@ -32,6 +32,9 @@
 		Kept:             string(job.CachedOn),
 		SoftwareVersion:  string(job.SoftwareVersion),
 		Backoffs:         backoffMessages(job.Backoffs, now),
+		ClientAccount:    string(job.Account),
+
+		RoutePriorityOffset: int32(job.RoutePriority - job.Priority),
 	}
 }
 
@@ -56,6 +59,8 @@
 		CachedOn:           sardineknot.BackendServerName(message.GetKept()),
 		SoftwareVersion:    sardineknot.SoftwareVersion(message.GetSoftwareVersion()),
 		Backoffs:           backoffsFromMessages(message.GetBackoffs(), now),
+		Account:            sardineknot.ClientAccountName(message.GetClientAccount()),
+		RoutePriority:      int(message.GetPriority() + message.GetRoutePriorityOffset()),
 	}
 }
 
--- a/limiter.go
+++ b/limiter.go
@@ -30,3 +30,15 @@
 	// owner of the limit does not answer.
 	Borrow(ctx context.Context, account ClientAccountName, want, unused int) (Permits, error)
 }
+
+// AccountLimiter keeps the calls of client accounts within their limits, over all
+// entry hosts. Implementations are safe for concurrent use.
+type AccountLimiter interface {
+	// Admit takes cost from the limit of account. It fails with a LimitedError if
+	// the limit is reached, and with the error of ctx if ctx is done first. It may
+	// wait for a short time.
+	Admit(ctx context.Context, account *ClientAccount, cost float64) error
+	// Refund gives cost back that was taken for a call which has not run and will not
+	// run.
+	Refund(account *ClientAccount, cost float64)
+}
--- a/route.go
+++ b/route.go
@@ -53,6 +53,9 @@
 	PauseTarget time.Duration
 	// Priority orders calls within a service. Smaller values are served first.
 	Priority int
+	// Public states that calls of the route need no key, also if the configuration
+	// has client accounts.
+	Public bool
 	// Shares determines how the calls are split among services. It is not
 	// empty.
 	Shares []RouteShare
--- a/scheduler.go
+++ b/scheduler.go
@@ -40,8 +40,13 @@
 	// Backoffs lists the engines that have asked Owner for no requests for some
 	// time. The job is not granted such an engine before its backoff ends.
 	Backoffs []ServerBackoff
-	// Priority orders jobs. Smaller values are scheduled first.
-	Priority int
+	// Account is the client account of the caller. It is empty if the deployment has
+	// no client accounts.
+	Account ClientAccountName
+	// Priority orders jobs. Smaller values are scheduled first. RoutePriority orders
+	// jobs of the same Priority.
+	Priority      int
+	RoutePriority int
 	// FirstTokenDeadline is the time at which the first token is due.
 	FirstTokenDeadline time.Time
 	// CallerDeadline is the time at which the caller stops waiting. If it is
