platform/twirp: a follower that the store refuses reads from other followers

Cause: a follower read from the service only. If the service refused it and served others, it went on with its last configuration, withdrawn keys included.

Change: after a call to the service that had no answer, a follower asks other followers, and the service again each two seconds. It serves nobody meanwhile.

--- a/internal/platform/twirp/doc.go
+++ b/internal/platform/twirp/doc.go
@@ -6,5 +6,6 @@
 // changes. A host that gets no answer, or one from a follower that cannot reach
 // the service, asks the next follower. Only if several followers fail in a row
 // does it ask the service itself, and then seldom, so that an outage of the
-// service or of a zone does not multiply the calls.
+// service or of a zone does not multiply the calls. A follower that the service
+// refuses asks other followers, and serves nobody meanwhile.
 package twirp
--- a/internal/platform/twirp/feed.go
+++ b/internal/platform/twirp/feed.go
@@ -37,7 +37,8 @@
 	// its own.
 	snapshotTimeout = 20 * time.Second
 	// storeInterval is the least time between two calls to the service of a
-	// host that is not a follower.
+	// host that is not a follower, or of a follower that the service does not answer
+	// while other followers do.
 	storeInterval = 2 * time.Second
 )
 
@@ -121,14 +122,42 @@
 	return f.latest.Admit(revision.Era)
 }
 
-// read calls askPeer with followers until one answers. If none does, or if this
-// host reads from the service itself, it calls askStore. A CompactedError is an
-// answer.
+// read calls askPeer with followers until one answers, and askStore if none does.
+// A host that is a follower itself calls askStore first. The service may refuse
+// this host and serve others. A CompactedError is an answer.
 func (f *Feed) read(ctx context.Context, wait time.Duration, askPeer func(context.Context, rpc.Changes, time.Duration) error, askStore func(context.Context) error) error {
-	var l []sardineknot.EntryHost
 	if !f.Selector.FollowsStore() {
-		l = f.Selector.Peers()
+		return f.readPeers(ctx, wait, askPeer, askStore)
 	}
+	if f.readsPeers() && !f.mayAskStore() {
+		return f.readPeers(ctx, wait, askPeer, askStore)
+	}
+	err := f.readStore(ctx, askStore)
+	if isAnswer(err) || ctx.Err() != nil || !f.hasPeers() {
+		return err
+	}
+	f.recordStoreCall()
+	return f.readPeers(ctx, min(wait, retryWait), askPeer, askStore)
+}
+
+// hasPeers reports whether there is another follower.
+func (f *Feed) hasPeers() bool { return len(f.Selector.Peers()) > 0 }
+
+// readsPeers reports whether the last answer came from another follower.
+func (f *Feed) readsPeers() bool { return !f.followsDirectly() }
+
+// recordStoreCall records a call to the service, so that the next one is at least
+// storeInterval later.
+func (f *Feed) recordStoreCall() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.storeAskedAt = f.Clock.Now()
+}
+
+// readPeers calls askPeer with followers until one answers. If none does, it calls
+// askStore, unless the last call to the service is too recent.
+func (f *Feed) readPeers(ctx context.Context, wait time.Duration, askPeer func(context.Context, rpc.Changes, time.Duration) error, askStore func(context.Context) error) error {
+	l := f.Selector.Peers()
 	if len(l) == 0 {
 		return f.readStore(ctx, askStore)
 	}
