configuration/inforce: withdrawn keys stay withdrawn when the store is restored; no key between hosts

Cause: two faults found by reading. A host that starts while the store has come back from an older copy had the older configuration in force, withdrawn keys included, until the operator wrote again. The entry with all keys in clear was passed on by followers to other hosts.

Change: on a host that sees an era for the first time, the newest configuration of three other hosts wins, before anything of the era is in force. Entries are redacted to digests before they are kept or passed on; both forms decode to the same.

In the first era no message is sent.

--- a/feed.go
+++ b/feed.go
@@ -40,4 +40,7 @@
 	// DecodeServer decodes the registration of a backend server. ok is false if
 	// entry is not a registration. server.Name is set even if err is not nil.
 	DecodeServer(entry StoreEntry) (server BackendServer, ok bool, err error)
+	// Redact returns entry with digests in place of the keys of client accounts. It
+	// decodes to the same as entry. Other hosts get the result only.
+	Redact(entry StoreEntry) StoreEntry
 }
--- /dev/null
+++ b/internal/configuration/inforce/exchange.go
@@ -0,0 +1,98 @@
+package inforce
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/configuration/store"
+	rpc "sardineknot.example/sardineknot/internal/rpc/inforce"
+)
+
+const (
+	// asked is the number of other hosts that are asked. One of them may be
+	// starting as well, or be cut off.
+	asked = 3
+	// timeout bounds the calls to other hosts. A host that starts does not serve
+	// before it has their answers.
+	timeout = 250 * time.Millisecond
+)
+
+// Exchange asks other hosts for their configuration and answers them. All exported
+// fields must be set before use.
+type Exchange struct {
+	// Source holds the configuration in force on this host.
+	Source *store.Source
+	// Members lists the entry hosts.
+	Members sardineknot.Membership
+	// Client sends requests to other entry hosts.
+	Client *http.Client
+	// Random selects the hosts that are asked. Only Fetch uses it, which must not be
+	// called concurrently.
+	Random *rand.Rand
+	// Log receives an event for each host that does not answer.
+	Log zerolog.Logger
+}
+
+// Fetch applies the newest configuration of a few other hosts to the source, if it
+// is newer than that of the source. The caller must commit it.
+func (e *Exchange) Fetch(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	l := sardineknot.OtherHosts(e.Members)
+	e.Random.Shuffle(len(l), func(i, j int) { l[i], l[j] = l[j], l[i] })
+	l = l[:min(asked, len(l))]
+	_, n := e.Source.Accepted()
+	a := make(chan *rpc.NewerResponse, len(l))
+	for _, h := range l {
+		go func() { a <- e.ask(ctx, h, n) }()
+	}
+	for range l {
+		p := <-a
+		if p.GetKey() != "" {
+			e.Source.Apply(sardineknot.StoreEntry{Key: p.GetKey(), Value: p.GetValue(), Revision: fetched})
+		}
+	}
+}
+
+// fetched is the store revision of entries that other hosts have sent. The source
+// compares the operators' revisions only.
+var fetched = sardineknot.StoreRevision{Number: 1}
+
+// ask returns the configuration of host if it is newer than revision. It returns nil
+// if host does not answer.
+func (e *Exchange) ask(ctx context.Context, host sardineknot.EntryHost, revision sardineknot.Revision) *rpc.NewerResponse {
+	c := rpc.NewConfigurationsProtobufClient("http://"+host.PeerAddress.String(), e.Client)
+	p, err := c.Newer(ctx, &rpc.NewerRequest{Revision: int64(revision)})
+	if err != nil {
+		e.Log.Debug().Stringer("event", sardineknot.LogConfigurationFetchFailed).Str("peer", string(host.ID)).Err(err).Send()
+	}
+	return p
+}
+
+// Handler returns the handler of requests from other hosts, and the path prefix
+// under which it must be registered.
+func (e *Exchange) Handler() (path string, handler http.Handler) {
+	s := rpc.NewConfigurationsServer(service{source: e.Source})
+	return s.PathPrefix(), s
+}
+
+// service answers other hosts.
+type service struct {
+	source *store.Source
+}
+
+var _ rpc.Configurations = service{}
+
+// Newer implements rpc.Configurations.
+func (s service) Newer(_ context.Context, request *rpc.NewerRequest) (*rpc.NewerResponse, error) {
+	e, n := s.source.Accepted()
+	if n <= sardineknot.Revision(request.GetRevision()) {
+		return &rpc.NewerResponse{}, nil
+	}
+	return &rpc.NewerResponse{Key: e.Key, Value: e.Value}, nil
+}
--- a/internal/configuration/store/source.go
+++ b/internal/configuration/store/source.go
@@ -47,8 +47,10 @@
 	// modified.
 	current *sardineknot.Configuration
 	changed chan struct{}
-	// base is the operators' configuration, which has no backend servers.
-	base *sardineknot.Configuration
+	// base is the operators' configuration, which has no backend servers. accepted is
+	// the entry that it was read from.
+	base     *sardineknot.Configuration
+	accepted sardineknot.StoreEntry
 	// servers holds the backend servers with a valid entry, by key.
 	servers map[string]*server
 	// leaving holds the processes that have said that they are leaving.
@@ -104,13 +106,13 @@
 	}
 	c, ok, err := s.Decoder.DecodeConfiguration(e)
 	if ok {
-		return s.acceptLocked(c, err)
+		return s.acceptLocked(e, c, err)
 	}
 	b, ok, err := s.Decoder.DecodeServer(e)
 	return ok && s.putLocked(e.Key, b, err)
 }
 
-func (s *Source) acceptLocked(c *sardineknot.Configuration, err error) bool {
+func (s *Source) acceptLocked(e sardineknot.StoreEntry, c *sardineknot.Configuration, err error) bool {
 	if err != nil {
 		s.Log.Error().Stringer("event", sardineknot.LogConfigurationRefused).Err(err).Send()
 		return true
@@ -119,10 +121,18 @@
 		return false
 	}
 	s.Log.Info().Stringer("event", sardineknot.LogConfigurationAccepted).Int64("revision", int64(c.Revision)).Int("routes", len(c.Routes)).Send()
-	s.base, s.dirty = c, true
+	s.base, s.accepted, s.dirty = c, e, true
 	return true
 }
 
+// Accepted returns the entry of the operators' configuration that was accepted last,
+// and its revision. The revision is zero if there is none.
+func (s *Source) Accepted() (entry sardineknot.StoreEntry, revision sardineknot.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.accepted, s.base.Revision
+}
+
 func (s *Source) putLocked(k string, b sardineknot.BackendServer, err error) bool {
 	o := s.servers[k]
 	if err != nil {
--- a/internal/configuration/store/source_test.go
+++ b/internal/configuration/store/source_test.go
@@ -46,6 +46,8 @@
 	return b, true, nil
 }
 
+func (decoder) Redact(e sardineknot.StoreEntry) sardineknot.StoreEntry { return e }
+
 func newTestSource() *testSource {
 	s := &testSource{Source: store.NewSource(), now: time.Unix(1000, 0), reachable: true}
 	s.Decoder, s.Clock, s.Log = decoder{}, s, zerolog.Nop()
--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
@@ -56,6 +57,7 @@
 // hosts unless it tells nothing new. The first entries of an era are all
 // recorded.
 func (p *Process) applyEntry(entry sardineknot.StoreEntry) {
+	entry = p.EntryDecoder.Redact(entry)
 	h := p.registry.Apply(entry)
 	s := p.source.Apply(entry)
 	q := p.keeper.Apply(entry)
@@ -65,9 +67,14 @@
 }
 
 // commitEntries puts the entries in force that were applied. They are complete
-// up to revision.
+// up to revision. The first entries of an era, which begins when the service comes back
+// from an older copy, may be older than what other hosts have: those are asked.
 func (p *Process) commitEntries(revision sardineknot.StoreRevision) {
 	p.registry.Refresh()
+	if revision.Era > p.committedEra {
+		p.committedEra = revision.Era
+		p.exchange.Fetch(context.Background())
+	}
 	p.source.Commit()
 	p.entries.Commit(revision)
 }
--- a/internal/host/gateway/follow_test.go
+++ b/internal/host/gateway/follow_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -8,6 +9,7 @@
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/configuration/inforce"
 	configuration "sardineknot.example/sardineknot/internal/configuration/store"
 	membership "sardineknot.example/sardineknot/internal/membership/store"
 	"sardineknot.example/sardineknot/internal/platform/changelog"
@@ -25,8 +27,11 @@
 	return sardineknot.BackendServer{Name: sardineknot.BackendServerName(entry.Key), Service: string(entry.Value)}, true, nil
 }
 
+func (decoder) Redact(entry sardineknot.StoreEntry) sardineknot.StoreEntry { return entry }
+
 func newTestProcess() *Process {
-	p := &Process{registry: membership.NewRegistry(sardineknot.EntryHost{ID: "a"}), source: configuration.NewSource(), entries: changelog.NewLog()}
+	p := &Process{registry: membership.NewRegistry(sardineknot.EntryHost{ID: "a"}), source: configuration.NewSource(), entries: changelog.NewLog(), EntryDecoder: decoder{}}
+	p.exchange = &inforce.Exchange{Source: p.source, Members: p.registry, Random: rand.New(rand.NewPCG(1, 1))}
 	r := func() (bool, time.Time) { return true, time.Time{} }
 	p.registry.Clock, p.registry.Reachability, p.registry.Log = p.clock, r, zerolog.Nop()
 	p.source.Decoder, p.source.Clock, p.source.Reachability, p.source.Log = decoder{}, p.clock, r, zerolog.Nop()
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -29,6 +29,7 @@
 	"sardineknot.example/sardineknot/internal/backend/sharedbudget"
 	caller "sardineknot.example/sardineknot/internal/caller/gateway"
 	"sardineknot.example/sardineknot/internal/caller/idle"
+	"sardineknot.example/sardineknot/internal/configuration/inforce"
 	configuration "sardineknot.example/sardineknot/internal/configuration/store"
 	"sardineknot.example/sardineknot/internal/host/clock"
 	"sardineknot.example/sardineknot/internal/membership/followers"
@@ -130,6 +131,10 @@
 	// backoffs records which backend servers want no requests from this host.
 	backoffs *backoff.Set
 	mirror   *mirror.Mirror
+	// exchange asks other hosts for their configuration. committedEra is the era of the
+	// last committed entries, and is used by the mirror only.
+	exchange     *inforce.Exchange
+	committedEra sardineknot.StoreEra
 	// entries holds what this host has read from the key-value service. feed
 	// reads it, and serves it to other hosts.
 	entries *changelog.Log
@@ -222,6 +227,7 @@
 	p.source.Decoder, p.source.Clock, p.source.Reachability, p.source.Log = p.EntryDecoder, p.clock, p.mirror.Reachability, p.Log
 	p.mirror.OnChange, p.mirror.OnBatch, p.mirror.OnRestore = p.applyEntry, p.commitEntries, p.registry.BeginEra
 	n := uint64(h.Incarnation)
+	p.exchange = &inforce.Exchange{Source: p.source, Members: p.registry, Client: p.peers.Client(), Random: rand.New(rand.NewPCG(n, n+5)), Log: p.Log}
 	p.backoffs = backoff.NewSet(rand.NewPCG(n, n+2))
 	p.addSlots()
 	p.versions = versions.NewDirectory(p.clock)
--- a/internal/host/gateway/servers.go
+++ b/internal/host/gateway/servers.go
@@ -25,6 +25,7 @@
 	m := http.NewServeMux()
 	m.Handle(p.slots.Handler())
 	m.Handle(p.feed.Handler())
+	m.Handle(p.exchange.Handler())
 	m.Handle(p.versions.Handler())
 	m.Handle(p.guard.Handler())
 	m.Handle(p.limiter.Handler())
