configuration/departed: entries of servers that left have no effect when an older copy brings them back

Cause: the entry of a server replaced the known one whatever its age. After a return of the store from an older copy, a leaving server counted as ready until its next report, and one that had left was back until its entry lapsed.

Change: reports are numbered; a report that is older than the last known one of the same process is ignored, also after the process was removed.

--- a/accounts_test.go
+++ b/accounts_test.go
@@ -36,3 +36,12 @@
 	is.Equal(l.Cost(0), 200.0)
 	is.Equal(sardineknot.AccountLimit{}.Cost(1540), 1.0)
 }
+
+// BenchmarkAccountByKey measures what the key of a call costs.
+func BenchmarkAccountByKey(b *testing.B) {
+	var c sardineknot.Configuration
+	c.SetAccounts([]sardineknot.ClientAccount{{Name: "a", Keys: []sardineknot.KeyDigest{sardineknot.DigestKey("banfqasnmgkcuyj8pjbv")}}})
+	for b.Loop() {
+		c.AccountByKey(sardineknot.DigestKey("banfqasnmgkcuyj8pjbv"))
+	}
+}
--- a/backend.go
+++ b/backend.go
@@ -79,6 +79,9 @@
 	// Born distinguishes the successive processes that run under the same
 	// server name. It changes when the server restarts. Zero means unknown.
 	Born int64
+	// Sequence increases with each report of the process about itself. It is set by a
+	// StoreEntryDecoder only, and zero in a Configuration.
+	Sequence int64
 	// ChecksFencing reports whether the server rejects an order whose fencing
 	// token is smaller than one that it has already seen.
 	ChecksFencing bool
--- a/internal/configuration/store/source.go
+++ b/internal/configuration/store/source.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/configuration/departed"
 	"sardineknot.example/sardineknot/internal/configuration/leaving"
 )
 
@@ -53,8 +54,10 @@
 	accepted sardineknot.StoreEntry
 	// servers holds the backend servers with a valid entry, by key.
 	servers map[string]*server
-	// leaving holds the processes that have said that they are leaving.
-	leaving *leaving.Set
+	// leaving holds the processes that have said that they are leaving, and departed
+	// those whose entries were removed.
+	leaving  *leaving.Set
+	departed *departed.Set
 	// dirty is true while current does not reflect all applied entries.
 	dirty bool
 }
@@ -62,6 +65,9 @@
 // server is a backend server and the state of its entry.
 type server struct {
 	sardineknot.BackendServer
+	// sequence is the number of the last report of the process, which was read in era.
+	sequence int64
+	era      sardineknot.StoreEra
 	// removedAt is the time at which the entry was removed, or zero while it
 	// exists.
 	removedAt time.Time
@@ -77,6 +83,8 @@
 		changed: make(chan struct{}),
 		servers: make(map[string]*server),
 		leaving: leaving.NewSet(),
+
+		departed: departed.NewSet(),
 	}
 }
 
@@ -109,7 +117,7 @@
 		return s.acceptLocked(e, c, err)
 	}
 	b, ok, err := s.Decoder.DecodeServer(e)
-	return ok && s.putLocked(e.Key, b, err)
+	return ok && s.putLocked(e, b, err)
 }
 
 func (s *Source) acceptLocked(e sardineknot.StoreEntry, c *sardineknot.Configuration, err error) bool {
@@ -133,7 +141,8 @@
 	return s.accepted, s.base.Revision
 }
 
-func (s *Source) putLocked(k string, b sardineknot.BackendServer, err error) bool {
+func (s *Source) putLocked(e sardineknot.StoreEntry, b sardineknot.BackendServer, err error) bool {
+	k := e.Key
 	o := s.servers[k]
 	if err != nil {
 		if o != nil {
@@ -143,10 +152,17 @@
 		s.Log.Warn().Stringer("event", sardineknot.LogServerEntryRefused).Str("server", string(b.Name)).Err(err).Send()
 		return true
 	}
+	q, r := b.Sequence, e.Revision.Era
+	b.Sequence = 0
+	if s.outdatedLocked(o, b, q, r) {
+		s.Log.Info().Stringer("event", sardineknot.LogServerEntryOutdated).Str("server", string(b.Name)).Int64("sequence", q).Send()
+		return false
+	}
 	if o != nil && o.removedAt.IsZero() && o.BackendServer == b {
+		o.sequence, o.era = q, r
 		return false
 	}
-	s.servers[k] = &server{BackendServer: b}
+	s.servers[k] = &server{BackendServer: b, sequence: q, era: r}
 	s.dirty = true
 	s.Log.Info().Stringer("event", sardineknot.LogServerKnown).Str("server", string(b.Name)).Str("address", b.Address.String()).
 		Str("service", b.Service).Str("role", string(b.Role)).Str("state", string(b.State)).
@@ -154,6 +170,16 @@
 	return true
 }
 
+// outdatedLocked reports whether an entry of process b with the given sequence number,
+// read in era, is older than what is known of the process. known is the last entry of
+// the same name, or nil.
+func (s *Source) outdatedLocked(known *server, b sardineknot.BackendServer, sequence int64, era sardineknot.StoreEra) bool {
+	if known != nil && known.Born != 0 && known.Born == b.Born {
+		return sequence < known.sequence
+	}
+	return s.departed.Outdated(b, sequence, era)
+}
+
 func (s *Source) removeLocked(k string) bool {
 	o := s.servers[k]
 	if o == nil || !o.removedAt.IsZero() {
@@ -214,6 +240,7 @@
 			continue
 		}
 		delete(s.servers, n)
+		s.departed.Add(o.BackendServer, o.sequence, o.era)
 		s.dirty = true
 		s.Log.Info().Stringer("event", sardineknot.LogServerGone).Str("server", string(o.Name)).Send()
 	}
--- a/logevent.go
+++ b/logevent.go
@@ -70,6 +70,10 @@
 	// LogConfigurationInForce reports that a new configuration is in force on
 	// this host.
 	LogConfigurationInForce LogEvent = "configuration_in_force"
+	// LogServerEntryOutdated reports an entry of a backend server that is older than
+	// what is known of the process, for instance from an older copy of the store. It
+	// has no effect.
+	LogServerEntryOutdated LogEvent = "server_entry_outdated"
 	// LogConfigurationRefused reports why a configuration was rejected.
 	LogConfigurationRefused LogEvent = "configuration_refused"
 	// LogConfigurationFetchFailed reports that fetching a configuration from
