policy/shares: engine memory is divided between client accounts by cost

Cause: the pool's owner ordered waiting jobs by priority and arrival.

Change: start-time fair queueing by memory among jobs of equal urgency; accounts that are served far less often than all go first until they have caught up.

--- a/internal/policy/memory/job.go
+++ b/internal/policy/memory/job.go
@@ -43,6 +43,11 @@
 	// refusedBefore is set if a job with the same prompt was refused shortly
 	// before. This job is then probably a retry by the same caller.
 	refusedBefore bool
+	// tag orders waiting jobs of equal urgency by the shares of their client accounts.
+	// starved is set if the account is served far less often than others. Both are as
+	// of the last call of sortedQueue.
+	tag     float64
+	starved bool
 	// lastEventAt is the time of the last event of the job, initially its
 	// arrival.
 	lastEventAt time.Time
--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -49,27 +49,32 @@
 
 // sortedQueue returns the waiting jobs in the order of service: jobs whose
 // first event can still meet its deadline precede late ones. Ties are broken by
-// priority and then by arrival.
+// urgency, by the shares of client accounts and then by arrival.
 func (s *Scheduler) sortedQueue(now time.Time) []*job {
 	l := slices.Clone(s.queue)
+	s.tagJobs(now, l)
 	slices.SortStableFunc(l, func(a, b *job) int {
-		if x, y := a.late(now), b.late(now); x != y {
-			if y {
-				return -1
-			}
-			return 1
-		}
-		if a.limited != b.limited {
-			if a.limited {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(a.Priority, b.Priority), a.arrivedAt.Compare(b.arrivedAt))
+		return cmp.Or(
+			falseFirst(a.late(now), b.late(now)), falseFirst(!a.limited, !b.limited), falseFirst(!a.starved, !b.starved),
+			cmp.Compare(a.Priority, b.Priority), cmp.Compare(a.RoutePriority, b.RoutePriority),
+			cmp.Compare(a.tag, b.tag), a.arrivedAt.Compare(b.arrivedAt),
+		)
 	})
 	return l
 }
 
+// falseFirst compares a and b, of which false is the smaller.
+func falseFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	default:
+		return 1
+	}
+}
+
 // late reports whether the first event of j would miss its deadline if j
 // started now. Resumed jobs and those of callers that were refused before
 // always count as late, but not jobs that only some engines may run: they get
@@ -261,6 +266,7 @@
 	prefillEngine.busyUntil = now.Add(w + time.Duration(prefillEngine.prefillPace(now)*float64(j.prefillTime)))
 	decodeEngine.decodes = append(decodeEngine.decodes, j)
 	decodeEngine.invalidateSpans()
+	s.recordServed(now, j)
 	// The shard reads both engines of the grant when it receives the prefill
 	// decision, so the decode decision has to precede it.
 	s.decide(j, sardineknot.ActionDecode, decodeEngine)
@@ -282,6 +288,9 @@
 func (s *Scheduler) refuse(now time.Time, j *job, reason string) {
 	delete(s.jobs, j.Key)
 	s.refusals.record(now, j)
+	if j.Account != "" {
+		s.shares.Refuse(now, j.Account)
+	}
 	s.decisions = append(s.decisions, sardineknot.Decision{
 		Key:        j.Key,
 		Action:     sardineknot.ActionRefuse,
--- a/internal/policy/memory/scheduler.go
+++ b/internal/policy/memory/scheduler.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/policy/shares"
 )
 
 const (
@@ -38,6 +39,8 @@
 	prefillPerToken ewma
 	// refusals spaces out the retries of refused callers.
 	refusals refusals
+	// shares divides the engines between client accounts.
+	shares shares.Ledger
 	// typicalRate is the token rate of most decode engines at the last call of
 	// schedule, or zero if none was observed. rates is a buffer for it.
 	typicalRate float64
