--- a/internal/membership/store/lease.go
+++ b/internal/membership/store/lease.go
@@ -13,7 +13,7 @@
 	// second.
 	minRenewInterval  = 450 * time.Millisecond
 	maxRenewInterval  = 1200 * time.Millisecond
-	renewalsPerSecond = 300
+	renewalsPerSecond = 100
 	// intervalsPerLease is the time to live of the lease of a host's key, in
 	// renewal intervals.
 	intervalsPerLease = 3.5
