--- a/internal/rpc/versions/versions.twirp.go
+++ b/internal/rpc/versions/versions.twirp.go
@@ -40,6 +40,10 @@
 
 	// Find returns the version that began a stream.
 	Find(context.Context, *FindRequest) (*FindResponse, error)
+
+	// RecordBatch writes the versions that began streams to the key-value service. It
+	// fails unless they are written. Hosts of earlier builds do not serve it.
+	RecordBatch(context.Context, *RecordBatchRequest) (*RecordBatchResponse, error)
 }
 
 // ========================
@@ -48,7 +52,7 @@
 
 type versionsProtobufClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -76,9 +80,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "sardineknot.versions", "Versions")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "Record",
 		serviceURL + "Find",
+		serviceURL + "RecordBatch",
 	}
 
 	return &versionsProtobufClient{
@@ -181,13 +186,59 @@
 	return out, nil
 }
 
+func (c *versionsProtobufClient) RecordBatch(ctx context.Context, in *RecordBatchRequest) (*RecordBatchResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "sardineknot.versions")
+	ctx = ctxsetters.WithServiceName(ctx, "Versions")
+	ctx = ctxsetters.WithMethodName(ctx, "RecordBatch")
+	caller := c.callRecordBatch
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *RecordBatchRequest) (*RecordBatchResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RecordBatchRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RecordBatchRequest) when calling interceptor")
+					}
+					return c.callRecordBatch(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RecordBatchResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RecordBatchResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *versionsProtobufClient) callRecordBatch(ctx context.Context, in *RecordBatchRequest) (*RecordBatchResponse, error) {
+	out := new(RecordBatchResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ====================
 // Versions JSON Client
 // ====================
 
 type versionsJSONClient struct {
 	client      HTTPClient
-	urls        [2]string
+	urls        [3]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -215,9 +266,10 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "sardineknot.versions", "Versions")
-	urls := [2]string{
+	urls := [3]string{
 		serviceURL + "Record",
 		serviceURL + "Find",
+		serviceURL + "RecordBatch",
 	}
 
 	return &versionsJSONClient{
@@ -320,6 +372,52 @@
 	return out, nil
 }
 
+func (c *versionsJSONClient) RecordBatch(ctx context.Context, in *RecordBatchRequest) (*RecordBatchResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "sardineknot.versions")
+	ctx = ctxsetters.WithServiceName(ctx, "Versions")
+	ctx = ctxsetters.WithMethodName(ctx, "RecordBatch")
+	caller := c.callRecordBatch
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *RecordBatchRequest) (*RecordBatchResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RecordBatchRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RecordBatchRequest) when calling interceptor")
+					}
+					return c.callRecordBatch(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RecordBatchResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RecordBatchResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *versionsJSONClient) callRecordBatch(ctx context.Context, in *RecordBatchRequest) (*RecordBatchResponse, error) {
+	out := new(RecordBatchResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // =======================
 // Versions Server Handler
 // =======================
@@ -423,6 +521,9 @@
 	case "Find":
 		s.serveFind(ctx, resp, req)
 		return
+	case "RecordBatch":
+		s.serveRecordBatch(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -790,6 +891,186 @@
 	callResponseSent(ctx, s.hooks)
 }
 
+func (s *versionsServer) serveRecordBatch(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveRecordBatchJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveRecordBatchProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *versionsServer) serveRecordBatchJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "RecordBatch")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(RecordBatchRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Versions.RecordBatch
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RecordBatchRequest) (*RecordBatchResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RecordBatchRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RecordBatchRequest) when calling interceptor")
+					}
+					return s.Versions.RecordBatch(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RecordBatchResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RecordBatchResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *RecordBatchResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *RecordBatchResponse and nil error while calling RecordBatch. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *versionsServer) serveRecordBatchProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "RecordBatch")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(RecordBatchRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Versions.RecordBatch
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *RecordBatchRequest) (*RecordBatchResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*RecordBatchRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*RecordBatchRequest) when calling interceptor")
+					}
+					return s.Versions.RecordBatch(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*RecordBatchResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*RecordBatchResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *RecordBatchResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *RecordBatchResponse and nil error while calling RecordBatch. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
 func (s *versionsServer) ServiceDescriptor() ([]byte, int) {
 	return twirpFileDescriptor0, 0
 }
@@ -1371,21 +1652,26 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 253 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xe2, 0x52, 0xc9, 0xcc, 0x2b, 0x49,
-	0x2d, 0xca, 0x4b, 0xcc, 0xd1, 0x2f, 0x2a, 0x48, 0xd6, 0x2f, 0x4b, 0x2d, 0x2a, 0xce, 0xcc, 0xcf,
-	0x2b, 0x86, 0x33, 0xf4, 0x0a, 0x8a, 0xf2, 0x4b, 0xf2, 0x85, 0x44, 0x8a, 0x13, 0x8b, 0x52, 0x32,
-	0xf3, 0x52, 0xb3, 0xf3, 0xf2, 0x4b, 0xf4, 0x60, 0x72, 0x4a, 0x8e, 0x5c, 0xbc, 0x41, 0xa9, 0xc9,
-	0xf9, 0x45, 0x29, 0x41, 0xa9, 0x85, 0xa5, 0xa9, 0xc5, 0x25, 0x42, 0x62, 0x5c, 0x6c, 0xc5, 0x25,
-	0x45, 0xa9, 0x89, 0xb9, 0x12, 0x8c, 0x0a, 0x8c, 0x1a, 0x9c, 0x41, 0x50, 0x9e, 0x90, 0x04, 0x17,
-	0x3b, 0x54, 0x93, 0x04, 0x13, 0x58, 0x02, 0xc6, 0x55, 0x12, 0xe0, 0xe2, 0x83, 0x19, 0x51, 0x5c,
-	0x90, 0x9f, 0x57, 0x9c, 0xaa, 0x64, 0xcf, 0xc5, 0xed, 0x96, 0x99, 0x47, 0x8c, 0x91, 0xc5, 0xa9,
-	0x45, 0x65, 0x99, 0xc9, 0xa9, 0x30, 0x23, 0xa1, 0x5c, 0x25, 0x1b, 0x2e, 0x1e, 0x88, 0x01, 0x10,
-	0x03, 0x91, 0x2d, 0x67, 0x44, 0xb1, 0x5c, 0x48, 0x88, 0x8b, 0xa5, 0x38, 0x35, 0x15, 0xe4, 0x26,
-	0x66, 0x0d, 0xce, 0x20, 0x30, 0xdb, 0x68, 0x1d, 0x23, 0x17, 0x47, 0x18, 0xd4, 0x83, 0x42, 0xc1,
-	0x5c, 0x6c, 0x10, 0xd7, 0x09, 0x29, 0xeb, 0x61, 0x0b, 0x01, 0x3d, 0x14, 0xef, 0x4b, 0xa9, 0xe0,
-	0x57, 0x04, 0x75, 0x8f, 0x2f, 0x17, 0x0b, 0xc8, 0x7d, 0x42, 0x8a, 0xd8, 0x55, 0x23, 0x79, 0x5e,
-	0x4a, 0x09, 0x9f, 0x12, 0x88, 0x71, 0x4e, 0xe6, 0x51, 0xa6, 0xc8, 0x8a, 0x52, 0x2b, 0x12, 0x73,
-	0x0b, 0x72, 0x52, 0xf5, 0x91, 0xc4, 0xf4, 0xb1, 0x46, 0x71, 0x12, 0x1b, 0x38, 0x6a, 0x8d, 0x01,
-	0x01, 0x00, 0x00, 0xff, 0xff, 0xcc, 0x9c, 0xdc, 0x0e, 0x02, 0x02, 0x00, 0x00,
+	// 323 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x92, 0x3f, 0x6b, 0xf3, 0x30,
+	0x10, 0xc6, 0x71, 0x1c, 0xfc, 0x26, 0x97, 0x37, 0xa5, 0xa8, 0x7f, 0x30, 0x9e, 0x5c, 0x37, 0x83,
+	0xbb, 0xd8, 0xd0, 0x52, 0xba, 0x14, 0x4a, 0x33, 0x74, 0xeb, 0xa2, 0x42, 0x87, 0x6e, 0x8e, 0x7d,
+	0x50, 0xd1, 0x44, 0x72, 0x25, 0x35, 0xe4, 0x73, 0xf4, 0x13, 0x97, 0x58, 0x52, 0x50, 0x20, 0x98,
+	0x6c, 0x7a, 0x74, 0x0f, 0xbf, 0xe7, 0x74, 0x3a, 0x98, 0x31, 0xae, 0x51, 0xf2, 0x6a, 0x59, 0xca,
+	0xb6, 0x2e, 0xd7, 0x28, 0x15, 0x13, 0x5c, 0xed, 0x0e, 0x45, 0x2b, 0x85, 0x16, 0xe4, 0x5c, 0x55,
+	0xb2, 0x61, 0x1c, 0xbf, 0xb8, 0xd0, 0x85, 0xab, 0x65, 0x0d, 0x10, 0x8a, 0xb5, 0x90, 0xcd, 0xbc,
+	0xd2, 0xf5, 0x27, 0xc5, 0xef, 0x1f, 0x54, 0x9a, 0x24, 0x30, 0x72, 0x8e, 0x38, 0x48, 0xc3, 0x7c,
+	0x4c, 0x77, 0x9a, 0xc4, 0xf0, 0x4f, 0x69, 0x89, 0xd5, 0x4a, 0xc5, 0x83, 0x34, 0xcc, 0x23, 0xea,
+	0xe4, 0xb6, 0xc2, 0x78, 0x83, 0x1b, 0x54, 0x71, 0x98, 0x86, 0xf9, 0x94, 0x3a, 0x99, 0x5d, 0xc0,
+	0xd9, 0x5e, 0x8a, 0x6a, 0x05, 0x57, 0x98, 0x3d, 0xc3, 0xd4, 0x5c, 0xbb, 0xdc, 0x4b, 0x88, 0x0c,
+	0x2c, 0x0e, 0xd2, 0x20, 0x1f, 0x53, 0xab, 0xb6, 0x64, 0x9b, 0x1f, 0x0f, 0xba, 0x82, 0x93, 0xd9,
+	0x29, 0x9c, 0x38, 0x84, 0x85, 0x3e, 0xc1, 0xe4, 0x85, 0xf1, 0x63, 0x90, 0x0a, 0xe5, 0x9a, 0xd5,
+	0xe8, 0x90, 0x56, 0x66, 0x8f, 0xf0, 0xdf, 0x00, 0x0c, 0xd0, 0x0f, 0x0f, 0xf6, 0xc2, 0x09, 0x81,
+	0xa1, 0x42, 0xe4, 0xdd, 0x1c, 0xc6, 0xb4, 0x3b, 0xdf, 0xfe, 0x0e, 0x60, 0xf4, 0xee, 0x66, 0xf5,
+	0x06, 0x91, 0xe9, 0x8e, 0x5c, 0x17, 0x87, 0xc6, 0x5f, 0xec, 0x3d, 0x3f, 0x99, 0xf5, 0x9b, 0x6c,
+	0x3f, 0xaf, 0x30, 0xdc, 0xf6, 0x47, 0xae, 0x0e, 0xbb, 0xbd, 0xc7, 0x27, 0x59, 0x9f, 0xc5, 0xe2,
+	0x16, 0x30, 0xf1, 0xfe, 0x86, 0xe4, 0x7d, 0x3d, 0xf8, 0x4b, 0x92, 0xdc, 0x1c, 0xe1, 0x34, 0x19,
+	0xf3, 0x87, 0x8f, 0x7b, 0xdf, 0x8b, 0x9b, 0x6a, 0xd5, 0x2e, 0xb1, 0xf4, 0xee, 0xca, 0x83, 0x3b,
+	0xbc, 0x88, 0xba, 0xdd, 0xbd, 0xfb, 0x0b, 0x00, 0x00, 0xff, 0xff, 0x35, 0x7d, 0x23, 0xbf, 0xe3,
+	0x02, 0x00, 0x00,
 }
--- a/internal/versions/history/history.go
+++ b/internal/versions/history/history.go
@@ -3,6 +3,7 @@
 package history
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -75,3 +76,10 @@
 	slices.Sort(l)
 	return l
 }
+
+// Services returns, in order, the services that have had servers.
+func (h *History) Services() []sardineknot.ServiceName {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Sorted(maps.Keys(h.services))
+}
--- /dev/null
+++ b/internal/versions/store/keys.go
@@ -0,0 +1,215 @@
+package store
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sardineknot.example/sardineknot"
+)
+
+const (
+	// keyPrefix is the prefix of the keys of services.
+	keyPrefix = "versions/"
+	// unreadable stands for the versions under a key that cannot be read. No server
+	// has it, so that the service is mixed until the key is written again.
+	unreadable sardineknot.SoftwareVersion = "(unreadable)"
+)
+
+// value is the value of the key of a service.
+type value struct {
+	Versions []sardineknot.SoftwareVersion
+}
+
+// serviceKey is what this host knows of the key of a service.
+type serviceKey struct {
+	revision sardineknot.StoreRevision
+	// stored holds the versions that the key lists. It is empty if there is no key.
+	stored []sardineknot.SoftwareVersion
+	// since holds the time at which this host first read each version that the key
+	// lists, or has listed before the service lost it.
+	since map[sardineknot.SoftwareVersion]time.Time
+	// missingSince is the time since which the key lacks a version, or zero.
+	missingSince time.Time
+}
+
+// comparison is the result of a comparison of the versions of a service with its
+// key.
+type comparison struct {
+	// missing reports whether the key lacks a version, and due whether this host must
+	// write versions under the key. The key is deleted if there are none.
+	missing, due bool
+	versions     []sardineknot.SoftwareVersion
+	// revision is the known revision of the key.
+	revision sardineknot.StoreRevision
+}
+
+// retained returns the versions that were read so recently that streams of theirs
+// may still be resumed, as far as a host knows that observes servers since
+// watchedSince.
+func (s *serviceKey) retained(now, watchedSince time.Time, streamTime time.Duration) []sardineknot.SoftwareVersion {
+	var l []sardineknot.SoftwareVersion
+	for v, t := range s.since {
+		if watchedSince.After(t) && slices.Contains(s.stored, v) {
+			t = watchedSince
+		}
+		if now.Sub(t) <= streamTime {
+			l = append(l, v)
+		}
+	}
+	return l
+}
+
+// replace records that the key lists versions at revision, and reports whether that
+// is new. A version that the key no longer lists was removed by its owner, unless
+// the service has lost the key or come back from an older copy.
+func (s *serviceKey) replace(now time.Time, revision sardineknot.StoreRevision, versions []sardineknot.SoftwareVersion) bool {
+	if revision.Era < s.revision.Era || !revision.Absent() && revision.Compare(s.revision) <= 0 {
+		return false
+	}
+	if !revision.Absent() && !s.revision.Absent() && revision.Era == s.revision.Era {
+		maps.DeleteFunc(s.since, func(v sardineknot.SoftwareVersion, _ time.Time) bool { return !slices.Contains(versions, v) })
+	}
+	for _, v := range versions {
+		if !slices.Contains(s.stored, v) {
+			s.since[v] = now
+		}
+	}
+	s.revision, s.stored = revision, versions
+	return true
+}
+
+// Apply applies a changed entry of the service, and reports whether it is one that
+// other hosts must read too.
+func (k *Keeper) Apply(entry sardineknot.StoreEntry) bool {
+	if strings.HasPrefix(entry.Key, segmentPrefix) && !entry.Revision.Absent() {
+		k.markSegments()
+	}
+	n, ok := strings.CutPrefix(entry.Key, keyPrefix)
+	if !ok {
+		return false
+	}
+	var v value
+	if !entry.Revision.Absent() {
+		err := json.Unmarshal(entry.Value, &v)
+		if err != nil || len(v.Versions) == 0 {
+			k.Log.Warn().Stringer("event", sardineknot.LogVersionsNotRead).Str("key", entry.Key).Err(err).Send()
+			v.Versions = []sardineknot.SoftwareVersion{unreadable}
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.era = max(k.era, entry.Revision.Era)
+	k.serviceLocked(sardineknot.ServiceName(n)).replace(k.Clock.Now(), entry.Revision, v.Versions)
+	return true
+}
+
+// Commit records that all entries up to revision were applied. It reports whether
+// they are the first ones, or the first ones of an era.
+func (k *Keeper) Commit(revision sardineknot.StoreRevision) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	n := !k.read || revision.Era > k.committedEra
+	k.era, k.read = max(k.era, revision.Era), true
+	k.committedEra = max(k.committedEra, revision.Era)
+	return n
+}
+
+func (k *Keeper) serviceLocked(name sardineknot.ServiceName) *serviceKey {
+	if k.services == nil {
+		k.services = make(map[sardineknot.ServiceName]*serviceKey)
+	}
+	s := k.services[name]
+	if s == nil {
+		s = &serviceKey{since: make(map[sardineknot.SoftwareVersion]time.Time)}
+		k.services[name] = s
+	}
+	return s
+}
+
+// serviceNames returns the services that have had servers or a key.
+func (k *Keeper) serviceNames() []sardineknot.ServiceName {
+	l := k.History.Services()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	l = slices.AppendSeq(l, maps.Keys(k.services))
+	slices.Sort(l)
+	return slices.Compact(l)
+}
+
+// compare compares the versions of service with its key. The owner of the key
+// replaces what it lists; another host only adds to it, and later.
+func (k *Keeper) compare(service sardineknot.ServiceName) comparison {
+	w := k.seen(service)
+	n := k.Clock.Now()
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if !k.read {
+		return comparison{}
+	}
+	s := k.serviceLocked(service)
+	w = union(w, s.retained(n, k.watchedSince, k.StreamTime()))
+	if len(w) == 1 && w[0] == "" {
+		// Servers without versions need no key.
+		w = nil
+	}
+	c := comparison{missing: len(union(w, s.stored)) > len(s.stored), versions: w, revision: s.revision}
+	if s.revision.Era != k.era {
+		c.revision = sardineknot.StoreRevision{Era: k.era}
+	}
+	switch {
+	case !c.missing:
+		s.missingSince = time.Time{}
+	case s.missingSince.IsZero():
+		s.missingSince = n
+	}
+	if !c.missing && len(w) == len(s.stored) {
+		return c
+	}
+	if k.owns(keyPrefix + string(service)) {
+		// A host that has just started may not know the owner yet. If the key lists
+		// something, the host still writes at once what is missing.
+		c.due = len(s.stored) > 0 || n.Sub(k.watchedSince) >= ownerTime
+		return c
+	}
+	c.due = c.missing && n.Sub(s.missingSince) >= k.patience(keyPrefix+string(service))
+	c.versions = union(w, s.stored)
+	return c
+}
+
+// write writes what c says under the key of service. It reads the key if another
+// write came first, because this host may not get the changes of the service in
+// time.
+func (k *Keeper) write(ctx context.Context, service sardineknot.ServiceName, c comparison) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	e := sardineknot.StoreEntry{Key: keyPrefix + string(service)}
+	var err error
+	if len(c.versions) == 0 {
+		err = k.Store.Delete(ctx, e.Key, c.revision)
+		e.Revision.Era = c.revision.Era
+	} else if e.Value, err = json.Marshal(value{Versions: c.versions}); err == nil {
+		e.Revision, err = k.Store.CompareAndSwap(ctx, e.Key, c.revision, e.Value, sardineknot.LeaseID{})
+	}
+	var f *sardineknot.ConflictError
+	if errors.As(err, &f) {
+		e, err = k.Store.Get(ctx, e.Key)
+	}
+	if err != nil {
+		k.Log.Warn().Stringer("event", sardineknot.LogVersionsNotWritten).Str("key", keyPrefix+string(service)).Err(err).Send()
+		return
+	}
+	k.Apply(e)
+}
+
+// union returns the elements of a and b, each once and in order.
+func union(a, b []sardineknot.SoftwareVersion) []sardineknot.SoftwareVersion {
+	l := append(slices.Clone(a), b...)
+	slices.Sort(l)
+	return slices.Compact(l)
+}
--- /dev/null
+++ b/internal/versions/store/lookup.go
@@ -0,0 +1,122 @@
+package store
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/rcrowley/go-metrics"
+	"google.golang.org/protobuf/proto"
+
+	"sardineknot.example/sardineknot"
+	rpc "sardineknot.example/sardineknot/internal/rpc/versions"
+)
+
+const (
+	// listInterval is the least time between two reads of all segments.
+	listInterval = 300 * time.Millisecond
+	// listTimeout bounds a read of all segments, and lookupTimeout the time for which
+	// a caller waits for it. A caller that comes back later finds what was read.
+	listTimeout   = 2500 * time.Millisecond
+	lookupTimeout = 500 * time.Millisecond
+)
+
+// lookup holds what was read from segments. The zero value holds nothing.
+type lookup struct {
+	mu sync.Mutex
+	// records holds the versions of streams, which are empty if segments differ. They
+	// never change, so that a record that was once read need not be read again while
+	// the stream may be resumed.
+	records map[uint64]sardineknot.SoftwareVersion
+	// readAt is the time at which the last read ended, and reading is closed when the
+	// present one ends. It is nil if there is none.
+	readAt  time.Time
+	reading chan struct{}
+}
+
+// Find returns the version that began stream. It reads the segments unless they were
+// read just now.
+func (k *Keeper) Find(ctx context.Context, stream sardineknot.RequestID) (sardineknot.SoftwareVersion, bool) {
+	n := xxhash.Sum64String(string(stream))
+	v, c := k.cached(n)
+	if c != nil {
+		t := time.NewTimer(lookupTimeout)
+		defer t.Stop()
+		select {
+		case <-c:
+		case <-t.C:
+		case <-ctx.Done():
+		}
+		k.lookup.mu.Lock()
+		v = k.lookup.records[n]
+		k.lookup.mu.Unlock()
+	}
+	if v != "" {
+		metrics.GetOrRegisterCounter("versions_found", k.Metrics).Inc(1)
+	}
+	return v, v != ""
+}
+
+// cached returns the version of the stream with the given hash, or a channel that is
+// closed once the segments are read. It returns neither if they were read just now.
+func (k *Keeper) cached(hash uint64) (sardineknot.SoftwareVersion, <-chan struct{}) {
+	l := &k.lookup
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if k.Clock.Now().Sub(l.readAt) > k.StreamTime() {
+		l.records = nil
+	}
+	if v, ok := l.records[hash]; ok {
+		return v, nil
+	}
+	if l.reading == nil {
+		if !l.readAt.IsZero() && k.Clock.Now().Sub(l.readAt) < listInterval {
+			return "", nil
+		}
+		l.reading = make(chan struct{})
+		go k.list()
+	}
+	return "", l.reading
+}
+
+// list reads the segments. What was read before stays if that fails.
+func (k *Keeper) list() {
+	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
+	defer cancel()
+	metrics.GetOrRegisterCounter("version_lists", k.Metrics).Inc(1)
+	e, err := k.Store.List(ctx, segmentPrefix)
+	if err != nil {
+		k.Log.Warn().Stringer("event", sardineknot.LogVersionsNotRead).Str("key", segmentPrefix).Err(err).Send()
+	}
+	m := k.merge(e)
+	l := &k.lookup
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err == nil {
+		l.records = m
+	}
+	l.readAt = k.Clock.Now()
+	close(l.reading)
+	l.reading = nil
+}
+
+// merge returns the records of segments. A stream with several versions has an empty
+// one.
+func (k *Keeper) merge(segments []sardineknot.StoreEntry) map[uint64]sardineknot.SoftwareVersion {
+	m := make(map[uint64]sardineknot.SoftwareVersion)
+	for _, e := range segments {
+		var p rpc.RecordBatchRequest
+		if err := proto.Unmarshal(e.Value, &p); err != nil {
+			k.Log.Warn().Stringer("event", sardineknot.LogVersionsNotRead).Str("key", e.Key).Err(err).Send()
+			continue
+		}
+		for n, v := range decodeRecords(&p) {
+			if o, ok := m[n]; ok && o != v {
+				v = ""
+			}
+			m[n] = v
+		}
+	}
+	return m
+}
--- a/internal/versions/twirp/directory.go
+++ b/internal/versions/twirp/directory.go
@@ -8,11 +8,13 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/membership/rendezvous"
 	rpc "sardineknot.example/sardineknot/internal/rpc/versions"
 	"sardineknot.example/sardineknot/internal/versions/history"
+	"sardineknot.example/sardineknot/internal/versions/store"
 )
 
 const (
@@ -42,6 +44,9 @@
 	Clock sardineknot.Clock
 	// Client sends requests to other entry hosts.
 	Client *http.Client
+	// Keeper keeps versions in the key-value service. NewDirectory creates it; its
+	// other fields must be set.
+	Keeper *store.Keeper
 	// Log receives an event for each record that another host did not get, and
 	// for each version that was not found.
 	Log zerolog.Logger
@@ -52,6 +57,10 @@
 	startedAt time.Time
 	// sends holds an element for each call in progress that sends a record.
 	sends chan struct{}
+	// outbox holds the records that are to be written to the key-value service.
+	outbox outbox
+	// changed receives an element when the keys of the service have changed.
+	changed chan struct{}
 }
 
 var _ sardineknot.StreamVersions = (*Directory)(nil)
@@ -59,28 +68,79 @@
 // NewDirectory returns a directory without records that knows the servers since
 // the current time of clock.
 func NewDirectory(clock sardineknot.Clock) *Directory {
-	return &Directory{Clock: clock, startedAt: clock.Now(), sends: make(chan struct{}, maxSends)}
+	d := &Directory{Clock: clock, startedAt: clock.Now(), sends: make(chan struct{}, maxSends), changed: make(chan struct{}, 1)}
+	d.outbox.wake = make(chan struct{}, 1)
+	d.Keeper = store.NewKeeper(clock)
+	d.Keeper.History, d.Keeper.StreamTime = &d.history, d.streamTime
+	return d
 }
 
-// Run follows the backend servers until ctx is done. It always returns nil.
+// Run follows the backend servers, and keeps their versions in the key-value service,
+// until ctx is done. It always returns nil.
 func (d *Directory) Run(ctx context.Context) error {
+	g, ctx := errgroup.WithContext(ctx)
+	g.Go(func() error { return d.Keeper.Run(ctx) })
+	g.Go(func() error { return d.sendBatches(ctx) })
+	g.Go(func() error { return d.follow(ctx) })
+	return g.Wait()
+}
+
+// follow follows the backend servers and the keys until ctx is done. It always
+// returns nil.
+func (d *Directory) follow(ctx context.Context) error {
 	for {
 		c := d.Source.Changed()
-		d.history.Observe(d.Clock.Now(), d.Source.Current().BackendServers)
+		d.observe()
+		d.refreshOutbox()
 		select {
 		case <-c:
+		case <-d.changed:
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
+// observe records which versions the engines have. Plain services have no streams.
+func (d *Directory) observe() {
+	l := slices.Clone(d.Source.Current().BackendServers)
+	l = slices.DeleteFunc(l, func(b sardineknot.BackendServer) bool { return b.Role == sardineknot.RolePlain })
+	d.history.Observe(d.Clock.Now(), l)
+	d.Keeper.Wake()
+}
+
+// Apply applies a changed entry of the key-value service, and reports whether other
+// hosts that read from this one need it.
+func (d *Directory) Apply(entry sardineknot.StoreEntry) bool {
+	ok := d.Keeper.Apply(entry)
+	if ok {
+		d.notify(d.changed)
+	}
+	return ok
+}
+
+// Commit records that all entries up to revision were applied.
+func (d *Directory) Commit(revision sardineknot.StoreRevision) {
+	if d.Keeper.Commit(revision) {
+		d.notify(d.changed)
+	}
+}
+
+// notify puts an element into channel unless it has one.
+func (d *Directory) notify(channel chan<- struct{}) {
+	select {
+	case channel <- struct{}{}:
+	default:
+	}
+}
+
 // Record implements sardineknot.StreamVersions.
 func (d *Directory) Record(stream sardineknot.RequestID, version sardineknot.SoftwareVersion) {
 	if version == "" {
 		return
 	}
 	d.put(stream, version)
+	d.recordBatch(stream, version)
 	for _, h := range d.peers(stream, replicas) {
 		select {
 		case d.sends <- struct{}{}:
@@ -108,33 +168,36 @@
 	}
 }
 
-// Find implements sardineknot.StreamVersions.
+// Find implements sardineknot.StreamVersions. A stream that no host and no record in
+// the key-value service tells of goes on at the only version that may have begun it,
+// and not at all if there are several.
 func (d *Directory) Find(ctx context.Context, stream sardineknot.RequestID, service sardineknot.ServiceName) (sardineknot.SoftwareVersion, bool) {
 	if v, ok := d.records.get(stream); ok {
 		return v, true
 	}
-	l := d.seen(service)
-	if len(l) <= 1 && d.Clock.Now().Sub(d.startedAt) > d.streamTime() {
-		return only(l), true
+	l, k := d.Keeper.Versions(service)
+	if k && len(l) == 1 && d.Clock.Now().Sub(d.startedAt) > d.streamTime() {
+		return l[0], true
 	}
 	v, o := d.ask(ctx, stream, service)
 	if v != "" {
 		return v, true
 	}
 	l = union(l, o)
-	if len(l) <= 1 {
-		return only(l), true
+	// Segments may tell of a version whose key was not written before all hosts were
+	// killed.
+	if len(l) != 1 || !k || d.Keeper.HasSegments() {
+		if v, ok := d.Keeper.Find(ctx, stream); ok {
+			return v, true
+		}
+	}
+	if k && len(l) == 1 {
+		return l[0], true
 	}
 	d.Log.Warn().Stringer("event", sardineknot.LogVersionUnknown).Str("request", string(stream)).Str("service", string(service)).Int("versions", len(l)).Send()
 	return "", false
 }
 
-// seen returns the versions of service that this host has seen since the oldest
-// stream whose caller may come back began.
-func (d *Directory) seen(service sardineknot.ServiceName) []sardineknot.SoftwareVersion {
-	return d.history.Seen(service, d.Clock.Now().Add(-d.streamTime()))
-}
-
 // streamTime returns the longest time for which a caller may come back after a
 // stream has begun.
 func (d *Directory) streamTime() time.Duration {
@@ -191,14 +254,6 @@
 	return rpc.NewVersionsProtobufClient("http://"+host.PeerAddress.String(), d.Client)
 }
 
-// only returns the only element of versions, or an empty version.
-func only(versions []sardineknot.SoftwareVersion) sardineknot.SoftwareVersion {
-	if len(versions) == 0 {
-		return ""
-	}
-	return versions[0]
-}
-
 // union returns the elements of a and b, each once.
 func union(a, b []sardineknot.SoftwareVersion) []sardineknot.SoftwareVersion {
 	l := append(slices.Clone(a), b...)
--- a/internal/versions/twirp/directory_test.go
+++ b/internal/versions/twirp/directory_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -13,10 +14,12 @@
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/host/clock"
+	"sardineknot.example/sardineknot/internal/membership/rendezvous"
 	"sardineknot.example/sardineknot/internal/versions/twirp"
 )
 
@@ -27,17 +30,21 @@
 // membership and the configuration source of all of them.
 type fleet struct {
 	sardineknot.Membership
-	mu      sync.Mutex
-	hosts   []sardineknot.EntryHost
-	muxes   map[string]*http.ServeMux
-	current *sardineknot.Configuration
-	changed chan struct{}
-	calls   int
+	mu    sync.Mutex
+	hosts []sardineknot.EntryHost
+	muxes map[string]*http.ServeMux
+	store *fakeStore
+	// paused and older hold the addresses of hosts that do not answer, and of those
+	// of an earlier build.
+	paused, older map[string]bool
+	current       *sardineknot.Configuration
+	changed       chan struct{}
+	calls         int
 }
 
 // newFleet returns a fleet without hosts whose servers have the given versions.
 func newFleet(versions ...sardineknot.SoftwareVersion) *fleet {
-	f := &fleet{muxes: make(map[string]*http.ServeMux), changed: make(chan struct{})}
+	f := &fleet{muxes: make(map[string]*http.ServeMux), changed: make(chan struct{}), store: newFakeStore(), paused: make(map[string]bool), older: make(map[string]bool)}
 	f.setVersions(versions...)
 	return f
 }
@@ -77,7 +84,15 @@
 	f.mu.Lock()
 	m := f.muxes[request.URL.Host]
 	f.calls++
+	p, o := f.paused[request.URL.Host], f.older[request.URL.Host] && strings.HasSuffix(request.URL.Path, "/RecordBatch")
 	f.mu.Unlock()
+	if p {
+		<-request.Context().Done()
+		return nil, request.Context().Err()
+	}
+	if o {
+		m = http.NewServeMux()
+	}
 	if m == nil {
 		return nil, errors.New("connection refused")
 	}
@@ -96,18 +111,22 @@
 
 // start starts host n, or starts it again, until ctx is done.
 func (f *fleet) start(ctx context.Context, n int) *twirp.Directory {
-	h := sardineknot.EntryHost{ID: sardineknot.EntryHostID(fmt.Sprint("h", n)), PeerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 1)}
+	h := sardineknot.EntryHost{ID: sardineknot.EntryHostID(fmt.Sprint("h", n)), PeerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 1)}
 	d := twirp.NewDirectory(clock.System{})
 	d.Members, d.Source, d.Client, d.Log = member{f, h}, f, &http.Client{Transport: f}, zerolog.Nop()
+	d.Keeper.Ranker, d.Keeper.Self, d.Keeper.Log, d.Keeper.Metrics = rendezvous.NewRanker(d.Members), h.ID, zerolog.Nop(), metrics.NewRegistry()
+	ctx, cancel := context.WithCancel(ctx)
+	d.Keeper.Store = &hostStore{fakeStore: f.store, ctx: ctx}
 	m := http.NewServeMux()
 	m.Handle(d.Handler())
 	f.mu.Lock()
-	if f.muxes[h.PeerAddress.String()] == nil {
+	if _, ok := f.muxes[h.PeerAddress.String()]; !ok {
 		f.hosts = append(f.hosts, h)
 	}
 	f.muxes[h.PeerAddress.String()] = m
 	f.mu.Unlock()
 	go func() { _ = d.Run(ctx) }()
+	f.store.join(h.PeerAddress.String(), d, cancel)
 	synctest.Wait()
 	return d
 }
@@ -117,6 +136,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.muxes[f.hosts[n].PeerAddress.String()] = nil
+	f.store.leave(f.hosts[n].PeerAddress.String())
 }
 
 // startAll starts count hosts and lets streamTime pass.
@@ -136,7 +156,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		test(t, ctx)
 		cancel()
-		synctest.Wait()
+		time.Sleep(10 * time.Second) // for calls in progress
 	})
 }
 
@@ -193,7 +213,9 @@
 	})
 	t.Run("records expire", func(t *testing.T) {
 		run(t, func(t *testing.T, ctx context.Context) {
-			d := newFleet("v1", "v2").startAll(ctx, 1)[0]
+			f := newFleet("v1", "v2")
+			d := f.startAll(ctx, 1)[0]
+			f.store.setFaults(true, false) // without the records there
 			for n := range 1000 {
 				d.Record(sardineknot.RequestID(fmt.Sprint("a", n)), "v1")
 			}
@@ -207,6 +229,24 @@
 	})
 }
 
+// TestSegmentsExpire guards against records that stay in the store for ever, also those
+// of a host that was killed.
+func TestSegmentsExpire(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		f := newFleet("v1", "v2")
+		l := f.startAll(ctx, 3)
+		for n := range 300 {
+			l[n%3].Record(sardineknot.RequestID(fmt.Sprint("a", n)), "v1")
+			time.Sleep(50 * time.Millisecond)
+		}
+		l = f.restartAll(ctx, "v1", "v2")
+		finds(t, l[0], "a280", "v1")
+		time.Sleep(2 * streamTime)
+		is.New(t).Equal(f.store.keys("streams/"), 0)
+		findsNone(t, l[0], "a0")
+	})
+}
+
 // TestOneVersion checks when an unknown stream may go on at the only version.
 func TestOneVersion(t *testing.T) {
 	t.Run("without a call to another host if there was no other version", func(t *testing.T) {
--- /dev/null
+++ b/internal/versions/twirp/restart_test.go
@@ -0,0 +1,318 @@
+package twirp_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/membership/rendezvous"
+	"sardineknot.example/sardineknot/internal/versions/twirp"
+)
+
+// restartAll kills all hosts together and starts them again with servers of the given
+// versions.
+func (f *fleet) restartAll(ctx context.Context, versions ...sardineknot.SoftwareVersion) []*twirp.Directory {
+	n := len(f.hosts)
+	for i := range n {
+		f.kill(i)
+	}
+	f.setVersions(versions...)
+	var l []*twirp.Directory
+	for i := range n {
+		l = append(l, f.start(ctx, i))
+	}
+	return l
+}
+
+// recorder returns the index of the host that ranks first as the recorder.
+func (f *fleet) recorder() int {
+	h, _ := rendezvous.NewRanker(member{f, f.hosts[0]}).Owner("streams/")
+	return slices.Index(f.hosts, h)
+}
+
+// killed runs test with seven hosts and servers of two versions, and checks that both
+// streams that test has begun at hosts are found after all hosts were killed.
+func killed(t *testing.T, name string, test func(t *testing.T, f *fleet, hosts []*twirp.Directory)) {
+	t.Run(name, func(t *testing.T) {
+		run(t, func(t *testing.T, ctx context.Context) {
+			f := newFleet("v1", "v2")
+			l := f.startAll(ctx, 7)
+			test(t, f, l)
+			for range 2 {
+				l = f.restartAll(ctx, "v1", "v2")
+				f.store.setFaults(false, false)
+				for _, d := range l {
+					finds(t, d, "a", "v1")
+					finds(t, d, "b", "v2")
+				}
+				time.Sleep(3 * time.Second)
+			}
+			findsNone(t, l[0], "unknown")
+		})
+	})
+}
+
+// begin begins the streams a and b.
+func begin(d *twirp.Directory) {
+	d.Record("a", "v1")
+	d.Record("b", "v2")
+	time.Sleep(time.Second)
+}
+
+// TestAllHostsKilled guards against streams that are refused although servers of
+// their version are there, after all hosts were killed together, and once more 3 s
+// later.
+func TestAllHostsKilled(t *testing.T) {
+	killed(t, "nothing else fails", func(_ *testing.T, _ *fleet, l []*twirp.Directory) { begin(l[0]) })
+	killed(t, "the second version came after the stream began", func(_ *testing.T, f *fleet, l []*twirp.Directory) {
+		f.setVersions("v1")
+		time.Sleep(2 * streamTime)
+		l[0].Record("a", "v1")
+		time.Sleep(time.Second)
+		f.setVersions("v1", "v2")
+		time.Sleep(time.Second)
+		l[1].Record("b", "v2")
+		time.Sleep(time.Second)
+	})
+	killed(t, "the recorder is paused for 5 s", func(_ *testing.T, f *fleet, l []*twirp.Directory) {
+		a := f.hosts[f.recorder()].PeerAddress.String()
+		f.paused[a] = true
+		begin(l[(f.recorder()+1)%7])
+		time.Sleep(4 * time.Second)
+		f.paused[a] = false
+	})
+	killed(t, "the recorder was killed before", func(_ *testing.T, f *fleet, l []*twirp.Directory) {
+		f.kill(f.recorder())
+		begin(l[(f.recorder()+1)%7])
+	})
+	killed(t, "the recorder is of an earlier build", func(_ *testing.T, f *fleet, l []*twirp.Directory) {
+		f.older[f.hosts[f.recorder()].PeerAddress.String()] = true
+		begin(l[(f.recorder()+1)%7])
+	})
+}
+
+// TestAllHostsKilledAndStore guards against the same after faults of the store.
+func TestAllHostsKilledAndStore(t *testing.T) {
+	killed(t, "the store loses replies", func(_ *testing.T, f *fleet, l []*twirp.Directory) {
+		f.store.setFaults(false, true)
+		begin(l[0])
+		time.Sleep(5 * time.Second)
+	})
+	killed(t, "the store was down for 4 s", func(t *testing.T, f *fleet, l []*twirp.Directory) {
+		f.store.setFaults(true, false)
+		begin(l[0])
+		finds(t, l[3], "b", "v2")
+		time.Sleep(3 * time.Second)
+		f.store.setFaults(false, false)
+		time.Sleep(8 * time.Second)
+	})
+	killed(t, "the store came back from an older copy", func(_ *testing.T, f *fleet, l []*twirp.Directory) {
+		f.store.mu.Lock()
+		m := maps.Clone(f.store.entries)
+		f.store.mu.Unlock()
+		begin(l[0])
+		f.store.restore(m)
+		time.Sleep(3 * time.Second)
+	})
+	killed(t, "the store came back empty", func(_ *testing.T, f *fleet, l []*twirp.Directory) {
+		begin(l[0])
+		f.store.restore(nil)
+		time.Sleep(3 * time.Second)
+	})
+}
+
+// TestVersionGoneWhileDown guards against streams of two versions that are joined,
+// when the hosts never saw the version that began the stream.
+func TestVersionGoneWhileDown(t *testing.T) {
+	replaced := func(ctx context.Context) (*fleet, []*twirp.Directory) {
+		f := newFleet("v1")
+		f.startAll(ctx, 7)[0].Record("a", "v1")
+		time.Sleep(time.Second)
+		return f, f.restartAll(ctx, "v2")
+	}
+	t.Run("the stream is refused, not continued", func(t *testing.T) {
+		run(t, func(t *testing.T, ctx context.Context) {
+			f, l := replaced(ctx)
+			for _, d := range append(l, f.restartAll(ctx, "v2")...) {
+				findsNone(t, d, "a")
+			}
+		})
+	})
+	t.Run("until no caller can come back", func(t *testing.T) {
+		run(t, func(t *testing.T, ctx context.Context) {
+			_, l := replaced(ctx)
+			time.Sleep(streamTime - time.Second)
+			findsNone(t, l[0], "unknown")
+			time.Sleep(2 * time.Second)
+			finds(t, l[0], "unknown", "v2")
+		})
+	})
+	t.Run("before the store was read", func(t *testing.T) {
+		run(t, func(t *testing.T, ctx context.Context) {
+			f := newFleet("v1")
+			f.startAll(ctx, 3)
+			f.store.setFaults(true, false)
+			l := f.restartAll(ctx, "v1")
+			findsNone(t, l[0], "a")
+			f.store.setFaults(false, false)
+			f.store.tell(l[0])
+			finds(t, l[0], "a", "v1")
+		})
+	})
+	t.Run("a key that cannot be read", func(t *testing.T) {
+		run(t, func(t *testing.T, ctx context.Context) {
+			d := newFleet("v2").startAll(ctx, 1)[0]
+			d.Apply(sardineknot.StoreEntry{Key: "versions/llm", Value: []byte("{"), Revision: sardineknot.StoreRevision{Era: 1, Number: 100}})
+			findsNone(t, d, "a")
+		})
+	})
+}
+
+// TestVersionWithdrawn guards against streams of a version that served so shortly that
+// its key was not written, and that are continued at the version before it.
+func TestVersionWithdrawn(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		f := newFleet("v1")
+		l := f.startAll(ctx, 7)
+		f.setVersions("v1", "v2")
+		l[0].Record("b", "v2")
+		time.Sleep(time.Second)
+		f.store.mu.Lock()
+		f.store.entries["versions/llm"] = sardineknot.StoreEntry{Key: "versions/llm", Value: []byte(`{"Versions":["v1"]}`), Revision: f.store.at}
+		f.store.mu.Unlock()
+		finds(t, f.restartAll(ctx, "v1")[3], "b", "v2")
+	})
+}
+
+// TestKillDuringFlush guards against a batch that was not written and whose streams
+// are then joined.
+func TestKillDuringFlush(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		f := newFleet("v1", "v2")
+		l := f.startAll(ctx, 7)
+		l[0].Record("early", "v1")
+		time.Sleep(300 * time.Millisecond)
+		l[0].Record("late", "v1")
+		time.Sleep(100 * time.Millisecond)
+		l = f.restartAll(ctx, "v2")
+		finds(t, l[5], "early", "v1")
+		findsNone(t, l[5], "late")
+	})
+}
+
+// TestResumedTwice guards against a stream that breaks off again and is refused,
+// because its record has expired since it began.
+func TestResumedTwice(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		f := newFleet("v1", "v2")
+		l := f.startAll(ctx, 7)
+		for n := range 3 {
+			l[n].Record("a", "v1") // the origin stays the first call
+			time.Sleep(streamTime - 5*time.Second)
+		}
+		finds(t, l[6], "a", "v1")
+		finds(t, f.restartAll(ctx, "v1", "v2")[6], "a", "v1")
+	})
+}
+
+// TestDay guards against joined streams on a day of 50 s with three releases, in which
+// all hosts are killed at 8.3, 23 and 41 s: while two versions serve, and between.
+func TestDay(t *testing.T) {
+	for s, k := range map[string]time.Duration{"one at a time": 6 * time.Second, "half at once": 2 * time.Second, "all at once": 0} {
+		t.Run(s, func(t *testing.T) {
+			run(t, func(t *testing.T, ctx context.Context) { day(ctx, t, k) })
+		})
+	}
+}
+
+// served returns the versions that serve at the given time of the day, when a release
+// takes the time overlap.
+func served(at, overlap time.Duration) []sardineknot.SoftwareVersion {
+	l := []sardineknot.SoftwareVersion{"v1"}
+	for i, r := range []time.Duration{6 * time.Second, 20 * time.Second, 32 * time.Second} {
+		if at >= r {
+			l = append(l, sardineknot.SoftwareVersion(fmt.Sprint("v", i+2)))
+		}
+		if at >= r+overlap {
+			l = l[1:]
+		}
+	}
+	return l
+}
+
+func day(ctx context.Context, t *testing.T, overlap time.Duration) {
+	f, x := newFleet("v1"), rand.New(rand.NewPCG(1, 2))
+	l := f.startAll(ctx, 8)
+	began := make(map[sardineknot.RequestID]sardineknot.SoftwareVersion)
+	found, available := 0, 0
+	kills := []time.Duration{8300 * time.Millisecond, 23 * time.Second, 41 * time.Second}
+	for a := time.Duration(0); a < 50*time.Second; a += 100 * time.Millisecond {
+		v := served(a, overlap)
+		if slices.Contains(kills, a) {
+			l = f.restartAll(ctx, v...)
+		} else if !slices.Equal(v, served(a-100*time.Millisecond, overlap)) {
+			f.setVersions(v...)
+			synctest.Wait()
+		}
+		n := sardineknot.RequestID(fmt.Sprint("s", a))
+		began[n] = v[x.IntN(len(v))]
+		l[x.IntN(8)].Record(n, began[n])
+		time.Sleep(100 * time.Millisecond)
+		o := sardineknot.RequestID(fmt.Sprint("s", a-time.Duration(x.IntN(100))*100*time.Millisecond))
+		if began[o] == "" {
+			continue
+		}
+		w, ok := l[x.IntN(8)].Find(ctx, o, "llm")
+		is.New(t).True(!ok || w == began[o])
+		if slices.Contains(v, began[o]) {
+			available++
+		}
+		if ok && slices.Contains(v, began[o]) {
+			found++
+		}
+	}
+	t.Logf("found %d of %d streams whose version was there", found, available)
+	is.New(t).True(found*100 >= available*90)
+}
+
+// TestStoreCalls guards against calls to the store while there is one version, and
+// against a number of calls that grows with the hosts while there are two.
+func TestStoreCalls(t *testing.T) {
+	for _, n := range []int{8, 86, 300} {
+		t.Run(fmt.Sprint(n, " hosts"), func(t *testing.T) {
+			run(t, func(t *testing.T, ctx context.Context) { countCalls(ctx, t, n) })
+		})
+	}
+}
+
+func countCalls(ctx context.Context, t *testing.T, hosts int) {
+	const streams, seconds = 33, 10
+	f := newFleet("v1")
+	l := f.startAll(ctx, hosts)
+	is.New(t).Equal(f.store.count(), 1)
+	load := func() int {
+		for n := range streams * seconds {
+			l[n%hosts].Record(sardineknot.RequestID(fmt.Sprint(time.Now(), n)), "v1")
+			time.Sleep(time.Second / streams)
+		}
+		return f.store.count()
+	}
+	is.New(t).Equal(load(), 0)
+	f.setVersions("v1", "v2")
+	f.calls = 0
+	c := load()
+	t.Logf("%d hosts, two versions: %.1f store calls/s, %.1f calls/s between hosts", hosts, float64(c)/seconds, float64(f.calls)/seconds)
+	is.New(t).True(c <= 6*seconds)
+	f.setVersions("v1")
+	time.Sleep(3 * streamTime)
+	f.store.count()
+	is.New(t).Equal(load(), 0)
+}
--- a/internal/versions/twirp/service.go
+++ b/internal/versions/twirp/service.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 
+	"github.com/twitchtv/twirp"
+
 	"sardineknot.example/sardineknot"
 	rpc "sardineknot.example/sardineknot/internal/rpc/versions"
 )
@@ -36,8 +38,18 @@
 		p.Version = string(v)
 		return p, nil
 	}
-	for _, v := range s.directory.seen(sardineknot.ServiceName(request.GetService())) {
+	l, _ := s.directory.Keeper.Versions(sardineknot.ServiceName(request.GetService()))
+	for _, v := range l {
 		p.Seen = append(p.Seen, string(v))
 	}
 	return p, nil
 }
+
+// RecordBatch implements rpc.Versions.
+func (s *service) RecordBatch(ctx context.Context, request *rpc.RecordBatchRequest) (*rpc.RecordBatchResponse, error) {
+	err := s.directory.Keeper.Write(ctx, request)
+	if err != nil {
+		return nil, twirp.Unavailable.Error(err.Error())
+	}
+	return &rpc.RecordBatchResponse{}, nil
+}
--- a/logevent.go
+++ b/logevent.go
@@ -173,6 +173,16 @@
 	// that began a stream whose caller has come back, while the servers have had
 	// several versions.
 	LogVersionUnknown LogEvent = "version_unknown"
+	// LogVersionsMixed reports whether streams of several software versions of the
+	// service "service" may be resumed ("mixed"), so that the version of each stream
+	// is written to the store.
+	LogVersionsMixed LogEvent = "versions_mixed"
+	// LogVersionsNotWritten reports that the software versions under the key "key"
+	// could not be written to the store, or not be removed. That is tried again.
+	LogVersionsNotWritten LogEvent = "versions_not_written"
+	// LogVersionsNotRead reports that software versions could not be read from the
+	// store, or that there are no proper ones under the key "key".
+	LogVersionsNotRead LogEvent = "versions_not_read"
 	// LogTraitsQuarantined reports that requests with all of "traits" get no server
 	// for "left_ms", because each server that began such a request ended. "strikes"
 	// counts the quarantines of these traits. "found" is false if another entry host
