host/gateway: the directory of stream versions reads and writes the store

Cause: versions/twirp needs the store, and the entries that the mirror reads. Change: the process passes changed entries and commits to the directory, and passes entries of versions/ on to hosts that read from this one.

--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -59,7 +59,8 @@
 	h := p.registry.Apply(entry)
 	s := p.source.Apply(entry)
 	q := p.keeper.Apply(entry)
-	if h || s || q || p.entries.Precedes(entry.Revision.Era) {
+	v := p.versions.Apply(entry)
+	if h || s || q || v || p.entries.Precedes(entry.Revision.Era) {
 		p.entries.Record(entry)
 	}
 }
@@ -69,5 +70,6 @@
 func (p *Process) commitEntries(revision sardineknot.StoreRevision) {
 	p.registry.Refresh()
 	p.source.Commit()
+	p.versions.Commit(revision)
 	p.entries.Commit(revision)
 }
--- a/internal/host/gateway/follow_test.go
+++ b/internal/host/gateway/follow_test.go
@@ -11,6 +11,7 @@
 	configuration "sardineknot.example/sardineknot/internal/configuration/store"
 	membership "sardineknot.example/sardineknot/internal/membership/store"
 	"sardineknot.example/sardineknot/internal/platform/changelog"
+	versions "sardineknot.example/sardineknot/internal/versions/twirp"
 )
 
 // decoder is a fake sardineknot.StoreEntryDecoder to which each entry is that of
@@ -27,6 +28,7 @@
 
 func newTestProcess() *Process {
 	p := &Process{registry: membership.NewRegistry(sardineknot.EntryHost{ID: "a"}), source: configuration.NewSource(), entries: changelog.NewLog()}
+	p.versions = versions.NewDirectory(p.clock)
 	r := func() (bool, time.Time) { return true, time.Time{} }
 	p.registry.Clock, p.registry.Reachability, p.registry.Log = p.clock, r, zerolog.Nop()
 	p.source.Decoder, p.source.Clock, p.source.Reachability, p.source.Log = decoder{}, p.clock, r, zerolog.Nop()
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -224,14 +224,22 @@
 	n := uint64(h.Incarnation)
 	p.backoffs = backoff.NewSet(rand.NewPCG(n, n+2))
 	p.addSlots()
-	p.versions = versions.NewDirectory(p.clock)
-	p.versions.Members, p.versions.Source, p.versions.Client, p.versions.Log = p.registry, p.source, p.peers.Client(), p.Log
+	p.addVersions()
 	p.addDialer()
 	p.addGuard()
 	p.addLimiter()
 	p.addCallHandler(h)
 }
 
+// addVersions creates the directory of the software versions that began streams.
+func (p *Process) addVersions() {
+	d := versions.NewDirectory(p.clock)
+	d.Members, d.Source, d.Client, d.Log = p.registry, p.source, p.peers.Client(), p.Log
+	k := d.Keeper
+	k.Store, k.Ranker, k.Self, k.Log, k.Metrics = p.Store, rendezvous.NewRanker(p.registry), p.registry.Self().ID, p.Log, p.Metrics
+	p.versions = d
+}
+
 // addGuard creates the guard against requests that crash backend servers.
 func (p *Process) addGuard() {
 	n := uint64(p.registry.Self().Incarnation)
