--- a/internal/versions/twirp/directory_test.go
+++ b/internal/versions/twirp/directory_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,7 +19,6 @@
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
-	"sardineknot.example/sardineknot/internal/host/clock"
 	"sardineknot.example/sardineknot/internal/membership/rendezvous"
 	"sardineknot.example/sardineknot/internal/versions/twirp"
 )
@@ -37,9 +37,11 @@
 	// paused and older hold the addresses of hosts that do not answer, and of those
 	// of an earlier build.
 	paused, older map[string]bool
-	current       *sardineknot.Configuration
-	changed       chan struct{}
-	calls         int
+	// suspended is the time for which all hosts were suspended.
+	suspended atomic.Int64
+	current   *sardineknot.Configuration
+	changed   chan struct{}
+	calls     int
 }
 
 // newFleet returns a fleet without hosts whose servers have the given versions.
@@ -49,6 +51,25 @@
 	return f
 }
 
+// Now implements sardineknot.Clock.
+func (f *fleet) Now() time.Time { return time.Now().Add(time.Duration(f.suspended.Load())) }
+
+// mark sets the mark of host n in marks, which is paused or older.
+func (f *fleet) mark(marks map[string]bool, n int, value bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	marks[f.hosts[n].PeerAddress.String()] = value
+}
+
+// peerCalls returns the number of calls between hosts since the last count.
+func (f *fleet) peerCalls() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.calls
+	f.calls = 0
+	return n
+}
+
 // setVersions replaces the servers by one of each version.
 func (f *fleet) setVersions(versions ...sardineknot.SoftwareVersion) {
 	f.mu.Lock()
@@ -112,7 +133,7 @@
 // start starts host n, or starts it again, until ctx is done.
 func (f *fleet) start(ctx context.Context, n int) *twirp.Directory {
 	h := sardineknot.EntryHost{ID: sardineknot.EntryHostID(fmt.Sprint("h", n)), PeerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 1)}
-	d := twirp.NewDirectory(clock.System{})
+	d := twirp.NewDirectory(f)
 	d.Members, d.Source, d.Client, d.Log = member{f, h}, f, &http.Client{Transport: f}, zerolog.Nop()
 	d.Keeper.Ranker, d.Keeper.Self, d.Keeper.Log, d.Keeper.Metrics = rendezvous.NewRanker(d.Members), h.ID, zerolog.Nop(), metrics.NewRegistry()
 	ctx, cancel := context.WithCancel(ctx)
@@ -253,9 +274,9 @@
 		run(t, func(t *testing.T, ctx context.Context) {
 			f := newFleet("v1")
 			l := f.startAll(ctx, 3)
-			f.calls = 0
+			f.peerCalls()
 			finds(t, l[0], "unknown", "v1")
-			is.New(t).Equal(f.calls, 0)
+			is.New(t).Equal(f.peerCalls(), 0)
 		})
 	})
 	t.Run("not while a stream of a version that has gone may come back", func(t *testing.T) {
--- a/internal/versions/twirp/restart_test.go
+++ b/internal/versions/twirp/restart_test.go
@@ -83,18 +83,17 @@
 		time.Sleep(time.Second)
 	})
 	killed(t, "the recorder is paused for 5 s", func(_ *testing.T, f *fleet, l []*twirp.Directory) {
-		a := f.hosts[f.recorder()].PeerAddress.String()
-		f.paused[a] = true
+		f.mark(f.paused, f.recorder(), true)
 		begin(l[(f.recorder()+1)%7])
 		time.Sleep(4 * time.Second)
-		f.paused[a] = false
+		f.mark(f.paused, f.recorder(), false)
 	})
 	killed(t, "the recorder was killed before", func(_ *testing.T, f *fleet, l []*twirp.Directory) {
 		f.kill(f.recorder())
 		begin(l[(f.recorder()+1)%7])
 	})
 	killed(t, "the recorder is of an earlier build", func(_ *testing.T, f *fleet, l []*twirp.Directory) {
-		f.older[f.hosts[f.recorder()].PeerAddress.String()] = true
+		f.mark(f.older, f.recorder(), true)
 		begin(l[(f.recorder()+1)%7])
 	})
 }
@@ -167,6 +166,15 @@
 			finds(t, l[0], "a", "v1")
 		})
 	})
+	t.Run("unless the hosts were suspended meanwhile", func(t *testing.T) {
+		run(t, func(t *testing.T, ctx context.Context) {
+			f, l := replaced(ctx)
+			time.Sleep(time.Second)
+			f.suspended.Add(int64(streamTime))
+			time.Sleep(2 * time.Second)
+			findsNone(t, l[0], "unknown")
+		})
+	})
 	t.Run("a key that cannot be read", func(t *testing.T) {
 		run(t, func(t *testing.T, ctx context.Context) {
 			d := newFleet("v2").startAll(ctx, 1)[0]
@@ -307,9 +315,9 @@
 	}
 	is.New(t).Equal(load(), 0)
 	f.setVersions("v1", "v2")
-	f.calls = 0
+	f.peerCalls()
 	c := load()
-	t.Logf("%d hosts, two versions: %.1f store calls/s, %.1f calls/s between hosts", hosts, float64(c)/seconds, float64(f.calls)/seconds)
+	t.Logf("%d hosts, two versions: %.1f store calls/s, %.1f calls/s between hosts", hosts, float64(c)/seconds, float64(f.peerCalls())/seconds)
 	is.New(t).True(c <= 6*seconds)
 	f.setVersions("v1")
 	time.Sleep(3 * streamTime)
