versions/twirp: tests of recorders of an earlier build, an owner that is cut off, lost replies and an emptied store

Each was seen to fail on a planted fault: failed recorders not avoided, other hosts never write, conflict not followed by a read, revision assumed after a failed write, versions dropped when the store loses the key, records not kept longer when a stream is resumed.

--- a/internal/versions/twirp/directory_test.go
+++ b/internal/versions/twirp/directory_test.go
@@ -137,7 +137,7 @@
 	d.Members, d.Source, d.Client, d.Log = member{f, h}, f, &http.Client{Transport: f}, zerolog.Nop()
 	d.Keeper.Ranker, d.Keeper.Self, d.Keeper.Log, d.Keeper.Metrics = rendezvous.NewRanker(d.Members), h.ID, zerolog.Nop(), metrics.NewRegistry()
 	ctx, cancel := context.WithCancel(ctx)
-	d.Keeper.Store = &hostStore{fakeStore: f.store, ctx: ctx}
+	d.Keeper.Store = &hostStore{fakeStore: f.store, ctx: ctx, address: h.PeerAddress.String()}
 	m := http.NewServeMux()
 	m.Handle(d.Handler())
 	f.mu.Lock()
--- a/internal/versions/twirp/restart_test.go
+++ b/internal/versions/twirp/restart_test.go
@@ -1,6 +1,7 @@
 package twirp_test
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -32,10 +33,13 @@
 	return l
 }
 
-// recorder returns the index of the host that ranks first as the recorder.
-func (f *fleet) recorder() int {
-	h, _ := rendezvous.NewRanker(member{f, f.hosts[0]}).Owner("streams/")
-	return slices.Index(f.hosts, h)
+// recorder returns the index of the host that ranks at place as the recorder.
+func (f *fleet) recorder(place int) int {
+	l := slices.Clone(f.hosts)
+	slices.SortFunc(l, func(a, b sardineknot.EntryHost) int {
+		return cmp.Compare(rendezvous.Weight("streams/", b.ID), rendezvous.Weight("streams/", a.ID))
+	})
+	return slices.Index(f.hosts, l[place])
 }
 
 // killed runs test with seven hosts and servers of two versions, and checks that both
@@ -83,18 +87,20 @@
 		time.Sleep(time.Second)
 	})
 	killed(t, "the recorder is paused for 5 s", func(_ *testing.T, f *fleet, l []*twirp.Directory) {
-		f.mark(f.paused, f.recorder(), true)
-		begin(l[(f.recorder()+1)%7])
+		f.mark(f.paused, f.recorder(0), true)
+		begin(l[f.recorder(6)])
 		time.Sleep(4 * time.Second)
-		f.mark(f.paused, f.recorder(), false)
+		f.mark(f.paused, f.recorder(0), false)
 	})
 	killed(t, "the recorder was killed before", func(_ *testing.T, f *fleet, l []*twirp.Directory) {
-		f.kill(f.recorder())
-		begin(l[(f.recorder()+1)%7])
+		f.kill(f.recorder(0))
+		begin(l[f.recorder(6)])
 	})
-	killed(t, "the recorder is of an earlier build", func(_ *testing.T, f *fleet, l []*twirp.Directory) {
-		f.mark(f.older, f.recorder(), true)
-		begin(l[(f.recorder()+1)%7])
+	killed(t, "the four best recorders are of an earlier build", func(_ *testing.T, f *fleet, l []*twirp.Directory) {
+		for n := range 4 {
+			f.mark(f.older, f.recorder(n), true)
+		}
+		begin(l[f.recorder(6)])
 	})
 }
 
@@ -175,6 +181,15 @@
 			findsNone(t, l[0], "unknown")
 		})
 	})
+	t.Run("also after the store came back empty", func(t *testing.T) {
+		run(t, func(t *testing.T, ctx context.Context) {
+			f, _ := replaced(ctx)
+			time.Sleep(2 * time.Second)
+			f.store.restore(nil)
+			time.Sleep(5 * time.Second)
+			findsNone(t, f.restartAll(ctx, "v2")[0], "a")
+		})
+	})
 	t.Run("a key that cannot be read", func(t *testing.T) {
 		run(t, func(t *testing.T, ctx context.Context) {
 			d := newFleet("v2").startAll(ctx, 1)[0]
@@ -216,21 +231,63 @@
 	})
 }
 
+// TestLostReply guards against a recorder that writes nothing more after the reply to a
+// write was lost, when there is no other host.
+func TestLostReply(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		f := newFleet("v1", "v2")
+		l := f.startAll(ctx, 1)
+		f.store.setFaults(false, true)
+		l[0].Record("a", "v1")
+		time.Sleep(500 * time.Millisecond)
+		begin(l[0])
+		time.Sleep(time.Second)
+		f.store.setFaults(false, false)
+		l = f.restartAll(ctx, "v1", "v2")
+		finds(t, l[0], "a", "v1")
+		finds(t, l[0], "b", "v2")
+	})
+}
+
 // TestResumedTwice guards against a stream that breaks off again and is refused,
 // because its record has expired since it began.
 func TestResumedTwice(t *testing.T) {
 	run(t, func(t *testing.T, ctx context.Context) {
 		f := newFleet("v1", "v2")
 		l := f.startAll(ctx, 7)
-		for n := range 3 {
-			l[n].Record("a", "v1") // the origin stays the first call
-			time.Sleep(streamTime - 5*time.Second)
+		l[0].Record("a", "v1")
+		time.Sleep(streamTime - 5*time.Second)
+		l[0].Record("a", "v1") // the origin stays the first call
+		time.Sleep(streamTime - 5*time.Second)
+		f.store.setFaults(true, false)
+		for n := range 1000 { // drops what has expired
+			l[0].Record(sardineknot.RequestID(fmt.Sprint("b", n)), "v1")
 		}
-		finds(t, l[6], "a", "v1")
+		finds(t, l[0], "a", "v1")
+		f.store.setFaults(false, false)
 		finds(t, f.restartAll(ctx, "v1", "v2")[6], "a", "v1")
 	})
 }
 
+// TestOwnerCutOff guards against a key that nobody writes because its owner does not
+// reach the store, and against an owner that does not learn what others have written.
+func TestOwnerCutOff(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		is := is.New(t)
+		f := newFleet("v1")
+		f.startAll(ctx, 7)
+		h, _ := rendezvous.NewRanker(member{f, f.hosts[0]}).Owner("versions/llm")
+		f.store.cutOff(h.PeerAddress.String(), true, true)
+		f.setVersions("v1", "v2")
+		time.Sleep(4 * time.Second)
+		is.Equal(f.store.value("versions/llm"), `{"Versions":["v1","v2"]}`)
+		f.store.cutOff(h.PeerAddress.String(), false, true)
+		f.setVersions("v2")
+		time.Sleep(2 * streamTime)
+		is.Equal(f.store.value("versions/llm"), `{"Versions":["v2"]}`)
+	})
+}
+
 // TestDay guards against joined streams on a day of 50 s with three releases, in which
 // all hosts are killed at 8.3, 23 and 41 s: while two versions serve, and between.
 func TestDay(t *testing.T) {
--- a/internal/versions/twirp/store_test.go
+++ b/internal/versions/twirp/store_test.go
@@ -24,6 +24,9 @@
 	// every second write after it took effect.
 	calls       map[string]int
 	down, lossy bool
+	// refused and deaf hold the addresses of hosts whose calls fail, and of those that
+	// get no changes.
+	refused, deaf map[string]bool
 }
 
 // liveHost is a host that reads the service until it is killed.
@@ -33,7 +36,7 @@
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{entries: make(map[string]sardineknot.StoreEntry), at: sardineknot.StoreRevision{Era: 1}, hosts: make(map[string]liveHost), calls: make(map[string]int)}
+	return &fakeStore{entries: make(map[string]sardineknot.StoreEntry), at: sardineknot.StoreRevision{Era: 1}, hosts: make(map[string]liveHost), calls: make(map[string]int), refused: make(map[string]bool), deaf: make(map[string]bool)}
 }
 
 // join adds a host, which reads all keys unless the service is down.
@@ -73,8 +76,10 @@
 	} else {
 		s.entries[entry.Key] = entry
 	}
-	for _, h := range s.hosts {
-		h.directory.Apply(entry)
+	for a, h := range s.hosts {
+		if !s.deaf[a] {
+			h.directory.Apply(entry)
+		}
 	}
 }
 
@@ -113,6 +118,20 @@
 	return n
 }
 
+// cutOff makes the calls of the host at address fail, and keeps changes from it.
+func (s *fakeStore) cutOff(address string, refused, deaf bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refused[address], s.deaf[address] = refused, deaf
+}
+
+// value returns the value of key.
+func (s *fakeStore) value(key string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return string(s.entries[key].Value)
+}
+
 // keys returns the number of keys with prefix.
 func (s *fakeStore) keys(prefix string) (n int) {
 	s.mu.Lock()
@@ -129,7 +148,8 @@
 type hostStore struct {
 	sardineknot.Store
 	*fakeStore
-	ctx context.Context
+	ctx     context.Context
+	address string
 }
 
 // call waits for the service, and locks it if it does not fail.
@@ -137,7 +157,7 @@
 	time.Sleep(5 * time.Millisecond)
 	s.mu.Lock()
 	s.calls[method]++
-	if s.down || s.ctx.Err() != nil {
+	if s.down || s.refused[s.address] || s.ctx.Err() != nil {
 		s.mu.Unlock()
 		return errors.WithStack(&sardineknot.UnavailableError{Peer: "store"})
 	}
