versions: a host that was paused concludes nothing before it has read the store again

Cause: a host that was suspended still held the servers and keys from before, and would have continued an unknown stream at the one version that it knew, while another had begun it meanwhile.

--- a/internal/versions/store/keeper.go
+++ b/internal/versions/store/keeper.go
@@ -55,7 +55,8 @@
 	// services holds what the keys of the services list.
 	services map[sardineknot.ServiceName]*serviceKey
 	// era is the latest era of a key that was read, and committedEra the latest one of
-	// which all keys were read. read is set once all keys were read.
+	// which all keys were read. read is set once all keys were read since the start or
+	// the last pause.
 	era, committedEra sardineknot.StoreEra
 	read              bool
 	// watchedSince is the time since which this host has observed the servers without
@@ -122,31 +123,42 @@
 	return m
 }
 
-// checkPause begins to observe anew if this host was paused. The wall clock counts
-// the time for which the host was suspended, the monotonic clock does not.
+// checkPause begins to observe anew if this host was paused, and waits until the keys
+// are read again.
 func (k *Keeper) checkPause() {
 	n := k.Clock.Now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	d := max(n.Sub(k.comparedAt), n.Round(0).Sub(k.comparedAt.Round(0)))
-	if d > maxPause {
+	if k.pausedLocked(n) {
 		k.watchedSince = n
+		k.read = k.read && k.comparedAt.IsZero()
 	}
 	k.comparedAt = n
 }
 
+// pausedLocked reports whether this host was paused between the last comparison and
+// now. The wall clock counts the time for which a host was suspended, the monotonic
+// clock does not.
+func (k *Keeper) pausedLocked(now time.Time) bool {
+	return max(now.Sub(k.comparedAt), now.Round(0).Sub(k.comparedAt.Round(0))) > maxPause
+}
+
 // Versions returns the versions of service that may have begun streams whose callers
 // can still come back, as far as this host has seen them or the key lists them. known
-// is false until the keys were read.
-func (k *Keeper) Versions(service sardineknot.ServiceName) (versions []sardineknot.SoftwareVersion, known bool) {
+// is false until the keys were read, also after a pause. settled reports whether this
+// host has also observed the servers, without a pause, since the oldest such stream
+// began.
+func (k *Keeper) Versions(service sardineknot.ServiceName) (versions []sardineknot.SoftwareVersion, known, settled bool) {
 	l := k.seen(service)
+	n, t := k.Clock.Now(), k.StreamTime()
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	if s := k.services[service]; s != nil {
 		l = union(l, s.stored)
-		l = union(l, s.retained(k.Clock.Now(), k.watchedSince, k.StreamTime()))
+		l = union(l, s.retained(n, k.watchedSince, t))
 	}
-	return l, k.read
+	known = k.read && !k.pausedLocked(n)
+	return l, known, known && n.Sub(k.watchedSince) > t
 }
 
 // Mixed returns the versions of all mixed services, and the era of the key-value
@@ -154,7 +166,7 @@
 func (k *Keeper) Mixed() ([]sardineknot.SoftwareVersion, sardineknot.StoreEra) {
 	var o []sardineknot.SoftwareVersion
 	for _, s := range k.serviceNames() {
-		if l, _ := k.Versions(s); len(l) > 1 {
+		if l, _, _ := k.Versions(s); len(l) > 1 {
 			o = union(o, l)
 		}
 	}
@@ -167,7 +179,7 @@
 func (k *Keeper) recordMixed() {
 	m := make(map[sardineknot.ServiceName]bool)
 	for _, s := range k.serviceNames() {
-		l, _ := k.Versions(s)
+		l, _, _ := k.Versions(s)
 		if len(l) > 1 {
 			m[s] = true
 		}
--- a/internal/versions/twirp/directory.go
+++ b/internal/versions/twirp/directory.go
@@ -53,8 +53,6 @@
 
 	records records
 	history history.History
-	// startedAt is the time at which NewDirectory was called.
-	startedAt time.Time
 	// sends holds an element for each call in progress that sends a record.
 	sends chan struct{}
 	// outbox holds the records that are to be written to the key-value service.
@@ -65,10 +63,9 @@
 
 var _ sardineknot.StreamVersions = (*Directory)(nil)
 
-// NewDirectory returns a directory without records that knows the servers since
-// the current time of clock.
+// NewDirectory returns a directory without records.
 func NewDirectory(clock sardineknot.Clock) *Directory {
-	d := &Directory{Clock: clock, startedAt: clock.Now(), sends: make(chan struct{}, maxSends), changed: make(chan struct{}, 1)}
+	d := &Directory{Clock: clock, sends: make(chan struct{}, maxSends), changed: make(chan struct{}, 1)}
 	d.outbox.wake = make(chan struct{}, 1)
 	d.Keeper = store.NewKeeper(clock)
 	d.Keeper.History, d.Keeper.StreamTime = &d.history, d.streamTime
@@ -175,15 +172,15 @@
 	if v, ok := d.records.get(stream); ok {
 		return v, true
 	}
-	l, k := d.Keeper.Versions(service)
-	if k && len(l) == 1 && d.Clock.Now().Sub(d.startedAt) > d.streamTime() {
+	l, k, o := d.Keeper.Versions(service)
+	if o && len(l) == 1 {
 		return l[0], true
 	}
-	v, o := d.ask(ctx, stream, service)
+	v, a := d.ask(ctx, stream, service)
 	if v != "" {
 		return v, true
 	}
-	l = union(l, o)
+	l = union(l, a)
 	// Segments may tell of a version whose key was not written before all hosts were
 	// killed.
 	if len(l) != 1 || !k || d.Keeper.HasSegments() {
--- a/internal/versions/twirp/service.go
+++ b/internal/versions/twirp/service.go
@@ -38,7 +38,7 @@
 		p.Version = string(v)
 		return p, nil
 	}
-	l, _ := s.directory.Keeper.Versions(sardineknot.ServiceName(request.GetService()))
+	l, _, _ := s.directory.Keeper.Versions(sardineknot.ServiceName(request.GetService()))
 	for _, v := range l {
 		p.Seen = append(p.Seen, string(v))
 	}
