places: assign calls of contended plain services at one owner

Each host counted only its own calls, so full servers turned calls away while others had room. Hosts that see signs of contention now ask the owner of the service for the server of each call.

--- a/internal/answer/plain/runner.go
+++ b/internal/answer/plain/runner.go
@@ -32,10 +32,13 @@
 	// queuePollInterval is the interval at which a waiting call tries again to
 	// find a server.
 	queuePollInterval = 10 * time.Millisecond
+	// noCapacity is the reason of the NotRunError of a call that found no server with
+	// free capacity.
+	noCapacity = "no backend server has free capacity"
 )
 
 // Runner relays calls to plain services. It implements sardineknot.CallRunner.
-// All fields must be set before use.
+// All fields but Places must be set before use.
 type Runner struct {
 	// Source provides the backend servers.
 	Source sardineknot.ConfigurationSource
@@ -47,6 +50,9 @@
 	Backoffs *backoff.Set
 	// Guard keeps calls from servers that would crash them.
 	Guard sardineknot.CrashGuard
+	// Places assigns calls to servers while they are contended. Nil means that this
+	// host always decides alone.
+	Places sardineknot.PlaceAllocator
 	// Budget limits the retries of each service.
 	Budget sardineknot.RetryBudget
 	// Memory bounds the memory of all answers together.
@@ -101,12 +107,13 @@
 	var last outcome
 	// a counts the servers that may have run the call.
 	for n, a := 0, 0; n < maxAttempts; n++ {
-		s, err := r.admit(ctx, c, t)
+		p, err := r.admit(ctx, c, t)
 		if err != nil {
 			return r.finish(w, last, err)
 		}
+		s := p.server
 		t[s.Name] = true
-		o := r.send(ctx, s, c)
+		o := r.send(ctx, p, c)
 		l = append(l, o)
 		if o.mayHaveRun() {
 			a++
@@ -147,20 +154,20 @@
 	}
 }
 
-// admit selects a server for c as pick does. It fails at once with a NotRunError if
+// admit selects a server for c as assign does. It fails at once with a NotRunError if
 // no server may get c, and with an UnauthorizedError if the key of c was withdrawn
 // while c waited.
-func (r *Runner) admit(ctx context.Context, c *sardineknot.Call, tried map[sardineknot.BackendServerName]bool) (sardineknot.BackendServer, error) {
+func (r *Runner) admit(ctx context.Context, c *sardineknot.Call, tried map[sardineknot.BackendServerName]bool) (assignment, error) {
 	err := r.Guard.Check(c)
 	if err != nil {
-		return sardineknot.BackendServer{}, err
+		return assignment{}, err
 	}
-	s, err := r.pick(ctx, c, tried)
+	a, err := r.assign(ctx, c, tried)
 	if err != nil || r.Source.Current().Admits(c) {
-		return s, err
+		return a, err
 	}
-	r.Circuits.Done(r.Clock.Now(), s.Name, breaker.Abandoned)
-	return sardineknot.BackendServer{}, errors.WithStack(&sardineknot.UnauthorizedError{})
+	r.abandon(a)
+	return assignment{}, errors.WithStack(&sardineknot.UnauthorizedError{})
 }
 
 // pick selects a server with free capacity, preferably one that is not in
@@ -179,16 +186,17 @@
 			return s, nil
 		}
 		if ctx.Err() != nil || !r.Clock.Now().Before(e) {
-			return s, errors.WithStack(&sardineknot.NotRunError{Reason: "no backend server has free capacity", RetryAfter: w})
+			return s, errors.WithStack(&sardineknot.NotRunError{Reason: noCapacity, RetryAfter: w})
 		}
 		time.Sleep(queuePollInterval)
 	}
 }
 
-// send sends c to s, reads the whole answer and records the result with the
-// circuit breaker of s.
-func (r *Runner) send(ctx context.Context, s sardineknot.BackendServer, c *sardineknot.Call) outcome {
-	n := r.Clock.Now()
+// send sends c to the server of a, reads the whole answer and records the result with
+// the circuit breaker of the server.
+func (r *Runner) send(ctx context.Context, a assignment, c *sardineknot.Call) outcome {
+	n, s := r.Clock.Now(), a.server
+	a = r.begin(a)
 	p, err := r.Forwarder.Forward(ctx, s, c, sardineknot.ForwardOptions{Deadline: c.Deadline, FreshConnection: !c.Route.Repeatable()})
 	var b answer
 	if err == nil {
@@ -196,6 +204,7 @@
 	}
 	o := outcome{reply: p, body: b, err: err}
 	r.recordOutcome(ctx, s.Name, o)
+	r.end(a, o)
 	r.reportCrash(ctx, s, c, o, n)
 	return o
 }
--- a/logevent.go
+++ b/logevent.go
@@ -102,6 +102,16 @@
 	// LogLimitNotShared reports that another entry host was not reached to report
 	// the limit of a backend server, or to take a permit for a request.
 	LogLimitNotShared LogEvent = "limit_not_shared"
+	// LogPlacesContended reports that this host, as the owner of the plain service
+	// "service", begins to assign its calls to servers, or ends that if "contended"
+	// is false.
+	LogPlacesContended LogEvent = "places_contended"
+	// LogPlacesOwnerLost reports that the owner "peer" of a contended service did not
+	// answer in time. This host decides alone for a second, and then asks again.
+	LogPlacesOwnerLost LogEvent = "places_owner_lost"
+	// LogPlacesNotShared reports that another entry host was not reached to report
+	// calls that ended, or that a service is contended.
+	LogPlacesNotShared LogEvent = "places_not_shared"
 	// LogServersCut reports that this host reaches no backend server, while the entry
 	// host "peer" does. Connections to servers go through other hosts from now on.
 	LogServersCut LogEvent = "servers_cut"
