--- a/internal/answer/plain/place.go
+++ b/internal/answer/plain/place.go
@@ -116,8 +116,10 @@
 		return sardineknot.PlaceAnswered
 	case errors.As(o.err, &f) && f.Status == http.StatusServiceUnavailable:
 		return sardineknot.PlaceRefused
-	case !o.mayHaveReached():
+	case o.notAllowed():
 		return sardineknot.PlaceUnused
+	case !o.mayHaveReached():
+		return sardineknot.PlaceUnreached
 	default:
 		return sardineknot.PlaceLost
 	}
--- a/internal/places/allocator/allocator.go
+++ b/internal/places/allocator/allocator.go
@@ -81,11 +81,12 @@
 	return a.contention.begin(now, certain)
 }
 
-// Contended reports whether calls are to be assigned.
-func (a *Allocator) Contended(now time.Duration) bool {
+// Contended reports whether calls are to be assigned. If not, calm is the time for which
+// uncertain signs are ignored.
+func (a *Allocator) Contended(now time.Duration) (contended bool, calm time.Duration) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.contention.lasts(now)
+	return a.contention.lasts(now), a.contention.calm(now)
 }
 
 // Report records the calls of host that were sent without a place of this
@@ -125,6 +126,8 @@
 	case sardineknot.PlaceRefused:
 		p.server.learnDepth(now, p.load)
 		a.contention.confirm(now)
+	case sardineknot.PlaceUnreached:
+		p.server.fail(now)
 	}
 }
 
@@ -148,21 +151,21 @@
 	if len(c.list) == 0 {
 		return sardineknot.PlaceDecision{}
 	}
-	if 2*c.load >= c.slots {
-		a.contention.confirm(now)
-	}
+	a.contention.observe(now, float64(c.load)/float64(c.slots))
+	f, ok := a.returns.arrive(now, request.Trait)
+	request.Target -= now - f
 	b := c.best()
-	w := a.allowedWaitLocked(now, c, b, request)
-	if b.ok && a.admitsLocked(c, b, request, w) {
+	w := a.allowedWaitLocked(now, c, b, request, ok)
+	if b.ok && admits(c, b, request, w) {
 		return a.grantLocked(now, b, request)
 	}
 	d := max(b.wait-max(0, w), b.time/time.Duration(b.server.slots))
-	return sardineknot.PlaceDecision{RetryAfter: a.returns.promise(now, d, c.interval(), request)}
+	return sardineknot.PlaceDecision{RetryAfter: a.returns.refuse(now, f, d, c.interval(), request)}
 }
 
-// admitsLocked reports whether a call may go to the candidate b, where it may wait
+// admits reports whether a call may go to the candidate b, where it may wait
 // for the time allowed.
-func (a *Allocator) admitsLocked(all candidates, b candidate, request sardineknot.PlaceRequest, allowed time.Duration) bool {
+func admits(all candidates, b candidate, request sardineknot.PlaceRequest, allowed time.Duration) bool {
 	if b.wait+b.time > request.Deadline && 2*all.load >= all.slots {
 		return false
 	}
@@ -170,14 +173,15 @@
 }
 
 // allowedWaitLocked returns the time for which a call may wait at the candidate b. It
-// is negative if the call would be late without a wait.
-func (a *Allocator) allowedWaitLocked(now time.Duration, all candidates, b candidate, request sardineknot.PlaceRequest) time.Duration {
+// is zero or less if the call would be late without a wait. Callers that were told to
+// return go before newcomers if they can still get their answer in time.
+func (a *Allocator) allowedWaitLocked(now time.Duration, all candidates, b candidate, request sardineknot.PlaceRequest, returned bool) time.Duration {
 	w := request.Target - time.Duration(marginShare*float64(max(0, request.Target))) - b.time
 	for range a.order.level(now, request) {
 		w = time.Duration(levelFactor * float64(w))
 	}
-	if !a.returns.due(now, request.Trait) {
-		w -= min(max(0, w/2), time.Duration(a.returns.count(now))*all.interval())
+	if !returned {
+		w -= min(max(0, w/2), time.Duration(a.returns.awaited(now))*all.interval())
 	}
 	return w
 }
@@ -189,7 +193,6 @@
 	a.places[request.ID] = &place{server: b.server, load: b.server.load(), expires: now + max(0, request.Deadline) + expiryDelay}
 	b.server.placed++
 	a.order.charge(now, request)
-	a.returns.settle(request.Trait)
 	return sardineknot.PlaceDecision{Server: b.process}
 }
 
--- a/internal/places/allocator/returns.go
+++ b/internal/places/allocator/returns.go
@@ -9,6 +9,9 @@
 const (
 	// keptTime is the time after a promised return for which the place is kept.
 	keptTime = 100 * time.Millisecond
+	// earlyTime is the time before a promised return from which a caller counts as
+	// having returned. One that comes earlier is another caller with the same request.
+	earlyTime = 5 * time.Millisecond
 	// minRetryAfter is the shortest time after which a caller is asked to return.
 	minRetryAfter = 10 * time.Millisecond
 )
@@ -16,52 +19,62 @@
 // returns holds the callers that were refused and told when to return. Their returns
 // are spread, so that not more come at a time than places become free.
 type returns struct {
-	// at holds the time at which each caller was told to return.
-	at map[sardineknot.Trait]time.Duration
-	// last is the latest of these times.
+	promises map[sardineknot.Trait]promise
+	// last is the latest time at which a caller was told to return.
 	last time.Duration
 }
 
-func newReturns() returns { return returns{at: make(map[sardineknot.Trait]time.Duration)} }
+// promise is what is known of a caller that was told to return.
+type promise struct {
+	// at is the time at which the caller returns.
+	at time.Duration
+	// first is the time at which it came first, and late the time after which its
+	// answer is late.
+	first, late time.Duration
+}
+
+func newReturns() returns { return returns{promises: make(map[sardineknot.Trait]promise)} }
+
+// arrive returns the time at which the caller that trait identifies came first, which is
+// now unless it was told to return by now. Its promise ends.
+func (r *returns) arrive(now time.Duration, trait sardineknot.Trait) (first time.Duration, returned bool) {
+	p, ok := r.promises[trait]
+	if !ok || now < p.at-earlyTime {
+		return now, false
+	}
+	delete(r.promises, trait)
+	return p.first, true
+}
 
-// promise returns the time after which the caller of request is to return. Places
-// are expected after wait, one each interval. A caller that stops waiting before its
-// turn takes none.
-func (r *returns) promise(now, wait, interval time.Duration, request sardineknot.PlaceRequest) time.Duration {
+// refuse returns the time after which the caller of request, which came first at the
+// time first, is to return. Places are expected after wait, one each interval. A
+// caller that stops waiting before its turn takes none.
+func (r *returns) refuse(now, first, wait, interval time.Duration, request sardineknot.PlaceRequest) time.Duration {
 	d := max(minRetryAfter, wait, r.last+interval-now)
 	if d < request.CallerDeadline {
 		r.last = now + d
-		r.at[request.Trait] = now + d
+		r.promises[request.Trait] = promise{at: now + d, first: first, late: now + request.Target}
 	}
 	return d
 }
 
-// due reports whether the caller that trait identifies was told to return by now.
-func (r *returns) due(now time.Duration, trait sardineknot.Trait) bool {
-	t, ok := r.at[trait]
-	return ok && now >= t
-}
-
-// count returns the number of callers that were told to return by now and have not
-// come yet.
-func (r *returns) count(now time.Duration) int {
+// awaited returns the number of callers that were told to return by now, have not come
+// yet and can still get their answer in time.
+func (r *returns) awaited(now time.Duration) int {
 	n := 0
-	for _, t := range r.at {
-		if now >= t {
+	for _, p := range r.promises {
+		if now >= p.at && now < p.late {
 			n++
 		}
 	}
 	return n
 }
 
-// settle removes the promise to the caller that trait identifies.
-func (r *returns) settle(trait sardineknot.Trait) { delete(r.at, trait) }
-
 // sweep removes the promises to callers that did not return.
 func (r *returns) sweep(now time.Duration) {
-	for k, t := range r.at {
-		if now >= t+keptTime {
-			delete(r.at, k)
+	for k, p := range r.promises {
+		if now >= p.at+keptTime {
+			delete(r.promises, k)
 		}
 	}
 }
--- a/internal/places/allocator/server.go
+++ b/internal/places/allocator/server.go
@@ -17,6 +17,10 @@
 	// depthInterval is the time after which one call more may queue at a server that
 	// has refused a call.
 	depthInterval = 200 * time.Millisecond
+	// failureThreshold is the number of consecutive calls that did not reach a server,
+	// from any host, after which it gets no calls for failedTime.
+	failureThreshold = 3
+	failedTime       = 500 * time.Millisecond
 	// forgetTime is the time after which an unused server is forgotten.
 	forgetTime = time.Minute
 )
@@ -35,6 +39,10 @@
 	// means unknown.
 	depth   int
 	depthAt time.Duration
+	// failures counts the consecutive calls that did not reach the server, the last one
+	// at failedAt.
+	failures int
+	failedAt time.Duration
 	// usedAt is the time at which the server was last a candidate.
 	usedAt time.Duration
 }
@@ -54,7 +62,18 @@
 	if s.time > 0 {
 		t = float64(s.time) + learnShare*(t-float64(s.time))
 	}
-	s.time, s.learnedAt = time.Duration(t), now
+	s.time, s.learnedAt, s.failures = time.Duration(t), now, 0
+}
+
+// fail records that a call did not reach the server.
+func (s *server) fail(now time.Duration) {
+	s.failures++
+	s.failedAt = now
+}
+
+// failed reports whether the server is expected not to be reached.
+func (s *server) failed(now time.Duration) bool {
+	return s.failures >= failureThreshold && now < s.failedAt+failedTime
 }
 
 // learnDepth records that the server refused a call that found load others there.
@@ -73,8 +92,8 @@
 	server  *server
 	// time is the expected time of a call that runs, and wait the time before.
 	time, wait time.Duration
-	// free is set if the server has a free slot. ok is set if it is not expected to
-	// refuse the call.
+	// free is set if the server has a free slot. ok is set if the server is expected to
+	// be reached and to accept the call.
 	free, ok bool
 }
 
@@ -112,7 +131,7 @@
 			e.time += time.Duration(f * float64(s.time-m))
 		}
 		e.wait = time.Duration(s.rounds(s.load()) * float64(e.time))
-		e.free, e.ok = s.load() < s.slots, !s.full(now)
+		e.free, e.ok = s.load() < s.slots, !s.full(now) && !s.failed(now)
 	}
 }
 
--- a/internal/places/twirp/fleet_test.go
+++ b/internal/places/twirp/fleet_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -50,7 +51,9 @@
 	alone bool
 	// messages and bytes count what hosts send to each other.
 	messages, bytes int
-	calls           map[sardineknot.RequestID]int
+	// attempts counts the calls of all callers, and calls what reached servers of each.
+	attempts int
+	calls    map[sardineknot.RequestID]int
 	result
 }
 
@@ -190,6 +193,7 @@
 func (f *fleet) restart(n int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.hosts = slices.Clone(f.hosts)
 	f.hosts[n].Incarnation++
 	m := member{f, f.hosts[n]}
 	p := twirp.NewPlaces()
@@ -229,6 +233,14 @@
 	f.silent[f.hosts[n].PeerAddress.String()] = true
 }
 
+// die makes host n dead for the others.
+func (f *fleet) die(n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.hosts = slices.Clone(f.hosts)
+	f.hosts[n].State = sardineknot.EntryHostDead
+}
+
 // call makes the call number i of a caller that returns after refusals, at any host,
 // until 1,500 ms have passed.
 func (f *fleet) call(ctx context.Context, i int) {
@@ -238,6 +250,7 @@
 	var err error
 	for n := 0; ; n++ {
 		f.mu.Lock()
+		f.attempts++
 		r := f.runners[f.random.IntN(len(f.runners))]
 		f.mu.Unlock()
 		a := time.Now()
--- a/internal/places/twirp/owner.go
+++ b/internal/places/twirp/owner.go
@@ -50,25 +50,28 @@
 
 // Take implements rpc.Places. The request is served whether or not this host is the
 // owner by its own view of the membership.
-func (s *service) Take(_ context.Context, request *rpc.TakeRequest) (*rpc.TakeResponse, error) {
-	return s.places.take(request), nil
+func (v *service) Take(_ context.Context, request *rpc.TakeRequest) (*rpc.TakeResponse, error) {
+	return v.places.take(request), nil
 }
 
 // Report implements rpc.Places.
-func (s *service) Report(_ context.Context, request *rpc.ReportRequest) (*rpc.ReportResponse, error) {
-	s.places.receive(request)
+func (v *service) Report(_ context.Context, request *rpc.ReportRequest) (*rpc.ReportResponse, error) {
+	v.places.receive(request)
 	return &rpc.ReportResponse{}, nil
 }
 
-// Notify implements rpc.Places.
-func (s *service) Notify(_ context.Context, request *rpc.NotifyRequest) (*rpc.NotifyResponse, error) {
-	p := s.places
+// Notify implements rpc.Places. It returns the calls in flight, since many of them were
+// sent before the contention was known.
+func (v *service) Notify(_ context.Context, request *rpc.NotifyRequest) (*rpc.NotifyResponse, error) {
+	p := v.places
 	n := p.SinceBoot()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	w := p.watchLocked(sardineknot.ServiceName(request.GetService()))
+	s := sardineknot.ServiceName(request.GetService())
+	w := p.watchLocked(s)
 	w.until = max(w.until, n+contendedTime)
-	return &rpc.NotifyResponse{}, nil
+	h, _ := p.Ranker.Owner(shardPrefix + request.GetService())
+	return &rpc.NotifyResponse{Report: p.reportLocked(h, s)}, nil
 }
 
 // take decides about the call of request as the owner.
@@ -78,7 +81,9 @@
 	n := p.SinceBoot()
 	l := p.Source.Current().AcceptingServers(sardineknot.PlainPoolName(sardineknot.ServiceName(r.GetService())))
 	d := o.allocator.Take(n, l, placeRequest(request))
-	e := &rpc.TakeResponse{RetryAfterMicros: d.RetryAfter.Microseconds(), Idle: !o.allocator.Contended(n), Epoch: int64(p.Members.Self().Incarnation)}
+	e := &rpc.TakeResponse{RetryAfterMicros: d.RetryAfter.Microseconds(), Epoch: int64(p.Members.Self().Incarnation)}
+	b, c := o.allocator.Contended(n)
+	e.Idle, e.CalmMicros = !b, c.Microseconds()
 	if d.Server.Name != "" {
 		e.Process = processMessage(d.Server)
 	}
@@ -153,7 +158,8 @@
 		if !o.contended {
 			continue
 		}
-		if o.allocator.Contended(n) {
+		b, _ := o.allocator.Contended(n)
+		if b {
 			l = append(l, s)
 			continue
 		}
@@ -181,8 +187,10 @@
 	g.SetLimit(maxNotifications)
 	for _, h := range p.untold(name, state) {
 		g.Go(func() error {
-			_, err := p.client(h).Notify(ctx, &rpc.NotifyRequest{Service: string(name)})
-			if err != nil {
+			r, err := p.client(h).Notify(ctx, &rpc.NotifyRequest{Service: string(name)})
+			if err == nil {
+				p.receive(r.GetReport())
+			} else {
 				p.Log.Debug().Stringer("event", sardineknot.LogPlacesNotShared).Str("service", string(name)).Str("peer", string(h.ID)).Err(err).Send()
 			}
 			return nil
--- a/internal/places/twirp/places.go
+++ b/internal/places/twirp/places.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/peer/micros"
 	"sardineknot.example/sardineknot/internal/quarantine/fingerprint"
 	rpc "sardineknot.example/sardineknot/internal/rpc/places"
 )
@@ -86,13 +87,16 @@
 	q := p.request(n, h, call, excluded)
 	r, err := p.ask(ctx, h, q)
 	if err != nil || p.SinceBoot()-n > takeTimeout {
+		if ctx.Err() != nil {
+			err = nil
+		}
 		p.giveBack(n, h, q, err)
 		return l, nil
 	}
 	p.learn(n, h, call.Service, r)
 	if d := r.GetRetryAfterMicros(); d > 0 {
 		p.count("places.refused")
-		return l, errors.WithStack(&sardineknot.NotRunError{Reason: "no backend server can answer in time", RetryAfter: time.Duration(d) * time.Microsecond})
+		return l, errors.WithStack(&sardineknot.NotRunError{Reason: "no backend server can answer in time", RetryAfter: micros.Duration(d)})
 	}
 	if r.GetProcess() == nil {
 		return l, nil
@@ -154,15 +158,15 @@
 	delete(p.failedAt, owner.ID)
 	w := p.watchLocked(service)
 	if response.GetIdle() {
-		w.calm(now)
+		w.until, w.calmUntil = now, now+micros.Duration(response.GetCalmMicros())
 		return
 	}
 	w.until = max(w.until, now+contendedTime)
 }
 
 // giveBack records that request got no answer in time because of err, and gives back
-// the place that it may have been granted. A nil err means that this host was
-// suspended meanwhile.
+// the place that it may have been granted. A nil err means that the cause is not the
+// owner: the caller has gone, its time is over, or this host was suspended.
 func (p *Places) giveBack(now time.Duration, owner sardineknot.EntryHost, request *rpc.TakeRequest, err error) {
 	p.count("places.alone")
 	s := sardineknot.ServiceName(request.GetReport().GetService())
--- a/internal/places/twirp/places_test.go
+++ b/internal/places/twirp/places_test.go
@@ -3,16 +3,164 @@
 import (
 	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"github.com/matryer/is"
 )
 
-func TestTrial(t *testing.T) {
+// capacity is the number of calls that five servers answer in a second.
+const capacity = 500
+
+// compare runs test with hosts that decide alone and with hosts that share places, and
+// logs both results.
+func compare(t *testing.T, count int, test func(*testing.T, *fleet) result) (alone, shared result) {
+	t.Helper()
+	run(t, count, true, func(t *testing.T, f *fleet) { alone = test(t, f) })
+	run(t, count, false, func(t *testing.T, f *fleet) {
+		shared = test(t, f)
+		f.assertSentOnce(t)
+	})
+	t.Logf("alone %+v, shared %+v", alone, shared)
+	return alone, shared
+}
+
+// assertSentOnce checks that no call has reached two servers.
+func (f *fleet) assertSentOnce(t *testing.T) {
+	t.Helper()
+	for _, n := range f.calls {
+		is.New(t).Equal(n, 1)
+	}
+}
+
+// bound returns the calls in time with perfect knowledge: all servers work all the
+// time, until 300 ms after the last call.
+func bound(r result, duration time.Duration, perSecond float64) float64 {
+	return min(float64(r.inTime+r.late+r.failed), (duration.Seconds()+0.3)*perSecond)
+}
+
+// TestOverload guards against calls that queue behind others until they are late, and
+// are refused while other servers have room, since each host counts only its own
+// calls.
+func TestOverload(t *testing.T) {
 	for _, x := range []float64{0.5, 1, 1.3, 2} {
-		for _, alone := range []bool{true, false} {
-			run(t, 86, alone, func(t *testing.T, f *fleet) {
-				r := f.load(t.Context(), 4*time.Second, 500*x)
-				fmt.Println(x, alone, fmt.Sprintf("%+v", r), f.messages, f.bytes)
-			})
+		t.Run(fmt.Sprintf("arrivals at %v of the capacity", x), func(t *testing.T) {
+			a, s := compare(t, 86, func(t *testing.T, f *fleet) result { return f.load(t.Context(), 4*time.Second, x*capacity) })
+			is := is.New(t)
+			is.True(s.inTime >= a.inTime)
+			is.True(float64(s.inTime) >= 0.95*bound(s, 4*time.Second, capacity))
+		})
+	}
+}
+
+// TestServersLost guards against an owner that goes on assigning calls to servers that
+// no host reaches, in a burst of three times the usual load of 200 calls a second.
+func TestServersLost(t *testing.T) {
+	a, s := compare(t, 86, func(t *testing.T, f *fleet) result {
+		f.servers["s1"].factor, f.servers["s3"].factor = 0, 0
+		return f.load(t.Context(), 5*time.Second, 600)
+	})
+	is := is.New(t)
+	is.True(s.inTime >= 2*a.inTime)
+	is.True(float64(s.inTime) >= 0.9*bound(s, 5*time.Second, capacity*3/5))
+}
+
+// TestSlowServer guards against calls that queue at a server that takes 2.5 times as
+// long for 600 ms, at 0.9 of the capacity.
+func TestSlowServer(t *testing.T) {
+	a, s := compare(t, 86, func(t *testing.T, f *fleet) result {
+		go func() {
+			for range 3 {
+				f.slow("s2", 2.5)
+				time.Sleep(600 * time.Millisecond)
+				f.slow("s2", 1)
+				time.Sleep(400 * time.Millisecond)
+			}
+		}()
+		return f.load(t.Context(), 4*time.Second, 0.9*capacity)
+	})
+	is.New(t).True(s.inTime >= a.inTime)
+	is.New(t).True(float64(s.inTime) >= 0.95*float64(s.inTime+s.late+s.failed))
+}
+
+func (f *fleet) slow(name string, factor float64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for n, s := range f.servers {
+		if string(n) == name {
+			s.factor = factor
 		}
 	}
 }
+
+// TestOwnerLost guards against calls that wait for an owner that does not answer, or
+// run twice because of it, and against a new owner that assigns calls to servers that
+// are full. The load is 1.3 times the capacity.
+func TestOwnerLost(t *testing.T) {
+	lose := func(t *testing.T, what func(*fleet)) {
+		a, s := compare(t, 86, func(t *testing.T, f *fleet) result {
+			go func() {
+				time.Sleep(2 * time.Second)
+				what(f)
+			}()
+			return f.load(t.Context(), 5*time.Second, 1.3*capacity)
+		})
+		is.New(t).True(s.inTime >= a.inTime)
+	}
+	t.Run("silent", func(t *testing.T) { lose(t, func(f *fleet) { f.silence(f.owner()) }) })
+	t.Run("silent, and found dead after a second", func(t *testing.T) {
+		lose(t, func(f *fleet) {
+			o := f.owner()
+			f.silence(o)
+			time.Sleep(time.Second)
+			f.die(o)
+		})
+	})
+	t.Run("started again", func(t *testing.T) { lose(t, func(f *fleet) { f.restart(f.owner()) }) })
+	t.Run("all hosts started again", func(t *testing.T) {
+		lose(t, func(f *fleet) {
+			for n := range f.hosts {
+				f.restart(n)
+			}
+		})
+	})
+}
+
+// TestWithoutContention guards against messages between hosts although the servers have
+// capacity to spare, at 0.4 of the capacity.
+func TestWithoutContention(t *testing.T) {
+	t.Run("before", func(t *testing.T) {
+		run(t, 86, false, func(t *testing.T, f *fleet) {
+			f.load(t.Context(), 5*time.Second, 0.4*capacity)
+			is.New(t).Equal(f.messages, 0)
+		})
+	})
+	t.Run("after a burst", func(t *testing.T) {
+		run(t, 86, false, func(t *testing.T, f *fleet) {
+			f.load(t.Context(), time.Second, 2*capacity)
+			f.load(t.Context(), 10*time.Second, 0.4*capacity)
+			n := f.messages
+			f.load(t.Context(), 5*time.Second, 0.4*capacity)
+			is.New(t).True(n > 0)
+			is.New(t).Equal(f.messages, n)
+		})
+	})
+}
+
+// TestMessages guards against more than three messages for a call, of which only one
+// delays it, and against long ones. The load is twice the capacity.
+func TestMessages(t *testing.T) {
+	for _, n := range []int{86, 300} {
+		t.Run(fmt.Sprintf("%d hosts", n), func(t *testing.T) {
+			run(t, n, false, func(t *testing.T, f *fleet) {
+				f.load(t.Context(), time.Second, 2*capacity)
+				f.messages, f.bytes, f.attempts = 0, 0, 0
+				f.load(t.Context(), 4*time.Second, 2*capacity)
+				m, b := float64(f.messages)/float64(f.attempts), float64(f.bytes)/float64(f.attempts)
+				t.Logf("%.2f messages and %.0f bytes an attempt, %d attempts", m, b, f.attempts)
+				is.New(t).True(m < 2.1 && b < 200)
+				synctest.Wait()
+			})
+		})
+	}
+}
--- a/internal/places/twirp/watch.go
+++ b/internal/places/twirp/watch.go
@@ -12,13 +12,10 @@
 	// contendedTime is the time after a sign of contention, or after the owner has
 	// confirmed it, for which this host asks for places.
 	contendedTime = 4 * time.Second
-	// minCalm is the time for which a host ignores slow calls after the owner has said
-	// that the servers are not contended. It doubles each time, up to maxCalm.
-	minCalm = 5 * time.Second
-	maxCalm = time.Minute
 	// slowFactor is the time of a call, relative to the usual one, that is a sign of
-	// contention. Servers with noise take up to 2.5 times as long without contention.
-	slowFactor = 3
+	// contention. Servers with noise take up to 2.5 times as long without contention, and
+	// the usual time is that of short calls.
+	slowFactor = 4
 	// slowTargetShare is the part of the latency target that such a call must have
 	// taken as well.
 	slowTargetShare = 0.25
@@ -47,9 +44,8 @@
 	usual time.Duration
 	// until is the time until which places are asked for.
 	until time.Duration
-	// calmUntil is the time until which slow calls are no sign, and calmFor its last
-	// length.
-	calmUntil, calmFor time.Duration
+	// calmUntil is the time until which slow calls are no sign.
+	calmUntil time.Duration
 	// inFlight counts the calls in flight by server and by the owner's process that
 	// granted their places.
 	inFlight map[granted]int
@@ -67,13 +63,6 @@
 	epoch   sardineknot.Incarnation
 }
 
-// calm records that the owner has said that the servers are not contended.
-func (w *watch) calm(now time.Duration) {
-	w.until = now
-	w.calmFor = min(maxCalm, max(minCalm, 2*w.calmFor))
-	w.calmUntil = now + w.calmFor
-}
-
 // observe returns the sign that the end of a call is.
 func (w *watch) observe(now time.Duration, place sardineknot.Place, outcome sardineknot.PlaceOutcome, took time.Duration) sign {
 	switch outcome {
--- a/places.go
+++ b/places.go
@@ -65,6 +65,9 @@
 	PlaceRefused
 	// PlaceUnused means that the call was not sent.
 	PlaceUnused
+	// PlaceUnreached means that the call was not sent because the server was not
+	// reached.
+	PlaceUnreached
 )
 
 // PlaceEnd reports that a call no longer occupies its place.
