--- a/internal/answer/plain/place.go
+++ b/internal/answer/plain/place.go
@@ -19,9 +19,8 @@
 // assign selects a server for c: the one that the owner of the service assigns while
 // the servers are contended, and otherwise the one that pick selects.
 func (r *Runner) assign(ctx context.Context, c *sardineknot.Call, tried map[sardineknot.BackendServerName]bool) (assignment, error) {
-	if r.Places == nil {
-		s, err := r.pick(ctx, c, tried)
-		return assignment{server: s}, err
+	if r.Places == nil || !r.Places.Contended(c.Service) {
+		return r.pickAlone(ctx, c, tried)
 	}
 	l, x := r.placeable(c, tried)
 	var a assignment
@@ -49,7 +48,7 @@
 func (r *Runner) pickAlone(ctx context.Context, c *sardineknot.Call, tried map[sardineknot.BackendServerName]bool) (assignment, error) {
 	s, err := r.pick(ctx, c, tried)
 	var f *sardineknot.NotRunError
-	if errors.As(err, &f) && f.Reason == noCapacity {
+	if r.Places != nil && errors.As(err, &f) && f.Reason == noCapacity {
 		r.Places.ReportFull(c.Service)
 	}
 	return assignment{server: s, place: sardineknot.Place{Service: c.Service, Target: c.Route.Target}}, err
--- a/internal/places/twirp/places.go
+++ b/internal/places/twirp/places.go
@@ -76,7 +76,7 @@
 func (p *Places) Take(ctx context.Context, call *sardineknot.Call, excluded []sardineknot.BackendServerName) (sardineknot.Place, error) {
 	l := sardineknot.Place{Service: call.Service, Target: call.Route.Target}
 	n := p.SinceBoot()
-	if !p.contended(n, call.Service) {
+	if !p.Contended(call.Service) {
 		return l, nil
 	}
 	h, ok := p.Ranker.Owner(shardPrefix + string(call.Service))
@@ -84,7 +84,7 @@
 		p.count("places.alone")
 		return l, nil
 	}
-	q := p.request(n, h, call, excluded)
+	q := p.request(h, call, excluded)
 	r, err := p.ask(ctx, h, q)
 	if err != nil || p.SinceBoot()-n > takeTimeout {
 		if ctx.Err() != nil {
@@ -118,7 +118,7 @@
 }
 
 // request returns the request for the place of call.
-func (p *Places) request(now time.Duration, owner sardineknot.EntryHost, call *sardineknot.Call, excluded []sardineknot.BackendServerName) *rpc.TakeRequest {
+func (p *Places) request(owner sardineknot.EntryHost, call *sardineknot.Call, excluded []sardineknot.BackendServerName) *rpc.TakeRequest {
 	t := p.Clock.Now()
 	d := call.Deadline.Sub(t)
 	g := d
--- a/internal/places/twirp/watch.go
+++ b/internal/places/twirp/watch.go
@@ -97,12 +97,13 @@
 	return w
 }
 
-// contended reports whether this host asks for places of service.
-func (p *Places) contended(now time.Duration, service sardineknot.ServiceName) bool {
+// Contended implements sardineknot.PlaceAllocator.
+func (p *Places) Contended(service sardineknot.ServiceName) bool {
+	n := p.SinceBoot()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	w := p.watches[service]
-	return w != nil && now < w.until
+	return w != nil && n < w.until
 }
 
 // Begin implements sardineknot.PlaceAllocator.
--- a/places.go
+++ b/places.go
@@ -100,6 +100,8 @@
 // calls of all entry hosts while the servers of a service are contended.
 // Implementations are safe for concurrent use.
 type PlaceAllocator interface {
+	// Contended reports whether Take may return a server for calls of service.
+	Contended(service ServiceName) bool
 	// Take returns the place of call, which the caller must pass to Begin or to Done.
 	// The servers in excluded must not get the call. If the Server of the place is
 	// the zero value, the caller selects a server itself. Take fails with a NotRunError
