--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -36,6 +36,7 @@
 	membership "sardineknot.example/sardineknot/internal/membership/store"
 	"sardineknot.example/sardineknot/internal/peer/h2c"
 	"sardineknot.example/sardineknot/internal/peer/tunnel"
+	places "sardineknot.example/sardineknot/internal/places/twirp"
 	"sardineknot.example/sardineknot/internal/platform/changelog"
 	"sardineknot.example/sardineknot/internal/platform/mirror"
 	feed "sardineknot.example/sardineknot/internal/platform/twirp"
@@ -150,6 +151,8 @@
 	// calls forwards requests within these limits.
 	limiter *serverlimits.Limiter
 	calls   *limited.Forwarder
+	// places assigns calls to plain servers while these are contended.
+	places *places.Places
 	// dialer connects to backend servers, through other hosts while this one reaches
 	// none. tunnels are these connections, and those of other hosts through this one.
 	dialer  *reach.Dialer
@@ -176,7 +179,7 @@
 		}
 		g.Go(func() error { return serve(s.server, n) })
 	}
-	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.versions.Run, p.guard.Run, p.keeper.Run, p.refresh, p.watchSettings, p.observeLoads, p.newRoleController().Run, p.connections.Run, p.dialer.Run) {
+	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.versions.Run, p.guard.Run, p.keeper.Run, p.refresh, p.watchSettings, p.observeLoads, p.newRoleController().Run, p.places.Run, p.connections.Run, p.dialer.Run) {
 		g.Go(func() error { return f(w) })
 	}
 	p.Log.Info().Stringer("event", sardineknot.LogStarted).Str("zone", string(p.Settings.Zone)).Send()
@@ -229,6 +232,7 @@
 	p.addDialer()
 	p.addGuard()
 	p.addLimiter()
+	p.addPlaces()
 	p.addCallHandler(h)
 }
 
@@ -252,6 +256,14 @@
 	p.calls = &limited.Forwarder{Forwarder: p.Forwarder, Limiter: p.limiter, Backoffs: p.backoffs, Source: p.source, Clock: p.clock}
 }
 
+// addPlaces creates the allocator of places at plain servers.
+func (p *Process) addPlaces() {
+	p.places = places.NewPlaces()
+	p.places.Members, p.places.Ranker, p.places.Source = p.registry, rendezvous.NewRanker(p.registry), p.source
+	p.places.Clock, p.places.SinceBoot, p.places.Client = p.clock, p.clock.SinceBoot, p.peers.Client()
+	p.places.Log, p.places.Metrics = p.Log, p.Metrics
+}
+
 // addSlots creates the slot pool, which grants engines to jobs.
 func (p *Process) addSlots() {
 	n := uint64(p.registry.Self().Incarnation)
@@ -288,7 +300,7 @@
 		Decoder: p.RequestDecoder,
 		Plain: &plain.Runner{
 			Source: p.source, Forwarder: p.calls, Circuits: breaker.NewSet(rand.NewPCG(n, n+1)), Backoffs: p.backoffs, Guard: p.guard,
-			Budget: b, Memory: m, Clock: p.clock, Log: p.Log,
+			Places: p.places, Budget: b, Memory: m, Clock: p.clock, Log: p.Log,
 		},
 		Stream: &events.Runner{
 			Source: p.source, Forwarder: p.calls, Slots: p.slots, Backoffs: p.backoffs, Guard: p.guard,
--- a/internal/host/gateway/servers.go
+++ b/internal/host/gateway/servers.go
@@ -28,6 +28,7 @@
 	m.Handle(p.versions.Handler())
 	m.Handle(p.guard.Handler())
 	m.Handle(p.limiter.Handler())
+	m.Handle(p.places.Handler())
 	m.Handle(tunnel.Path, p.tunnels)
 	return []endpoint{
 		{p.Settings.CallerAddress, &http.Server{
