--- a/internal/places/allocator/allocator_test.go
+++ b/internal/places/allocator/allocator_test.go
@@ -110,6 +110,19 @@
 	is.New(t).Equal(l.fill(usual), 1)
 }
 
+// TestUnreached guards against calls to a server that no host reaches, and that looks
+// idle therefore.
+func TestUnreached(t *testing.T) {
+	l := newLoad()
+	n := l.fill(usual)
+	for i := range n {
+		l.End(0, sardineknot.PlaceEnd{ID: sardineknot.PlaceID{Host: "h", Number: uint64(i + 1)}, Outcome: sardineknot.PlaceUnreached})
+	}
+	is.New(t).Equal(l.fill(usual), 0)
+	l.now = failedTime
+	is.New(t).Equal(l.fill(usual), n)
+}
+
 // TestReturns guards against callers that are told to return at the same time, and
 // against newcomers that take their places.
 func TestReturns(t *testing.T) {
