configuration/store: a change composes only what it touches

Each change of any server sorted the list of all servers again, and each call scanned it and built the name of each server's pool. A configuration now has an index by pool, name and address, which is built once, and shares unchanged pools with the one before. The source merges changed servers into the last list.

--- a/internal/answer/events/accepting.go
+++ b/internal/answer/events/accepting.go
@@ -13,19 +13,17 @@
 // fails with a LeavingError if the server is leaving, with a BackedOffError if it
 // has asked for no requests, and with an UnknownError if there is no such server.
 func (s *session) findServer(n sardineknot.BackendServerName) (sardineknot.BackendServer, error) {
-	for _, b := range s.Source.Current().BackendServers {
-		if b.Name != n {
-			continue
-		}
-		if b.State != sardineknot.BackendJoining {
-			return b, errors.WithStack(&sardineknot.LeavingError{Server: n, Born: b.Born})
-		}
-		if d := s.Backoffs.Left(s.Clock.Now(), b); d > 0 {
-			return b, errors.WithStack(&sardineknot.BackedOffError{Server: n, Left: d})
-		}
-		return b, nil
+	b, ok := s.Source.Current().Server(n)
+	if !ok {
+		return sardineknot.BackendServer{}, errors.WithStack(&sardineknot.UnknownError{What: "BackendServer", Name: string(n)})
+	}
+	if b.State != sardineknot.BackendJoining {
+		return b, errors.WithStack(&sardineknot.LeavingError{Server: n, Born: b.Born})
+	}
+	if d := s.Backoffs.Left(s.Clock.Now(), b); d > 0 {
+		return b, errors.WithStack(&sardineknot.BackedOffError{Server: n, Left: d})
 	}
-	return sardineknot.BackendServer{}, errors.WithStack(&sardineknot.UnknownError{What: "BackendServer", Name: string(n)})
+	return b, nil
 }
 
 // checkAccepting fails if the engine, which the attempt was granted, accepts no
--- a/internal/backend/limited/forwarder.go
+++ b/internal/backend/limited/forwarder.go
@@ -52,10 +52,9 @@
 // ReleaseCache implements sardineknot.Forwarder. The engine evicts the cache
 // itself after some time.
 func (f *Forwarder) ReleaseCache(ctx context.Context, cache sardineknot.KVCacheReference) error {
-	for _, b := range f.Source.Current().BackendServers {
-		if b.Address == cache.Address && f.Limiter.Limited(b) {
-			return errors.WithStack(&sardineknot.BackedOffError{Server: b.Name})
-		}
+	b, ok := f.Source.Current().ServerAt(cache.Address)
+	if ok && f.Limiter.Limited(b) {
+		return errors.WithStack(&sardineknot.BackedOffError{Server: b.Name})
 	}
 	return f.Forwarder.ReleaseCache(ctx, cache)
 }
--- a/internal/configuration/leaving/set.go
+++ b/internal/configuration/leaving/set.go
@@ -53,7 +53,7 @@
 // Overlay returns a copy of servers in which the recorded processes have the
 // state BackendLeaving. It returns servers itself if it has none of them.
 func (s *Set) Overlay(servers []sardineknot.BackendServer) []sardineknot.BackendServer {
-	if !slices.ContainsFunc(servers, s.contains) {
+	if len(s.processes) == 0 || !slices.ContainsFunc(servers, s.contains) {
 		return servers
 	}
 	r := slices.Clone(servers)
--- a/internal/configuration/store/source.go
+++ b/internal/configuration/store/source.go
@@ -12,8 +12,6 @@
 package store
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"time"
 
@@ -51,10 +49,17 @@
 	base *sardineknot.Configuration
 	// servers holds the backend servers with a valid entry, by key.
 	servers map[string]*server
+	// removed holds the keys of servers whose entries were removed.
+	removed map[string]bool
 	// leaving holds the processes that have said that they are leaving.
 	leaving *leaving.Set
-	// dirty is true while current does not reflect all applied entries.
-	dirty bool
+	// stale is true while composed does not reflect base.
+	stale bool
+	// touched names, by key, the servers in which composed may differ from servers.
+	touched map[string]sardineknot.BackendServerName
+	// composed holds the servers of current without the effect of leaving, ordered by
+	// name. It is replaced on every change, never modified.
+	composed []sardineknot.BackendServer
 }
 
 // server is a backend server and the state of its entry.
@@ -75,6 +80,8 @@
 		changed: make(chan struct{}),
 		servers: make(map[string]*server),
 		leaving: leaving.NewSet(),
+		removed: make(map[string]bool),
+		touched: make(map[string]sardineknot.BackendServerName),
 	}
 }
 
@@ -119,7 +126,7 @@
 		return false
 	}
 	s.Log.Info().Stringer("event", sardineknot.LogConfigurationAccepted).Int64("revision", int64(c.Revision)).Int("routes", len(c.Routes)).Send()
-	s.base, s.dirty = c, true
+	s.base, s.stale = c, true
 	return true
 }
 
@@ -128,7 +135,7 @@
 	if err != nil {
 		if o != nil {
 			delete(s.servers, k)
-			s.dirty = true
+			s.touched[k] = o.Name
 		}
 		s.Log.Warn().Stringer("event", sardineknot.LogServerEntryRefused).Str("server", string(b.Name)).Err(err).Send()
 		return true
@@ -137,7 +144,7 @@
 		return false
 	}
 	s.servers[k] = &server{BackendServer: b}
-	s.dirty = true
+	s.touched[k] = b.Name
 	s.Log.Info().Stringer("event", sardineknot.LogServerKnown).Str("server", string(b.Name)).Str("address", b.Address.String()).
 		Str("service", b.Service).Str("role", string(b.Role)).Str("state", string(b.State)).
 		Str("version", string(b.SoftwareVersion)).Send()
@@ -150,7 +157,7 @@
 		return false
 	}
 	o.removedAt = s.Clock.Now()
-	s.dirty = true
+	s.removed[k] = true
 	return true
 }
 
@@ -161,16 +168,17 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLocked()
-	if !s.dirty {
+	if !s.stale && len(s.touched) == 0 {
 		return
 	}
-	s.dirty = false
-	s.replaceLocked(s.composeLocked())
+	s.composeLocked()
+	c := *s.base
+	s.replaceLocked(&c)
 }
 
 // replaceLocked puts c in force.
 func (s *Source) replaceLocked(c *sardineknot.Configuration) {
-	c.BackendServers = s.leaving.Overlay(c.BackendServers)
+	c.SetServers(s.leaving.Overlay(s.composed), s.current)
 	s.current = c
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -199,44 +207,14 @@
 	if !k || s.Clock.Now().Sub(t) < reregistrationGrace {
 		return
 	}
-	for n, o := range s.servers {
-		if o.removedAt.IsZero() {
+	for n := range s.removed {
+		o := s.servers[n]
+		if o == nil || o.removedAt.IsZero() {
 			continue
 		}
 		delete(s.servers, n)
-		s.dirty = true
+		s.touched[n] = o.Name
 		s.Log.Info().Stringer("event", sardineknot.LogServerGone).Str("server", string(o.Name)).Send()
 	}
-}
-
-// composeLocked returns the operators' configuration with the backend servers
-// of its services. Servers of unknown services are left out.
-func (s *Source) composeLocked() *sardineknot.Configuration {
-	c := *s.base
-	c.BackendServers = nil
-	m := make(map[sardineknot.ServiceName]*sardineknot.Service, len(c.Services))
-	for i := range c.Services {
-		m[c.Services[i].Name] = &c.Services[i]
-	}
-	for _, o := range s.servers {
-		v := m[sardineknot.ServiceName(o.Service)]
-		if v == nil {
-			continue
-		}
-		c.BackendServers = append(c.BackendServers, withServiceSettings(o.BackendServer, v))
-	}
-	slices.SortFunc(c.BackendServers, func(a, b sardineknot.BackendServer) int { return cmp.Compare(a.Name, b.Name) })
-	return &c
-}
-
-// withServiceSettings returns b with those fields set that its service v
-// determines.
-func withServiceSettings(b sardineknot.BackendServer, v *sardineknot.Service) sardineknot.BackendServer {
-	if v.Engine == nil {
-		b.Role = sardineknot.RolePlain
-		return b
-	}
-	b.MemoryTokens = v.Engine.MemoryTokens
-	b.EventTokens = v.Engine.EventTokens
-	return b
+	clear(s.removed)
 }
--- a/internal/peer/tunnel/tunnels.go
+++ b/internal/peer/tunnel/tunnels.go
@@ -142,12 +142,8 @@
 
 // known reports whether a backend server has the given address.
 func (t *Tunnels) known(address netip.AddrPort) bool {
-	for _, s := range t.Source.Current().BackendServers {
-		if s.Address == address {
-			return true
-		}
-	}
-	return false
+	_, ok := t.Source.Current().ServerAt(address)
+	return ok
 }
 
 // dialStatus returns the status for the error err of a dial.
