slots/twirp: a change of a server splits only its pool

Each change split all pools into shards again, hashed each server for each shard through fmt, and passed all servers to all owned shards. Pools that are shared with the configuration before now keep their shards. The owner of a shard is found without a copy of the list of hosts.

--- a/internal/membership/rendezvous/ranker.go
+++ b/internal/membership/rendezvous/ranker.go
@@ -34,14 +34,22 @@
 
 // Owner implements sardineknot.Ranker.
 func (r *Ranker) Owner(shard string) (h sardineknot.EntryHost, ok bool) {
+	l := r.members.Hosts()
+	n := minCapacity(l)
+	b := -1
 	var m uint64
-	for _, e := range Strongest(r.members.Hosts()) {
-		w := Weight(shard, e.ID)
-		if !ok || w > m {
-			h, m, ok = e, w, true
+	for i := range l {
+		if !isStrong(&l[i], n) {
+			continue
 		}
+		if w := Weight(shard, l[i].ID); b < 0 || w > m {
+			b, m = i, w
+		}
+	}
+	if b < 0 {
+		return sardineknot.EntryHost{}, false
 	}
-	return h, ok
+	return l[b], true
 }
 
 // Strongest returns those of hosts that are alive or suspect and have at least
@@ -49,27 +57,44 @@
 // capacity are left out if any host has a known one. The result is a new slice
 // in the order of hosts.
 func Strongest(hosts []sardineknot.EntryHost) []sardineknot.EntryHost {
-	var m float64
-	for _, e := range hosts {
-		if isLive(e) {
-			m = max(m, e.Processor)
-		}
-	}
+	n := minCapacity(hosts)
 	r := make([]sardineknot.EntryHost, 0, len(hosts))
-	for _, e := range hosts {
-		if isLive(e) && e.Processor >= strongShare*m {
-			r = append(r, e)
+	for i := range hosts {
+		if isStrong(&hosts[i], n) {
+			r = append(r, hosts[i])
 		}
 	}
 	return r
 }
 
-func isLive(host sardineknot.EntryHost) bool {
+// minCapacity returns the least processor capacity of a strong host among hosts.
+func minCapacity(hosts []sardineknot.EntryHost) float64 {
+	var m float64
+	for i := range hosts {
+		if isLive(&hosts[i]) {
+			m = max(m, hosts[i].Processor)
+		}
+	}
+	return strongShare * m
+}
+
+// isStrong reports whether host is live and has at least the given capacity.
+func isStrong(host *sardineknot.EntryHost, capacity float64) bool {
+	return isLive(host) && host.Processor >= capacity
+}
+
+func isLive(host *sardineknot.EntryHost) bool {
 	return host.State == sardineknot.EntryHostAlive || host.State == sardineknot.EntryHostSuspect
 }
 
+// maxNames is the length of the names of a shard and a host that are hashed without
+// an allocation.
+const maxNames = 128
+
 // Weight returns the rendezvous weight of host e for shard. The host with the
 // greatest weight owns the shard.
 func Weight(shard string, e sardineknot.EntryHostID) uint64 {
-	return xxhash.Sum64String(shard + "\x00" + string(e))
+	var a [maxNames]byte
+	b := append(append(append(a[:0], shard...), 0), e...)
+	return xxhash.Sum64(b)
 }
--- a/internal/slots/shard/shard.go
+++ b/internal/slots/shard/shard.go
@@ -11,7 +11,6 @@
 
 import (
 	"cmp"
-	"fmt"
 	"slices"
 	"strconv"
 
@@ -49,22 +48,23 @@
 // Split returns the shards of each engine pool in configuration. Pools and zones
 // of at most maxServers servers are not split.
 func Split(configuration *sardineknot.Configuration, maxServers int) map[sardineknot.PoolName][]Shard {
-	p := make(map[sardineknot.PoolName][]sardineknot.BackendServer)
-	for _, s := range configuration.BackendServers {
-		if s.Role != sardineknot.RolePlain {
-			p[s.Pool()] = append(p[s.Pool()], s)
+	m := make(map[sardineknot.PoolName][]Shard)
+	for n, p := range configuration.Pools() {
+		if r := SplitPool(n, p.Servers, maxServers); r != nil {
+			m[n] = r
 		}
 	}
-	m := make(map[sardineknot.PoolName][]Shard, len(p))
-	for n, l := range p {
-		m[n] = splitPool(n, l, maxServers)
-	}
 	return m
 }
 
-func splitPool(pool sardineknot.PoolName, servers []sardineknot.BackendServer, maxServers int) []Shard {
+// SplitPool returns the shards of the pool with the given servers. A pool of plain
+// services has none.
+func SplitPool(pool sardineknot.PoolName, servers []sardineknot.BackendServer, maxServers int) []Shard {
+	if len(servers) == 0 || servers[0].Role == sardineknot.RolePlain {
+		return nil
+	}
 	if len(servers) <= maxServers {
-		return []Shard{newShard(pool, "", 0, servers)}
+		return []Shard{newShard(pool, "", 0, slices.Clone(servers))}
 	}
 	z := make(map[sardineknot.AvailabilityZone][]sardineknot.BackendServer)
 	for _, s := range servers {
@@ -122,7 +122,10 @@
 func distribute(pool sardineknot.PoolName, servers []sardineknot.BackendServer, shards [][]sardineknot.BackendServer) {
 	c := make([]int, len(shards))
 	f := len(servers) / len(shards)
+	var h []byte
 	for i, s := range servers {
+		h = append(append(append(append(h[:0], pool...), 0), s.Name...), 0)
+		k := len(h)
 		m := f
 		if i >= f*len(shards) {
 			m = f + 1
@@ -130,7 +133,8 @@
 		b := -1
 		var w uint64
 		for j := range shards {
-			v := xxhash.Sum64String(fmt.Sprintf("%s\x00%s\x00%d", pool, s.Name, j))
+			h = strconv.AppendInt(h[:k], int64(j), 10)
+			v := xxhash.Sum64(h)
 			if c[j] < m && (b < 0 || v > w) {
 				b, w = j, v
 			}
--- a/internal/slots/twirp/choose.go
+++ b/internal/slots/twirp/choose.go
@@ -19,7 +19,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var h, o []*shardLink
-	for _, l := range p.linksByPool[job.Pool] {
+	for _, l := range p.poolLinksLocked(job.Pool) {
 		switch {
 		case tried[l]:
 		case l.zone() == job.Zone || l.zone() == "":
--- a/internal/slots/twirp/link.go
+++ b/internal/slots/twirp/link.go
@@ -21,6 +21,9 @@
 	mu           sync.Mutex
 	shard        shard.Shard
 	networkLinks []sardineknot.Link
+	// shardChanged is set while the local and the acting shard do not have the
+	// servers of shard.
+	shardChanged bool
 	// owner is valid only if hasOwner is set.
 	owner    sardineknot.EntryHost
 	hasOwner bool
@@ -63,14 +66,19 @@
 func (l *shardLink) setShard(definition shard.Shard) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.shard = definition
+	l.shard, l.shardChanged = definition, true
 }
 
 // setServers updates the servers and the network links of the local and of the
-// acting shard.
-func (l *shardLink) setServers(links []sardineknot.Link) {
+// acting shard, unless both are the same as before. sameLinks reports whether the
+// network links are.
+func (l *shardLink) setServers(links []sardineknot.Link, sameLinks bool) {
 	l.mu.Lock()
-	l.networkLinks = links
+	if sameLinks && !l.shardChanged {
+		l.mu.Unlock()
+		return
+	}
+	l.networkLinks, l.shardChanged = links, false
 	s := l.shard
 	o := []*local.Shard{l.local, l.acting}
 	l.mu.Unlock()
--- a/internal/slots/twirp/pool.go
+++ b/internal/slots/twirp/pool.go
@@ -90,10 +90,8 @@
 	// links holds, by name, the links to the shards of the configuration and to
 	// the removed shards that still have jobs.
 	links map[string]*shardLink
-	// linksByPool holds the links to the shards of the configuration, by pool.
-	linksByPool map[sardineknot.PoolName][]*shardLink
-	// linkByServer holds the link to the shard to which each server belongs.
-	linkByServer map[sardineknot.BackendServerName]*shardLink
+	// pools holds the links to the shards of the configuration, by pool.
+	pools map[sardineknot.PoolName]*poolLinks
 }
 
 var _ sardineknot.SlotPool = (*Pool)(nil)
@@ -218,7 +216,7 @@
 // engine of the job belongs to no shard.
 func (p *Pool) Adopt(running sardineknot.RunningJob) {
 	p.mu.Lock()
-	l := p.linkByServer[running.Grant.DecodeEngine]
+	l := p.linkByServerLocked(running.Grant.DecodeEngine)
 	p.mu.Unlock()
 	if l == nil {
 		return
--- a/internal/slots/twirp/refresh.go
+++ b/internal/slots/twirp/refresh.go
@@ -1,6 +1,8 @@
 package twirp
 
 import (
+	"slices"
+
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/slots/local"
 	"sardineknot.example/sardineknot/internal/slots/shard"
@@ -13,6 +15,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	n := c != p.configuration
+	k := n && p.configuration != nil && slices.Equal(c.Links, p.configuration.Links)
 	i := p.Members.Self().Incarnation
 	if n {
 		p.rebuildLinksLocked(c)
@@ -24,7 +27,7 @@
 			l.setIncarnation(i)
 		}
 		if n {
-			l.setServers(c.Links)
+			l.setServers(c.Links, k)
 		}
 	}
 	if n {
@@ -36,36 +39,23 @@
 
 // rebuildLinksLocked creates and updates the links for the shards of the
 // current configuration. Links of removed shards lose their servers and are
-// kept until removeUnusedLocked deletes them.
+// kept until removeUnusedLocked deletes them. Pools that the configuration shares
+// with the one before keep their shards.
 func (p *Pool) rebuildLinksLocked(current *sardineknot.Configuration) {
 	p.configuration = current
 	if p.links == nil {
 		p.links = make(map[string]*shardLink)
 	}
-	p.linksByPool = make(map[sardineknot.PoolName][]*shardLink)
-	p.linkByServer = make(map[sardineknot.BackendServerName]*shardLink)
-	g := make(map[string]bool, len(p.links))
-	for s := range p.links {
-		g[s] = true
-	}
-	for n, r := range shard.Split(current, p.maxShardServers()) {
-		for _, s := range r {
-			l := p.links[s.Name]
-			if l == nil {
-				l = newShardLink(p, s.Name)
-				p.links[s.Name] = l
-			}
-			l.setShard(s)
-			delete(g, s.Name)
-			p.linksByPool[n] = append(p.linksByPool[n], l)
-			for _, b := range s.Servers {
-				p.linkByServer[b.Name] = l
-			}
+	o := p.pools
+	p.pools = make(map[sardineknot.PoolName]*poolLinks, len(o))
+	for n, v := range current.Pools() {
+		k := o[n]
+		if k == nil || k.servers != v {
+			k = p.newPoolLinksLocked(n, v)
 		}
+		p.pools[n] = k
 	}
-	for s := range g {
-		p.links[s].setShard(shard.Shard{Name: s})
-	}
+	p.removeShardsLocked(o)
 }
 
 // reassignJobsLocked moves each running job whose decode engine now belongs to
@@ -73,7 +63,7 @@
 func (p *Pool) reassignJobsLocked() {
 	for _, l := range p.links {
 		for _, r := range l.runningJobs() {
-			h := p.linkByServer[r.Grant.DecodeEngine]
+			h := p.linkByServerLocked(r.Grant.DecodeEngine)
 			if h == nil || h == l {
 				continue
 			}
