membership/store: hosts are sorted only after a change

Each commit of the mirror, renewal and tick sorted all hosts and compared them with the last list. That is left out unless a host was added, removed or excluded, or an exclusion or a lapsed key runs out. Before the first answer of the service to the mirror, a key that is gone from a list of keys counts as lapsed at once. The shards of a zone are counted without copies of its servers.

--- a/internal/membership/store/entries.go
+++ b/internal/membership/store/entries.go
@@ -64,6 +64,7 @@
 func (r *Registry) removeLocked(i sardineknot.EntryHostID) {
 	if m := r.hosts[i]; m != nil && m.keyRemovedAt.IsZero() {
 		m.keyRemovedAt = r.Clock.Now()
+		r.dirty = true
 	}
 }
 
@@ -76,6 +77,7 @@
 	}
 	m.host = h
 	m.keyRemovedAt = time.Time{}
+	r.dirty = true
 }
 
 // Refresh puts all applied changes in force. It ends exclusions whose time has
@@ -91,6 +93,10 @@
 // refreshLocked recomputes the result of Hosts and, if it changed, notifies the
 // listeners of Changed.
 func (r *Registry) refreshLocked() {
+	if !r.dirty && !r.timed {
+		return
+	}
+	r.dirty, r.timed = false, false
 	n := r.Clock.Now()
 	l := []sardineknot.EntryHost{r.self}
 	for i, m := range r.hosts {
@@ -100,8 +106,10 @@
 			continue
 		}
 		h := m.host
+		r.timed = r.timed || !m.keyRemovedAt.IsZero()
 		if n.Before(m.excludedUntil) {
 			h.State = sardineknot.EntryHostDead
+			r.timed = true
 		}
 		l = append(l, h)
 	}
@@ -138,11 +146,16 @@
 // expiredLocked reports whether host m is to be removed: its key was removed,
 // and the service has answered for longer than reregistrationGrace. Before
 // that, the host may still write its key again, because an outage of the
-// service prevents live hosts from renewing their leases.
+// service prevents live hosts from renewing their leases. Before the first answer of the
+// service to the mirror, keys are known from lists of them only, and one that is no
+// longer in the list has lapsed.
 func (r *Registry) expiredLocked(now time.Time, m *member) bool {
 	if m.keyRemovedAt.IsZero() {
 		return false
 	}
 	k, t := r.Reachability()
+	if !k && t.IsZero() {
+		return true
+	}
 	return k && now.Sub(t) > reregistrationGrace
 }
--- a/internal/membership/store/lease.go
+++ b/internal/membership/store/lease.go
@@ -49,6 +49,10 @@
 	return r.ownRevision
 }
 
+// Registered reports whether Apply has received the key of this host, be it of an
+// earlier incarnation.
+func (r *Registry) Registered() bool { return !r.lastOwnRevision().Absent() }
+
 // waitForEntries waits until the entries of the service were read, so that the
 // first write replaces the key of an earlier incarnation without a conflict. It
 // waits for at most firstWriteDelay.
--- a/internal/membership/store/registry.go
+++ b/internal/membership/store/registry.go
@@ -53,6 +53,9 @@
 	// modified.
 	list    []sardineknot.EntryHost
 	changed chan struct{}
+	// dirty is set while list does not reflect self and hosts. timed is set while hosts
+	// has a member that is excluded or has lost its key, so that list changes with time.
+	dirty, timed bool
 	// rewrite signals Run to write the key of this host again.
 	rewrite chan struct{}
 	// ownRevision is the revision of the key of this host that Apply received
@@ -135,6 +138,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.self.State = sardineknot.EntryHostLeaving
+	r.dirty = true
 	r.refreshLocked()
 	r.requestWrite()
 }
@@ -162,6 +166,7 @@
 	}
 	m.exclusionTime = min(maxExclusionTime, max(minExclusionTime, ttlFor(len(r.list)), 2*m.exclusionTime))
 	m.excludedUntil = t.Add(m.exclusionTime)
+	r.dirty = true
 	r.Log.Warn().Stringer("event", sardineknot.LogHostSetAside).Str("peer", string(n)).Dur("for_ms", m.exclusionTime).Send()
 	r.refreshLocked()
 }
--- a/internal/slots/shard/shard.go
+++ b/internal/slots/shard/shard.go
@@ -102,18 +102,23 @@
 // of two, so that it seldom changes, unless a role has too few servers for
 // every shard to get one.
 func shardCount(servers []sardineknot.BackendServer, maxServers int) int {
-	r := groupByRole(servers)
-	if len(r) < 2 {
+	d, p := 0, 0
+	for i := range servers {
+		switch servers[i].Role {
+		case sardineknot.RoleDecode:
+			d++
+		case sardineknot.RolePrefill:
+			p++
+		}
+	}
+	if d == 0 || p == 0 {
 		return 0
 	}
 	n := 1
 	for n*maxServers < len(servers) {
 		n *= 2
 	}
-	for _, s := range r {
-		n = min(n, len(s))
-	}
-	return n
+	return min(n, d, p)
 }
 
 // distribute spreads servers evenly over shards. Among the shards that are not
