platform/twirp: hosts that start together read from followers

When all hosts were killed, each read all keys from the store, as it knew of no other host, and then asked a follower. A host now reads the keys of hosts first, which outlive their hosts by a lease, and selects the followers by them. If its own key is not there, it writes it, waits for 0.3 s for those of others, and reads them again. Hosts that are not followers ask followers once a second; only if none has answered after 3 s do they read all keys themselves, spread over 10 ms for each host. The keys of hosts are read again once a second until then.

Followers send all keys packed: encoded once, with the changes since then beside them, so that an answer is always complete up to the end of the log. A reader says that it accepts this; other readers get what they got until now, and an older follower answers plainly.

--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -1,12 +1,15 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/membership/followers"
+	"sardineknot.example/sardineknot/internal/membership/rendezvous"
+	membership "sardineknot.example/sardineknot/internal/membership/store"
 	"sardineknot.example/sardineknot/internal/platform/changelog"
 	"sardineknot.example/sardineknot/internal/platform/mirror"
 	feed "sardineknot.example/sardineknot/internal/platform/twirp"
@@ -25,8 +28,21 @@
 	// peerPollDelay is the delay between two calls to a follower. It gathers
 	// changes that followers learn of one after the other.
 	peerPollDelay = 100 * time.Millisecond
+	// registrationWait is the time that a host without a key in the store waits when it
+	// starts, before it selects the followers. After all hosts were killed and their
+	// keys have expired, they write their keys again meanwhile.
+	registrationWait = 300 * time.Millisecond
+	// firstStoreWait is the time after the start in which a host that is not a follower
+	// asks only followers. Then hosts read all keys themselves, spread over
+	// firstStoreSpread for each known host.
+	firstStoreWait   = 3 * time.Second
+	firstStoreSpread = 10 * time.Millisecond
 )
 
+// startShard and the name of a host determine when the host reads all keys itself if no
+// follower answers.
+const startShard = "start"
+
 // addFeed creates the components that follow the key-value service.
 func (p *Process) addFeed() {
 	p.entries = changelog.NewLog()
@@ -38,6 +54,22 @@
 		PeerCalls:  metrics.GetOrRegisterCounter("store.peer_reads", p.Metrics),
 	}
 	p.mirror.Feed = p.feed
+	p.mirror.List, p.mirror.Prefix, p.mirror.OnList = p.Store.List, membership.KeyPrefix, p.beginWithHosts
+	u := float64(rendezvous.Weight(startShard, p.Settings.ID)) / math.MaxUint64
+	p.feed.FirstStoreWait = func() time.Duration {
+		return firstStoreWait + time.Duration(u*float64(len(p.registry.Hosts()))*float64(firstStoreSpread))
+	}
+}
+
+// beginWithHosts puts the entry hosts in force whose keys were read. It returns how
+// long to wait before the keys are read again: hosts that start together must know of
+// each other, or each would read all keys of the store.
+func (p *Process) beginWithHosts(first bool) time.Duration {
+	p.registry.Refresh()
+	if first && !p.registry.Registered() {
+		return registrationWait
+	}
+	return 0
 }
 
 // pollDelay returns the delay between two calls that return changes of the
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -56,6 +56,13 @@
 	OnRestore func(era sardineknot.StoreEra)
 	// Restores counts the calls of OnRestore.
 	Restores metrics.Counter
+	// List, if set, reads the entries of Prefix before all keys are read for the first
+	// time. They are reported to OnChange. After that, OnList is called; it returns how
+	// long to wait before they are read once more, or zero to go on. first is set at
+	// its first call.
+	List   func(ctx context.Context, prefix string) ([]sardineknot.StoreEntry, error)
+	Prefix string
+	OnList func(first bool) time.Duration
 
 	mu sync.Mutex
 	// reachabilityChanged is the time at which reachable last changed, or at
@@ -67,6 +74,10 @@
 	// reports whether they were read at least once. Only Run uses both.
 	entries map[string]sardineknot.StoreEntry
 	loaded  bool
+	// listedAt is the time of the last call of List, and listedEra the latest era of
+	// its entries. Only Run uses both.
+	listedAt  time.Time
+	listedEra sardineknot.StoreEra
 }
 
 // Reachability reports whether the service answers. since is the time at which
@@ -129,10 +140,15 @@
 // pass to the next call of poll. It fails with a StaleEraError if what was read
 // is of an earlier era.
 func (m *Mirror) loadSnapshot(ctx context.Context, era sardineknot.StoreEra) (sardineknot.StoreRevision, error) {
+	err := m.listPrefix(ctx)
+	if err != nil {
+		return sardineknot.StoreRevision{}, err
+	}
 	l, n, err := m.Feed.Snapshot(ctx)
 	if err != nil {
 		return sardineknot.StoreRevision{}, err
 	}
+	era = max(era, m.listedEra)
 	if n.Era < era {
 		return sardineknot.StoreRevision{}, errors.WithStack(&sardineknot.StaleEraError{Got: n.Era, Latest: era})
 	}
@@ -140,18 +156,24 @@
 		m.beginEra(era, n.Era)
 	}
 	m.loaded = true
-	k := make(map[string]bool, len(l))
-	for _, e := range l {
+	m.replace(l, n.Era)
+	m.OnBatch(n)
+	return n, nil
+}
+
+// replace reports the differences between entries, which were read in era and are
+// complete, and those that are known.
+func (m *Mirror) replace(entries []sardineknot.StoreEntry, era sardineknot.StoreEra) {
+	k := make(map[string]bool, len(entries))
+	for _, e := range entries {
 		k[e.Key] = true
 		m.apply(e)
 	}
 	for s := range m.entries {
 		if !k[s] {
-			m.apply(sardineknot.StoreEntry{Key: s, Revision: sardineknot.StoreRevision{Era: n.Era}})
+			m.apply(sardineknot.StoreEntry{Key: s, Revision: sardineknot.StoreRevision{Era: era}})
 		}
 	}
-	m.OnBatch(n)
-	return n, nil
 }
 
 // beginEra records that the service has come back from an older copy. Entries
--- a/internal/platform/twirp/cluster_test.go
+++ b/internal/platform/twirp/cluster_test.go
@@ -178,11 +178,16 @@
 	return h.seen[key], h.seenAt[key]
 }
 
-// start starts count hosts that are spread over zones.
-func start(t *testing.T, count, zones int) *cluster {
-	c := &cluster{service: &service{}}
-	c.service.log.Store(changelog.NewLog())
-	c.service.put("config", "1")
+// newService returns a service that holds a configuration.
+func newService() *service {
+	s := &service{}
+	s.log.Store(changelog.NewLog())
+	s.put("config", "1")
+	return s
+}
+
+// newEntries returns the entries of count hosts that are spread over zones.
+func newEntries(count, zones int) []sardineknot.EntryHost {
 	var l []sardineknot.EntryHost
 	for i := range count {
 		l = append(l, sardineknot.EntryHost{
@@ -190,6 +195,13 @@
 			PeerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(i >> 8), byte(i)}), 1),
 		})
 	}
+	return l
+}
+
+// start starts count hosts that are spread over zones.
+func start(t *testing.T, count, zones int) *cluster {
+	c := &cluster{service: newService()}
+	l := newEntries(count, zones)
 	for _, e := range l {
 		c.hosts = append(c.hosts, newHost(c, e, l))
 	}
--- a/internal/platform/twirp/feed.go
+++ b/internal/platform/twirp/feed.go
@@ -36,6 +36,9 @@
 	// thousands of backend servers take many pages, each with a time limit of
 	// its own.
 	snapshotTimeout = 20 * time.Second
+	// peerSnapshotTimeout bounds a read of all keys from a follower, which many hosts
+	// may do at the same time.
+	peerSnapshotTimeout = 5 * time.Second
 	// storeInterval is the least time between two calls to the service of a
 	// host that is not a follower, or of a follower that the service does not answer
 	// while other followers do.
@@ -63,7 +66,14 @@
 	Log zerolog.Logger
 	// StoreCalls and PeerCalls count the calls to the service and to followers.
 	StoreCalls, PeerCalls metrics.Counter
+	// FirstStoreWait returns the time after the first call for which a host that is not
+	// a follower leaves the service alone and only asks followers, if nothing was
+	// answered yet. It is to differ between hosts, which may all have started together:
+	// followers take some time to read all keys. Nil means no such time.
+	FirstStoreWait func() time.Duration
 
+	// packs holds the entries as they are sent to hosts that start.
+	packs packedEntries
 	// latest is the latest era of an answer.
 	latest era.Latest
 
@@ -77,6 +87,9 @@
 	source sardineknot.EntryHostID
 	// storeAskedAt is the time of the last call to the service.
 	storeAskedAt time.Time
+	// startedAt is the time of the first call. answered is set once there was an answer.
+	startedAt time.Time
+	answered  bool
 }
 
 var _ sardineknot.ChangeFeed = (*Feed)(nil)
@@ -126,6 +139,7 @@
 // A host that is a follower itself calls askStore first. The service may refuse
 // this host and serve others. A CompactedError is an answer.
 func (f *Feed) read(ctx context.Context, wait time.Duration, askPeer func(context.Context, rpc.Changes, time.Duration) error, askStore func(context.Context) error) error {
+	f.recordStart()
 	if !f.Selector.FollowsStore() {
 		return f.readPeers(ctx, wait, askPeer, askStore)
 	}
@@ -140,6 +154,15 @@
 	return f.readPeers(ctx, min(wait, retryWait), askPeer, askStore)
 }
 
+// recordStart records the time of the first call.
+func (f *Feed) recordStart() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.startedAt.IsZero() {
+		f.startedAt = f.Clock.Now()
+	}
+}
+
 // hasPeers reports whether there is another follower.
 func (f *Feed) hasPeers() bool { return len(f.Selector.Peers()) > 0 }
 
@@ -221,11 +244,15 @@
 }
 
 // mayAskStore reports whether the last call to the service was at least
-// storeInterval ago, and if so records a call.
+// storeInterval ago, and if so records a call. Before the first answer, it also
+// requires that FirstStoreWait has passed.
 func (f *Feed) mayAskStore() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	n := f.Clock.Now()
+	if !f.answered && f.FirstStoreWait != nil && n.Sub(f.startedAt) < f.FirstStoreWait() {
+		return false
+	}
 	if n.Sub(f.storeAskedAt) < storeInterval {
 		return false
 	}
@@ -238,6 +265,7 @@
 func (f *Feed) setSource(peer sardineknot.EntryHostID) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.answered = true
 	if f.source == peer {
 		return
 	}
--- a/internal/platform/twirp/peer.go
+++ b/internal/platform/twirp/peer.go
@@ -11,11 +11,8 @@
 	rpc "sardineknot.example/sardineknot/internal/rpc/changes"
 )
 
-// callPeer calls ask with a client of host. The call may take peerMargin more
-// than wait.
+// callPeer calls ask with a client of host.
 func callPeer(ctx context.Context, client *http.Client, host sardineknot.EntryHost, wait time.Duration, ask func(context.Context, rpc.Changes, time.Duration) error) error {
-	ctx, cancel := context.WithTimeout(ctx, wait+peerMargin)
-	defer cancel()
 	err := ask(ctx, rpc.NewChangesProtobufClient("http://"+host.PeerAddress.String(), client), wait)
 	if isAnswer(err) {
 		return err
@@ -23,19 +20,42 @@
 	return errors.WithStack(&sardineknot.UnavailableError{Peer: string(host.ID), Cause: err})
 }
 
-// snapshotFrom reads all entries of peer.
+// snapshotFrom reads all entries of peer. It first asks for no more than whether peer
+// serves, because a peer that is silent must be noticed soon, while many hosts that
+// read all entries at once may take long.
 func snapshotFrom(ctx context.Context, peer rpc.Changes) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
-	a, err := peer.Snapshot(ctx, &rpc.SnapshotRequest{})
+	err := probe(ctx, peer)
+	if err != nil {
+		return nil, sardineknot.StoreRevision{}, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerSnapshotTimeout)
+	defer cancel()
+	a, err := peer.Snapshot(ctx, &rpc.SnapshotRequest{AcceptsPacked: true})
 	if err != nil {
 		return nil, sardineknot.StoreRevision{}, err
 	}
 	e := sardineknot.StoreEra(a.GetEra())
-	return entriesFromMessage(a.GetEntries(), e), sardineknot.StoreRevision{Era: e, Number: a.GetRevision()}, nil
+	l := a.GetEntries()
+	if len(a.GetPacked()) > 0 {
+		l, err = unpack(a.GetPacked(), l)
+	}
+	return entriesFromMessage(l, e), sardineknot.StoreRevision{Era: e, Number: a.GetRevision()}, err
+}
+
+// probe fails unless peer serves what it has read. No peer has the changes after
+// revision zero, so the answer is short.
+func probe(ctx context.Context, peer rpc.Changes) error {
+	ctx, cancel := context.WithTimeout(ctx, retryWait+peerMargin)
+	defer cancel()
+	_, err := peer.Next(ctx, &rpc.NextRequest{})
+	return err
 }
 
 // nextFrom reads the changes of peer after revision, for which peer waits for
-// at most wait. It fails with a CompactedError if peer does not have them.
+// at most wait. The call may take peerMargin more. It fails with a CompactedError if peer does not have them.
 func nextFrom(ctx context.Context, peer rpc.Changes, revision sardineknot.StoreRevision, wait time.Duration) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+peerMargin)
+	defer cancel()
 	a, err := peer.Next(ctx, &rpc.NextRequest{Era: int64(revision.Era), Revision: revision.Number, WaitMicros: wait.Microseconds()})
 	if err != nil {
 		return nil, revision, err
--- a/internal/platform/twirp/service.go
+++ b/internal/platform/twirp/service.go
@@ -27,11 +27,18 @@
 }
 
 // Snapshot implements rpc.Changes.
-func (s *service) Snapshot(context.Context, *rpc.SnapshotRequest) (*rpc.SnapshotResponse, error) {
+func (s *service) Snapshot(ctx context.Context, request *rpc.SnapshotRequest) (*rpc.SnapshotResponse, error) {
 	err := s.check()
 	if err != nil {
 		return nil, err
 	}
+	if request.GetAcceptsPacked() {
+		r, err := s.feed.packedSnapshot(ctx)
+		if err != nil {
+			return nil, twirp.InternalErrorWith(err)
+		}
+		return r, nil
+	}
 	l, n := s.feed.Entries.Snapshot()
 	return &rpc.SnapshotResponse{Entries: entriesMessage(l), Era: int64(n.Era), Revision: n.Number}, nil
 }
