configuration/store: entries that tell nothing new are not decoded

Followers decoded the JSON of every write of every server, although mostly nothing but a counter differs. If the decoder has the method SameServer, the source asks it first; internal/platform/rewrite holds a comparison of bytes for it, which accepts nothing but another number in one named member. The decoder of the platform does not have the method yet.

--- a/internal/configuration/store/compose.go
+++ b/internal/configuration/store/compose.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 
 	"sardineknot.example/sardineknot"
@@ -83,3 +84,20 @@
 	b.EventTokens = v.Engine.EventTokens
 	return b
 }
+
+// logKnownLocked logs which servers are new or have changed since the last commit.
+func (s *Source) logKnownLocked() {
+	if len(s.touched) > maxLoggedServers {
+		s.Log.Info().Stringer("event", sardineknot.LogServersKnown).Int("changed", len(s.touched)).Int("servers", len(s.servers)).Send()
+		return
+	}
+	for _, k := range slices.Sorted(maps.Keys(s.touched)) {
+		b := s.servers[k]
+		if b == nil {
+			continue
+		}
+		s.Log.Info().Stringer("event", sardineknot.LogServerKnown).Str("server", string(b.Name)).Str("address", b.Address.String()).
+			Str("service", b.Service).Str("role", string(b.Role)).Str("state", string(b.State)).
+			Str("version", string(b.SoftwareVersion)).Send()
+	}
+}
--- a/internal/configuration/store/source.go
+++ b/internal/configuration/store/source.go
@@ -26,6 +26,10 @@
 // their entries again.
 const reregistrationGrace = 2200 * time.Millisecond
 
+// maxLoggedServers is the number of servers in one commit up to which each has a line
+// in the log. At a start, lines about thousands cost as much as reading their entries.
+const maxLoggedServers = 64
+
 // Source implements sardineknot.ConfigurationSource. It is safe for concurrent
 // use. The exported fields must be set before use.
 type Source struct {
@@ -65,11 +69,22 @@
 // server is a backend server and the state of its entry.
 type server struct {
 	sardineknot.BackendServer
+	// value is the value of the entry that was decoded. Later ones may have replaced it
+	// that tell nothing new.
+	value []byte
 	// removedAt is the time at which the entry was removed, or zero while it
 	// exists.
 	removedAt time.Time
 }
 
+// comparer is a StoreEntryDecoder that can tell cheaply that an entry is no news.
+type comparer interface {
+	// SameServer reports whether the values previous and next of the same key decode to
+	// the same server. previous was decoded without an error. SameServer may return
+	// false although they do.
+	SameServer(previous, next []byte) bool
+}
+
 var _ sardineknot.ConfigurationSource = (*Source)(nil)
 
 // NewSource returns a source that provides the empty configuration.
@@ -109,12 +124,25 @@
 	if e.Revision.Absent() {
 		return s.removeLocked(e.Key)
 	}
+	if s.repeatedLocked(e) {
+		return false
+	}
 	c, ok, err := s.Decoder.DecodeConfiguration(e)
 	if ok {
 		return s.acceptLocked(c, err)
 	}
 	b, ok, err := s.Decoder.DecodeServer(e)
-	return ok && s.putLocked(e.Key, b, err)
+	return ok && s.putLocked(e, b, err)
+}
+
+// repeatedLocked reports whether e certainly describes the server that is known.
+func (s *Source) repeatedLocked(e sardineknot.StoreEntry) bool {
+	c, ok := s.Decoder.(comparer)
+	if !ok {
+		return false
+	}
+	o := s.servers[e.Key]
+	return o != nil && o.removedAt.IsZero() && c.SameServer(o.value, e.Value)
 }
 
 func (s *Source) acceptLocked(c *sardineknot.Configuration, err error) bool {
@@ -130,12 +158,12 @@
 	return true
 }
 
-func (s *Source) putLocked(k string, b sardineknot.BackendServer, err error) bool {
-	o := s.servers[k]
+func (s *Source) putLocked(e sardineknot.StoreEntry, b sardineknot.BackendServer, err error) bool {
+	o := s.servers[e.Key]
 	if err != nil {
 		if o != nil {
-			delete(s.servers, k)
-			s.touched[k] = o.Name
+			delete(s.servers, e.Key)
+			s.touched[e.Key] = o.Name
 		}
 		s.Log.Warn().Stringer("event", sardineknot.LogServerEntryRefused).Str("server", string(b.Name)).Err(err).Send()
 		return true
@@ -143,11 +171,8 @@
 	if o != nil && o.removedAt.IsZero() && o.BackendServer == b {
 		return false
 	}
-	s.servers[k] = &server{BackendServer: b}
-	s.touched[k] = b.Name
-	s.Log.Info().Stringer("event", sardineknot.LogServerKnown).Str("server", string(b.Name)).Str("address", b.Address.String()).
-		Str("service", b.Service).Str("role", string(b.Role)).Str("state", string(b.State)).
-		Str("version", string(b.SoftwareVersion)).Send()
+	s.servers[e.Key] = &server{BackendServer: b, value: e.Value}
+	s.touched[e.Key] = b.Name
 	return true
 }
 
@@ -171,6 +196,7 @@
 	if !s.stale && len(s.touched) == 0 {
 		return
 	}
+	s.logKnownLocked()
 	s.composeLocked()
 	c := *s.base
 	s.replaceLocked(&c)
--- a/internal/host/gateway/scale_bench_test.go
+++ b/internal/host/gateway/scale_bench_test.go
@@ -19,6 +19,7 @@
 	"sardineknot.example/sardineknot/internal/membership/rendezvous"
 	membership "sardineknot.example/sardineknot/internal/membership/store"
 	"sardineknot.example/sardineknot/internal/platform/changelog"
+	"sardineknot.example/sardineknot/internal/platform/rewrite"
 	"sardineknot.example/sardineknot/internal/policy/memory"
 	"sardineknot.example/sardineknot/internal/slots/twirp"
 	"sardineknot.example/sardineknot/internal/versions/history"
@@ -79,6 +80,11 @@
 	return b, true, nil
 }
 
+// SameServer reports whether next differs from previous in its sequence only.
+func (jsonDecoder) SameServer(previous, next []byte) bool {
+	return rewrite.OnlyCounted(previous, next, "sequence")
+}
+
 // benchEntry returns the entry of server i, born and written at the given times. Four
 // fifths of the servers are engines of four services, the others serve 20 services.
 func benchEntry(i int, born, sequence int64) sardineknot.StoreEntry {
--- a/logevent.go
+++ b/logevent.go
@@ -86,6 +86,9 @@
 	LogConfigurationStoreOlder LogEvent = "configuration_store_older"
 	// LogServerKnown reports a new or changed backend server.
 	LogServerKnown LogEvent = "server_known"
+	// LogServersKnown reports how many backend servers are new or have changed at once,
+	// in place of a line for each.
+	LogServersKnown LogEvent = "servers_known"
 	// LogServerGone reports that a backend server was removed.
 	LogServerGone LogEvent = "server_gone"
 	// LogServerLeavingSeen reports that a backend server has said in an answer
