--- a/internal/host/gateway/follow_test.go
+++ b/internal/host/gateway/follow_test.go
@@ -66,3 +66,29 @@
 	p.put(sardineknot.StoreRevision{Era: 1, Number: 6}, "one")
 	checkPassedOn(t, p, 3, sardineknot.StoreRevision{Era: 1, Number: 6})
 }
+
+// TestBeginWithHosts guards against a host that reads all keys of the store although
+// others could give it theirs, because it knows of none when it selects the followers.
+func TestBeginWithHosts(t *testing.T) {
+	put := func(p *Process, id string) {
+		p.applyEntry(sardineknot.StoreEntry{
+			Key: membership.KeyPrefix + id, Revision: sardineknot.StoreRevision{Number: 1},
+			Value: []byte(`{"Incarnation":1,"CallerAddress":"10.0.0.1:1","PeerAddress":"10.0.0.1:2"}`),
+		})
+	}
+	t.Run("a host without a key waits once for those of others", func(t *testing.T) {
+		is := is.New(t)
+		p := newTestProcess()
+		put(p, "b")
+		is.Equal(p.beginWithHosts(true), registrationWait)
+		is.Equal(len(p.registry.Hosts()), 2)
+		put(p, "c")
+		is.Equal(p.beginWithHosts(false), time.Duration(0))
+		is.Equal(len(p.registry.Hosts()), 3)
+	})
+	t.Run("a host whose earlier key is there does not wait", func(t *testing.T) {
+		p := newTestProcess()
+		put(p, "a")
+		is.New(t).Equal(p.beginWithHosts(true), time.Duration(0))
+	})
+}
