host/gateway: a host that starts waits until its key is written

It waited once, for 0.3 s. If the store takes longer to write the keys of all hosts, each would see few others, select itself as a follower and read all keys. It now reads the keys of hosts again until its own is among them, five times at most. Tests cover readers and followers of a build that does not know packed entries.

--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -29,9 +29,12 @@
 	// changes that followers learn of one after the other.
 	peerPollDelay = 100 * time.Millisecond
 	// registrationWait is the time that a host without a key in the store waits when it
-	// starts, before it selects the followers. After all hosts were killed and their
-	// keys have expired, they write their keys again meanwhile.
-	registrationWait = 300 * time.Millisecond
+	// starts, before it reads the keys of hosts again and selects the followers. After
+	// all hosts were killed and their keys have expired, they write their keys again
+	// meanwhile. maxRegistrationWaits bounds how often it waits, for a host that cannot
+	// write its key.
+	registrationWait     = 300 * time.Millisecond
+	maxRegistrationWaits = 5
 	// firstStoreWait is the time after the start in which a host that is not a follower
 	// asks only followers. Then hosts read all keys themselves, spread over
 	// firstStoreSpread for each known host.
@@ -63,10 +66,11 @@
 
 // beginWithHosts puts the entry hosts in force whose keys were read. It returns how
 // long to wait before the keys are read again: hosts that start together must know of
-// each other, or each would read all keys of the store.
-func (p *Process) beginWithHosts(first bool) time.Duration {
+// each other, or each would read all keys of the store. calls is the number of earlier
+// calls.
+func (p *Process) beginWithHosts(calls int) time.Duration {
 	p.registry.Refresh()
-	if first && !p.registry.Registered() {
+	if calls < maxRegistrationWaits && !p.registry.Registered() {
 		return registrationWait
 	}
 	return 0
--- a/internal/host/gateway/follow_test.go
+++ b/internal/host/gateway/follow_test.go
@@ -76,19 +76,24 @@
 			Value: []byte(`{"Incarnation":1,"CallerAddress":"10.0.0.1:1","PeerAddress":"10.0.0.1:2"}`),
 		})
 	}
-	t.Run("a host without a key waits once for those of others", func(t *testing.T) {
+	t.Run("a host without a key waits until it is written", func(t *testing.T) {
 		is := is.New(t)
 		p := newTestProcess()
 		put(p, "b")
-		is.Equal(p.beginWithHosts(true), registrationWait)
+		is.Equal(p.beginWithHosts(0), registrationWait)
 		is.Equal(len(p.registry.Hosts()), 2)
 		put(p, "c")
-		is.Equal(p.beginWithHosts(false), time.Duration(0))
+		is.Equal(p.beginWithHosts(1), registrationWait)
+		put(p, "a")
+		is.Equal(p.beginWithHosts(2), time.Duration(0))
 		is.Equal(len(p.registry.Hosts()), 3)
 	})
+	t.Run("a host that cannot write its key goes on", func(t *testing.T) {
+		is.New(t).Equal(newTestProcess().beginWithHosts(maxRegistrationWaits), time.Duration(0))
+	})
 	t.Run("a host whose earlier key is there does not wait", func(t *testing.T) {
 		p := newTestProcess()
 		put(p, "a")
-		is.New(t).Equal(p.beginWithHosts(true), time.Duration(0))
+		is.New(t).Equal(p.beginWithHosts(0), time.Duration(0))
 	})
 }
--- a/internal/platform/mirror/list.go
+++ b/internal/platform/mirror/list.go
@@ -15,7 +15,7 @@
 // would get many times the load.
 func (m *Mirror) listPrefix(ctx context.Context) error {
 	n := m.Clock.Now()
-	if m.loaded || m.List == nil || !m.listedAt.IsZero() && n.Sub(m.listedAt) < listInterval {
+	if m.loaded || m.List == nil || m.lists > 0 && n.Sub(m.listedAt) < listInterval {
 		return nil
 	}
 	for {
@@ -27,9 +27,9 @@
 			m.listedEra = max(m.listedEra, e.Revision.Era)
 		}
 		m.replace(l, m.listedEra)
-		f := m.listedAt.IsZero()
 		m.listedAt = m.Clock.Now()
-		d := m.OnList(f)
+		d := m.OnList(m.lists)
+		m.lists++
 		if d == 0 {
 			return nil
 		}
--- a/internal/platform/mirror/list_test.go
+++ b/internal/platform/mirror/list_test.go
@@ -41,8 +41,8 @@
 			Feed: f, Clock: clock.System{}, Sleep: clock.System{}.Sleep, PollDelay: func() time.Duration { return 100 * time.Millisecond }, Log: zerolog.Nop(),
 			OnChange: func(e sardineknot.StoreEntry) { seen[e.Key] = e.Revision }, OnBatch: func(sardineknot.StoreRevision) {},
 			Restores: metrics.NewCounter(), OnRestore: func(sardineknot.StoreEra) { t.Error("a start is not a restore") },
-			List: l.list, OnList: func(first bool) time.Duration {
-				if first {
+			List: l.list, OnList: func(calls int) time.Duration {
+				if calls == 0 {
 					return again
 				}
 				return 0
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -58,11 +58,11 @@
 	Restores metrics.Counter
 	// List, if set, reads the entries of Prefix before all keys are read for the first
 	// time. They are reported to OnChange. After that, OnList is called; it returns how
-	// long to wait before they are read once more, or zero to go on. first is set at
-	// its first call.
+	// long to wait before they are read once more, or zero to go on. calls is the number
+	// of its earlier calls.
 	List   func(ctx context.Context, prefix string) ([]sardineknot.StoreEntry, error)
 	Prefix string
-	OnList func(first bool) time.Duration
+	OnList func(calls int) time.Duration
 
 	mu sync.Mutex
 	// reachabilityChanged is the time at which reachable last changed, or at
@@ -74,8 +74,9 @@
 	// reports whether they were read at least once. Only Run uses both.
 	entries map[string]sardineknot.StoreEntry
 	loaded  bool
-	// listedAt is the time of the last call of List, and listedEra the latest era of
-	// its entries. Only Run uses both.
+	// lists is the number of calls of List that succeeded, listedAt the time of the
+	// last one, and listedEra the latest era of its entries. Only Run uses them.
+	lists     int
 	listedAt  time.Time
 	listedEra sardineknot.StoreEra
 }
--- a/internal/platform/twirp/pack_test.go
+++ b/internal/platform/twirp/pack_test.go
@@ -81,3 +81,23 @@
 	is.Equal(len(r.GetPacked()), 0)
 	is.Equal(len(r.GetEntries()), 1)
 }
+
+// plainServer is a host of a build that does not know packed entries.
+type plainServer struct{ rpc.Changes }
+
+func (plainServer) Next(context.Context, *rpc.NextRequest) (*rpc.NextResponse, error) {
+	return &rpc.NextResponse{Compacted: true}, nil
+}
+
+func (plainServer) Snapshot(context.Context, *rpc.SnapshotRequest) (*rpc.SnapshotResponse, error) {
+	return &rpc.SnapshotResponse{Entries: []*rpc.Entry{{Key: "a", Revision: 1}}, Revision: 2, Era: 3}, nil
+}
+
+// TestPlainServer covers a follower of a build that does not know packed entries.
+func TestPlainServer(t *testing.T) {
+	is := is.New(t)
+	l, n, err := snapshotFrom(t.Context(), plainServer{})
+	is.NoErr(err)
+	is.Equal(n, sardineknot.StoreRevision{Era: 3, Number: 2})
+	is.Equal(l, []sardineknot.StoreEntry{{Key: "a", Revision: sardineknot.StoreRevision{Era: 3, Number: 1}}})
+}
--- a/internal/platform/twirp/start_test.go
+++ b/internal/platform/twirp/start_test.go
@@ -97,7 +97,7 @@
 		h.feed.Store = &startedStore{hostFeed: h.store, counted: s}
 		h.feed.FirstStoreWait = func() time.Duration { return 10 * time.Second }
 		h.mirror.List, h.mirror.Prefix = s.list, "hosts/"
-		h.mirror.OnList = func(first bool) time.Duration { return h.register(s, first) }
+		h.mirror.OnList = func(calls int) time.Duration { return h.register(s, calls) }
 		h.mirror.OnChange = func(e sardineknot.StoreEntry) {
 			h.apply(e)
 			h.learn(l, e)
@@ -109,9 +109,9 @@
 
 // register writes the key of the host, and waits for those of others if it was not
 // there, as the gateway does.
-func (h *host) register(s *countedStore, first bool) time.Duration {
+func (h *host) register(s *countedStore, calls int) time.Duration {
 	v, _ := h.get("hosts/" + string(h.entry.ID))
-	if !first || v != "" {
+	if calls > 0 || v != "" {
 		return 0
 	}
 	s.register(h.entry.ID)
