--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"math"
 	"time"
 
@@ -57,13 +58,19 @@
 		PeerCalls:  metrics.GetOrRegisterCounter("store.peer_reads", p.Metrics),
 	}
 	p.mirror.Feed = p.feed
-	p.mirror.List, p.mirror.Prefix, p.mirror.OnList = p.Store.List, membership.KeyPrefix, p.beginWithHosts
+	p.mirror.List, p.mirror.Prefix, p.mirror.OnList = p.listHosts, membership.KeyPrefix, p.beginWithHosts
 	u := float64(rendezvous.Weight(startShard, p.Settings.ID)) / math.MaxUint64
 	p.feed.FirstStoreWait = func() time.Duration {
 		return firstStoreWait + time.Duration(u*float64(len(p.registry.Hosts()))*float64(firstStoreSpread))
 	}
 }
 
+// listHosts reads the entries with the given prefix from the store.
+func (p *Process) listHosts(ctx context.Context, prefix string) ([]sardineknot.StoreEntry, error) {
+	p.feed.StoreCalls.Inc(1)
+	return p.Store.List(ctx, prefix)
+}
+
 // beginWithHosts puts the entry hosts in force whose keys were read. It returns how
 // long to wait before the keys are read again: hosts that start together must know of
 // each other, or each would read all keys of the store. calls is the number of earlier
--- a/internal/host/gateway/scale_bench_test.go
+++ b/internal/host/gateway/scale_bench_test.go
@@ -239,3 +239,26 @@
 		}
 	}
 }
+
+// BenchmarkWatch measures what a follower reads from the store in one second, in the
+// format of the platform, and the time to decode it.
+func BenchmarkWatch(b *testing.B) {
+	type item struct {
+		Key      string `json:"key"`
+		Value    []byte `json:"value"`
+		Revision int64  `json:"revision"`
+	}
+	var l []item
+	for i := range benchWrites {
+		e := benchEntry(i, 0, int64(1000000+i))
+		l = append(l, item{e.Key, e.Value, e.Revision.Number})
+	}
+	v, _ := json.Marshal(l)
+	b.ReportAllocs()
+	for b.Loop() {
+		if json.Unmarshal(v, &l) != nil {
+			b.Fatal("not decoded")
+		}
+	}
+	b.ReportMetric(float64(len(v)), "bytes/s")
+}
--- a/internal/platform/twirp/pack.go
+++ b/internal/platform/twirp/pack.go
@@ -18,7 +18,8 @@
 	// maxLaterChanges is the number of changes that are sent beside packed entries.
 	// With more, all entries are packed again.
 	maxLaterChanges = 128
-	// maxUnpackedBytes bounds what a reader unpacks.
+	// maxUnpackedBytes bounds what a reader unpacks. A part of the entries counts as
+	// none, because servers would be missing.
 	maxUnpackedBytes = 64 << 20
 )
 
@@ -74,13 +75,19 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	b, err := io.ReadAll(io.LimitReader(r, maxUnpackedBytes))
+	b, err := io.ReadAll(io.LimitReader(r, maxUnpackedBytes+1))
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
+	if len(b) > maxUnpackedBytes {
+		return nil, errors.WithStack(&sardineknot.InvalidError{What: "packed entries", Got: "more bytes", Expected: "at most 64 MB"})
+	}
 	var m rpc.Entries
 	err = proto.Unmarshal(b, &m)
-	return merge(m.GetEntries(), changes), errors.WithStack(err)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return merge(m.GetEntries(), changes), nil
 }
 
 // merge returns entries with changes, of which the last for each key counts.
--- a/internal/slots/twirp/poollinks.go
+++ b/internal/slots/twirp/poollinks.go
@@ -63,15 +63,10 @@
 
 // linkByServerLocked returns the link to the shard that server belongs to, or nil.
 func (p *Pool) linkByServerLocked(server sardineknot.BackendServerName) *shardLink {
-	if p.configuration == nil {
-		return nil
-	}
-	b, ok := p.configuration.Server(server)
-	if !ok {
-		return nil
-	}
-	if k := p.pools[b.Pool()]; k != nil {
-		return k.byServer[server]
+	for _, k := range p.pools {
+		if l := k.byServer[server]; l != nil {
+			return l
+		}
 	}
 	return nil
 }
