host/gateway: a start waits once if the known hosts are leaving

After a planned restart of all hosts, the keys of the processes before are still there and say that they leave. Each host then counted itself as the only follower.

--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -77,12 +77,25 @@
 // calls.
 func (p *Process) beginWithHosts(calls int) time.Duration {
 	p.registry.Refresh()
-	if calls < maxRegistrationWaits && !p.registry.Registered() {
+	if calls < maxRegistrationWaits && !p.registry.Registered() || calls == 0 && p.mostLeave() {
 		return registrationWait
 	}
 	return 0
 }
 
+// mostLeave reports whether most of the other hosts are leaving, by their keys. After a
+// planned restart of all hosts, these may be keys of processes that have ended.
+func (p *Process) mostLeave() bool {
+	l := p.registry.Hosts()
+	n := 0
+	for _, h := range l {
+		if h.State != sardineknot.EntryHostAlive {
+			n++
+		}
+	}
+	return 2*n >= len(l) && n > 0
+}
+
 // pollDelay returns the delay between two calls that return changes of the
 // store.
 func (p *Process) pollDelay() time.Duration {
--- a/internal/host/gateway/follow_test.go
+++ b/internal/host/gateway/follow_test.go
@@ -1,6 +1,8 @@
 package gateway
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,7 +75,7 @@
 	put := func(p *Process, id string) {
 		p.applyEntry(sardineknot.StoreEntry{
 			Key: membership.KeyPrefix + id, Revision: sardineknot.StoreRevision{Number: 1},
-			Value: []byte(`{"Incarnation":1,"CallerAddress":"10.0.0.1:1","PeerAddress":"10.0.0.1:2"}`),
+			Value: fmt.Appendf(nil, `{"Incarnation":1,"CallerAddress":"10.0.0.1:1","PeerAddress":"10.0.0.1:2","Leaving":%t}`, strings.HasPrefix(id, "leaving")),
 		})
 	}
 	t.Run("a host without a key waits until it is written", func(t *testing.T) {
@@ -88,6 +90,14 @@
 		is.Equal(p.beginWithHosts(2), time.Duration(0))
 		is.Equal(len(p.registry.Hosts()), 3)
 	})
+	t.Run("a host that finds only keys of hosts that were stopped waits once", func(t *testing.T) {
+		is := is.New(t)
+		p := newTestProcess()
+		put(p, "a")
+		put(p, "leaving-1")
+		is.Equal(p.beginWithHosts(0), registrationWait)
+		is.Equal(p.beginWithHosts(1), time.Duration(0))
+	})
 	t.Run("a host that cannot write its key goes on", func(t *testing.T) {
 		is.New(t).Equal(newTestProcess().beginWithHosts(maxRegistrationWaits), time.Duration(0))
 	})
