--- a/internal/configuration/store/source.go
+++ b/internal/configuration/store/source.go
@@ -12,8 +12,6 @@
 package store
 
 import (
-	"cmp"
-	"slices"
 	"sync"
 	"time"
 
@@ -29,6 +27,10 @@
 // their entries again.
 const reregistrationGrace = 2200 * time.Millisecond
 
+// maxLoggedServers is the number of servers in one commit up to which each has a line
+// in the log. At a start, lines about thousands cost as much as reading their entries.
+const maxLoggedServers = 64
+
 // Source implements sardineknot.ConfigurationSource. It is safe for concurrent
 // use. The exported fields must be set before use.
 type Source struct {
@@ -54,25 +56,41 @@
 	accepted sardineknot.StoreEntry
 	// servers holds the backend servers with a valid entry, by key.
 	servers map[string]*server
+	// removed holds the keys of servers whose entries were removed.
+	removed map[string]bool
 	// leaving holds the processes that have said that they are leaving, and departed
 	// those whose entries were removed.
 	leaving  *leaving.Set
 	departed *departed.Set
-	// dirty is true while current does not reflect all applied entries.
-	dirty bool
+	// stale is true while composed does not reflect base.
+	stale bool
+	// touched names, by key, the servers in which composed may differ from servers.
+	touched map[string]sardineknot.BackendServerName
+	// composed holds the servers of current without the effect of leaving, ordered by
+	// name. It is replaced on every change, never modified.
+	composed []sardineknot.BackendServer
 }
 
 // server is a backend server and the state of its entry.
 type server struct {
 	sardineknot.BackendServer
-	// sequence is the number of the last report of the process, which was read in era.
-	sequence int64
-	era      sardineknot.StoreEra
+	// value is the value of the entry that was decoded. latest is that of the last one,
+	// which tells nothing new, and was read in era.
+	value, latest []byte
+	era           sardineknot.StoreEra
 	// removedAt is the time at which the entry was removed, or zero while it
 	// exists.
 	removedAt time.Time
 }
 
+// comparer is a StoreEntryDecoder that can tell cheaply that an entry is no news.
+type comparer interface {
+	// SameServer reports whether the values previous and next of the same key decode to
+	// the same server. previous was decoded without an error. SameServer may return
+	// false although they do.
+	SameServer(previous, next []byte) bool
+}
+
 var _ sardineknot.ConfigurationSource = (*Source)(nil)
 
 // NewSource returns a source that provides the empty configuration.
@@ -83,6 +101,8 @@
 		changed: make(chan struct{}),
 		servers: make(map[string]*server),
 		leaving: leaving.NewSet(),
+		removed: make(map[string]bool),
+		touched: make(map[string]sardineknot.BackendServerName),
 
 		departed: departed.NewSet(),
 	}
@@ -112,6 +132,9 @@
 	if e.Revision.Absent() {
 		return s.removeLocked(e.Key)
 	}
+	if s.repeatedLocked(e) {
+		return false
+	}
 	c, ok, err := s.Decoder.DecodeConfiguration(e)
 	if ok {
 		return s.acceptLocked(e, c, err)
@@ -120,6 +143,20 @@
 	return ok && s.putLocked(e, b, err)
 }
 
+// repeatedLocked reports whether e certainly describes the server that is known.
+func (s *Source) repeatedLocked(e sardineknot.StoreEntry) bool {
+	c, ok := s.Decoder.(comparer)
+	if !ok {
+		return false
+	}
+	o := s.servers[e.Key]
+	if o == nil || !o.removedAt.IsZero() || !c.SameServer(o.value, e.Value) {
+		return false
+	}
+	o.latest, o.era = e.Value, e.Revision.Era
+	return true
+}
+
 func (s *Source) acceptLocked(e sardineknot.StoreEntry, c *sardineknot.Configuration, err error) bool {
 	if err != nil {
 		s.Log.Error().Stringer("event", sardineknot.LogConfigurationRefused).Err(err).Send()
@@ -129,7 +166,7 @@
 		return false
 	}
 	s.Log.Info().Stringer("event", sardineknot.LogConfigurationAccepted).Int64("revision", int64(c.Revision)).Int("routes", len(c.Routes)).Send()
-	s.base, s.accepted, s.dirty = c, e, true
+	s.base, s.accepted, s.stale = c, e, true
 	return true
 }
 
@@ -142,51 +179,57 @@
 }
 
 func (s *Source) putLocked(e sardineknot.StoreEntry, b sardineknot.BackendServer, err error) bool {
-	k := e.Key
-	o := s.servers[k]
+	o := s.servers[e.Key]
 	if err != nil {
 		if o != nil {
-			delete(s.servers, k)
-			s.dirty = true
+			delete(s.servers, e.Key)
+			s.touched[e.Key] = o.Name
 		}
 		s.Log.Warn().Stringer("event", sardineknot.LogServerEntryRefused).Str("server", string(b.Name)).Err(err).Send()
 		return true
 	}
 	q, r := b.Sequence, e.Revision.Era
 	b.Sequence = 0
-	if s.outdatedLocked(o, b, q, r) {
+	if s.outdatedLocked(e.Key, o, b, q, r) {
 		s.Log.Info().Stringer("event", sardineknot.LogServerEntryOutdated).Str("server", string(b.Name)).Int64("sequence", q).Send()
 		return false
 	}
 	if o != nil && o.removedAt.IsZero() && o.BackendServer == b {
-		o.sequence, o.era = q, r
+		o.latest, o.era = e.Value, r
 		return false
 	}
-	s.servers[k] = &server{BackendServer: b, sequence: q, era: r}
-	s.dirty = true
-	s.Log.Info().Stringer("event", sardineknot.LogServerKnown).Str("server", string(b.Name)).Str("address", b.Address.String()).
-		Str("service", b.Service).Str("role", string(b.Role)).Str("state", string(b.State)).
-		Str("version", string(b.SoftwareVersion)).Send()
+	s.servers[e.Key] = &server{BackendServer: b, value: e.Value, latest: e.Value, era: r}
+	s.touched[e.Key] = b.Name
 	return true
 }
 
 // outdatedLocked reports whether an entry of process b with the given sequence number,
 // read in era, is older than what is known of the process. known is the last entry of
 // the same name, or nil.
-func (s *Source) outdatedLocked(known *server, b sardineknot.BackendServer, sequence int64, era sardineknot.StoreEra) bool {
+func (s *Source) outdatedLocked(key string, known *server, b sardineknot.BackendServer, sequence int64, era sardineknot.StoreEra) bool {
 	if known != nil && known.Born != 0 && known.Born == b.Born {
-		return sequence < known.sequence
+		return sequence < s.sequenceLocked(key, known)
 	}
 	return s.departed.Outdated(b, sequence, era)
 }
 
+// sequenceLocked returns the number of the last report of o, the server under key.
+// Reports that tell nothing new are decoded only here.
+func (s *Source) sequenceLocked(key string, o *server) int64 {
+	b, _, err := s.Decoder.DecodeServer(sardineknot.StoreEntry{Key: key, Value: o.latest})
+	if err != nil {
+		return 0
+	}
+	return b.Sequence
+}
+
 func (s *Source) removeLocked(k string) bool {
 	o := s.servers[k]
 	if o == nil || !o.removedAt.IsZero() {
 		return false
 	}
 	o.removedAt = s.Clock.Now()
-	s.dirty = true
+	s.removed[k] = true
 	return true
 }
 
@@ -197,16 +240,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.expireLocked()
-	if !s.dirty {
+	if !s.stale && len(s.touched) == 0 {
 		return
 	}
-	s.dirty = false
-	s.replaceLocked(s.composeLocked())
+	s.logKnownLocked()
+	s.composeLocked()
+	c := *s.base
+	s.replaceLocked(&c)
 }
 
 // replaceLocked puts c in force.
 func (s *Source) replaceLocked(c *sardineknot.Configuration) {
-	c.BackendServers = s.leaving.Overlay(c.BackendServers)
+	c.SetServers(s.leaving.Overlay(s.composed), s.current)
 	s.current = c
 	close(s.changed)
 	s.changed = make(chan struct{})
@@ -235,45 +280,15 @@
 	if !k || s.Clock.Now().Sub(t) < reregistrationGrace {
 		return
 	}
-	for n, o := range s.servers {
-		if o.removedAt.IsZero() {
+	for n := range s.removed {
+		o := s.servers[n]
+		if o == nil || o.removedAt.IsZero() {
 			continue
 		}
 		delete(s.servers, n)
-		s.departed.Add(o.BackendServer, o.sequence, o.era)
-		s.dirty = true
+		s.departed.Add(o.BackendServer, s.sequenceLocked(n, o), o.era)
+		s.touched[n] = o.Name
 		s.Log.Info().Stringer("event", sardineknot.LogServerGone).Str("server", string(o.Name)).Send()
 	}
-}
-
-// composeLocked returns the operators' configuration with the backend servers
-// of its services. Servers of unknown services are left out.
-func (s *Source) composeLocked() *sardineknot.Configuration {
-	c := *s.base
-	c.BackendServers = nil
-	m := make(map[sardineknot.ServiceName]*sardineknot.Service, len(c.Services))
-	for i := range c.Services {
-		m[c.Services[i].Name] = &c.Services[i]
-	}
-	for _, o := range s.servers {
-		v := m[sardineknot.ServiceName(o.Service)]
-		if v == nil {
-			continue
-		}
-		c.BackendServers = append(c.BackendServers, withServiceSettings(o.BackendServer, v))
-	}
-	slices.SortFunc(c.BackendServers, func(a, b sardineknot.BackendServer) int { return cmp.Compare(a.Name, b.Name) })
-	return &c
-}
-
-// withServiceSettings returns b with those fields set that its service v
-// determines.
-func withServiceSettings(b sardineknot.BackendServer, v *sardineknot.Service) sardineknot.BackendServer {
-	if v.Engine == nil {
-		b.Role = sardineknot.RolePlain
-		return b
-	}
-	b.MemoryTokens = v.Engine.MemoryTokens
-	b.EventTokens = v.Engine.EventTokens
-	return b
+	clear(s.removed)
 }
--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/rcrowley/go-metrics"
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/membership/followers"
+	"sardineknot.example/sardineknot/internal/membership/rendezvous"
+	membership "sardineknot.example/sardineknot/internal/membership/store"
 	"sardineknot.example/sardineknot/internal/platform/changelog"
 	"sardineknot.example/sardineknot/internal/platform/mirror"
 	feed "sardineknot.example/sardineknot/internal/platform/twirp"
@@ -26,8 +29,24 @@
 	// peerPollDelay is the delay between two calls to a follower. It gathers
 	// changes that followers learn of one after the other.
 	peerPollDelay = 100 * time.Millisecond
+	// registrationWait is the time that a host without a key in the store waits when it
+	// starts, before it reads the keys of hosts again and selects the followers. After
+	// all hosts were killed and their keys have expired, they write their keys again
+	// meanwhile. maxRegistrationWaits bounds how often it waits, for a host that cannot
+	// write its key.
+	registrationWait     = 300 * time.Millisecond
+	maxRegistrationWaits = 5
+	// firstStoreWait is the time after the start in which a host that is not a follower
+	// asks only followers. Then hosts read all keys themselves, spread over
+	// firstStoreSpread for each known host.
+	firstStoreWait   = 3 * time.Second
+	firstStoreSpread = 10 * time.Millisecond
 )
 
+// startShard and the name of a host determine when the host reads all keys itself if no
+// follower answers.
+const startShard = "start"
+
 // addFeed creates the components that follow the key-value service.
 func (p *Process) addFeed() {
 	p.entries = changelog.NewLog()
@@ -39,6 +58,42 @@
 		PeerCalls:  metrics.GetOrRegisterCounter("store.peer_reads", p.Metrics),
 	}
 	p.mirror.Feed = p.feed
+	p.mirror.List, p.mirror.Prefix, p.mirror.OnList = p.listHosts, membership.KeyPrefix, p.beginWithHosts
+	u := float64(rendezvous.Weight(startShard, p.Settings.ID)) / math.MaxUint64
+	p.feed.FirstStoreWait = func() time.Duration {
+		return firstStoreWait + time.Duration(u*float64(len(p.registry.Hosts()))*float64(firstStoreSpread))
+	}
+}
+
+// listHosts reads the entries with the given prefix from the store.
+func (p *Process) listHosts(ctx context.Context, prefix string) ([]sardineknot.StoreEntry, error) {
+	p.feed.StoreCalls.Inc(1)
+	return p.Store.List(ctx, prefix)
+}
+
+// beginWithHosts puts the entry hosts in force whose keys were read. It returns how
+// long to wait before the keys are read again: hosts that start together must know of
+// each other, or each would read all keys of the store. calls is the number of earlier
+// calls.
+func (p *Process) beginWithHosts(calls int) time.Duration {
+	p.registry.Refresh()
+	if calls < maxRegistrationWaits && !p.registry.Registered() || calls == 0 && p.mostLeave() {
+		return registrationWait
+	}
+	return 0
+}
+
+// mostLeave reports whether most of the other hosts are leaving, by their keys. After a
+// planned restart of all hosts, these may be keys of processes that have ended.
+func (p *Process) mostLeave() bool {
+	l := p.registry.Hosts()
+	n := 0
+	for _, h := range l {
+		if h.State != sardineknot.EntryHostAlive {
+			n++
+		}
+	}
+	return 2*n >= len(l) && n > 0
 }
 
 // pollDelay returns the delay between two calls that return changes of the
--- a/internal/host/gateway/follow_test.go
+++ b/internal/host/gateway/follow_test.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"time"
 
@@ -73,3 +75,42 @@
 	p.put(sardineknot.StoreRevision{Era: 1, Number: 6}, "one")
 	checkPassedOn(t, p, 3, sardineknot.StoreRevision{Era: 1, Number: 6})
 }
+
+// TestBeginWithHosts guards against a host that reads all keys of the store although
+// others could give it theirs, because it knows of none when it selects the followers.
+func TestBeginWithHosts(t *testing.T) {
+	put := func(p *Process, id string) {
+		p.applyEntry(sardineknot.StoreEntry{
+			Key: membership.KeyPrefix + id, Revision: sardineknot.StoreRevision{Number: 1},
+			Value: fmt.Appendf(nil, `{"Incarnation":1,"CallerAddress":"10.0.0.1:1","PeerAddress":"10.0.0.1:2","Leaving":%t}`, strings.HasPrefix(id, "leaving")),
+		})
+	}
+	t.Run("a host without a key waits until it is written", func(t *testing.T) {
+		is := is.New(t)
+		p := newTestProcess()
+		put(p, "b")
+		is.Equal(p.beginWithHosts(0), registrationWait)
+		is.Equal(len(p.registry.Hosts()), 2)
+		put(p, "c")
+		is.Equal(p.beginWithHosts(1), registrationWait)
+		put(p, "a")
+		is.Equal(p.beginWithHosts(2), time.Duration(0))
+		is.Equal(len(p.registry.Hosts()), 3)
+	})
+	t.Run("a host that finds only keys of hosts that were stopped waits once", func(t *testing.T) {
+		is := is.New(t)
+		p := newTestProcess()
+		put(p, "a")
+		put(p, "leaving-1")
+		is.Equal(p.beginWithHosts(0), registrationWait)
+		is.Equal(p.beginWithHosts(1), time.Duration(0))
+	})
+	t.Run("a host that cannot write its key goes on", func(t *testing.T) {
+		is.New(t).Equal(newTestProcess().beginWithHosts(maxRegistrationWaits), time.Duration(0))
+	})
+	t.Run("a host whose earlier key is there does not wait", func(t *testing.T) {
+		p := newTestProcess()
+		put(p, "a")
+		is.New(t).Equal(p.beginWithHosts(0), time.Duration(0))
+	})
+}
