--- a/internal/host/gateway/scale_bench_test.go
+++ b/internal/host/gateway/scale_bench_test.go
@@ -22,8 +22,8 @@
 	"sardineknot.example/sardineknot/internal/platform/rewrite"
 	"sardineknot.example/sardineknot/internal/policy/memory"
 	"sardineknot.example/sardineknot/internal/slots/twirp"
-	versions "sardineknot.example/sardineknot/internal/versions/twirp"
 	"sardineknot.example/sardineknot/internal/versions/history"
+	versions "sardineknot.example/sardineknot/internal/versions/twirp"
 )
 
 const (
