--- a/internal/answer/plain/runner.go
+++ b/internal/answer/plain/runner.go
@@ -126,7 +126,7 @@
 			break
 		}
 		r.Log.Info().Stringer("event", sardineknot.LogCallRetried).Str("request", string(c.ID)).Str("server", string(s.Name)).
-			Bool("ran", o.mayHaveRun()).AnErr("cause", o.err).Send()
+			Bool("ran", o.mayHaveRun()).Bool("assigned", p.place.Epoch != 0).AnErr("cause", o.err).Send()
 	}
 	return r.finish(w, last, last.err)
 }
--- a/logevent.go
+++ b/logevent.go
@@ -151,7 +151,8 @@
 	// LogIdleConnectionsClosed reports how many connections of callers were
 	// closed because they had been idle for too long.
 	LogIdleConnectionsClosed LogEvent = "idle_connections_closed"
-	// LogCallRetried reports why a call is sent to another server.
+	// LogCallRetried reports why a call is sent to another server. "assigned" is set if
+	// the owner of a contended service had selected the server before.
 	LogCallRetried LogEvent = "call_retried"
 	// LogCallTunnelled reports that a request for a call goes to a backend server through
 	// the entry host "peer".
