--- a/internal/places/allocator/allocator_test.go
+++ b/internal/places/allocator/allocator_test.go
@@ -110,6 +110,12 @@
 	is.New(t).Equal(l.fill(usual), 1)
 }
 
+// TestExcluded guards against calls to servers that the host must not use.
+func TestExcluded(t *testing.T) {
+	ok, d := newLoad().take(func(q *sardineknot.PlaceRequest) { q.Excluded = []sardineknot.BackendServerName{"a"} })
+	is.New(t).True(!ok && d == 0) // the host decides alone
+}
+
 // TestUnreached guards against calls to a server that no host reaches, and that looks
 // idle therefore.
 func TestUnreached(t *testing.T) {
@@ -153,6 +159,11 @@
 		}
 	}
 	is.New(t).True(n <= 15)
+	b := NewAllocator()
+	b.Contend(0, false)
+	b.Contend(contentionTime/2, false)
+	lasts, _ := b.Contended(contentionTime)
+	is.New(t).True(!lasts)
 	a.Contend(600*time.Second, true)
 	ok, _ := a.Contended(601 * time.Second)
 	is.New(t).True(ok) // a full server is a sign at any time
