limits: one mechanism for requests and tokens

Cause: limits counted requests only, an owner started with a full bucket, and a host that lost the owner admitted its share of the whole limit.

Change: costs are of any size; the owner is found by rank over the registered hosts without local exclusions, its bucket starts empty, and it discards its buckets after a suspension or a dropped registration. The next in rank acts only if every host above it certainly grants nothing. A host that loses the owner relays, and else spends its share of the excess.

--- a/internal/host/process/limits.go
+++ b/internal/host/process/limits.go
@@ -1,16 +1,23 @@
 package process
 
 import (
+	"sardineknot.example/sardineknot/internal/host/boottime"
+	"sardineknot.example/sardineknot/internal/limits/contracts"
 	"sardineknot.example/sardineknot/internal/limits/credit"
 	"sardineknot.example/sardineknot/internal/limits/owner"
+	"sardineknot.example/sardineknot/internal/limits/rank"
 	"sardineknot.example/sardineknot/internal/limits/twirp"
-	api "sardineknot.example/sardineknot/internal/rpc/limits"
 )
 
 // addLimits creates the limiter that enforces the rate limits of client
 // accounts.
 func (p *Process) addLimits() {
-	c := twirp.NewClient(p.self.ID, p.ranker, owner.NewOwner(p.clock, p.source), p.peers)
-	p.limiter = credit.NewLimiter(p.clock, c, p.members)
-	p.peerMux.Handle(api.LimitsPathPrefix, c.Handler())
+	h := rank.Live(p.members)
+	k := rank.NewRanker(h)
+	o := owner.NewOwner(boottime.Clock{}, h, k, contracts.Limits(p.source))
+	c := &twirp.Client{Hosts: h, Ranker: k, Owner: o, Clock: boottime.Clock{}, HTTP: p.peers.Client(), Log: p.log, Metrics: p.metrics}
+	l := &credit.Limiter{Clock: boottime.Clock{}, Source: c, Hosts: h, Whole: true, Metrics: p.metrics}
+	p.limiter = contracts.NewLimiter(l)
+	p.peerMux.Handle(c.Handler())
+	p.tasks = append(p.tasks, o.Run, l.Run)
 }
--- a/internal/limits/bucket/bucket.go
+++ b/internal/limits/bucket/bucket.go
@@ -1,5 +1,6 @@
-// Package bucket implements a token bucket to which unused tokens, here called
-// permits, can be returned.
+// Package bucket implements a token bucket for costs of any size. Cost can be
+// returned, and a cost may exceed what the bucket holds: the bucket is then in
+// debt until the refill has made up for it.
 package bucket
 
 import (
@@ -7,67 +8,76 @@
 	"time"
 )
 
-// Bucket is a token bucket. The zero value has no permits and is never
-// refilled. A Bucket is not safe for concurrent use.
+// rounding is added to the level where it is compared with a cost, because the
+// level is a sum of refills that are rounded.
+const rounding = 1e-6
+
+// Bucket is a token bucket. The zero value is empty and is never refilled. A Bucket
+// is not safe for concurrent use.
 type Bucket struct {
-	// rate is the number of permits added per second.
+	// rate is the cost added per second.
 	rate float64
-	// capacity is the maximum number of permits.
+	// capacity is the maximum level.
 	capacity float64
-	// permits is the number of permits at the time updatedAt. It is in
-	// [0, capacity].
-	permits float64
+	// level is the cost held at the time updatedAt. It is at most capacity, and
+	// negative while the bucket is in debt.
+	level float64
 	// updatedAt is the time of the last refill.
 	updatedAt time.Time
 }
 
-// NewBucket returns a full bucket for size permits, to which rate permits are
-// added per second.
-func NewBucket(rate float64, size int, now time.Time) Bucket {
-	return Bucket{rate: rate, capacity: float64(size), permits: float64(size), updatedAt: now}
+// NewBucket returns a bucket that was empty at time since. rate is added per second,
+// up to capacity.
+func NewBucket(rate, capacity float64, since time.Time) Bucket {
+	return Bucket{rate: rate, capacity: capacity, updatedAt: since}
 }
 
-// Resize changes the rate and the size of the bucket. If the bucket holds more
-// permits than the new size, the surplus is discarded.
-func (b *Bucket) Resize(rate float64, size int, now time.Time) {
+// Resize changes the rate and the capacity. A surplus over the new capacity is
+// discarded.
+func (b *Bucket) Resize(rate, capacity float64, now time.Time) {
 	b.refill(now)
 	b.rate = rate
-	b.capacity = float64(size)
-	b.permits = min(b.permits, b.capacity)
+	b.capacity = capacity
+	b.level = min(b.level, b.capacity)
+}
+
+// Level returns the cost that the bucket holds. It is negative if the bucket is in
+// debt.
+func (b *Bucket) Level(now time.Time) float64 {
+	b.refill(now)
+	return b.level
 }
 
-// Take removes at most want permits and returns the number of permits that it
-// removed.
-func (b *Bucket) Take(want int, now time.Time) int {
+// Take removes cost, even if the bucket holds less.
+func (b *Bucket) Take(cost float64, now time.Time) {
 	b.refill(now)
-	k := min(want, int(b.permits))
-	b.permits -= float64(k)
-	return k
+	b.level -= cost
 }
 
-// Return puts back a number of unused permits, up to the size of the bucket.
-func (b *Bucket) Return(unused int, now time.Time) {
+// Return puts cost back, up to the capacity.
+func (b *Bucket) Return(cost float64, now time.Time) {
 	b.refill(now)
-	b.permits = min(b.capacity, b.permits+float64(unused))
+	b.level = min(b.capacity, b.level+cost)
 }
 
-// Wait returns the time until at least one permit is available. It returns the
-// maximum time.Duration if no permit is available and the rate is not positive.
-func (b *Bucket) Wait(now time.Time) time.Duration {
+// Wait returns the time until the bucket holds cost, which must not exceed the
+// capacity. It returns the maximum time.Duration if the rate is not positive.
+func (b *Bucket) Wait(cost float64, now time.Time) time.Duration {
 	b.refill(now)
-	if b.permits >= 1 {
+	d := cost - b.level
+	if d <= rounding {
 		return 0
 	}
 	if b.rate <= 0 {
 		return math.MaxInt64
 	}
-	return time.Duration((1 - b.permits) / b.rate * float64(time.Second))
+	return time.Duration(min(math.Ceil(d/b.rate*float64(time.Second)), math.MaxInt64/2))
 }
 
-// refill adds the permits that accrued since updatedAt.
+// refill adds the cost that accrued since updatedAt.
 func (b *Bucket) refill(now time.Time) {
 	if d := now.Sub(b.updatedAt); d > 0 {
-		b.permits = min(b.capacity, b.permits+b.rate*d.Seconds())
+		b.level = min(b.capacity, b.level+b.rate*d.Seconds())
 		b.updatedAt = now
 	}
 }
--- a/internal/limits/credit/limiter.go
+++ b/internal/limits/credit/limiter.go
@@ -1,186 +1,205 @@
-// Package credit implements a rate limiter that borrows permits in bulk from
-// the owner of each client account's limit.
+// Package credit implements a limiter that borrows cost in bulk from the owner of
+// each client account's limit.
 //
-// A host borrows as many permits as it expects to use within permitLifetime,
-// so that a busy account costs a few messages per second and host instead of
-// one per request. Unused permits are returned. While the owner does not
-// respond, each live host enforces the limit divided by the number of live
-// hosts.
+// A host borrows what the call that asks costs, and what it expects to need within
+// stockLifetime, so that a busy account costs a few messages per second and host
+// instead of one per call. Cost that is not used in time is returned. While the owner
+// does not answer, a host spends only its share of the excess that is allowed over
+// the limit.
 package credit
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"sardineknot.example/sardineknot"
-	"sardineknot.example/sardineknot/internal/limits/bucket"
 )
 
 const (
 	// shardCount is the number of shards that the accounts are divided into.
 	// Each shard has its own lock.
 	shardCount = 32
-	// permitLifetime is the time within which a host is expected to use the
-	// permits that it borrows. Older permits are returned.
-	permitLifetime = 500 * time.Millisecond
-	// borrowTimeout bounds a request to the owner.
-	borrowTimeout = 250 * time.Millisecond
-	// retryInterval is the time after a failed request to the owner in which no
-	// further one is made, so that callers do not queue up behind timeouts.
-	retryInterval = time.Second
-	// maxAccounts bounds the number of accounts in one shard, to limit the
-	// memory. When an account is added beyond the bound, all other accounts of
-	// the shard and their unused permits are discarded.
+	// maxAccounts bounds the number of accounts in one shard, to limit the memory.
+	// Beyond it, one account and its unused cost are discarded.
 	maxAccounts = 1024
+	// stockLifetime is the time from a request to the owner within which the cost
+	// that it brings must be used. Cost that is used late adds to the limit of a
+	// later time, at most the rate times stockLifetime.
+	stockLifetime = 200 * time.Millisecond
+	// maxWait bounds the time for which a call waits for its cost to accrue.
+	maxWait = 100 * time.Millisecond
+	// retryInterval is the time after a failed request to the owner in which no
+	// further one is made for the account, so that callers do not queue up behind
+	// timeouts.
+	retryInterval = 300 * time.Millisecond
+	// maxRetryAfter bounds the time that callers are told to wait because of others
+	// that were told to wait before.
+	maxRetryAfter = 10 * time.Second
+	// defaultExcess is the default of Limiter.Excess.
+	defaultExcess = 0.1
 )
 
-// Limiter is a sardineknot.Limiter. It is safe for concurrent use.
+// Limiter is a sardineknot.AccountLimiter. The exported fields must be set before use.
+// Run must be running. A Limiter is safe for concurrent use.
 type Limiter struct {
-	clock   sardineknot.Clock
-	source  sardineknot.PermitSource
-	members sardineknot.Membership
-	shards  [shardCount]shard
+	// Clock returns the current time and also counts the time for which the host is
+	// suspended.
+	Clock sardineknot.Clock
+	// Source grants cost.
+	Source sardineknot.CostSource
+	// Hosts lists the hosts that share Excess.
+	Hosts sardineknot.Registrations
+	// Excess is the part of each rate that all hosts together may use beyond a limit
+	// whose owner does not answer. Zero means 0.1.
+	Excess float64
+	// Whole states that cost is counted in whole numbers.
+	Whole bool
+	// Metrics receives the number of calls that were refused, and of those that were
+	// admitted from the share of Excess.
+	Metrics metrics.Registry
+
+	shards [shardCount]shard
 }
 
-var _ sardineknot.Limiter = (*Limiter)(nil)
+var _ sardineknot.AccountLimiter = (*Limiter)(nil)
 
 // shard holds the accounts that are hashed to it.
 type shard struct {
 	mu       sync.Mutex
-	accounts map[sardineknot.ClientAccountName]*accountState
-}
-
-// accountState is the state of one client account on this host.
-type accountState struct {
-	// mu is held while permits are borrowed, so that only one caller at a time
-	// sends a request to the owner and the others wait for its result.
-	mu sync.Mutex
-	// permits is the number of unused borrowed permits.
-	permits int
-	// borrowedAt is the time at which permits were last borrowed.
-	borrowedAt time.Time
-	// admitted is the number of requests admitted since borrowedAt.
-	admitted int
-	// lastFailure is the time of the last failed request to the owner.
-	lastFailure time.Time
-	// localBucket limits this host to its share of the account's limit while
-	// the owner does not respond.
-	localBucket bucket.Bucket
+	accounts map[sardineknot.ClientAccountName]*account
 }
 
-// NewLimiter returns a limiter that borrows permits from p. While the owner of
-// a limit does not respond, m determines the share of this host.
-func NewLimiter(c sardineknot.Clock, p sardineknot.PermitSource, m sardineknot.Membership) *Limiter {
-	l := &Limiter{clock: c, source: p, members: m}
-	for i := range l.shards {
-		l.shards[i].accounts = make(map[sardineknot.ClientAccountName]*accountState)
-	}
-	return l
-}
-
-// Admit implements sardineknot.Limiter. It admits every request of a contract
-// whose RequestsPerSecond is not positive.
-func (l *Limiter) Admit(ctx context.Context, contract sardineknot.Contract) error {
-	if contract.RequestsPerSecond <= 0 {
+// Admit implements sardineknot.AccountLimiter. It admits every call of an account
+// without limit.
+func (l *Limiter) Admit(ctx context.Context, account *sardineknot.ClientAccount, cost float64) error {
+	if account.Limit.PerSecond <= 0 || cost <= 0 {
 		return nil
 	}
-	a := l.shards[xxhash.Sum64String(string(contract.Account))%shardCount].getAccount(contract.Account)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	n := l.clock.Now()
-	if a.permits > 0 && n.Sub(a.borrowedAt) < permitLifetime {
-		a.admit()
+	a := l.account(account.Name)
+	if a.enter(cost, l.Clock.Now()) {
 		return nil
 	}
-	p := l.acquire(ctx, a, contract, n)
-	if p.Granted == 0 {
-		return errors.WithStack(&sardineknot.NotRunError{Reason: "limit of " + string(contract.Account) + " is reached", RetryAfter: p.RetryDelay})
+	w, err := l.await(ctx, a, account, cost)
+	if err == nil && w > 0 {
+		err = l.sleep(ctx, account, cost, w)
+	}
+	var d *sardineknot.LimitedError
+	if errors.As(err, &d) {
+		metrics.GetOrRegisterCounter("limits.denied", l.Metrics).Inc(1)
 	}
-	a.permits = p.Granted
-	a.borrowedAt = n
-	a.admitted = 0
-	a.admit()
-	return nil
+	return err
 }
 
-// acquire borrows permits from the owner of the account's limit. If the owner
-// does not respond or failed within the last retryInterval, acquire takes a
-// permit from this host's share of the limit instead.
-func (l *Limiter) acquire(ctx context.Context, account *accountState, contract sardineknot.Contract, now time.Time) sardineknot.Permits {
-	if now.Sub(account.lastFailure) < retryInterval {
-		return account.takeLocal(contract, l.countAliveHosts(), now)
+// await waits for the turn of a call and takes its cost. It returns the time that the
+// call has to wait.
+func (l *Limiter) await(ctx context.Context, a *account, account *sardineknot.ClientAccount, cost float64) (time.Duration, error) {
+	select {
+	case a.turn <- struct{}{}:
+		defer func() { <-a.turn }()
+	case <-ctx.Done():
+		a.leave(cost)
+		return 0, errors.WithStack(ctx.Err())
+	}
+	q, w, ok := a.prepare(account, cost, l.Clock.Now())
+	if !ok {
+		return 0, refusal(account, w)
 	}
-	p, err := l.borrow(ctx, account, contract, now)
-	if err == nil {
-		return p
+	if q.Need == 0 {
+		return 0, nil
 	}
-	account.lastFailure = now
-	return account.takeLocal(contract, l.countAliveHosts(), now)
+	if l.Whole {
+		q.Whole, q.Want = true, math.Ceil(q.Want)
+	}
+	return l.acquire(ctx, a, account, q)
 }
 
-// borrow gives the unused permits of account back to the owner of the limit and
-// borrows as many as are expected to be used within the next permitLifetime.
-func (l *Limiter) borrow(ctx context.Context, account *accountState, contract sardineknot.Contract, now time.Time) (sardineknot.Permits, error) {
-	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
-	defer cancel()
-	u := account.permits
-	account.permits = 0
-	return l.source.Borrow(ctx, contract.Account, account.estimateDemand(now), u)
+// acquire takes cost from the owner of the limit, or, if the owner does not answer,
+// from this host's share of the excess. The caller has the turn.
+func (l *Limiter) acquire(ctx context.Context, a *account, account *sardineknot.ClientAccount, request sardineknot.CostRequest) (time.Duration, error) {
+	n := l.Clock.Now()
+	if !a.ownerLost(n) {
+		// Cost that arrives after the caller has left is of use to others.
+		g, err := l.Source.Borrow(context.WithoutCancel(ctx), request)
+		if err == nil {
+			return a.apply(account, request, g, n, l.Clock.Now())
+		}
+		a.loseOwner(l.Clock.Now())
+	}
+	return l.takeShare(a, account, request.Need)
 }
 
-// estimateDemand estimates the number of requests within the next
-// permitLifetime from the requests admitted since borrowedAt. The estimate is
-// at least one. It is one if permits were last borrowed more than a minute ago.
-func (a *accountState) estimateDemand(now time.Time) int {
-	d := now.Sub(a.borrowedAt)
-	if d <= 0 || d > time.Minute {
-		return 1
+// takeShare takes cost from this host's share of the excess.
+func (l *Limiter) takeShare(a *account, account *sardineknot.ClientAccount, cost float64) (time.Duration, error) {
+	h, _ := l.Hosts.Registered()
+	if len(h) == 0 {
+		return 0, refusal(account, retryInterval)
+	}
+	e := l.Excess
+	if e == 0 {
+		e = defaultExcess
+	}
+	if !a.takeShare(e*account.Limit.PerSecond/float64(len(h)), cost, l.Clock.Now()) {
+		return 0, refusal(account, retryInterval)
 	}
-	return 1 + int(float64(a.admitted)*permitLifetime.Seconds()/d.Seconds())
+	metrics.GetOrRegisterCounter("limits.unshared", l.Metrics).Inc(1)
+	return 0, nil
 }
 
-// admit uses a permit for a request.
-func (a *accountState) admit() {
-	a.permits--
-	a.admitted++
+// sleep waits until cost that was granted in advance may be used. If ctx is done
+// first, it refunds the cost and returns the error of ctx.
+func (l *Limiter) sleep(ctx context.Context, account *sardineknot.ClientAccount, cost float64, duration time.Duration) error {
+	e := l.Clock.Now().Add(duration + stockLifetime)
+	t := time.NewTimer(duration)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		if l.Clock.Now().After(e) {
+			return refusal(account, 0) // this host was suspended, and the grant has expired
+		}
+		return nil
+	case <-ctx.Done():
+		l.Refund(account, cost)
+		return errors.WithStack(ctx.Err())
+	}
 }
 
-// takeLocal takes one permit from this host's share of the limit, which is the
-// limit divided by the number of hosts.
-func (a *accountState) takeLocal(contract sardineknot.Contract, hosts int, now time.Time) sardineknot.Permits {
-	r := contract.RequestsPerSecond / float64(hosts)
-	a.localBucket.Resize(r, max(1, contract.Burst/hosts), now)
-	return sardineknot.Permits{Granted: a.localBucket.Take(1, now), RetryDelay: a.localBucket.Wait(now)}
+// Refund implements sardineknot.AccountLimiter.
+func (l *Limiter) Refund(account *sardineknot.ClientAccount, cost float64) {
+	if account.Limit.PerSecond > 0 && cost > 0 {
+		l.account(account.Name).refund(cost, l.Clock.Now())
+	}
 }
 
-// countAliveHosts returns the number of alive entry hosts, or one if none is
-// known.
-func (l *Limiter) countAliveHosts() int {
-	var n int
-	for _, h := range l.members.Hosts() {
-		if h.State == sardineknot.EntryHostAlive {
-			n++
-		}
-	}
-	return max(n, 1)
+// refusal returns the error for a call that fits after wait.
+func refusal(account *sardineknot.ClientAccount, wait time.Duration) error {
+	return errors.WithStack(&sardineknot.LimitedError{Account: account.Name, RetryAfter: wait})
 }
 
-// getAccount returns the named account, and creates it if needed.
-func (s *shard) getAccount(name sardineknot.ClientAccountName) *accountState {
+// account returns the named account, and creates it if needed.
+func (l *Limiter) account(name sardineknot.ClientAccountName) *account {
+	s := &l.shards[xxhash.Sum64String(string(name))%shardCount]
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a := s.accounts[name]
 	if a != nil {
 		return a
 	}
+	if s.accounts == nil {
+		s.accounts = make(map[sardineknot.ClientAccountName]*account)
+	}
 	if len(s.accounts) >= maxAccounts {
-		clear(s.accounts)
+		for n := range s.accounts {
+			delete(s.accounts, n)
+			break
+		}
 	}
-	a = &accountState{}
+	a = &account{turn: make(chan struct{}, 1)}
 	s.accounts[name] = a
 	return a
 }
--- /dev/null
+++ b/internal/limits/owner/account.go
@@ -0,0 +1,126 @@
+package owner
+
+import (
+	"math"
+	"time"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/limits/bucket"
+)
+
+const (
+	// meanWeight is the weight of a new cost in the mean cost of an account's calls.
+	meanWeight = 1.0 / 16
+	// maxRetryAfter bounds the time that callers are told to wait because of others
+	// that were told to wait before. Not all of them return.
+	maxRetryAfter = 10 * time.Second
+	// generousLevel is the part of the burst above which a host gets up to twice what
+	// it expects to need, because the account is far below its limit. generousPart
+	// bounds the surplus, as a part of the level: a larger one lies unused at the hosts
+	// that ask first if calls arrive at all hosts at once.
+	generousLevel = 0.5
+	generousPart  = 1.0 / 64
+	// temporaryMemory is the time after the last grant of a temporary owner for which
+	// its bucket stays in use. After that time the owner may have granted meanwhile.
+	temporaryMemory = time.Second
+	// maxCallSeconds and the burst bound the tokens of a single call. A call above
+	// the limit of the whole window in which operators measure would exceed it alone.
+	maxCallSeconds = 8
+)
+
+// account is the state of one limit.
+type account struct {
+	limit  sardineknot.AccountLimit
+	bucket bucket.Bucket
+	// mean is the mean cost of the calls that asked lately, or zero before the first.
+	mean float64
+	// deferred holds, as its debt, the cost of the calls that were told to return.
+	deferred bucket.Bucket
+	// temporary is set if the last grant, at time usedAt, was in place of an owner that
+	// may grant again without being registered anew.
+	temporary bool
+	usedAt    time.Time
+}
+
+// newAccount returns an account whose bucket was empty at time since.
+func newAccount(limit sardineknot.AccountLimit, since time.Time) *account {
+	return &account{
+		limit:    limit,
+		bucket:   bucket.NewBucket(limit.PerSecond, limit.Burst, since),
+		deferred: bucket.NewBucket(limit.PerSecond, 0, since),
+	}
+}
+
+// lapsed reports whether another host may have granted since the last grant.
+func (a *account) lapsed(now time.Time) bool {
+	return a.temporary && now.Sub(a.usedAt) > temporaryMemory
+}
+
+// resize puts a changed limit in force at once.
+func (a *account) resize(limit sardineknot.AccountLimit, now time.Time) {
+	if a.limit == limit {
+		return
+	}
+	a.limit = limit
+	a.bucket.Resize(limit.PerSecond, limit.Burst, now)
+	a.deferred.Resize(limit.PerSecond, 0, now)
+}
+
+// borrow answers request at time now.
+func (a *account) borrow(request sardineknot.CostRequest, now time.Time) sardineknot.CostGrant {
+	a.bucket.Return(max(request.Returned, 0), now)
+	a.deferCost(request.Deferred, now)
+	if request.Need <= 0 {
+		return sardineknot.CostGrant{}
+	}
+	if a.limit.CountsTokens && request.Need > maxCallSeconds*a.limit.PerSecond+a.limit.Burst {
+		return sardineknot.CostGrant{Fits: maxRetryAfter, RetryAfter: maxRetryAfter}
+	}
+	if a.mean == 0 {
+		a.mean = request.Need
+	}
+	a.mean += (request.Need - a.mean) * meanWeight
+	w := a.bucket.Wait(a.threshold(request.Need), now)
+	if w > request.MaxWait {
+		return a.refuse(request, w, now)
+	}
+	f := a.bucket.Level(now) >= generousLevel*a.limit.Burst
+	a.bucket.Take(request.Need, now)
+	return sardineknot.CostGrant{Granted: request.Need + a.extra(request, f, now), Delay: w}
+}
+
+// threshold returns the level at which a call of cost need is granted. A call above
+// the mean waits no longer than one of the mean and leaves the bucket in debt:
+// otherwise smaller calls would empty the bucket each time before a large one fits.
+func (a *account) threshold(need float64) float64 {
+	return min(need, a.mean, a.limit.Burst)
+}
+
+// refuse returns the time at which a call that fits after wait can be granted, and
+// records that it was told to return.
+func (a *account) refuse(request sardineknot.CostRequest, wait time.Duration, now time.Time) sardineknot.CostGrant {
+	r := wait + time.Duration(-a.deferred.Level(now)/a.limit.PerSecond*float64(time.Second))
+	a.deferCost(request.Need, now)
+	return sardineknot.CostGrant{Fits: wait - request.MaxWait, RetryAfter: r}
+}
+
+// deferCost records that calls of the given cost were told to return.
+func (a *account) deferCost(cost float64, now time.Time) {
+	m := maxRetryAfter.Seconds()*a.limit.PerSecond + a.deferred.Level(now)
+	a.deferred.Take(max(0, min(cost, m)), now)
+}
+
+// extra takes cost for later calls from the bucket, as far as it is not in debt.
+func (a *account) extra(request sardineknot.CostRequest, generous bool, now time.Time) float64 {
+	e := max(request.Want-request.Need, 0)
+	l := max(a.bucket.Level(now), 0)
+	if generous {
+		e += min(e, l*generousPart)
+	}
+	e = min(e, l)
+	if request.Whole {
+		e = math.Floor(e)
+	}
+	a.bucket.Take(e, now)
+	return e
+}
--- a/internal/membership/store/entries.go
+++ b/internal/membership/store/entries.go
@@ -32,10 +32,7 @@
 	defer r.mu.Unlock()
 	i := sardineknot.EntryHostID(n)
 	if i == r.self.ID {
-		r.ownRevision = e.Revision
-		if e.Revision.Absent() {
-			r.requestWrite()
-		}
+		r.applyOwnLocked(e.Revision)
 		return true
 	}
 	if e.Revision.Absent() {
@@ -51,6 +48,19 @@
 	return true
 }
 
+// applyOwnLocked records the revision of the key of this host.
+func (r *Registry) applyOwnLocked(revision sardineknot.StoreRevision) {
+	if !revision.Absent() {
+		r.joinedStore = true
+	} else {
+		if !r.ownRevision.Absent() {
+			r.drops++
+		}
+		r.requestWrite()
+	}
+	r.ownRevision = revision
+}
+
 // BeginEra makes Run write the key of this host again under a new lease, because
 // the service came back from an older copy. A lease of an earlier era is neither
 // renewed nor used: its number may meanwhile be that of another client.
@@ -93,6 +103,10 @@
 func (r *Registry) refreshLocked() {
 	n := r.Clock.Now()
 	l := []sardineknot.EntryHost{r.self}
+	var s []sardineknot.EntryHost
+	if r.joinedStore {
+		s = append(s, r.self)
+	}
 	for i, m := range r.hosts {
 		if r.expiredLocked(n, m) {
 			delete(r.hosts, i)
@@ -100,13 +114,18 @@
 			continue
 		}
 		h := m.host
+		s = append(s, h)
 		if n.Before(m.excludedUntil) {
 			h.State = sardineknot.EntryHostDead
 		}
 		l = append(l, h)
 	}
-	slices.SortFunc(l, func(a, b sardineknot.EntryHost) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(l, compareIDs)
+	slices.SortFunc(s, compareIDs)
 	r.logChangesLocked(len(l))
+	if !slices.Equal(s, r.registered) {
+		r.registered = s
+	}
 	if slices.Equal(l, r.list) {
 		return
 	}
@@ -115,6 +134,8 @@
 	r.changed = make(chan struct{})
 }
 
+func compareIDs(a, b sardineknot.EntryHost) int { return cmp.Compare(a.ID, b.ID) }
+
 // logChangesLocked writes one line about all hosts that joined or went since
 // the last line, so that the number of lines does not grow with the number of
 // hosts. count is the number of known hosts.
--- a/internal/membership/store/registry.go
+++ b/internal/membership/store/registry.go
@@ -53,6 +53,12 @@
 	// modified.
 	list    []sardineknot.EntryHost
 	changed chan struct{}
+	// registered is the list that Registered returns. It is replaced on every
+	// change, never modified. drops counts the removals of the key of this host.
+	registered []sardineknot.EntryHost
+	drops      uint64
+	// joinedStore is set once the service has confirmed the key of this host.
+	joinedStore bool
 	// rewrite signals Run to write the key of this host again.
 	rewrite chan struct{}
 	// ownRevision is the revision of the key of this host that Apply received
@@ -89,7 +95,10 @@
 	Leaving       bool
 }
 
-var _ sardineknot.Membership = (*Registry)(nil)
+var (
+	_ sardineknot.Membership    = (*Registry)(nil)
+	_ sardineknot.Registrations = (*Registry)(nil)
+)
 
 // NewRegistry returns a registry that contains only self.
 func NewRegistry(self sardineknot.EntryHost) *Registry {
@@ -118,6 +127,13 @@
 	return r.list
 }
 
+// Registered implements sardineknot.Registrations. Exclusions have no effect on it.
+func (r *Registry) Registered() (hosts []sardineknot.EntryHost, drops uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.registered, r.drops
+}
+
 // Isolated implements sardineknot.Membership. It always returns false: a host
 // that has lost contact continues to serve with its last known state.
 func (r *Registry) Isolated() bool { return false }
--- a/internal/serverlimits/table/table.go
+++ b/internal/serverlimits/table/table.go
@@ -8,6 +8,7 @@
 package table
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -187,9 +188,11 @@
 
 // take takes a permit from permits, which gets perSecond of them a second.
 func take(permits *bucket.Bucket, perSecond float64, now time.Time) time.Duration {
-	permits.Resize(perSecond, max(1, int(perSecond*burstTime.Seconds())), now)
-	if permits.Take(1, now) > 0 {
+	permits.Resize(perSecond, max(1, math.Floor(perSecond*burstTime.Seconds())), now)
+	d := permits.Wait(1, now)
+	if d == 0 {
+		permits.Take(1, now)
 		return 0
 	}
-	return max(minWait, permits.Wait(now))
+	return max(minWait, d)
 }
--- a/limiter.go
+++ b/limiter.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 )
 
@@ -13,24 +14,6 @@
 	Admit(ctx context.Context, contract Contract) error
 }
 
-// Permits is the response to a request for permits under a rate limit.
-type Permits struct {
-	// Granted is the number of requests that may be admitted.
-	Granted int
-	// RetryDelay is the time until the next permit is available if Granted is
-	// zero.
-	RetryDelay time.Duration
-}
-
-// PermitSource issues permits under the rate limits of client accounts.
-type PermitSource interface {
-	// Borrow requests at most want permits under the rate limit of account. In
-	// the same call it gives back permits that were granted earlier and not
-	// used; unused is their number. It fails with an UnavailableError if the
-	// owner of the limit does not answer.
-	Borrow(ctx context.Context, account ClientAccountName, want, unused int) (Permits, error)
-}
-
 // AccountLimiter keeps the calls of client accounts within their limits, over all
 // entry hosts. Implementations are safe for concurrent use.
 type AccountLimiter interface {
@@ -42,3 +25,77 @@
 	// run.
 	Refund(account *ClientAccount, cost float64)
 }
+
+// CostRequest asks the owner of a client account's limit for cost.
+type CostRequest struct {
+	// Account is the client account, and Limit its limit as the asking host knows
+	// it. The owner uses Limit only if its own configuration lacks the account.
+	Account ClientAccountName
+	Limit   AccountLimit
+	// Need is the cost of the call that asks. Zero means that the request only
+	// returns cost.
+	Need float64
+	// Want is the cost that the asking host expects to use soon, including Need.
+	Want float64
+	// Returned is the cost that was granted earlier and is given back.
+	Returned float64
+	// Deferred is the cost of calls that the asking host has told to return later
+	// without asking the owner.
+	Deferred float64
+	// MaxWait bounds CostGrant.Delay.
+	MaxWait time.Duration
+	// Whole states that only whole numbers may be granted.
+	Whole bool
+	// Hops is the number of messages that have carried the request.
+	Hops int
+	// Temporary is set for a host that grants in place of one which ranks higher, if
+	// that one grants nothing only for a short time.
+	Temporary bool
+}
+
+// CostGrant is the response to a CostRequest.
+type CostGrant struct {
+	// Granted is zero or at least CostRequest.Need.
+	Granted float64
+	// Delay is the time after which Granted may be used.
+	Delay time.Duration
+	// Fits is the time after which a request for the same cost can be granted, if
+	// Granted is zero. RetryAfter is at least as long and also leaves room for the
+	// calls that were told to return before.
+	Fits       time.Duration
+	RetryAfter time.Duration
+}
+
+// CostSource grants cost under the limits of client accounts.
+type CostSource interface {
+	// Borrow fails with a NotOwnerError if this host may not grant under the limit,
+	// and with an UnavailableError if the owner of the limit does not answer.
+	Borrow(ctx context.Context, request CostRequest) (CostGrant, error)
+}
+
+// Registrations provides the entry hosts as they are registered in the platform's
+// key-value service, whether or not they answer this host.
+type Registrations interface {
+	// Self returns this host.
+	Self() EntryHost
+	// Registered returns the registered hosts, ordered by ID. The list includes this
+	// host once the service has confirmed its registration, and is not modified
+	// later. drops is the number of times that the service has dropped the
+	// registration of this host.
+	Registered() (hosts []EntryHost, drops uint64)
+}
+
+// NotOwnerError reports that a host grants nothing under the limit of a client
+// account. Another host may grant in its place.
+type NotOwnerError struct {
+	// Host is the host that is not the owner.
+	Host EntryHostID
+	// Ended is set if the process of the host has ended or never grants, as one of a
+	// version without limits of accounts.
+	Ended bool
+}
+
+// Error implements error.
+func (e *NotOwnerError) Error() string {
+	return fmt.Sprintf("%s does not own the limit", e.Host)
+}
--- a/logevent.go
+++ b/logevent.go
@@ -102,6 +102,12 @@
 	// LogLimitNotShared reports that another entry host was not reached to report
 	// the limit of a backend server, or to take a permit for a request.
 	LogLimitNotShared LogEvent = "limit_not_shared"
+	// LogLimitOwnerLost reports that the owner of the limits of client accounts, the
+	// entry host "peer", does not answer, or, if "gone" is true, certainly grants
+	// nothing, so that the next host acts in its place.
+	LogLimitOwnerLost LogEvent = "limit_owner_lost"
+	// LogLimitOwnerRegained reports that the entry host "peer" answers again.
+	LogLimitOwnerRegained LogEvent = "limit_owner_regained"
 	// LogServersCut reports that this host reaches no backend server, while the entry
 	// host "peer" does. Connections to servers go through other hosts from now on.
 	LogServersCut LogEvent = "servers_cut"
