--- a/internal/host/process/limits.go
+++ b/internal/host/process/limits.go
@@ -1,6 +1,8 @@
 package process
 
 import (
+	"time"
+
 	"sardineknot.example/sardineknot/internal/host/boottime"
 	"sardineknot.example/sardineknot/internal/limits/contracts"
 	"sardineknot.example/sardineknot/internal/limits/credit"
@@ -9,6 +11,10 @@
 	"sardineknot.example/sardineknot/internal/limits/twirp"
 )
 
+// permitLifetime is longer than the default, so that an account with few requests a
+// second does not cost a message for each.
+const permitLifetime = 500 * time.Millisecond
+
 // addLimits creates the limiter that enforces the rate limits of client
 // accounts.
 func (p *Process) addLimits() {
@@ -16,7 +22,7 @@
 	k := rank.NewRanker(h)
 	o := owner.NewOwner(boottime.Clock{}, h, k, contracts.Limits(p.source))
 	c := &twirp.Client{Hosts: h, Ranker: k, Owner: o, Clock: boottime.Clock{}, HTTP: p.peers.Client(), Log: p.log, Metrics: p.metrics}
-	l := &credit.Limiter{Clock: boottime.Clock{}, Source: c, Hosts: h, Whole: true, Metrics: p.metrics}
+	l := &credit.Limiter{Clock: boottime.Clock{}, Source: c, Hosts: h, Whole: true, Lifetime: permitLifetime, Metrics: p.metrics}
 	p.limiter = contracts.NewLimiter(l)
 	p.peerMux.Handle(c.Handler())
 	p.tasks = append(p.tasks, o.Run, l.Run)
--- a/internal/limits/contracts/limiter_test.go
+++ b/internal/limits/contracts/limiter_test.go
@@ -63,7 +63,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			go c.owner.Run(ctx)
 			for range hosts {
-				l := &credit.Limiter{Clock: clock.System{}, Source: c, Hosts: c, Whole: true, Metrics: metrics.NewRegistry()}
+				l := &credit.Limiter{Clock: clock.System{}, Source: c, Hosts: c, Whole: true, Lifetime: 500 * time.Millisecond, Metrics: metrics.NewRegistry()}
 				go l.Run(ctx)
 				c.limiters = append(c.limiters, NewLimiter(l))
 			}
--- a/internal/limits/credit/account.go
+++ b/internal/limits/credit/account.go
@@ -26,6 +26,8 @@
 	// came, so that only one of them at a time sends a request to the owner and the
 	// others wait for its result.
 	turn chan struct{}
+	// lifetime is Limiter.Lifetime.
+	lifetime time.Duration
 
 	mu sync.Mutex
 	// limit is the limit that a call had last.
@@ -124,11 +126,11 @@
 }
 
 // expected returns the cost of the calls that wait, and of those that are expected
-// within stockLifetime. It leaves the latter out if they are less than one call like
+// within the lifetime. It leaves the latter out if they are less than one call like
 // the one that costs cost, because most of what is borrowed for them is returned.
 func (a *account) expected(cost float64, now time.Time) float64 {
 	a.decayDemand(now)
-	d := a.demand * float64(stockLifetime) / float64(demandTime)
+	d := a.demand * float64(a.lifetime) / float64(demandTime)
 	if d < cost {
 		return a.queued
 	}
@@ -145,13 +147,13 @@
 		a.refusedCost, a.refusedUntil, a.retryAt = request.Need, now.Add(grant.Fits), now.Add(grant.RetryAfter)
 		return 0, refusal(account, grant.RetryAfter)
 	}
-	if now.Sub(sent) > stockLifetime {
+	if now.Sub(sent) > a.lifetime {
 		// This host was suspended, and the owner has granted the cost to others.
 		return 0, refusal(account, 0)
 	}
 	a.refusedUntil = time.Time{}
 	a.stock += grant.Granted - request.Need
-	a.expiresAt = sent.Add(stockLifetime)
+	a.expiresAt = sent.Add(a.lifetime)
 	return grant.Delay, nil
 }
 
--- a/internal/limits/credit/limiter.go
+++ b/internal/limits/credit/limiter.go
@@ -2,7 +2,7 @@
 // each client account's limit.
 //
 // A host borrows what the call that asks costs, and what it expects to need within
-// stockLifetime, so that a busy account costs a few messages per second and host
+// Limiter.Lifetime, so that a busy account costs a few messages per second and host
 // instead of one per call. Cost that is not used in time is returned. While the owner
 // does not answer, a host spends only its share of the excess that is allowed over
 // the limit.
@@ -28,10 +28,8 @@
 	// maxAccounts bounds the number of accounts in one shard, to limit the memory.
 	// Beyond it, one account and its unused cost are discarded.
 	maxAccounts = 1024
-	// stockLifetime is the time from a request to the owner within which the cost
-	// that it brings must be used. Cost that is used late adds to the limit of a
-	// later time, at most the rate times stockLifetime.
-	stockLifetime = 200 * time.Millisecond
+	// defaultLifetime is the default of Limiter.Lifetime.
+	defaultLifetime = 200 * time.Millisecond
 	// maxWait bounds the time for which a call waits for its cost to accrue.
 	maxWait = 100 * time.Millisecond
 	// retryInterval is the time after a failed request to the owner in which no
@@ -58,6 +56,10 @@
 	// Excess is the part of each rate that all hosts together may use beyond a limit
 	// whose owner does not answer. Zero means 0.1.
 	Excess float64
+	// Lifetime is the time from a request to the owner within which the cost that it
+	// brings must be used. Cost that is used late adds to the limit of a later time, at
+	// most the rate times Lifetime. Zero means 200 ms.
+	Lifetime time.Duration
 	// Whole states that cost is counted in whole numbers.
 	Whole bool
 	// Metrics receives the number of calls that were refused, and of those that were
@@ -154,7 +156,7 @@
 // sleep waits until cost that was granted in advance may be used. If ctx is done
 // first, it refunds the cost and returns the error of ctx.
 func (l *Limiter) sleep(ctx context.Context, account *sardineknot.ClientAccount, cost float64, duration time.Duration) error {
-	e := l.Clock.Now().Add(duration + stockLifetime)
+	e := l.Clock.Now().Add(duration + l.lifetime())
 	t := time.NewTimer(duration)
 	defer t.Stop()
 	select {
@@ -176,6 +178,13 @@
 	}
 }
 
+func (l *Limiter) lifetime() time.Duration {
+	if l.Lifetime == 0 {
+		return defaultLifetime
+	}
+	return l.Lifetime
+}
+
 // refusal returns the error for a call that fits after wait.
 func refusal(account *sardineknot.ClientAccount, wait time.Duration) error {
 	return errors.WithStack(&sardineknot.LimitedError{Account: account.Name, RetryAfter: wait})
@@ -199,7 +208,7 @@
 			break
 		}
 	}
-	a = &account{turn: make(chan struct{}, 1)}
+	a = &account{turn: make(chan struct{}, 1), lifetime: l.lifetime()}
 	s.accounts[name] = a
 	return a
 }
