limits/owner: calls of all sizes wait for the same level

Where a call waited for a level of its own cost, calls of 100 emptied the bucket of 1,000 a second before any of 800 fitted. While calls that were told to return are expected, all wait for the mean cost; a larger one goes into debt.

--- a/internal/limits/owner/account.go
+++ b/internal/limits/owner/account.go
@@ -80,28 +80,34 @@
 		a.mean = request.Need
 	}
 	a.mean += (request.Need - a.mean) * meanWeight
-	w := a.bucket.Wait(a.threshold(request.Need), now)
+	w := a.bucket.Wait(a.threshold(request.Need, now), now)
 	if w > request.MaxWait {
-		return a.refuse(request, w, now)
+		return a.refuse(request, now)
 	}
 	f := a.bucket.Level(now) >= generousLevel*a.limit.Burst
 	a.bucket.Take(request.Need, now)
 	return sardineknot.CostGrant{Granted: request.Need + a.extra(request, f, now), Delay: w}
 }
 
-// threshold returns the level at which a call of cost need is granted. A call above
-// the mean waits no longer than one of the mean and leaves the bucket in debt:
-// otherwise smaller calls would empty the bucket each time before a large one fits.
-func (a *account) threshold(need float64) float64 {
-	return min(need, a.mean, a.limit.Burst)
+// threshold returns the level at which a call of cost need is granted. A call above the
+// mean leaves the bucket in debt, and while calls that were told to return are expected,
+// one below the mean waits for the same level: otherwise smaller calls would empty the
+// bucket each time before a large one fits.
+func (a *account) threshold(need float64, now time.Time) float64 {
+	m := min(a.mean, a.limit.Burst)
+	if a.deferred.Level(now) < 0 {
+		return m
+	}
+	return min(need, m)
 }
 
-// refuse returns the time at which a call that fits after wait can be granted, and
+// refuse returns the time at which a call that does not fit now can be granted, and
 // records that it was told to return.
-func (a *account) refuse(request sardineknot.CostRequest, wait time.Duration, now time.Time) sardineknot.CostGrant {
-	r := wait + time.Duration(-a.deferred.Level(now)/a.limit.PerSecond*float64(time.Second))
+func (a *account) refuse(request sardineknot.CostRequest, now time.Time) sardineknot.CostGrant {
+	w := a.bucket.Wait(min(a.mean, a.limit.Burst), now)
+	r := w + time.Duration(-a.deferred.Level(now)/a.limit.PerSecond*float64(time.Second))
 	a.deferCost(request.Need, now)
-	return sardineknot.CostGrant{Fits: wait - request.MaxWait, RetryAfter: r}
+	return sardineknot.CostGrant{Fits: w - request.MaxWait, RetryAfter: r}
 }
 
 // deferCost records that calls of the given cost were told to return.
