limits/twirp: tests of older versions and malformed messages

A host of the older version that asked for three permits got five, because the owner adds to what a host expects to need.

--- a/internal/limits/owner/account.go
+++ b/internal/limits/owner/account.go
@@ -23,8 +23,9 @@
 	// temporaryMemory is the time after the last grant of a temporary owner for which
 	// its bucket stays in use. After that time the owner may have granted meanwhile.
 	temporaryMemory = time.Second
-	// maxCallSeconds and the burst bound the tokens of a single call. A call above
-	// the limit of the whole window in which operators measure would exceed it alone.
+	// maxCallSeconds times the rate, and the burst, bound the cost of a single call
+	// above one. A larger one would alone exceed the limit of the whole window in which
+	// operators measure.
 	maxCallSeconds = 8
 )
 
@@ -73,7 +74,7 @@
 	if request.Need <= 0 {
 		return sardineknot.CostGrant{}
 	}
-	if a.limit.CountsTokens && request.Need > maxCallSeconds*a.limit.PerSecond+a.limit.Burst {
+	if request.Need > max(1, maxCallSeconds*a.limit.PerSecond+a.limit.Burst) {
 		return sardineknot.CostGrant{Fits: maxRetryAfter, RetryAfter: maxRetryAfter}
 	}
 	if a.mean == 0 {
@@ -120,7 +121,7 @@
 func (a *account) extra(request sardineknot.CostRequest, generous bool, now time.Time) float64 {
 	e := max(request.Want-request.Need, 0)
 	l := max(a.bucket.Level(now), 0)
-	if generous {
+	if generous && !request.Whole {
 		e += min(e, l*generousPart)
 	}
 	e = min(e, l)
--- a/internal/limits/owner/owner_test.go
+++ b/internal/limits/owner/owner_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -43,7 +44,7 @@
 }
 
 func (w *world) borrow(need float64) (sardineknot.CostGrant, error) {
-	return w.owner.Borrow(nil, sardineknot.CostRequest{Account: "verk", Need: need, Want: need})
+	return w.owner.Borrow(context.Background(), sardineknot.CostRequest{Account: "verk", Need: need, Want: need})
 }
 
 // assertEmpty checks that the bucket was empty at this time.
@@ -110,7 +111,7 @@
 		w.run(time.Second)
 		w.assertGranted(200)
 		q := sardineknot.CostRequest{Account: "verk", Need: 100, Temporary: true}
-		_, err := w.owner.Borrow(nil, q)
+		_, err := w.owner.Borrow(context.Background(), q)
 		w.NoErr(err)
 		w.run(2 * time.Second)
 		w.assertEmpty()
--- /dev/null
+++ b/internal/limits/twirp/service_test.go
@@ -0,0 +1,81 @@
+package twirp_test
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	api "sardineknot.example/sardineknot/internal/rpc/limits"
+)
+
+// older is a host of a version that counts requests.
+type older struct{ want, returned uint32 }
+
+func (o *older) Borrow(_ context.Context, request *api.BorrowRequest) (*api.BorrowResponse, error) {
+	o.want, o.returned = request.GetWant(), request.GetReturned()
+	return &api.BorrowResponse{Granted: request.GetWant()}, nil
+}
+
+// TestOlderVersion guards against hosts of two versions that do not understand each
+// other: one that counts requests, and one that does not serve limits.
+func TestOlderVersion(t *testing.T) {
+	t.Run("asks", func(t *testing.T) {
+		run(t, 8, small, func(f *fleet) {
+			time.Sleep(2 * time.Second)
+			c := api.NewLimitsProtobufClient("http://"+f.hosts[f.order()[0]].entry.PeerAddress.String(), &http.Client{Transport: f.hosts[0]})
+			i := is.New(f.t)
+			r, err := c.Borrow(f.t.Context(), &api.BorrowRequest{Account: "verk", Want: 3, Returned: 1})
+			i.NoErr(err)
+			i.Equal(r.GetGranted(), uint32(3))
+		})
+	})
+	t.Run("is the owner", func(t *testing.T) {
+		run(t, 8, small, func(f *fleet) {
+			o, m := &older{}, http.NewServeMux()
+			s := api.NewLimitsServer(o)
+			m.Handle(s.PathPrefix(), s)
+			l := f.order()
+			f.hosts[l[0]].mux = m
+			f.call(l[3], 2.5)
+			i := is.New(f.t)
+			i.Equal(len(f.sends), 1)
+			i.Equal(o.want, uint32(3))
+		})
+	})
+	t.Run("ranks first and serves no limits", func(t *testing.T) {
+		run(t, 8, small, func(f *fleet) {
+			l := f.order()
+			f.hosts[l[0]].mux = http.NewServeMux()
+			f.call(l[3], 100) // the bucket of the host that acts starts empty
+			for range 5 {
+				time.Sleep(5 * time.Second)
+				f.call(l[3], 5000)
+			}
+			is.New(f.t).Equal(len(f.sends), 6)
+		})
+	})
+}
+
+// TestMalformed guards against a message that takes a limit for a long time or ends a
+// process.
+func TestMalformed(t *testing.T) {
+	run(t, 8, small, func(f *fleet) {
+		time.Sleep(2 * time.Second)
+		l := f.order()
+		c := api.NewLimitsProtobufClient("http://"+f.hosts[l[0]].entry.PeerAddress.String(), &http.Client{Transport: f.hosts[0]})
+		n := -1.0
+		for _, v := range []float64{n, 1 / (n + 1), -1 / (n + 1), 1e300, 1e30, (n + 1) / (n + 1)} {
+			_, err := c.Borrow(f.t.Context(), &api.BorrowRequest{
+				Account: "verk", ByCost: true, Need: v, WantCost: v, ReturnedCost: v, Deferred: v, PerSecond: v, Burst: v,
+				MaxWaitMicros: 1 << 62, Hops: 1 << 31,
+			})
+			is.New(f.t).NoErr(err)
+		}
+		time.Sleep(12 * time.Second)
+		f.call(l[3], 5000)
+		is.New(f.t).Equal(len(f.sends), 1)
+	})
+}
