--- a/internal/limits/owner/account.go
+++ b/internal/limits/owner/account.go
@@ -90,16 +90,15 @@
 	return sardineknot.CostGrant{Granted: request.Need + a.extra(request, f, now), Delay: w}
 }
 
-// threshold returns the level at which a call of cost need is granted. A call above the
-// mean leaves the bucket in debt, and while calls that were told to return are expected,
-// one below the mean waits for the same level: otherwise smaller calls would empty the
-// bucket each time before a large one fits.
+// threshold returns the level at which a call of cost need is granted. One that costs more
+// than the burst leaves the bucket in debt. While calls that were told to return are
+// expected, all calls wait for the level of the mean cost, and larger ones leave a debt:
+// otherwise smaller calls would empty the bucket each time before a large one fits.
 func (a *account) threshold(need float64, now time.Time) float64 {
-	m := min(a.mean, a.limit.Burst)
 	if a.deferred.Level(now) < 0 {
-		return m
+		need = a.mean
 	}
-	return min(need, m)
+	return min(need, a.limit.Burst)
 }
 
 // refuse returns the time at which a call that does not fit now can be granted, and
