--- a/internal/host/process/limits.go
+++ b/internal/host/process/limits.go
@@ -21,6 +21,7 @@
 	h := rank.Live(p.members)
 	k := rank.NewRanker(h)
 	o := owner.NewOwner(boottime.Clock{}, h, k, contracts.Limits(p.source))
+	o.StartFull = true
 	c := &twirp.Client{Hosts: h, Ranker: k, Owner: o, Clock: boottime.Clock{}, HTTP: p.peers.Client(), Log: p.log, Metrics: p.metrics}
 	l := &credit.Limiter{Clock: boottime.Clock{}, Source: c, Hosts: h, Whole: true, Lifetime: permitLifetime, Metrics: p.metrics}
 	p.limiter = contracts.NewLimiter(l)
--- a/internal/limits/owner/owner.go
+++ b/internal/limits/owner/owner.go
@@ -42,6 +42,11 @@
 // Owner is a sardineknot.CostSource that grants from token buckets in memory. Run
 // must be running. An Owner is safe for concurrent use.
 type Owner struct {
+	// StartFull makes buckets start full, so that a change of owner admits at most one
+	// burst too many. It suits limits of few requests a minute, which would otherwise
+	// refuse for minutes. It must be set before use.
+	StartFull bool
+
 	clock  sardineknot.Clock
 	hosts  sardineknot.Registrations
 	ranker *rank.Ranker
@@ -118,7 +123,7 @@
 	if !b {
 		t = s.act(request.Account, n)
 	}
-	a := s.account(request.Account, l, t)
+	a := s.account(request.Account, l, t, o.StartFull)
 	a.resize(l, n)
 	a.temporary, a.usedAt = request.Temporary, n
 	return a.borrow(request, n), nil
@@ -199,8 +204,8 @@
 }
 
 // account returns the named account. If needed, it creates it, with a bucket that was
-// empty at time since.
-func (s *shard) account(name sardineknot.ClientAccountName, limit sardineknot.AccountLimit, since time.Time) *account {
+// empty at time since, or full.
+func (s *shard) account(name sardineknot.ClientAccountName, limit sardineknot.AccountLimit, since time.Time, full bool) *account {
 	a := s.accounts[name]
 	if a != nil {
 		return a
@@ -212,6 +217,9 @@
 		}
 	}
 	a = newAccount(limit, since)
+	if full {
+		a.bucket.Return(limit.Burst, since)
+	}
 	s.accounts[name] = a
 	return a
 }
