--- a/accounts_test.go
+++ b/accounts_test.go
@@ -36,3 +36,17 @@
 	is.Equal(l.Cost(0), 200.0)
 	is.Equal(sardineknot.AccountLimit{}.Cost(1540), 1.0)
 }
+
+// TestAccountLimit guards against an owner that applies the limit of another account.
+func TestAccountLimit(t *testing.T) {
+	i := is.New(t)
+	c := &sardineknot.Configuration{}
+	c.SetAccounts([]sardineknot.ClientAccount{{Name: "verk", Limit: sardineknot.AccountLimit{PerSecond: 2}}, {Name: "alp", Limit: sardineknot.AccountLimit{PerSecond: 1}}})
+	l, ok := c.AccountLimit("verk")
+	i.True(ok)
+	i.Equal(l.PerSecond, 2.0)
+	_, ok = c.AccountLimit("berg")
+	i.True(!ok)
+	_, ok = (*sardineknot.Configuration)(nil).AccountLimit("verk")
+	i.True(!ok)
+}
--- a/internal/limits/owner/owner_test.go
+++ b/internal/limits/owner/owner_test.go
@@ -89,6 +89,7 @@
 	t.Run("registration dropped", func(t *testing.T) {
 		w := newWorld(t)
 		w.run(3 * time.Second)
+		w.assertGranted(100)
 		w.drops++
 		w.assertEmpty()
 	})
--- a/internal/limits/twirp/service_test.go
+++ b/internal/limits/twirp/service_test.go
@@ -2,12 +2,20 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+	"github.com/rs/zerolog"
 
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/limits/owner"
+	"sardineknot.example/sardineknot/internal/limits/rank"
+	"sardineknot.example/sardineknot/internal/limits/twirp"
+	"sardineknot.example/sardineknot/internal/peer/h2c"
 	api "sardineknot.example/sardineknot/internal/rpc/limits"
 )
 
@@ -79,3 +87,34 @@
 		is.New(f.t).Equal(len(f.sends), 1)
 	})
 }
+
+// TestConnectionRefused guards against the end of an owner's process that is taken for
+// silence, over the transport that is used in production.
+func TestConnectionRefused(t *testing.T) {
+	i := is.New(t)
+	w, err := net.Listen("tcp", "127.0.0.1:0")
+	i.NoErr(err)
+	e := sardineknot.EntryHost{ID: "owner", PeerAddress: w.Addr().(*net.TCPAddr).AddrPort(), Processor: 1}
+	f := &fleet{registered: []sardineknot.EntryHost{e, {ID: "self", Processor: 1}}}
+	f.account.Limit = sardineknot.AccountLimit{PerSecond: small, Burst: small}
+	m := http.NewServeMux()
+	s := api.NewLimitsServer(&older{})
+	m.Handle(s.PathPrefix(), s)
+	v := h2c.NewServer(m)
+	go v.Serve(w)
+	h := &host{fleet: f, entry: f.registered[1]}
+	k, r := rank.NewRanker(h), metrics.NewRegistry()
+	c := &twirp.Client{Hosts: h, Ranker: k, Owner: owner.NewOwner(h, h, k, f.limit), Clock: h, HTTP: h2c.NewTransport(r).Client(), Log: zerolog.Nop(), Metrics: r}
+	q := sardineknot.CostRequest{Account: "a", Need: 3, Want: 3}
+	for k.Order(q.Account)[0].ID != e.ID {
+		q.Account += "a"
+	}
+	g, err := c.Borrow(t.Context(), q)
+	i.NoErr(err)
+	i.Equal(g.Granted, 3.0)
+	v.Close()
+	g, err = c.Borrow(t.Context(), q)
+	i.NoErr(err) // this host acts, and its bucket starts empty
+	i.Equal(g.Granted, 0.0)
+	i.True(g.RetryAfter > 0)
+}
--- a/limiter.go
+++ b/limiter.go
@@ -1,8 +1,10 @@
 package sardineknot
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"time"
 )
 
@@ -26,6 +28,19 @@
 	Refund(account *ClientAccount, cost float64)
 }
 
+// AccountLimit returns the limit of the client account with the given name. ok is false
+// if c has no such account, or is nil.
+func (c *Configuration) AccountLimit(name ClientAccountName) (limit AccountLimit, ok bool) {
+	if c == nil {
+		return AccountLimit{}, false
+	}
+	i, ok := slices.BinarySearchFunc(c.Accounts, name, func(a ClientAccount, n ClientAccountName) int { return cmp.Compare(a.Name, n) })
+	if !ok {
+		return AccountLimit{}, false
+	}
+	return c.Accounts[i].Limit, true
+}
+
 // CostRequest asks the owner of a client account's limit for cost.
 type CostRequest struct {
 	// Account is the client account, and Limit its limit as the asking host knows
