--- a/gatewaysettings.go
+++ b/gatewaysettings.go
@@ -42,6 +42,9 @@
 	// plus RetrySlack.
 	RetryRatio float64
 	RetrySlack float64
+	// AccountExcess is the part of the limit of a client account that all hosts together
+	// may admit beyond it while they cannot reach its owner. Zero means 0.1.
+	AccountExcess float64
 	// LogLevel is one of "debug", "info", "warn" and "error". Empty means
 	// "info".
 	LogLevel string
--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -77,7 +77,7 @@
 // calls.
 func (p *Process) beginWithHosts(calls int) time.Duration {
 	p.registry.Refresh()
-	if calls < maxRegistrationWaits && !p.registry.Registered() || calls == 0 && p.mostLeave() {
+	if calls < maxRegistrationWaits && !p.registry.HasKey() || calls == 0 && p.mostLeave() {
 		return registrationWait
 	}
 	return 0
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -32,6 +32,9 @@
 	"sardineknot.example/sardineknot/internal/configuration/inforce"
 	configuration "sardineknot.example/sardineknot/internal/configuration/store"
 	"sardineknot.example/sardineknot/internal/host/clock"
+	"sardineknot.example/sardineknot/internal/limits/credit"
+	"sardineknot.example/sardineknot/internal/limits/owner"
+	accountlimits "sardineknot.example/sardineknot/internal/limits/twirp"
 	"sardineknot.example/sardineknot/internal/membership/followers"
 	"sardineknot.example/sardineknot/internal/membership/rendezvous"
 	membership "sardineknot.example/sardineknot/internal/membership/store"
@@ -158,6 +161,11 @@
 	calls   *limited.Forwarder
 	// places assigns calls to plain servers while these are contended.
 	places *places.Places
+	// accountLimiter keeps client accounts within their limits. accountOwner grants
+	// under the limits that this host owns, and accountClient finds the owners.
+	accountLimiter *credit.Limiter
+	accountOwner   *owner.Owner
+	accountClient  *accountlimits.Client
 	// dialer connects to backend servers, through other hosts while this one reaches
 	// none. tunnels are these connections, and those of other hosts through this one.
 	dialer  *reach.Dialer
@@ -184,7 +192,7 @@
 		}
 		g.Go(func() error { return serve(s.server, n) })
 	}
-	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.versions.Run, p.guard.Run, p.keeper.Run, p.refresh, p.watchSettings, p.observeLoads, p.newRoleController().Run, p.places.Run, p.connections.Run, p.dialer.Run) {
+	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.versions.Run, p.guard.Run, p.keeper.Run, p.refresh, p.watchSettings, p.observeLoads, p.newRoleController().Run, p.places.Run, p.runAccountLimits, p.connections.Run, p.dialer.Run) {
 		g.Go(func() error { return f(w) })
 	}
 	p.Log.Info().Stringer("event", sardineknot.LogStarted).Str("zone", string(p.Settings.Zone)).Send()
@@ -237,6 +245,7 @@
 	p.addDialer()
 	p.addGuard()
 	p.addLimiter()
+	p.addAccountLimits()
 	p.addPlaces()
 	p.addCallHandler(h)
 }
@@ -320,6 +329,7 @@
 			Source: p.source, Forwarder: p.calls, Slots: p.slots, Backoffs: p.backoffs, Guard: p.guard,
 			Budget: b, Memory: m, Versions: p.versions, Self: self, Clock: p.clock, Log: p.Log,
 		},
+		Limiter: p.accountLimiter,
 		Clock:   p.clock,
 		Log:     p.Log,
 		Metrics: p.Metrics,
--- a/internal/membership/store/registry.go
+++ b/internal/membership/store/registry.go
@@ -56,6 +56,12 @@
 	// dirty is set while list does not reflect self and hosts. timed is set while hosts
 	// has a member that is excluded or has lost its key, so that list changes with time.
 	dirty, timed bool
+	// registered is the list that Registered returns. It is replaced on every
+	// change, never modified. drops counts the removals of the key of this host.
+	registered []sardineknot.EntryHost
+	drops      uint64
+	// joinedStore is set once the service has confirmed the key of this host.
+	joinedStore bool
 	// rewrite signals Run to write the key of this host again.
 	rewrite chan struct{}
 	// ownRevision is the revision of the key of this host that Apply received
@@ -92,7 +98,10 @@
 	Leaving       bool
 }
 
-var _ sardineknot.Membership = (*Registry)(nil)
+var (
+	_ sardineknot.Membership    = (*Registry)(nil)
+	_ sardineknot.Registrations = (*Registry)(nil)
+)
 
 // NewRegistry returns a registry that contains only self.
 func NewRegistry(self sardineknot.EntryHost) *Registry {
@@ -121,6 +130,13 @@
 	return r.list
 }
 
+// Registered implements sardineknot.Registrations. Exclusions have no effect on it.
+func (r *Registry) Registered() (hosts []sardineknot.EntryHost, drops uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.registered, r.drops
+}
+
 // Isolated implements sardineknot.Membership. It always returns false: a host
 // that has lost contact continues to serve with its last known state.
 func (r *Registry) Isolated() bool { return false }
