limits: calls wait for an eighth of their target at most; small calls are granted at once

Change: Admit takes the longest wait; the caller's handler gives an eighth of the route's target. A call that costs an eighth of the mean or less is granted if its own cost is there.

--- a/internal/caller/gateway/handler.go
+++ b/internal/caller/gateway/handler.go
@@ -27,6 +27,11 @@
 	// maxConfigurationWait is the maximum time for which a call waits for the
 	// first configuration.
 	maxConfigurationWait = 700 * time.Millisecond
+	// maxLimitWait bounds the wait of a call for its account's limit, and so does the
+	// part 1/limitWaitParts of the latency target: a call that waits for longer may be
+	// late, and its caller is better off with a refusal at once.
+	maxLimitWait   = 100 * time.Millisecond
+	limitWaitParts = 8
 	// defaultBodyBytes is the maximum size of a request body if the
 	// configuration sets no limit.
 	defaultBodyBytes = 4 << 20
@@ -232,7 +237,7 @@
 		return q.Run(ctx, call, writer)
 	}
 	n := call.Account.Limit.Cost(call.Tokens)
-	err := h.Limiter.Admit(ctx, call.Account, n)
+	err := h.Limiter.Admit(ctx, call.Account, n, limitWait(call))
 	if err != nil {
 		return err
 	}
@@ -243,6 +248,14 @@
 	return err
 }
 
+// limitWait returns the time for which call may wait for its account's limit.
+func limitWait(call *sardineknot.Call) time.Duration {
+	if call.Route.Target <= 0 {
+		return maxLimitWait
+	}
+	return min(maxLimitWait, call.Route.Target/limitWaitParts)
+}
+
 // notRun reports whether err guarantees that the call did not run.
 func notRun(err error) bool {
 	var n *sardineknot.NotRunError
--- a/internal/limits/contracts/limiter.go
+++ b/internal/limits/contracts/limiter.go
@@ -4,12 +4,16 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
 )
 
+// maxWait bounds the time for which a request waits for its limit.
+const maxWait = 100 * time.Millisecond
+
 // Limiter is a sardineknot.Limiter. It is safe for concurrent use.
 type Limiter struct {
 	accounts sardineknot.AccountLimiter
@@ -26,7 +30,7 @@
 	if contract.RequestsPerSecond <= 0 {
 		return nil
 	}
-	err := l.accounts.Admit(ctx, &sardineknot.ClientAccount{Name: contract.Account, Limit: contractLimit(contract)}, 1)
+	err := l.accounts.Admit(ctx, &sardineknot.ClientAccount{Name: contract.Account, Limit: contractLimit(contract)}, 1, maxWait)
 	var d *sardineknot.LimitedError
 	if errors.As(err, &d) {
 		return errors.WithStack(&sardineknot.NotRunError{Reason: "limit of " + string(contract.Account) + " is reached", RetryAfter: d.RetryAfter})
--- a/internal/limits/credit/account.go
+++ b/internal/limits/credit/account.go
@@ -98,7 +98,7 @@
 // prepare ends the wait of a call whose turn it is. It takes cost from the stock, or
 // returns the request that asks the owner for it; otherwise Need is zero. If the owner
 // has just refused as much, ok is false and wait is the time until the call fits.
-func (a *account) prepare(account *sardineknot.ClientAccount, cost float64, now time.Time) (q sardineknot.CostRequest, wait time.Duration, ok bool) {
+func (a *account) prepare(account *sardineknot.ClientAccount, cost float64, maxWait time.Duration, now time.Time) (q sardineknot.CostRequest, wait time.Duration, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.endWait(cost)
--- a/internal/limits/credit/limiter.go
+++ b/internal/limits/credit/limiter.go
@@ -30,8 +30,6 @@
 	maxAccounts = 1024
 	// defaultLifetime is the default of Limiter.Lifetime.
 	defaultLifetime = 200 * time.Millisecond
-	// maxWait bounds the time for which a call waits for its cost to accrue.
-	maxWait = 100 * time.Millisecond
 	// retryInterval is the time after a failed request to the owner in which no
 	// further one is made for the account, so that callers do not queue up behind
 	// timeouts.
@@ -79,7 +77,7 @@
 
 // Admit implements sardineknot.AccountLimiter. It admits every call of an account
 // without limit.
-func (l *Limiter) Admit(ctx context.Context, account *sardineknot.ClientAccount, cost float64) error {
+func (l *Limiter) Admit(ctx context.Context, account *sardineknot.ClientAccount, cost float64, maxWait time.Duration) error {
 	if account.Limit.PerSecond <= 0 || cost <= 0 {
 		return nil
 	}
@@ -87,7 +85,7 @@
 	if a.enter(cost, l.Clock.Now()) {
 		return nil
 	}
-	w, err := l.await(ctx, a, account, cost)
+	w, err := l.await(ctx, a, account, cost, maxWait)
 	if err == nil && w > 0 {
 		err = l.sleep(ctx, account, cost, w)
 	}
@@ -100,7 +98,7 @@
 
 // await waits for the turn of a call and takes its cost. It returns the time that the
 // call has to wait.
-func (l *Limiter) await(ctx context.Context, a *account, account *sardineknot.ClientAccount, cost float64) (time.Duration, error) {
+func (l *Limiter) await(ctx context.Context, a *account, account *sardineknot.ClientAccount, cost float64, maxWait time.Duration) (time.Duration, error) {
 	select {
 	case a.turn <- struct{}{}:
 		defer func() { <-a.turn }()
@@ -108,7 +106,7 @@
 		a.leave(cost)
 		return 0, errors.WithStack(ctx.Err())
 	}
-	q, w, ok := a.prepare(account, cost, l.Clock.Now())
+	q, w, ok := a.prepare(account, cost, maxWait, l.Clock.Now())
 	if !ok {
 		return 0, refusal(account, w)
 	}
--- a/internal/limits/credit/limiter_test.go
+++ b/internal/limits/credit/limiter_test.go
@@ -16,6 +16,9 @@
 	"sardineknot.example/sardineknot/internal/host/clock"
 )
 
+// testWait is the longest wait of the calls of these tests.
+const testWait = 100 * time.Millisecond
+
 // source grants what is needed, with a delay, after the time delay. It records the
 // requests.
 type source struct {
@@ -46,9 +49,9 @@
 		time.AfterFunc(20*time.Millisecond, func() { c.by.Store(int64(5 * time.Second)) })
 		var d *sardineknot.LimitedError
 		i := is.New(t)
-		i.True(errors.As(l.Admit(t.Context(), account1, 1), &d))
+		i.True(errors.As(l.Admit(t.Context(), account1, 1, testWait), &d))
 		l.account("verk").stock = 10
-		i.NoErr(l.Admit(t.Context(), account1, 1))
+		i.NoErr(l.Admit(t.Context(), account1, 1, testWait))
 		i.Equal(len(s.requests), 2)
 		i.Equal(s.requests[1].Returned, 10.0)
 	})
@@ -63,13 +66,13 @@
 		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Millisecond)
 		defer cancel()
 		i := is.New(t)
-		i.True(errors.Is(l.Admit(ctx, account1, 7), context.DeadlineExceeded))
+		i.True(errors.Is(l.Admit(ctx, account1, 7, testWait), context.DeadlineExceeded))
 		i.Equal(l.account("verk").stock, 7.0)
 		o := make(chan int, 5)
 		for n := range 5 {
 			time.Sleep(time.Millisecond)
 			go func() {
-				i.NoErr(l.Admit(t.Context(), account1, 10+float64(n)))
+				i.NoErr(l.Admit(t.Context(), account1, 10+float64(n), testWait))
 				o <- n
 			}()
 		}
@@ -85,6 +88,6 @@
 	a := l.account("verk")
 	a.stock, a.expiresAt = 1e18, boottime.Clock{}.Now().Add(time.Hour)
 	for b.Loop() {
-		_ = l.Admit(b.Context(), account1, 1)
+		_ = l.Admit(b.Context(), account1, 1, testWait)
 	}
 }
--- a/internal/limits/owner/account.go
+++ b/internal/limits/owner/account.go
@@ -14,6 +14,8 @@
 	// maxRetryAfter bounds the time that callers are told to wait because of others
 	// that were told to wait before. Not all of them return.
 	maxRetryAfter = 10 * time.Second
+	// smallCall is the cost, relative to the mean, up to which a call is small.
+	smallCall = 1.0 / 8
 	// generousLevel is the part of the burst above which a host gets up to twice what
 	// it expects to need, because the account is far below its limit. generousPart
 	// bounds the surplus, as a part of the level: a larger one lies unused at the hosts
@@ -93,9 +95,10 @@
 // threshold returns the level at which a call of cost need is granted. One that costs more
 // than the burst leaves the bucket in debt. While calls that were told to return are
 // expected, all calls wait for the level of the mean cost, and larger ones leave a debt:
-// otherwise smaller calls would empty the bucket each time before a large one fits.
+// otherwise smaller calls would empty the bucket each time before a large one fits. Calls
+// that are far smaller than the mean are granted at once, as they take little of it.
 func (a *account) threshold(need float64, now time.Time) float64 {
-	if a.deferred.Level(now) < 0 {
+	if a.deferred.Level(now) < 0 && need > a.mean*smallCall {
 		need = a.mean
 	}
 	return min(need, a.limit.Burst)
--- a/internal/limits/twirp/fleet_test.go
+++ b/internal/limits/twirp/fleet_test.go
@@ -233,7 +233,7 @@
 	if d {
 		return
 	}
-	err := l.Admit(f.t.Context(), &a, cost)
+	err := l.Admit(f.t.Context(), &a, cost, 100*time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch e := limited(err); {
--- a/limiter.go
+++ b/limiter.go
@@ -19,10 +19,10 @@
 // AccountLimiter keeps the calls of client accounts within their limits, over all
 // entry hosts. Implementations are safe for concurrent use.
 type AccountLimiter interface {
-	// Admit takes cost from the limit of account. It fails with a LimitedError if
-	// the limit is reached, and with the error of ctx if ctx is done first. It may
-	// wait for a short time.
-	Admit(ctx context.Context, account *ClientAccount, cost float64) error
+	// Admit takes cost from the limit of account. It may wait for up to maxWait until
+	// the cost has accrued. It fails with a LimitedError if the limit is reached for
+	// longer, and with the error of ctx if ctx is done first.
+	Admit(ctx context.Context, account *ClientAccount, cost float64, maxWait time.Duration) error
 	// Refund gives cost back that was taken for a call which has not run and will not
 	// run.
 	Refund(account *ClientAccount, cost float64)
