limits/owner: small calls do not wait for the debt of large ones

Change: calls of at most 1/512 of the burst do not count in the mean and may use an overdraft of an eighth of the burst. Result: TestCallSizes. TestConnectionRefused asks for 300 in place of 3, which is a small call now; its checks are the same.

--- a/internal/limits/owner/account.go
+++ b/internal/limits/owner/account.go
@@ -14,8 +14,11 @@
 	// maxRetryAfter bounds the time that callers are told to wait because of others
 	// that were told to wait before. Not all of them return.
 	maxRetryAfter = 10 * time.Second
-	// smallCall is the cost, relative to the mean, up to which a call is small.
-	smallCall = 1.0 / 8
+	// smallCall is the cost, relative to the burst, up to which a call is small. overdraft
+	// is the debt, relative to the burst, in which small calls are still granted: a large
+	// call leaves a debt for some milliseconds, in which small ones would be refused.
+	smallCall = 1.0 / 512
+	overdraft = 1.0 / 8
 	// generousLevel is the part of the burst above which a host gets up to twice what
 	// it expects to need, because the account is far below its limit. generousPart
 	// bounds the surplus, as a part of the level: a larger one lies unused at the hosts
@@ -35,7 +38,8 @@
 type account struct {
 	limit  sardineknot.AccountLimit
 	bucket bucket.Bucket
-	// mean is the mean cost of the calls that asked lately, or zero before the first.
+	// mean is the mean cost of the calls that asked lately and are not small, or zero
+	// before the first.
 	mean float64
 	// deferred holds, as its debt, the cost of the calls that were told to return.
 	deferred bucket.Bucket
@@ -79,10 +83,7 @@
 	if request.Need > max(1, maxCallSeconds*a.limit.PerSecond+a.limit.Burst) {
 		return sardineknot.CostGrant{Fits: maxRetryAfter, RetryAfter: maxRetryAfter}
 	}
-	if a.mean == 0 {
-		a.mean = request.Need
-	}
-	a.mean += (request.Need - a.mean) * meanWeight
+	a.recordCost(request.Need)
 	w := a.bucket.Wait(a.threshold(request.Need, now), now)
 	if w > request.MaxWait {
 		return a.refuse(request, now)
@@ -92,13 +93,31 @@
 	return sardineknot.CostGrant{Granted: request.Need + a.extra(request, f, now), Delay: w}
 }
 
+// recordCost updates the mean cost of calls.
+func (a *account) recordCost(cost float64) {
+	switch {
+	case a.small(cost):
+	case a.mean == 0:
+		a.mean = cost
+	default:
+		a.mean += (cost - a.mean) * meanWeight
+	}
+}
+
+// small reports whether calls of the given cost take so little of the limit that they
+// need not wait for larger ones.
+func (a *account) small(cost float64) bool { return cost <= smallCall*a.limit.Burst }
+
 // threshold returns the level at which a call of cost need is granted. One that costs more
 // than the burst leaves the bucket in debt. While calls that were told to return are
-// expected, all calls wait for the level of the mean cost, and larger ones leave a debt:
-// otherwise smaller calls would empty the bucket each time before a large one fits. Calls
-// that are far smaller than the mean are granted at once, as they take little of it.
+// expected, all calls but small ones wait for the level of the mean cost, and larger ones
+// leave a debt: otherwise smaller calls would empty the bucket each time before a large
+// one fits.
 func (a *account) threshold(need float64, now time.Time) float64 {
-	if a.deferred.Level(now) < 0 && need > a.mean*smallCall {
+	if a.small(need) {
+		return need - overdraft*a.limit.Burst
+	}
+	if a.deferred.Level(now) < 0 {
 		need = a.mean
 	}
 	return min(need, a.limit.Burst)
@@ -107,7 +126,11 @@
 // refuse returns the time at which a call that does not fit now can be granted, and
 // records that it was told to return.
 func (a *account) refuse(request sardineknot.CostRequest, now time.Time) sardineknot.CostGrant {
-	w := a.bucket.Wait(min(a.mean, a.limit.Burst), now)
+	l := a.threshold(request.Need, now)
+	if !a.small(request.Need) {
+		l = min(a.mean, a.limit.Burst)
+	}
+	w := a.bucket.Wait(l, now)
 	r := w + time.Duration(-a.deferred.Level(now)/a.limit.PerSecond*float64(time.Second))
 	a.deferCost(request.Need, now)
 	return sardineknot.CostGrant{Fits: w - request.MaxWait, RetryAfter: r}
--- a/internal/limits/owner/owner_test.go
+++ b/internal/limits/owner/owner_test.go
@@ -154,6 +154,12 @@
 		w.run(beatInterval)
 	}
 	w.True(float64(k)/50 >= 0.75*float64(a)/200) // the large ones are 50 of 200
+	for range 20 {
+		g, err := w.borrow(1)
+		w.NoErr(err)
+		w.Equal(g.Granted, 1.0) // a small one is not refused for the large ones
+		w.run(beatInterval)
+	}
 	g, err := w.borrow(100 * rate)
 	w.NoErr(err)
 	w.Equal(g.Granted, 0.0)
--- a/internal/limits/twirp/service_test.go
+++ b/internal/limits/twirp/service_test.go
@@ -105,13 +105,13 @@
 	h := &host{fleet: f, entry: f.registered[1]}
 	k, r := rank.NewRanker(h), metrics.NewRegistry()
 	c := &twirp.Client{Hosts: h, Ranker: k, Owner: owner.NewOwner(h, h, k, f.limit), Clock: h, HTTP: h2c.NewTransport(r).Client(), Log: zerolog.Nop(), Metrics: r}
-	q := sardineknot.CostRequest{Account: "a", Need: 3, Want: 3}
+	q := sardineknot.CostRequest{Account: "a", Need: 300, Want: 300}
 	for k.Order(q.Account)[0].ID != e.ID {
 		q.Account += "a"
 	}
 	g, err := c.Borrow(t.Context(), q)
 	i.NoErr(err)
-	i.Equal(g.Granted, 3.0)
+	i.Equal(g.Granted, 300.0)
 	v.Close()
 	g, err = c.Borrow(t.Context(), q)
 	i.NoErr(err) // this host acts, and its bucket starts empty
