bench/memorysim: engines of unequal speed with noise and changes of role

The model had engines of one speed that kept their roles, so neither learned speeds nor the number of prefill engines could be measured on it. The pattern uneven has 24 engines of speeds 0.7, 0.7 and 1.7 with noise (2.5 times as long for 600 ms, a share of 0.15), waves of 0.45 to 1.55 and bursts.

policy/memory: lasting speeds are learned apart from disturbances

A speed within a factor of two counted as usual and was forgotten within seconds. Prefills are timed from the end of the one before them, so that the wait for the engine is not part of them. The scheduler also measures the demand.

--- a/internal/bench/memorysim/decode.go
+++ b/internal/bench/memorysim/decode.go
@@ -34,8 +34,10 @@
 	// version is incremented to invalidate the scheduled end of the batch.
 	version int
 	dead    bool
-	// slowdown multiplies the duration of steps. Zero means 1.
-	slowdown float64
+	// changing is set once the engine has left its role.
+	changing bool
+	// slowness multiplies the duration of steps.
+	slowness
 }
 
 // answer is the answer to a request, which a decode engine has queued or is
@@ -155,7 +157,7 @@
 		e.stepTime += time.Duration(e.chunkTokens*p.LocalPrefillFactor) * p.PrefillPerToken
 		e.steps = 1
 	}
-	e.stepTime = slowed(e.stepTime, e.slowdown)
+	e.stepTime = e.scaled(e.stepTime)
 }
 
 // complete ends the running batch after count steps and starts the next one.
--- a/internal/bench/memorysim/fault.go
+++ b/internal/bench/memorysim/fault.go
@@ -1,8 +1,6 @@
 package memorysim
 
 import (
-	"time"
-
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/bench/pattern"
 )
@@ -59,15 +57,6 @@
 	}
 }
 
-// slowed returns duration on an engine with the given slowdown factor. Zero
-// means usual speed.
-func slowed(duration time.Duration, factor float64) time.Duration {
-	if factor == 0 {
-		return duration
-	}
-	return time.Duration(factor * float64(duration))
-}
-
 // affectedEngines returns the number of engines that a fault affects: the given
 // fraction of total, rounded.
 func affectedEngines(total int, share float64) int { return min(total, int(share*float64(total)+0.5)) }
@@ -81,7 +70,7 @@
 			e.crash()
 			continue
 		}
-		*e = prefillEngine{simulation: s, server: e.server, speed: e.speed}
+		*e = prefillEngine{simulation: s, server: e.server, speed: e.speed, slowness: e.slowness}
 		e.server.Born++
 	}
 	for _, e := range decode {
@@ -89,7 +78,7 @@
 			e.crash()
 			continue
 		}
-		*e = decodeEngine{simulation: s, server: e.server, speed: e.speed, version: e.version + 1}
+		*e = decodeEngine{simulation: s, server: e.server, speed: e.speed, version: e.version + 1, slowness: e.slowness}
 		e.server.Born++
 	}
 	s.After(s.pattern.CrashDetection, s.setServers)
--- a/internal/bench/memorysim/prefill.go
+++ b/internal/bench/memorysim/prefill.go
@@ -22,8 +22,10 @@
 	// expiring reports whether the KV cache of each prefill is lost as soon as
 	// it is complete.
 	expiring bool
-	// slowdown multiplies the duration of prefills. Zero means 1.
-	slowdown float64
+	// changing is set once the engine has left its role.
+	changing bool
+	// slowness multiplies the duration of prefills.
+	slowness
 }
 
 // enqueue adds the attempt to the queue. If the engine has crashed, the attempt
@@ -48,7 +50,7 @@
 	e.version++
 	v := e.version
 	s := e.simulation
-	d := slowed(time.Duration(a.job.PromptTokens)*s.pattern.PrefillPerToken/time.Duration(e.speed), e.slowdown)
+	d := e.scaled(time.Duration(a.job.PromptTokens) * s.pattern.PrefillPerToken / time.Duration(e.speed))
 	s.After(d, func() {
 		if e.version == v {
 			e.complete(a)
--- a/internal/bench/memorysim/server.go
+++ b/internal/bench/memorysim/server.go
@@ -16,14 +16,14 @@
 	}
 	for i := range m {
 		e := s.newServer(i, sardineknot.RolePrefill)
-		s.prefill = append(s.prefill, &prefillEngine{simulation: s, server: e, speed: k})
+		s.prefill = append(s.prefill, &prefillEngine{simulation: s, server: e, speed: k, slowness: s.newSlowness(i)})
 	}
 	for i := range n {
 		e := s.newServer(m+i, sardineknot.RoleDecode)
 		e.Slots *= f
 		e.MemoryTokens *= f
 		e.MemoryPieces *= f
-		s.decode = append(s.decode, &decodeEngine{simulation: s, server: e, speed: f})
+		s.decode = append(s.decode, &decodeEngine{simulation: s, server: e, speed: f, slowness: s.newSlowness(m + i)})
 	}
 }
 
@@ -46,15 +46,20 @@
 }
 
 func (s *Simulation) findPrefill(name sardineknot.BackendServerName) *prefillEngine {
-	i := slices.IndexFunc(s.prefill, func(e *prefillEngine) bool { return e.server.Name == name })
+	i := slices.IndexFunc(s.prefill, func(e *prefillEngine) bool { return e.server.Name == name && !e.changing })
 	if i < 0 {
 		return nil
 	}
 	return s.prefill[i]
 }
 
+// findDecode returns the decode engine of that name. An engine that has just left
+// this role still takes what was granted before.
 func (s *Simulation) findDecode(name sardineknot.BackendServerName) *decodeEngine {
-	i := slices.IndexFunc(s.decode, func(e *decodeEngine) bool { return e.server.Name == name })
+	i := slices.IndexFunc(s.decode, func(e *decodeEngine) bool { return e.server.Name == name && !e.changing })
+	if i < 0 {
+		i = slices.IndexFunc(s.decode, func(e *decodeEngine) bool { return e.server.Name == name })
+	}
 	return s.decode[i]
 }
 
@@ -63,12 +68,12 @@
 func (s *Simulation) setServers() {
 	var l []sardineknot.BackendServer
 	for _, e := range s.prefill {
-		if !e.dead {
+		if !e.dead && !e.changing {
 			l = append(l, e.server)
 		}
 	}
 	for _, e := range s.decode {
-		if !e.dead {
+		if !e.dead && !e.changing {
 			l = append(l, e.server)
 		}
 	}
--- a/internal/bench/memorysim/simulation.go
+++ b/internal/bench/memorysim/simulation.go
@@ -62,6 +62,8 @@
 	// startedAnswers is the number of answers that decode engines accepted.
 	// preempted is the number of requests whose answer was preempted.
 	startedAnswers, preempted int
+	// roleChanges is the number of engines that were ordered to change their role.
+	roleChanges int
 }
 
 // NewSimulation returns a simulation of pattern p. newScheduler is called to
@@ -102,6 +104,9 @@
 		s.planFaults()
 		s.reportLoads()
 	}
+	if !s.ideal && s.pattern.RoleSwitch > 0 {
+		s.After(roleInterval, func() { s.balanceRoles(0) })
+	}
 	s.Timeline.Run(s.start.Add(s.pattern.Duration + 2*s.pattern.CallerTimeout))
 	return s.finish()
 }
--- a/internal/bench/pattern/constants.go
+++ b/internal/bench/pattern/constants.go
@@ -15,7 +15,7 @@
 		l = append(l, p)
 		l = append(l, variants(p)...)
 	}
-	return l
+	return append(l, uneven())
 }
 
 // variants returns the patterns that are derived from base. The variant
@@ -104,6 +104,28 @@
 	return p
 }
 
+// uneven returns the pattern of a deployment of 24 engines of unequal speed, with
+// noise and a demand that rises and falls by half.
+func uneven() Pattern {
+	p := akstursbok()
+	p.Name, p.Duration = "uneven", 60*time.Second
+	p.PrefillEngines, p.DecodeEngines = 8, 16
+	p.Slots, p.Memory, p.EventTokens = 12, 74528, 74
+	p.Speeds = []float64{0.7, 0.7, 1.7}
+	p.NoiseShare, p.NoiseFactor, p.NoiseLength = 0.15, 2.5, 600*time.Millisecond
+	p.RoleSwitch = 6 * time.Second
+	p.RateAmplitude, p.RatePeriod = 0.55, 17*time.Second
+	for i, r := range []float64{20.9, 1.1} {
+		p.Kinds[i].Rate = r
+	}
+	p.Bursts = []burst{
+		{From: 12 * time.Second, Length: 5 * time.Second, Factor: 2.2},
+		{From: 30 * time.Second, Length: 4 * time.Second, Factor: 3},
+		{From: 46 * time.Second, Length: 5 * time.Second, Factor: 1.8},
+	}
+	return p
+}
+
 // commonEngines returns the engine parameters that all deployments share.
 func commonEngines() engines {
 	return engines{
--- a/internal/bench/pattern/pattern.go
+++ b/internal/bench/pattern/pattern.go
@@ -56,8 +56,18 @@
 }
 
 // engines describes the engines. All engines of a pattern have the same
-// parameters.
+// parameters, except for their speeds.
 type engines struct {
+	// Speeds are the speeds of the engines, in turn. Empty means 1 for all.
+	Speeds []float64
+	// NoiseShare is the share of the time in which the work of an engine takes
+	// NoiseFactor times as long, for NoiseLength at a time.
+	NoiseShare  float64
+	NoiseFactor float64
+	NoiseLength time.Duration
+	// RoleSwitch is the time without work that a change of an engine's role
+	// takes. Zero means that engines keep their roles.
+	RoleSwitch     time.Duration
 	PrefillEngines int
 	DecodeEngines  int
 	// Slots is the maximum number of answers that a decode engine generates
--- a/internal/policy/memory/job.go
+++ b/internal/policy/memory/job.go
@@ -23,9 +23,6 @@
 	decode *engine
 	// prefillTime is the estimated duration of the prefill.
 	prefillTime time.Duration
-	// usualPrefill is the time from startedAt to the end of the prefill on an
-	// engine of usual speed.
-	usualPrefill time.Duration
 	// startedAt is the time at which the job was granted its engines.
 	startedAt time.Time
 	// length is the predicted length of the answer.
@@ -144,7 +141,7 @@
 		return
 	}
 	w := now.Sub(j.startedAt)
-	e.observePrefill(now, j.usualPrefill, w)
+	e.observePrefill(now, j.startedAt, j.PromptTokens, s.typical)
 	if w > 0 && w < maxObservedPrefillTime {
 		s.prefillPerToken.add(min(w.Seconds()/float64(j.PromptTokens), maxPrefillPerToken.Seconds()))
 	}
--- a/internal/policy/memory/pace.go
+++ b/internal/policy/memory/pace.go
@@ -4,6 +4,8 @@
 	"math"
 	"slices"
 	"time"
+
+	"sardineknot.example/sardineknot"
 )
 
 const (
@@ -16,6 +18,9 @@
 	prefillPaceWeight = 0.4
 	// maxPrefillPace limits one observation of the prefill pace.
 	maxPrefillPace = 8
+	// minObservedPrefill is the shortest prefill from which a speed is learned. The
+	// delays of its grant and of the report of its end are some milliseconds.
+	minObservedPrefill = 20 * time.Millisecond
 	// minRelativeRate is a lower bound of the relative token rate.
 	minRelativeRate = 0.1
 	// slowRate is the relative token rate below which an engine counts as slow.
@@ -26,59 +31,81 @@
 	slowPrefill = 2
 )
 
-// pace is the speed of an engine, derived from the events of its jobs.
+// pace is the speed of an engine, derived from the events of its jobs. The lasting
+// speed is learned slowly and kept; the recent one shows a disturbance and is
+// forgotten within seconds.
 type pace struct {
-	// tokenRate is the number of tokens that one answer generates per second.
-	// tokensSeenAt is the time of the last observation, or zero.
+	speeds *speeds
+	// tokenRate is the number of tokens that one answer generates per second, in
+	// the last seconds. tokensSeenAt is the time of the last observation, or zero.
 	tokenRate    ewma
 	tokensSeenAt time.Time
-	// prefillRatio is the duration of prefills relative to the one expected from
-	// their prompts. prefillSeenAt is the time of the last observation, or zero.
+	// prefillRatio is the duration of the last prefills relative to the one
+	// expected from their prompts and the lasting speed. prefillSeenAt is the time
+	// of the last observation, or zero.
 	prefillRatio  ewma
 	prefillSeenAt time.Time
+	// prefillEndedAt is the time at which the last prefill ended.
+	prefillEndedAt time.Time
 }
 
-func newPace() pace {
-	return pace{tokenRate: ewma{value: initialTokensPerSecond}, prefillRatio: ewma{value: 1}}
+// newPace returns the pace of a server with the given lasting speeds.
+func newPace(lasting *speeds) pace {
+	r := float64(initialTokensPerSecond)
+	if lasting.tokens.count > 0 {
+		r = lasting.tokens.value
+	}
+	return pace{speeds: lasting, tokenRate: ewma{value: r}, prefillRatio: ewma{value: 1}}
 }
 
 // observeTokens records that an answer has generated tokens within elapsed.
 func (p *pace) observeTokens(now time.Time, tokens float64, elapsed time.Duration) {
-	p.tokenRate.add(tokens / elapsed.Seconds())
+	r := tokens / elapsed.Seconds()
+	p.speeds.tokens.observe(now, r)
+	p.tokenRate.add(r)
 	p.tokensSeenAt = now
 }
 
-// observePrefill records that a prefill which was expected to end after
-// expected has taken elapsed.
-func (p *pace) observePrefill(now time.Time, expected, elapsed time.Duration) {
-	if expected <= 0 {
+// observePrefill records the end of a prefill that began at startedAt, or at the
+// end of the one before it if that is later: an engine prefills one prompt after
+// the other. Prefills that take less than minObservedPrefill are ignored, because
+// the delay of events is a large part of their duration.
+func (p *pace) observePrefill(now, startedAt time.Time, promptTokens int, typical typicalSpeeds) {
+	d := now.Sub(later(startedAt, p.prefillEndedAt))
+	p.prefillEndedAt = now
+	if d < minObservedPrefill || promptTokens <= 0 {
 		return
 	}
-	p.prefillRatio.addWeighted(min(maxPrefillPace, elapsed.Seconds()/expected.Seconds()), prefillPaceWeight)
+	v := float64(promptTokens) / d.Seconds()
+	x := typical.prompts * p.speeds.relative(now, typical, sardineknot.RolePrefill) / v
+	p.prefillRatio.addWeighted(min(maxPrefillPace, x), prefillPaceWeight)
 	p.prefillSeenAt = now
+	p.speeds.prompts.observe(now, v)
 }
 
 // prefillPace returns the expected duration of a prefill relative to the usual
-// one. It is 1 unless the engine is slow.
-func (p *pace) prefillPace(now time.Time) float64 {
+// one: that of the lasting speed, and of a disturbance if there is one.
+func (p *pace) prefillPace(now time.Time, typical typicalSpeeds) float64 {
+	l := 1 / p.speeds.relative(now, typical, sardineknot.RolePrefill)
 	v := faded(now, p.prefillSeenAt, p.prefillRatio.value)
 	if v < slowPrefill {
-		return 1
+		v = 1
 	}
-	return v
+	return l * v
 }
 
-// relativeRate returns the token rate relative to typical, the rate of most
-// engines, but at least minRelativeRate. It is 1 unless the engine is slow.
-func (p *pace) relativeRate(now time.Time, typical float64) float64 {
-	if typical <= 0 {
-		return 1
+// relativeRate returns the token rate relative to that of most engines, but at
+// least minRelativeRate. It is the lasting one unless the engine has become slow.
+func (p *pace) relativeRate(now time.Time, typicalRate float64, typical typicalSpeeds) float64 {
+	l := p.speeds.relative(now, typical, sardineknot.RoleDecode)
+	if typicalRate <= 0 {
+		return max(minRelativeRate, l)
 	}
-	v := faded(now, p.tokensSeenAt, p.tokenRate.value/typical)
+	v := faded(now, p.tokensSeenAt, p.tokenRate.value/(typicalRate*l))
 	if v >= slowRate {
-		return 1
+		v = 1
 	}
-	return max(minRelativeRate, v)
+	return max(minRelativeRate, l*v)
 }
 
 // faded returns value, a ratio observed at the time seenAt, moved towards 1 by
--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -149,7 +149,7 @@
 			continue
 		}
 		f, ok := e.utilization(now, j)
-		v := e.relativeRate(now, s.typicalRate)
+		v := e.relativeRate(now, s.typicalRate, s.typical)
 		if !ok || v < 1 && !e.keepsTargets(now, j) {
 			continue
 		}
@@ -239,7 +239,7 @@
 		if p.server.Name == j.CachedOn {
 			return p
 		}
-		w += time.Duration(p.prefillPace(now) * float64(j.prefillTime))
+		w += time.Duration(p.prefillPace(now, s.typical) * float64(j.prefillTime))
 		w += time.Duration(lossCost * p.lossRate.value * float64(j.prefillTime))
 		if p.server.Zone != decode.server.Zone {
 			w += crossZonePenalty
@@ -256,9 +256,8 @@
 	j.prefill, j.cacheSource, j.decode = prefillEngine, prefillEngine, decodeEngine
 	j.startedAt = now
 	w := prefillEngine.prefillWait(now)
-	j.usualPrefill = w + j.prefillTime
 	prefillEngine.prefills = append(prefillEngine.prefills, j)
-	prefillEngine.busyUntil = now.Add(w + time.Duration(prefillEngine.prefillPace(now)*float64(j.prefillTime)))
+	prefillEngine.busyUntil = now.Add(w + time.Duration(prefillEngine.prefillPace(now, s.typical)*float64(j.prefillTime)))
 	decodeEngine.decodes = append(decodeEngine.decodes, j)
 	decodeEngine.invalidateSpans()
 	// The shard reads both engines of the grant when it receives the prefill
--- a/internal/policy/memory/scheduler.go
+++ b/internal/policy/memory/scheduler.go
@@ -42,6 +42,11 @@
 	// schedule, or zero if none was observed. rates is a buffer for it.
 	typicalRate float64
 	rates       []float64
+	// speeds holds the lasting speeds of the servers, and typical their medians.
+	speeds  map[sardineknot.BackendServerName]*speeds
+	typical typicalSpeeds
+	// demand is what arriving jobs ask of the engines.
+	demand demand
 	// ended records recently ended jobs, which load reports may still list.
 	ended endedCalls
 	// lastExpiry is the time of the last search for jobs past eventTimeout.
@@ -51,8 +56,9 @@
 }
 
 var (
-	_ sardineknot.Scheduler  = (*Scheduler)(nil)
-	_ sardineknot.JobAdopter = (*Scheduler)(nil)
+	_ sardineknot.Scheduler      = (*Scheduler)(nil)
+	_ sardineknot.JobAdopter     = (*Scheduler)(nil)
+	_ sardineknot.DemandObserver = (*Scheduler)(nil)
 )
 
 // NewScheduler returns a scheduler without servers.
@@ -60,6 +66,7 @@
 	return &Scheduler{
 		jobs:            make(map[sardineknot.RequestKey]*job),
 		engines:         make(map[sardineknot.BackendServerName]*engine),
+		speeds:          make(map[sardineknot.BackendServerName]*speeds),
 		prefillPerToken: ewma{value: initialPrefillPerToken.Seconds()},
 	}
 }
@@ -84,6 +91,7 @@
 			delete(s.engines, n)
 		}
 	}
+	s.keepSpeeds(now, servers)
 	s.schedule(now)
 	return s.takeDecisions()
 }
@@ -93,7 +101,7 @@
 func (s *Scheduler) engine(backend sardineknot.BackendServer) *engine {
 	e := s.engines[backend.Name]
 	if e == nil || e.server.Born != backend.Born || e.server.Role != backend.Role {
-		e = &engine{pace: newPace()}
+		e = &engine{pace: newPace(s.speedsOf(backend.Name))}
 		s.engines[backend.Name] = e
 	}
 	e.server, e.removed = backend, false
@@ -106,6 +114,7 @@
 		return nil
 	}
 	n := s.newJob(now, spec)
+	s.observeDemand(now, n)
 	s.lastMaxTokens = spec.MaxTokens
 	s.jobs[spec.Key] = n
 	s.queue = append(s.queue, n)
@@ -191,7 +200,7 @@
 	if len(s.queue) == 0 {
 		return
 	}
-	s.typicalRate = s.typicalTokenRate()
+	s.updateTypical()
 	for _, j := range s.queue {
 		j.servable = s.limitJob(j)
 	}
--- a/scheduler.go
+++ b/scheduler.go
@@ -197,6 +197,26 @@
 	Adopt(now time.Time, job RunningJob) []Decision
 }
 
+// EngineDemand describes what the jobs of a shard ask of its engines.
+type EngineDemand struct {
+	// Observed is the time for which the demand was observed. Zero means that none
+	// was.
+	Observed time.Duration
+	// Prefill and Decode are the numbers of engines of usual speed that would
+	// prefill all prompts, and generate all answers, that arrive at the peak of the
+	// last seconds, refused ones included.
+	Prefill, Decode float64
+	// Speeds holds the speed of each engine relative to the usual one. Engines that
+	// are missing have the usual speed.
+	Speeds map[BackendServerName]float64
+}
+
+// DemandObserver is implemented by schedulers that measure the demand for engines.
+type DemandObserver interface {
+	// Demand returns the demand as of now.
+	Demand(now time.Time) EngineDemand
+}
+
 // Grant is the set of engines that a job was granted.
 type Grant struct {
 	// PrefillEngine is the engine that runs the prefill.
