policy/rolebalance: prefill engines follow the measured demand and the engines' speeds

The number of prefill engines was a share of the engines whatever their speeds. Engines now count by speed, the slowest leave the prefills first and the fastest join first, and the share is that of the peak of both kinds of work in the last 20 s if it differs clearly from the fixed one. The fixed share remains without a demand that was observed for a whole wave. On uniform engines it is the rule of before.

--- a/internal/bench/memorysim/roles.go
+++ b/internal/bench/memorysim/roles.go
@@ -50,7 +50,11 @@
 			l = append(l, e.server)
 		}
 	}
-	return rolebalance.Plan(l)
+	var d sardineknot.EngineDemand
+	if o, ok := s.scheduler.(sardineknot.DemandObserver); ok {
+		d = o.Demand(s.Now())
+	}
+	return rolebalance.Plan(l, d)
 }
 
 // changeRole takes an engine out of service and returns it with its new role
--- a/internal/orders/roles/controller.go
+++ b/internal/orders/roles/controller.go
@@ -44,11 +44,14 @@
 	orderTimeout = 8 * time.Second
 )
 
-// Controller orders role changes. All exported fields must be set before the
-// first use.
+// Controller orders role changes. All exported fields but Demand must be set before
+// the first use.
 type Controller struct {
 	// OwnedShards returns the shards that this host owns.
 	OwnedShards func() []shard.Shard
+	// Demand returns what the jobs of the named shard ask of its engines, as far as
+	// this host has observed it. Nil means that the demand is not known.
+	Demand func(shard string) sardineknot.EngineDemand
 	// Engine queries engines and sends them orders.
 	Engine sardineknot.EngineOrderClient
 	// Ledger issues the orders with their fencing tokens.
@@ -86,7 +89,7 @@
 	o := make(map[string]int)
 	for _, s := range c.OwnedShards() {
 		o[s.Name] = 0
-		n := rolebalance.Plan(s.Servers)
+		n := rolebalance.Plan(s.Servers, c.demand(s.Name))
 		if c.cooldown[s.Name] > 0 {
 			c.cooldown[s.Name]--
 			continue
@@ -104,6 +107,13 @@
 	c.steadyRounds = o
 }
 
+func (c *Controller) demand(shard string) sardineknot.EngineDemand {
+	if c.Demand == nil {
+		return sardineknot.EngineDemand{}
+	}
+	return c.Demand(shard)
+}
+
 // isChanging reports whether an engine of the shard is loading, has a role
 // other than the declared one, or, in a small shard, cannot be queried. In a
 // large shard some engine is always failing, and must not keep the others from
--- a/internal/policy/rolebalance/plan_test.go
+++ b/internal/policy/rolebalance/plan_test.go
@@ -48,7 +48,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			l := rolebalance.Plan(engines(c.prefill, c.decode))
+			l := rolebalance.Plan(engines(c.prefill, c.decode), sardineknot.EngineDemand{})
 			is.Equal(len(l), c.wantCount)
 			for _, n := range l {
 				is.Equal(n.Role, c.want)
@@ -58,13 +58,13 @@
 	t.Run("engines that are leaving are ignored", func(t *testing.T) {
 		l := engines(4, 7)
 		l[0].State = sardineknot.BackendLeaving
-		is.New(t).Equal(len(rolebalance.Plan(l)), 0)
+		is.New(t).Equal(len(rolebalance.Plan(l, sardineknot.EngineDemand{})), 0)
 	})
 	t.Run("the changes are spread over the zones", func(t *testing.T) {
 		is := is.New(t)
 		c := make(map[sardineknot.AvailabilityZone]int)
 		s := make(map[sardineknot.BackendServerName]bool)
-		for _, n := range rolebalance.Plan(engines(24, 42)) {
+		for _, n := range rolebalance.Plan(engines(24, 42), sardineknot.EngineDemand{}) {
 			c[n.Server.Zone]++
 			s[n.Server.Name] = true
 		}
--- a/internal/slots/local/shard.go
+++ b/internal/slots/local/shard.go
@@ -218,6 +218,17 @@
 	return w, nil
 }
 
+// Demand returns the demand for engines that the scheduler has observed. It is zero
+// if the scheduler does not measure it.
+func (s *Shard) Demand() sardineknot.EngineDemand {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if o, ok := s.scheduler.(sardineknot.DemandObserver); ok {
+		return o.Demand(s.clock.Now())
+	}
+	return sardineknot.EngineDemand{}
+}
+
 // settle ends the settling time and submits the pending jobs to the scheduler.
 func (s *Shard) settle() {
 	s.mu.Lock()
