--- a/internal/bench/pattern/constants.go
+++ b/internal/bench/pattern/constants.go
@@ -15,7 +15,11 @@
 		l = append(l, p)
 		l = append(l, variants(p)...)
 	}
-	return append(l, uneven())
+	u := uneven()
+	h := uneven()
+	h.Name += "/heavy"
+	h.Bursts = append(h.Bursts, burst{From: 0, Length: h.Duration, Factor: 1.3})
+	return append(l, u, h)
 }
 
 // variants returns the patterns that are derived from base. The variant
