policy/memory: decode engines read prompts that their other answers can pause for

The limit is now the expected pause at the engine's speed. A longer prompt is read if no prefill engine reads it in time.

--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -209,16 +209,15 @@
 
 // choosePrefill returns the engine that prefills the prompt of j, whose answer
 // is generated on decode. This is decode itself if no prefill engine is
-// available, or if decode is tripped, so that a failed probe wastes no work of
-// another engine. A decode engine prefills only short prompts, one at a time,
-// because its answers pause meanwhile. ok is false if j has to wait.
+// available in time, or if decode is tripped, so that a failed probe wastes no work
+// of another engine. ok is false if decode cannot have the prompt prefilled.
 func (s *Scheduler) choosePrefill(now time.Time, j *job, decode *engine) (prefill *engine, ok bool) {
-	o := j.PromptTokens <= sardineknot.MaxLocalPrefillTokens && len(decode.prefills) == 0
+	o := s.mayPrefill(now, j, decode)
 	if o && decode.tripped() {
 		return decode, true
 	}
 	prefill = s.preferredPrefill(now, j, decode)
-	if prefill == nil && o {
+	if prefill == nil && o && !s.waitsForPrefill(now, j) {
 		return decode, true
 	}
 	return prefill, prefill != nil
