--- a/internal/policy/memory/local.go
+++ b/internal/policy/memory/local.go
@@ -64,3 +64,23 @@
 	}
 	return false
 }
+
+// chooseReader returns the decode engine with room for j that reads its prompt
+// soonest, or nil if none may.
+func (s *Scheduler) chooseReader(now time.Time, j *job) *engine {
+	var b *engine
+	var m time.Duration
+	for _, e := range s.decode {
+		if !j.mayRunOn(e) || j.barredFrom(now, e) || !s.mayPrefill(now, j, e) {
+			continue
+		}
+		t := s.localPrefillTime(now, j, e)
+		if b != nil && t >= m {
+			continue
+		}
+		if _, ok := e.utilization(now, j); ok && e.keepsTargets(now, j) {
+			b, m = e, t
+		}
+	}
+	return b
+}
--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -110,7 +110,11 @@
 		return false
 	}
 	p, ok := s.choosePrefill(now, j, d)
-	if !ok {
+	if !ok && j.PromptTokens <= sardineknot.MaxLocalPrefillTokens && len(d.prefills) == 0 {
+		d = s.chooseReader(now, j)
+		p = d
+	}
+	if p == nil {
 		return false
 	}
 	s.start(now, j, p, d)
