policy/ramp: pace of servers that have just started or recovered

A tripped engine got a single probe and then full load; a restarted one got full load at once. Both now get one or two jobs at first, one more with each success in normal time and half with each failure or slow answer. The engines that a scheduler is given first are not limited, because they probably ran before it.

--- a/internal/policy/memory/engine.go
+++ b/internal/policy/memory/engine.go
@@ -6,6 +6,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/policy/growth"
+	"sardineknot.example/sardineknot/internal/policy/ramp"
 )
 
 const (
@@ -20,7 +21,7 @@
 	lostReportDelay = time.Second
 	// failureThreshold is the number of consecutive failures that trips an
 	// engine. Like an open circuit breaker, a tripped engine gets no jobs until
-	// a backoff has passed, and then a single job as a probe.
+	// a backoff has passed, and then jobs as its ramp admits them, from one on.
 	failureThreshold = 2
 	// minBackoff and maxBackoff bound the time until a tripped engine is
 	// probed.
@@ -32,6 +33,11 @@
 	lossWeight = 0.2
 	lossCost   = 3
 	maxBackoff = 4 * time.Second
+	// fullRamp is the number of unproven jobs at which an engine is not limited any
+	// more. Engines have more than a few only during bursts. firstJobs is the number
+	// of jobs that an engine gets first after its start.
+	fullRamp  = 16
+	firstJobs = 2
 )
 
 // engine is the state of one engine, derived from decisions, events and load
@@ -66,6 +72,8 @@
 	failures     int
 	backoff      time.Duration
 	backoffUntil time.Time
+	// ramp limits the jobs of an engine that has just started or recovered.
+	ramp ramp.Ramp
 }
 
 // prefillWait returns the time until e can start another prefill. A prefill that
@@ -81,16 +89,27 @@
 
 func (e *engine) idle() bool { return len(e.prefills)+len(e.decodes) == 0 }
 
-// usable reports whether e may receive a job at time now. Once its backoff has
-// passed, a tripped engine gets one job at a time as a probe.
+// usable reports whether e may receive a job at time now.
 func (e *engine) usable(now time.Time) bool {
-	if e.removed {
+	if e.removed || e.tripped() && now.Before(e.backoffUntil) {
 		return false
 	}
-	if !e.tripped() {
-		return true
+	return !e.ramp.Limited() || e.ramp.Admit(e.unproven())
+}
+
+// unproven returns the number of jobs on e that have not succeeded yet: prefills that
+// have not ended, and answers without a first event.
+func (e *engine) unproven() int {
+	if e.server.Role == sardineknot.RolePrefill {
+		return len(e.prefills)
+	}
+	n := 0
+	for _, j := range e.decodes {
+		if j.tokensReportedAt.IsZero() {
+			n++
+		}
 	}
-	return !now.Before(e.backoffUntil) && e.idle()
+	return n
 }
 
 func (e *engine) recordSuccess() {
@@ -111,9 +130,11 @@
 
 func (e *engine) recordFailure(now time.Time) {
 	e.failures++
+	e.ramp.Failed()
 	if !e.tripped() {
 		return
 	}
+	e.ramp.Restart(1, fullRamp)
 	e.backoff = min(maxBackoff, max(minBackoff, 2*e.backoff))
 	e.backoffUntil = now.Add(e.backoff)
 }
--- a/internal/policy/memory/job.go
+++ b/internal/policy/memory/job.go
@@ -75,11 +75,15 @@
 // recordEngineSuccess records a success of the decode engine of j. The engine
 // that computed the KV cache is credited only once: later progress of the same
 // answer says nothing about later prefills on that engine.
-func (j *job) recordEngineSuccess() {
-	if j.cacheSource != nil {
-		j.cacheSource.recordSuccess()
+func (s *Scheduler) recordEngineSuccess(now time.Time, j *job) {
+	if e := j.cacheSource; e != nil {
+		e.recordSuccess()
+		e.ramp.Succeeded(faded(now, e.prefillSeenAt, e.prefillRatio.value))
 		j.cacheSource = nil
 	}
+	if j.tokensReportedAt.IsZero() {
+		j.decode.ramp.Succeeded(1 / j.decode.recentRate(now, s.typicalRate, s.typical))
+	}
 	j.decode.recordSuccess()
 }
 
--- a/internal/policy/memory/pace.go
+++ b/internal/policy/memory/pace.go
@@ -97,15 +97,21 @@
 // relativeRate returns the token rate relative to that of most engines, but at
 // least minRelativeRate. It is the lasting one unless the engine has become slow.
 func (p *pace) relativeRate(now time.Time, typicalRate float64, typical typicalSpeeds) float64 {
-	l := p.speeds.relative(now, typical, sardineknot.RoleDecode)
-	if typicalRate <= 0 {
-		return max(minRelativeRate, l)
-	}
-	v := faded(now, p.tokensSeenAt, p.tokenRate.value/(typicalRate*l))
+	v := p.recentRate(now, typicalRate, typical)
 	if v >= slowRate {
 		v = 1
 	}
-	return max(minRelativeRate, l*v)
+	return max(minRelativeRate, v*p.speeds.relative(now, typical, sardineknot.RoleDecode))
+}
+
+// recentRate returns the token rate in the last seconds relative to the lasting one,
+// but at least minRelativeRate.
+func (p *pace) recentRate(now time.Time, typicalRate float64, typical typicalSpeeds) float64 {
+	if typicalRate <= 0 {
+		return 1
+	}
+	l := p.speeds.relative(now, typical, sardineknot.RoleDecode)
+	return max(minRelativeRate, faded(now, p.tokensSeenAt, p.tokenRate.value/(typicalRate*l)))
 }
 
 // faded returns value, a ratio observed at the time seenAt, moved towards 1 by
--- a/internal/policy/memory/scheduler.go
+++ b/internal/policy/memory/scheduler.go
@@ -31,6 +31,10 @@
 	// engines also contains removed engines that still run jobs.
 	engines map[sardineknot.BackendServerName]*engine
 
+	// listed is set once servers were given to SetServers. Engines of the first list
+	// probably ran before this scheduler, so that their jobs are not limited: callers
+	// would otherwise be refused after each change of the owner.
+	listed  bool
 	lengths lengthEstimator
 	// lastMaxTokens is the MaxTokens of the job submitted last.
 	lastMaxTokens int
@@ -91,6 +95,7 @@
 			delete(s.engines, n)
 		}
 	}
+	s.listed = s.listed || len(servers) > 0
 	s.keepSpeeds(now, servers)
 	s.schedule(now)
 	return s.takeDecisions()
@@ -102,6 +107,9 @@
 	e := s.engines[backend.Name]
 	if e == nil || e.server.Born != backend.Born || e.server.Role != backend.Role {
 		e = &engine{pace: newPace(s.speedsOf(backend.Name))}
+		if s.listed {
+			e.ramp.Restart(firstJobs, fullRamp)
+		}
 		s.engines[backend.Name] = e
 	}
 	e.server, e.removed = backend, false
@@ -135,7 +143,7 @@
 	case sardineknot.JobDecodeStarted, sardineknot.JobProgress:
 		p := j.prefill
 		s.endPrefill(now, j)
-		j.recordEngineSuccess()
+		s.recordEngineSuccess(now, j)
 		j.recordProgress(now, event.Tokens)
 		if p == nil {
 			// Progress makes no room, and is reported several times a second
