--- a/internal/policy/memory/failures_test.go
+++ b/internal/policy/memory/failures_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/policy/memory"
 )
 
 func TestFailures(t *testing.T) {
@@ -86,3 +88,55 @@
 		is.Equal(granted(s.Submit(n, job("probe", n, 2000, 1000)), "probe"), sardineknot.Grant{PrefillEngine: g.DecodeEngine, DecodeEngine: g.DecodeEngine})
 	})
 }
+
+// TestRamp guards against full load on an engine that has just started or recovered,
+// and against an engine that is left idle then.
+func TestRamp(t *testing.T) {
+	// onD0 ends the prefills of the jobs that decisions grant d0, and returns them.
+	var onD0 func(*memory.Scheduler, time.Time, []sardineknot.Decision) []string
+	onD0 = func(s *memory.Scheduler, at time.Time, decisions []sardineknot.Decision) (l []string) {
+		for _, d := range decisions {
+			if id, _, _ := strings.Cut(string(d.Key.ID), "/"); d.Action == sardineknot.ActionDecode && d.Server == "d0" {
+				l = append(append(l, id), onD0(s, at, s.Report(at, event(id, sardineknot.JobPrefillDone, "p", 0)))...)
+			}
+		}
+		return l
+	}
+	for _, c := range []struct {
+		name  string
+		first int
+		make  func(*memory.Scheduler) time.Time
+	}{
+		{"a restarted engine", 2, func(s *memory.Scheduler) time.Time {
+			d := server("d0", sardineknot.RoleDecode)
+			d.Born = 7
+			s.SetServers(start, []sardineknot.BackendServer{server("p", sardineknot.RolePrefill), d}, nil)
+			return start
+		}},
+		{"a tripped engine", 1, func(s *memory.Scheduler) time.Time {
+			s.Submit(start, job("f", start, 1000, 1000))
+			v := event("f", sardineknot.JobFailed, "d0", 0)
+			v.Unreachable = true
+			s.Report(start, v)
+			return start.Add(600 * time.Millisecond)
+		}},
+	} {
+		t.Run(c.name+" gets more jobs with each success", func(t *testing.T) {
+			is := is.New(t)
+			s := newScheduler(1)
+			at := c.make(s)
+			var l []string
+			for i := range 12 {
+				l = append(l, onD0(s, at, s.Submit(at, job(fmt.Sprint("a", i), at, 1000, 1000)))...)
+			}
+			is.Equal(len(l), c.first)
+			var m []string
+			for _, n := range l {
+				m = append(m, onD0(s, at, s.Report(at, event(n, sardineknot.JobDecodeStarted, "d0", 73)))...)
+			}
+			is.Equal(len(m), 2*c.first)
+			m = onD0(s, at, s.Report(at, event(m[0], sardineknot.JobFailed, "d0", 0)))
+			is.Equal(len(m), 0) // a failure halves the limit
+		})
+	}
+}
--- a/internal/policy/memory/job.go
+++ b/internal/policy/memory/job.go
@@ -78,7 +78,9 @@
 func (s *Scheduler) recordEngineSuccess(now time.Time, j *job) {
 	if e := j.cacheSource; e != nil {
 		e.recordSuccess()
-		e.ramp.Succeeded(faded(now, e.prefillSeenAt, e.prefillRatio.value))
+		if e != j.decode {
+			e.ramp.Succeeded(faded(now, e.prefillSeenAt, e.prefillRatio.value))
+		}
 		j.cacheSource = nil
 	}
 	if j.tokensReportedAt.IsZero() {
--- a/internal/policy/memory/place_test.go
+++ b/internal/policy/memory/place_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 
@@ -20,6 +21,26 @@
 	}
 }
 
+// streamAt has d0 generate one answer at the given rate for ten seconds, with a target
+// for pauses of 300 ms, while p gets prompts that it does not end. It returns the end
+// of that time.
+func streamAt(s *memory.Scheduler, rate int) time.Time {
+	j := job("stream", start, 1000, 9000)
+	j.MaxTokens, j.PerToken = 30000, 300*time.Millisecond
+	s.Submit(start, j)
+	s.Report(start, event("stream", sardineknot.JobPrefillDone, "p", 0))
+	at := start
+	for i := range 40 {
+		at = at.Add(250 * time.Millisecond)
+		s.Report(at, event("stream", sardineknot.JobProgress, "d0", rate*(i+1)/4))
+	}
+	for i := range 12 {
+		n := fmt.Sprint("ahead", i)
+		s.Submit(at, job(n, at, 11000, 500))
+	}
+	return at
+}
+
 func TestLocalPrefill(t *testing.T) {
 	t.Run("without prefill engines, decode engines prefill only short prompts", func(t *testing.T) {
 		is := is.New(t)
@@ -42,6 +63,26 @@
 		g := granted(s.Submit(start, job("short", start, 2000, 1000)), "short")
 		is.Equal(g, sardineknot.Grant{PrefillEngine: "d0", DecodeEngine: "d0"})
 	})
+	t.Run("a slow decode engine reads no prompt for which its answers pause too long", func(t *testing.T) {
+		// An answer pauses for the time of the reading and until its next event is
+		// complete. A slow engine read 5,000 tokens when the target was 300 ms.
+		for _, c := range []struct {
+			rate, prompt int
+			want         sardineknot.Grant
+		}{
+			{usualRate, 5000, sardineknot.Grant{PrefillEngine: "d0", DecodeEngine: "d0"}},
+			{usualRate / 4, 5000, sardineknot.Grant{}},
+			{usualRate / 4, 1000, sardineknot.Grant{PrefillEngine: "d0", DecodeEngine: "d0"}},
+			{usualRate, 5200, sardineknot.Grant{PrefillEngine: "d0", DecodeEngine: "d0"}},
+			{usualRate, 8000, sardineknot.Grant{}},
+		} {
+			s := newScheduler(1)
+			at := streamAt(s, c.rate)
+			j := job("next", at, c.prompt, 1000)
+			j.PerToken, j.FirstTokenDeadline = 300*time.Millisecond, at.Add(600*time.Millisecond)
+			is.New(t).Equal(granted(s.Submit(at, j), "next"), c.want)
+		}
+	})
 	t.Run("a restarted server has no jobs", func(t *testing.T) {
 		is := is.New(t)
 		s := newScheduler(1)
--- a/internal/policy/memory/scheduler.go
+++ b/internal/policy/memory/scheduler.go
@@ -141,11 +141,15 @@
 	case sardineknot.JobPrefillDone:
 		s.endPrefill(now, j)
 	case sardineknot.JobDecodeStarted, sardineknot.JobProgress:
-		p := j.prefill
+		if j.decode == nil {
+			return nil
+		}
+		// The first event makes room on an engine that is limited.
+		p := j.prefill != nil || j.tokensReportedAt.IsZero() && j.decode.ramp.Limited()
 		s.endPrefill(now, j)
 		s.recordEngineSuccess(now, j)
 		j.recordProgress(now, event.Tokens)
-		if p == nil {
+		if !p {
 			// Progress makes no room, and is reported several times a second
 			// for each answer. Waiting jobs are rechecked by Wake.
 			return nil
--- a/internal/policy/memory/speeds_test.go
+++ b/internal/policy/memory/speeds_test.go
@@ -45,36 +45,41 @@
 	return at, c
 }
 
-// TestLastingSpeed covers the load "engines of speeds 0.7, 0.7 and 1.7": differences
-// within a factor of two counted as usual, and others were forgotten in seconds.
-func TestLastingSpeed(t *testing.T) {
-	uneven := func(n sardineknot.BackendServerName) float64 {
-		if n == "p2" {
-			return 1.7
-		}
-		return 0.7
+// uneven returns the speed of an engine: 1.7 for p2 and 0.7 for others.
+func uneven(n sardineknot.BackendServerName) float64 {
+	if n == "p2" {
+		return 1.7
 	}
-	learned := func() (*memory.Scheduler, []sardineknot.BackendServer, time.Time) {
-		s, l := newReaders(3)
-		at := start
-		for i := range 60 {
-			g := make(map[sardineknot.BackendServerName]string)
-			for k := range 3 {
-				n := fmt.Sprintf("l%d-%d", i, k)
-				g[granted(s.Submit(at, job(n, at, 5000, 100)), n).PrefillEngine] = n
-			}
-			for _, e := range []sardineknot.BackendServerName{"p2", "p1", "p0"} {
-				if g[e] != "" {
-					s.Report(at.Add(seconds(0.1/uneven(e))), event(g[e], sardineknot.JobPrefillDone, e, 0))
-				}
-			}
-			at = at.Add(300 * time.Millisecond)
-			for _, n := range g {
-				s.Report(at, event(n, sardineknot.JobFinished, "", 100))
+	return 0.7
+}
+
+// learned returns a scheduler whose prefill engines p0 to p2 have read prompts side by
+// side at their speeds, its servers, and the time.
+func learned() (*memory.Scheduler, []sardineknot.BackendServer, time.Time) {
+	s, l := newReaders(3)
+	at := start
+	for i := range 60 {
+		g := make(map[sardineknot.BackendServerName]string)
+		for k := range 3 {
+			n := fmt.Sprintf("l%d-%d", i, k)
+			g[granted(s.Submit(at, job(n, at, 5000, 100)), n).PrefillEngine] = n
+		}
+		for _, e := range []sardineknot.BackendServerName{"p2", "p1", "p0"} {
+			if g[e] != "" {
+				s.Report(at.Add(seconds(0.1/uneven(e))), event(g[e], sardineknot.JobPrefillDone, e, 0))
 			}
 		}
-		return s, l, at
+		at = at.Add(300 * time.Millisecond)
+		for _, n := range g {
+			s.Report(at, event(n, sardineknot.JobFinished, "", 100))
+		}
 	}
+	return s, l, at
+}
+
+// TestLastingSpeed covers the load "engines of speeds 0.7, 0.7 and 1.7": differences
+// within a factor of two counted as usual, and others were forgotten in seconds.
+func TestLastingSpeed(t *testing.T) {
 	t.Run("the fast engine reads an idle engine's share", func(t *testing.T) {
 		s, _, at := learned()
 		_, c := read(s, at, 30, uneven)
