--- a/internal/bench/memorysim/server.go
+++ b/internal/bench/memorysim/server.go
@@ -45,8 +45,13 @@
 	}
 }
 
+// findPrefill returns the prefill engine of that name, or nil if there is none. An
+// engine that has just left this role still takes what was granted before.
 func (s *Simulation) findPrefill(name sardineknot.BackendServerName) *prefillEngine {
 	i := slices.IndexFunc(s.prefill, func(e *prefillEngine) bool { return e.server.Name == name && !e.changing })
+	if i < 0 && !slices.ContainsFunc(s.decode, func(e *decodeEngine) bool { return e.server.Name == name }) {
+		i = slices.IndexFunc(s.prefill, func(e *prefillEngine) bool { return e.server.Name == name })
+	}
 	if i < 0 {
 		return nil
 	}
