--- a/internal/policy/memory/job.go
+++ b/internal/policy/memory/job.go
@@ -23,9 +23,6 @@
 	decode *engine
 	// prefillTime is the estimated duration of the prefill.
 	prefillTime time.Duration
-	// usualPrefill is the time from startedAt to the end of the prefill on an
-	// engine of usual speed.
-	usualPrefill time.Duration
 	// startedAt is the time at which the job was granted its engines.
 	startedAt time.Time
 	// length is the predicted length of the answer.
@@ -83,11 +80,17 @@
 // recordEngineSuccess records a success of the decode engine of j. The engine
 // that computed the KV cache is credited only once: later progress of the same
 // answer says nothing about later prefills on that engine.
-func (j *job) recordEngineSuccess() {
-	if j.cacheSource != nil {
-		j.cacheSource.recordSuccess()
+func (s *Scheduler) recordEngineSuccess(now time.Time, j *job) {
+	if e := j.cacheSource; e != nil {
+		e.recordSuccess()
+		if e != j.decode {
+			e.ramp.Succeeded(faded(now, e.prefillSeenAt, e.prefillRatio.value))
+		}
 		j.cacheSource = nil
 	}
+	if j.tokensReportedAt.IsZero() {
+		j.decode.ramp.Succeeded(1 / j.decode.recentRate(now, s.typicalRate, s.typical))
+	}
 	j.decode.recordSuccess()
 }
 
@@ -149,7 +152,7 @@
 		return
 	}
 	w := now.Sub(j.startedAt)
-	e.observePrefill(now, j.usualPrefill, w)
+	e.observePrefill(now, j.startedAt, j.PromptTokens, s.typical)
 	if w > 0 && w < maxObservedPrefillTime {
 		s.prefillPerToken.add(min(w.Seconds()/float64(j.PromptTokens), maxPrefillPerToken.Seconds()))
 	}
--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -115,7 +115,11 @@
 		return false
 	}
 	p, ok := s.choosePrefill(now, j, d)
-	if !ok {
+	if !ok && j.PromptTokens <= sardineknot.MaxLocalPrefillTokens && len(d.prefills) == 0 {
+		d = s.chooseReader(now, j)
+		p = d
+	}
+	if p == nil {
 		return false
 	}
 	s.start(now, j, p, d)
@@ -154,7 +158,7 @@
 			continue
 		}
 		f, ok := e.utilization(now, j)
-		v := e.relativeRate(now, s.typicalRate)
+		v := e.relativeRate(now, s.typicalRate, s.typical)
 		if !ok || v < 1 && !e.keepsTargets(now, j) {
 			continue
 		}
@@ -214,16 +218,15 @@
 
 // choosePrefill returns the engine that prefills the prompt of j, whose answer
 // is generated on decode. This is decode itself if no prefill engine is
-// available, or if decode is tripped, so that a failed probe wastes no work of
-// another engine. A decode engine prefills only short prompts, one at a time,
-// because its answers pause meanwhile. ok is false if j has to wait.
+// available in time, or if decode is tripped, so that a failed probe wastes no work
+// of another engine. ok is false if decode cannot have the prompt prefilled.
 func (s *Scheduler) choosePrefill(now time.Time, j *job, decode *engine) (prefill *engine, ok bool) {
-	o := j.PromptTokens <= sardineknot.MaxLocalPrefillTokens && len(decode.prefills) == 0
+	o := s.mayPrefill(now, j, decode)
 	if o && decode.tripped() {
 		return decode, true
 	}
 	prefill = s.preferredPrefill(now, j, decode)
-	if prefill == nil && o {
+	if prefill == nil && o && !s.waitsForPrefill(now, j) {
 		return decode, true
 	}
 	return prefill, prefill != nil
@@ -244,7 +247,7 @@
 		if p.server.Name == j.CachedOn {
 			return p
 		}
-		w += time.Duration(p.prefillPace(now) * float64(j.prefillTime))
+		w += time.Duration(p.prefillPace(now, s.typical) * float64(j.prefillTime))
 		w += time.Duration(lossCost * p.lossRate.value * float64(j.prefillTime))
 		if p.server.Zone != decode.server.Zone {
 			w += crossZonePenalty
@@ -261,9 +264,8 @@
 	j.prefill, j.cacheSource, j.decode = prefillEngine, prefillEngine, decodeEngine
 	j.startedAt = now
 	w := prefillEngine.prefillWait(now)
-	j.usualPrefill = w + j.prefillTime
 	prefillEngine.prefills = append(prefillEngine.prefills, j)
-	prefillEngine.busyUntil = now.Add(w + time.Duration(prefillEngine.prefillPace(now)*float64(j.prefillTime)))
+	prefillEngine.busyUntil = now.Add(w + time.Duration(prefillEngine.prefillPace(now, s.typical)*float64(j.prefillTime)))
 	decodeEngine.decodes = append(decodeEngine.decodes, j)
 	decodeEngine.invalidateSpans()
 	s.recordServed(now, j)
--- a/internal/policy/memory/scheduler.go
+++ b/internal/policy/memory/scheduler.go
@@ -32,6 +32,10 @@
 	// engines also contains removed engines that still run jobs.
 	engines map[sardineknot.BackendServerName]*engine
 
+	// listed is set once servers were given to SetServers. Engines of the first list
+	// probably ran before this scheduler, so that their jobs are not limited: callers
+	// would otherwise be refused after each change of the owner.
+	listed  bool
 	lengths lengthEstimator
 	// lastMaxTokens is the MaxTokens of the job submitted last.
 	lastMaxTokens int
@@ -45,6 +49,13 @@
 	// schedule, or zero if none was observed. rates is a buffer for it.
 	typicalRate float64
 	rates       []float64
+	// speeds holds the lasting speeds of the servers, and typical their medians.
+	speeds  map[sardineknot.BackendServerName]*speeds
+	typical typicalSpeeds
+	// typicalAt is the time at which typical was computed.
+	typicalAt time.Time
+	// demand is what arriving jobs ask of the engines.
+	demand demand
 	// ended records recently ended jobs, which load reports may still list.
 	ended endedCalls
 	// lastExpiry is the time of the last search for jobs past eventTimeout.
@@ -54,8 +65,9 @@
 }
 
 var (
-	_ sardineknot.Scheduler  = (*Scheduler)(nil)
-	_ sardineknot.JobAdopter = (*Scheduler)(nil)
+	_ sardineknot.Scheduler      = (*Scheduler)(nil)
+	_ sardineknot.JobAdopter     = (*Scheduler)(nil)
+	_ sardineknot.DemandObserver = (*Scheduler)(nil)
 )
 
 // NewScheduler returns a scheduler without servers.
@@ -63,6 +75,7 @@
 	return &Scheduler{
 		jobs:            make(map[sardineknot.RequestKey]*job),
 		engines:         make(map[sardineknot.BackendServerName]*engine),
+		speeds:          make(map[sardineknot.BackendServerName]*speeds),
 		prefillPerToken: ewma{value: initialPrefillPerToken.Seconds()},
 	}
 }
@@ -87,6 +100,8 @@
 			delete(s.engines, n)
 		}
 	}
+	s.listed = s.listed || len(servers) > 0
+	s.keepSpeeds(now, servers)
 	s.schedule(now)
 	return s.takeDecisions()
 }
@@ -96,7 +111,10 @@
 func (s *Scheduler) engine(backend sardineknot.BackendServer) *engine {
 	e := s.engines[backend.Name]
 	if e == nil || e.server.Born != backend.Born || e.server.Role != backend.Role {
-		e = &engine{pace: newPace()}
+		e = &engine{pace: newPace(s.speedsOf(backend.Name))}
+		if s.listed {
+			e.ramp.Restart(firstJobs, fullRamp)
+		}
 		s.engines[backend.Name] = e
 	}
 	e.server, e.removed = backend, false
@@ -109,6 +127,7 @@
 		return nil
 	}
 	n := s.newJob(now, spec)
+	s.observeDemand(now, n)
 	s.lastMaxTokens = spec.MaxTokens
 	s.jobs[spec.Key] = n
 	s.queue = append(s.queue, n)
@@ -127,11 +146,15 @@
 	case sardineknot.JobPrefillDone:
 		s.endPrefill(now, j)
 	case sardineknot.JobDecodeStarted, sardineknot.JobProgress:
-		p := j.prefill
+		if j.decode == nil {
+			return nil
+		}
+		// The first event makes room on an engine that is limited.
+		p := j.prefill != nil || j.tokensReportedAt.IsZero() && j.decode.ramp.Limited()
 		s.endPrefill(now, j)
-		j.recordEngineSuccess()
+		s.recordEngineSuccess(now, j)
 		j.recordProgress(now, event.Tokens)
-		if p == nil {
+		if !p {
 			// Progress makes no room, and is reported several times a second
 			// for each answer. Waiting jobs are rechecked by Wake.
 			return nil
@@ -194,7 +217,7 @@
 	if len(s.queue) == 0 {
 		return
 	}
-	s.typicalRate = s.typicalTokenRate()
+	s.updateTypical(now)
 	for _, j := range s.queue {
 		j.servable = s.limitJob(j)
 	}
