host/gateway: roles of engines follow the demand of their shard

Cause: the demand that a shard's scheduler observes had no way to the role controller. Change: the controller asks the shard that this host runs.

--- a/internal/host/gateway/observe.go
+++ b/internal/host/gateway/observe.go
@@ -81,12 +81,24 @@
 	l.SeparateHosts = true
 	return &roles.Controller{
 		OwnedShards: p.ownedShards,
+		Demand:      p.shardDemand,
 		Engine:      &orderClient{EngineOrderClient: p.EngineOrders, backoffs: p.backoffs, limiter: p.limiter, clock: p.clock},
 		Ledger:      l,
 		Log:         p.Log,
 	}
 }
 
+// shardDemand returns the demand that the scheduler of the named shard has observed,
+// or none if this host does not run it.
+func (p *Process) shardDemand(name string) sardineknot.EngineDemand {
+	for o, d := range p.slots.OwnedShards() {
+		if d.Name == name {
+			return o.Demand()
+		}
+	}
+	return sardineknot.EngineDemand{}
+}
+
 // ownedShards returns the shards that this host owns. It returns none while the
 // store is unreachable, because another host may then consider itself the owner
 // as well.
