versions/store: a recorder deletes its own segments if nobody else does

Only the host that ranks first for segments deletes old ones. While that host is of an earlier build, which does not know segments, they stayed: one for each 4 s in which a service is mixed, read whole by every lookup. A recorder now deletes the segments that it has written itself 15 s after that host should have done so.

--- a/internal/versions/store/cleaner.go
+++ b/internal/versions/store/cleaner.go
@@ -13,6 +13,10 @@
 	cleanInterval = 5 * time.Second
 	// maxDeletions bounds the segments that one search deletes.
 	maxDeletions = 8
+	// ownDelay is the time beyond that of streams after which a host deletes a segment
+	// that it has written itself. The host that ranks first for segments does so before,
+	// unless it is of an earlier build, which does not know them.
+	ownDelay = 3 * cleanInterval
 )
 
 // cleaner deletes old segments. The zero value knows of none.
@@ -20,6 +24,8 @@
 	mu sync.Mutex
 	// until is the time until which there may be segments, as far as this host knows.
 	until time.Time
+	// own holds the time of the last write to each segment of this host.
+	own map[string]time.Time
 
 	// cleanedAt is the time of the last search, and seen holds the segments that it
 	// has found. Only clean uses them.
@@ -43,6 +49,18 @@
 	c.until = t
 }
 
+// markOwn records that this host writes the segment under key.
+func (k *Keeper) markOwn(key string) {
+	k.markSegments()
+	c := &k.cleaner
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.own == nil {
+		c.own = make(map[string]time.Time)
+	}
+	c.own[key] = k.Clock.Now()
+}
+
 // HasSegments reports whether there may be segments, as far as this host knows.
 func (k *Keeper) HasSegments() bool {
 	c := &k.cleaner
@@ -58,11 +76,12 @@
 func (k *Keeper) clean(ctx context.Context) {
 	c := &k.cleaner
 	n := k.Clock.Now()
-	if !k.HasSegments() || n.Sub(c.cleanedAt) < cleanInterval {
+	if n.Sub(c.cleanedAt) < cleanInterval {
 		return
 	}
 	c.cleanedAt = n
-	if !k.owns(segmentPrefix) {
+	k.cleanOwn(ctx, n)
+	if !k.HasSegments() || !k.owns(segmentPrefix) {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -93,3 +112,37 @@
 		k.markSegments()
 	}
 }
+
+// cleanOwn deletes the old segments of this host that are still there.
+func (k *Keeper) cleanOwn(ctx context.Context, now time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	for _, s := range k.oldOwn(now) {
+		e, err := k.Store.Get(ctx, s)
+		if err == nil && !e.Revision.Absent() {
+			err = k.Store.Delete(ctx, s, e.Revision)
+		}
+		if err != nil {
+			k.Log.Warn().Stringer("event", sardineknot.LogVersionsNotWritten).Str("key", s).Err(err).Send()
+			return
+		}
+		c := &k.cleaner
+		c.mu.Lock()
+		delete(c.own, s)
+		c.mu.Unlock()
+	}
+}
+
+// oldOwn returns at most maxDeletions old segments of this host.
+func (k *Keeper) oldOwn(now time.Time) (l []string) {
+	t := k.StreamTime() + ownDelay
+	c := &k.cleaner
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for s, w := range c.own {
+		if now.Sub(w) > t && len(l) < maxDeletions {
+			l = append(l, s)
+		}
+	}
+	return l
+}
--- a/internal/versions/store/recorder.go
+++ b/internal/versions/store/recorder.go
@@ -125,8 +125,8 @@
 func (k *Keeper) writeSegment() error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	k.markSegments()
 	r := &k.recorder
+	k.markOwn(r.key)
 	if !r.known {
 		e, err := k.Store.Get(ctx, r.key)
 		if err != nil {
--- a/internal/versions/twirp/directory_test.go
+++ b/internal/versions/twirp/directory_test.go
@@ -268,6 +268,25 @@
 	})
 }
 
+// TestSegmentsExpireWithoutOwner guards against records that stay in the store while the
+// host that is to delete them is of an earlier build, which does not know them.
+func TestSegmentsExpireWithoutOwner(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		f := newFleet("v1", "v2")
+		l := f.startAll(ctx, 4)
+		f.kill(f.recorder(0)) // the others still list it
+		d := l[f.recorder(2)]
+		for n := range 500 {
+			d.Record(sardineknot.RequestID(fmt.Sprint("a", n)), "v1")
+			time.Sleep(200 * time.Millisecond)
+		}
+		is.New(t).True(f.store.keys("streams/") <= 12) // those of the last 40 s and the present one
+		finds(t, l[f.recorder(3)], "a480", "v1")
+		time.Sleep(3 * streamTime)
+		is.New(t).Equal(f.store.keys("streams/"), 0)
+	})
+}
+
 // TestOneVersion checks when an unknown stream may go on at the only version.
 func TestOneVersion(t *testing.T) {
 	t.Run("without a call to another host if there was no other version", func(t *testing.T) {
