sardineknot: calls that wait while client accounts are turned off are admitted

Admits compared the key of a waiting call with the accounts in force also if there were none any more, so a call that waited for an engine while the operator turned accounts off, as a return to an earlier build requires, got 401.

--- a/accounts.go
+++ b/accounts.go
@@ -87,7 +87,7 @@
 // Admits reports whether call may be sent to a server under c: c has no client
 // accounts, the route is public, or the key of call belongs to its account.
 func (c *Configuration) Admits(call *Call) bool {
-	if call.Account == nil {
+	if call.Account == nil || len(c.Accounts) == 0 {
 		return true
 	}
 	a, ok := c.AccountByKey(call.Key)
--- a/accounts_test.go
+++ b/accounts_test.go
@@ -9,7 +9,8 @@
 )
 
 // TestAdmits guards against a call that is sent although its key was withdrawn, or
-// was given to another client account, while the call waited.
+// was given to another client account, while the call waited, and against a call that
+// is refused because the client accounts were turned off meanwhile.
 func TestAdmits(t *testing.T) {
 	k := sardineknot.DigestKey("key")
 	a := sardineknot.ClientAccount{Name: "a", Keys: []sardineknot.KeyDigest{k}}
@@ -23,6 +24,7 @@
 	admits(true, sardineknot.ClientAccount{Name: "b"}, a)
 	admits(false, sardineknot.ClientAccount{Name: "a"})
 	admits(false, sardineknot.ClientAccount{Name: "a"}, sardineknot.ClientAccount{Name: "b", Keys: a.Keys})
+	admits(true) // accounts were turned off
 	c.Account = nil
 	admits(true) // a call of a public route
 }
