caller/idle: a planned stop cuts no connection from which a byte was read

Cause: the stop called http.Server.Shutdown. It closes a connection that the server considers idle, also between the read of a request and the report that the connection is active; the request then runs and its answer is lost. It closes the listener with connections pending in the kernel, on which callers have sent requests. An answer that began after the stop, to a call that arrived before it, did not say that its connection closes, so that the caller's next call met the close.

Change: Connections.Drain accepts what is pending, closes the listener, and closes idle connections by their read deadline, which is removed once a byte arrives; a connection without a request has 2 s, as its caller has just connected. Connection: close is decided when the header of an answer is sent. The servers for peers, lookups and probes let requests in progress end for 200 ms.

Result: TestDrainBacklog, TestDrainPartOfRequest and TestDrainAtRequest fail with Shutdown in place of Drain (unexpected EOF) and pass with it; without the check for bytes received TestDrainPartOfRequest fails. TestDrainUnderLoad passed with Shutdown as well in 18 runs: the moment is too short for it.

--- a/internal/caller/gateway/answer.go
+++ b/internal/caller/gateway/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 
 	"github.com/pkg/errors"
 )
@@ -10,6 +11,8 @@
 type answerWriter struct {
 	writer     http.ResponseWriter
 	controller *http.ResponseController
+	// leaving reports whether the connection is closed after the answer.
+	leaving *atomic.Bool
 	// started reports whether the header has been sent. status is the status
 	// code that was sent with it, or zero.
 	started bool
@@ -17,14 +20,10 @@
 }
 
 // prepare keeps net/http from adding the header fields Date and Content-Type.
-// If leaving is set, the connection is closed after the answer.
-func (a *answerWriter) prepare(leaving bool) {
+func (a *answerWriter) prepare() {
 	h := a.writer.Header()
 	h["Date"] = nil
 	h["Content-Type"] = nil
-	if leaving {
-		h.Set("Connection", "close")
-	}
 }
 
 // SendHeader implements sardineknot.AnswerWriter.
@@ -33,6 +32,9 @@
 	for k, v := range header {
 		h[k] = v
 	}
+	if a.leaving.Load() {
+		h.Set("Connection", "close")
+	}
 	a.started, a.status = true, status
 	a.writer.WriteHeader(status)
 }
--- a/internal/caller/gateway/handler.go
+++ b/internal/caller/gateway/handler.go
@@ -59,8 +59,8 @@
 	active atomic.Int64
 }
 
-// Leave adds the header field "Connection: close" to the answers of all calls
-// that arrive from now on. Their connections are closed after the answer, and
+// Leave adds the header field "Connection: close" to all answers that begin from
+// now on, also to calls that have already arrived. Their connections are closed after the answer, and
 // the callers connect to other hosts.
 func (h *Handler) Leave() { h.leaving.Store(true) }
 
@@ -71,8 +71,8 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	a := &answerWriter{writer: w, controller: http.NewResponseController(w)}
-	a.prepare(h.leaving.Load())
+	a := &answerWriter{writer: w, controller: http.NewResponseController(w), leaving: &h.leaving}
+	a.prepare()
 	c, err := h.admit(r)
 	if err != nil {
 		h.refuse(a, r, err)
--- a/internal/caller/idle/connections.go
+++ b/internal/caller/idle/connections.go
@@ -7,13 +7,15 @@
 // longer one applies to all connections.
 //
 // A connection is closed by its server, after its read deadline was set to a time
-// in the past. If the server has just read a request, the deadline is removed and
-// the request is answered.
+// in the past. If a byte has arrived on it by then, the deadline is removed and the
+// request is answered. The same holds for a planned stop: http.Server.Shutdown would
+// close a connection from which a request was just read.
 package idle
 
 import (
 	"context"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -32,9 +34,21 @@
 	// connection while a caller that respects the timeout sends a request on
 	// it.
 	margin = time.Second
+	// unlimited is the idle timeout of connections without one. It leaves room for
+	// margin.
+	unlimited = math.MaxInt64 - margin
+	// drainInterval is the time between two checks of all connections in Drain.
+	drainInterval = 20 * time.Millisecond
+	// drainIdleTime is the time for which a connection must be idle before Drain
+	// closes it. The caller may send its next request as soon as it has the answer,
+	// while the server has yet to read it.
+	drainIdleTime = 100 * time.Millisecond
+	// drainNewTime is drainIdleTime for connections without a request yet, whose
+	// callers have connected in order to send one.
+	drainNewTime = 2 * time.Second
 )
 
-// Connections tracks the idle connections of one server. It is safe for
+// Connections tracks the connections of one server. It is safe for
 // concurrent use. All exported fields must be set before use.
 type Connections struct {
 	// IdleTimeout returns the idle timeout. Zero or a negative value means no
@@ -46,12 +60,21 @@
 	Log zerolog.Logger
 
 	mu sync.Mutex
-	// idle holds the state of each idle connection.
-	idle map[net.Conn]*idleConnection
+	// tracked holds the state of each open connection.
+	tracked map[net.Conn]*connectionState
+	// draining is set by Drain.
+	draining bool
+	// listener is the one that Listener returned, or nil.
+	listener *listener
 }
 
-// idleConnection is the state of a connection without a request.
-type idleConnection struct {
+// connectionState is the state of a connection.
+type connectionState struct {
+	// active is set while a request is served, and fresh until the first one is.
+	active bool
+	fresh  bool
+	// received is set if bytes were read since the connection became idle.
+	received bool
 	// since is the time at which the connection became idle, and limit the
 	// longest idle timeout since then.
 	since time.Time
@@ -65,19 +88,49 @@
 func (c *Connections) Track(connection net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	i := c.idle[connection]
-	delete(c.idle, connection)
+	if c.tracked == nil {
+		c.tracked = make(map[net.Conn]*connectionState)
+	}
+	i := c.tracked[connection]
 	if i != nil && i.expired && state == http.StateActive {
 		c.setReadDeadline(connection, time.Time{})
 	}
-	l := c.IdleTimeout()
-	if l <= 0 || state != http.StateIdle && state != http.StateNew {
+	switch state {
+	case http.StateClosed, http.StateHijacked:
+		delete(c.tracked, connection)
+	case http.StateActive:
+		c.tracked[connection] = &connectionState{active: true}
+	default:
+		l := c.IdleTimeout()
+		if l <= 0 {
+			l = unlimited
+		}
+		c.tracked[connection] = &connectionState{fresh: state == http.StateNew, since: c.Clock.Now(), limit: l}
+	}
+}
+
+// recordRead records that bytes were read from connection. It is not closed before
+// the request that they begin is answered.
+func (c *Connections) recordRead(connection net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := c.tracked[connection]
+	if i == nil {
 		return
 	}
-	if c.idle == nil {
-		c.idle = make(map[net.Conn]*idleConnection)
+	i.received = true
+	if i.expired {
+		i.expired = false
+		c.setReadDeadline(connection, time.Time{})
 	}
-	c.idle[connection] = &idleConnection{since: c.Clock.Now(), limit: l}
+}
+
+// isExpired reports whether the idle time of connection has passed.
+func (c *Connections) isExpired(connection net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := c.tracked[connection]
+	return i != nil && i.expired
 }
 
 // Run closes expired connections until ctx is done. It always returns nil.
@@ -100,7 +153,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	n := 0
-	for k, i := range c.idle {
+	for k, i := range c.tracked {
 		if !c.expiredLocked(i) {
 			continue
 		}
@@ -115,15 +168,22 @@
 	}
 }
 
-// expiredLocked reports whether the idle timeout of i has passed. The longest
+// expiredLocked reports whether i is idle and its idle timeout has passed. The longest
 // timeout since the connection became idle applies.
-func (c *Connections) expiredLocked(i *idleConnection) bool {
+func (c *Connections) expiredLocked(i *connectionState) bool {
+	if i.active || i.received {
+		return false
+	}
+	d := c.Clock.Now().Sub(i.since)
+	if c.draining {
+		return d >= drainIdleTime && !i.fresh || d >= drainNewTime
+	}
 	l := c.IdleTimeout()
 	if l <= 0 {
 		return false
 	}
 	i.limit = max(i.limit, l)
-	return c.Clock.Now().Sub(i.since) > i.limit+margin
+	return d > i.limit+margin
 }
 
 // setReadDeadline sets the read deadline of connection. It fails only for a
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -177,11 +177,14 @@
 	w, cancel := context.WithCancel(w)
 	defer cancel()
 	l := p.servers()
-	for _, s := range l {
+	for i, s := range l {
 		n, err := p.listen(s.address)
 		if err != nil {
 			return err
 		}
+		if i == 0 {
+			n = p.connections.Listener(n)
+		}
 		g.Go(func() error { return serve(s.server, n) })
 	}
 	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.versions.Run, p.guard.Run, p.keeper.Run, p.refresh, p.watchSettings, p.observeLoads, p.newRoleController().Run, p.places.Run, p.connections.Run, p.dialer.Run) {
--- a/internal/host/gateway/stop.go
+++ b/internal/host/gateway/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"sardineknot.example/sardineknot"
 )
 
@@ -16,6 +18,10 @@
 	// stopMargin is the part of the stop limit that is reserved for the exit of
 	// the process after its calls have ended.
 	stopMargin = 500 * time.Millisecond
+	// shutdownTime is the time for which calls of other hosts and requests to the
+	// other servers may go on after the last call of a caller. It is part of
+	// stopMargin. Calls of hosts that wait for changes are cut after it.
+	shutdownTime = 200 * time.Millisecond
 )
 
 // stop stops the host gracefully. It marks the host as leaving, so that other
@@ -36,7 +42,22 @@
 	time.Sleep(acceptDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), e)
 	defer cancel()
-	err := endpoints[0].server.Shutdown(ctx)
+	err := p.connections.Drain(ctx)
 	p.tunnels.Wait(ctx)
+	p.shutDown(endpoints[1:])
 	p.Log.Info().Stringer("event", sardineknot.LogDrained).Int("calls", p.handler.Active()).Err(err).Send()
 }
+
+// shutDown lets the requests in progress at endpoints end, for at most shutdownTime.
+func (p *Process) shutDown(endpoints []endpoint) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
+	defer cancel()
+	var g errgroup.Group
+	for _, s := range endpoints {
+		g.Go(func() error { return s.server.Shutdown(ctx) })
+	}
+	err := g.Wait()
+	if err != nil {
+		p.Log.Debug().Stringer("event", sardineknot.LogDrained).Err(err).Send()
+	}
+}
