serverlimits, peer/micros: limits and durations in malformed messages

Cause: a message of another host whose limit is negative, infinite or no number, or whose age is negative, kept a server without requests for good; a wait without end blocked it beyond the time for which a limit holds. A host that answered Notify without a report made the owner take the empty name for a contended service, which it told all hosts.

Change: such limits are ignored, limits from the future count as named now, waits are bounded by the retention, durations are bounded, and reports about another service are ignored.

--- a/internal/peer/micros/micros.go
+++ b/internal/peer/micros/micros.go
@@ -2,7 +2,17 @@
 // numbers of microseconds.
 package micros
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
-// Duration returns the duration of count microseconds.
-func Duration(count int64) time.Duration { return time.Duration(count) * time.Microsecond }
+// maxCount bounds the durations, so that a malformed message yields a long time and
+// not, by an overflow, one of the other sign. It leaves room for sums of a few of them.
+const maxCount = int64(math.MaxInt64 / 4 / time.Microsecond)
+
+// Duration returns the duration of count microseconds, which is at most 73 years in
+// either direction.
+func Duration(count int64) time.Duration {
+	return time.Duration(min(max(count, -maxCount), maxCount)) * time.Microsecond
+}
--- a/internal/places/twirp/owner.go
+++ b/internal/places/twirp/owner.go
@@ -188,9 +188,10 @@
 	for _, h := range p.untold(name, state) {
 		g.Go(func() error {
 			r, err := p.client(h).Notify(ctx, &rpc.NotifyRequest{Service: string(name)})
-			if err == nil {
+			switch {
+			case err == nil && r.GetReport().GetService() == string(name):
 				p.receive(r.GetReport())
-			} else {
+			case err != nil:
 				p.Log.Debug().Stringer("event", sardineknot.LogPlacesNotShared).Str("service", string(name)).Str("peer", string(h.ID)).Err(err).Send()
 			}
 			return nil
--- a/internal/platform/twirp/service.go
+++ b/internal/platform/twirp/service.go
@@ -3,12 +3,12 @@
 import (
 	"context"
 	"net/http"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/peer/micros"
 	rpc "sardineknot.example/sardineknot/internal/rpc/changes"
 )
 
@@ -42,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := time.Duration(request.GetWaitMicros()) * time.Microsecond
+	w := micros.Duration(request.GetWaitMicros())
 	l, n, err := s.feed.Entries.Next(ctx, sardineknot.StoreRevision{Era: sardineknot.StoreEra(request.GetEra()), Number: request.GetRevision()}, min(w, maxPeerWait))
 	var c *sardineknot.CompactedError
 	if errors.As(err, &c) {
--- a/internal/serverlimits/table/table.go
+++ b/internal/serverlimits/table/table.go
@@ -8,6 +8,7 @@
 package table
 
 import (
+	"math"
 	"sync"
 	"time"
 
@@ -72,15 +73,25 @@
 }
 
 // Merge records the limit of process as reported by another entry host, unless the
-// recorded one is newer. It returns the limit that is recorded then, and whether it
-// differs from before.
+// recorded one is newer or the reported one is no number of requests. Merge returns the
+// limit that is recorded then, and whether it differs from before.
 func (t *Table) Merge(now time.Time, process sardineknot.ServerProcess, told sardineknot.ServerLimit) (known sardineknot.ServerLimit, changed bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	l := t.limits[process]
+	switch {
+	case told.PerSecond >= 0 && !math.IsInf(told.PerSecond, 0):
+	case l == nil:
+		return sardineknot.ServerLimit{}, false
+	default:
+		return l.ServerLimit, false
+	}
 	if l == nil && told.PerSecond == 0 {
 		return told, false
 	}
+	if told.PerSecond > 0 {
+		told.PerSecond = max(told.PerSecond, minRate)
+	}
 	if l != nil && !l.outdated(told) {
 		return l.ServerLimit, false
 	}
@@ -152,13 +163,16 @@
 	return max(0, l.blockedUntil.Sub(now))
 }
 
-// Block records that no permit for process is to be had before the time until.
-func (t *Table) Block(process sardineknot.ServerProcess, until time.Time) {
+// Block records that no permit for process is to be had for wait from now on, and for
+// no longer than retention: the limit holds for that time at most. It returns that time.
+func (t *Table) Block(now time.Time, process sardineknot.ServerProcess, wait time.Duration) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	wait = min(max(wait, 0), retention)
 	if l := t.limits[process]; l != nil {
-		l.blockedUntil = until
+		l.blockedUntil = now.Add(wait)
 	}
+	return wait
 }
 
 // TakeOwned takes a permit that this host issues as the owner. It returns zero if
--- a/internal/serverlimits/table/table_test.go
+++ b/internal/serverlimits/table/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -139,3 +140,25 @@
 		is.New(t).Equal(count(func(a time.Time) time.Duration { return b.TakeOwned(a, server) }), 10_000)
 	})
 }
+
+// TestMalformedReport guards against a limit in a malformed message of another host that
+// keeps a server without requests for good.
+func TestMalformedReport(t *testing.T) {
+	for _, n := range []float64{-1, math.NaN(), math.Inf(1), math.Inf(-1), -math.MaxFloat64} {
+		b := table.New()
+		_, c := b.Merge(start, server, sardineknot.ServerLimit{PerSecond: n, At: start})
+		is.New(t).True(!c)
+		assertLimit(t, b, 0, 0)
+		b.Observe(start, server, 4, start)
+		_, c = b.Merge(after(time.Second), server, sardineknot.ServerLimit{PerSecond: n, At: after(time.Second)})
+		is.New(t).True(!c)
+		assertLimit(t, b, time.Second, 4)
+	}
+	t.Run("a wait without end expires", func(t *testing.T) {
+		b := table.New()
+		b.Observe(start, server, 4, start)
+		b.Block(start, server, math.MaxInt64)
+		is.New(t).Equal(b.Blocked(after(2*time.Minute), server), time.Duration(0))
+		is.New(t).Equal(b.Block(start, server, -time.Hour), time.Duration(0))
+	})
+}
--- a/internal/serverlimits/twirp/limiter.go
+++ b/internal/serverlimits/twirp/limiter.go
@@ -74,7 +74,7 @@
 	d := l.table.Blocked(n, p)
 	if d == 0 {
 		d = l.take(ctx, p, k)
-		l.table.Block(p, l.Clock.Now().Add(d))
+		d = l.table.Block(l.Clock.Now(), p, d)
 	}
 	if d > 0 {
 		metrics.GetOrRegisterCounter("serverlimits.denied", l.Metrics).Inc(1)
--- a/internal/serverlimits/twirp/limiter_test.go
+++ b/internal/serverlimits/twirp/limiter_test.go
@@ -1,6 +1,7 @@
 package twirp_test
 
 import (
+	"bytes"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -15,10 +16,12 @@
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/host/clock"
 	"sardineknot.example/sardineknot/internal/membership/rendezvous"
+	rpc "sardineknot.example/sardineknot/internal/rpc/serverlimits"
 	"sardineknot.example/sardineknot/internal/serverlimits/twirp"
 )
 
@@ -276,3 +279,24 @@
 		})
 	}
 }
+
+// TestLimitFromFuture guards against a limit in a malformed message whose age is negative:
+// it would hold for as long, and no later limit would replace it.
+func TestLimitFromFuture(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		f := newFleet(2)
+		l := f.limiters[0]
+		p, h := l.Handler()
+		b, err := proto.Marshal(&rpc.Limit{Server: string(server.Name), Born: server.Born, PerSecond: 1, AgeMicros: -(1000 * time.Hour).Microseconds()})
+		is.NoErr(err)
+		r := httptest.NewRequest(http.MethodPost, p+"Report", bytes.NewReader(b))
+		r.Header.Set("Content-Type", "application/protobuf")
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, r)
+		is.Equal(w.Code, http.StatusOK)
+		is.True(l.Limited(server))
+		time.Sleep(2 * time.Minute)
+		is.True(!l.Limited(server))
+	})
+}
--- a/internal/serverlimits/twirp/service.go
+++ b/internal/serverlimits/twirp/service.go
@@ -48,8 +48,8 @@
 }
 
 // limitFromMessage is the inverse of limitMessage for a message that is received
-// at time now.
+// at time now. A limit from the future, which would not expire, counts as named now.
 func limitFromMessage(message *rpc.Limit, now time.Time) (sardineknot.ServerProcess, sardineknot.ServerLimit) {
 	p := sardineknot.ServerProcess{Name: sardineknot.BackendServerName(message.GetServer()), Born: message.GetBorn()}
-	return p, sardineknot.ServerLimit{PerSecond: message.GetPerSecond(), At: now.Add(-micros.Duration(message.GetAgeMicros()))}
+	return p, sardineknot.ServerLimit{PerSecond: message.GetPerSecond(), At: now.Add(-max(0, micros.Duration(message.GetAgeMicros())))}
 }
