backend/http1: a late copy of a response is not taken for the response to another request

Cause: a response is matched to its request by the echoed identifier. Releases of KV caches, load queries and orders have none and took any response, so a late copy of a call's response passed for a load report (of an empty engine) or an accepted order. A call that was repeated at the same server after a refusal has the same identifier as before, and took a copy of the refusal for its own response although it ran.

Change: a request without an identifier gets a new connection, which later calls may use; a call does not use a connection that has carried one of the last 16 exchanges with its identifier. The cost is a connection for each load query, release and order.

Copies between two calls, and identifiers of another length, were told apart before.

--- a/call.go
+++ b/call.go
@@ -212,7 +212,8 @@
 	Header http.Header
 	Body   []byte
 	// EchoHeader names a header field that the response must repeat, so that it
-	// can be matched to the request. If it is empty, any response is accepted.
+	// can be matched to the request. If it is empty, any response is accepted, and the
+	// request is sent on a new connection.
 	EchoHeader string
 	// EchoValue is the required value of the header field EchoHeader.
 	EchoValue string
--- a/internal/backend/http1/client.go
+++ b/internal/backend/http1/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -77,7 +78,7 @@
 // Exchange implements sardineknot.Exchanger. The exchange is aborted when ctx
 // is done, also while the body of the response is read.
 func (c *Client) Exchange(ctx context.Context, address netip.AddrPort, exchange sardineknot.ExchangeRequest) (*sardineknot.Response, error) {
-	k, err := c.connection(ctx, address, exchange.FreshConnection)
+	k, err := c.connection(ctx, address, exchange)
 	if err != nil {
 		return nil, errors.WithStack(&sardineknot.UnsentError{Server: address, Cause: err})
 	}
@@ -87,12 +88,12 @@
 	return k.roundTrip(ctx, exchange)
 }
 
-// connection returns an idle connection to address, or a new one. If fresh is
-// set, it does not reuse connections that have been idle for more than
-// maxFreshIdleTime.
-func (c *Client) connection(ctx context.Context, address netip.AddrPort, fresh bool) (*conn, error) {
-	for {
-		k := c.takeIdle(address, fresh)
+// connection returns an idle connection to address for exchange, or a new one. A late
+// copy of an earlier response is told from the response to exchange by the echoed value.
+// An exchange without one gets a new connection.
+func (c *Client) connection(ctx context.Context, address netip.AddrPort, exchange sardineknot.ExchangeRequest) (*conn, error) {
+	for exchange.EchoHeader != "" {
+		k := c.takeIdle(address, exchange)
 		if k == nil {
 			break
 		}
@@ -111,23 +112,26 @@
 }
 
 // takeIdle removes and returns the connection to address that has been idle for
-// the shortest time. It returns nil if there is none or, with fresh set, if
-// this connection has been idle for more than maxFreshIdleTime. It closes the
-// connections that have been idle for too long.
-func (c *Client) takeIdle(address netip.AddrPort, fresh bool) *conn {
+// the shortest time and has carried no exchange with the echoed value of exchange. It
+// returns nil if there is none or, with FreshConnection set, if this connection has been
+// idle for more than maxFreshIdleTime. It closes the connections that have been idle for
+// too long.
+func (c *Client) takeIdle(address netip.AddrPort, exchange sardineknot.ExchangeRequest) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.expireLocked(address)
 	l := c.idle[address]
-	if len(l) == 0 {
-		return nil
-	}
-	k := l[len(l)-1]
-	if fresh && c.clock.Now().Sub(k.idleSince) > maxFreshIdleTime {
-		return nil
+	for i := len(l) - 1; i >= 0; i-- {
+		k := l[i]
+		if exchange.FreshConnection && c.clock.Now().Sub(k.idleSince) > maxFreshIdleTime {
+			return nil
+		}
+		if !slices.Contains(k.echoed, exchange.EchoValue) {
+			c.idle[address] = slices.Delete(l, i, i+1)
+			return k
+		}
 	}
-	c.idle[address] = l[:len(l)-1]
-	return k
+	return nil
 }
 
 // expireLocked closes the connections to address that have been idle for too
--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -27,6 +27,9 @@
 	maxStrayResponses = 3
 	// maxStrayBytes bounds the body of a response that is skipped.
 	maxStrayBytes = 1 << 20
+	// maxEchoed bounds the exchanges for which a connection is not used by another one
+	// with the same value, such as the repetition of a call that the server refused.
+	maxEchoed = 16
 )
 
 // conn is a connection to a backend server. It is used for one exchange at a
@@ -39,6 +42,8 @@
 	through sardineknot.EntryHostID
 	head    *headReader
 	reader  *bufio.Reader
+	// echoed holds the echoed values of the last maxEchoed exchanges.
+	echoed []string
 	// idleSince is the time at which the connection became idle, and
 	// idleTimeout the time for which it may stay idle.
 	idleSince   time.Time
@@ -84,6 +89,9 @@
 func (k *conn) roundTrip(ctx context.Context, exchange sardineknot.ExchangeRequest) (*sardineknot.Response, error) {
 	stop := context.AfterFunc(ctx, func() { k.Close() })
 	k.written = make(chan error, 1)
+	if exchange.EchoHeader != "" {
+		k.echoed = append(k.echoed[max(0, len(k.echoed)-maxEchoed+1):], exchange.EchoValue)
+	}
 	q := encode(exchange)
 	go func() {
 		_, err := k.Write(q)
