answer/events: comments and empty lines are no events of a stream

Cause: a block of comments counted as an event. An engine whose stream stood still and that sent comments now and then was never silent, no other engine continued the stream, and it ran into the call's deadline; a comment also passed for the first event of a takeover.

Change: comments are relayed together with the next event, or at the end of the stream. FuzzReadEvent adds the comments at the end to the bytes that it compares, as they are part of the stream; its check is otherwise the same.

--- a/internal/answer/events/event_test.go
+++ b/internal/answer/events/event_test.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"bytes"
+	"strings"
 	"testing"
 
+	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot/internal/backend/memory"
@@ -31,6 +33,7 @@
 				break
 			}
 			if e.end {
+				b = append(b, e.text...)
 				if !bytes.Equal(b, stream) {
 					t.Fatal("a whole stream differs from its events")
 				}
@@ -50,3 +53,25 @@
 		}
 	})
 }
+
+// TestComments guards against a server whose stream stands still and that sends comments
+// or empty lines: if they counted as events, no other engine would continue the stream.
+func TestComments(t *testing.T) {
+	is := is.New(t)
+	const before, after = ": a\n\n\n:\n\n", ": z\n\n"
+	const one = "id: 1\ndata: x\n\n"
+	m := &memory.Budget{Bytes: 1 << 20}
+	r := bufio.NewReader(strings.NewReader(before + one + after))
+	e, err := readEvent(r, m)
+	is.NoErr(err)
+	is.Equal(string(e.text), before+one)
+	is.Equal(e.id, 1)
+	e, err = readEvent(r, m)
+	is.NoErr(err)
+	is.True(e.end)
+	is.Equal(string(e.text), after)
+	for _, s := range []string{": c\n", ": c", ":\n\n: c\n", "\n\nid: 1\n"} {
+		_, err = readEvent(bufio.NewReader(strings.NewReader(s)), m)
+		is.True(errors.Is(err, errTruncated))
+	}
+}
--- a/internal/answer/events/relay.go
+++ b/internal/answer/events/relay.go
@@ -93,7 +93,7 @@
 			return err
 		}
 		if e.end {
-			return a.finishStream()
+			return a.finishStream(e.text)
 		}
 		if !a.claimEvent(e.id) {
 			return errSilent
@@ -110,13 +110,21 @@
 	}
 }
 
-// finishStream ends the answer at the end of the stream. A stream without any event
-// was broken off, unless the caller already has the others.
-func (a *attempt) finishStream() error {
+// finishStream ends the answer at the end of the stream, with the comments that follow the
+// last event. A stream without any event was broken off, unless the caller already has the
+// others.
+func (a *attempt) finishStream(comments []byte) error {
 	if a.resumeAfter == 0 && a.eventCount == 0 {
 		return errors.WithStack(errTruncated)
 	}
 	a.sendHeader(a.response.Status, a.response.Header)
+	if len(comments) == 0 {
+		return nil
+	}
+	err := a.writer.Write(comments)
+	if err != nil {
+		return errors.WithStack(&writeError{cause: err})
+	}
 	return nil
 }
 
