orders, answer: an order, a call or a grant is not used after its time

Cause: the time of an order was compared by the monotonic clock, which does not count the time for which a host is suspended, so that such a host sent an order that had expired. A call whose deadline passed while the process was paused, and the grant that it waited for, were used if the timer of its context had not run yet.

Change: orders expire by CLOCK_BOOTTIME.

--- a/call.go
+++ b/call.go
@@ -203,6 +203,10 @@
 	Run(ctx context.Context, call *Call, writer AnswerWriter) error
 }
 
+// Overdue reports whether the deadline of c has passed at the time now. A zero deadline
+// never passes.
+func (c *Call) Overdue(now time.Time) bool { return !c.Deadline.IsZero() && !now.Before(c.Deadline) }
+
 // ExchangeRequest is an HTTP request to a backend server.
 type ExchangeRequest struct {
 	// Method, Target and Host have the same meaning as in Call.
--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -145,12 +145,16 @@
 }
 
 // checkGrant looks up the engines of g. It fails if the attempt was cancelled
-// meanwhile. A takeover also needs retry budget and an engine other than the
+// meanwhile, or the deadline of the call has passed. A takeover also needs retry budget and an engine other than the
 // silent one.
 func (a *attempt) checkGrant(g sardineknot.Grant) (err error) {
 	if a.ctx.Err() != nil {
 		return errors.WithStack(context.Cause(a.ctx))
 	}
+	// The process may have been paused, so that the context is not done yet.
+	if a.call.Overdue(a.Clock.Now()) {
+		return errors.WithStack(context.DeadlineExceeded)
+	}
 	a.prefill, err = a.findServer(g.PrefillEngine)
 	if err != nil {
 		return err
--- a/internal/answer/plain/runner.go
+++ b/internal/answer/plain/runner.go
@@ -155,19 +155,27 @@
 }
 
 // admit selects a server for c as assign does. It fails at once with a NotRunError if
-// no server may get c, and with an UnauthorizedError if the key of c was withdrawn
-// while c waited.
+// no server may get c, with an UnauthorizedError if the key of c was withdrawn
+// while c waited, and with context.DeadlineExceeded if its deadline has passed.
 func (r *Runner) admit(ctx context.Context, c *sardineknot.Call, tried map[sardineknot.BackendServerName]bool) (assignment, error) {
 	err := r.Guard.Check(c)
 	if err != nil {
 		return assignment{}, err
 	}
 	a, err := r.assign(ctx, c, tried)
-	if err != nil || r.Source.Current().Admits(c) {
+	if err != nil {
 		return a, err
 	}
-	r.abandon(a)
-	return assignment{}, errors.WithStack(&sardineknot.UnauthorizedError{})
+	// The process may have been paused, so that ctx is not done yet.
+	if c.Overdue(r.Clock.Now()) {
+		r.abandon(a)
+		return assignment{}, errors.WithStack(context.DeadlineExceeded)
+	}
+	if !r.Source.Current().Admits(c) {
+		r.abandon(a)
+		return assignment{}, errors.WithStack(&sardineknot.UnauthorizedError{})
+	}
+	return a, nil
 }
 
 // pick selects a server with free capacity, preferably one that is not in
--- a/internal/host/clock/sinceboot.go
+++ b/internal/host/clock/sinceboot.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"sardineknot.example/sardineknot"
 )
 
 // SinceBoot returns the time since the machine was started, including the time for
@@ -16,3 +18,14 @@
 	}
 	return time.Duration(t.Nano())
 }
+
+// SinceBootClock returns a clock that shows SinceBoot as the time since 1970. It serves
+// permissions that must expire also while the machine is suspended: the monotonic reading
+// of time.Now does not count that time. Its times must not be compared with others.
+func (System) SinceBootClock() sardineknot.Clock { return sinceBootClock{} }
+
+// sinceBootClock implements sardineknot.Clock.
+type sinceBootClock struct{}
+
+// Now implements sardineknot.Clock.
+func (sinceBootClock) Now() time.Time { return time.Unix(0, int64(System{}.SinceBoot())) }
--- a/internal/host/gateway/observe.go
+++ b/internal/host/gateway/observe.go
@@ -77,7 +77,7 @@
 // newRoleController returns the controller that orders engines to change their
 // roles.
 func (p *Process) newRoleController() *roles.Controller {
-	l := ledger.NewLedger(p.Store, p.clock, p.registry.Self(), p.clock.Sleep)
+	l := ledger.NewLedger(p.Store, p.clock.SinceBootClock(), p.registry.Self(), p.clock.Sleep)
 	l.SeparateHosts = true
 	return &roles.Controller{
 		OwnedShards: p.ownedShards,
