caller/gateway: a caller that stalls ends its call

Cause: the body of a request was read without a limit, so that a caller that sent a byte now and then held its call for ever, and a planned stop with it. A write to a caller that took nothing, or a byte now and then, did not end either.

Change: the body must arrive before the deadline of the call, else the call gets 408. A write ends the call if the caller does not take its data within 10 s.

--- a/internal/answer/events/event.go
+++ b/internal/answer/events/event.go
@@ -55,40 +55,59 @@
 // budget. Comments and empty lines are no event: a server may send them although its
 // stream stands still.
 func readEvent(r *bufio.Reader, budget *memory.Budget) (*event, error) {
-	var b bytes.Buffer
+	b := &partialEvent{blank: true}
 	var held int64
 	defer budget.Release(&held)
-	e := &event{}
-	n := 0     // the position in b at which the current line begins
-	f := false // whether a line with a field was read
-	w := true  // whether no line was read after the last empty one
 	for {
-		if b.Len() > maxEventBytes || !budget.Grow(&held, growthFactor*b.Len()) {
+		if b.text.Len() > maxEventBytes || !budget.Grow(&held, growthFactor*b.text.Len()) {
 			return nil, errors.WithStack(errEventTooLong)
 		}
 		p, err := r.ReadSlice('\n')
-		b.Write(p)
+		b.text.Write(p)
 		switch {
 		case errors.Is(err, bufio.ErrBufferFull):
 			continue
-		case errors.Is(err, io.EOF) && (f || !w || b.Len() > n):
+		case errors.Is(err, io.EOF) && b.truncated():
 			return nil, errors.WithStack(errTruncated)
 		case errors.Is(err, io.EOF):
-			e.text, e.end = b.Bytes(), true
-			return e, nil
+			return &event{text: b.text.Bytes(), end: true}, nil
 		case err != nil:
 			return nil, err
 		}
-		l := bytes.TrimRight(b.Bytes()[n:], "\r\n")
-		n = b.Len()
-		if len(l) == 0 && f {
-			e.text = b.Bytes()
-			return e, nil
-		}
-		w = len(l) == 0
-		f = f || !w && l[0] != ':'
-		if v, ok := bytes.CutPrefix(l, []byte("id:")); ok {
-			e.id, _ = strconv.Atoi(string(bytes.TrimSpace(v)))
+		if b.endLine() {
+			return &event{text: b.text.Bytes(), id: b.id}, nil
 		}
 	}
 }
+
+// partialEvent is an event of which some lines were read.
+type partialEvent struct {
+	text bytes.Buffer
+	id   int
+	// line is the position in text at which the current line begins.
+	line int
+	// fields is set once a line with a field was read, and blank if the last line was
+	// empty or there is none.
+	fields bool
+	blank  bool
+}
+
+// endLine records the line that was read last, and reports whether the event is complete.
+func (p *partialEvent) endLine() bool {
+	l := bytes.TrimRight(p.text.Bytes()[p.line:], "\r\n")
+	p.line = p.text.Len()
+	p.blank = len(l) == 0
+	if p.blank {
+		return p.fields
+	}
+	p.fields = p.fields || l[0] != ':'
+	if v, ok := bytes.CutPrefix(l, []byte("id:")); ok {
+		p.id, _ = strconv.Atoi(string(bytes.TrimSpace(v)))
+	}
+	return false
+}
+
+// truncated reports whether the stream must not end after the bytes that were read.
+func (p *partialEvent) truncated() bool {
+	return p.fields || !p.blank || p.text.Len() > p.line
+}
--- a/internal/caller/gateway/answer.go
+++ b/internal/caller/gateway/answer.go
@@ -3,16 +3,26 @@
 import (
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
+
+	"sardineknot.example/sardineknot"
 )
 
+// writeTimeout is the longest time for which a caller may take no bytes, or hardly any,
+// before its call ends. The deadline of the call does not end a write, and an answer that
+// is ready is delivered after it.
+const writeTimeout = 10 * time.Second
+
 // answerWriter implements sardineknot.AnswerWriter on an http.ResponseWriter.
 type answerWriter struct {
 	writer     http.ResponseWriter
 	controller *http.ResponseController
 	// leaving reports whether the connection is closed after the answer.
 	leaving *atomic.Bool
+	// clock returns the current time.
+	clock sardineknot.Clock
 	// started reports whether the header has been sent. status is the status
 	// code that was sent with it, or zero.
 	started bool
@@ -26,6 +36,13 @@
 	h["Content-Type"] = nil
 }
 
+// limitBody sets the time at which reading the body of the request fails. The zero time
+// means never.
+func (a *answerWriter) limitBody(deadline time.Time) {
+	// It fails only for connections that are closed already, and for test recorders.
+	_ = a.controller.SetReadDeadline(deadline)
+}
+
 // SendHeader implements sardineknot.AnswerWriter.
 func (a *answerWriter) SendHeader(status int, header http.Header) {
 	h := a.writer.Header()
@@ -39,8 +56,11 @@
 	a.writer.WriteHeader(status)
 }
 
-// Write implements sardineknot.AnswerWriter.
+// Write implements sardineknot.AnswerWriter. It fails if the caller does not take data
+// within writeTimeout.
 func (a *answerWriter) Write(data []byte) error {
+	// net/http removes the deadline at the end of the request. It fails as in limitBody.
+	_ = a.controller.SetWriteDeadline(a.clock.Now().Add(writeTimeout))
 	_, err := a.writer.Write(data)
 	if err != nil {
 		return errors.WithStack(err)
--- a/internal/caller/gateway/handler.go
+++ b/internal/caller/gateway/handler.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -71,9 +72,9 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	a := &answerWriter{writer: w, controller: http.NewResponseController(w), leaving: &h.leaving}
+	a := &answerWriter{writer: w, controller: http.NewResponseController(w), leaving: &h.leaving, clock: h.Clock}
 	a.prepare()
-	c, err := h.admit(r)
+	c, err := h.admit(a, r)
 	if err != nil {
 		h.refuse(a, r, err)
 		return
@@ -81,12 +82,13 @@
 	h.run(r.Context(), a, c)
 }
 
-// admit validates r and returns its call. It fails with a NotRunError if there
+// admit validates r and returns its call. The body must arrive before the deadline of the
+// call. It fails with a NotRunError if there
 // is no configuration yet, with an UnknownError if no route matches, with an
 // UnauthorizedError if r lacks the key of a client account, and with an
 // InvalidError, a headerTooLargeError or an http.MaxBytesError if r violates the
 // format or the limits.
-func (h *Handler) admit(r *http.Request) (*sardineknot.Call, error) {
+func (h *Handler) admit(writer *answerWriter, r *http.Request) (*sardineknot.Call, error) {
 	n := h.Clock.Now()
 	f := h.waitForConfiguration(r.Context())
 	if f.Revision == 0 {
@@ -115,8 +117,14 @@
 	if t.Timeout <= 0 || c.CallerDeadline.Before(c.Deadline) {
 		c.Deadline = c.CallerDeadline
 	}
+	writer.limitBody(c.Deadline)
 	c.Body, err = readBody(r, f.CallerLimits.BodyBytes)
-	return c, err
+	if err != nil {
+		// net/http reads what is left of the body, up to the deadline.
+		return nil, err
+	}
+	writer.limitBody(time.Time{})
+	return c, nil
 }
 
 // authorize sets the client account of call to the one that its key belongs to. It
@@ -322,6 +330,8 @@
 		return http.StatusBadRequest
 	case errors.As(err, &m):
 		return http.StatusRequestEntityTooLarge
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout
 	case errors.Is(err, context.DeadlineExceeded):
 		return http.StatusGatewayTimeout
 	default:
