--- a/internal/caller/gateway/answer.go
+++ b/internal/caller/gateway/answer.go
@@ -2,14 +2,27 @@
 
 import (
 	"net/http"
+	"sync/atomic"
+	"time"
 
 	"github.com/pkg/errors"
+
+	"sardineknot.example/sardineknot"
 )
 
+// writeTimeout is the longest time for which a caller may take no bytes, or hardly any,
+// before its call ends. The deadline of the call does not end a write, and an answer that
+// is ready is delivered after it.
+const writeTimeout = 10 * time.Second
+
 // answerWriter implements sardineknot.AnswerWriter on an http.ResponseWriter.
 type answerWriter struct {
 	writer     http.ResponseWriter
 	controller *http.ResponseController
+	// leaving reports whether the connection is closed after the answer.
+	leaving *atomic.Bool
+	// clock returns the current time.
+	clock sardineknot.Clock
 	// started reports whether the header has been sent. status is the status
 	// code that was sent with it, or zero.
 	started bool
@@ -17,14 +30,17 @@
 }
 
 // prepare keeps net/http from adding the header fields Date and Content-Type.
-// If leaving is set, the connection is closed after the answer.
-func (a *answerWriter) prepare(leaving bool) {
+func (a *answerWriter) prepare() {
 	h := a.writer.Header()
 	h["Date"] = nil
 	h["Content-Type"] = nil
-	if leaving {
-		h.Set("Connection", "close")
-	}
+}
+
+// limitBody sets the time at which reading the body of the request fails. The zero time
+// means never.
+func (a *answerWriter) limitBody(deadline time.Time) {
+	// It fails only for connections that are closed already, and for test recorders.
+	_ = a.controller.SetReadDeadline(deadline)
 }
 
 // SendHeader implements sardineknot.AnswerWriter.
@@ -33,12 +49,18 @@
 	for k, v := range header {
 		h[k] = v
 	}
+	if a.leaving.Load() {
+		h.Set("Connection", "close")
+	}
 	a.started, a.status = true, status
 	a.writer.WriteHeader(status)
 }
 
-// Write implements sardineknot.AnswerWriter.
+// Write implements sardineknot.AnswerWriter. It fails if the caller does not take data
+// within writeTimeout.
 func (a *answerWriter) Write(data []byte) error {
+	// net/http removes the deadline at the end of the request. It fails as in limitBody.
+	_ = a.controller.SetWriteDeadline(a.clock.Now().Add(writeTimeout))
 	_, err := a.writer.Write(data)
 	if err != nil {
 		return errors.WithStack(err)
