places/allocator: a server that loses answers gets few calls

Change: the share of lost answers raises a server's expected time; callers that leave are told apart. Result: TestLosses: below a quarter of its share at half load, red without the weight.

--- a/internal/answer/plain/place.go
+++ b/internal/answer/plain/place.go
@@ -119,6 +119,8 @@
 		return sardineknot.PlaceUnused
 	case !o.mayHaveReached():
 		return sardineknot.PlaceUnreached
+	case errors.Is(o.err, context.Canceled):
+		return sardineknot.PlaceAbandoned
 	default:
 		return sardineknot.PlaceLost
 	}
--- a/internal/places/allocator/allocator.go
+++ b/internal/places/allocator/allocator.go
@@ -128,6 +128,8 @@
 		a.contention.confirm(now)
 	case sardineknot.PlaceUnreached:
 		p.server.fail(now)
+	case sardineknot.PlaceLost:
+		p.server.lose(now)
 	}
 }
 
--- a/internal/places/allocator/allocator_test.go
+++ b/internal/places/allocator/allocator_test.go
@@ -168,3 +168,33 @@
 	ok, _ := a.Contended(601 * time.Second)
 	is.New(t).True(ok) // a full server is a sign at any time
 }
+
+// TestLosses guards against a server that breaks off calls soon after they began and gets
+// most calls, since it always has free slots. The server "b" loses four calls in ten.
+func TestLosses(t *testing.T) {
+	is := is.New(t)
+	a := NewAllocator()
+	l := []sardineknot.BackendServer{{Name: "a", Slots: 6, Born: 1}, {Name: "b", Slots: 6, Born: 1}}
+	b, busy := 0, make(map[time.Duration][]sardineknot.PlaceEnd)
+	const calls = 1000
+	for n := range uint64(calls) {
+		now := time.Duration(n) * 10 * ms // half of the slots are in use
+		for _, e := range busy[now] {
+			a.End(now, e)
+		}
+		q := sardineknot.PlaceRequest{
+			ID: sardineknot.PlaceID{Host: "h", Number: n + 1}, Target: 300 * ms, Deadline: 800 * ms, CallerDeadline: 1500 * ms,
+			Usual: 60 * ms, Trait: sardineknot.Trait(n + 1), Cost: 1,
+		}
+		d := a.Take(now, l, q)
+		e := sardineknot.PlaceEnd{ID: q.ID, Outcome: sardineknot.PlaceAnswered, Took: 60 * ms}
+		if d.Server.Name == "b" {
+			b++
+			if b%5 < 2 {
+				e.Outcome, e.Took = sardineknot.PlaceLost, 10*ms
+			}
+		}
+		busy[now+e.Took] = append(busy[now+e.Took], e)
+	}
+	is.True(b < calls/8) // a quarter of its share
+}
--- a/internal/places/allocator/server.go
+++ b/internal/places/allocator/server.go
@@ -21,6 +21,10 @@
 	// from any host, after which it gets no calls for failedTime.
 	failureThreshold = 3
 	failedTime       = 500 * time.Millisecond
+	// lossWeight is the increase of a server's expected time, relative to that time, if it
+	// loses all calls. A server that breaks calls off frees its slots early, and would get
+	// most calls otherwise.
+	lossWeight = 16
 	// forgetTime is the time after which an unused server is forgotten.
 	forgetTime = time.Minute
 )
@@ -35,6 +39,8 @@
 	// time is the learned time of a call without a wait. Zero means unknown. It was
 	// learned at learnedAt.
 	time, learnedAt time.Duration
+	// losses is the share of the last calls whose answers were lost.
+	losses float64
 	// depth is the number of calls at which the server refused one at depthAt. Zero
 	// means unknown.
 	depth   int
@@ -63,6 +69,13 @@
 		t = float64(s.time) + learnShare*(t-float64(s.time))
 	}
 	s.time, s.learnedAt, s.failures = time.Duration(t), now, 0
+	s.losses -= learnShare * s.losses
+}
+
+// lose records that the answer to a call was lost after the server had got the call.
+func (s *server) lose(now time.Duration) {
+	s.losses += learnShare * (1 - s.losses)
+	s.learnedAt = now
 }
 
 // fail records that a call did not reach the server.
@@ -125,11 +138,12 @@
 	for i := range c.list {
 		e := &c.list[i]
 		s := e.server
+		f := math.Exp2(-float64(now-s.learnedAt) / float64(trustTime))
 		e.time = m
 		if s.time > 0 {
-			f := math.Exp2(-float64(now-s.learnedAt) / float64(trustTime))
 			e.time += time.Duration(f * float64(s.time-m))
 		}
+		e.time += time.Duration(f * lossWeight * s.losses * float64(m))
 		e.wait = time.Duration(s.rounds(s.load()) * float64(e.time))
 		e.free, e.ok = s.load() <= s.slots, !s.full(now) && !s.failed(now)
 	}
--- a/places.go
+++ b/places.go
@@ -56,8 +56,7 @@
 
 // The outcomes. The numbers are part of messages between hosts.
 const (
-	// PlaceLost means that the answer did not arrive, so that its time tells nothing
-	// about the server.
+	// PlaceLost means that the answer did not arrive, although the caller waited for it.
 	PlaceLost PlaceOutcome = iota
 	// PlaceAnswered means that the server answered.
 	PlaceAnswered
@@ -68,6 +67,8 @@
 	// PlaceUnreached means that the call was not sent because the server was not
 	// reached.
 	PlaceUnreached
+	// PlaceAbandoned means that the caller left, which tells nothing about the server.
+	PlaceAbandoned
 )
 
 // PlaceEnd reports that a call no longer occupies its place.
