backend/http1: load queries and releases may use kept connections

Change: a request may permit a kept connection. Orders and the states that they follow from still get connections of their own.

--- a/call.go
+++ b/call.go
@@ -223,6 +223,10 @@
 	EchoValue string
 	// FreshConnection requests a connection that has not been idle for long.
 	FreshConnection bool
+	// KeptConnection permits a request without EchoHeader to use a kept connection. A
+	// late copy of another response may then be taken for the response: the sender must
+	// be able to tell it, or to bear it.
+	KeptConnection bool
 }
 
 // Exchanger sends HTTP requests to backend servers over persistent connections.
--- a/internal/backend/http1/copy_test.go
+++ b/internal/backend/http1/copy_test.go
@@ -86,3 +86,18 @@
 		is.Equal(b, "r")
 	})
 }
+
+// TestKeptConnection guards against a connection for each load query, which costs a
+// server more than the query itself.
+func TestKeptConnection(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, []string{ok("1", "a"), right + "r"})
+	c := newClient()
+	_, err := exchange(c, s, "1")
+	is.NoErr(err)
+	p, err := c.Exchange(t.Context(), s.address, sardineknot.ExchangeRequest{Method: http.MethodGet, Target: "/", Host: "h", KeptConnection: true})
+	is.NoErr(err)
+	b, err := io.ReadAll(p.Body)
+	is.NoErr(err)
+	is.Equal(string(b), "r")
+}
