--- a/internal/places/allocator/server.go
+++ b/internal/places/allocator/server.go
@@ -21,9 +21,9 @@
 	// from any host, after which it gets no calls for failedTime.
 	failureThreshold = 3
 	failedTime       = 500 * time.Millisecond
-	// lossWeight is the increase of a server's expected time, relative to that time, if it
-	// loses all calls. A server that breaks calls off frees its slots early, and would get
-	// most calls otherwise.
+	// lossWeight is the disadvantage of a server that loses all calls, in times of a call.
+	// A server that breaks calls off frees its slots early, and would get most calls
+	// otherwise. It is not an expected time, so that no call is refused because of it.
 	lossWeight = 16
 	// forgetTime is the time after which an unused server is forgotten.
 	forgetTime = time.Minute
@@ -103,8 +103,9 @@
 type candidate struct {
 	process sardineknot.ServerProcess
 	server  *server
-	// time is the expected time of a call that runs, and wait the time before.
-	time, wait time.Duration
+	// time is the expected time of a call that runs, and wait the time before. penalty is
+	// the disadvantage of a server that loses calls.
+	time, wait, penalty time.Duration
 	// free is set if no call waits at the server. ok is set if the server is expected to
 	// be reached and to accept the call.
 	free, ok bool
@@ -143,7 +144,7 @@
 		if s.time > 0 {
 			e.time += time.Duration(f * float64(s.time-m))
 		}
-		e.time += time.Duration(f * lossWeight * s.losses * float64(m))
+		e.penalty = time.Duration(f * lossWeight * s.losses * float64(m))
 		e.wait = time.Duration(s.rounds(s.load()) * float64(e.time))
 		e.free, e.ok = s.load() <= s.slots, !s.full(now) && !s.failed(now)
 	}
@@ -166,7 +167,7 @@
 	if c.ok != other.ok {
 		return c.ok
 	}
-	t, o := c.time+c.wait, other.time+other.wait
+	t, o := c.time+c.wait+c.penalty, other.time+other.wait+other.penalty
 	if t != o {
 		return t < o
 	}
