comments in the terms of the field

Change: queries, requests, shows, has seen; a store is restored, callers return. Comments only, but for the key of a configuration in a benchmark, which had the platform's name.

--- a/accounts.go
+++ b/accounts.go
@@ -74,7 +74,7 @@
 }
 
 // AccountByKey returns the client account that key belongs to. ok is false if
-// there is none. The lookup compares digests, so that the time it takes tells
+// there is none. The lookup compares digests, so that its duration shows
 // nothing about other keys.
 func (c *Configuration) AccountByKey(key KeyDigest) (account *ClientAccount, ok bool) {
 	i, ok := c.accountsByKey[key]
--- a/call.go
+++ b/call.go
@@ -225,7 +225,7 @@
 	FreshConnection bool
 	// KeptConnection permits a request without EchoHeader to use a kept connection. A
 	// late copy of another response may then be taken for the response: the sender must
-	// be able to tell it, or to bear it.
+	// be able to recognize it, or to bear it.
 	KeptConnection bool
 }
 
--- a/internal/answer/events/event.go
+++ b/internal/answer/events/event.go
@@ -53,7 +53,7 @@
 
 // readEvent reads an event from r. While it is incomplete, it takes its memory from
 // budget. Comments and empty lines are no event: a server may send them although its
-// stream stands still.
+// stream stalls.
 func readEvent(r *bufio.Reader, budget *memory.Budget) (*event, error) {
 	b := &partialEvent{blank: true}
 	var held int64
--- a/internal/answer/events/event_test.go
+++ b/internal/answer/events/event_test.go
@@ -54,7 +54,7 @@
 	})
 }
 
-// TestComments guards against a server whose stream stands still and that sends comments
+// TestComments guards against a server whose stream stalls and that sends comments
 // or empty lines: if they counted as events, no other engine would continue the stream.
 func TestComments(t *testing.T) {
 	is := is.New(t)
--- a/internal/answer/plain/place.go
+++ b/internal/answer/plain/place.go
@@ -55,7 +55,7 @@
 }
 
 // placeable returns the servers to which c may be assigned, and the names of the
-// other servers of the service: those that want no calls, whose circuit is open or
+// other servers of the service: those that requested a backoff, whose circuit is open or
 // that are in tried. Servers in tried may get c again if there is no other.
 func (r *Runner) placeable(c *sardineknot.Call, tried map[sardineknot.BackendServerName]bool) (servers []sardineknot.BackendServer, excluded []sardineknot.BackendServerName) {
 	n := r.Clock.Now()
@@ -107,7 +107,7 @@
 	}
 }
 
-// place returns what o tells about the place of the call.
+// place returns what o shows about the place of the call.
 func (o outcome) place() sardineknot.PlaceOutcome {
 	var f *sardineknot.RefusedError
 	switch {
--- a/internal/backend/http1/client.go
+++ b/internal/backend/http1/client.go
@@ -89,7 +89,7 @@
 }
 
 // connection returns an idle connection to address for exchange, or a new one. A late
-// copy of an earlier response is told from the response to exchange by the echoed value.
+// copy of an earlier response is distinguished from the response to exchange by the echoed value.
 // An exchange without one gets a new connection, unless it permits a kept one.
 func (c *Client) connection(ctx context.Context, address netip.AddrPort, exchange sardineknot.ExchangeRequest) (*conn, error) {
 	for exchange.EchoHeader != "" || exchange.KeptConnection {
--- a/internal/bench/memorysim/roles.go
+++ b/internal/bench/memorysim/roles.go
@@ -37,7 +37,7 @@
 	s.After(roleInterval, func() { s.balanceRoles(steady) })
 }
 
-// plannedChanges returns the changes of roles that the policy asks for.
+// plannedChanges returns the changes of roles that the policy requires.
 func (s *Simulation) plannedChanges() []rolebalance.RoleChange {
 	var l []sardineknot.BackendServer
 	for _, e := range s.prefill {
--- a/internal/bench/memorysim/slowness.go
+++ b/internal/bench/memorysim/slowness.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// slowness says how much longer than usual an engine takes for its work.
+// slowness states how much longer than usual an engine takes for its work.
 type slowness struct {
 	// slowdown is the factor of a fault. Zero means none.
 	slowdown float64
--- a/internal/configuration/departed/set.go
+++ b/internal/configuration/departed/set.go
@@ -1,7 +1,7 @@
 // Package departed records the backend server processes whose entries were removed
 // from the platform's key-value service, with the last report of each.
 //
-// An entry of such a process may come back: from an older copy of the service, or in
+// An entry of such a process may return: from an older copy of the service, or in
 // a report that was delayed. It counts only if the process has reported since.
 package departed
 
--- a/internal/configuration/inforce/doc.go
+++ b/internal/configuration/inforce/doc.go
@@ -1,8 +1,8 @@
-// Package inforce asks other entry hosts for the operators' configuration in force.
+// Package inforce queries other entry hosts for the operators' configuration in force.
 //
-// The platform's key-value service may come back from an older copy, with an older
+// The platform's key-value service may be restored from an older copy, with an older
 // configuration in which withdrawn keys and dropped routes are in force. Hosts that
 // run keep the newer one. A host that starts, or that had not read the newer one yet,
 // gets it from the others. Without a restore the service has the newest one, and no
-// host is asked.
+// host is queried.
 package inforce
--- a/internal/configuration/inforce/exchange.go
+++ b/internal/configuration/inforce/exchange.go
@@ -14,7 +14,7 @@
 )
 
 const (
-	// asked is the number of other hosts that are asked. One of them may be
+	// asked is the number of other hosts that are queried. One of them may be
 	// starting as well, or be cut off.
 	asked = 3
 	// timeout bounds the calls to other hosts. A host that starts does not serve
@@ -22,7 +22,7 @@
 	timeout = 250 * time.Millisecond
 )
 
-// Exchange asks other hosts for their configuration and answers them. All exported
+// Exchange queries other hosts for their configuration and answers them. All exported
 // fields must be set before use.
 type Exchange struct {
 	// Source holds the configuration in force on this host.
@@ -31,7 +31,7 @@
 	Members sardineknot.Membership
 	// Client sends requests to other entry hosts.
 	Client *http.Client
-	// Random selects the hosts that are asked. Only Fetch uses it, which must not be
+	// Random selects the hosts that are queried. Only Fetch uses it, which must not be
 	// called concurrently.
 	Random *rand.Rand
 	// Log receives an event for each host that does not answer.
--- a/internal/configuration/inforce/exchange_test.go
+++ b/internal/configuration/inforce/exchange_test.go
@@ -76,7 +76,7 @@
 	}
 }
 
-// fetch returns the revision in force on a host with the given one after it has asked
+// fetch returns the revision in force on a host with the given one after it has requested
 // hosts with the others, and the time that took.
 func fetch(t *testing.T, own int, others ...int) (revision int, took time.Duration) {
 	t.Helper()
@@ -96,7 +96,7 @@
 }
 
 // TestFetch guards against a withdrawn key that is in force again on a host which
-// starts, or was behind, when the key-value service comes back from an older copy.
+// starts, or was behind, when the key-value service is restored from an older copy.
 func TestFetch(t *testing.T) {
 	expect := func(name string, want, own int, others ...int) {
 		t.Run(name, func(t *testing.T) {
--- a/internal/configuration/store/departed_test.go
+++ b/internal/configuration/store/departed_test.go
@@ -47,7 +47,7 @@
 }
 
 // TestDepartedServer guards against a server that has left, or is leaving, and gets calls
-// again because the store came back from an older copy or an old report was late.
+// again because the store was restored from an older copy or an old report was late.
 func TestDepartedServer(t *testing.T) {
 	t.Run("a leaving server stays so when an older copy says that it is ready", func(t *testing.T) {
 		s := newReportSource("15")
--- a/internal/configuration/store/source.go
+++ b/internal/configuration/store/source.go
@@ -58,7 +58,7 @@
 	servers map[string]*server
 	// removed holds the keys of servers whose entries were removed.
 	removed map[string]bool
-	// leaving holds the processes that have said that they are leaving, and departed
+	// leaving holds the processes that have reported that they are leaving, and departed
 	// those whose entries were removed.
 	leaving  *leaving.Set
 	departed *departed.Set
@@ -75,7 +75,7 @@
 type server struct {
 	sardineknot.BackendServer
 	// value is the value of the entry that was decoded. latest is that of the last one,
-	// which tells nothing new, and was read in era.
+	// which contains nothing new, and was read in era.
 	value, latest []byte
 	era           sardineknot.StoreEra
 	// removedAt is the time at which the entry was removed, or zero while it
@@ -83,7 +83,7 @@
 	removedAt time.Time
 }
 
-// comparer is a StoreEntryDecoder that can tell cheaply that an entry is no news.
+// comparer is a StoreEntryDecoder that can determine cheaply that an entry is no news.
 type comparer interface {
 	// SameServer reports whether the values previous and next of the same key decode to
 	// the same server. previous was decoded without an error. SameServer may return
@@ -214,7 +214,7 @@
 }
 
 // sequenceLocked returns the number of the last report of o, the server under key.
-// Reports that tell nothing new are decoded only here.
+// Reports that contain nothing new are decoded only here.
 func (s *Source) sequenceLocked(key string, o *server) int64 {
 	b, _, err := s.Decoder.DecodeServer(sardineknot.StoreEntry{Key: key, Value: o.latest})
 	if err != nil {
--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -37,7 +37,7 @@
 	registrationWait     = 300 * time.Millisecond
 	maxRegistrationWaits = 5
 	// firstStoreWait is the time after the start in which a host that is not a follower
-	// asks only followers. Then hosts read all keys themselves, spread over
+	// queries only followers. Then hosts read all keys themselves, spread over
 	// firstStoreSpread for each known host.
 	firstStoreWait   = 3 * time.Second
 	firstStoreSpread = 10 * time.Millisecond
@@ -72,7 +72,7 @@
 }
 
 // beginWithHosts puts the entry hosts in force whose keys were read. It returns how
-// long to wait before the keys are read again: hosts that start together must know of
+// long to wait before the keys are read again: hosts that start together must have seen
 // each other, or each would read all keys of the store. calls is the number of earlier
 // calls.
 func (p *Process) beginWithHosts(calls int) time.Duration {
@@ -123,8 +123,8 @@
 }
 
 // commitEntries puts the entries in force that were applied. They are complete
-// up to revision. The first entries of an era, which begins when the service comes back
-// from an older copy, may be older than what other hosts have: those are asked.
+// up to revision. The first entries of an era, which begins when the service returns
+// from an older copy, may be older than what other hosts have: those are queried.
 func (p *Process) commitEntries(revision sardineknot.StoreRevision) {
 	p.registry.Refresh()
 	if revision.Era > p.committedEra {
--- a/internal/host/gateway/follow_test.go
+++ b/internal/host/gateway/follow_test.go
@@ -77,7 +77,7 @@
 }
 
 // TestBeginWithHosts guards against a host that reads all keys of the store although
-// others could give it theirs, because it knows of none when it selects the followers.
+// others could give it theirs, because it has seen none when it selects the followers.
 func TestBeginWithHosts(t *testing.T) {
 	put := func(p *Process, id string) {
 		p.applyEntry(sardineknot.StoreEntry{
--- a/internal/host/gateway/limits.go
+++ b/internal/host/gateway/limits.go
@@ -38,7 +38,7 @@
 	return nil
 }
 
-// mayHaveAccounts reports whether there are client accounts, as far as this host knows.
+// mayHaveAccounts reports whether there are client accounts, as far as this host has seen.
 func (p *Process) mayHaveAccounts() bool {
 	c := p.source.Current()
 	return c.Revision == 0 || len(c.Accounts) > 0
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -135,7 +135,7 @@
 	// backoffs records which backend servers want no requests from this host.
 	backoffs *backoff.Set
 	mirror   *mirror.Mirror
-	// exchange asks other hosts for their configuration. committedEra is the era of the
+	// exchange queries other hosts for their configuration. committedEra is the era of the
 	// last committed entries, and is used by the mirror only.
 	exchange     *inforce.Exchange
 	committedEra sardineknot.StoreEra
--- a/internal/host/gateway/scale_bench_test.go
+++ b/internal/host/gateway/scale_bench_test.go
@@ -39,7 +39,7 @@
 type jsonDecoder struct{}
 
 func (jsonDecoder) DecodeConfiguration(e sardineknot.StoreEntry) (*sardineknot.Configuration, bool, error) {
-	if e.Key != "op/config" {
+	if e.Key != "configuration" {
 		return nil, false, nil
 	}
 	c := &sardineknot.Configuration{Revision: 1}
@@ -157,7 +157,7 @@
 }
 
 func benchEntries() []sardineknot.StoreEntry {
-	l := []sardineknot.StoreEntry{{Key: "op/config", Value: []byte("{}"), Revision: sardineknot.StoreRevision{Number: 1}}}
+	l := []sardineknot.StoreEntry{{Key: "configuration", Value: []byte("{}"), Revision: sardineknot.StoreRevision{Number: 1}}}
 	for i := range benchServers {
 		l = append(l, benchEntry(i, 0, 0))
 	}
--- a/internal/limits/credit/account.go
+++ b/internal/limits/credit/account.go
@@ -36,7 +36,7 @@
 	stock     float64
 	expiresAt time.Time
 	// returned is the cost to give back with the next request, and deferred the cost
-	// of the calls that were told to return since the last request.
+	// of the calls that were given a retry time since the last request.
 	returned, deferred float64
 	// waiting is the number of calls that wait for their turn, and queued their cost.
 	waiting int
@@ -49,7 +49,7 @@
 	refusedCost  float64
 	refusedUntil time.Time
 	retryAt      time.Time
-	// lostUntil is the time before which the owner is not asked.
+	// lostUntil is the time before which the owner is not queried.
 	lostUntil time.Time
 	// share is this host's share of the excess, and sharedAt the time of its last use.
 	share    bucket.Bucket
@@ -96,7 +96,7 @@
 }
 
 // prepare ends the wait of a call whose turn it is. It takes cost from the stock, or
-// returns the request that asks the owner for it; otherwise Need is zero. If the owner
+// returns the request for it to the owner; otherwise Need is zero. If the owner
 // has just refused as much, ok is false and wait is the time until the call fits.
 func (a *account) prepare(account *sardineknot.ClientAccount, cost float64, maxWait time.Duration, now time.Time) (q sardineknot.CostRequest, wait time.Duration, ok bool) {
 	a.mu.Lock()
@@ -169,7 +169,7 @@
 }
 
 // idle returns the request that gives back unused cost, if there is any and no call
-// has asked for some time whose request would have given it back.
+// has come for some time whose request would have given it back.
 func (a *account) idle(name sardineknot.ClientAccountName, now time.Time) (request sardineknot.CostRequest, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/limits/credit/limiter.go
+++ b/internal/limits/credit/limiter.go
@@ -1,7 +1,7 @@
 // Package credit implements a limiter that borrows cost in bulk from the owner of
 // each client account's limit.
 //
-// A host borrows what the call that asks costs, and what it expects to need within
+// A host borrows what the current call costs, and what it expects to need within
 // Limiter.Lifetime, so that a busy account costs a few messages per second and host
 // instead of one per call. Cost that is not used in time is returned. While the owner
 // does not answer, a host spends only its share of the excess that is allowed over
@@ -34,8 +34,8 @@
 	// further one is made for the account, so that callers do not queue up behind
 	// timeouts.
 	retryInterval = 300 * time.Millisecond
-	// maxRetryAfter bounds the time that callers are told to wait because of others
-	// that were told to wait before.
+	// maxRetryAfter bounds the time that callers have to wait because of others
+	// that were refused before.
 	maxRetryAfter = 10 * time.Second
 	// defaultExcess is the default of Limiter.Excess.
 	defaultExcess = 0.1
--- a/internal/limits/owner/account.go
+++ b/internal/limits/owner/account.go
@@ -11,11 +11,11 @@
 const (
 	// meanWeight is the weight of a new cost in the mean cost of an account's calls.
 	meanWeight = 1.0 / 16
-	// maxRetryAfter bounds the time that callers are told to wait because of others
-	// that were told to wait before. Not all of them return.
+	// maxRetryAfter bounds the time that callers have to wait because of others
+	// that were refused before. Not all of them return.
 	maxRetryAfter = 10 * time.Second
 	// ratioWeight is the weight of a call in the moving averages of grants. Large calls are
-	// starved below starvedRatio of the average of all calls: users want them at least half
+	// starved below starvedRatio of the average of all calls: users need them at least half
 	// as often.
 	ratioWeight  = 1.0 / 16
 	starvedRatio = 0.85
@@ -43,16 +43,16 @@
 type account struct {
 	limit  sardineknot.AccountLimit
 	bucket bucket.Bucket
-	// mean is the mean cost of the calls that asked lately and are not small, or zero
+	// mean is the mean cost of the recent calls that are not small, or zero
 	// before the first.
 	mean float64
-	// granted is the share of the calls that ask which is granted, and largeGranted that of
+	// granted is the share of the calls which is granted, and largeGranted that of
 	// the calls that cost more than the mean, as moving averages without small calls.
 	granted, largeGranted float64
-	// deferred holds, as its debt, the cost of the calls that were told to return.
+	// deferred holds, as its debt, the cost of the calls that were given a retry time.
 	deferred bucket.Bucket
 	// temporary is set if the last grant, at time usedAt, was in place of an owner that
-	// may grant again without being registered anew.
+	// may grant again without being registered again.
 	temporary bool
 	usedAt    time.Time
 }
@@ -148,7 +148,7 @@
 }
 
 // refuse returns the time at which a call that does not fit now can be granted, and
-// records that it was told to return.
+// records that it was given a retry time.
 func (a *account) refuse(request sardineknot.CostRequest, now time.Time) sardineknot.CostGrant {
 	w := a.bucket.Wait(a.threshold(request.Need), now)
 	r := w + time.Duration(-a.deferred.Level(now)/a.limit.PerSecond*float64(time.Second))
@@ -156,7 +156,7 @@
 	return sardineknot.CostGrant{Fits: w - request.MaxWait, RetryAfter: r}
 }
 
-// deferCost records that calls of the given cost were told to return.
+// deferCost records that calls of the given cost were given a retry time.
 func (a *account) deferCost(cost float64, now time.Time) {
 	m := maxRetryAfter.Seconds()*a.limit.PerSecond + a.deferred.Level(now)
 	a.deferred.Take(max(0, min(cost, m)), now)
--- a/internal/limits/owner/owner_test.go
+++ b/internal/limits/owner/owner_test.go
@@ -165,7 +165,7 @@
 	w.Equal(g.Granted, 0.0)
 }
 
-// BenchmarkBorrow measures a grant of an owner that knows 300 hosts.
+// BenchmarkBorrow measures a grant of an owner that has seen 300 hosts.
 func BenchmarkBorrow(b *testing.B) {
 	w := newWorld(&testing.T{})
 	for range 299 {
--- a/internal/limits/twirp/client.go
+++ b/internal/limits/twirp/client.go
@@ -1,9 +1,9 @@
 // Package twirp borrows cost over Twirp from the entry host that owns the limit of a
 // client account, and serves such requests of other hosts.
 //
-// Hosts are asked in the order of their rank. A host that refuses connections, that
-// does not serve limits, or that says that it is not the owner certainly grants
-// nothing, so the next one is asked, which asks the hosts above it in turn before it
+// Hosts are queried in the order of their rank. A host that refuses connections, that
+// does not serve limits, or that reports that it is not the owner certainly grants
+// nothing, so the next one is queried, which queries the hosts above it in turn before it
 // grants itself. A host that does not answer may be granting to others. No host then
 // grants in its place, but the next one may reach it and pass the request on.
 package twirp
@@ -35,12 +35,12 @@
 	// maxHops bounds the messages that carry one request. It ends loops between
 	// hosts whose views of the membership differ.
 	maxHops = 3
-	// maxWait bounds the delay that another host may ask for.
+	// maxWait bounds the delay that another host may request.
 	maxWait = 200 * time.Millisecond
-	// goneValidity is the time for which a host that grants nothing is not asked
+	// goneValidity is the time for which a host that grants nothing is not queried
 	// again. In this time it may become the owner without this host's knowledge.
 	goneValidity = 250 * time.Millisecond
-	// silentInterval is the time for which a host that did not answer is not asked
+	// silentInterval is the time for which a host that did not answer is not queried
 	// directly.
 	silentInterval = 300 * time.Millisecond
 	// maxStates bounds the number of hosts with a state. Only hosts that failed have
@@ -91,7 +91,7 @@
 	return c.relay(ctx, o[i+1:], request, err)
 }
 
-// find asks the hosts in order until one grants or does not answer. It returns the
+// find queries the hosts in order until one grants or does not answer. It returns the
 // position of that host.
 func (c *Client) find(ctx context.Context, order []sardineknot.EntryHost, request sardineknot.CostRequest) (g sardineknot.CostGrant, position int, err error) {
 	s := c.Hosts.Self().ID
@@ -115,7 +115,7 @@
 	return sardineknot.CostGrant{}, len(order), errors.WithStack(&sardineknot.UnavailableError{Peer: "owner of the limit", Cause: err})
 }
 
-// relay asks the first of hosts that is another one and answers this host. It returns
+// relay queries the first of hosts that is another one and answers this host. It returns
 // cause if that host gets no grant either.
 func (c *Client) relay(ctx context.Context, hosts []sardineknot.EntryHost, request sardineknot.CostRequest, cause error) (sardineknot.CostGrant, error) {
 	s := c.Hosts.Self().ID
@@ -183,7 +183,7 @@
 	return sardineknot.CostGrant{}, errors.WithStack(err)
 }
 
-// isGone reports whether err proves that the host which was asked grants nothing.
+// isGone reports whether err proves that the host which was queried grants nothing.
 func isGone(err error) bool {
 	var n *sardineknot.NotOwnerError
 	return errors.As(err, &n)
--- a/internal/limits/twirp/fleet_test.go
+++ b/internal/limits/twirp/fleet_test.go
@@ -60,7 +60,7 @@
 	group       int
 	cut         *host
 	pausedUntil time.Time
-	// stale, if set, is the list of hosts that this host knows.
+	// stale, if set, is the list of hosts that this host has seen.
 	stale []sardineknot.EntryHost
 	drops uint64
 }
--- a/internal/limits/twirp/limits_test.go
+++ b/internal/limits/twirp/limits_test.go
@@ -21,10 +21,10 @@
 	window = 8 * time.Second
 	factor = 1.1
 	slack  = 73_000
-	// use is the part of the limit that is used while callers ask for more.
+	// use is the part of the limit that is used while callers request more.
 	use = 0.9
 	// small and large are limits in tokens per second. hot is how much more than its
-	// limit an account asks for.
+	// limit an account requests.
 	small, large = 18_000, 400_000
 	hot          = 8
 	// lease is the time after which the service drops a host, of a large fleet.
@@ -133,7 +133,7 @@
 }
 
 // TestBurst guards against calls that arrive at once at all hosts and are all admitted
-// before the owner knows of them.
+// before the owner has seen them.
 func TestBurst(t *testing.T) {
 	run(t, 300, large, func(f *fleet) {
 		time.Sleep(3 * time.Second)
@@ -150,7 +150,7 @@
 	})
 }
 
-// failures holds what happens to owners while callers ask for more than the limit.
+// failures holds what happens to owners while callers request more than the limit.
 var failures = map[string]func(*fleet){
 	"killed and started again": func(f *fleet) {
 		for range 4 {
@@ -224,7 +224,7 @@
 	})
 }
 
-// TestOwnerLeaves guards against a limit that is unused while only the owner knows that
+// TestOwnerLeaves guards against a limit that is unused while only the owner has that
 // it is leaving, and against two owners at that time.
 func TestOwnerLeaves(t *testing.T) {
 	run(t, 86, large, func(f *fleet) {
@@ -321,7 +321,7 @@
 	})
 }
 
-// TestRetryAfter guards against callers that are told to return at the same time, and
+// TestRetryAfter guards against callers that are given a retry time at the same time, and
 // against calls of more than the burst that never fit.
 func TestRetryAfter(t *testing.T) {
 	run(t, 8, small, func(f *fleet) {
--- a/internal/limits/twirp/state.go
+++ b/internal/limits/twirp/state.go
@@ -6,7 +6,7 @@
 	"sardineknot.example/sardineknot"
 )
 
-// failure returns how host has just failed, or nil if it is to be asked.
+// failure returns how host has just failed, or nil if it is to be queried.
 func (c *Client) failure(host sardineknot.EntryHost) error {
 	n := c.Clock.Now()
 	c.mu.Lock()
@@ -18,7 +18,7 @@
 	return s.err
 }
 
-// validity returns the time for which the host is not asked again.
+// validity returns the time for which the host is not queried again.
 func (s hostState) validity() time.Duration {
 	if s.gone {
 		return goneValidity
--- a/internal/orders/roles/controller.go
+++ b/internal/orders/roles/controller.go
@@ -49,7 +49,7 @@
 type Controller struct {
 	// OwnedShards returns the shards that this host owns.
 	OwnedShards func() []shard.Shard
-	// Demand returns what the jobs of the named shard ask of its engines, as far as
+	// Demand returns what the jobs of the named shard require of its engines, as far as
 	// this host has observed it. Nil means that the demand is not known.
 	Demand func(shard string) sardineknot.EngineDemand
 	// Engine queries engines and sends them orders.
--- a/internal/places/allocator/allocator.go
+++ b/internal/places/allocator/allocator.go
@@ -175,7 +175,7 @@
 }
 
 // allowedWaitLocked returns the time for which a call may wait at the candidate b. It
-// is zero or less if the call would be late without a wait. Callers that were told to
+// is zero or less if the call would be late without a wait. Callers that
 // return go before newcomers if they can still get their answer in time.
 func (a *Allocator) allowedWaitLocked(now time.Duration, all candidates, b candidate, request sardineknot.PlaceRequest, returned bool) time.Duration {
 	w := request.Target - time.Duration(marginShare*float64(max(0, request.Target))) - b.time
--- a/internal/places/allocator/allocator_test.go
+++ b/internal/places/allocator/allocator_test.go
@@ -24,7 +24,7 @@
 
 func newLoad() *load { return &load{Allocator: NewAllocator()} }
 
-// take asks for a place and returns whether it was granted, and the time after which
+// take requests a place and returns whether it was granted, and the time after which
 // to return.
 func (l *load) take(change func(*sardineknot.PlaceRequest)) (granted bool, retryAfter time.Duration) {
 	l.number++
@@ -58,7 +58,7 @@
 
 // TestOrder guards against urgent calls that are refused because less urgent ones, or
 // those of an account with more than its share, have filled the servers. All places
-// are asked for within an instant.
+// are requested within an instant.
 func TestOrder(t *testing.T) {
 	t.Run("the less urgent are refused first", func(t *testing.T) {
 		l := newLoad()
@@ -129,7 +129,7 @@
 	is.New(t).Equal(l.fill(usual), n)
 }
 
-// TestReturns guards against callers that are told to return at the same time, and
+// TestReturns guards against callers that are given a retry time at the same time, and
 // against newcomers that take their places.
 func TestReturns(t *testing.T) {
 	l := newLoad()
--- a/internal/places/allocator/order.go
+++ b/internal/places/allocator/order.go
@@ -8,7 +8,7 @@
 )
 
 const (
-	// demandTime is the time for which a class of calls or an account that has asked
+	// demandTime is the time for which a class of calls or an account that has requested
 	// for a place counts as wanting more.
 	demandTime = 500 * time.Millisecond
 	// useTime is the time in which the use of an account loses half of its weight.
@@ -72,7 +72,7 @@
 }
 
 // exceeds records a request of the account a and reports whether the account has had
-// more than its share while others want theirs.
+// more than its share while others need theirs.
 func (o *order) exceeds(now time.Duration, a account) bool {
 	u := o.usage(now, a)
 	u.askedAt = now
--- a/internal/places/allocator/returns.go
+++ b/internal/places/allocator/returns.go
@@ -12,19 +12,19 @@
 	// earlyTime is the time before a promised return from which a caller counts as
 	// having returned. One that comes earlier is another caller with the same request.
 	earlyTime = 5 * time.Millisecond
-	// minRetryAfter is the shortest time after which a caller is asked to return.
+	// minRetryAfter is the shortest time after which a caller may return.
 	minRetryAfter = 10 * time.Millisecond
 )
 
-// returns holds the callers that were refused and told when to return. Their returns
+// returns holds the callers that were refused and given a retry time. Their returns
 // are spread, so that not more come at a time than places become free.
 type returns struct {
 	promises map[sardineknot.Trait]promise
-	// last is the latest time at which a caller was told to return.
+	// last is the latest time at which a caller was given a retry time.
 	last time.Duration
 }
 
-// promise is what is known of a caller that was told to return.
+// promise is what is known of a caller that was given a retry time.
 type promise struct {
 	// at is the time at which the caller returns.
 	at time.Duration
@@ -36,7 +36,7 @@
 func newReturns() returns { return returns{promises: make(map[sardineknot.Trait]promise)} }
 
 // arrive returns the time at which the caller that trait identifies came first, which is
-// now unless it was told to return by now. Its promise ends.
+// now unless it was given a retry time by now. Its promise ends.
 func (r *returns) arrive(now time.Duration, trait sardineknot.Trait) (first time.Duration, returned bool) {
 	p, ok := r.promises[trait]
 	if !ok || now < p.at-earlyTime {
@@ -58,7 +58,7 @@
 	return d
 }
 
-// awaited returns the number of callers that were told to return by now, have not come
+// awaited returns the number of callers that were given a retry time by now, have not come
 // yet and can still get their answer in time.
 func (r *returns) awaited(now time.Duration) int {
 	n := 0
--- a/internal/places/twirp/owner.go
+++ b/internal/places/twirp/owner.go
@@ -26,7 +26,7 @@
 // owned is the state of a service at its owner.
 type owned struct {
 	allocator *allocator.Allocator
-	// told holds the time at which each host was told, or asked for a place. It is
+	// told holds the time at which each host was notified, or requested a place. It is
 	// guarded by Places.mu.
 	told map[sardineknot.EntryHostID]time.Duration
 	// contended is set from the beginning of a contention until Run has logged its
@@ -93,8 +93,8 @@
 	return e
 }
 
-// receive records report as the owner. A service that this host has not been asked
-// about counts as contended at first, since the host that asks saw a sign.
+// receive records report as the owner. A service that this host has had no request
+// about counts as contended at first, since the host that queries saw a sign.
 func (p *Places) receive(report *rpc.ReportRequest) *owned {
 	n := p.SinceBoot()
 	s := sardineknot.ServiceName(report.GetService())
@@ -178,7 +178,7 @@
 	}
 }
 
-// notify tells the hosts that have not been told lately that the servers of the
+// notify informs the hosts that have not been informed lately that the servers of the
 // service are contended.
 func (p *Places) notify(name sardineknot.ServiceName, state *owned) {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
@@ -200,7 +200,7 @@
 	_ = g.Wait() // the calls return no error
 }
 
-// untold returns the hosts to notify, and records that they are told. This host is
+// untold returns the hosts to notify, and records that they are notified. This host is
 // told at once.
 func (p *Places) untold(name sardineknot.ServiceName, state *owned) []sardineknot.EntryHost {
 	n := p.SinceBoot()
--- a/internal/places/twirp/places.go
+++ b/internal/places/twirp/places.go
@@ -51,20 +51,20 @@
 	Metrics metrics.Registry
 
 	mu sync.Mutex
-	// number is the number of the last place that this host asked for.
+	// number is the number of the last place that this host requested.
 	number  uint64
 	watches map[sardineknot.ServiceName]*watch
 	// epochs holds the process of each owner that has answered. failedAt holds the
 	// time of the last failed request to an owner.
 	epochs   map[sardineknot.EntryHostID]sardineknot.Incarnation
 	failedAt map[sardineknot.EntryHostID]time.Duration
-	// owned holds the services that this host has been asked about.
+	// owned holds the services that this host has had requests for.
 	owned map[sardineknot.ServiceName]*owned
 }
 
 var _ sardineknot.PlaceAllocator = (*Places)(nil)
 
-// NewPlaces returns an allocator that knows no contention.
+// NewPlaces returns an allocator that has seen no contention.
 func NewPlaces() *Places {
 	return &Places{
 		watches: make(map[sardineknot.ServiceName]*watch), epochs: make(map[sardineknot.EntryHostID]sardineknot.Incarnation),
--- a/internal/places/twirp/places_test.go
+++ b/internal/places/twirp/places_test.go
@@ -212,7 +212,7 @@
 	}
 }
 
-// asker returns a host of f that is not the owner and knows of contention.
+// asker returns a host of f that is not the owner and has seen contention.
 func (f *fleet) asker() *twirp.Places {
 	p := f.places[(f.owner()+1)%len(f.places)]
 	p.ReportFull("s")
--- a/internal/places/twirp/watch.go
+++ b/internal/places/twirp/watch.go
@@ -10,7 +10,7 @@
 
 const (
 	// contendedTime is the time after a sign of contention, or after the owner has
-	// confirmed it, for which this host asks for places.
+	// confirmed it, for which this host requests places.
 	contendedTime = 4 * time.Second
 	// slowFactor is the time of a call, relative to the usual one, that is a sign of
 	// contention. Servers with noise take up to 2.5 times as long without contention, and
@@ -27,7 +27,7 @@
 	maxEnds = 256
 )
 
-// sign is what a call tells about the contention of its servers.
+// sign is what a call shows about the contention of its servers.
 type sign int
 
 const (
@@ -38,11 +38,11 @@
 	full
 )
 
-// watch is what this host knows of a service.
+// watch is what this host has recorded of a service.
 type watch struct {
 	// usual is the time that a call takes without a wait. Zero means unknown.
 	usual time.Duration
-	// until is the time until which places are asked for.
+	// until is the time until which places are requested.
 	until time.Duration
 	// calmUntil is the time until which slow calls are no sign.
 	calmUntil time.Duration
@@ -147,7 +147,7 @@
 	p.signLocked(n, service, full)
 }
 
-// signLocked records a sign of contention. It is reported at once if this host knew of
+// signLocked records a sign of contention. It is reported at once if this host had seen
 // none.
 func (p *Places) signLocked(now time.Duration, service sardineknot.ServiceName, seen sign) {
 	w := p.watchLocked(service)
@@ -170,7 +170,7 @@
 	}
 }
 
-// report sends what the owner of service does not know yet. If the owner does not
+// report sends what the owner of service has not seen yet. If the owner does not
 // answer, it is not sent again: the places expire.
 func (p *Places) report(service sardineknot.ServiceName) {
 	n := p.SinceBoot()
@@ -197,7 +197,7 @@
 	}
 }
 
-// reportLocked returns what owner does not know yet, and marks it as reported.
+// reportLocked returns what owner has not seen yet, and marks it as reported.
 func (p *Places) reportLocked(owner sardineknot.EntryHost, service sardineknot.ServiceName) *rpc.ReportRequest {
 	w := p.watchLocked(service)
 	s := p.Members.Self()
--- a/internal/platform/rewrite/rewrite_test.go
+++ b/internal/platform/rewrite/rewrite_test.go
@@ -38,7 +38,7 @@
 	}
 }
 
-// FuzzOnlyCounted checks that values which are told apart by nothing but the counter
+// FuzzOnlyCounted checks that values that differ in nothing but the counter
 // decode to the same.
 func FuzzOnlyCounted(f *testing.F) {
 	f.Add(`{"a":1,"sequence":19}`, `{"a":1,"sequence":20}`)
--- a/internal/platform/twirp/doc.go
+++ b/internal/platform/twirp/doc.go
@@ -7,5 +7,5 @@
 // the service, asks the next follower. Only if several followers fail in a row
 // does it ask the service itself, and then seldom, so that an outage of the
 // service or of a zone does not multiply the calls. A follower that the service
-// refuses asks other followers, and serves nobody meanwhile.
+// refuses reads from other followers, and serves no host meanwhile.
 package twirp
--- a/internal/platform/twirp/feed.go
+++ b/internal/platform/twirp/feed.go
@@ -67,7 +67,7 @@
 	// StoreCalls and PeerCalls count the calls to the service and to followers.
 	StoreCalls, PeerCalls metrics.Counter
 	// FirstStoreWait returns the time after the first call for which a host that is not
-	// a follower leaves the service alone and only asks followers, if nothing was
+	// a follower leaves the service alone and only queries followers, if nothing was
 	// answered yet. It is to differ between hosts, which may all have started together:
 	// followers take some time to read all keys. Nil means no such time.
 	FirstStoreWait func() time.Duration
--- a/internal/platform/twirp/pack_test.go
+++ b/internal/platform/twirp/pack_test.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// TestPlainSnapshot covers a reader of a build that does not know packed entries.
+// TestPlainSnapshot covers a reader of a build without packed entries.
 func TestPlainSnapshot(t *testing.T) {
 	is := is.New(t)
 	f := &Feed{Entries: changelog.NewLog(), Reachability: func() (bool, time.Time) { return true, time.Time{} }}
@@ -82,7 +82,7 @@
 	is.Equal(len(r.GetEntries()), 1)
 }
 
-// plainServer is a host of a build that does not know packed entries.
+// plainServer is a host of a build without packed entries.
 type plainServer struct{ rpc.Changes }
 
 func (plainServer) Next(context.Context, *rpc.NextRequest) (*rpc.NextResponse, error) {
@@ -93,7 +93,7 @@
 	return &rpc.SnapshotResponse{Entries: []*rpc.Entry{{Key: "a", Revision: 1}}, Revision: 2, Era: 3}, nil
 }
 
-// TestPlainServer covers a follower of a build that does not know packed entries.
+// TestPlainServer covers a follower of a build without packed entries.
 func TestPlainServer(t *testing.T) {
 	is := is.New(t)
 	l, n, err := snapshotFrom(t.Context(), plainServer{})
--- a/internal/platform/twirp/peer.go
+++ b/internal/platform/twirp/peer.go
@@ -20,7 +20,7 @@
 	return errors.WithStack(&sardineknot.UnavailableError{Peer: string(host.ID), Cause: err})
 }
 
-// snapshotFrom reads all entries of peer. It first asks for no more than whether peer
+// snapshotFrom reads all entries of peer. It first requests no more than whether peer
 // serves, because a peer that is silent must be noticed soon, while many hosts that
 // read all entries at once may take long.
 func snapshotFrom(ctx context.Context, peer rpc.Changes) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
--- a/internal/platform/twirp/start_test.go
+++ b/internal/platform/twirp/start_test.go
@@ -118,7 +118,7 @@
 	return 300 * time.Millisecond
 }
 
-// learn adds the host of entry, one of all, to those that h knows, or removes it.
+// learn adds the host of entry, one of all, to those that h has, or removes it.
 func (h *host) learn(all []sardineknot.EntryHost, entry sardineknot.StoreEntry) {
 	n, ok := strings.CutPrefix(entry.Key, "hosts/")
 	if !ok || n == string(h.entry.ID) {
@@ -154,7 +154,7 @@
 	}
 }
 
-// servers returns the number of backend servers that the host knows.
+// servers returns the number of backend servers that the host has.
 func (h *host) servers() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -183,7 +183,7 @@
 }
 
 // newKilled returns a stopped cluster whose hosts still have keys. Those of them that
-// would read from the service do not come back if in returns true for their zone.
+// would read from the service do not return if in returns true for their zone.
 func newKilled(in func(sardineknot.AvailabilityZone) bool) (*cluster, *countedStore) {
 	c, s := newStopped()
 	for _, h := range c.hosts {
--- a/internal/policy/memory/accounts_test.go
+++ b/internal/policy/memory/accounts_test.go
@@ -131,7 +131,7 @@
 }
 
 // TestAccountShares covers accounts that compete for too little memory. With perfect
-// knowledge an account that wants less than its share gets all of it; 0.95 of that is
+// knowledge an account that needs less than its share gets all of it; 0.95 of that is
 // the target.
 func TestAccountShares(t *testing.T) {
 	t.Run("one account at eight times its usual does not displace the others", func(t *testing.T) {
--- a/internal/policy/memory/demand.go
+++ b/internal/policy/memory/demand.go
@@ -20,7 +20,7 @@
 	usableMemory = 0.8
 )
 
-// work is what jobs ask of engines.
+// work is what jobs require of engines.
 type work struct {
 	// promptTokens is the number of tokens to prefill. memory is the product of the
 	// memory of answers and their duration, in token-seconds, and slots the sum of
--- a/internal/policy/memory/scheduler.go
+++ b/internal/policy/memory/scheduler.go
@@ -54,7 +54,7 @@
 	typical typicalSpeeds
 	// typicalAt is the time at which typical was computed.
 	typicalAt time.Time
-	// demand is what arriving jobs ask of the engines.
+	// demand is what arriving jobs require of the engines.
 	demand demand
 	// ended records recently ended jobs, which load reports may still list.
 	ended endedCalls
--- a/internal/policy/shares/doc.go
+++ b/internal/policy/shares/doc.go
@@ -1,6 +1,6 @@
 // Package shares divides scarce capacity between client accounts.
 //
-// Accounts that want more than there is are served in turn by what their requests
+// Accounts that need more than there is are served in turn by what their requests
 // cost, not by how many they are: start-time fair queueing. See Goyal, Vin and Cheng,
 // "Start-time Fair Queueing", 1997. An account that was idle gains no credit for that,
 // and one that is alone gets everything.
--- a/internal/versions/store/cleaner.go
+++ b/internal/versions/store/cleaner.go
@@ -15,14 +15,14 @@
 	maxDeletions = 8
 	// ownDelay is the time beyond that of streams after which a host deletes a segment
 	// that it has written itself. The host that ranks first for segments does so before,
-	// unless it is of an earlier build, which does not know them.
+	// unless it is of an earlier build, which does not support them.
 	ownDelay = 3 * cleanInterval
 )
 
-// cleaner deletes old segments. The zero value knows of none.
+// cleaner deletes old segments. The zero value has none.
 type cleaner struct {
 	mu sync.Mutex
-	// until is the time until which there may be segments, as far as this host knows.
+	// until is the time until which there may be segments, as far as this host has seen.
 	until time.Time
 	// own holds the time of the last write to each segment of this host.
 	own map[string]time.Time
@@ -61,7 +61,7 @@
 	c.own[key] = k.Clock.Now()
 }
 
-// HasSegments reports whether there may be segments, as far as this host knows.
+// HasSegments reports whether there may be segments, as far as this host has seen.
 func (k *Keeper) HasSegments() bool {
 	c := &k.cleaner
 	c.mu.Lock()
@@ -70,7 +70,7 @@
 }
 
 // clean deletes the segments that were last written before any stream whose caller
-// can come back began, if this host ranks first for segments. Ages are measured by
+// can return began, if this host ranks first for segments. Ages are measured by
 // this host's clock from its first look at a revision, so that a segment may stay
 // longer but never goes early.
 func (k *Keeper) clean(ctx context.Context) {
--- a/internal/versions/store/keeper.go
+++ b/internal/versions/store/keeper.go
@@ -25,7 +25,7 @@
 	// callTimeout bounds a call to the service.
 	callTimeout = time.Second
 	// maxPause is the time between two comparisons beyond which this host was paused
-	// and knows nothing of the time between.
+	// and has no information about the time between.
 	maxPause = 3 * time.Second
 )
 
@@ -36,7 +36,7 @@
 	Store sardineknot.Store
 	// History holds the versions of the servers that this host has seen.
 	History *history.History
-	// StreamTime returns the longest time for which a caller may come back after a
+	// StreamTime returns the longest time for which a caller may return after a
 	// stream has begun.
 	StreamTime func() time.Duration
 	// Ranker selects the host that writes a key, and Self is this host.
@@ -123,7 +123,7 @@
 	return m
 }
 
-// checkPause begins to observe anew if this host was paused, and waits until the keys
+// checkPause begins to observe again if this host was paused, and waits until the keys
 // are read again.
 func (k *Keeper) checkPause() {
 	n := k.Clock.Now()
@@ -144,7 +144,7 @@
 }
 
 // Versions returns the versions of service that may have begun streams whose callers
-// can still come back, as far as this host has seen them or the key lists them. known
+// can still return, as far as this host has seen them or the key lists them. known
 // is false until the keys were read, also after a pause. settled reports whether this
 // host has also observed the servers, without a pause, since the oldest such stream
 // began.
@@ -195,7 +195,7 @@
 }
 
 // seen returns the versions of service that this host has seen since the oldest
-// stream whose caller can come back began.
+// stream whose caller can return began.
 func (k *Keeper) seen(service sardineknot.ServiceName) []sardineknot.SoftwareVersion {
 	return k.History.Seen(service, k.Clock.Now().Add(-k.StreamTime()))
 }
--- a/internal/versions/store/keys.go
+++ b/internal/versions/store/keys.go
@@ -16,7 +16,7 @@
 const (
 	// keyPrefix is the prefix of the keys of services.
 	keyPrefix = "versions/"
-	// unreadable stands for the versions under a key that cannot be read. No server
+	// unreadable represents the versions under a key that cannot be read. No server
 	// has it, so that the service is mixed until the key is written again.
 	unreadable sardineknot.SoftwareVersion = "(unreadable)"
 )
@@ -26,7 +26,7 @@
 	Versions []sardineknot.SoftwareVersion
 }
 
-// serviceKey is what this host knows of the key of a service.
+// serviceKey is what this host has recorded of the key of a service.
 type serviceKey struct {
 	revision sardineknot.StoreRevision
 	// stored holds the versions that the key lists. It is empty if there is no key.
@@ -50,7 +50,7 @@
 }
 
 // retained returns the versions that were read so recently that streams of theirs
-// may still be resumed, as far as a host knows that observes servers since
+// may still be resumed, to the knowledge of a host that observes servers since
 // watchedSince.
 func (s *serviceKey) retained(now, watchedSince time.Time, streamTime time.Duration) []sardineknot.SoftwareVersion {
 	var l []sardineknot.SoftwareVersion
@@ -67,7 +67,7 @@
 
 // replace records that the key lists versions at revision, and reports whether that
 // is new. A version that the key no longer lists was removed by its owner, unless
-// the service has lost the key or come back from an older copy.
+// the service has lost the key or was restored from an older copy.
 func (s *serviceKey) replace(now time.Time, revision sardineknot.StoreRevision, versions []sardineknot.SoftwareVersion) bool {
 	if revision.Era < s.revision.Era || !revision.Absent() && revision.Compare(s.revision) <= 0 {
 		return false
@@ -172,7 +172,7 @@
 		return c
 	}
 	if k.owns(keyPrefix + string(service)) {
-		// A host that has just started may not know the owner yet. If the key lists
+		// A host that has just started may not have seen the owner yet. If the key lists
 		// something, the host still writes at once what is missing.
 		c.due = len(s.stored) > 0 || n.Sub(k.watchedSince) >= ownerTime
 		return c
@@ -182,7 +182,7 @@
 	return c
 }
 
-// write writes what c says under the key of service. It reads the key if another
+// write writes what c states under the key of service. It reads the key if another
 // write came first, because this host may not get the changes of the service in
 // time.
 func (k *Keeper) write(ctx context.Context, service sardineknot.ServiceName, c comparison) {
--- a/internal/versions/store/lookup.go
+++ b/internal/versions/store/lookup.go
@@ -17,7 +17,7 @@
 	// listInterval is the least time between two reads of all segments.
 	listInterval = 300 * time.Millisecond
 	// listTimeout bounds a read of all segments, and lookupTimeout the time for which
-	// a caller waits for it. A caller that comes back later finds what was read.
+	// a caller waits for it. A caller that returns later finds what was read.
 	listTimeout   = 2500 * time.Millisecond
 	lookupTimeout = 500 * time.Millisecond
 )
--- a/internal/versions/store/recorder.go
+++ b/internal/versions/store/recorder.go
@@ -120,7 +120,7 @@
 }
 
 // writeSegment writes the segment. After a write that failed it reads the revision
-// first: the write may have taken effect, and the service may have come back from an
+// first: the write may have taken effect, and the service may have been restored from an
 // older copy. The caller must hold recorder.writing.
 func (k *Keeper) writeSegment() error {
 	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
--- a/internal/versions/twirp/directory.go
+++ b/internal/versions/twirp/directory.go
@@ -166,7 +166,7 @@
 }
 
 // Find implements sardineknot.StreamVersions. A stream that no host and no record in
-// the key-value service tells of goes on at the only version that may have begun it,
+// the key-value service lists goes on at the only version that may have begun it,
 // and not at all if there are several.
 func (d *Directory) Find(ctx context.Context, stream sardineknot.RequestID, service sardineknot.ServiceName) (sardineknot.SoftwareVersion, bool) {
 	if v, ok := d.records.get(stream); ok {
@@ -181,7 +181,7 @@
 		return v, true
 	}
 	l = union(l, a)
-	// Segments may tell of a version whose key was not written before all hosts were
+	// Segments may show a version whose key was not written before all hosts were
 	// killed.
 	if len(l) != 1 || !k || d.Keeper.HasSegments() {
 		if v, ok := d.Keeper.Find(ctx, stream); ok {
--- a/internal/versions/twirp/directory_test.go
+++ b/internal/versions/twirp/directory_test.go
@@ -269,7 +269,7 @@
 }
 
 // TestSegmentsExpireWithoutOwner guards against records that stay in the store while the
-// host that is to delete them is of an earlier build, which does not know them.
+// host that is to delete them is of an earlier build, which does not support them.
 func TestSegmentsExpireWithoutOwner(t *testing.T) {
 	run(t, func(t *testing.T, ctx context.Context) {
 		f := newFleet("v1", "v2")
--- a/internal/versions/twirp/outbox.go
+++ b/internal/versions/twirp/outbox.go
@@ -82,7 +82,7 @@
 }
 
 // refreshOutbox adds all records of services that have become mixed, and those of all
-// mixed services if the key-value service has come back from an older copy.
+// mixed services if the key-value service was restored from an older copy.
 func (d *Directory) refreshOutbox() {
 	l, e := d.Keeper.Mixed()
 	d.outbox.mu.Lock()
--- a/internal/versions/twirp/restart_test.go
+++ b/internal/versions/twirp/restart_test.go
@@ -311,7 +311,7 @@
 	})
 }
 
-// TestOwnerCutOff guards against a key that nobody writes because its owner does not
+// TestOwnerCutOff guards against a key that no host writes because its owner does not
 // reach the store, and against an owner that does not learn what others have written.
 func TestOwnerCutOff(t *testing.T) {
 	run(t, func(t *testing.T, ctx context.Context) {
--- a/internal/versions/twirp/store_test.go
+++ b/internal/versions/twirp/store_test.go
@@ -14,7 +14,7 @@
 	"sardineknot.example/sardineknot/internal/versions/twirp"
 )
 
-// fakeStore is a key-value service that tells the live hosts its changes at once.
+// fakeStore is a key-value service that shows the live hosts its changes at once.
 type fakeStore struct {
 	mu      sync.Mutex
 	entries map[string]sardineknot.StoreEntry
--- a/limiter.go
+++ b/limiter.go
@@ -41,20 +41,20 @@
 	return c.Accounts[i].Limit, true
 }
 
-// CostRequest asks the owner of a client account's limit for cost.
+// CostRequest requests cost from the owner of a client account's limit.
 type CostRequest struct {
-	// Account is the client account, and Limit its limit as the asking host knows
+	// Account is the client account, and Limit its limit as the requesting host has
 	// it. The owner uses Limit only if its own configuration lacks the account.
 	Account ClientAccountName
 	Limit   AccountLimit
-	// Need is the cost of the call that asks. Zero means that the request only
+	// Need is the cost of the current call. Zero means that the request only
 	// returns cost.
 	Need float64
-	// Want is the cost that the asking host expects to use soon, including Need.
+	// Want is the cost that the requesting host expects to use soon, including Need.
 	Want float64
 	// Returned is the cost that was granted earlier and is given back.
 	Returned float64
-	// Deferred is the cost of calls that the asking host has told to return later
+	// Deferred is the cost of calls that the requesting host has given a retry time later
 	// without asking the owner.
 	Deferred float64
 	// MaxWait bounds CostGrant.Delay.
@@ -76,7 +76,7 @@
 	Delay time.Duration
 	// Fits is the time after which a request for the same cost can be granted, if
 	// Granted is zero. RetryAfter is at least as long and also leaves room for the
-	// calls that were told to return before.
+	// calls that were given a retry time before.
 	Fits       time.Duration
 	RetryAfter time.Duration
 }
--- a/logevent.go
+++ b/logevent.go
@@ -114,7 +114,7 @@
 	// is false.
 	LogPlacesContended LogEvent = "places_contended"
 	// LogPlacesOwnerLost reports that the owner "peer" of a contended service did not
-	// answer in time. This host decides alone for a second, and then asks again.
+	// answer in time. This host decides alone for a second, and then queries again.
 	LogPlacesOwnerLost LogEvent = "places_owner_lost"
 	// LogPlacesNotShared reports that another entry host was not reached to report
 	// calls that ended, or that a service is contended.
--- a/places.go
+++ b/places.go
@@ -6,7 +6,7 @@
 )
 
 // PlaceID identifies the place of a call at a server of a plain service, among
-// all entry hosts. The host that asks for the place numbers it, so that it can give
+// all entry hosts. The host that requests the place numbers it, so that it can give
 // back a place whose grant it has not received.
 type PlaceID struct {
 	Host        EntryHostID
@@ -37,7 +37,7 @@
 	// call.
 	Trait Trait
 	// Usual is the time that a call of the service usually takes, as the host that
-	// asks has seen it. Zero means unknown.
+	// queries has seen it. Zero means unknown.
 	Usual time.Duration
 }
 
@@ -67,7 +67,7 @@
 	// PlaceUnreached means that the call was not sent because the server was not
 	// reached.
 	PlaceUnreached
-	// PlaceAbandoned means that the caller left, which tells nothing about the server.
+	// PlaceAbandoned means that the caller left, which shows nothing about the server.
 	PlaceAbandoned
 )
 
--- a/scheduler.go
+++ b/scheduler.go
@@ -197,7 +197,7 @@
 	Adopt(now time.Time, job RunningJob) []Decision
 }
 
-// EngineDemand describes what the jobs of a shard ask of its engines.
+// EngineDemand describes what the jobs of a shard require of its engines.
 type EngineDemand struct {
 	// Observed is the time for which the demand was observed. Zero means that none
 	// was.
