--- a/internal/host/gateway/limits.go
+++ b/internal/host/gateway/limits.go
@@ -6,7 +6,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sardineknot.example/sardineknot"
-	"sardineknot.example/sardineknot/internal/host/boottime"
+	"sardineknot.example/sardineknot/internal/host/clock"
 	"sardineknot.example/sardineknot/internal/limits/credit"
 	"sardineknot.example/sardineknot/internal/limits/owner"
 	"sardineknot.example/sardineknot/internal/limits/rank"
@@ -16,14 +16,14 @@
 // addAccountLimits creates the limiter of client accounts.
 func (p *Process) addAccountLimits() {
 	k := rank.NewRanker(p.registry)
-	p.accountOwner = owner.NewOwner(boottime.Clock{}, p.registry, k, func(n sardineknot.ClientAccountName) (sardineknot.AccountLimit, bool) {
+	p.accountOwner = owner.NewOwner(clock.System{}.SinceBootClock(), p.registry, k, func(n sardineknot.ClientAccountName) (sardineknot.AccountLimit, bool) {
 		return p.source.Current().AccountLimit(n)
 	})
 	p.accountClient = &twirp.Client{
-		Hosts: p.registry, Ranker: k, Owner: p.accountOwner, Clock: boottime.Clock{}, HTTP: p.peers.Client(), Log: p.Log, Metrics: p.Metrics,
+		Hosts: p.registry, Ranker: k, Owner: p.accountOwner, Clock: clock.System{}.SinceBootClock(), HTTP: p.peers.Client(), Log: p.Log, Metrics: p.Metrics,
 	}
 	p.accountLimiter = &credit.Limiter{
-		Clock: boottime.Clock{}, Source: p.accountClient, Hosts: p.registry, Excess: p.Settings.AccountExcess, Metrics: p.Metrics,
+		Clock: clock.System{}.SinceBootClock(), Source: p.accountClient, Hosts: p.registry, Excess: p.Settings.AccountExcess, Metrics: p.Metrics,
 	}
 }
 
--- a/internal/host/process/limits.go
+++ b/internal/host/process/limits.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"sardineknot.example/sardineknot/internal/host/boottime"
+	"sardineknot.example/sardineknot/internal/host/clock"
 	"sardineknot.example/sardineknot/internal/limits/contracts"
 	"sardineknot.example/sardineknot/internal/limits/credit"
 	"sardineknot.example/sardineknot/internal/limits/owner"
@@ -20,10 +20,10 @@
 func (p *Process) addLimits() {
 	h := rank.Live(p.members)
 	k := rank.NewRanker(h)
-	o := owner.NewOwner(boottime.Clock{}, h, k, contracts.Limits(p.source))
+	o := owner.NewOwner(clock.System{}.SinceBootClock(), h, k, contracts.Limits(p.source))
 	o.StartFull = true
-	c := &twirp.Client{Hosts: h, Ranker: k, Owner: o, Clock: boottime.Clock{}, HTTP: p.peers.Client(), Log: p.log, Metrics: p.metrics}
-	l := &credit.Limiter{Clock: boottime.Clock{}, Source: c, Hosts: h, Whole: true, Lifetime: permitLifetime, Metrics: p.metrics}
+	c := &twirp.Client{Hosts: h, Ranker: k, Owner: o, Clock: clock.System{}.SinceBootClock(), HTTP: p.peers.Client(), Log: p.log, Metrics: p.metrics}
+	l := &credit.Limiter{Clock: clock.System{}.SinceBootClock(), Source: c, Hosts: h, Whole: true, Lifetime: permitLifetime, Metrics: p.metrics}
 	p.limiter = contracts.NewLimiter(l)
 	p.peerMux.Handle(c.Handler())
 	p.tasks = append(p.tasks, o.Run, l.Run)
--- a/internal/limits/credit/limiter_test.go
+++ b/internal/limits/credit/limiter_test.go
@@ -12,7 +12,6 @@
 	"github.com/rcrowley/go-metrics"
 
 	"sardineknot.example/sardineknot"
-	"sardineknot.example/sardineknot/internal/host/boottime"
 	"sardineknot.example/sardineknot/internal/host/clock"
 )
 
@@ -84,9 +83,9 @@
 
 // BenchmarkAdmit measures a call whose cost is in stock.
 func BenchmarkAdmit(b *testing.B) {
-	l := &Limiter{Clock: boottime.Clock{}, Source: &source{}, Lifetime: time.Hour, Metrics: metrics.NewRegistry()}
+	l := &Limiter{Clock: clock.System{}.SinceBootClock(), Source: &source{}, Lifetime: time.Hour, Metrics: metrics.NewRegistry()}
 	a := l.account("verk")
-	a.stock, a.expiresAt = 1e18, boottime.Clock{}.Now().Add(time.Hour)
+	a.stock, a.expiresAt = 1e18, clock.System{}.SinceBootClock().Now().Add(time.Hour)
 	for b.Loop() {
 		_ = l.Admit(b.Context(), account1, 1, testWait)
 	}
