--- a/internal/limits/owner/account.go
+++ b/internal/limits/owner/account.go
@@ -46,7 +46,7 @@
 	// mean is the mean cost of the recent calls that are not small, or zero
 	// before the first.
 	mean float64
-	// granted is the share of the calls which is granted, and largeGranted that of
+	// granted is the share of the calls that are granted, and largeGranted that of
 	// the calls that cost more than the mean, as moving averages without small calls.
 	granted, largeGranted float64
 	// deferred holds, as its debt, the cost of the calls that were given a retry time.
--- a/internal/peer/tunnel/doc.go
+++ b/internal/peer/tunnel/doc.go
@@ -6,7 +6,7 @@
 // 200 as soon as the other host has connected to the server, so that a request is
 // known not to have been sent if a tunnel does not open. When the server closes or
 // resets the connection, the body ends, and a field after it says which: a stream that
-// ends otherwise tells nothing of the server.
+// ends otherwise shows nothing about the server.
 //
 // A host opens tunnels only with connections of its own, never through a third one.
 package tunnel
--- a/internal/places/twirp/owner.go
+++ b/internal/places/twirp/owner.go
@@ -93,8 +93,8 @@
 	return e
 }
 
-// receive records report as the owner. A service that this host has had no request
-// about counts as contended at first, since the host that queries saw a sign.
+// receive records report as the owner. A service without earlier requests counts as
+// contended at first, since the host that sent this one has seen a sign.
 func (p *Places) receive(report *rpc.ReportRequest) *owned {
 	n := p.SinceBoot()
 	s := sardineknot.ServiceName(report.GetService())
@@ -201,7 +201,7 @@
 }
 
 // untold returns the hosts to notify, and records that they are notified. This host is
-// told at once.
+// notified at once.
 func (p *Places) untold(name sardineknot.ServiceName, state *owned) []sardineknot.EntryHost {
 	n := p.SinceBoot()
 	a := sardineknot.OtherHosts(p.Members)
--- a/internal/platform/twirp/start_test.go
+++ b/internal/platform/twirp/start_test.go
@@ -84,7 +84,7 @@
 	return l, n, err
 }
 
-// newStopped returns a cluster of hosts that are not started and know of no other.
+// newStopped returns a cluster of hosts that are not started and have no other host in their list.
 func newStopped() (*cluster, *countedStore) {
 	s := &countedStore{service: newService()}
 	for i := range startedServers {
