--- a/review/harness/bodies_test.go
+++ b/review/harness/bodies_test.go
@@ -17,7 +17,7 @@
 	// longClients is the number of clients that send long bodies, and shortClients that
 	// of clients that send short ones all the time.
 	longClients  = 24
-	shortClients = 12
+	shortClients = 16
 	// memoryMegabytes is the memory of a front machine of akstur-knot.
 	memoryMegabytes = 134
 )
@@ -58,7 +58,7 @@
 	w.store.put("op/config", configuration(7))
 	var servers []*server
 	for i := range 4 {
-		s := &server{world: w, id: fmt.Sprintf("i-a%d", i), service: "app", zone: "zone-a", version: "v1", slots: 6, work: 150 * time.Millisecond}
+		s := &server{world: w, id: fmt.Sprintf("i-a%d", i), service: "app", zone: "zone-a", version: "v1", slots: 6, work: 200 * time.Millisecond}
 		if err := s.serve(); err != nil {
 			return err
 		}
