--- a/review/harness/world_test.go
+++ b/review/harness/world_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -32,6 +33,8 @@
 	store   *store
 	hosts   []*host
 	begin   time.Time
+	// taken holds the addresses of the hosts.
+	taken map[string]bool
 
 	mu     sync.Mutex
 	record *bufio.Writer
@@ -56,7 +59,7 @@
 	if _, err = os.Stat(p); err != nil {
 		return nil, err
 	}
-	w := &world{ctx: ctx, dir: d, program: p, trouble: os.Getenv("TROUBLE") != "0", store: newStore(), begin: time.Now(), file: f, record: bufio.NewWriter(f)}
+	w := &world{ctx: ctx, dir: d, program: p, trouble: os.Getenv("TROUBLE") != "0", store: newStore(), begin: time.Now(), taken: map[string]bool{}, file: f, record: bufio.NewWriter(f)}
 	return w, w.store.serve(ctx)
 }
 
@@ -112,20 +115,31 @@
 	done    chan struct{}
 }
 
-// freeAddress returns a free loopback address.
-func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+// The ports of hosts are below those that the kernel gives to connections, which could
+// take them before the host starts.
+const (
+	firstPort = 15000
+	lastPort  = 31000
+)
+
+// freeAddress returns a free loopback address, another one each time.
+func (w *world) freeAddress() string {
+	for {
+		a := fmt.Sprintf("127.0.0.1:%d", firstPort+rand.IntN(lastPort-firstPort))
+		l, err := net.Listen("tcp", a)
+		if err != nil || w.taken[a] {
+			continue
+		}
+		l.Close()
+		w.taken[a] = true
+		return a
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 // newHost creates a host, which is not running yet. Its settings are what the
 // platform makes of deploy/settings.jsonc.
 func (w *world) newHost(name, zone string, memory int) *host {
-	h := &host{world: w, name: name, zone: zone, memory: memory, store: w.store.address, caller: freeAddress(), ready: freeAddress(), lookup: freeAddress(), peer: freeAddress(), stats: freeAddress()}
+	h := &host{world: w, name: name, zone: zone, memory: memory, store: w.store.address, caller: w.freeAddress(), ready: w.freeAddress(), lookup: w.freeAddress(), peer: w.freeAddress(), stats: w.freeAddress()}
 	w.hosts = append(w.hosts, h)
 	return h
 }
@@ -249,12 +263,12 @@
 	return p.StatusCode == 200
 }
 
-// waitReady waits until all hosts that run are ready.
+// waitReady waits until all hosts are ready.
 func (w *world) waitReady(limit time.Duration) error {
 	e := time.Now().Add(limit)
 	for _, h := range w.hosts {
-		for h.running() && !h.isReady() {
-			if time.Now().After(e) {
+		for !h.isReady() {
+			if time.Now().After(e) || !h.running() {
 				return fmt.Errorf("host %s is not ready", h.name)
 			}
 			time.Sleep(50 * time.Millisecond)
