--- a/review/harness/main_test.go
+++ b/review/harness/main_test.go
@@ -21,6 +21,7 @@
 	"orders":   runOrders,
 	"bodies":   runBodies,
 	"stop":     runStop,
+	"deadly":   runDeadly,
 }
 
 // TestMain runs the case named by the first argument, with the path of the record as
--- a/review/harness/server_test.go
+++ b/review/harness/server_test.go
@@ -31,7 +31,12 @@
 	// answer.
 	onOrder func(s *server, holder string, fence int64, stage string) int
 
-	mu        sync.Mutex
+	// onDeadly, if set, is called with a request that crashes the server.
+	onDeadly func(s *server, id string)
+
+	mu sync.Mutex
+	// down is set while the server has crashed.
+	down      bool
 	stage     string
 	state     string
 	sequence  int64
@@ -78,9 +83,30 @@
 	s.register()
 }
 
+// setDown makes s crash or come back. It comes back under its name, as another process.
+func (s *server) setDown(down bool) {
+	s.mu.Lock()
+	s.down = down
+	if !down {
+		s.born, s.sequence, s.orders = time.Now().UnixMilli(), 0, 0
+	}
+	s.mu.Unlock()
+	s.register()
+}
+
+func (s *server) isDown() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.down
+}
+
 // register writes the entry of s to the store.
 func (s *server) register() {
 	s.mu.Lock()
+	if s.down {
+		s.mu.Unlock()
+		return
+	}
 	s.sequence++
 	v := map[string]any{
 		"service": s.service, "addr": s.address, "zone": s.zone, "version": s.version, "slots": s.slots, "state": s.state,
@@ -96,6 +122,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.isDown() {
+		panic(http.ErrAbortHandler)
+	}
 	d := r.Header.Get("Attempt-Id")
 	if d != "" {
 		w.Header().Set("Attempt-Id", d)
@@ -183,7 +212,14 @@
 		return
 	}
 	s.begin(r)
+	if s.onDeadly != nil && r.URL.Path == deadlyPath {
+		time.Sleep(10 * time.Millisecond)
+		s.onDeadly(s, r.Header.Get("Attempt-Id"))
+	}
 	time.Sleep(s.work)
+	if s.isDown() {
+		panic(http.ErrAbortHandler)
+	}
 	w.Header().Set("Server-Stamp", s.id+"."+r.Header.Get("Attempt-Id"))
 	fmt.Fprintf(w, "done %s %d", r.Header.Get("Attempt-Id"), n)
 	s.mu.Lock()
