--- a/review/harness/main_test.go
+++ b/review/harness/main_test.go
@@ -1,3 +1,5 @@
+//go:build review
+
 // Package harness holds the scripts of the review. It runs the project's program as
 // separate processes on loopback addresses, before stand-ins for the platform's
 // store, servers and clients.
--- a/review/harness/store_test.go
+++ b/review/harness/store_test.go
@@ -1,3 +1,5 @@
+//go:build review
+
 package harness
 
 import (
