versions/twirp: unknown streams wait for the latest changes of the store

What callers saw: a host that was cut off while runners of a newer software version came into service took up streams of that version, which had begun at hosts that were killed, and went on at the old version.

Cause: Directory.Find took the only version that the host knew for the only one there is. Keeper.Versions calls that settled once the keys were read and the host was not paused; nothing asked whether the view is current. Any host that is behind does the same: a poll of the changes comes up to 2 s late where nothing is wrong.

Ruled out: a bound on the age of the view, because the cut was 1.2 s old and a sound view may be 2 s old; the records of streams, which went to two other hosts as they should; a lost key of the versions, which the owner writes only after other hosts already use the version.

A stream began before its caller came back, and a runner is in the store before a host can use it. So a read of the changes that starts after the call shows every version that may have begun the stream. Mirror.Refresh makes this read, through a follower where the host reads from one, or where the store does not answer this host only. An unknown stream goes on at the only version after such a read, and is refused without it. A host that finds a version of which it knows no server reads the changes as well, so that the stream can go on.

TestStaleView failed before (the first subtest: the stream goes on at v1). A subtest of TestUnreadStore let a host that had been suspended answer as soon as the store told it; it now keeps the host from reading until then, since the host would read by itself, and checks the same refusals.

--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -57,7 +57,7 @@
 		StoreCalls: metrics.GetOrRegisterCounter("store.reads", p.Metrics),
 		PeerCalls:  metrics.GetOrRegisterCounter("store.peer_reads", p.Metrics),
 	}
-	p.mirror.Feed = p.feed
+	p.mirror.Feed, p.feed.Refresh = p.feed, p.mirror.Refresh
 	p.mirror.List, p.mirror.Prefix, p.mirror.OnList = p.listHosts, membership.KeyPrefix, p.beginWithHosts
 	u := float64(rendezvous.Weight(startShard, p.Settings.ID)) / math.MaxUint64
 	p.feed.FirstStoreWait = func() time.Duration {
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -256,7 +256,7 @@
 // addVersions creates the directory of the software versions that began streams.
 func (p *Process) addVersions() {
 	d := versions.NewDirectory(p.clock)
-	d.Members, d.Source, d.Client, d.Log = p.registry, p.source, p.peers.Client(), p.Log
+	d.Members, d.Source, d.Client, d.Refresh, d.Log = p.registry, p.source, p.peers.Client(), p.mirror.Refresh, p.Log
 	k := d.Keeper
 	k.Store, k.Ranker, k.Self, k.Log, k.Metrics = p.Store, rendezvous.NewRanker(p.registry), p.registry.Self().ID, p.Log, p.Metrics
 	p.versions = d
--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -30,6 +30,9 @@
 	maxBackoff = 400 * time.Millisecond
 )
 
+// storePeer is the name of the service in errors.
+const storePeer = "key-value service"
+
 // Mirror follows all keys of the service. It is safe for concurrent use. The
 // exported fields must be set before Run is called.
 type Mirror struct {
@@ -69,6 +72,7 @@
 	// which a new era was found.
 	reachabilityChanged time.Time
 	reachable           bool
+	refreshes           refreshes
 
 	// entries holds the entries of all keys, without their values. loaded
 	// reports whether they were read at least once. Only Run uses both.
@@ -96,16 +100,25 @@
 	p := minBackoff
 	var at sardineknot.StoreRevision
 	for ctx.Err() == nil {
-		n, err := m.poll(ctx, at)
+		var l []chan error
+		if !at.Absent() {
+			l = m.takeRefreshes(ctx)
+		}
+		n, err := m.poll(ctx, at, len(l) > 0)
 		if ctx.Err() != nil {
 			return nil
 		}
+		var i *interruptedError
+		if errors.As(err, &i) {
+			continue
+		}
 		m.recordReachability(err)
+		m.finishRefreshes(l, err)
 		var c *sardineknot.CompactedError
 		switch {
 		case err == nil:
 			at, p = n, minBackoff
-			_ = m.Sleep(ctx, m.PollDelay())
+			m.pause(ctx)
 		case errors.As(err, &c):
 			at.Number = 0
 		default:
@@ -116,13 +129,21 @@
 	return nil
 }
 
+// pause waits between two polls, unless a call of Refresh waits.
+func (m *Mirror) pause(ctx context.Context) {
+	ctx, cancel := m.interruptible(ctx)
+	defer cancel()
+	_ = m.Sleep(ctx, m.PollDelay())
+}
+
 // poll reads the changes made after revision, or all keys if revision has no
-// number. It returns the revision to pass to the next call.
-func (m *Mirror) poll(ctx context.Context, revision sardineknot.StoreRevision) (sardineknot.StoreRevision, error) {
+// number. It returns the revision to pass to the next call. If current is set, it reads
+// what there is and does not wait for changes.
+func (m *Mirror) poll(ctx context.Context, revision sardineknot.StoreRevision, current bool) (sardineknot.StoreRevision, error) {
 	if revision.Absent() {
 		return m.loadSnapshot(ctx, revision.Era)
 	}
-	l, n, err := m.Feed.Next(ctx, revision, longPollTimeout)
+	l, n, err := m.next(ctx, revision, current)
 	if err != nil {
 		return revision, err
 	}
@@ -136,6 +157,21 @@
 	return n, nil
 }
 
+// next reads the changes made after revision. Unless current is set, it waits for them,
+// and fails with an interruptedError if a call of Refresh ends the wait.
+func (m *Mirror) next(ctx context.Context, revision sardineknot.StoreRevision, current bool) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
+	if current {
+		return m.Feed.Next(ctx, revision, 0)
+	}
+	c, cancel := m.interruptible(ctx)
+	defer cancel()
+	l, n, err := m.Feed.Next(c, revision, longPollTimeout)
+	if err != nil && c.Err() != nil {
+		err = errors.WithStack(&interruptedError{})
+	}
+	return l, n, err
+}
+
 // loadSnapshot reads all keys and reports those that changed or were removed
 // since the last read, which was of the given era. It returns the revision to
 // pass to the next call of poll. It fails with a StaleEraError if what was read
@@ -182,6 +218,7 @@
 func (m *Mirror) beginEra(previous, era sardineknot.StoreEra) {
 	m.mu.Lock()
 	m.reachabilityChanged = m.Clock.Now()
+	m.refreshes.regainedAt = m.reachabilityChanged
 	m.mu.Unlock()
 	m.Restores.Inc(1)
 	m.Log.Warn().Stringer("event", sardineknot.LogStoreRestored).Int64("old_era", int64(previous)).Int64("new_era", int64(era)).Send()
@@ -216,7 +253,11 @@
 	if r == m.reachable {
 		return
 	}
-	m.reachable, m.reachabilityChanged = r, m.Clock.Now()
+	n := m.Clock.Now()
+	if r && !m.reachabilityChanged.IsZero() {
+		m.refreshes.regainedAt = n
+	}
+	m.reachable, m.reachabilityChanged = r, n
 	if r {
 		m.Log.Info().Stringer("event", sardineknot.LogStoreRegained).Send()
 		return
--- a/internal/platform/mirror/mirror_test.go
+++ b/internal/platform/mirror/mirror_test.go
@@ -31,8 +31,8 @@
 	// err is the error that both methods return. A CompactedError is one of Next
 	// only, and cleared by the next call.
 	err error
-	// snapshots counts the calls of Snapshot.
-	snapshots int
+	// snapshots counts the calls of Snapshot, and nexts those of Next.
+	snapshots, nexts int
 }
 
 func (f *feed) Snapshot(context.Context) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
@@ -47,6 +47,7 @@
 	f.mu.Lock()
 	l, at, err := f.changes, f.at, f.err
 	f.changes = nil
+	f.nexts++
 	f.clearCompacted()
 	f.mu.Unlock()
 	if len(l) > 0 || err != nil {
--- a/internal/platform/twirp/cluster_test.go
+++ b/internal/platform/twirp/cluster_test.go
@@ -224,7 +224,7 @@
 		PollDelay: func() time.Duration { return 100 * time.Millisecond }, OnChange: h.apply, OnBatch: h.feed.Entries.Commit,
 		Restores: metrics.NewCounter(), OnRestore: func(sardineknot.StoreEra) {},
 	}
-	h.feed.Reachability = h.mirror.Reachability
+	h.feed.Reachability, h.feed.Refresh = h.mirror.Reachability, h.mirror.Refresh
 	return h
 }
 
--- a/internal/platform/twirp/feed.go
+++ b/internal/platform/twirp/feed.go
@@ -58,6 +58,8 @@
 	// Reachability reports whether this host has an up-to-date view of the
 	// service.
 	Reachability func() (reachable bool, since time.Time)
+	// Refresh waits until Entries holds all changes that were made before the call.
+	Refresh func(context.Context) error
 	// Clock provides the current time.
 	Clock sardineknot.Clock
 	// Client sends requests to other entry hosts.
--- a/internal/platform/twirp/peer.go
+++ b/internal/platform/twirp/peer.go
@@ -52,14 +52,19 @@
 }
 
 // nextFrom reads the changes of peer after revision, for which peer waits for
-// at most wait. The call may take peerMargin more. It fails with a CompactedError if peer does not have them.
+// at most wait. If wait is zero, peer first reads what there is in the service. The call
+// may take peerMargin more. It fails with a CompactedError if peer does not have them,
+// and with an UnavailableError if it has not read the service as requested.
 func nextFrom(ctx context.Context, peer rpc.Changes, revision sardineknot.StoreRevision, wait time.Duration) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+peerMargin)
 	defer cancel()
-	a, err := peer.Next(ctx, &rpc.NextRequest{Era: int64(revision.Era), Revision: revision.Number, WaitMicros: wait.Microseconds()})
+	a, err := peer.Next(ctx, &rpc.NextRequest{Era: int64(revision.Era), Revision: revision.Number, WaitMicros: wait.Microseconds(), Refresh: wait == 0})
 	if err != nil {
 		return nil, revision, err
 	}
+	if wait == 0 && !a.GetRefreshed() {
+		return nil, revision, errors.WithStack(&sardineknot.UnavailableError{Peer: "follower"})
+	}
 	if a.GetCompacted() {
 		return nil, sardineknot.StoreRevision{}, errors.WithStack(&sardineknot.CompactedError{After: revision})
 	}
--- a/internal/platform/twirp/service.go
+++ b/internal/platform/twirp/service.go
@@ -49,11 +49,17 @@
 	if err != nil {
 		return nil, err
 	}
+	if request.GetRefresh() {
+		err = s.feed.Refresh(ctx)
+	}
+	if err != nil {
+		return nil, twirp.Unavailable.Error(err.Error())
+	}
 	w := micros.Duration(request.GetWaitMicros())
 	l, n, err := s.feed.Entries.Next(ctx, sardineknot.StoreRevision{Era: sardineknot.StoreEra(request.GetEra()), Number: request.GetRevision()}, min(w, maxPeerWait))
 	var c *sardineknot.CompactedError
 	if errors.As(err, &c) {
-		return &rpc.NextResponse{Compacted: true}, nil
+		return &rpc.NextResponse{Compacted: true, Refreshed: request.GetRefresh()}, nil
 	}
 	var o *sardineknot.StaleEraError
 	if errors.As(err, &o) {
@@ -69,7 +75,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &rpc.NextResponse{Entries: entriesMessage(l), Era: int64(n.Era), Revision: n.Number}, nil
+	return &rpc.NextResponse{Entries: entriesMessage(l), Era: int64(n.Era), Revision: n.Number, Refreshed: request.GetRefresh()}, nil
 }
 
 // check returns an error if this host does not read from the service itself, or
--- a/internal/versions/twirp/directory.go
+++ b/internal/versions/twirp/directory.go
@@ -44,6 +44,9 @@
 	Clock sardineknot.Clock
 	// Client sends requests to other entry hosts.
 	Client *http.Client
+	// Refresh waits until Source and Keeper reflect all changes of the key-value
+	// service that were made before the call. It fails if that takes too long.
+	Refresh func(context.Context) error
 	// Keeper keeps versions in the key-value service. NewDirectory creates it; its
 	// other fields must be set.
 	Keeper *store.Keeper
@@ -165,36 +168,66 @@
 	}
 }
 
-// Find implements sardineknot.StreamVersions. A stream that no host and no record in
-// the key-value service lists goes on at the only version that may have begun it,
-// and not at all if there are several.
+// Find implements sardineknot.StreamVersions. If this host knows no server of the
+// version that it finds, it first reads the latest changes of the key-value service, so
+// that the stream can go on at a server that has just started.
 func (d *Directory) Find(ctx context.Context, stream sardineknot.RequestID, service sardineknot.ServiceName) (sardineknot.SoftwareVersion, bool) {
-	if v, ok := d.records.get(stream); ok {
+	v, ok := d.records.get(stream)
+	if ok && d.serves(service, v) {
 		return v, true
 	}
-	l, k, o := d.Keeper.Versions(service)
-	if o && len(l) == 1 {
-		return l[0], true
+	f := d.refresh(ctx)
+	if !ok {
+		v, ok = d.findElsewhere(ctx, f, stream, service)
+	}
+	if ok && !d.serves(service, v) {
+		f.current()
+	}
+	return v, ok
+}
+
+// findElsewhere returns the version that began stream, which this host has not recorded.
+// A stream that no host and no record in the key-value service lists goes on at the only
+// version that may have begun it, and not at all if there are several. Whether there is
+// only one is decided after latest, a read of the changes that were made before the
+// call: servers of another version may have started since the last read, at a host that
+// is cut off, paused or behind.
+func (d *Directory) findElsewhere(ctx context.Context, latest *refresh, stream sardineknot.RequestID, service sardineknot.ServiceName) (sardineknot.SoftwareVersion, bool) {
+	if latest.currentWithin(askDelay) {
+		l, _, o := d.Keeper.Versions(service)
+		if o && len(l) == 1 {
+			return l[0], true
+		}
 	}
 	v, a := d.ask(ctx, stream, service)
 	if v != "" {
 		return v, true
 	}
+	c := latest.current()
+	l, k, _ := d.Keeper.Versions(service)
 	l = union(l, a)
+	only := c && k && len(l) == 1
 	// Segments may show a version whose key was not written before all hosts were
 	// killed.
-	if len(l) != 1 || !k || d.Keeper.HasSegments() {
+	if !only || d.Keeper.HasSegments() {
 		if v, ok := d.Keeper.Find(ctx, stream); ok {
 			return v, true
 		}
 	}
-	if k && len(l) == 1 {
+	if only {
 		return l[0], true
 	}
-	d.Log.Warn().Stringer("event", sardineknot.LogVersionUnknown).Str("request", string(stream)).Str("service", string(service)).Int("versions", len(l)).Send()
+	d.Log.Warn().Stringer("event", sardineknot.LogVersionUnknown).Str("request", string(stream)).Str("service", string(service)).Int("versions", len(l)).Bool("read", k).Bool("current", c).Send()
 	return "", false
 }
 
+// serves reports whether this host knows a server of service that has version.
+func (d *Directory) serves(service sardineknot.ServiceName, version sardineknot.SoftwareVersion) bool {
+	return slices.ContainsFunc(d.Source.Current().BackendServers, func(b sardineknot.BackendServer) bool {
+		return sardineknot.ServiceName(b.Service) == service && b.SoftwareVersion == version
+	})
+}
+
 // streamTime returns the longest time for which a caller may come back after a
 // stream has begun.
 func (d *Directory) streamTime() time.Duration {
--- a/internal/versions/twirp/directory_test.go
+++ b/internal/versions/twirp/directory_test.go
@@ -37,6 +37,9 @@
 	// paused and older hold the addresses of hosts that do not answer, and of those
 	// of an earlier build.
 	paused, older map[string]bool
+	// behind holds, by address, the configurations of hosts that have not read the
+	// latest one.
+	behind map[string]*sardineknot.Configuration
 	// suspended is the time for which all hosts were suspended.
 	suspended atomic.Int64
 	current   *sardineknot.Configuration
@@ -46,7 +49,7 @@
 
 // newFleet returns a fleet without hosts whose servers have the given versions.
 func newFleet(versions ...sardineknot.SoftwareVersion) *fleet {
-	f := &fleet{muxes: make(map[string]*http.ServeMux), changed: make(chan struct{}), store: newFakeStore(), paused: make(map[string]bool), older: make(map[string]bool)}
+	f := &fleet{muxes: make(map[string]*http.ServeMux), changed: make(chan struct{}), store: newFakeStore(), paused: make(map[string]bool), older: make(map[string]bool), behind: make(map[string]*sardineknot.Configuration)}
 	f.setVersions(versions...)
 	return f
 }
@@ -134,10 +137,12 @@
 func (f *fleet) start(ctx context.Context, n int) *twirp.Directory {
 	h := sardineknot.EntryHost{ID: sardineknot.EntryHostID(fmt.Sprint("h", n)), PeerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 1)}
 	d := twirp.NewDirectory(f)
-	d.Members, d.Source, d.Client, d.Log = member{f, h}, f, &http.Client{Transport: f}, zerolog.Nop()
+	d.Members, d.Source, d.Client, d.Log = member{f, h}, hostSource{f, h.PeerAddress.String()}, &http.Client{Transport: f}, zerolog.Nop()
 	d.Keeper.Ranker, d.Keeper.Self, d.Keeper.Log, d.Keeper.Metrics = rendezvous.NewRanker(d.Members), h.ID, zerolog.Nop(), metrics.NewRegistry()
 	ctx, cancel := context.WithCancel(ctx)
-	d.Keeper.Store = &hostStore{fakeStore: f.store, ctx: ctx, address: h.PeerAddress.String()}
+	o := &hostStore{fakeStore: f.store, ctx: ctx, address: h.PeerAddress.String()}
+	d.Keeper.Store = o
+	d.Refresh = func(context.Context) error { return f.refresh(o, d) }
 	m := http.NewServeMux()
 	m.Handle(d.Handler())
 	f.mu.Lock()
