versions/store: a version is removed from its key after a current read only

Cause: the owner of a service's key removes a version of which it has seen no server for the time that streams may be resumed. An owner whose view is not current would remove one that is in use.

Change: before it removes a version, the owner reads the latest changes, and compares again. It leaves the key alone if it cannot.

TestKeyOfStaleOwner failed before: the key lists v2 only.

--- a/internal/versions/store/keeper.go
+++ b/internal/versions/store/keeper.go
@@ -42,6 +42,9 @@
 	// Ranker selects the host that writes a key, and Self is this host.
 	Ranker sardineknot.Ranker
 	Self   sardineknot.EntryHostID
+	// Refresh waits until History and this keeper reflect all changes that were made
+	// before the call. It fails if that takes too long.
+	Refresh func(context.Context) error
 	// Clock returns the current time.
 	Clock sardineknot.Clock
 	// Log receives an event for each key that cannot be written or read, and for the
@@ -115,6 +118,9 @@
 	for _, s := range k.serviceNames() {
 		c := k.compare(s)
 		m = m || c.missing
+		if c.due && c.removes {
+			c = k.confirm(ctx, s)
+		}
 		if c.due {
 			k.write(ctx, s, c)
 		}
@@ -123,6 +129,18 @@
 	return m
 }
 
+// confirm compares the versions of service with the key again, after it has read the
+// latest changes. That a host knows no server of a version is no reason to remove the
+// version while there may be one that the host has not heard of.
+func (k *Keeper) confirm(ctx context.Context, service sardineknot.ServiceName) comparison {
+	err := k.Refresh(ctx)
+	if err != nil {
+		k.Log.Debug().Stringer("event", sardineknot.LogVersionsNotWritten).Str("key", keyPrefix+string(service)).Err(err).Send()
+		return comparison{}
+	}
+	return k.compare(service)
+}
+
 // checkPause begins to observe again if this host was paused, and waits until the keys
 // are read again.
 func (k *Keeper) checkPause() {
--- a/internal/versions/store/keys.go
+++ b/internal/versions/store/keys.go
@@ -45,6 +45,8 @@
 	// write versions under the key. The key is deleted if there are none.
 	missing, due bool
 	versions     []sardineknot.SoftwareVersion
+	// removes reports whether the key lists a version that versions lacks.
+	removes bool
 	// revision is the known revision of the key.
 	revision sardineknot.StoreRevision
 }
@@ -175,6 +177,7 @@
 		// A host that has just started may not have seen the owner yet. If the key lists
 		// something, the host still writes at once what is missing.
 		c.due = len(s.stored) > 0 || n.Sub(k.watchedSince) >= ownerTime
+		c.removes = len(union(w, s.stored)) > len(w)
 		return c
 	}
 	c.due = c.missing && n.Sub(s.missingSince) >= k.patience(keyPrefix+string(service))
--- a/internal/versions/twirp/directory.go
+++ b/internal/versions/twirp/directory.go
@@ -71,7 +71,7 @@
 	d := &Directory{Clock: clock, sends: make(chan struct{}, maxSends), changed: make(chan struct{}, 1)}
 	d.outbox.wake = make(chan struct{}, 1)
 	d.Keeper = store.NewKeeper(clock)
-	d.Keeper.History, d.Keeper.StreamTime = &d.history, d.streamTime
+	d.Keeper.History, d.Keeper.StreamTime, d.Keeper.Refresh = &d.history, d.streamTime, d.readChanges
 	return d
 }
 
@@ -206,15 +206,15 @@
 	c := latest.current()
 	l, k, _ := d.Keeper.Versions(service)
 	l = union(l, a)
-	only := c && k && len(l) == 1
+	o := c && k && len(l) == 1
 	// Segments may show a version whose key was not written before all hosts were
 	// killed.
-	if !only || d.Keeper.HasSegments() {
+	if !o || d.Keeper.HasSegments() {
 		if v, ok := d.Keeper.Find(ctx, stream); ok {
 			return v, true
 		}
 	}
-	if only {
+	if o {
 		return l[0], true
 	}
 	d.Log.Warn().Stringer("event", sardineknot.LogVersionUnknown).Str("request", string(stream)).Str("service", string(service)).Int("versions", len(l)).Bool("read", k).Bool("current", c).Send()
--- a/internal/versions/twirp/refresh.go
+++ b/internal/versions/twirp/refresh.go
@@ -26,16 +26,22 @@
 	f := &refresh{done: make(chan struct{})}
 	go func() {
 		defer close(f.done)
-		ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
-		defer cancel()
-		f.err = d.Refresh(ctx)
-		if f.err == nil {
-			d.observe()
-		}
+		f.err = d.readChanges(ctx)
 	}()
 	return f
 }
 
+// readChanges reads the changes of the key-value service that have been made until now.
+func (d *Directory) readChanges(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+	defer cancel()
+	err := d.Refresh(ctx)
+	if err == nil {
+		d.observe()
+	}
+	return err
+}
+
 // current waits for the end of the read, which takes at most refreshTimeout, and reports
 // whether it succeeded.
 func (f *refresh) current() bool {
--- a/internal/versions/twirp/stale_test.go
+++ b/internal/versions/twirp/stale_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/versions/twirp"
@@ -165,3 +166,24 @@
 		})
 	})
 }
+
+// TestKeyOfStaleOwner guards against an owner that removes a version from the key of a
+// service because it has not heard of the servers of that version.
+func TestKeyOfStaleOwner(t *testing.T) {
+	run(t, func(t *testing.T, ctx context.Context) {
+		is := is.New(t)
+		f := newFleet("v1", "v2")
+		l := f.startAll(ctx, 3)
+		for _, d := range l {
+			d.Refresh = func(context.Context) error { return errors.WithStack(&sardineknot.UnavailableError{Peer: "store"}) }
+		}
+		f.setVersions("v2")
+		time.Sleep(3 * streamTime)
+		is.Equal(f.store.value("versions/llm"), `{"Versions":["v1","v2"]}`)
+		for _, d := range l {
+			d.Refresh = func(context.Context) error { return nil }
+		}
+		time.Sleep(2 * time.Second)
+		is.Equal(f.store.value("versions/llm"), `{"Versions":["v2"]}`)
+	})
+}
