orders/ledger: tokens hold the era of the store

Cause: a token is one more than the greatest that the process has used or seen. The store came back from a copy without the record, the host that had issued the order was removed, and the next one had nothing to remember. For want of a record it did not wait either.

Ruled out: a write that met the return of the store (the record was there), and two owners at once (the second order came 4 s after the first host was stopped).

A token is now the era of the store times 2^32, plus a count. The era is in every answer of the store and only rises. For five seconds after a process learned of an era it issues no order: one of the era before may still be sent, and its record be lost. In the first era nothing changes.

--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -129,6 +129,7 @@
 	p.registry.Refresh()
 	if revision.Era > p.committedEra {
 		p.committedEra = revision.Era
+		p.orders.BeginEra(revision.Era)
 		p.exchange.Fetch(context.Background())
 	}
 	p.source.Commit()
--- a/internal/host/gateway/follow_test.go
+++ b/internal/host/gateway/follow_test.go
@@ -14,6 +14,7 @@
 	"sardineknot.example/sardineknot/internal/configuration/inforce"
 	configuration "sardineknot.example/sardineknot/internal/configuration/store"
 	membership "sardineknot.example/sardineknot/internal/membership/store"
+	"sardineknot.example/sardineknot/internal/orders/ledger"
 	"sardineknot.example/sardineknot/internal/platform/changelog"
 	versions "sardineknot.example/sardineknot/internal/versions/twirp"
 )
@@ -36,6 +37,7 @@
 	p := &Process{registry: membership.NewRegistry(sardineknot.EntryHost{ID: "a"}), source: configuration.NewSource(), entries: changelog.NewLog(), EntryDecoder: decoder{}}
 	p.exchange = &inforce.Exchange{Source: p.source, Members: p.registry, Random: rand.New(rand.NewPCG(1, 1))}
 	p.versions = versions.NewDirectory(p.clock)
+	p.orders = ledger.NewLedger(nil, p.clock, p.registry.Self(), p.clock.Sleep)
 	r := func() (bool, time.Time) { return true, time.Time{} }
 	p.registry.Clock, p.registry.Reachability, p.registry.Log = p.clock, r, zerolog.Nop()
 	p.source.Decoder, p.source.Clock, p.source.Reachability, p.source.Log = decoder{}, p.clock, r, zerolog.Nop()
--- a/internal/host/gateway/observe.go
+++ b/internal/host/gateway/observe.go
@@ -7,7 +7,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"sardineknot.example/sardineknot"
-	"sardineknot.example/sardineknot/internal/orders/ledger"
 	"sardineknot.example/sardineknot/internal/orders/roles"
 	"sardineknot.example/sardineknot/internal/slots/local"
 	"sardineknot.example/sardineknot/internal/slots/shard"
@@ -77,13 +76,11 @@
 // newRoleController returns the controller that orders engines to change their
 // roles.
 func (p *Process) newRoleController() *roles.Controller {
-	l := ledger.NewLedger(p.Store, p.clock.SinceBootClock(), p.registry.Self(), p.clock.Sleep)
-	l.SeparateHosts = true
 	return &roles.Controller{
 		OwnedShards: p.ownedShards,
 		Demand:      p.shardDemand,
 		Engine:      &orderClient{EngineOrderClient: p.EngineOrders, backoffs: p.backoffs, limiter: p.limiter, clock: p.clock},
-		Ledger:      l,
+		Ledger:      p.orders,
 		Log:         p.Log,
 	}
 }
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -38,6 +38,7 @@
 	"sardineknot.example/sardineknot/internal/membership/followers"
 	"sardineknot.example/sardineknot/internal/membership/rendezvous"
 	membership "sardineknot.example/sardineknot/internal/membership/store"
+	"sardineknot.example/sardineknot/internal/orders/ledger"
 	"sardineknot.example/sardineknot/internal/peer/h2c"
 	"sardineknot.example/sardineknot/internal/peer/tunnel"
 	places "sardineknot.example/sardineknot/internal/places/twirp"
@@ -151,6 +152,8 @@
 	slots       *twirp.Pool
 	// versions keeps the software versions that began streams.
 	versions *versions.Directory
+	// orders issues orders to engines.
+	orders *ledger.Ledger
 	// guard bars requests that crash backend servers.
 	guard *quarantine.Guard
 	// keeper keeps the quarantines of guard in the key-value service.
@@ -244,6 +247,7 @@
 	p.exchange = &inforce.Exchange{Source: p.source, Members: p.registry, Client: p.peers.Client(), Random: rand.New(rand.NewPCG(n, n+5)), Log: p.Log}
 	p.backoffs = backoff.NewSet(rand.NewPCG(n, n+2))
 	p.addSlots()
+	p.addOrders()
 	p.addVersions()
 	p.addDialer()
 	p.addGuard()
@@ -253,6 +257,12 @@
 	p.addCallHandler(h)
 }
 
+// addOrders creates the ledger of orders to engines.
+func (p *Process) addOrders() {
+	p.orders = ledger.NewLedger(p.Store, p.clock.SinceBootClock(), p.registry.Self(), p.clock.Sleep)
+	p.orders.SeparateHosts = true
+}
+
 // addVersions creates the directory of the software versions that began streams.
 func (p *Process) addVersions() {
 	d := versions.NewDirectory(p.clock)
--- a/internal/host/gateway/scale_bench_test.go
+++ b/internal/host/gateway/scale_bench_test.go
@@ -18,6 +18,7 @@
 	"sardineknot.example/sardineknot/internal/membership/followers"
 	"sardineknot.example/sardineknot/internal/membership/rendezvous"
 	membership "sardineknot.example/sardineknot/internal/membership/store"
+	"sardineknot.example/sardineknot/internal/orders/ledger"
 	"sardineknot.example/sardineknot/internal/platform/changelog"
 	"sardineknot.example/sardineknot/internal/platform/rewrite"
 	"sardineknot.example/sardineknot/internal/policy/memory"
@@ -118,6 +119,7 @@
 	}
 	p := &Process{registry: membership.NewRegistry(h(0)), source: configuration.NewSource(), entries: changelog.NewLog(), EntryDecoder: jsonDecoder{}}
 	p.versions = versions.NewDirectory(p.clock)
+	p.orders = ledger.NewLedger(nil, p.clock, p.registry.Self(), p.clock.Sleep)
 	r := func() (bool, time.Time) { return true, time.Time{} }
 	p.registry.Clock, p.registry.Reachability, p.registry.Log = p.clock, r, zerolog.Nop()
 	p.source.Decoder, p.source.Clock, p.source.Reachability, p.source.Log = jsonDecoder{}, p.clock, r, zerolog.Nop()
--- a/internal/orders/ledger/ledger.go
+++ b/internal/orders/ledger/ledger.go
@@ -9,6 +9,10 @@
 // time by its own clock, starting when it has read the earlier token. The
 // issuing host measures it by its own clock, starting before it writes the
 // token. The clocks of two hosts are therefore never compared.
+//
+// The store may come back from an older copy, which begins a new era, and then lacks
+// records. Tokens therefore contain the era, and no order is issued in a new era
+// before those of earlier eras can no longer be sent.
 package ledger
 
 import (
@@ -50,6 +54,8 @@
 	// tokens holds what this process knows of the tokens, also if the store has
 	// lost it.
 	tokens tokens
+	// eras holds what this process knows of the eras of the store.
+	eras eras
 }
 
 // record is the value stored for an engine.
@@ -72,9 +78,14 @@
 	return &Ledger{store: s, clock: c, self: self, sleep: sleep}
 }
 
+// BeginEra records that the store is in era. The sooner the ledger learns of a new era,
+// the less the first order in it must wait.
+func (l *Ledger) BeginEra(era sardineknot.StoreEra) { l.eras.learn(era, l.clock.Now()) }
+
 // IssueOrder returns an order to server with a new fencing token. For an engine
 // that does not check fencing tokens it first waits until every earlier order
-// is done or can no longer be sent. It waits too if the store has lost the record
+// is done or can no longer be sent. It waits too until no order of an earlier era can
+// be sent, whose record the store may have lost, and if the store has lost the record
 // of an order that this process knows of, because later ones may be lost as well.
 // It fails with a ConflictError if another host issued an order or the store came
 // back from an older copy in the meantime, and with an UnavailableError if the
@@ -85,12 +96,9 @@
 	if err != nil {
 		return sardineknot.EngineOrder{}, err
 	}
-	o := l.tokens.see(server.Name, v.Number, r.Era)
-	if o {
-		v.Validity = max(v.Validity, orderValidity)
-	}
-	if o || !r.Absent() && l.mustWait(server, v) {
-		err = l.sleep(ctx, v.Validity+waitMargin)
+	d := l.waitTime(server, v, r)
+	if d > 0 {
+		err = l.sleep(ctx, d)
 		if err != nil {
 			return sardineknot.EngineOrder{}, err
 		}
@@ -104,6 +112,21 @@
 	return sardineknot.EngineOrder{Server: server.Name, Target: want, Token: v.Number, SendBefore: t.Add(orderValidity)}, nil
 }
 
+// waitTime returns the time for which IssueOrder must wait until no earlier order can be sent
+// to server. last is the record of server at revision.
+func (l *Ledger) waitTime(server sardineknot.BackendServer, last record, revision sardineknot.StoreRevision) time.Duration {
+	n := l.clock.Now()
+	l.eras.learn(revision.Era, n)
+	d := l.eras.orderWait(n)
+	if l.tokens.see(server.Name, last.Number, revision.Era) {
+		return max(d, last.Validity+waitMargin, orderValidity+waitMargin)
+	}
+	if !revision.Absent() && l.mustWait(server, last) {
+		return max(d, last.Validity+waitMargin)
+	}
+	return d
+}
+
 // mustWait reports whether IssueOrder must wait for the order in last, the
 // previous record of server: because the order may still be sent to an engine
 // that does not check fencing tokens, or because SeparateHosts is set and
--- a/internal/orders/ledger/tokens.go
+++ b/internal/orders/ledger/tokens.go
@@ -6,6 +6,12 @@
 	"sardineknot.example/sardineknot"
 )
 
+// eraTokens is the number of tokens of each era. The token of an order contains the era
+// of the store in which it was issued, so that a process that has not read the record
+// of an earlier order, which the store has lost, does not use its token again. Tokens
+// of two million eras have less than 54 bits, which every JSON decoder reads exactly.
+const eraTokens sardineknot.FencingToken = 1 << 32
+
 // tokens holds the greatest fencing token that this process has used or seen for
 // each engine. The store may come back from an older copy, which has smaller
 // ones. It is safe for concurrent use. The zero value holds none.
@@ -34,12 +40,12 @@
 	return false
 }
 
-// next returns a token greater than all that this process has used or seen, and
-// records it as used in era.
+// next returns a token of era that is greater than all that this process has used or
+// seen, and records it as used.
 func (t *tokens) next(server sardineknot.BackendServerName, era sardineknot.StoreEra) sardineknot.FencingToken {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := t.greatest[server].token + 1
+	n := max(t.greatest[server].token, sardineknot.FencingToken(era)*eraTokens) + 1
 	t.setLocked(server, tokenInEra{token: n, era: era})
 	return n
 }
--- a/order.go
+++ b/order.go
@@ -8,7 +8,7 @@
 
 // FencingToken numbers the orders that are sent to one engine. A later order
 // has a greater token, so that the engine can reject an earlier order that
-// arrives late. Zero is not valid.
+// arrives late. It need not be the next number. Zero is not valid.
 type FencingToken int64
 
 // EngineState describes the model that an engine has loaded and the role in
