host/gateway: an older copy brings no server back that has left

Cause: a follower passes on all entries of a new era, also that of a server which it knows to have left. Hosts that read from it have not seen the later reports of the server, which contain nothing new, so that the old entry is news to them, and the server is in use again.

A follower now leaves out the entry of a server that has left and has not reported since. Its first new report is passed on as before.

TestDepartedServerOfOlderCopy failed before.

--- a/internal/configuration/store/source.go
+++ b/internal/configuration/store/source.go
@@ -213,6 +213,23 @@
 	return s.departed.Outdated(b, sequence, era)
 }
 
+// Departed reports whether e is the entry of a server that has left, such as an older copy
+// of the service may hold: the entry of its process was removed, and it has not reported
+// since.
+func (s *Source) Departed(e sardineknot.StoreEntry) bool {
+	b, ok, err := s.Decoder.DecodeServer(e)
+	if !ok || err != nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.servers[e.Key]
+	if o != nil && o.removedAt.IsZero() {
+		return false
+	}
+	return s.outdatedLocked(e.Key, o, b, b.Sequence, e.Revision.Era)
+}
+
 // sequenceLocked returns the number of the last report of o, the server under key.
 // Reports that contain nothing new are decoded only here.
 func (s *Source) sequenceLocked(key string, o *server) int64 {
--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -110,14 +110,15 @@
 
 // applyEntry applies a changed entry of the store, and records it for other
 // hosts unless it tells nothing new. The first entries of an era are all
-// recorded.
+// recorded, except those of servers that have left: other hosts do not get all reports
+// of a server, so that they cannot tell an old one.
 func (p *Process) applyEntry(entry sardineknot.StoreEntry) {
 	entry = p.EntryDecoder.Redact(entry)
 	h := p.registry.Apply(entry)
 	s := p.source.Apply(entry)
 	q := p.keeper.Apply(entry)
 	v := p.versions.Apply(entry)
-	if h || s || q || v || p.entries.Precedes(entry.Revision.Era) {
+	if h || s || q || v || p.entries.Precedes(entry.Revision.Era) && !p.source.Departed(entry) {
 		p.entries.Record(entry)
 	}
 }
--- a/internal/host/gateway/follow_test.go
+++ b/internal/host/gateway/follow_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -78,6 +79,37 @@
 	checkPassedOn(t, p, 3, sardineknot.StoreRevision{Era: 1, Number: 6})
 }
 
+// reportDecoder is like decoder, but the value of an entry is the number of the server's
+// report.
+type reportDecoder struct{ decoder }
+
+func (reportDecoder) DecodeServer(entry sardineknot.StoreEntry) (sardineknot.BackendServer, bool, error) {
+	n, err := strconv.ParseInt(string(entry.Value), 10, 64)
+	return sardineknot.BackendServer{Name: sardineknot.BackendServerName(entry.Key), Service: "s", Born: 1, Sequence: n}, true, err
+}
+
+// TestDepartedServerOfOlderCopy guards against a server that has left and is in use again
+// at hosts that read from this one, because the store came back from an older copy which
+// holds its entry. They have not seen its later reports.
+func TestDepartedServerOfOlderCopy(t *testing.T) {
+	p := newTestProcess()
+	p.source.Decoder = reportDecoder{}
+	report := func(revision sardineknot.StoreRevision, value string) {
+		p.applyEntry(sardineknot.StoreEntry{Key: "one", Value: []byte(value), Revision: revision})
+		p.commitEntries(revision)
+	}
+	report(sardineknot.StoreRevision{Number: 1}, "1")
+	report(sardineknot.StoreRevision{Number: 2}, "45") // contains nothing new
+	checkPassedOn(t, p, 1, sardineknot.StoreRevision{Number: 2})
+	p.applyEntry(sardineknot.StoreEntry{Key: "one"})
+	p.commitEntries(sardineknot.StoreRevision{Number: 3})
+	checkPassedOn(t, p, 0, sardineknot.StoreRevision{Number: 3})
+	report(sardineknot.StoreRevision{Era: 1, Number: 2}, "30")
+	checkPassedOn(t, p, 0, sardineknot.StoreRevision{Era: 1, Number: 2})
+	report(sardineknot.StoreRevision{Era: 1, Number: 3}, "46") // it is alive after all
+	checkPassedOn(t, p, 1, sardineknot.StoreRevision{Era: 1, Number: 3})
+}
+
 // TestBeginWithHosts guards against a host that reads all keys of the store although
 // others could give it theirs, because it has seen none when it selects the followers.
 func TestBeginWithHosts(t *testing.T) {
