caller/gateway: a host that stops refuses what it cannot end

Cause: Handler.admit knew nothing of the time that is left.

Ruled out: connections that should have been closed with the first answers (their heads were sent before the signal), and a stop that ends too early (7.5 of 8 s).

The handler now knows when the connections will be closed. A call is admitted if its deadline comes before, or if it ends in time even when it takes half as long again as the longest of its route in the last half minute. All others are refused at once as not run, with Retry-After 0, since another host can run them. What is left of the body is read first.

--- a/internal/caller/gateway/answer.go
+++ b/internal/caller/gateway/answer.go
@@ -19,8 +19,8 @@
 type answerWriter struct {
 	writer     http.ResponseWriter
 	controller *http.ResponseController
-	// leaving reports whether the connection is closed after the answer.
-	leaving *atomic.Bool
+	// closesAt is not nil if the connection is closed after the answer.
+	closesAt *atomic.Pointer[time.Time]
 	// clock returns the current time.
 	clock sardineknot.Clock
 	// started reports whether the header has been sent. status is the status
@@ -49,7 +49,7 @@
 	for k, v := range header {
 		h[k] = v
 	}
-	if a.leaving.Load() {
+	if a.closesAt.Load() != nil {
 		h.Set("Connection", "close")
 	}
 	a.started, a.status = true, status
--- a/internal/caller/gateway/handler.go
+++ b/internal/caller/gateway/handler.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/policy/durations"
 )
 
 const (
@@ -59,17 +60,14 @@
 	// durations.
 	Metrics metrics.Registry
 
-	// leaving is set by Leave.
-	leaving atomic.Bool
+	// closesAt is set by Leave, and nil before.
+	closesAt atomic.Pointer[time.Time]
+	// durations records how long calls take.
+	durations durations.Longest
 	// active is the number of calls in progress.
 	active atomic.Int64
 }
 
-// Leave adds the header field "Connection: close" to all answers that begin from
-// now on, also to calls that have already arrived. Their connections are closed after the answer, and
-// the callers connect to other hosts.
-func (h *Handler) Leave() { h.leaving.Store(true) }
-
 // Active returns the number of calls in progress.
 func (h *Handler) Active() int { return int(h.active.Load()) }
 
@@ -77,7 +75,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	a := &answerWriter{writer: w, controller: http.NewResponseController(w), leaving: &h.leaving, clock: h.Clock}
+	a := &answerWriter{writer: w, controller: http.NewResponseController(w), closesAt: &h.closesAt, clock: h.Clock}
 	a.prepare()
 	c, err := h.admit(a, r)
 	if err != nil {
@@ -89,7 +87,7 @@
 
 // admit validates r and returns its call. The body must arrive before the deadline of the
 // call. It fails with a NotRunError if there
-// is no configuration yet, with an UnknownError if no route matches, with an
+// is no configuration yet or the host stops too soon, with an UnknownError if no route matches, with an
 // UnauthorizedError if r lacks the key of a client account, and with an
 // InvalidError, a headerTooLargeError or an http.MaxBytesError if r violates the
 // format or the limits.
@@ -129,7 +127,7 @@
 		return nil, err
 	}
 	writer.limitBody(time.Time{})
-	return c, nil
+	return c, h.checkTime(c)
 }
 
 // authorize sets the client account of call to the one that its key belongs to. It
@@ -274,7 +272,11 @@
 // record logs the end of call and updates the metrics. err is nil if the answer
 // was written completely.
 func (h *Handler) record(call *sardineknot.Call, status int, err error) {
-	d := h.Clock.Now().Sub(call.ArrivedAt)
+	n := h.Clock.Now()
+	d := n.Sub(call.ArrivedAt)
+	if err == nil {
+		h.durations.Record(n, call.Route.Name, d)
+	}
 	metrics.GetOrRegisterCounter("calls{kind="+string(call.Route.Kind)+",status="+strconv.Itoa(status)+"}", h.Metrics).Inc(1)
 	metrics.GetOrRegisterTimer("call{kind="+string(call.Route.Kind)+"}", h.Metrics).Update(d)
 	e := h.Log.Info()
--- a/internal/host/gateway/stop.go
+++ b/internal/host/gateway/stop.go
@@ -37,7 +37,7 @@
 	e := p.clock.Now().Add(d - stopMargin)
 	p.Log.Info().Stringer("event", sardineknot.LogLeaving).Int("calls", p.handler.Active()).Send()
 	p.registry.Leave()
-	p.handler.Leave()
+	p.handler.Leave(e)
 	p.tunnels.Leave()
 	time.Sleep(acceptDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), e)
