platform: odd entries of servers name no server, and are told once

The report of other operators: one odd entry among those of the runners ended the processes that read the list, or stopped them from following it.

What could happen here: no entry ended a process, and the other entries stayed in use. Each write of an odd entry was logged and passed on to all hosts; one of a megabyte was kept and passed on as a whole.

Entries of hosts are checked alike.

--- a/internal/configuration/store/source.go
+++ b/internal/configuration/store/source.go
@@ -15,11 +15,13 @@
 	"sync"
 	"time"
 
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/configuration/departed"
 	"sardineknot.example/sardineknot/internal/configuration/leaving"
+	"sardineknot.example/sardineknot/internal/platform/refused"
 )
 
 // reregistrationGrace is the time after an outage of the service during which
@@ -42,8 +44,10 @@
 	// which it last started or stopped answering.
 	Reachability func() (reachable bool, since time.Time)
 	// Log receives an event for each accepted or rejected entry and each
-	// removed server.
+	// removed server. A server whose entry is rejected again has no further event.
 	Log zerolog.Logger
+	// Refused counts the entries of servers that were rejected. Nil counts none.
+	Refused metrics.Counter
 
 	mu sync.Mutex
 	// current is the result of Current. It is replaced on every change, never
@@ -62,6 +66,8 @@
 	// those whose entries were removed.
 	leaving  *leaving.Set
 	departed *departed.Set
+	// refused holds the keys of servers whose entries were rejected.
+	refused refused.Set
 	// stale is true while composed does not reflect base.
 	stale bool
 	// touched names, by key, the servers in which composed may differ from servers.
@@ -181,13 +187,9 @@
 func (s *Source) putLocked(e sardineknot.StoreEntry, b sardineknot.BackendServer, err error) bool {
 	o := s.servers[e.Key]
 	if err != nil {
-		if o != nil {
-			delete(s.servers, e.Key)
-			s.touched[e.Key] = o.Name
-		}
-		s.Log.Warn().Stringer("event", sardineknot.LogServerEntryRefused).Str("server", string(b.Name)).Err(err).Send()
-		return true
+		return s.refuseLocked(e.Key, b.Name, o, err)
 	}
+	s.refused.Remove(e.Key)
 	q, r := b.Sequence, e.Revision.Era
 	b.Sequence = 0
 	if s.outdatedLocked(e.Key, o, b, q, r) {
@@ -203,6 +205,25 @@
 	return true
 }
 
+// refuseLocked rejects the entry of the server name under key, which cannot be decoded
+// because of err. known is the last entry of the same name, or nil; its server is no
+// longer used.
+func (s *Source) refuseLocked(key string, name sardineknot.BackendServerName, known *server, err error) bool {
+	if s.Refused != nil {
+		s.Refused.Inc(1)
+	}
+	n := s.refused.Add(key)
+	if n {
+		s.Log.Warn().Stringer("event", sardineknot.LogServerEntryRefused).Str("server", string(name)).Err(err).Send()
+	}
+	if known == nil {
+		return n
+	}
+	delete(s.servers, key)
+	s.touched[key] = known.Name
+	return true
+}
+
 // outdatedLocked reports whether an entry of process b with the given sequence number,
 // read in era, is older than what is known of the process. known is the last entry of
 // the same name, or nil.
@@ -242,6 +263,9 @@
 
 func (s *Source) removeLocked(k string) bool {
 	o := s.servers[k]
+	if s.refused.Remove(k) {
+		return true
+	}
 	if o == nil || !o.removedAt.IsZero() {
 		return false
 	}
--- a/internal/configuration/store/source_test.go
+++ b/internal/configuration/store/source_test.go
@@ -1,11 +1,15 @@
 package store_test
 
 import (
+	"bytes"
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
@@ -116,6 +120,36 @@
 	})
 }
 
+// TestRefusedEntries guards against an entry that cannot be read and that is logged, or
+// passed on to other hosts, each time it is written.
+func TestRefusedEntries(t *testing.T) {
+	is := is.New(t)
+	var b bytes.Buffer
+	s := newTestSource()
+	s.Log, s.Refused = zerolog.New(&b), metrics.NewCounter()
+	apply := func(number int64, key, value string) bool {
+		return s.Apply(sardineknot.StoreEntry{Key: key, Value: []byte(value), Revision: sardineknot.StoreRevision{Number: number}})
+	}
+	is.True(apply(2, "b", "bad"))
+	is.True(!apply(3, "b", "bad"))
+	is.True(apply(4, "a", "bad")) // the server that is known is gone
+	is.True(!apply(5, "a", "bad"))
+	is.Equal(strings.Count(b.String(), "server_entry_refused"), 2)
+	is.Equal(s.Refused.Count(), int64(4))
+	s.Commit()
+	is.Equal(s.servers(), 0)
+	is.True(apply(6, "a", "s"))
+	is.True(apply(0, "b", "")) // other hosts forget it too
+	is.True(apply(7, "b", "bad"))
+	is.Equal(strings.Count(b.String(), "server_entry_refused"), 3)
+	for n := range int64(20_000) {
+		apply(8+n, fmt.Sprint("odd", n), "bad")
+	}
+	is.True(strings.Count(b.String(), "server_entry_refused") < 5000)
+	s.Commit()
+	is.Equal(s.servers(), 1)
+}
+
 // TestRestore covers a service that comes back from an older copy: its revisions
 // are newer, by their era, but the operators' version in the copy is older.
 func TestRestore(t *testing.T) {
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -242,6 +242,7 @@
 	p.registry.Store, p.registry.Clock, p.registry.Reachability, p.registry.Log = p.Store, p.clock, p.mirror.Reachability, p.Log
 	p.source = configuration.NewSource()
 	p.source.Decoder, p.source.Clock, p.source.Reachability, p.source.Log = p.EntryDecoder, p.clock, p.mirror.Reachability, p.Log
+	p.source.Refused = metrics.GetOrRegisterCounter("store.refused_servers", p.Metrics)
 	p.mirror.OnChange, p.mirror.OnBatch, p.mirror.OnRestore = p.applyEntry, p.commitEntries, p.registry.BeginEra
 	n := uint64(h.Incarnation)
 	p.exchange = &inforce.Exchange{Source: p.source, Members: p.registry, Client: p.peers.Client(), Random: rand.New(rand.NewPCG(n, n+5)), Log: p.Log}
--- a/internal/membership/store/entries.go
+++ b/internal/membership/store/entries.go
@@ -36,14 +36,19 @@
 		return true
 	}
 	if e.Revision.Absent() {
+		r.refused.Remove(n)
 		r.removeLocked(i)
 		return true
 	}
 	h, err := decode(i, e.Value)
+	if err != nil && !r.refused.Add(n) {
+		return false
+	}
 	if err != nil {
 		r.Log.Warn().Stringer("event", sardineknot.LogHostEntryRefused).Str("peer", n).Err(err).Send()
 		return true
 	}
+	r.refused.Remove(n)
 	r.addLocked(h)
 	return true
 }
--- a/internal/membership/store/registry.go
+++ b/internal/membership/store/registry.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/platform/refused"
 )
 
 const (
@@ -74,6 +75,8 @@
 	// joined and gone hold the hosts that were added and removed since the last
 	// log line about them.
 	joined, gone []string
+	// refused holds the names of hosts whose keys cannot be read.
+	refused refused.Set
 }
 
 // member is the state of another host.
