backend/http1: tests of a refusal that is written once more

The report of other operators: a faulty runner wrote an earlier refusal once more on a kept connection, and the next request was taken to be refused by it.

It cannot happen here: an answer counts only if it echoes the identifier of its request, a connection with unread bytes is not used again, and none carries one identifier twice.

--- a/internal/backend/http1/client_test.go
+++ b/internal/backend/http1/client_test.go
@@ -71,10 +71,15 @@
 
 // exchange makes an exchange and returns the complete body of the response.
 func exchange(client *http1.Client, server *scriptedServer, id string) (string, error) {
+	return exchangeBody(client, server, id, []byte("body"))
+}
+
+// exchangeBody is exchange for a request with the given body.
+func exchangeBody(client *http1.Client, server *scriptedServer, id string, body []byte) (string, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
 	defer cancel()
 	p, err := client.Exchange(ctx, server.address, sardineknot.ExchangeRequest{
-		Method: http.MethodPost, Target: "/a/b?c=d", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte("body"),
+		Method: http.MethodPost, Target: "/a/b?c=d", Host: "h", Header: http.Header{"Id": {id}}, Body: body,
 		EchoHeader: "Id", EchoValue: id,
 	})
 	if err != nil {
