platform/mirror: one slow answer to a refresh is no outage

Cause: a poll that Refresh makes has 0.6 s for its answer, a usual one 1.6 s. Its failure was recorded as an outage, so that a store that answers in 0.7 s would have been lost and regained with each stream that is taken up; found by reading, no play has shown it.

The first failure of such a poll ends the calls that wait for it, and the mirror goes on with a usual poll. Two in a row count as an outage.

TestRefreshFails has a subtest that failed before.

--- a/internal/platform/mirror/mirror.go
+++ b/internal/platform/mirror/mirror.go
@@ -112,8 +112,11 @@
 		if errors.As(err, &i) {
 			continue
 		}
-		m.recordReachability(err)
 		m.finishRefreshes(l, err)
+		if m.isIsolatedFailure(len(l) > 0, err) {
+			continue
+		}
+		m.recordReachability(err)
 		var c *sardineknot.CompactedError
 		switch {
 		case err == nil:
--- a/internal/platform/mirror/mirror_test.go
+++ b/internal/platform/mirror/mirror_test.go
@@ -31,6 +31,8 @@
 	// err is the error that both methods return. A CompactedError is one of Next
 	// only, and cleared by the next call.
 	err error
+	// slow makes Next fail if it is not to wait for changes.
+	slow bool
 	// snapshots counts the calls of Snapshot, and nexts those of Next.
 	snapshots, nexts int
 }
@@ -46,6 +48,9 @@
 func (f *feed) Next(ctx context.Context, revision sardineknot.StoreRevision, timeout time.Duration) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
 	f.mu.Lock()
 	l, at, err := f.changes, f.at, f.err
+	if f.slow && timeout == 0 {
+		err = errDown
+	}
 	f.changes = nil
 	f.nexts++
 	f.clearCompacted()
--- a/internal/platform/mirror/refresh.go
+++ b/internal/platform/mirror/refresh.go
@@ -13,6 +13,10 @@
 	// refreshInterval is the least time between two polls for calls of Refresh. Calls
 	// that arrive meanwhile share the next poll.
 	refreshInterval = 100 * time.Millisecond
+	// outageFailures is the number of such polls in succession whose failure shows that
+	// the service does not answer. They time out sooner than others, so that a slow
+	// answer alone does not end the use of the service.
+	outageFailures = 2
 	// returnTime is the time after the service has become available again in which
 	// keys that expired during the outage may still be missing.
 	returnTime = 2200 * time.Millisecond
@@ -27,6 +31,9 @@
 	interrupt context.CancelFunc
 	// polledAt is the time of the last poll for such calls.
 	polledAt time.Time
+	// failures is the number of polls for such calls that have failed since the last poll
+	// that succeeded. Only Run uses it.
+	failures int
 	// regainedAt is the time at which the service last became available again or
 	// returned from an older copy. It is zero if it has not.
 	regainedAt time.Time
@@ -127,6 +134,21 @@
 	}
 }
 
+// isIsolatedFailure reports whether err, the result of a poll, is no reason to consider
+// the service unavailable. refreshing is set if the poll was made for calls of Refresh.
+func (m *Mirror) isIsolatedFailure(refreshing bool, err error) bool {
+	var c *sardineknot.CompactedError
+	if err == nil || errors.As(err, &c) {
+		m.refreshes.failures = 0
+		return false
+	}
+	if !refreshing {
+		return false
+	}
+	m.refreshes.failures++
+	return m.refreshes.failures < outageFailures
+}
+
 // interruptedError reports that a call of Refresh has ended a wait for changes.
 type interruptedError struct{}
 
--- a/internal/platform/mirror/refresh_test.go
+++ b/internal/platform/mirror/refresh_test.go
@@ -86,6 +86,20 @@
 			refuses(t, m)
 		})
 	})
+	t.Run("one failure does not make the service unavailable, and two do", func(t *testing.T) {
+		f := &feed{at: at(1)}
+		runMirror(t, f, func(m *mirror.Mirror, _ map[string]sardineknot.StoreRevision) {
+			f.set(func() { f.slow = true })
+			refuses(t, m)
+			advance(2 * time.Second)
+			k, _ := m.Reachability()
+			is.New(t).True(k)
+			refuses(t, m)
+			refuses(t, m)
+			k, _ = m.Reachability()
+			is.New(t).True(!k)
+		})
+	})
 	t.Run("fails just after an outage, when keys may still be missing", func(t *testing.T) {
 		f := &feed{at: at(1)}
 		runMirror(t, f, func(m *mirror.Mirror, _ map[string]sardineknot.StoreRevision) {
