--- a/internal/backend/http1/refusal_test.go
+++ b/internal/backend/http1/refusal_test.go
@@ -12,17 +12,16 @@
 	"github.com/matryer/is"
 )
 
-// refusal returns a complete answer that says that the request with the given identifier
-// did not run.
+// refusal returns a complete response that refuses the request with the given identifier.
 func refusal(id string) string {
-	return "HTTP/1.1 503 Service Unavailable\r\nId: " + id + "\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+	return "HTTP/1.1 503 Service Unavailable\r\nId: " + id + "\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n"
 }
 
 const (
 	// unidentified is a refusal without an identifier, and cut one whose body is not
 	// complete.
-	unidentified = "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
-	cut          = "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nNot-Executed: 1\r\nContent-Length: 9\r\n\r\nx"
+	unidentified = "HTTP/1.1 503 Service Unavailable\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n"
+	cut          = "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nRefused: 1\r\nContent-Length: 9\r\n\r\nx"
 )
 
 // answers makes an exchange, which the server refuses, and then another, and checks that
@@ -40,8 +39,8 @@
 }
 
 // TestRepeatedRefusal guards against a refusal that a server writes once more on a kept
-// connection, and that the next request is taken to be refused by: its caller would be
-// told that it did not run, or it would be sent to another server.
+// connection, and that the next request is taken to be refused by: its caller would
+// get status 503 although it runs, or it would be sent to another server.
 func TestRepeatedRefusal(t *testing.T) {
 	t.Run("before the next request was sent", func(t *testing.T) {
 		answers(t, serve(t, []string{refusal("1") + refusal("1")}, []string{ok("2", "b")}))
--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -111,7 +111,7 @@
 // applyEntry applies a changed entry of the store, and records it for other
 // hosts unless it tells nothing new. The first entries of an era are all
 // recorded, except those of servers that have left: other hosts do not get all reports
-// of a server, so that they cannot tell an old one.
+// of a server, so that an old one is not recognized there.
 func (p *Process) applyEntry(entry sardineknot.StoreEntry) {
 	entry = p.EntryDecoder.Redact(entry)
 	h := p.registry.Apply(entry)
--- a/internal/host/gateway/follow_test.go
+++ b/internal/host/gateway/follow_test.go
@@ -89,7 +89,7 @@
 }
 
 // TestDepartedServerOfOlderCopy guards against a server that has left and is in use again
-// at hosts that read from this one, because the store came back from an older copy which
+// at hosts that read from this one, because the store was restored from an older copy which
 // holds its entry. They have not seen its later reports.
 func TestDepartedServerOfOlderCopy(t *testing.T) {
 	p := newTestProcess()
--- a/internal/orders/ledger/eras.go
+++ b/internal/orders/ledger/eras.go
@@ -7,12 +7,12 @@
 	"sardineknot.example/sardineknot"
 )
 
-// eras holds the latest era of the store that this process knows of. It is safe for
-// concurrent use. The zero value is the first era.
+// eras records the latest era of the store. It is safe for concurrent use. The zero value
+// is the first era.
 type eras struct {
 	mu     sync.Mutex
 	latest sardineknot.StoreEra
-	// since is the time at which this process learned of the latest era.
+	// since is the time at which the latest era was recorded.
 	since time.Time
 }
 
--- a/internal/orders/ledger/ledger.go
+++ b/internal/orders/ledger/ledger.go
@@ -10,7 +10,7 @@
 // issuing host measures it by its own clock, starting before it writes the
 // token. The clocks of two hosts are therefore never compared.
 //
-// The store may come back from an older copy, which begins a new era, and then lacks
+// The store may be restored from an older copy, which begins a new era, and then lacks
 // records. Tokens therefore contain the era, and no order is issued in a new era
 // before those of earlier eras can no longer be sent.
 package ledger
@@ -54,7 +54,7 @@
 	// tokens holds what this process knows of the tokens, also if the store has
 	// lost it.
 	tokens tokens
-	// eras holds what this process knows of the eras of the store.
+	// eras records the latest era of the store.
 	eras eras
 }
 
@@ -78,8 +78,8 @@
 	return &Ledger{store: s, clock: c, self: self, sleep: sleep}
 }
 
-// BeginEra records that the store is in era. The sooner the ledger learns of a new era,
-// the less the first order in it must wait.
+// BeginEra records that the store is in era. The first order in a later era waits until
+// none of the era before can arrive, which counts from this call.
 func (l *Ledger) BeginEra(era sardineknot.StoreEra) { l.eras.learn(era, l.clock.Now()) }
 
 // IssueOrder returns an order to server with a new fencing token. For an engine
--- a/internal/platform/mirror/refresh_test.go
+++ b/internal/platform/mirror/refresh_test.go
@@ -76,7 +76,7 @@
 }
 
 // TestRefreshFails guards against a view that is taken for the present one although the
-// service does not answer, or has just come back and may still lack keys.
+// service does not answer, or is available again and may still lack keys.
 func TestRefreshFails(t *testing.T) {
 	t.Run("fails while the service does not answer", func(t *testing.T) {
 		f := &feed{at: at(1)}
--- a/internal/versions/store/keeper.go
+++ b/internal/versions/store/keeper.go
@@ -130,8 +130,8 @@
 }
 
 // confirm compares the versions of service with the key again, after it has read the
-// latest changes. That a host knows no server of a version is no reason to remove the
-// version while there may be one that the host has not heard of.
+// latest changes: a version must stay while there may be a server of it that this host has
+// not read yet.
 func (k *Keeper) confirm(ctx context.Context, service sardineknot.ServiceName) comparison {
 	err := k.Refresh(ctx)
 	if err != nil {
--- a/internal/versions/twirp/directory.go
+++ b/internal/versions/twirp/directory.go
@@ -168,8 +168,8 @@
 	}
 }
 
-// Find implements sardineknot.StreamVersions. If this host knows no server of the
-// version that it finds, it first reads the latest changes of the key-value service, so
+// Find implements sardineknot.StreamVersions. If the configuration has no server of
+// the version that is found, Find first reads the latest changes of the key-value service, so
 // that the stream can go on at a server that has just started.
 func (d *Directory) Find(ctx context.Context, stream sardineknot.RequestID, service sardineknot.ServiceName) (sardineknot.SoftwareVersion, bool) {
 	v, ok := d.records.get(stream)
@@ -221,7 +221,7 @@
 	return "", false
 }
 
-// serves reports whether this host knows a server of service that has version.
+// serves reports whether the configuration has a server of service with version.
 func (d *Directory) serves(service sardineknot.ServiceName, version sardineknot.SoftwareVersion) bool {
 	return slices.ContainsFunc(d.Source.Current().BackendServers, func(b sardineknot.BackendServer) bool {
 		return sardineknot.ServiceName(b.Service) == service && b.SoftwareVersion == version
--- a/internal/versions/twirp/refresh.go
+++ b/internal/versions/twirp/refresh.go
@@ -6,7 +6,7 @@
 )
 
 const (
-	// askDelay is the time after which other hosts are asked for a stream while the
+	// askDelay is the time after which other hosts are queried for a stream while the
 	// changes of the key-value service are still being read.
 	askDelay = 50 * time.Millisecond
 	// refreshTimeout bounds the time for which these changes are awaited.
--- a/internal/versions/twirp/stale_test.go
+++ b/internal/versions/twirp/stale_test.go
@@ -58,8 +58,8 @@
 	return nil
 }
 
-// TestStaleView guards against a stream that goes on at the only version that a host
-// knows, after servers of another one have started which the host has not heard of.
+// TestStaleView guards against a stream that goes on at the only version that a host has
+// read, after servers of another one have started.
 func TestStaleView(t *testing.T) {
 	t.Run("a host that is cut off from the store and the others does not continue an unknown stream", func(t *testing.T) {
 		run(t, func(t *testing.T, ctx context.Context) {
@@ -168,7 +168,7 @@
 }
 
 // TestKeyOfStaleOwner guards against an owner that removes a version from the key of a
-// service because it has not heard of the servers of that version.
+// service because it has not read the entries of the servers of that version.
 func TestKeyOfStaleOwner(t *testing.T) {
 	run(t, func(t *testing.T, ctx context.Context) {
 		is := is.New(t)
--- a/logevent.go
+++ b/logevent.go
@@ -193,10 +193,10 @@
 	// LogVersionNotSent reports that another entry host was not reached to keep
 	// or to tell the software version that began a stream.
 	LogVersionNotSent LogEvent = "version_not_sent"
-	// LogVersionUnknown reports that no entry host knows the software version
-	// that began a stream whose caller has come back. The servers have had a number of
-	// versions ("versions"), or there may be one that this host has not heard of
-	// ("current" is false).
+	// LogVersionUnknown reports that the software version that began a resumed stream
+	// is not recorded on any entry host. The servers have had a number of versions
+	// ("versions"), or there may be one that this host has not read yet ("current" is
+	// false).
 	LogVersionUnknown LogEvent = "version_unknown"
 	// LogVersionsMixed reports whether streams of several software versions of the
 	// service "service" may be resumed ("mixed"), so that the version of each stream
