--- a/internal/versions/twirp/stale_test.go
+++ b/internal/versions/twirp/stale_test.go
@@ -58,80 +58,66 @@
 	return nil
 }
 
-// TestStaleView guards against a stream that goes on at the only version that a host has
-// read, after servers of another one have started.
-func TestStaleView(t *testing.T) {
-	t.Run("a host that is cut off from the store and the others does not continue an unknown stream", func(t *testing.T) {
+// runFour runs test in virtual time with four hosts before servers of v1.
+func runFour(t *testing.T, name string, test func(t *testing.T, f *fleet, l []*twirp.Directory)) {
+	t.Run(name, func(t *testing.T) {
 		run(t, func(t *testing.T, ctx context.Context) {
 			f := newFleet("v1")
-			l := f.startAll(ctx, 4)
-			f.cut(3)
-			f.setVersions("v1", "v2")
-			synctest.Wait()
-			l[0].Record("a", "v2")
-			for n := range 3 {
-				f.mark(f.paused, n, true)
-			}
-			findsNone(t, l[3], "unknown")
+			test(t, f, f.startAll(ctx, 4))
 		})
 	})
-	t.Run("nor does a host whose changes come from a host that is cut off", func(t *testing.T) {
-		run(t, func(t *testing.T, ctx context.Context) {
-			f := newFleet("v1")
-			l := f.startAll(ctx, 4)
-			for n := range 4 {
-				f.cut(n)
-			}
-			f.setVersions("v1", "v2")
-			findsNone(t, l[3], "unknown")
-		})
+}
+
+// TestStaleView guards against a stream that goes on at the only version that a host has
+// read, after servers of another one have started.
+func TestStaleView(t *testing.T) {
+	runFour(t, "a host that is cut off from the store and the others does not continue an unknown stream", func(t *testing.T, f *fleet, l []*twirp.Directory) {
+		f.cut(3)
+		f.setVersions("v1", "v2")
+		synctest.Wait()
+		l[0].Record("a", "v2")
+		for n := range 3 {
+			f.mark(f.paused, n, true)
+		}
+		findsNone(t, l[3], "unknown")
+	})
+	runFour(t, "nor does a host whose changes come from a host that is cut off", func(t *testing.T, f *fleet, l []*twirp.Directory) {
+		for n := range 4 {
+			f.cut(n)
+		}
+		f.setVersions("v1", "v2")
+		findsNone(t, l[3], "unknown")
 	})
 }
 
 // TestLateView guards against a stream that is refused, or goes on at another version,
 // at a host that can read the changes which it lacks.
 func TestLateView(t *testing.T) {
-	t.Run("a host that is behind reads the changes first", func(t *testing.T) {
-		run(t, func(t *testing.T, ctx context.Context) {
-			f := newFleet("v1")
-			l := f.startAll(ctx, 4)
-			f.delay(3)
-			f.setVersions("v1", "v2")
-			findsNone(t, l[3], "unknown")
-		})
+	runFour(t, "a host that is behind reads the changes first", func(t *testing.T, f *fleet, l []*twirp.Directory) {
+		f.delay(3)
+		f.setVersions("v1", "v2")
+		findsNone(t, l[3], "unknown")
 	})
-	t.Run("a host that was cut off continues the stream once it can read again", func(t *testing.T) {
-		run(t, func(t *testing.T, ctx context.Context) {
-			f := newFleet("v1")
-			l := f.startAll(ctx, 4)
-			f.cut(3)
-			findsNone(t, l[3], "unknown")
-			f.store.cutOff(f.hosts[3].PeerAddress.String(), false, true)
-			finds(t, l[3], "unknown", "v1")
-		})
+	runFour(t, "a host that was cut off continues the stream once it can read again", func(t *testing.T, f *fleet, l []*twirp.Directory) {
+		f.cut(3)
+		findsNone(t, l[3], "unknown")
+		f.store.cutOff(f.hosts[3].PeerAddress.String(), false, true)
+		finds(t, l[3], "unknown", "v1")
 	})
-	t.Run("a host that is cut off from the store only learns the version from others", func(t *testing.T) {
-		run(t, func(t *testing.T, ctx context.Context) {
-			f := newFleet("v1")
-			l := f.startAll(ctx, 4)
-			f.cut(3)
-			f.setVersions("v1", "v2")
-			synctest.Wait()
-			l[0].Record("a", "v2")
-			synctest.Wait()
-			finds(t, l[3], "a", "v2")
-		})
+	runFour(t, "a host that is cut off from the store only learns the version from others", func(t *testing.T, f *fleet, l []*twirp.Directory) {
+		f.cut(3)
+		f.setVersions("v1", "v2")
+		synctest.Wait()
+		l[0].Record("a", "v2")
+		synctest.Wait()
+		finds(t, l[3], "a", "v2")
 	})
-	t.Run("a host that is behind learns of the server on which a stream of its own can go on", func(t *testing.T) {
-		run(t, func(t *testing.T, ctx context.Context) {
-			f := newFleet("v1")
-			l := f.startAll(ctx, 4)
-			f.delay(3)
-			f.setVersions("v1", "v2")
-			l[3].Record("a", "v2")
-			finds(t, l[3], "a", "v2")
-			is.New(t).Equal(len(l[3].Source.Current().BackendServers), 2)
-		})
+	runFour(t, "a host that is behind learns of the server on which a stream of its own can go on", func(t *testing.T, f *fleet, l []*twirp.Directory) {
+		f.delay(3)
+		f.setVersions("v1", "v2")
+		l[3].Record("a", "v2")
+		finds(t, l[3], "a", "v2")
+		is.New(t).Equal(len(l[3].Source.Current().BackendServers), 2)
 	})
 }
 
@@ -152,18 +138,14 @@
 			findsNone(t, d, "unknown")
 		})
 	})
-	t.Run("a refusal comes within two seconds", func(t *testing.T) {
-		run(t, func(t *testing.T, ctx context.Context) {
-			f := newFleet("v1")
-			l := f.startAll(ctx, 4)
-			l[3].Refresh = func(ctx context.Context) error {
-				<-ctx.Done()
-				return ctx.Err()
-			}
-			n := time.Now()
-			findsNone(t, l[3], "unknown")
-			is.New(t).True(time.Since(n) <= 2*time.Second)
-		})
+	runFour(t, "a refusal comes within two seconds", func(t *testing.T, _ *fleet, l []*twirp.Directory) {
+		l[3].Refresh = func(ctx context.Context) error {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		n := time.Now()
+		findsNone(t, l[3], "unknown")
+		is.New(t).True(time.Since(n) <= 2*time.Second)
 	})
 }
 
