platform/twirp: the age of a host's view, in answers, metrics and logs

Cause: a late change could not be told from a current view without it, nor a follower that answers with an old view from one that fails: store_source is logged only when the source changes, failed calls were not logged, and no line says how old the view was by which a call was routed (docs/incidents/config-late-change.md).

Change: a read of the store shows it as of the moment of the call. A follower adds to its answers when its own view was last known to be current, counted from the arrival of the call, on a clock that counts suspensions; so the reader knows it without comparing clocks. Feed.Commit, Feed.ViewAge; view_ms in call_ended, call_refused and store_source; store_source_failed, once for each source between two answers; store.view_age, store.failed_reads, store.failed_peer_reads. Builds before ignore the new field, and their answers count as of the call.

No decision changes.

--- a/call.go
+++ b/call.go
@@ -42,6 +42,9 @@
 	// Revision is the revision of the configuration that was in force when the
 	// call arrived.
 	Revision Revision
+	// ViewAge is the age that the view of the configuration and of the servers had then: the
+	// time since it was last known to be current.
+	ViewAge time.Duration
 	// Key is the digest of the caller's key. It is the zero value if the call has
 	// none.
 	Key KeyDigest
--- a/internal/caller/gateway/handler.go
+++ b/internal/caller/gateway/handler.go
@@ -52,6 +52,9 @@
 	// Limiter keeps client accounts within their limits. Nil means that there are no
 	// limits.
 	Limiter sardineknot.AccountLimiter
+	// ViewAge returns the time since the configuration and the servers that this host has
+	// were last known to be current. Nil means that they always are.
+	ViewAge func() time.Duration
 	// Clock returns the current time.
 	Clock sardineknot.Clock
 	// Log receives one event for each call.
@@ -110,7 +113,7 @@
 		return nil, err
 	}
 	c.Route = t
-	c.Revision = f.Revision
+	c.Revision, c.ViewAge = f.Revision, h.viewAge()
 	err = authorize(f, c)
 	if err != nil {
 		return nil, err
@@ -130,6 +133,16 @@
 	return c, h.checkTime(c)
 }
 
+// viewAge returns the result of ViewAge and records it in the metrics.
+func (h *Handler) viewAge() time.Duration {
+	if h.ViewAge == nil {
+		return 0
+	}
+	d := h.ViewAge()
+	metrics.GetOrRegisterTimer("store.view_age", h.Metrics).Update(d)
+	return d
+}
+
 // authorize sets the client account of call to the one that its key belongs to. It
 // fails with an UnauthorizedError if there is none and call needs one under
 // configuration.
@@ -284,13 +297,14 @@
 		e = h.Log.Warn().Err(err)
 	}
 	e.Stringer("event", sardineknot.LogCallEnded).Str("request", string(call.ID)).Str("account", string(call.AccountName())).Str("route", string(call.Route.Name)).Int64("revision", int64(call.Revision)).
-		Str("service", string(call.Service)).Int("status", status).Dur("took_ms", d).Send()
+		Dur("view_ms", call.ViewAge).Str("service", string(call.Service)).Int("status", status).Dur("took_ms", d).Send()
 }
 
 // refuse answers and logs a request that was not admitted.
 func (h *Handler) refuse(writer *answerWriter, r *http.Request, err error) {
 	s := h.sendError(writer, err)
-	h.Log.Warn().Stringer("event", sardineknot.LogCallRefused).Str("called_host", r.Host).Str("path", r.URL.Path).Int("status", s).Err(err).Send()
+	h.Log.Warn().Stringer("event", sardineknot.LogCallRefused).Str("called_host", r.Host).Str("path", r.URL.Path).Int("status", s).
+		Int64("revision", int64(h.Source.Current().Revision)).Dur("view_ms", h.viewAge()).Err(err).Send()
 }
 
 // sendError sends the status code that corresponds to err, with an empty body,
--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -53,9 +53,11 @@
 	p.followers = followers.NewSelector(p.registry)
 	p.mirror = &mirror.Mirror{Clock: p.clock, Sleep: p.clock.Sleep, PollDelay: p.pollDelay, Log: p.Log, Restores: metrics.GetOrRegisterCounter("store.restores", p.Metrics)}
 	p.feed = &feed.Feed{
-		Store: p.Feed, Entries: p.entries, Selector: p.followers, Reachability: p.mirror.Reachability, Clock: p.clock, Client: p.peers.Client(), Log: p.Log,
-		StoreCalls: metrics.GetOrRegisterCounter("store.reads", p.Metrics),
-		PeerCalls:  metrics.GetOrRegisterCounter("store.peer_reads", p.Metrics),
+		Store: p.Feed, Entries: p.entries, Selector: p.followers, Reachability: p.mirror.Reachability, Clock: p.clock.SinceBootClock(), Client: p.peers.Client(), Log: p.Log,
+		StoreCalls:    metrics.GetOrRegisterCounter("store.reads", p.Metrics),
+		PeerCalls:     metrics.GetOrRegisterCounter("store.peer_reads", p.Metrics),
+		StoreFailures: metrics.GetOrRegisterCounter("store.failed_reads", p.Metrics),
+		PeerFailures:  metrics.GetOrRegisterCounter("store.failed_peer_reads", p.Metrics),
 	}
 	p.mirror.Feed, p.feed.Refresh = p.feed, p.mirror.Refresh
 	p.mirror.List, p.mirror.Prefix, p.mirror.OnList = p.listHosts, membership.KeyPrefix, p.beginWithHosts
@@ -135,5 +137,5 @@
 	}
 	p.source.Commit()
 	p.versions.Commit(revision)
-	p.entries.Commit(revision)
+	p.feed.Commit(revision)
 }
--- a/internal/host/gateway/follow_test.go
+++ b/internal/host/gateway/follow_test.go
@@ -17,6 +17,7 @@
 	membership "sardineknot.example/sardineknot/internal/membership/store"
 	"sardineknot.example/sardineknot/internal/orders/ledger"
 	"sardineknot.example/sardineknot/internal/platform/changelog"
+	feed "sardineknot.example/sardineknot/internal/platform/twirp"
 	versions "sardineknot.example/sardineknot/internal/versions/twirp"
 )
 
@@ -37,6 +38,7 @@
 func newTestProcess() *Process {
 	p := &Process{registry: membership.NewRegistry(sardineknot.EntryHost{ID: "a"}), source: configuration.NewSource(), entries: changelog.NewLog(), EntryDecoder: decoder{}}
 	p.exchange = &inforce.Exchange{Source: p.source, Members: p.registry, Random: rand.New(rand.NewPCG(1, 1))}
+	p.feed = &feed.Feed{Entries: p.entries, Clock: p.clock}
 	p.versions = versions.NewDirectory(p.clock)
 	p.orders = ledger.NewLedger(nil, p.clock, p.registry.Self(), p.clock.Sleep)
 	r := func() (bool, time.Time) { return true, time.Time{} }
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -344,6 +344,7 @@
 			Budget: b, Memory: m, Versions: p.versions, Self: self, Clock: p.clock, Log: p.Log,
 		},
 		Limiter: p.accountLimiter,
+		ViewAge: p.feed.ViewAge,
 		Clock:   p.clock,
 		Log:     p.Log,
 		Metrics: p.Metrics,
--- a/internal/host/gateway/scale_bench_test.go
+++ b/internal/host/gateway/scale_bench_test.go
@@ -21,6 +21,7 @@
 	"sardineknot.example/sardineknot/internal/orders/ledger"
 	"sardineknot.example/sardineknot/internal/platform/changelog"
 	"sardineknot.example/sardineknot/internal/platform/rewrite"
+	feed "sardineknot.example/sardineknot/internal/platform/twirp"
 	"sardineknot.example/sardineknot/internal/policy/memory"
 	"sardineknot.example/sardineknot/internal/slots/twirp"
 	"sardineknot.example/sardineknot/internal/versions/history"
@@ -118,6 +119,7 @@
 		}
 	}
 	p := &Process{registry: membership.NewRegistry(h(0)), source: configuration.NewSource(), entries: changelog.NewLog(), EntryDecoder: jsonDecoder{}}
+	p.feed = &feed.Feed{Entries: p.entries, Clock: p.clock}
 	p.versions = versions.NewDirectory(p.clock)
 	p.orders = ledger.NewLedger(nil, p.clock, p.registry.Self(), p.clock.Sleep)
 	r := func() (bool, time.Time) { return true, time.Time{} }
--- /dev/null
+++ b/internal/platform/twirp/age.go
@@ -0,0 +1,73 @@
+package twirp
+
+import (
+	"time"
+
+	"sardineknot.example/sardineknot"
+)
+
+// Commit makes the entries that were recorded visible to other hosts. They are complete
+// up to revision and reflect the last answer.
+func (f *Feed) Commit(revision sardineknot.StoreRevision) {
+	f.Entries.Commit(revision)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.currentAsOf = f.readAsOf
+}
+
+// ViewAge returns the time since the view of this host was last known to be current. It is
+// zero before the first Commit.
+func (f *Feed) ViewAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.ageLocked()
+}
+
+func (f *Feed) ageLocked() time.Duration {
+	if f.currentAsOf.IsZero() {
+		return 0
+	}
+	return f.Clock.Now().Sub(f.currentAsOf)
+}
+
+// recordRead records that the answer of a read which ended with err shows the service as
+// of the given time. Answers of followers may be older than those before.
+func (f *Feed) recordRead(asOf time.Time, err error) {
+	if err != nil {
+		return
+	}
+	n := f.Clock.Now()
+	if asOf.After(n) {
+		asOf = n
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if asOf.After(f.readAsOf) {
+		f.readAsOf = asOf
+	}
+}
+
+// recordFailure records that a call to peer, or to the service if peer is empty, failed
+// with err. The first failure of each since the last answer is logged.
+func (f *Feed) recordFailure(peer sardineknot.EntryHostID, begin time.Time, err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.failed[peer] {
+		return
+	}
+	if f.failed == nil {
+		f.failed = make(map[sardineknot.EntryHostID]bool)
+	}
+	f.failed[peer] = true
+	f.Log.Info().Stringer("event", sardineknot.LogStoreSourceFailed).Str("peer", string(peer)).Bool("direct", peer == "").
+		Dur("took_ms", f.Clock.Now().Sub(begin)).Dur("view_ms", f.ageLocked()).Err(err).Send()
+}
+
+// currentSince returns the time from begin until the view of this host was last known to
+// be current, in microseconds. It is negative if that was before begin.
+func (f *Feed) currentSince(begin time.Time) *int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	d := f.currentAsOf.Sub(begin).Microseconds()
+	return &d
+}
--- a/internal/platform/twirp/cluster_test.go
+++ b/internal/platform/twirp/cluster_test.go
@@ -74,12 +74,18 @@
 type hostFeed struct {
 	service *service
 	cut     atomic.Bool
+	// silent makes calls end without an answer when their time is over.
+	silent atomic.Bool
 	// old, if set, replaces the state of the service for this host.
 	old atomic.Pointer[changelog.Log]
 }
 
-func (f *hostFeed) call() error {
+func (f *hostFeed) call(ctx context.Context) error {
 	f.service.calls.Add(1)
+	if f.silent.Load() {
+		<-ctx.Done()
+		return errors.WithStack(ctx.Err())
+	}
 	if f.service.down.Load() || f.cut.Load() {
 		return errCut
 	}
@@ -87,8 +93,8 @@
 }
 
 // Snapshot implements sardineknot.ChangeFeed.
-func (f *hostFeed) Snapshot(context.Context) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
-	err := f.call()
+func (f *hostFeed) Snapshot(ctx context.Context) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
+	err := f.call(ctx)
 	if err != nil {
 		return nil, sardineknot.StoreRevision{}, err
 	}
@@ -102,7 +108,7 @@
 
 // Next implements sardineknot.ChangeFeed.
 func (f *hostFeed) Next(ctx context.Context, revision sardineknot.StoreRevision, timeout time.Duration) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
-	err := f.call()
+	err := f.call(ctx)
 	if err != nil {
 		return nil, revision, err
 	}
@@ -217,11 +223,12 @@
 	h.feed = &twirp.Feed{
 		Store: h.store, Entries: changelog.NewLog(), Selector: followers.NewSelector(h), Clock: clock.System{}, Client: &http.Client{Transport: h},
 		Log: zerolog.Nop(), StoreCalls: metrics.NewCounter(), PeerCalls: metrics.NewCounter(),
+		StoreFailures: metrics.NewCounter(), PeerFailures: metrics.NewCounter(),
 	}
 	_, h.handler = h.feed.Handler()
 	h.mirror = &mirror.Mirror{
 		Feed: h.feed, Clock: clock.System{}, Sleep: clock.System{}.Sleep, Log: zerolog.Nop(),
-		PollDelay: func() time.Duration { return 100 * time.Millisecond }, OnChange: h.apply, OnBatch: h.feed.Entries.Commit,
+		PollDelay: func() time.Duration { return 100 * time.Millisecond }, OnChange: h.apply, OnBatch: h.feed.Commit,
 		Restores: metrics.NewCounter(), OnRestore: func(sardineknot.StoreEra) {},
 	}
 	h.feed.Reachability, h.feed.Refresh = h.mirror.Reachability, h.mirror.Refresh
--- a/internal/platform/twirp/feed.go
+++ b/internal/platform/twirp/feed.go
@@ -60,14 +60,17 @@
 	Reachability func() (reachable bool, since time.Time)
 	// Refresh waits until Entries holds all changes that were made before the call.
 	Refresh func(context.Context) error
-	// Clock provides the current time.
+	// Clock provides the current time. It must count the time for which the machine is
+	// suspended, in which the view of this host gets older too.
 	Clock sardineknot.Clock
 	// Client sends requests to other entry hosts.
 	Client *http.Client
 	// Log receives an event when the source of the changes changes.
 	Log zerolog.Logger
 	// StoreCalls and PeerCalls count the calls to the service and to followers.
-	StoreCalls, PeerCalls metrics.Counter
+	// StoreFailures and PeerFailures count those of them that failed.
+	StoreCalls, PeerCalls       metrics.Counter
+	StoreFailures, PeerFailures metrics.Counter
 	// FirstStoreWait returns the time after the first call for which a host that is not
 	// a follower leaves the service alone and only queries followers, if nothing was
 	// answered yet. It is to differ between hosts, which may all have started together:
@@ -92,39 +95,56 @@
 	// startedAt is the time of the first call. answered is set once there was an answer.
 	startedAt time.Time
 	answered  bool
+	// readAsOf is the time for which the last answer shows the service. currentAsOf is the
+	// same for what Commit has made visible. Both are zero before the first answer.
+	readAsOf, currentAsOf time.Time
+	// failed holds the sources that have failed since the last answer.
+	failed map[sardineknot.EntryHostID]bool
 }
 
 var _ sardineknot.ChangeFeed = (*Feed)(nil)
 
 // Snapshot implements sardineknot.ChangeFeed.
 func (f *Feed) Snapshot(ctx context.Context) (entries []sardineknot.StoreEntry, revision sardineknot.StoreRevision, err error) {
+	var a time.Time
 	err = f.read(ctx, maxPeerWait, func(ctx context.Context, peer rpc.Changes, _ time.Duration) error {
+		b := f.Clock.Now()
+		var d time.Duration
 		var e error
-		entries, revision, e = snapshotFrom(ctx, peer)
+		entries, revision, d, e = snapshotFrom(ctx, peer)
+		a = b.Add(d)
 		return f.admit(revision, e)
 	}, func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 		defer cancel()
+		a = f.Clock.Now()
 		var e error
 		entries, revision, e = f.Store.Snapshot(ctx)
 		return f.admit(revision, e)
 	})
+	f.recordRead(a, err)
 	return entries, revision, err
 }
 
 // Next implements sardineknot.ChangeFeed.
 func (f *Feed) Next(ctx context.Context, revision sardineknot.StoreRevision, timeout time.Duration) (changes []sardineknot.StoreEntry, next sardineknot.StoreRevision, err error) {
+	var a time.Time
 	err = f.read(ctx, min(timeout, maxPeerWait), func(ctx context.Context, peer rpc.Changes, wait time.Duration) error {
+		b := f.Clock.Now()
+		var d time.Duration
 		var e error
-		changes, next, e = nextFrom(ctx, peer, revision, wait)
+		changes, next, d, e = nextFrom(ctx, peer, revision, wait)
+		a = b.Add(d)
 		return f.admit(next, e)
 	}, func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, timeout+storeMargin)
 		defer cancel()
+		a = f.Clock.Now()
 		var e error
 		changes, next, e = f.Store.Next(ctx, revision, timeout)
 		return f.admit(next, e)
 	})
+	f.recordRead(a, err)
 	return changes, next, err
 }
 
@@ -191,6 +211,7 @@
 	for range min(maxPeersTried, len(l)) {
 		h := f.currentPeer(l)
 		f.PeerCalls.Inc(1)
+		b := f.Clock.Now()
 		err = callPeer(ctx, f.Client, h, wait, askPeer)
 		if isAnswer(err) {
 			f.setSource(h.ID)
@@ -199,6 +220,8 @@
 		if ctx.Err() != nil {
 			return err
 		}
+		f.PeerFailures.Inc(1)
+		f.recordFailure(h.ID, b, err)
 		f.nextPeer()
 		wait = min(wait, retryWait)
 	}
@@ -211,9 +234,15 @@
 // readStore calls askStore and records that the service is the source.
 func (f *Feed) readStore(ctx context.Context, askStore func(context.Context) error) error {
 	f.StoreCalls.Inc(1)
+	b := f.Clock.Now()
 	err := askStore(ctx)
 	if isAnswer(err) {
 		f.setSource("")
+		return err
+	}
+	if ctx.Err() == nil {
+		f.StoreFailures.Inc(1)
+		f.recordFailure("", b, err)
 	}
 	return err
 }
@@ -268,11 +297,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.answered = true
+	clear(f.failed)
 	if f.source == peer {
 		return
 	}
 	f.source = peer
-	f.Log.Info().Stringer("event", sardineknot.LogStoreSource).Str("peer", string(peer)).Bool("direct", peer == "").Send()
+	f.Log.Info().Stringer("event", sardineknot.LogStoreSource).Str("peer", string(peer)).Bool("direct", peer == "").Dur("view_ms", f.ageLocked()).Send()
 }
 
 // isAnswer reports whether a call that returned err was answered.
--- a/internal/platform/twirp/pack_test.go
+++ b/internal/platform/twirp/pack_test.go
@@ -12,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/host/clock"
 	"sardineknot.example/sardineknot/internal/platform/changelog"
 	rpc "sardineknot.example/sardineknot/internal/rpc/changes"
 )
@@ -73,7 +74,7 @@
 // TestPlainSnapshot covers a reader of a build without packed entries.
 func TestPlainSnapshot(t *testing.T) {
 	is := is.New(t)
-	f := &Feed{Entries: changelog.NewLog(), Reachability: func() (bool, time.Time) { return true, time.Time{} }}
+	f := &Feed{Entries: changelog.NewLog(), Clock: clock.System{}, Reachability: func() (bool, time.Time) { return true, time.Time{} }}
 	f.Entries.Record(sardineknot.StoreEntry{Key: "a", Value: []byte("b"), Revision: sardineknot.StoreRevision{Number: 1}})
 	f.Entries.Commit(sardineknot.StoreRevision{Number: 1})
 	r, err := (&service{feed: f}).Snapshot(context.Background(), &rpc.SnapshotRequest{})
@@ -96,7 +97,7 @@
 // TestPlainServer covers a follower of a build without packed entries.
 func TestPlainServer(t *testing.T) {
 	is := is.New(t)
-	l, n, err := snapshotFrom(t.Context(), plainServer{})
+	l, n, _, err := snapshotFrom(t.Context(), plainServer{})
 	is.NoErr(err)
 	is.Equal(n, sardineknot.StoreRevision{Era: 3, Number: 2})
 	is.Equal(l, []sardineknot.StoreEntry{{Key: "a", Revision: sardineknot.StoreRevision{Era: 3, Number: 1}}})
--- a/internal/platform/twirp/peer.go
+++ b/internal/platform/twirp/peer.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/peer/micros"
 	rpc "sardineknot.example/sardineknot/internal/rpc/changes"
 )
 
@@ -22,24 +23,24 @@
 
 // snapshotFrom reads all entries of peer. It first requests no more than whether peer
 // serves, because a peer that is silent must be noticed soon, while many hosts that
-// read all entries at once may take long.
-func snapshotFrom(ctx context.Context, peer rpc.Changes) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
-	err := probe(ctx, peer)
+// read all entries at once may take long. current is as in nextFrom.
+func snapshotFrom(ctx context.Context, peer rpc.Changes) (entries []sardineknot.StoreEntry, revision sardineknot.StoreRevision, current time.Duration, err error) {
+	err = probe(ctx, peer)
 	if err != nil {
-		return nil, sardineknot.StoreRevision{}, err
+		return nil, sardineknot.StoreRevision{}, 0, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerSnapshotTimeout)
 	defer cancel()
 	a, err := peer.Snapshot(ctx, &rpc.SnapshotRequest{AcceptsPacked: true})
 	if err != nil {
-		return nil, sardineknot.StoreRevision{}, err
+		return nil, sardineknot.StoreRevision{}, 0, err
 	}
 	e := sardineknot.StoreEra(a.GetEra())
 	l := a.GetEntries()
 	if len(a.GetPacked()) > 0 {
 		l, err = unpack(a.GetPacked(), l)
 	}
-	return entriesFromMessage(l, e), sardineknot.StoreRevision{Era: e, Number: a.GetRevision()}, err
+	return entriesFromMessage(l, e), sardineknot.StoreRevision{Era: e, Number: a.GetRevision()}, micros.Duration(a.GetCurrentMicros()), err
 }
 
 // probe fails unless peer serves what it has read. No peer has the changes after
@@ -54,22 +55,24 @@
 // nextFrom reads the changes of peer after revision, for which peer waits for
 // at most wait. If wait is zero, peer first reads what there is in the service. The call
 // may take peerMargin more. It fails with a CompactedError if peer does not have them,
-// and with an UnavailableError if it has not read the service as requested.
-func nextFrom(ctx context.Context, peer rpc.Changes, revision sardineknot.StoreRevision, wait time.Duration) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
+// and with an UnavailableError if it has not read the service as requested. current is the
+// time, counted from the call, at which the changes were complete at the earliest; it is
+// negative if that was before the call.
+func nextFrom(ctx context.Context, peer rpc.Changes, revision sardineknot.StoreRevision, wait time.Duration) (changes []sardineknot.StoreEntry, next sardineknot.StoreRevision, current time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+peerMargin)
 	defer cancel()
 	a, err := peer.Next(ctx, &rpc.NextRequest{Era: int64(revision.Era), Revision: revision.Number, WaitMicros: wait.Microseconds(), Refresh: wait == 0})
 	if err != nil {
-		return nil, revision, err
+		return nil, revision, 0, err
 	}
 	if wait == 0 && !a.GetRefreshed() {
-		return nil, revision, errors.WithStack(&sardineknot.UnavailableError{Peer: "follower"})
+		return nil, revision, 0, errors.WithStack(&sardineknot.UnavailableError{Peer: "follower"})
 	}
 	if a.GetCompacted() {
-		return nil, sardineknot.StoreRevision{}, errors.WithStack(&sardineknot.CompactedError{After: revision})
+		return nil, sardineknot.StoreRevision{}, 0, errors.WithStack(&sardineknot.CompactedError{After: revision})
 	}
 	e := sardineknot.StoreEra(a.GetEra())
-	return entriesFromMessage(a.GetEntries(), e), sardineknot.StoreRevision{Era: e, Number: a.GetRevision()}, nil
+	return entriesFromMessage(a.GetEntries(), e), sardineknot.StoreRevision{Era: e, Number: a.GetRevision()}, micros.Duration(a.GetCurrentMicros()), nil
 }
 
 // entriesFromMessage returns the entries of message, which were read in era.
--- a/internal/platform/twirp/service.go
+++ b/internal/platform/twirp/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/twitchtv/twirp"
@@ -28,23 +29,27 @@
 
 // Snapshot implements rpc.Changes.
 func (s *service) Snapshot(ctx context.Context, request *rpc.SnapshotRequest) (*rpc.SnapshotResponse, error) {
+	b := s.feed.Clock.Now()
 	err := s.check()
 	if err != nil {
 		return nil, err
 	}
+	c := s.feed.currentSince(b)
 	if request.GetAcceptsPacked() {
 		r, err := s.feed.packedSnapshot(ctx)
 		if err != nil {
 			return nil, twirp.InternalErrorWith(err)
 		}
+		r.CurrentMicros = c
 		return r, nil
 	}
 	l, n := s.feed.Entries.Snapshot()
-	return &rpc.SnapshotResponse{Entries: entriesMessage(l), Era: int64(n.Era), Revision: n.Number}, nil
+	return &rpc.SnapshotResponse{Entries: entriesMessage(l), Era: int64(n.Era), Revision: n.Number, CurrentMicros: c}, nil
 }
 
 // Next implements rpc.Changes.
 func (s *service) Next(ctx context.Context, request *rpc.NextRequest) (*rpc.NextResponse, error) {
+	b := s.feed.Clock.Now()
 	err := s.check()
 	if err != nil {
 		return nil, err
@@ -56,9 +61,10 @@
 		return nil, twirp.Unavailable.Error(err.Error())
 	}
 	w := micros.Duration(request.GetWaitMicros())
-	l, n, err := s.feed.Entries.Next(ctx, sardineknot.StoreRevision{Era: sardineknot.StoreEra(request.GetEra()), Number: request.GetRevision()}, min(w, maxPeerWait))
-	var c *sardineknot.CompactedError
-	if errors.As(err, &c) {
+	r := sardineknot.StoreRevision{Era: sardineknot.StoreEra(request.GetEra()), Number: request.GetRevision()}
+	l, n, c, err := s.feed.changesAfter(ctx, r, min(w, maxPeerWait), b)
+	var d *sardineknot.CompactedError
+	if errors.As(err, &d) {
 		return &rpc.NextResponse{Compacted: true, Refreshed: request.GetRefresh()}, nil
 	}
 	var o *sardineknot.StaleEraError
@@ -75,7 +81,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return &rpc.NextResponse{Entries: entriesMessage(l), Era: int64(n.Era), Revision: n.Number, Refreshed: request.GetRefresh()}, nil
+	return &rpc.NextResponse{Entries: entriesMessage(l), Era: int64(n.Era), Revision: n.Number, Refreshed: request.GetRefresh(), CurrentMicros: c}, nil
+}
+
+// changesAfter waits for changes after revision, for at most wait. current is the result
+// of currentSince for begin.
+func (f *Feed) changesAfter(ctx context.Context, revision sardineknot.StoreRevision, wait time.Duration, begin time.Time) (changes []sardineknot.StoreEntry, next sardineknot.StoreRevision, current *int64, err error) {
+	_, _, err = f.Entries.Next(ctx, revision, wait)
+	if err != nil {
+		return nil, revision, nil, err
+	}
+	// The changes are read after the time for which they are claimed to be complete.
+	current = f.currentSince(begin)
+	changes, next, err = f.Entries.Next(ctx, revision, 0)
+	return changes, next, current, err
 }
 
 // check returns an error if this host does not read from the service itself, or
--- a/logevent.go
+++ b/logevent.go
@@ -61,6 +61,9 @@
 	// the eras "old_era" and "new_era". This host reads all keys again and
 	// writes its own again.
 	LogStoreRestored LogEvent = "store_restored"
+	// LogStoreSourceFailed reports the first failure, since the last answer, of a call for
+	// changes of the store: to the store itself, or to the entry host "peer".
+	LogStoreSourceFailed LogEvent = "store_source_failed"
 	// LogStoreSource reports from where this host now reads the changes of the
 	// store: from the store itself, or from the entry host "peer".
 	LogStoreSource LogEvent = "store_source"
