membership/followers: the selection is kept while the membership is the same

Cause: each poll ranked all hosts two to four times: 0.36 ms and 147 KB each with 300 hosts. A profile of a test with 300 hosts in virtual time showed three quarters of its time there.

Change: the last selection is kept with the hosts that it was made from and is made again when they or this host differ. Equality is compared, so a list that is changed in place counts as changed (TestSelectionChanges).

Measured: BenchmarkSelector, 300 hosts in 6 zones: 362 us and 147 KB before, 4.0 us and no allocation now.

--- a/internal/membership/followers/selector.go
+++ b/internal/membership/followers/selector.go
@@ -11,6 +11,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/membership/rendezvous"
@@ -28,6 +29,20 @@
 // for concurrent use.
 type Selector struct {
 	members sardineknot.Membership
+
+	mu sync.Mutex
+	// last is the last selection, which holds until the membership changes.
+	last selection
+}
+
+// selection is what a host selects from a list of hosts.
+type selection struct {
+	self  sardineknot.EntryHost
+	hosts []sardineknot.EntryHost
+	// follows reports whether self is a follower. peers lists the other followers in the
+	// order in which self tries them; it is never modified.
+	follows bool
+	peers   []sardineknot.EntryHost
 }
 
 // NewSelector returns a selector among the hosts of members.
@@ -37,35 +52,42 @@
 
 // FollowsStore reports whether this host is one of the followers of its zone. A
 // host that is leaving is not.
-func (s *Selector) FollowsStore() bool {
-	h := s.members.Self()
-	for _, f := range s.ofZone(s.members.Hosts(), h.Zone) {
-		if f.ID == h.ID {
-			return true
-		}
-	}
-	return false
-}
+func (s *Selector) FollowsStore() bool { return s.current().follows }
 
 // Peers returns the followers that this host asks, in the order in which it
 // tries them: first those of its own zone and then those of the other zones,
 // which come in an order that differs between hosts. It never contains this
-// host.
-func (s *Selector) Peers() []sardineknot.EntryHost {
+// host. The result must not be modified.
+func (s *Selector) Peers() []sardineknot.EntryHost { return s.current().peers }
+
+// current returns the selection from the present membership.
+func (s *Selector) current() selection {
 	h := s.members.Self()
 	l := s.members.Hosts()
-	var r []sardineknot.EntryHost
-	for _, z := range zones(l) {
-		for _, f := range s.ofZone(l, z) {
-			if f.ID != h.ID {
-				r = append(r, f)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.last.hosts == nil || h != s.last.self || !slices.Equal(l, s.last.hosts) {
+		s.last = selectFrom(h, slices.Clone(l))
+	}
+	return s.last
+}
+
+// selectFrom returns the selection of self from hosts.
+func selectFrom(self sardineknot.EntryHost, hosts []sardineknot.EntryHost) selection {
+	r := selection{self: self, hosts: hosts}
+	for _, z := range zones(hosts) {
+		for _, f := range ofZone(hosts, z) {
+			if f.ID == self.ID {
+				r.follows = z == self.Zone
+				continue
 			}
+			r.peers = append(r.peers, f)
 		}
 	}
-	slices.SortStableFunc(r, func(a, b sardineknot.EntryHost) int {
+	slices.SortStableFunc(r.peers, func(a, b sardineknot.EntryHost) int {
 		return cmp.Or(
-			cmp.Compare(distance(h, a), distance(h, b)),
-			cmp.Compare(rendezvous.Weight(string(h.ID), a.ID), rendezvous.Weight(string(h.ID), b.ID)),
+			cmp.Compare(distance(self, a), distance(self, b)),
+			cmp.Compare(rendezvous.Weight(string(self.ID), a.ID), rendezvous.Weight(string(self.ID), b.ID)),
 		)
 	})
 	return r
@@ -73,7 +95,7 @@
 
 // ofZone returns the followers of a zone: the perZone live hosts that rank
 // first.
-func (s *Selector) ofZone(hosts []sardineknot.EntryHost, zone sardineknot.AvailabilityZone) []sardineknot.EntryHost {
+func ofZone(hosts []sardineknot.EntryHost, zone sardineknot.AvailabilityZone) []sardineknot.EntryHost {
 	var r []sardineknot.EntryHost
 	for _, h := range hosts {
 		if h.Zone == zone && h.State == sardineknot.EntryHostAlive {
--- a/internal/membership/followers/selector_test.go
+++ b/internal/membership/followers/selector_test.go
@@ -97,3 +97,29 @@
 		}
 	})
 }
+
+// TestSelectionChanges guards against a selection that is kept although the membership
+// has changed, also in place.
+func TestSelectionChanges(t *testing.T) {
+	is := is.New(t)
+	m := &members{hosts: newHosts(1, 1)}
+	s := followers.NewSelector(m)
+	is.True(s.FollowsStore())
+	m.hosts = newHosts(3, 1)
+	is.True(len(s.Peers()) > 0)
+	m.hosts[0].State = sardineknot.EntryHostLeaving
+	is.True(!s.FollowsStore())
+	is.Equal(len(s.Peers()), 2)
+	m.hosts[0].State = sardineknot.EntryHostAlive
+	m.hosts[1].State, m.hosts[2].State = sardineknot.EntryHostDead, sardineknot.EntryHostDead
+	is.True(s.FollowsStore())
+	is.Equal(len(s.Peers()), 0)
+}
+
+// BenchmarkSelector measures what a host spends on the selection before each poll.
+func BenchmarkSelector(b *testing.B) {
+	s := followers.NewSelector(&members{hosts: newHosts(300, 6)})
+	for b.Loop() {
+		s.Peers()
+	}
+}
