platform/twirp: a test of the time in which each host knows a change, which fails

The tests so far had one bound of 4 s, failures that answer at once, hosts that start together, pauses of 0.1 s, and let 5 s pass between the fault and the change.

--- /dev/null
+++ b/internal/platform/twirp/bound_test.go
@@ -0,0 +1,253 @@
+package twirp_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/host/clock"
+)
+
+// site is a fleet of hosts that must know each change within bound.
+type site struct {
+	hosts, zones int
+	bound        time.Duration
+}
+
+// sites covers few hosts in many zones, many in few, and one zone.
+var sites = []site{
+	{hosts: 7, zones: 4, bound: 2 * time.Second},
+	{hosts: 8, zones: 1, bound: 2 * time.Second},
+	{hosts: 86, zones: 3, bound: 3 * time.Second},
+	{hosts: 300, zones: 6, bound: 4 * time.Second},
+}
+
+// processingTime is the part of the bound that is left to a host for all but reading. It
+// covers what is slower in production than in virtual time.
+const processingTime = 300 * time.Millisecond
+
+// startSite starts the hosts of s at different moments, with the pauses between polls that
+// they have in production, while backend servers report.
+func startSite(t *testing.T, s site) *cluster {
+	c := &cluster{service: newService()}
+	l := newEntries(s.hosts, s.zones)
+	for _, e := range l {
+		h := newHost(c, e, l)
+		h.mirror.PollDelay = func() time.Duration { return h.pollDelay(s.hosts) }
+		c.hosts = append(c.hosts, h)
+	}
+	for i, h := range c.hosts {
+		go func() {
+			time.Sleep(time.Duration(i*37%1000) * time.Millisecond)
+			_ = h.mirror.Run(t.Context())
+		}()
+	}
+	go func() {
+		for i := 0; (clock.System{}).Sleep(t.Context(), 61*time.Millisecond) == nil; i++ {
+			c.service.put(fmt.Sprintf("beat-%d", i%20), "x")
+		}
+	}()
+	advance(6 * time.Second)
+	return c
+}
+
+// pollDelay returns the pause of the host between two polls, as in the gateway.
+func (h *host) pollDelay(hosts int) time.Duration {
+	if !h.feed.Selector.FollowsStore() {
+		return 100 * time.Millisecond
+	}
+	return min(750*time.Millisecond, 250*time.Millisecond+time.Duration(hosts)*8*time.Millisecond)
+}
+
+// fault harms hosts. Those that it marks as harmed need not know a change in time.
+type fault struct {
+	name  string
+	apply func(c *cluster)
+}
+
+// harmFollowers applies harm to the followers for which in returns true, by their position.
+func harmFollowers(c *cluster, in func(i int, h *host) bool, harm func(h *host)) {
+	for i, h := range c.followers() {
+		if in(i, h) {
+			h.harmed = true
+			harm(h)
+		}
+	}
+}
+
+func kill(h *host)    { h.dead.Store(true) }
+func silence(h *host) { h.store.silent.Store(true) }
+func refuse(h *host)  { h.store.cut.Store(true) }
+func slowDown(h *host) {
+	h.delay.Store(int64(350 * time.Millisecond))
+}
+
+// pause returns a harm that freezes a host for the given time.
+func pause(d time.Duration) func(*host) {
+	return func(h *host) {
+		n := make(chan struct{})
+		h.paused.Store(&n)
+		time.AfterFunc(d, func() {
+			h.paused.Store(nil)
+			close(n)
+		})
+	}
+}
+
+func all(int, *host) bool         { return true }
+func even(i int, _ *host) bool    { return i%2 == 0 }
+func odd(i int, _ *host) bool     { return i%2 == 1 }
+func inZone0(_ int, h *host) bool { return h.entry.Zone == "zone-0" }
+func outside(i int, h *host) bool { return !inZone0(i, h) }
+
+// faults lists single faults and pairs of them.
+func faults() []fault {
+	harm := func(in func(int, *host) bool, f func(*host)) func(*cluster) {
+		return func(c *cluster) { harmFollowers(c, in, f) }
+	}
+	later := func(d time.Duration, first, second func(*cluster)) func(*cluster) {
+		return func(c *cluster) {
+			first(c)
+			time.AfterFunc(d, func() { second(c) })
+		}
+	}
+	both := func(first, second func(*cluster)) func(*cluster) { return later(0, first, second) }
+	return []fault{
+		{"none", func(*cluster) {}},
+		{"half of the followers are dead", harm(even, kill)},
+		{"the followers of a zone are dead", harm(inZone0, kill)},
+		{"all followers are dead", harm(all, kill)},
+		{"all followers freeze for 1 s", harm(all, pause(time.Second))},
+		{"half of the followers freeze for 3 s", harm(even, pause(3*time.Second))},
+		{"all followers freeze for 5 s", harm(all, pause(5*time.Second))},
+		{"all followers are slow", harm(all, slowDown)},
+		{"the store is silent to half of the followers", harm(even, silence)},
+		{"the store is silent to all followers", harm(all, silence)},
+		{"the store refuses all followers", harm(all, refuse)},
+		{"half are dead, the store is silent to the others", both(harm(even, kill), harm(odd, silence))},
+		{"half freeze, the store is silent to the others", both(harm(even, pause(5*time.Second)), harm(odd, silence))},
+		{"a zone's are dead, the store is silent to the others", both(harm(inZone0, kill), harm(outside, silence))},
+		{"half are dead, and the others when readers have noticed", later(1400*time.Millisecond, harm(even, kill), harm(odd, kill))},
+		{"the store is silent to half, and the others die then", later(1600*time.Millisecond, harm(even, silence), harm(odd, kill))},
+		{"the store refuses half, and is silent to the others then", later(500*time.Millisecond, harm(even, refuse), harm(odd, silence))},
+	}
+}
+
+// moments lists when the change is made, counted from the fault. Every second one is left
+// out for large fleets.
+func (s site) moments() []time.Duration {
+	l := []time.Duration{-300 * time.Millisecond, 0, 300 * time.Millisecond, 800 * time.Millisecond, 1300 * time.Millisecond, 1600 * time.Millisecond, 2100 * time.Millisecond}
+	if s.hosts < 100 {
+		return l
+	}
+	return []time.Duration{l[0], l[2], l[4], l[6]}
+}
+
+// TestChangeWithinBound guards against hosts to which nothing has happened and that go on
+// with an old configuration for longer than the bound of their site, because the hosts from
+// which they read fail one after the other.
+func TestChangeWithinBound(t *testing.T) {
+	for _, s := range sites {
+		for _, f := range faults() {
+			t.Run(fmt.Sprintf("%d hosts in %d zones, %s", s.hosts, s.zones, f.name), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					c := startSite(t, s)
+					for i, m := range s.moments() {
+						c.checkChangeAround(t, s, f, fmt.Sprint(i+2), m)
+					}
+				})
+			})
+		}
+	}
+}
+
+// checkChangeAround applies f, makes a change at the given moment, counted from the fault,
+// and checks that unharmed hosts know it within the bound of s. Then it ends the fault.
+func (c *cluster) checkChangeAround(t *testing.T, s site, f fault, value string, moment time.Duration) {
+	t.Helper()
+	var b time.Time
+	change := func() {
+		b = time.Now()
+		c.service.put("config", value)
+	}
+	if moment < 0 {
+		change()
+		advance(-moment)
+		f.apply(c)
+	} else {
+		f.apply(c)
+		advance(moment)
+		change()
+	}
+	time.Sleep(time.Until(b.Add(s.bound)))
+	advance(0)
+	n, w := 0, time.Duration(0)
+	for _, h := range c.hosts {
+		v, at := h.get("config")
+		if h.harmed {
+			continue
+		}
+		d := at.Sub(b)
+		if v == value {
+			w = max(w, d)
+		}
+		if v != value || d > s.bound-processingTime {
+			n++
+		}
+	}
+	if n > 0 {
+		t.Errorf("a change %v after the fault: %d hosts do not know it within %v; the last one of those that know it at %v: %v", moment, n, s.bound-processingTime, s.bound, w)
+	}
+	c.heal()
+}
+
+// heal ends all faults and waits until every host reads as before.
+func (c *cluster) heal() {
+	for _, h := range c.hosts {
+		h.harmed = false
+		h.dead.Store(false)
+		h.store.silent.Store(false)
+		h.store.cut.Store(false)
+		h.delay.Store(0)
+	}
+	advance(8 * time.Second)
+}
+
+// waitWhilePaused waits until the host is not frozen, or ctx is done.
+func (h *host) waitWhilePaused(ctx context.Context) {
+	p := h.paused.Load()
+	if p == nil {
+		return
+	}
+	select {
+	case <-*p:
+	case <-ctx.Done():
+	}
+}
+
+// serve handles r as a host does that may be frozen or slow.
+func (h *host) serve(w http.ResponseWriter, r *http.Request) {
+	h.waitWhilePaused(r.Context())
+	h.handler.ServeHTTP(w, r)
+	time.Sleep(time.Duration(h.delay.Load()))
+	h.waitWhilePaused(r.Context())
+}
+
+// pausedFeed delays the reads of a host that is frozen.
+type pausedFeed struct {
+	sardineknot.ChangeFeed
+	host *host
+}
+
+// Next implements sardineknot.ChangeFeed.
+func (f pausedFeed) Next(ctx context.Context, revision sardineknot.StoreRevision, timeout time.Duration) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
+	f.host.waitWhilePaused(ctx)
+	l, n, err := f.ChangeFeed.Next(ctx, revision, timeout)
+	f.host.waitWhilePaused(context.Background())
+	return l, n, err
+}
--- a/internal/platform/twirp/cluster_test.go
+++ b/internal/platform/twirp/cluster_test.go
@@ -137,6 +137,12 @@
 	mirror  *mirror.Mirror
 	handler http.Handler
 	dead    atomic.Bool
+	// paused is closed when the host is no longer frozen. It is nil if it is not.
+	paused atomic.Pointer[chan struct{}]
+	// delay is how much later the host answers, in nanoseconds.
+	delay atomic.Int64
+	// harmed is set while a fault concerns the host.
+	harmed bool
 
 	mu sync.Mutex
 	// seen holds the values that the host has read, by key. seenAt holds the
@@ -151,8 +157,12 @@
 // RoundTrip implements http.RoundTripper. It calls the handler of the addressed
 // host. A dead host does not answer.
 func (h *host) RoundTrip(r *http.Request) (*http.Response, error) {
+	p, err := netip.ParseAddrPort(r.URL.Host)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
 	for _, o := range h.cluster.hosts {
-		if o.entry.PeerAddress.String() != r.URL.Host {
+		if o.entry.PeerAddress != p {
 			continue
 		}
 		if o.dead.Load() {
@@ -160,7 +170,10 @@
 			return nil, r.Context().Err()
 		}
 		w := httptest.NewRecorder()
-		o.handler.ServeHTTP(w, r)
+		o.serve(w, r)
+		if r.Context().Err() != nil {
+			return nil, r.Context().Err()
+		}
 		return w.Result(), nil
 	}
 	return nil, errCut
@@ -221,7 +234,7 @@
 func newHost(c *cluster, self sardineknot.EntryHost, list []sardineknot.EntryHost) *host {
 	h := &host{cluster: c, entry: self, list: list, store: &hostFeed{service: c.service}, seen: make(map[string]string), seenAt: make(map[string]time.Time)}
 	h.feed = &twirp.Feed{
-		Store: h.store, Entries: changelog.NewLog(), Selector: followers.NewSelector(h), Clock: clock.System{}, Client: &http.Client{Transport: h},
+		Store: pausedFeed{h.store, h}, Entries: changelog.NewLog(), Selector: followers.NewSelector(h), Clock: clock.System{}, Client: &http.Client{Transport: h},
 		Log: zerolog.Nop(), StoreCalls: metrics.NewCounter(), PeerCalls: metrics.NewCounter(),
 		StoreFailures: metrics.NewCounter(), PeerFailures: metrics.NewCounter(),
 	}
