platform/twirp: a host reads from the store itself before its bound runs out

Cause: the time to know a change was a sum over the sources that failed: up to 1.4 s for the first follower, 0.5 s for each further one, 2 s between calls to the store, 0.75 s and 1.6 s until a follower notices that the store is silent. Nothing compared it with the bound, and an answer without changes counted as current however old the follower's view was.

Change: ConfigurationBound in the settings (bounds.configMs on the users' platform). A host whose view is about to be older than the bound reads from the store with a call that is not held, whatever followers do; a call to a follower is cut for it. It does so once in 2 s after a failure, so an outage brings no rush, and not for reads of all keys. The holds of calls and the pauses of followers follow from the bound. A call that the store held to its end without a change shows the store as of then.

The tests of before keep their bound of 4 s, which start now sets.

--- a/gatewaysettings.go
+++ b/gatewaysettings.go
@@ -37,6 +37,9 @@
 	// StopLimit is the time that the platform gives the process to stop before
 	// it kills the process. Zero means 8 s.
 	StopLimit time.Duration
+	// ConfigurationBound is the time within which each change in the platform's key-value
+	// service must be known to the host. Zero means 2 s.
+	ConfigurationBound time.Duration
 	// RetryRatio and RetrySlack limit the retries of a service, across all
 	// entry hosts and over ten seconds, to RetryRatio times the number of calls
 	// plus RetrySlack.
--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -18,8 +18,8 @@
 
 const (
 	// pollDelay is the base delay between two calls of a follower that returned
-	// changes of the store. pollDelayPerHost is added for each entry host, and
-	// maxPollDelay limits the sum, so that changes take effect in time.
+	// changes of the store. pollDelayPerHost is added for each entry host.
+	// maxPollDelay limits the sum, and so does the bound of configurations.
 	pollDelay        = 250 * time.Millisecond
 	pollDelayPerHost = 8 * time.Millisecond
 	maxPollDelay     = 750 * time.Millisecond
@@ -53,7 +53,7 @@
 	p.followers = followers.NewSelector(p.registry)
 	p.mirror = &mirror.Mirror{Clock: p.clock, Sleep: p.clock.Sleep, PollDelay: p.pollDelay, Log: p.Log, Restores: metrics.GetOrRegisterCounter("store.restores", p.Metrics)}
 	p.feed = &feed.Feed{
-		Store: p.Feed, Entries: p.entries, Selector: p.followers, Reachability: p.mirror.Reachability, Clock: p.clock.SinceBootClock(), Client: p.peers.Client(), Log: p.Log,
+		Store: p.Feed, Entries: p.entries, Selector: p.followers, Bound: p.configurationBound, Reachability: p.mirror.Reachability, Clock: p.clock.SinceBootClock(), Client: p.peers.Client(), Log: p.Log,
 		StoreCalls:    metrics.GetOrRegisterCounter("store.reads", p.Metrics),
 		PeerCalls:     metrics.GetOrRegisterCounter("store.peer_reads", p.Metrics),
 		StoreFailures: metrics.GetOrRegisterCounter("store.failed_reads", p.Metrics),
@@ -107,7 +107,8 @@
 	if p.clock.Now().Sub(p.startedAt) < joinTime {
 		return maxPollDelay
 	}
-	return min(maxPollDelay, pollDelay+time.Duration(len(p.registry.Hosts()))*pollDelayPerHost)
+	d := pollDelay + time.Duration(len(p.registry.Hosts()))*pollDelayPerHost
+	return min(d, maxPollDelay, p.feed.MaxPollDelay())
 }
 
 // applyEntry applies a changed entry of the store, and records it for other
--- a/internal/host/gateway/reload.go
+++ b/internal/host/gateway/reload.go
@@ -29,8 +29,8 @@
 	}
 }
 
-// reload reads the settings again. Changes of the retry limits and of the stop
-// limit take effect immediately. Changes of all other settings, such as the
+// reload reads the settings again. Changes of the retry limits, of the stop limit
+// and of the bound of configurations take effect immediately. Changes of all other settings, such as the
 // identity of the host and its addresses, are logged but require a restart.
 func (p *Process) reload() {
 	s, err := p.LoadSettings()
@@ -46,9 +46,17 @@
 	p.lastRead = s
 	r := needsRestart(p.Settings, s)
 	p.Log.Info().Stringer("event", sardineknot.LogSettingsChanged).Float64("retry_ratio", s.RetryRatio).Float64("retry_slack", s.RetrySlack).
-		Dur("stop_limit_ms", s.StopLimit).Bool("needs_restart", r).Send()
+		Dur("stop_limit_ms", s.StopLimit).Dur("configuration_bound_ms", s.ConfigurationBound).Bool("needs_restart", r).Send()
 	p.budgets.SetBounds(s.RetryRatio, s.RetrySlack)
-	p.Settings.RetryRatio, p.Settings.RetrySlack, p.Settings.StopLimit = s.RetryRatio, s.RetrySlack, s.StopLimit
+	p.Settings.RetryRatio, p.Settings.RetrySlack = s.RetryRatio, s.RetrySlack
+	p.Settings.StopLimit, p.Settings.ConfigurationBound = s.StopLimit, s.ConfigurationBound
+}
+
+// configurationBound returns the current setting ConfigurationBound.
+func (p *Process) configurationBound() time.Duration {
+	p.settingsLock.Lock()
+	defer p.settingsLock.Unlock()
+	return p.Settings.ConfigurationBound
 }
 
 // stopLimit returns the current setting StopLimit.
@@ -61,6 +69,7 @@
 // needsRestart reports whether old and updated differ in settings that take
 // effect only after a restart.
 func needsRestart(old, updated sardineknot.GatewaySettings) bool {
-	updated.RetryRatio, updated.RetrySlack, updated.StopLimit = old.RetryRatio, old.RetrySlack, old.StopLimit
+	updated.RetryRatio, updated.RetrySlack = old.RetryRatio, old.RetrySlack
+	updated.StopLimit, updated.ConfigurationBound = old.StopLimit, old.ConfigurationBound
 	return old != updated
 }
--- a/internal/platform/twirp/age.go
+++ b/internal/platform/twirp/age.go
@@ -52,6 +52,9 @@
 func (f *Feed) recordFailure(peer sardineknot.EntryHostID, begin time.Time, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if peer == "" {
+		f.storeFailedAt = f.Clock.Now()
+	}
 	if f.failed[peer] {
 		return
 	}
--- a/internal/platform/twirp/bound_test.go
+++ b/internal/platform/twirp/bound_test.go
@@ -8,6 +8,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/host/clock"
 )
@@ -16,14 +18,24 @@
 type site struct {
 	hosts, zones int
 	bound        time.Duration
+	// reportInterval is the time between two reports of backend servers.
+	reportInterval time.Duration
+}
+
+func (s site) String() string {
+	return fmt.Sprintf("%d hosts in %d zones, a report each %v", s.hosts, s.zones, s.reportInterval)
 }
 
-// sites covers few hosts in many zones, many in few, and one zone.
+// sites covers few hosts in many zones, many in few, and one zone, with many and with few
+// changes that are no news.
 var sites = []site{
-	{hosts: 7, zones: 4, bound: 2 * time.Second},
-	{hosts: 8, zones: 1, bound: 2 * time.Second},
-	{hosts: 86, zones: 3, bound: 3 * time.Second},
-	{hosts: 300, zones: 6, bound: 4 * time.Second},
+	{hosts: 7, zones: 4, bound: 2 * time.Second, reportInterval: 80 * time.Millisecond},
+	{hosts: 7, zones: 4, bound: 2 * time.Second, reportInterval: 700 * time.Millisecond},
+	{hosts: 8, zones: 1, bound: 2 * time.Second, reportInterval: time.Minute},
+	{hosts: 86, zones: 3, bound: 3 * time.Second, reportInterval: 41 * time.Millisecond},
+	{hosts: 86, zones: 3, bound: 3 * time.Second, reportInterval: 370 * time.Millisecond},
+	{hosts: 86, zones: 3, bound: 3 * time.Second, reportInterval: time.Minute},
+	{hosts: 300, zones: 6, bound: 4 * time.Second, reportInterval: 170 * time.Millisecond},
 }
 
 // processingTime is the part of the bound that is left to a host for all but reading. It
@@ -33,11 +45,11 @@
 // startSite starts the hosts of s at different moments, with the pauses between polls that
 // they have in production, while backend servers report.
 func startSite(t *testing.T, s site) *cluster {
-	c := &cluster{service: newService()}
+	c := &cluster{service: newService(), bound: s.bound}
 	l := newEntries(s.hosts, s.zones)
 	for _, e := range l {
 		h := newHost(c, e, l)
-		h.mirror.PollDelay = func() time.Duration { return h.pollDelay(s.hosts) }
+		h.mirror.PollDelay = func() time.Duration { return h.pollDelay(s) }
 		c.hosts = append(c.hosts, h)
 	}
 	for i, h := range c.hosts {
@@ -47,7 +59,7 @@
 		}()
 	}
 	go func() {
-		for i := 0; (clock.System{}).Sleep(t.Context(), 61*time.Millisecond) == nil; i++ {
+		for i := 0; (clock.System{}).Sleep(t.Context(), s.reportInterval) == nil; i++ {
 			c.service.put(fmt.Sprintf("beat-%d", i%20), "x")
 		}
 	}()
@@ -56,11 +68,11 @@
 }
 
 // pollDelay returns the pause of the host between two polls, as in the gateway.
-func (h *host) pollDelay(hosts int) time.Duration {
+func (h *host) pollDelay(s site) time.Duration {
 	if !h.feed.Selector.FollowsStore() {
 		return 100 * time.Millisecond
 	}
-	return min(750*time.Millisecond, 250*time.Millisecond+time.Duration(hosts)*8*time.Millisecond)
+	return min(750*time.Millisecond, s.bound/4, 250*time.Millisecond+time.Duration(s.hosts)*8*time.Millisecond)
 }
 
 // fault harms hosts. Those that it marks as harmed need not know a change in time.
@@ -153,7 +165,7 @@
 func TestChangeWithinBound(t *testing.T) {
 	for _, s := range sites {
 		for _, f := range faults() {
-			t.Run(fmt.Sprintf("%d hosts in %d zones, %s", s.hosts, s.zones, f.name), func(t *testing.T) {
+			t.Run(s.String()+", "+f.name, func(t *testing.T) {
 				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					c := startSite(t, s)
@@ -206,6 +218,48 @@
 	c.heal()
 }
 
+// storeReads returns the number of calls to the service of the hosts for which in returns
+// true.
+func (c *cluster) storeReads(in func(*host) bool) int64 {
+	var n int64
+	for _, h := range c.hosts {
+		if in(h) {
+			n += h.feed.StoreCalls.Count()
+		}
+	}
+	return n
+}
+
+// TestReadsWithinBound guards against hosts that keep their bound by calls to the service
+// that grow with the number of hosts, while all is well or in an outage.
+func TestReadsWithinBound(t *testing.T) {
+	const seconds = 10
+	isReader := func(h *host) bool { return !h.feed.Selector.FollowsStore() }
+	for _, s := range sites {
+		count := func(name string, in func(*host) bool, limit int64, harm func(c *cluster)) {
+			run(t, s.String()+", "+name, func(t *testing.T) {
+				c := startSite(t, s)
+				harm(c)
+				advance(5 * time.Second)
+				b := c.storeReads(in)
+				advance(seconds * time.Second)
+				n := (c.storeReads(in) - b) / seconds
+				t.Logf("%d calls a second", n)
+				is.New(t).True(n <= limit)
+			})
+		}
+		f := int64(min(2*s.zones, s.hosts))
+		count("all is well: readers", isReader, 0, func(*cluster) {})
+		count("all is well: all hosts", everyHost, 4*f, func(*cluster) {})
+		count("the service is silent", everyHost, 2*f+int64(s.hosts)/2, func(c *cluster) {
+			for _, h := range c.hosts {
+				h.store.silent.Store(true)
+			}
+		})
+		count("all followers are dead", isReader, int64(s.hosts), func(c *cluster) { harmFollowers(c, all, kill) })
+	}
+}
+
 // heal ends all faults and waits until every host reads as before.
 func (c *cluster) heal() {
 	for _, h := range c.hosts {
--- a/internal/platform/twirp/cluster_test.go
+++ b/internal/platform/twirp/cluster_test.go
@@ -122,7 +122,9 @@
 // time, without a network.
 type cluster struct {
 	service *service
-	hosts   []*host
+	// bound is the time within which hosts must know a change. Zero means the default.
+	bound time.Duration
+	hosts []*host
 }
 
 // host is one entry host of a cluster. It implements sardineknot.Membership:
@@ -217,9 +219,12 @@
 	return l
 }
 
+// siteBound is the bound of the hosts of start. Tests state it where they use it.
+const siteBound = 4 * time.Second
+
 // start starts count hosts that are spread over zones.
 func start(t *testing.T, count, zones int) *cluster {
-	c := &cluster{service: newService()}
+	c := &cluster{service: newService(), bound: siteBound}
 	l := newEntries(count, zones)
 	for _, e := range l {
 		c.hosts = append(c.hosts, newHost(c, e, l))
@@ -235,7 +240,7 @@
 	h := &host{cluster: c, entry: self, list: list, store: &hostFeed{service: c.service}, seen: make(map[string]string), seenAt: make(map[string]time.Time)}
 	h.feed = &twirp.Feed{
 		Store: pausedFeed{h.store, h}, Entries: changelog.NewLog(), Selector: followers.NewSelector(h), Clock: clock.System{}, Client: &http.Client{Transport: h},
-		Log: zerolog.Nop(), StoreCalls: metrics.NewCounter(), PeerCalls: metrics.NewCounter(),
+		Log: zerolog.Nop(), Bound: func() time.Duration { return c.bound }, StoreCalls: metrics.NewCounter(), PeerCalls: metrics.NewCounter(),
 		StoreFailures: metrics.NewCounter(), PeerFailures: metrics.NewCounter(),
 	}
 	_, h.handler = h.feed.Handler()
--- a/internal/platform/twirp/feed.go
+++ b/internal/platform/twirp/feed.go
@@ -55,6 +55,8 @@
 	Entries *changelog.Log
 	// Selector selects the followers.
 	Selector sardineknot.FollowerSelector
+	// Bound returns the time within which this host must know each change.
+	Bound func() time.Duration
 	// Reachability reports whether this host has an up-to-date view of the
 	// service.
 	Reachability func() (reachable bool, since time.Time)
@@ -90,8 +92,9 @@
 	// source is the follower that answered last. It is empty if the service
 	// itself did.
 	source sardineknot.EntryHostID
-	// storeAskedAt is the time of the last call to the service.
-	storeAskedAt time.Time
+	// storeAskedAt is the time of the last call to the service, and storeFailedAt that of
+	// the last one that failed.
+	storeAskedAt, storeFailedAt time.Time
 	// startedAt is the time of the first call. answered is set once there was an answer.
 	startedAt time.Time
 	answered  bool
@@ -104,24 +107,36 @@
 
 var _ sardineknot.ChangeFeed = (*Feed)(nil)
 
+// source reads the same from a follower or from the service.
+type source struct {
+	// peer reads from a follower, which may hold the call for wait.
+	peer func(ctx context.Context, peer rpc.Changes, wait time.Duration) error
+	// store reads from the service, which may hold the call for wait.
+	store func(ctx context.Context, wait time.Duration) error
+	// bounded is set if the service is read in time for Bound. A read of all keys is not:
+	// many hosts may need one at the same time.
+	bounded bool
+}
+
 // Snapshot implements sardineknot.ChangeFeed.
 func (f *Feed) Snapshot(ctx context.Context) (entries []sardineknot.StoreEntry, revision sardineknot.StoreRevision, err error) {
 	var a time.Time
-	err = f.read(ctx, maxPeerWait, func(ctx context.Context, peer rpc.Changes, _ time.Duration) error {
+	s := source{peer: func(ctx context.Context, peer rpc.Changes, _ time.Duration) error {
 		b := f.Clock.Now()
 		var d time.Duration
 		var e error
 		entries, revision, d, e = snapshotFrom(ctx, peer)
 		a = b.Add(d)
 		return f.admit(revision, e)
-	}, func(ctx context.Context) error {
+	}, store: func(ctx context.Context, _ time.Duration) error {
 		ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 		defer cancel()
 		a = f.Clock.Now()
 		var e error
 		entries, revision, e = f.Store.Snapshot(ctx)
 		return f.admit(revision, e)
-	})
+	}}
+	err = f.read(ctx, maxPeerWait, s)
 	f.recordRead(a, err)
 	return entries, revision, err
 }
@@ -129,21 +144,26 @@
 // Next implements sardineknot.ChangeFeed.
 func (f *Feed) Next(ctx context.Context, revision sardineknot.StoreRevision, timeout time.Duration) (changes []sardineknot.StoreEntry, next sardineknot.StoreRevision, err error) {
 	var a time.Time
-	err = f.read(ctx, min(timeout, maxPeerWait), func(ctx context.Context, peer rpc.Changes, wait time.Duration) error {
+	s := source{bounded: true, peer: func(ctx context.Context, peer rpc.Changes, wait time.Duration) error {
 		b := f.Clock.Now()
 		var d time.Duration
 		var e error
 		changes, next, d, e = nextFrom(ctx, peer, revision, wait)
 		a = b.Add(d)
 		return f.admit(next, e)
-	}, func(ctx context.Context) error {
-		ctx, cancel := context.WithTimeout(ctx, timeout+storeMargin)
+	}, store: func(ctx context.Context, wait time.Duration) error {
+		ctx, cancel := context.WithTimeout(ctx, wait+storeMargin)
 		defer cancel()
-		a = f.Clock.Now()
+		b := f.Clock.Now()
 		var e error
-		changes, next, e = f.Store.Next(ctx, revision, timeout)
+		changes, next, e = f.Store.Next(ctx, revision, wait)
+		a = b
+		if len(changes) == 0 && f.Clock.Now().Sub(b) >= wait {
+			a = b.Add(wait) // the service held the call to the end
+		}
 		return f.admit(next, e)
-	})
+	}}
+	err = f.read(ctx, timeout, s)
 	f.recordRead(a, err)
 	return changes, next, err
 }
@@ -157,23 +177,21 @@
 	return f.latest.Admit(revision.Era)
 }
 
-// read calls askPeer with followers until one answers, and askStore if none does.
-// A host that is a follower itself calls askStore first. The service may refuse
-// this host and serve others. A CompactedError is an answer.
-func (f *Feed) read(ctx context.Context, wait time.Duration, askPeer func(context.Context, rpc.Changes, time.Duration) error, askStore func(context.Context) error) error {
+// read reads from followers until one answers, and from the service if none does. A host
+// that is a follower itself reads from the service first. The service may refuse this host
+// and serve others. A CompactedError is an answer. wait is the longest time for which a call
+// may be held.
+func (f *Feed) read(ctx context.Context, wait time.Duration, s source) error {
 	f.recordStart()
-	if !f.Selector.FollowsStore() {
-		return f.readPeers(ctx, wait, askPeer, askStore)
-	}
-	if f.readsPeers() && !f.mayAskStore() {
-		return f.readPeers(ctx, wait, askPeer, askStore)
+	if !f.Selector.FollowsStore() || f.readsPeers() && !f.mayAskStore() {
+		return f.readPeers(ctx, wait, s)
 	}
-	err := f.readStore(ctx, askStore)
+	err := f.readStore(ctx, min(wait, f.maxStoreWait()), s)
 	if isAnswer(err) || ctx.Err() != nil || !f.hasPeers() {
 		return err
 	}
 	f.recordStoreCall()
-	return f.readPeers(ctx, min(wait, retryWait), askPeer, askStore)
+	return f.readPeers(ctx, min(wait, retryWait), s)
 }
 
 // recordStart records the time of the first call.
@@ -199,43 +217,77 @@
 	f.storeAskedAt = f.Clock.Now()
 }
 
-// readPeers calls askPeer with followers until one answers. If none does, it calls
-// askStore, unless the last call to the service is too recent.
-func (f *Feed) readPeers(ctx context.Context, wait time.Duration, askPeer func(context.Context, rpc.Changes, time.Duration) error, askStore func(context.Context) error) error {
+// readPeers reads from followers until one answers. If none does, it reads from the service,
+// unless the last call to the service is too recent. It reads from the service first if the
+// view of this host is about to be older than Bound.
+func (f *Feed) readPeers(ctx context.Context, wait time.Duration, s source) error {
 	l := f.Selector.Peers()
 	if len(l) == 0 {
-		return f.readStore(ctx, askStore)
+		return f.readStore(ctx, min(wait, f.maxStoreWait()), s)
 	}
 	f.setPeers(l)
-	var err error
-	for range min(maxPeersTried, len(l)) {
-		h := f.currentPeer(l)
-		f.PeerCalls.Inc(1)
-		b := f.Clock.Now()
-		err = callPeer(ctx, f.Client, h, wait, askPeer)
-		if isAnswer(err) {
-			f.setSource(h.ID)
+	if s.bounded && f.takeDueRead() {
+		err := f.readStore(ctx, 0, s)
+		if isAnswer(err) || ctx.Err() != nil {
 			return err
 		}
-		if ctx.Err() != nil {
+	}
+	err := f.tryPeers(ctx, l, wait, s)
+	if isAnswer(err) || ctx.Err() != nil {
+		return err
+	}
+	if s.bounded && f.takeDueRead() {
+		return f.readStore(ctx, 0, s)
+	}
+	if f.mayAskStore() {
+		return f.readStore(ctx, min(wait, f.maxStoreWait()), s)
+	}
+	return err
+}
+
+// tryPeers reads from the followers in list until one answers, or until the view of this
+// host is due to be read from the service.
+func (f *Feed) tryPeers(ctx context.Context, list []sardineknot.EntryHost, wait time.Duration, s source) error {
+	c := ctx
+	if d := f.untilDue(); s.bounded && d > 0 {
+		var cancel context.CancelFunc
+		c, cancel = context.WithTimeout(ctx, d)
+		defer cancel()
+	}
+	var err error
+	for range min(maxPeersTried, len(list)) {
+		err = f.tryPeer(c, f.currentPeer(list), f.peerWait(wait), s)
+		if isAnswer(err) || ctx.Err() != nil {
 			return err
 		}
-		f.PeerFailures.Inc(1)
-		f.recordFailure(h.ID, b, err)
 		f.nextPeer()
+		if c.Err() != nil {
+			return err
+		}
 		wait = min(wait, retryWait)
 	}
-	if f.mayAskStore() {
-		return f.readStore(ctx, askStore)
+	return err
+}
+
+// tryPeer reads from the follower host.
+func (f *Feed) tryPeer(ctx context.Context, host sardineknot.EntryHost, wait time.Duration, s source) error {
+	f.PeerCalls.Inc(1)
+	b := f.Clock.Now()
+	err := callPeer(ctx, f.Client, host, wait, s.peer)
+	if isAnswer(err) {
+		f.setSource(host.ID)
+		return err
 	}
+	f.PeerFailures.Inc(1)
+	f.recordFailure(host.ID, b, err)
 	return err
 }
 
-// readStore calls askStore and records that the service is the source.
-func (f *Feed) readStore(ctx context.Context, askStore func(context.Context) error) error {
+// readStore reads from the service and records that it is the source.
+func (f *Feed) readStore(ctx context.Context, wait time.Duration, s source) error {
 	f.StoreCalls.Inc(1)
 	b := f.Clock.Now()
-	err := askStore(ctx)
+	err := s.store(ctx, wait)
 	if isAnswer(err) {
 		f.setSource("")
 		return err
