configuration/store: a configuration known from another host is passed on as well

What callers saw: nothing that was reported. Hosts that read from a follower went on with an older configuration until the next change.

Cause: what a host passes on hung on what was new to itself. The same held for an entry that the new era's copy lacked and that was written again.

Change: what another host has is adopted by a method of its own (Source.Adopt), and an entry of the store counts as news if it differs from the last one that the store sent in its era.

Evidence: TestAdoptedConfigurationIsPassedOn failed before (5 was served in place of 7).

--- a/internal/configuration/inforce/exchange.go
+++ b/internal/configuration/inforce/exchange.go
@@ -54,7 +54,7 @@
 	for range l {
 		p := <-a
 		if p.GetKey() != "" {
-			e.Source.Apply(sardineknot.StoreEntry{Key: p.GetKey(), Value: p.GetValue(), Revision: fetched})
+			e.Source.Adopt(sardineknot.StoreEntry{Key: p.GetKey(), Value: p.GetValue(), Revision: fetched})
 		}
 	}
 }
--- a/internal/configuration/store/source.go
+++ b/internal/configuration/store/source.go
@@ -12,6 +12,7 @@
 package store
 
 import (
+	"bytes"
 	"sync"
 	"time"
 
@@ -58,6 +59,9 @@
 	// the entry that it was read from.
 	base     *sardineknot.Configuration
 	accepted sardineknot.StoreEntry
+	// offered is the last entry of an operators' configuration that Apply received, accepted
+	// or not.
+	offered sardineknot.StoreEntry
 	// servers holds the backend servers with a valid entry, by key.
 	servers map[string]*server
 	// removed holds the keys of servers whose entries were removed.
@@ -130,8 +134,9 @@
 
 // Apply applies a changed entry of the service. An entry without a revision
 // number was removed. The change is not visible in Current until Commit is called.
-// Apply reports whether the entry says more than is known: most writes of
-// backend servers only show that the server is alive.
+// Apply reports whether hosts that read from this one need the entry: most writes
+// of backend servers only show that the server is alive. A configuration that this
+// host has from Adopt is needed as well.
 func (s *Source) Apply(e sardineknot.StoreEntry) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -143,7 +148,10 @@
 	}
 	c, ok, err := s.Decoder.DecodeConfiguration(e)
 	if ok {
-		return s.acceptLocked(e, c, err)
+		n := e.Revision.Era != s.offered.Revision.Era || !bytes.Equal(e.Value, s.offered.Value)
+		s.offered = e
+		s.acceptLocked(e, c, err)
+		return n
 	}
 	b, ok, err := s.Decoder.DecodeServer(e)
 	return ok && s.putLocked(e, b, err)
@@ -163,17 +171,29 @@
 	return true
 }
 
-func (s *Source) acceptLocked(e sardineknot.StoreEntry, c *sardineknot.Configuration, err error) bool {
+// Adopt applies the operators' configuration that another host has in force. It has no
+// effect on what Apply reports. The change is not visible in Current until Commit is called.
+func (s *Source) Adopt(e sardineknot.StoreEntry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, ok, err := s.Decoder.DecodeConfiguration(e)
+	if ok {
+		s.acceptLocked(e, c, err)
+	}
+}
+
+// acceptLocked makes c, which was decoded from e with the error err, the operators'
+// configuration if it is valid and newer than the present one.
+func (s *Source) acceptLocked(e sardineknot.StoreEntry, c *sardineknot.Configuration, err error) {
 	if err != nil {
 		s.Log.Error().Stringer("event", sardineknot.LogConfigurationRefused).Err(err).Send()
-		return true
+		return
 	}
 	if c.Revision <= s.base.Revision {
-		return false
+		return
 	}
 	s.Log.Info().Stringer("event", sardineknot.LogConfigurationAccepted).Int64("revision", int64(c.Revision)).Int("routes", len(c.Routes)).Send()
 	s.base, s.accepted, s.stale = c, e, true
-	return true
 }
 
 // Accepted returns the entry of the operators' configuration that was accepted last,
