host/gateway: a host that starts queries others for their configuration

What callers saw: nothing that was reported.

Cause: PROOFS.md says that a host that starts queries others. The code did so only in an era after the first, that is, only where the store had been restored. A host that starts and reads from a follower that is behind so began with an older configuration than others had in force.

Change: the first entries after a start are treated as those of a new era.

Evidence: TestStartQueriesOthers failed before (5 in force, 7 elsewhere).

--- a/internal/configuration/inforce/doc.go
+++ b/internal/configuration/inforce/doc.go
@@ -2,7 +2,6 @@
 //
 // The platform's key-value service may be restored from an older copy, with an older
 // configuration in which withdrawn keys and dropped routes are in force. Hosts that
-// run keep the newer one. A host that starts, or that had not read the newer one yet,
-// gets it from the others. Without a restore the service has the newest one, and no
-// host is queried.
+// run keep the newer one. A host that had not read the newer one yet gets it from the
+// others. So does a host that starts, which may read from a host that is behind.
 package inforce
--- a/internal/host/gateway/exchange_test.go
+++ b/internal/host/gateway/exchange_test.go
@@ -118,3 +118,16 @@
 	p.write(sardineknot.StoreRevision{Era: 2, Number: 2}, "8")
 	checkServed(t, p, e, "8")
 }
+
+// TestStartQueriesOthers guards against a host that starts with an older configuration than
+// others have in force, because the host from which it reads is behind.
+func TestStartQueriesOthers(t *testing.T) {
+	is := is.New(t)
+	p := newExchangingProcess("7")
+	p.write(sardineknot.StoreRevision{Number: 3}, "5")
+	is.Equal(p.source.Current().Revision, sardineknot.Revision(7))
+	p.write(sardineknot.StoreRevision{Number: 4}, "6")
+	is.Equal(p.source.Current().Revision, sardineknot.Revision(7)) // it never goes back
+	p.write(sardineknot.StoreRevision{Number: 5}, "8")
+	is.Equal(p.source.Current().Revision, sardineknot.Revision(8))
+}
--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -127,13 +127,18 @@
 }
 
 // commitEntries puts the entries in force that were applied. They are complete
-// up to revision. The first entries of an era, which begins when the service returns
-// from an older copy, may be older than what other hosts have: those are queried.
+// up to revision. The first entries after a start, from a follower that is behind, and
+// those of an era, which begins when the service returns from an older copy, may be older
+// than what other hosts have: those are queried.
 func (p *Process) commitEntries(revision sardineknot.StoreRevision) {
 	p.registry.Refresh()
-	if revision.Era > p.committedEra {
+	n := revision.Era > p.committedEra
+	if n {
 		p.committedEra = revision.Era
 		p.orders.BeginEra(revision.Era)
+	}
+	if n || !p.committed {
+		p.committed = true
 		p.exchange.Fetch(context.Background())
 	}
 	p.source.Commit()
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -136,9 +136,10 @@
 	// backoffs records which backend servers want no requests from this host.
 	backoffs *backoff.Set
 	mirror   *mirror.Mirror
-	// exchange queries other hosts for their configuration. committedEra is the era of the
-	// last committed entries, and is used by the mirror only.
+	// exchange queries other hosts for their configuration. committed is set once entries
+	// were committed, and committedEra is the era of the last ones. Only the mirror uses both.
 	exchange     *inforce.Exchange
+	committed    bool
 	committedEra sardineknot.StoreEra
 	// entries holds what this host has read from the key-value service. feed
 	// reads it, and serves it to other hosts.
--- a/internal/host/gateway/scale_bench_test.go
+++ b/internal/host/gateway/scale_bench_test.go
@@ -120,6 +120,7 @@
 	}
 	p := &Process{registry: membership.NewRegistry(h(0)), source: configuration.NewSource(), entries: changelog.NewLog(), EntryDecoder: jsonDecoder{}}
 	p.feed = &feed.Feed{Entries: p.entries, Clock: p.clock}
+	p.committed = true // no other host is there to be queried
 	p.versions = versions.NewDirectory(p.clock)
 	p.orders = ledger.NewLedger(nil, p.clock, p.registry.Self(), p.clock.Sleep)
 	r := func() (bool, time.Time) { return true, time.Time{} }
