caller/gateway: a host that is behind refuses unknown routes and keys as not run

A call of a route that had been added was answered with 404, and one with an added key with 401, by a host whose view was older than its bound.

Cause: class "an added route": a host decided by its view that something does not exist, without regard to the age of the view.

Change: while the view is older than ConfigurationBound, such calls get 503 with Retry-After 1 s. A host in touch with the store is never in that state for long (TestChangeWithinBound), so that routes that never existed still get 404 there.

--- a/internal/caller/gateway/handler.go
+++ b/internal/caller/gateway/handler.go
@@ -26,6 +26,9 @@
 	// startRetryAfter is the Retry-After time of calls that are refused because
 	// the host has no configuration yet.
 	startRetryAfter = 300 * time.Millisecond
+	// outdatedRetryAfter is the Retry-After time of calls whose route or key a host does not
+	// know while its view is outdated. Hosts that are in touch know it by then.
+	outdatedRetryAfter = time.Second
 	// maxConfigurationWait is the maximum time for which a call waits for the
 	// first configuration.
 	maxConfigurationWait = 700 * time.Millisecond
@@ -55,6 +58,9 @@
 	// ViewAge returns the time since the configuration and the servers that this host has
 	// were last known to be current. Nil means that they always are.
 	ViewAge func() time.Duration
+	// Outdated reports whether routes and keys may exist for longer than a host is allowed
+	// not to know them. Nil means that it always returns false.
+	Outdated func() bool
 	// Clock returns the current time.
 	Clock sardineknot.Clock
 	// Log receives one event for each call.
@@ -91,7 +97,7 @@
 // admit validates r and returns its call. The body must arrive before the deadline of the
 // call. It fails with a NotRunError if there
 // is no configuration yet or the host stops too soon, with an UnknownError if no route matches, with an
-// UnauthorizedError if r lacks the key of a client account, and with an
+// UnauthorizedError if r lacks the key of a client account (see denial), and with an
 // InvalidError, a headerTooLargeError or an http.MaxBytesError if r violates the
 // format or the limits.
 func (h *Handler) admit(writer *answerWriter, r *http.Request) (*sardineknot.Call, error) {
@@ -106,7 +112,7 @@
 	p, _, _ := strings.Cut(r.RequestURI, "?")
 	t := f.Route(hostName(r.Host), p)
 	if t == nil {
-		return nil, errors.WithStack(&sardineknot.UnknownError{What: "Route", Name: p})
+		return nil, h.denial(&sardineknot.UnknownError{What: "Route", Name: p})
 	}
 	c, err := h.Decoder.DecodeCall(r, n)
 	if err != nil {
@@ -114,9 +120,8 @@
 	}
 	c.Route = t
 	c.Revision, c.ViewAge = f.Revision, h.viewAge()
-	err = authorize(f, c)
-	if err != nil {
-		return nil, err
+	if !authorize(f, c) {
+		return nil, h.denial(&sardineknot.UnauthorizedError{})
 	}
 	c.Service = t.SelectService(xxhash.Sum64String(string(c.ID)))
 	c.Deadline = n.Add(t.Timeout)
@@ -143,19 +148,27 @@
 	return d
 }
 
+// denial returns err, the reason why a call is not allowed, or a NotRunError if a
+// configuration that this host does not know yet may allow it.
+func (h *Handler) denial(err error) error {
+	if h.Outdated != nil && h.Outdated() {
+		return errors.WithStack(&sardineknot.NotRunError{Reason: "the configuration may be outdated: " + err.Error(), RetryAfter: outdatedRetryAfter})
+	}
+	return errors.WithStack(err)
+}
+
 // authorize sets the client account of call to the one that its key belongs to. It
-// fails with an UnauthorizedError if there is none and call needs one under
-// configuration.
-func authorize(configuration *sardineknot.Configuration, call *sardineknot.Call) error {
+// returns false if there is none and call needs one under configuration.
+func authorize(configuration *sardineknot.Configuration, call *sardineknot.Call) bool {
 	if len(configuration.Accounts) == 0 || call.Route.Public {
-		return nil
+		return true
 	}
 	a, ok := configuration.AccountByKey(call.Key)
 	if !ok {
-		return errors.WithStack(&sardineknot.UnauthorizedError{})
+		return false
 	}
 	call.Account = a
-	return nil
+	return true
 }
 
 // waitForConfiguration returns the configuration in force. If there is none
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -344,11 +344,12 @@
 			Source: p.source, Forwarder: p.calls, Slots: p.slots, Backoffs: p.backoffs, Guard: p.guard,
 			Budget: b, Memory: m, Versions: p.versions, Self: self, Clock: p.clock, Log: p.Log,
 		},
-		Limiter: p.accountLimiter,
-		ViewAge: p.feed.ViewAge,
-		Clock:   p.clock,
-		Log:     p.Log,
-		Metrics: p.Metrics,
+		Limiter:  p.accountLimiter,
+		ViewAge:  p.feed.ViewAge,
+		Outdated: p.feed.Outdated,
+		Clock:    p.clock,
+		Log:      p.Log,
+		Metrics:  p.Metrics,
 	}
 }
 
--- a/internal/platform/twirp/age.go
+++ b/internal/platform/twirp/age.go
@@ -23,6 +23,9 @@
 	return f.ageLocked()
 }
 
+// Outdated reports whether changes may exist that this host should know and does not.
+func (f *Feed) Outdated() bool { return f.ViewAge() > f.bound() }
+
 func (f *Feed) ageLocked() time.Duration {
 	if f.currentAsOf.IsZero() {
 		return 0
--- a/internal/platform/twirp/cluster_test.go
+++ b/internal/platform/twirp/cluster_test.go
@@ -143,6 +143,9 @@
 	paused atomic.Pointer[chan struct{}]
 	// delay is how much later the host answers, in nanoseconds.
 	delay atomic.Int64
+	// lossy makes every second answer get lost. answers counts them.
+	lossy   atomic.Bool
+	answers atomic.Int64
 	// harmed is set while a fault concerns the host.
 	harmed bool
 
