--- a/internal/caller/gateway/answer.go
+++ b/internal/caller/gateway/answer.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,32 @@
 	status  int
 }
 
+// lingerer is a connection that may be reset, such as a net.TCPConn.
+type lingerer interface {
+	SetLinger(seconds int) error
+}
+
+// abort resets the connection of an answer that has begun to request, if the end of the
+// connection is the end of the answer: it would look complete. It does not return.
+func (a *answerWriter) abort(request *http.Request) {
+	if !request.ProtoAtLeast(1, 1) {
+		c, _, err := a.controller.Hijack()
+		if err == nil {
+			reset(c)
+		}
+	}
+	// net/http closes other connections before the end of the answer.
+	panic(http.ErrAbortHandler)
+}
+
+// reset closes connection with a reset, if that is possible.
+func reset(connection net.Conn) {
+	if l, ok := connection.(lingerer); ok {
+		_ = l.SetLinger(0) // it fails only for connections that are closed already
+	}
+	connection.Close()
+}
+
 // prepare keeps net/http from adding the header fields Date and Content-Type.
 func (a *answerWriter) prepare() {
 	h := a.writer.Header()
--- a/internal/caller/gateway/handler.go
+++ b/internal/caller/gateway/handler.go
@@ -91,7 +91,7 @@
 		h.refuse(a, r, err)
 		return
 	}
-	h.run(r.Context(), a, c)
+	h.run(r, a, c)
 }
 
 // admit validates r and returns its call. The body must arrive before the deadline of the
@@ -242,8 +242,8 @@
 // run runs call and writes its answer. If call fails before the header has been
 // sent, run sends the error status instead. If call fails later, run panics
 // with http.ErrAbortHandler.
-func (h *Handler) run(ctx context.Context, writer *answerWriter, call *sardineknot.Call) {
-	ctx, cancel := context.WithDeadline(ctx, call.Deadline)
+func (h *Handler) run(r *http.Request, writer *answerWriter, call *sardineknot.Call) {
+	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
 	defer cancel()
 	err := h.runWithinLimit(ctx, writer, call)
 	b := writer.started
@@ -254,7 +254,7 @@
 	if err != nil && b {
 		// Aborting the connection prevents the caller from mistaking the partial
 		// answer for a complete one.
-		panic(http.ErrAbortHandler)
+		writer.abort(r)
 	}
 }
 
--- a/internal/caller/idle/drain.go
+++ b/internal/caller/idle/drain.go
@@ -135,6 +135,15 @@
 	connections *Connections
 }
 
+// SetLinger is the method of net.TCPConn, for connections that have it.
+func (k *conn) SetLinger(seconds int) error {
+	l, ok := k.Conn.(interface{ SetLinger(seconds int) error })
+	if !ok {
+		return errors.WithStack(http.ErrNotSupported)
+	}
+	return errors.WithStack(l.SetLinger(seconds))
+}
+
 // Read implements net.Conn.
 func (k *conn) Read(b []byte) (int, error) {
 	n, err := k.Conn.Read(b)
