--- a/internal/backend/http1/brokenhead_test.go
+++ b/internal/backend/http1/brokenhead_test.go
@@ -67,6 +67,8 @@
 // It answers a first request wholly if kept is set.
 type brokenServer struct {
 	address netip.AddrPort
+	// sent is closed when the part is sent.
+	sent chan struct{}
 }
 
 // serveBroken starts a brokenServer for one connection.
@@ -75,6 +77,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { l.Close() })
+	s := &brokenServer{address: netip.MustParseAddrPort(l.Addr().String()), sent: make(chan struct{})}
 	go func() {
 		c, err := l.Accept()
 		if err != nil {
@@ -87,9 +90,10 @@
 		}
 		readRequest(r)
 		_, _ = io.WriteString(c, part)
+		close(s.sent)
 		e.end(c)
 	}()
-	return &brokenServer{address: netip.MustParseAddrPort(l.Addr().String())}
+	return s
 }
 
 func readRequest(r *bufio.Reader) {
@@ -109,12 +113,15 @@
 		_, err := exchange(c, &scriptedServer{address: s.address}, "1")
 		is.New(t).NoErr(err)
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), 15*time.Millisecond)
-	if e.name != "silent" {
-		cancel()
-		ctx, cancel = context.WithTimeout(context.Background(), 2*time.Second)
-	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
 	defer cancel()
+	if e.name == "silent" {
+		go func() {
+			<-s.sent
+			time.Sleep(time.Millisecond)
+			cancel()
+		}()
+	}
 	p, err := c.Exchange(ctx, s.address, sardineknot.ExchangeRequest{
 		Method: method, Target: "/", Host: "h", Header: make(http.Header), EchoHeader: "Id", EchoValue: "2", KeptConnection: kept,
 	})
