host/gateway: the bound of leaving servers holds for what a host reads as well

A site may give less time for a leaving server than for a configuration; both come by the same feed, and only the latter's bound was known to it.

In the feed, what is read is a request, not a source, which is the follower that answered last.

--- a/gatewaysettings.go
+++ b/gatewaysettings.go
@@ -1,6 +1,7 @@
 package sardineknot
 
 import (
+	"cmp"
 	"net/netip"
 	"time"
 )
@@ -37,9 +38,12 @@
 	// StopLimit is the time that the platform gives the process to stop before
 	// it kills the process. Zero means 8 s.
 	StopLimit time.Duration
-	// ConfigurationBound is the time within which each change in the platform's key-value
-	// service must be known to the host. Zero means 2 s.
+	// ConfigurationBound is the time within which a change of the configuration must be known
+	// to the host, and LeavingBound the same for a backend server that is leaving. The shorter
+	// one holds for all that the host reads from the platform's key-value service. Zero means
+	// the other one, or 2 s if both are zero.
 	ConfigurationBound time.Duration
+	LeavingBound       time.Duration
 	// RetryRatio and RetrySlack limit the retries of a service, across all
 	// entry hosts and over ten seconds, to RetryRatio times the number of calls
 	// plus RetrySlack.
@@ -61,3 +65,13 @@
 	}
 	return s.ProcessorShare * s.ProcessorSpeed
 }
+
+// defaultReadBound is the bound of what a host reads if the settings have none.
+const defaultReadBound = 2 * time.Second
+
+// ReadBound returns the time within which the host must know each change in the platform's
+// key-value service.
+func (s GatewaySettings) ReadBound() time.Duration {
+	c := cmp.Or(s.ConfigurationBound, s.LeavingBound, defaultReadBound)
+	return min(c, cmp.Or(s.LeavingBound, c))
+}
--- a/internal/host/gateway/reload.go
+++ b/internal/host/gateway/reload.go
@@ -30,7 +30,7 @@
 }
 
 // reload reads the settings again. Changes of the retry limits, of the stop limit
-// and of the bound of configurations take effect immediately. Changes of all other settings, such as the
+// and of the bounds of what is read take effect immediately. Changes of all other settings, such as the
 // identity of the host and its addresses, are logged but require a restart.
 func (p *Process) reload() {
 	s, err := p.LoadSettings()
@@ -46,17 +46,18 @@
 	p.lastRead = s
 	r := needsRestart(p.Settings, s)
 	p.Log.Info().Stringer("event", sardineknot.LogSettingsChanged).Float64("retry_ratio", s.RetryRatio).Float64("retry_slack", s.RetrySlack).
-		Dur("stop_limit_ms", s.StopLimit).Dur("configuration_bound_ms", s.ConfigurationBound).Bool("needs_restart", r).Send()
+		Dur("stop_limit_ms", s.StopLimit).Dur("read_bound_ms", s.ReadBound()).Bool("needs_restart", r).Send()
 	p.budgets.SetBounds(s.RetryRatio, s.RetrySlack)
 	p.Settings.RetryRatio, p.Settings.RetrySlack = s.RetryRatio, s.RetrySlack
-	p.Settings.StopLimit, p.Settings.ConfigurationBound = s.StopLimit, s.ConfigurationBound
+	p.Settings.StopLimit = s.StopLimit
+	p.Settings.ConfigurationBound, p.Settings.LeavingBound = s.ConfigurationBound, s.LeavingBound
 }
 
-// configurationBound returns the current setting ConfigurationBound.
-func (p *Process) configurationBound() time.Duration {
+// readBound returns the result of ReadBound for the current settings.
+func (p *Process) readBound() time.Duration {
 	p.settingsLock.Lock()
 	defer p.settingsLock.Unlock()
-	return p.Settings.ConfigurationBound
+	return p.Settings.ReadBound()
 }
 
 // stopLimit returns the current setting StopLimit.
@@ -70,6 +71,7 @@
 // effect only after a restart.
 func needsRestart(old, updated sardineknot.GatewaySettings) bool {
 	updated.RetryRatio, updated.RetrySlack = old.RetryRatio, old.RetrySlack
-	updated.StopLimit, updated.ConfigurationBound = old.StopLimit, old.ConfigurationBound
+	updated.StopLimit = old.StopLimit
+	updated.ConfigurationBound, updated.LeavingBound = old.ConfigurationBound, old.LeavingBound
 	return old != updated
 }
--- a/internal/operator/settings/gateway.go
+++ b/internal/operator/settings/gateway.go
@@ -36,6 +36,9 @@
 	if s.ConfigurationBound < 0 || s.ConfigurationBound > maxDuration {
 		d.ReportValue("/ConfigurationBound", s.ConfigurationBound, "0s to 1h")
 	}
+	if s.LeavingBound < 0 || s.LeavingBound > maxDuration {
+		d.ReportValue("/LeavingBound", s.LeavingBound, "0s to 1h")
+	}
 	if s.StopLimit < 0 || s.StopLimit > maxDuration {
 		d.ReportValue("/StopLimit", s.StopLimit, "0s to 1h")
 	}
--- a/internal/platform/twirp/age.go
+++ b/internal/platform/twirp/age.go
@@ -24,7 +24,7 @@
 }
 
 // Outdated reports whether changes may exist that this host should know and does not.
-func (f *Feed) Outdated() bool { return f.ViewAge() > f.bound() }
+func (f *Feed) Outdated() bool { return f.ViewAge() > f.Bound() }
 
 func (f *Feed) ageLocked() time.Duration {
 	if f.currentAsOf.IsZero() {
--- a/internal/platform/twirp/feed.go
+++ b/internal/platform/twirp/feed.go
@@ -55,7 +55,7 @@
 	Entries *changelog.Log
 	// Selector selects the followers.
 	Selector sardineknot.FollowerSelector
-	// Bound returns the time within which this host must know each change.
+	// Bound returns the time within which this host must know each change. It is positive.
 	Bound func() time.Duration
 	// Reachability reports whether this host has an up-to-date view of the
 	// service.
@@ -107,8 +107,8 @@
 
 var _ sardineknot.ChangeFeed = (*Feed)(nil)
 
-// source reads the same from a follower or from the service.
-type source struct {
+// request is what is read, from a follower or from the service.
+type request struct {
 	// peer reads from a follower, which may hold the call for wait.
 	peer func(ctx context.Context, peer rpc.Changes, wait time.Duration) error
 	// store reads from the service, which may hold the call for wait.
@@ -121,7 +121,7 @@
 // Snapshot implements sardineknot.ChangeFeed.
 func (f *Feed) Snapshot(ctx context.Context) (entries []sardineknot.StoreEntry, revision sardineknot.StoreRevision, err error) {
 	var a time.Time
-	s := source{peer: func(ctx context.Context, peer rpc.Changes, _ time.Duration) error {
+	q := request{peer: func(ctx context.Context, peer rpc.Changes, _ time.Duration) error {
 		b := f.Clock.Now()
 		var d time.Duration
 		var e error
@@ -136,7 +136,7 @@
 		entries, revision, e = f.Store.Snapshot(ctx)
 		return f.admit(revision, e)
 	}}
-	err = f.read(ctx, maxPeerWait, s)
+	err = f.read(ctx, maxPeerWait, q)
 	f.recordRead(a, err)
 	return entries, revision, err
 }
@@ -144,7 +144,7 @@
 // Next implements sardineknot.ChangeFeed.
 func (f *Feed) Next(ctx context.Context, revision sardineknot.StoreRevision, timeout time.Duration) (changes []sardineknot.StoreEntry, next sardineknot.StoreRevision, err error) {
 	var a time.Time
-	s := source{bounded: true, peer: func(ctx context.Context, peer rpc.Changes, wait time.Duration) error {
+	q := request{bounded: true, peer: func(ctx context.Context, peer rpc.Changes, wait time.Duration) error {
 		b := f.Clock.Now()
 		var d time.Duration
 		var e error
@@ -163,7 +163,7 @@
 		}
 		return f.admit(next, e)
 	}}
-	err = f.read(ctx, timeout, s)
+	err = f.read(ctx, timeout, q)
 	f.recordRead(a, err)
 	return changes, next, err
 }
@@ -181,17 +181,17 @@
 // that is a follower itself reads from the service first. The service may refuse this host
 // and serve others. A CompactedError is an answer. wait is the longest time for which a call
 // may be held.
-func (f *Feed) read(ctx context.Context, wait time.Duration, s source) error {
+func (f *Feed) read(ctx context.Context, wait time.Duration, q request) error {
 	f.recordStart()
 	if !f.Selector.FollowsStore() || f.readsPeers() && !f.mayAskStore() {
-		return f.readPeers(ctx, wait, s)
+		return f.readPeers(ctx, wait, q)
 	}
-	err := f.readStore(ctx, min(wait, f.maxStoreWait()), s)
+	err := f.readStore(ctx, min(wait, f.maxStoreWait()), q)
 	if isAnswer(err) || ctx.Err() != nil || !f.hasPeers() {
 		return err
 	}
 	f.recordStoreCall()
-	return f.readPeers(ctx, min(wait, retryWait), s)
+	return f.readPeers(ctx, min(wait, retryWait), q)
 }
 
 // recordStart records the time of the first call.
@@ -220,43 +220,43 @@
 // readPeers reads from followers until one answers. If none does, it reads from the service,
 // unless the last call to the service is too recent. It reads from the service first if the
 // view of this host is about to be older than Bound.
-func (f *Feed) readPeers(ctx context.Context, wait time.Duration, s source) error {
+func (f *Feed) readPeers(ctx context.Context, wait time.Duration, q request) error {
 	l := f.Selector.Peers()
 	if len(l) == 0 {
-		return f.readStore(ctx, min(wait, f.maxStoreWait()), s)
+		return f.readStore(ctx, min(wait, f.maxStoreWait()), q)
 	}
 	f.setPeers(l)
-	if s.bounded && f.takeDueRead() {
-		err := f.readStore(ctx, 0, s)
+	if q.bounded && f.takeDueRead() {
+		err := f.readStore(ctx, 0, q)
 		if isAnswer(err) || ctx.Err() != nil {
 			return err
 		}
 	}
-	err := f.tryPeers(ctx, l, wait, s)
+	err := f.tryPeers(ctx, l, wait, q)
 	if isAnswer(err) || ctx.Err() != nil {
 		return err
 	}
-	if s.bounded && f.takeDueRead() {
-		return f.readStore(ctx, 0, s)
+	if q.bounded && f.takeDueRead() {
+		return f.readStore(ctx, 0, q)
 	}
 	if f.mayAskStore() {
-		return f.readStore(ctx, min(wait, f.maxStoreWait()), s)
+		return f.readStore(ctx, min(wait, f.maxStoreWait()), q)
 	}
 	return err
 }
 
 // tryPeers reads from the followers in list until one answers, or until the view of this
 // host is due to be read from the service.
-func (f *Feed) tryPeers(ctx context.Context, list []sardineknot.EntryHost, wait time.Duration, s source) error {
+func (f *Feed) tryPeers(ctx context.Context, list []sardineknot.EntryHost, wait time.Duration, q request) error {
 	c := ctx
-	if d := f.untilDue(); s.bounded && d > 0 {
+	if d := f.untilDue(); q.bounded && d > 0 {
 		var cancel context.CancelFunc
 		c, cancel = context.WithTimeout(ctx, d)
 		defer cancel()
 	}
 	var err error
 	for range min(maxPeersTried, len(list)) {
-		err = f.tryPeer(c, f.currentPeer(list), f.peerWait(wait), s)
+		err = f.tryPeer(c, f.currentPeer(list), f.peerWait(wait), q)
 		if isAnswer(err) || ctx.Err() != nil {
 			return err
 		}
@@ -270,10 +270,10 @@
 }
 
 // tryPeer reads from the follower host.
-func (f *Feed) tryPeer(ctx context.Context, host sardineknot.EntryHost, wait time.Duration, s source) error {
+func (f *Feed) tryPeer(ctx context.Context, host sardineknot.EntryHost, wait time.Duration, q request) error {
 	f.PeerCalls.Inc(1)
 	b := f.Clock.Now()
-	err := callPeer(ctx, f.Client, host, wait, s.peer)
+	err := callPeer(ctx, f.Client, host, wait, q.peer)
 	if isAnswer(err) {
 		f.setSource(host.ID)
 		return err
@@ -284,10 +284,10 @@
 }
 
 // readStore reads from the service and records that it is the source.
-func (f *Feed) readStore(ctx context.Context, wait time.Duration, s source) error {
+func (f *Feed) readStore(ctx context.Context, wait time.Duration, q request) error {
 	f.StoreCalls.Inc(1)
 	b := f.Clock.Now()
-	err := s.store(ctx, wait)
+	err := q.store(ctx, wait)
 	if isAnswer(err) {
 		f.setSource("")
 		return err
--- a/internal/platform/twirp/start_test.go
+++ b/internal/platform/twirp/start_test.go
@@ -90,7 +90,7 @@
 	for i := range startedServers {
 		s.put(fmt.Sprintf("servers/%d", i), strings.Repeat("x", 300))
 	}
-	c := &cluster{service: s.service}
+	c := &cluster{service: s.service, bound: siteBound}
 	l := newEntries(startedHosts, 6)
 	for _, e := range l {
 		h := newHost(c, e, []sardineknot.EntryHost{e})
--- a/internal/platform/twirp/timing.go
+++ b/internal/platform/twirp/timing.go
@@ -2,45 +2,31 @@
 
 import "time"
 
-const (
-	// defaultBound is used while Bound returns zero. It is the shortest one in use.
-	defaultBound = 2 * time.Second
-	// storeReserve is the time before the bound at which a host reads from the service
-	// itself. It covers the wait after a failed poll, and the answer.
-	storeReserve = 750 * time.Millisecond
-)
-
-// bound returns the time within which this host must know each change.
-func (f *Feed) bound() time.Duration {
-	if f.Bound != nil {
-		if d := f.Bound(); d > 0 {
-			return d
-		}
-	}
-	return defaultBound
-}
+// storeReserve is the time before the bound at which a host reads from the service itself.
+// It covers the wait after a failed poll, and the answer.
+const storeReserve = 750 * time.Millisecond
 
 // dueAge returns the age of the view of this host at which it reads from the service itself,
 // whatever followers do.
-func (f *Feed) dueAge() time.Duration { return max(f.bound()/2, f.bound()-storeReserve) }
+func (f *Feed) dueAge() time.Duration { return max(f.Bound()/2, f.Bound()-storeReserve) }
 
 // maxStoreWait returns the longest time for which the service is to hold a call. It bounds
 // the time after which a follower notices that the service does not answer.
-func (f *Feed) maxStoreWait() time.Duration { return f.bound() / 6 }
+func (f *Feed) maxStoreWait() time.Duration { return f.Bound() / 6 }
 
 // MaxPollDelay returns the longest time between two reads of a follower from the service.
-func (f *Feed) MaxPollDelay() time.Duration { return f.bound() / 4 }
+func (f *Feed) MaxPollDelay() time.Duration { return f.Bound() / 4 }
 
 // retryAge returns the age of the view of this host at which a follower should have
 // answered. Unless Bound is short, there is time then to notice that it does not, and to
 // try another one.
 func (f *Feed) retryAge() time.Duration {
-	return max(f.bound()/2, f.dueAge()-2*peerMargin-retryWait)
+	return max(f.Bound()/2, f.dueAge()-2*peerMargin-retryWait)
 }
 
 // peerWait returns the time, at most wait, for which a follower is to hold a call.
 func (f *Feed) peerWait(wait time.Duration) time.Duration {
-	return min(wait, maxPeerWait, max(f.bound()/8, f.retryAge()-f.ViewAge()))
+	return min(wait, maxPeerWait, max(f.Bound()/8, f.retryAge()-f.ViewAge()))
 }
 
 // untilDue returns the time until the view of this host is due to be read from the service.
