caller/gateway: the bodies of all calls share a part of the memory

Cause: each body was bounded by itself and nothing bounded all of them; a body was read into a buffer that doubles, and copied once more for the server.

Change: a quarter of the memory limit is for bodies (memory.Budget, as answers have one; 64 KB of each are free). A body of known length takes its room at once and is read into just that; one that does not fit is refused at once, as not run, with Retry-After 0.5 s. One whose stated length is over the limit is refused before it arrives. A body over 16 KB is written from where it is.

--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -94,7 +94,7 @@
 	}
 	q := encode(exchange)
 	go func() {
-		_, err := k.Write(q)
+		_, err := q.WriteTo(k.Conn)
 		k.written <- err
 	}()
 	k.client.await(k)
@@ -169,8 +169,12 @@
 	return errors.New("response to another request is too long")
 }
 
-// encode returns the bytes of the request of exchange.
-func encode(exchange sardineknot.ExchangeRequest) []byte {
+// maxCopiedBytes is the length up to which the body of a request is copied, so that it is
+// written together with the head.
+const maxCopiedBytes = 16 << 10
+
+// encode returns the bytes of the request of exchange. A long body is not copied.
+func encode(exchange sardineknot.ExchangeRequest) net.Buffers {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n", exchange.Method, exchange.Target, exchange.Host)
 	if len(exchange.Body) > 0 || exchange.Method != http.MethodGet && exchange.Method != http.MethodHead {
@@ -180,8 +184,11 @@
 	// does.
 	_ = exchange.Header.Write(&b)
 	b.WriteString("\r\n")
+	if len(exchange.Body) > maxCopiedBytes {
+		return net.Buffers{b.Bytes(), exchange.Body}
+	}
 	b.Write(exchange.Body)
-	return b.Bytes()
+	return net.Buffers{b.Bytes()}
 }
 
 // parseIdleTimeout returns the time for which a connection may stay idle after
--- a/internal/backend/memory/budget.go
+++ b/internal/backend/memory/budget.go
@@ -1,5 +1,5 @@
-// Package memory bounds the memory of an entry host for bytes from backend servers
-// that are kept until an event or an answer is complete. A server may send bytes
+// Package memory bounds the memory of an entry host for bytes from backend servers and callers
+// that are kept until an event, an answer or a call is complete. A server may send bytes
 // without end, and many may do so at once.
 package memory
 
--- a/internal/caller/gateway/handler.go
+++ b/internal/caller/gateway/handler.go
@@ -4,7 +4,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"os"
@@ -19,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/backend/memory"
 	"sardineknot.example/sardineknot/internal/policy/durations"
 )
 
@@ -37,9 +37,6 @@
 	// late, and its caller is better off with a refusal at once.
 	maxLimitWait   = 100 * time.Millisecond
 	limitWaitParts = 64
-	// defaultBodyBytes is the maximum size of a request body if the
-	// configuration sets no limit.
-	defaultBodyBytes = 4 << 20
 )
 
 // Handler is an http.Handler that serves calls according to the routes of the
@@ -55,6 +52,8 @@
 	// Limiter keeps client accounts within their limits. Nil means that there are no
 	// limits.
 	Limiter sardineknot.AccountLimiter
+	// Memory bounds the bodies of all calls together. Nil means that it has no bound.
+	Memory *memory.Budget
 	// ViewAge returns the time since the configuration and the servers that this host has
 	// were last known to be current. Nil means that they always are.
 	ViewAge func() time.Duration
@@ -86,7 +85,11 @@
 	defer h.active.Add(-1)
 	a := &answerWriter{writer: w, controller: http.NewResponseController(w), closesAt: &h.closesAt, clock: h.Clock}
 	a.prepare()
-	c, err := h.admit(a, r)
+	var held int64
+	if h.Memory != nil {
+		defer h.Memory.Release(&held)
+	}
+	c, err := h.admit(a, r, &held)
 	if err != nil {
 		h.refuse(a, r, err)
 		return
@@ -100,7 +103,7 @@
 // UnauthorizedError if r lacks the key of a client account (see denial), and with an
 // InvalidError, a headerTooLargeError or an http.MaxBytesError if r violates the
 // format or the limits.
-func (h *Handler) admit(writer *answerWriter, r *http.Request) (*sardineknot.Call, error) {
+func (h *Handler) admit(writer *answerWriter, r *http.Request, held *int64) (*sardineknot.Call, error) {
 	n := h.Clock.Now()
 	f := h.waitForConfiguration(r.Context())
 	if f.Revision == 0 {
@@ -129,7 +132,7 @@
 		c.Deadline = c.CallerDeadline
 	}
 	writer.limitBody(c.Deadline)
-	c.Body, err = readBody(r, f.CallerLimits.BodyBytes)
+	c.Body, err = h.readBody(r, f.CallerLimits.BodyBytes, held)
 	if err != nil {
 		// net/http reads what is left of the body, up to the deadline.
 		return nil, err
@@ -193,20 +196,6 @@
 	}
 }
 
-// readBody returns the complete body of r. It fails with an http.MaxBytesError
-// if the body is longer than limit. If limit is not positive, defaultBodyBytes
-// applies.
-func readBody(r *http.Request, limit int64) ([]byte, error) {
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	if r.Body == nil || r.Body == http.NoBody {
-		return nil, nil
-	}
-	b, err := io.ReadAll(http.MaxBytesReader(nil, r.Body, limit))
-	return b, errors.WithStack(err)
-}
-
 // headerTooLargeError reports a request header that exceeds the configured
 // limit.
 type headerTooLargeError struct {
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -57,6 +57,8 @@
 	// memoryFraction is the fraction of the process's memory limit that is set
 	// as the soft limit of the Go runtime.
 	memoryFraction = 0.7
+	// 1/bodyMemoryParts of the memory limit is for the bodies of calls.
+	bodyMemoryParts = 4
 	// gcPercent is the growth of the heap, in percent, that triggers the next
 	// garbage collection. It is below the default of 100 because memory is
 	// scarcer than processor time.
@@ -345,6 +347,7 @@
 			Budget: b, Memory: m, Versions: p.versions, Self: self, Clock: p.clock, Log: p.Log,
 		},
 		Limiter:  p.accountLimiter,
+		Memory:   p.bodyMemory(),
 		ViewAge:  p.feed.ViewAge,
 		Outdated: p.feed.Outdated,
 		Clock:    p.clock,
@@ -353,6 +356,14 @@
 	}
 }
 
+// bodyMemory returns the budget of the bodies of calls, or nil if there is no memory limit.
+func (p *Process) bodyMemory() *servermemory.Budget {
+	if p.Settings.MemoryMegabytes <= 0 {
+		return nil
+	}
+	return &servermemory.Budget{Bytes: p.Settings.MemoryMegabytes << 20 / bodyMemoryParts}
+}
+
 // refresh periodically commits the configuration, updates the membership and
 // cancels orphaned jobs, until ctx is done. It always returns nil.
 func (p *Process) refresh(ctx context.Context) error {
