--- a/gatewaysettings.go
+++ b/gatewaysettings.go
@@ -38,8 +38,8 @@
 	// StopLimit is the time that the platform gives the process to stop before
 	// it kills the process. Zero means 8 s.
 	StopLimit time.Duration
-	// ConfigurationBound is the time within which a change of the configuration must be known
-	// to the host, and LeavingBound the same for a backend server that is leaving. The shorter
+	// ConfigurationBound is the time within which a change of the configuration must have
+	// reached the host, and LeavingBound the same for a backend server that is leaving. The shorter
 	// one holds for all that the host reads from the platform's key-value service. Zero means
 	// the other one, or 2 s if both are zero.
 	ConfigurationBound time.Duration
@@ -69,8 +69,8 @@
 // defaultReadBound is the bound of what a host reads if the settings have none.
 const defaultReadBound = 2 * time.Second
 
-// ReadBound returns the time within which the host must know each change in the platform's
-// key-value service.
+// ReadBound returns the time within which each change in the platform's key-value service
+// must have reached the host.
 func (s GatewaySettings) ReadBound() time.Duration {
 	c := cmp.Or(s.ConfigurationBound, s.LeavingBound, defaultReadBound)
 	return min(c, cmp.Or(s.LeavingBound, c))
--- a/gatewaysettings_test.go
+++ b/gatewaysettings_test.go
@@ -9,8 +9,8 @@
 	"sardineknot.example/sardineknot"
 )
 
-// TestReadBound guards against a host that keeps the bound of configurations and knows of
-// leaving servers too late.
+// TestReadBound guards against a host that keeps the bound of configurations and gets the
+// entries of leaving servers too late.
 func TestReadBound(t *testing.T) {
 	expect := func(name string, configuration, leaving, want time.Duration) {
 		t.Run(name, func(t *testing.T) {
--- a/internal/backend/http1/brokenhead_test.go
+++ b/internal/backend/http1/brokenhead_test.go
@@ -42,14 +42,14 @@
 // heads lists complete responses with the bodies "12", by their framing.
 func heads() map[string]string {
 	return map[string]string{
-		"length":      "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 2\r\nServer-Stamp: s\r\n\r\n12",
-		"no length":   "HTTP/1.1 200 OK\r\nId: 2\r\nServer-Stamp: s\r\nConnection: close\r\n\r\n12",
-		"HTTP/1.0":    "HTTP/1.0 200 OK\r\nId: 2\r\nServer-Stamp: s\r\n\r\n12",
-		"chunked":     "HTTP/1.1 200 OK\r\nId: 2\r\nTransfer-Encoding: chunked\r\nServer-Stamp: s\r\n\r\n2\r\n12\r\n0\r\n\r\n",
+		"length":      "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 2\r\nStamp: s\r\n\r\n12",
+		"no length":   "HTTP/1.1 200 OK\r\nId: 2\r\nStamp: s\r\nConnection: close\r\n\r\n12",
+		"HTTP/1.0":    "HTTP/1.0 200 OK\r\nId: 2\r\nStamp: s\r\n\r\n12",
+		"chunked":     "HTTP/1.1 200 OK\r\nId: 2\r\nTransfer-Encoding: chunked\r\nStamp: s\r\n\r\n2\r\n12\r\n0\r\n\r\n",
 		"empty":       "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 0\r\n\r\n",
 		"no content":  "HTTP/1.1 204 No Content\r\nId: 2\r\n\r\n",
-		"bare LF":     "HTTP/1.1 200 OK\nId: 2\nServer-Stamp: s\n\n12",
-		"long reason": "HTTP/1.1 503 Service Unavailable now\r\nId: 2\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+		"bare LF":     "HTTP/1.1 200 OK\nId: 2\nStamp: s\n\n12",
+		"long reason": "HTTP/1.1 503 Service Unavailable now\r\nId: 2\r\nRefused: 1\r\nContent-Length: 0\r\n\r\n",
 	}
 }
 
--- a/internal/caller/gateway/handler.go
+++ b/internal/caller/gateway/handler.go
@@ -26,8 +26,8 @@
 	// startRetryAfter is the Retry-After time of calls that are refused because
 	// the host has no configuration yet.
 	startRetryAfter = 300 * time.Millisecond
-	// outdatedRetryAfter is the Retry-After time of calls whose route or key a host does not
-	// know while its view is outdated. Hosts that are in touch know it by then.
+	// outdatedRetryAfter is the Retry-After time of calls whose route or key a host lacks
+	// while its view is outdated. A host that is in touch with the store has it by then.
 	outdatedRetryAfter = time.Second
 	// maxConfigurationWait is the maximum time for which a call waits for the
 	// first configuration.
@@ -57,8 +57,8 @@
 	// ViewAge returns the time since the configuration and the servers that this host has
 	// were last known to be current. Nil means that they always are.
 	ViewAge func() time.Duration
-	// Outdated reports whether routes and keys may exist for longer than a host is allowed
-	// not to know them. Nil means that it always returns false.
+	// Outdated reports whether routes and keys may exist that this host should have by now
+	// and lacks. Nil means that it always returns false.
 	Outdated func() bool
 	// Clock returns the current time.
 	Clock sardineknot.Clock
@@ -152,7 +152,7 @@
 }
 
 // denial returns err, the reason why a call is not allowed, or a NotRunError if a
-// configuration that this host does not know yet may allow it.
+// configuration that has not reached this host may allow it.
 func (h *Handler) denial(err error) error {
 	if h.Outdated != nil && h.Outdated() {
 		return errors.WithStack(&sardineknot.NotRunError{Reason: "the configuration may be outdated: " + err.Error(), RetryAfter: outdatedRetryAfter})
--- a/internal/caller/gateway/outdated_test.go
+++ b/internal/caller/gateway/outdated_test.go
@@ -40,7 +40,7 @@
 }
 
 // TestOutdatedView guards against calls of an added route, or with an added key, that a host
-// which is behind answers with a final refusal. It cannot know that they are not allowed.
+// which is behind answers with a final refusal, although a newer configuration may allow them.
 func TestOutdatedView(t *testing.T) {
 	for _, c := range []struct {
 		name, path string
--- a/internal/caller/idle/drain.go
+++ b/internal/caller/idle/drain.go
@@ -135,7 +135,7 @@
 	connections *Connections
 }
 
-// SetLinger is the method of net.TCPConn, for connections that have it.
+// SetLinger is the method of net.TCPConn. It fails for a connection that has none.
 func (k *conn) SetLinger(seconds int) error {
 	l, ok := k.Conn.(interface{ SetLinger(seconds int) error })
 	if !ok {
--- a/internal/host/gateway/exchange_test.go
+++ b/internal/host/gateway/exchange_test.go
@@ -41,8 +41,8 @@
 	return w.Result(), nil
 }
 
-// newExchangingProcess returns a process that knows another host, which has the given
-// revision in force.
+// newExchangingProcess returns a process with another host in its membership, which has the
+// given revision in force.
 func newExchangingProcess(revision string) *Process {
 	p := newTestProcess()
 	p.EntryDecoder, p.source.Decoder = configurationDecoder{}, configurationDecoder{}
--- a/internal/platform/twirp/age.go
+++ b/internal/platform/twirp/age.go
@@ -23,7 +23,7 @@
 	return f.ageLocked()
 }
 
-// Outdated reports whether changes may exist that this host should know and does not.
+// Outdated reports whether changes may exist that should have reached this host by now.
 func (f *Feed) Outdated() bool { return f.ViewAge() > f.Bound() }
 
 func (f *Feed) ageLocked() time.Duration {
--- a/internal/platform/twirp/bound_test.go
+++ b/internal/platform/twirp/bound_test.go
@@ -14,7 +14,7 @@
 	"sardineknot.example/sardineknot/internal/host/clock"
 )
 
-// site is a fleet of hosts that must know each change within bound.
+// site is a fleet of hosts that each change must reach within bound.
 type site struct {
 	hosts, zones int
 	bound        time.Duration
@@ -77,7 +77,7 @@
 	return min(750*time.Millisecond, s.bound/4, 250*time.Millisecond+time.Duration(s.hosts)*8*time.Millisecond)
 }
 
-// fault harms hosts. Those that it marks as harmed need not know a change in time.
+// fault harms hosts. A change need not reach those that it marks as harmed in time.
 type fault struct {
 	name  string
 	apply func(c *cluster)
@@ -199,7 +199,7 @@
 }
 
 // checkChangeAround applies f, makes a change at the given moment, counted from the fault,
-// and checks that unharmed hosts know it within the bound of s. Then it ends the fault.
+// and checks that it reaches unharmed hosts within the bound of s. Then it ends the fault.
 func (c *cluster) checkChangeAround(t *testing.T, s site, f fault, value string, moment time.Duration) {
 	t.Helper()
 	var b time.Time
--- a/internal/platform/twirp/cluster_test.go
+++ b/internal/platform/twirp/cluster_test.go
@@ -122,7 +122,7 @@
 // time, without a network.
 type cluster struct {
 	service *service
-	// bound is the time within which hosts must know a change.
+	// bound is the time within which a change must reach the hosts.
 	bound time.Duration
 	hosts []*host
 }
--- a/internal/platform/twirp/feed.go
+++ b/internal/platform/twirp/feed.go
@@ -55,7 +55,7 @@
 	Entries *changelog.Log
 	// Selector selects the followers.
 	Selector sardineknot.FollowerSelector
-	// Bound returns the time within which this host must know each change. It is positive.
+	// Bound returns the time within which each change must reach this host. It is positive.
 	Bound func() time.Duration
 	// Reachability reports whether this host has an up-to-date view of the
 	// service.
