policy/memory: resumed streams do not wait behind new ones

Cause: a resumed job always counted as late, and late jobs come after all jobs whose first event can be in time. In a burst each new job is such a job when it arrives, so it took the memory that became free, until the resumed ones were refused after their 3 s.

Change: a resumed job keeps its place by arrival among the jobs that can be in time; after 3 s it is refused as before. Its first event is late either way, a part of its answer was generated already, and its caller does not retry for long.

Evidence: "a resumed job starts before jobs that arrive after it" failed before (the new job was granted the engine) and passes.

--- a/internal/policy/memory/admission_test.go
+++ b/internal/policy/memory/admission_test.go
@@ -25,6 +25,25 @@
 		is.True(!s.NextWake().IsZero())
 		is.True(refused(s.Wake(start.Add(target)), "late"))
 	})
+	t.Run("the end of an answer frees memory for a waiting job", func(t *testing.T) {
+		is := is.New(t)
+		s := newScheduler(1)
+		n := saturate(s, start)
+		l := s.Report(start, event("fill0", sardineknot.JobFinished, "d0", 4000))
+		is.Equal(granted(l, fmt.Sprintf("fill%d", n)).DecodeEngine, sardineknot.BackendServerName("d0"))
+	})
+	t.Run("jobs go to the engine with the lowest utilization", func(t *testing.T) {
+		is := is.New(t)
+		s := newScheduler(2)
+		a := granted(s.Submit(start, job("a", start, 5000, 4000)), "a")
+		s.Report(start, event("a", sardineknot.JobPrefillDone, "p", 0))
+		b := granted(s.Submit(start, job("b", start, 5000, 4000)), "b")
+		is.True(a.DecodeEngine != b.DecodeEngine)
+	})
+}
+
+// TestResumedJobs guards against streams that callers resume in vain, behind new requests.
+func TestResumedJobs(t *testing.T) {
 	t.Run("a resumed job waits beyond its deadline", func(t *testing.T) {
 		// After a power loss of all hosts, callers resumed their answers while
 		// the engines still ran orphaned requests, and were refused
@@ -38,20 +57,22 @@
 		is.True(!refused(s.Wake(start.Add(target)), "rest"))
 		is.Equal(granted(s.Wake(start.Add(2900*time.Millisecond)), "rest").DecodeEngine, sardineknot.BackendServerName("d0"))
 	})
-	t.Run("the end of an answer frees memory for a waiting job", func(t *testing.T) {
+	t.Run("a resumed job starts before jobs that arrive after it", func(t *testing.T) {
+		// In a burst after a power loss of all hosts, new jobs took all memory
+		// that became free, until the resumed ones were refused.
 		is := is.New(t)
 		s := newScheduler(1)
-		n := saturate(s, start)
-		l := s.Report(start, event("fill0", sardineknot.JobFinished, "d0", 4000))
-		is.Equal(granted(l, fmt.Sprintf("fill%d", n)).DecodeEngine, sardineknot.BackendServerName("d0"))
-	})
-	t.Run("jobs go to the engine with the lowest utilization", func(t *testing.T) {
-		is := is.New(t)
-		s := newScheduler(2)
-		a := granted(s.Submit(start, job("a", start, 5000, 4000)), "a")
-		s.Report(start, event("a", sardineknot.JobPrefillDone, "p", 0))
-		b := granted(s.Submit(start, job("b", start, 5000, 4000)), "b")
-		is.True(a.DecodeEngine != b.DecodeEngine)
+		saturate(s, start)
+		now := start.Add(target)
+		s.Wake(now) // refuses the job that did not fit
+		j := job("rest", now, 5000, 4000)
+		j.Resumed = true
+		s.Submit(now, j)
+		now = now.Add(100 * time.Millisecond)
+		s.Submit(now, job("new", now, 5000, 4000))
+		l := s.Report(now, event("fill0", sardineknot.JobFinished, "d0", 4000))
+		is.Equal(granted(l, "rest").DecodeEngine, sardineknot.BackendServerName("d0"))
+		is.Equal(granted(l, "new"), sardineknot.Grant{})
 	})
 }
 
--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -76,14 +76,15 @@
 }
 
 // late reports whether the first event of j would miss its deadline if j
-// started now. Resumed jobs and those of callers that were refused before
-// always count as late, but not jobs that only some engines may run: they get
+// started now. Jobs of callers that were refused before always count as late.
+// Resumed jobs never do: a part of their answer was generated already, and their
+// callers do not retry again. Nor do jobs that only some engines may run: they get
 // these engines before jobs that any engine may run.
 func (j *job) late(now time.Time) bool {
-	if j.limited {
+	if j.limited || j.Resumed {
 		return false
 	}
-	return j.refusedBefore || j.Resumed || now.Add(j.prefillTime+firstEventMargin).After(j.FirstTokenDeadline)
+	return j.refusedBefore || now.Add(j.prefillTime+firstEventMargin).After(j.FirstTokenDeadline)
 }
 
 // latestStart returns the time until which j may wait.
