quarantine/store: keys are written in every era of the store

Operators saw no key of a quarantine that was found after the store had come back from an older copy, though docs/design/quarantine.md says that the key is written again: after a restart of all hosts the request that ended servers was served again.

Cause: the keeper wrote keys that the store lacks with the zero revision, whose era is zero. The store accepts revisions of its latest era only, so that each write of a new key failed as a conflict from the first restore on, and conflicts, which another host's write explains, are not logged.

Change: the keeper learns the latest era from the entries that it is given, whatever their keys, and names it in its writes.

Evidence: TestKeeperEra (the copy lacks the key; found later) failed before, no key in one case, none of two in the other, and passes.

--- a/internal/quarantine/store/keeper.go
+++ b/internal/quarantine/store/keeper.go
@@ -55,6 +55,8 @@
 	mu sync.Mutex
 	// keys holds the keys of the service, with the strikes of their quarantines.
 	keys map[string]storedKey
+	// era is the latest era of an applied entry, whatever its key.
+	era sardineknot.StoreEra
 	// missingSince holds the times at which keys that the service lacks were missed
 	// first. Only Run uses it.
 	missingSince map[string]time.Time
@@ -79,6 +81,7 @@
 // Apply applies a changed entry of the service, and reports whether it is the
 // entry of a quarantine.
 func (k *Keeper) Apply(entry sardineknot.StoreEntry) bool {
+	k.learnEra(entry.Revision.Era)
 	if !strings.HasPrefix(entry.Key, keyPrefix) {
 		return false
 	}
@@ -173,7 +176,7 @@
 	if err == nil {
 		c, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		_, err = k.Store.CompareAndSwap(c, key, revision, b, sardineknot.LeaseID{})
+		_, err = k.Store.CompareAndSwap(c, key, k.inEra(revision), b, sardineknot.LeaseID{})
 	}
 	k.logFailure(key, err)
 }
@@ -182,7 +185,25 @@
 func (k *Keeper) remove(ctx context.Context, key string, revision sardineknot.StoreRevision) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	k.logFailure(key, k.Store.Delete(ctx, key, revision))
+	k.logFailure(key, k.Store.Delete(ctx, key, k.inEra(revision)))
+}
+
+// learnEra records that an entry of era was applied.
+func (k *Keeper) learnEra(era sardineknot.StoreEra) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.era = max(k.era, era)
+}
+
+// inEra returns revision or, if it is of an earlier era than the latest one, the revision of
+// an absent key: the service accepts revisions of the latest era only.
+func (k *Keeper) inEra(revision sardineknot.StoreRevision) sardineknot.StoreRevision {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if revision.Era < k.era {
+		return sardineknot.StoreRevision{Era: k.era}
+	}
+	return revision
 }
 
 // logFailure logs err, with which a write of key failed, unless it is nil or
--- a/internal/quarantine/store/keeper_test.go
+++ b/internal/quarantine/store/keeper_test.go
@@ -26,6 +26,7 @@
 	entries map[string]sardineknot.StoreEntry
 	keepers []*store.Keeper
 	number  int64
+	era     sardineknot.StoreEra
 	writes  int
 	down    bool
 }
@@ -38,12 +39,12 @@
 		s.mu.Unlock()
 		return o, errors.WithStack(&sardineknot.UnavailableError{Peer: "store"})
 	}
-	if o.Number != expected.Number {
+	if o.Number != expected.Number || expected.Era != s.era {
 		s.mu.Unlock()
 		return o, errors.WithStack(&sardineknot.ConflictError{})
 	}
 	s.number++
-	e := sardineknot.StoreEntry{Key: key, Value: value, Revision: sardineknot.StoreRevision{Number: s.number}}
+	e := sardineknot.StoreEntry{Key: key, Value: value, Revision: sardineknot.StoreRevision{Era: s.era, Number: s.number}}
 	s.entries[key] = e
 	s.mu.Unlock()
 	s.notify(e)
@@ -63,6 +64,21 @@
 	s.notify(sardineknot.StoreEntry{Key: key})
 }
 
+// restore replaces the service by an older copy of it, which is empty but for one key of
+// others. It begins an era.
+func (s *service) restore() {
+	s.mu.Lock()
+	s.era++
+	l := s.entries
+	s.entries = make(map[string]sardineknot.StoreEntry)
+	n := sardineknot.StoreRevision{Era: s.era}
+	s.mu.Unlock()
+	for k := range l {
+		s.notify(sardineknot.StoreEntry{Key: k, Revision: n})
+	}
+	s.notify(sardineknot.StoreEntry{Key: "hosts/1", Revision: sardineknot.StoreRevision{Era: n.Era, Number: 1}})
+}
+
 func (s *service) notify(entry sardineknot.StoreEntry) {
 	for _, k := range s.keepers {
 		k.Apply(entry)
@@ -177,6 +193,28 @@
 	})
 }
 
+// TestKeeperEra guards against quarantines that are not written any more once the service
+// has come back from an older copy.
+func TestKeeperEra(t *testing.T) {
+	t.Run("a quarantine that the copy lacks", func(t *testing.T) {
+		run(t, func(t *testing.T, s *service, _ []*list) {
+			time.Sleep(2 * time.Second)
+			s.restore()
+			time.Sleep(2 * time.Second)
+			is.New(t).Equal(s.keys(), []string{"quarantine/1"})
+		})
+	})
+	t.Run("a quarantine that is found later", func(t *testing.T) {
+		run(t, func(t *testing.T, s *service, l []*list) {
+			s.restore()
+			time.Sleep(2 * time.Second)
+			l[0].AddQuarantine(sardineknot.Quarantine{Traits: sardineknot.TraitList{2}, Until: time.Now().Add(time.Minute), Strikes: 1})
+			time.Sleep(2 * time.Second)
+			is.New(t).Equal(len(s.keys()), 2)
+		})
+	})
+}
+
 // TestKeeperReplaces guards against keys that differ from the quarantines in force.
 func TestKeeperReplaces(t *testing.T) {
 	t.Run("written again with more strikes", func(t *testing.T) {
