quarantine: crashes under a held request outlive the hosts

Cause: the evidence of crashes was in the memory of hosts only; the store got a quarantine, which takes four crashes. Ruled out: a quarantine that was written and not read (no traits_quarantined before the kill).

Change: from the third crash under a request on, which is when it is held, the crashes under it are kept in the store under the key crashes/recurring. The owner of the key writes it at once, others 1 to 2 s later if it lacks a crash of the last 5 s; hosts that start read it.

--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -283,7 +283,7 @@
 	p.guard.Members, p.guard.Clock, p.guard.Client = p.registry, p.clock, p.peers.Client()
 	p.guard.Random, p.guard.Log, p.guard.Metrics = rand.New(rand.NewPCG(n, n+3)), p.Log, p.Metrics
 	p.keeper = &quarantinestore.Keeper{
-		Store: p.Store, Quarantines: p.guard, Ranker: rendezvous.NewRanker(p.registry), Self: p.registry.Self().ID, Clock: p.clock, Log: p.Log,
+		Store: p.Store, Quarantines: p.guard, Record: p.guard, Ranker: rendezvous.NewRanker(p.registry), Self: p.registry.Self().ID, Clock: p.clock, Log: p.Log,
 		Found: p.guard.Found(),
 	}
 }
--- a/internal/quarantine/evidence/hold.go
+++ b/internal/quarantine/evidence/hold.go
@@ -15,8 +15,7 @@
 // under them. Broad traits that are common are not held.
 func (e *Evidence) hold(c *crash, traits sardineknot.RequestTraits) {
 	for i, t := range traits.Whole() {
-		n, b := e.endedUnder(t)
-		if n >= holdingCrashes && (i < len(traits.Exact) || !e.isCommon(t, b)) {
+		if e.isRecurring(t, i < len(traits.Exact), e.endedUnder(t)) {
 			e.held[t] = c.at.Add(holdingTime(t))
 		}
 	}
@@ -32,27 +31,45 @@
 func (e *Evidence) release(c *crash) {
 	for _, s := range c.suspects {
 		for _, t := range s.traits.Whole() {
-			if n, _ := e.endedUnder(t); n < holdingCrashes {
+			if e.endedUnder(t).count < holdingCrashes {
 				delete(e.held, t)
 			}
 		}
 	}
 }
 
-// endedUnder returns the number of servers that have ended under requests with the
-// broad or exact trait, since such a request was answered, and the time of the first
-// end.
-func (e *Evidence) endedUnder(trait sardineknot.Trait) (count int, first time.Time) {
+// ended is what has ended under requests with a trait since such a request was answered.
+type ended struct {
+	// count is the number of servers.
+	count int
+	// first is the time of the first end.
+	first time.Time
+}
+
+// add adds the end of a server at time at.
+func (n ended) add(at time.Time) ended {
+	if n.count == 0 || at.Before(n.first) {
+		n.first = at
+	}
+	n.count++
+	return n
+}
+
+// isRecurring reports whether n, what has ended under requests with trait, is enough to
+// hold such requests. Broad traits, which are not exact, are no proof if they are common.
+func (e *Evidence) isRecurring(trait sardineknot.Trait, exact bool, n ended) bool {
+	return n.count >= holdingCrashes && (exact || !e.isCommon(trait, n.first))
+}
+
+// endedUnder returns what has ended under requests with the broad or exact trait.
+func (e *Evidence) endedUnder(trait sardineknot.Trait) ended {
+	var n ended
 	for _, c := range e.crashes {
-		if c.survived() || !c.at.After(e.answered.at(trait)) || !c.has(trait) {
-			continue
-		}
-		if count == 0 || c.at.Before(first) {
-			first = c.at
+		if !c.survived() && c.at.After(e.answered.at(trait)) && c.has(trait) {
+			n = n.add(c.at)
 		}
-		count++
 	}
-	return count, first
+	return n
 }
 
 // holdingTime returns the time for which a request with trait is held after a crash.
--- /dev/null
+++ b/internal/quarantine/store/crashes_test.go
@@ -0,0 +1,217 @@
+package store_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/host/clock"
+	"sardineknot.example/sardineknot/internal/quarantine/evidence"
+	"sardineknot.example/sardineknot/internal/quarantine/store"
+)
+
+// crashKey is the key of recurring crashes.
+const crashKey = "crashes/recurring"
+
+// record is a sardineknot.CrashRecord that holds evidence of one host.
+type record struct {
+	mu sync.Mutex
+	e  *evidence.Evidence
+}
+
+func (r *record) RecurringCrashes() sardineknot.CrashEvidence {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.e == nil {
+		return sardineknot.CrashEvidence{}
+	}
+	return r.e.Recurring(time.Now())
+}
+
+func (r *record) AddEvidence(v sardineknot.CrashEvidence) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.e == nil {
+		r.e = evidence.New()
+	}
+	for _, a := range v.Answered {
+		r.e.AddAnswered(a.Trait, a.At)
+	}
+	for _, c := range v.Crashes {
+		r.e.AddCrash(c)
+	}
+}
+
+// crash returns the crash of the server numbered n under one request, now.
+func crash(n int64) sardineknot.ServerCrash {
+	t := time.Now()
+	return sardineknot.ServerCrash{
+		Process: sardineknot.ServerProcess{Name: "s", Born: n},
+		Traits:  sardineknot.RequestTraits{Exact: sardineknot.TraitList{7, 8}},
+		Begun:   t.Add(-40 * time.Millisecond), At: t,
+	}
+}
+
+// crashes returns evidence of count crashes under one request, one a second.
+func crashes(count int64) sardineknot.CrashEvidence {
+	var v sardineknot.CrashEvidence
+	for n := range count {
+		c := crash(n)
+		c.At, c.Begun = c.At.Add(time.Duration(n-count)*time.Second), c.Begun.Add(time.Duration(n-count)*time.Second)
+		v.Crashes = append(v.Crashes, c)
+	}
+	return v
+}
+
+// runCrashes runs test in virtual time with the records of two hosts.
+func runCrashes(t *testing.T, test func(*testing.T, *service, []*record)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		s := &service{entries: make(map[string]sardineknot.StoreEntry)}
+		l := []*record{{}, {}}
+		for i, n := range []sardineknot.EntryHostID{"h0", "h1"} {
+			s.keepers = append(s.keepers, &store.Keeper{Store: s, Quarantines: &list{}, Record: l[i], Ranker: s, Self: n, Clock: clock.System{}, Log: zerolog.Nop()})
+		}
+		for _, k := range s.keepers {
+			go func() { _ = k.Run(ctx) }()
+		}
+		test(t, s, l)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// checkStored fails the test unless the service has the given keys and count writes were
+// made.
+func checkStored(t *testing.T, s *service, count int, keys ...string) {
+	t.Helper()
+	is := is.New(t)
+	is.Equal(s.keys(), keys)
+	is.Equal(s.writes, count)
+}
+
+// TestCrashesKept guards against evidence that is lost when all hosts are killed before
+// it has led to a quarantine.
+func TestCrashesKept(t *testing.T) {
+	t.Run("written once, from the third crash on", func(t *testing.T) {
+		runCrashes(t, func(t *testing.T, s *service, l []*record) {
+			l[0].AddEvidence(crashes(2))
+			time.Sleep(3 * time.Second)
+			checkStored(t, s, 0)
+			l[0].AddEvidence(sardineknot.CrashEvidence{Crashes: []sardineknot.ServerCrash{crash(2)}})
+			time.Sleep(10 * time.Second)
+			checkStored(t, s, 1, crashKey)
+			is.New(t).Equal(len(l[1].RecurringCrashes().Crashes), 3)
+		})
+	})
+	t.Run("read by a host that starts", func(t *testing.T) {
+		runCrashes(t, func(t *testing.T, s *service, l []*record) {
+			is := is.New(t)
+			l[0].AddEvidence(crashes(3))
+			time.Sleep(2 * time.Second)
+			var r record
+			k := &store.Keeper{Record: &r, Clock: clock.System{}, Log: zerolog.Nop()}
+			is.True(k.Apply(s.entries[crashKey]))
+			r.AddEvidence(sardineknot.CrashEvidence{Crashes: []sardineknot.ServerCrash{crash(3)}})
+			time.Sleep(2 * time.Second)
+			is.Equal(len(r.e.Judge(time.Now())), 1) // four crashes bar the request
+		})
+	})
+	t.Run("written by another host if the owner does not have them", func(t *testing.T) {
+		runCrashes(t, func(t *testing.T, s *service, l []*record) {
+			l[1].AddEvidence(crashes(3))
+			time.Sleep(4 * time.Second)
+			checkStored(t, s, 1, crashKey)
+			is.New(t).Equal(len(l[0].RecurringCrashes().Crashes), 3)
+		})
+	})
+	t.Run("written again by a service that was down", func(t *testing.T) {
+		runCrashes(t, func(t *testing.T, s *service, l []*record) {
+			s.setDown(true)
+			l[0].AddEvidence(crashes(3))
+			time.Sleep(5 * time.Second)
+			s.setDown(false)
+			time.Sleep(2 * time.Second)
+			is.New(t).Equal(s.keys(), []string{crashKey})
+		})
+	})
+}
+
+// TestCrashesEra guards against crashes that are lost when the service comes back from an
+// older copy.
+func TestCrashesEra(t *testing.T) {
+	runCrashes(t, func(t *testing.T, s *service, l []*record) {
+		l[0].AddEvidence(crashes(3))
+		time.Sleep(2 * time.Second)
+		s.restore()
+		time.Sleep(2 * time.Second)
+		is.New(t).Equal(s.keys(), []string{crashKey})
+	})
+}
+
+// TestCrashesRemoved guards against old evidence that bars a sound request after a
+// restart of all hosts.
+func TestCrashesRemoved(t *testing.T) {
+	t.Run("after an answer", func(t *testing.T) {
+		runCrashes(t, func(t *testing.T, s *service, l []*record) {
+			l[0].AddEvidence(crashes(3))
+			time.Sleep(2 * time.Second)
+			for _, r := range l {
+				r.AddEvidence(sardineknot.CrashEvidence{Answered: []sardineknot.SoundTrait{{Trait: 7, At: time.Now()}, {Trait: 8, At: time.Now()}}})
+			}
+			time.Sleep(2 * time.Second)
+			checkStored(t, s, 1)
+		})
+	})
+	t.Run("after an answer that only the owner has learned of", func(t *testing.T) {
+		runCrashes(t, func(t *testing.T, s *service, l []*record) {
+			l[0].AddEvidence(crashes(3))
+			time.Sleep(2 * time.Second)
+			l[0].AddEvidence(sardineknot.CrashEvidence{Answered: []sardineknot.SoundTrait{{Trait: 7, At: time.Now()}, {Trait: 8, At: time.Now()}}})
+			time.Sleep(20 * time.Second)
+			is.New(t).True(s.writes <= 3) // hosts do not replace each other's values for long
+			is.New(t).Equal(len(s.keys()), 0)
+		})
+	})
+	t.Run("after ten minutes", func(t *testing.T) {
+		runCrashes(t, func(t *testing.T, s *service, l []*record) {
+			l[0].AddEvidence(crashes(3))
+			time.Sleep(9 * time.Minute)
+			checkStored(t, s, 1, crashKey)
+			time.Sleep(2 * time.Minute)
+			is.New(t).Equal(len(s.keys()), 0)
+		})
+	})
+}
+
+// TestCrashValues guards against values of the service that end a host, or that no answer
+// can refute.
+func TestCrashValues(t *testing.T) {
+	var r record
+	k := &store.Keeper{Record: &r, Clock: clock.System{}, Log: zerolog.Nop()}
+	for _, v := range []string{"", "{", "[]", "{}", `{"Crashes":[{}]}`, `{"Crashes":[{"Traits":{"Exact":[1]}}]}`} {
+		is.New(t).True(k.Apply(sardineknot.StoreEntry{Key: crashKey, Value: []byte(v), Revision: sardineknot.StoreRevision{Number: 1}}))
+		is.New(t).Equal(len(r.RecurringCrashes().Crashes), 0)
+	}
+	t.Run("written by a host whose clock is ahead", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			var r record
+			k := &store.Keeper{Record: &r, Clock: clock.System{}, Log: zerolog.Nop()}
+			v := `{"Crashes":[{"Process":{"Name":"s","Born":1},"Traits":{"Exact":[1]},"At":"2300-01-01T00:00:00Z"},` +
+				`{"Process":{"Name":"s","Born":2},"Traits":{"Exact":[1]},"At":"2300-01-01T00:00:00Z"},` +
+				`{"Process":{"Name":"s","Born":3},"Traits":{"Exact":[1]},"At":"2300-01-01T00:00:00Z"}]}`
+			is.New(t).True(k.Apply(sardineknot.StoreEntry{Key: crashKey, Value: []byte(v), Revision: sardineknot.StoreRevision{Number: 1}}))
+			is.New(t).Equal(len(r.RecurringCrashes().Crashes), 3)
+			time.Sleep(time.Second)
+			r.AddEvidence(sardineknot.CrashEvidence{Answered: []sardineknot.SoundTrait{{Trait: 1, At: time.Now()}}})
+			is.New(t).Equal(len(r.RecurringCrashes().Crashes), 0)
+		})
+	})
+}
--- a/internal/quarantine/store/keeper.go
+++ b/internal/quarantine/store/keeper.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -41,13 +43,15 @@
 	Store sardineknot.Store
 	// Quarantines holds the quarantines in force on this host.
 	Quarantines sardineknot.QuarantineList
+	// Record holds the crashes that this host has learned of.
+	Record sardineknot.CrashRecord
 	// Ranker selects the host that writes a key, and Self is this host.
 	Ranker sardineknot.Ranker
 	Self   sardineknot.EntryHostID
 	// Clock returns the current time.
 	Clock sardineknot.Clock
-	// Found receives an element when this host has found a quarantine, which is written
-	// at once. Nil means that it waits for the next comparison.
+	// Found receives an element when this host has found a quarantine or a crash that are
+	// written at once. Nil means that it waits for the next comparison.
 	Found <-chan struct{}
 	// Log receives an event for each key that cannot be written or read.
 	Log zerolog.Logger
@@ -57,6 +61,11 @@
 	keys map[string]storedKey
 	// era is the latest era of an applied entry, whatever its key.
 	era sardineknot.StoreEra
+	// crashes is the state of crashKey.
+	crashes storedCrashes
+	// crashesMissingSince is the time at which a crash that the value of crashKey lacks was
+	// missed first, or zero. Only Run uses it.
+	crashesMissingSince time.Time
 	// missingSince holds the times at which keys that the service lacks were missed
 	// first. Only Run uses it.
 	missingSince map[string]time.Time
@@ -79,9 +88,13 @@
 }
 
 // Apply applies a changed entry of the service, and reports whether it is the
-// entry of a quarantine.
+// entry of a quarantine or of crashes.
 func (k *Keeper) Apply(entry sardineknot.StoreEntry) bool {
 	k.learnEra(entry.Revision.Era)
+	if entry.Key == crashKey {
+		k.applyCrashes(entry)
+		return true
+	}
 	if !strings.HasPrefix(entry.Key, keyPrefix) {
 		return false
 	}
@@ -120,7 +133,8 @@
 		case <-ctx.Done():
 			return nil
 		}
-		k.update(ctx)
+		k.updateQuarantines(ctx)
+		k.updateCrashes(ctx)
 		t.Reset(k.pause())
 	}
 }
@@ -129,7 +143,7 @@
 // been missing for a short time.
 func (k *Keeper) pause() time.Duration {
 	n := k.Clock.Now()
-	for _, t := range k.missingSince {
+	for _, t := range append(slices.Collect(maps.Values(k.missingSince)), k.crashesMissingSince) {
 		if n.Sub(t) < 3*ownerTime {
 			return missingInterval
 		}
@@ -137,9 +151,9 @@
 	return interval
 }
 
-// update writes the quarantines that the service lacks and deletes those that are
+// updateQuarantines writes the quarantines that the service lacks and deletes those that are
 // no longer known, as far as this host is the one to do so.
-func (k *Keeper) update(ctx context.Context) {
+func (k *Keeper) updateQuarantines(ctx context.Context) {
 	l := make(map[string]bool)
 	m := make(map[string]time.Time)
 	t := k.Clock.Now()
@@ -159,7 +173,7 @@
 			continue
 		}
 		n++
-		k.write(ctx, s, o.revision, q)
+		_, _ = k.writeValue(ctx, s, o.revision, value(q)) // repeated with the next comparison
 	}
 	k.missingSince = m
 	for s, o := range k.allStored() {
@@ -170,15 +184,18 @@
 	}
 }
 
-// write writes quarantine under key, whose known revision is revision.
-func (k *Keeper) write(ctx context.Context, key string, revision sardineknot.StoreRevision, quarantine sardineknot.Quarantine) {
-	b, err := json.Marshal(value(quarantine))
+// writeValue writes v, in JSON, under key, whose known revision is revision. It returns
+// the revision of the write. An error is logged.
+func (k *Keeper) writeValue(ctx context.Context, key string, revision sardineknot.StoreRevision, v any) (sardineknot.StoreRevision, error) {
+	var n sardineknot.StoreRevision
+	b, err := json.Marshal(v)
 	if err == nil {
 		c, cancel := context.WithTimeout(ctx, callTimeout)
 		defer cancel()
-		_, err = k.Store.CompareAndSwap(c, key, k.inEra(revision), b, sardineknot.LeaseID{})
+		n, err = k.Store.CompareAndSwap(c, key, k.inEra(revision), b, sardineknot.LeaseID{})
 	}
 	k.logFailure(key, err)
+	return n, err
 }
 
 // remove deletes key, whose known revision is revision.
--- a/internal/quarantine/store/keeper_test.go
+++ b/internal/quarantine/store/keeper_test.go
@@ -139,7 +139,7 @@
 		s := &service{entries: make(map[string]sardineknot.StoreEntry)}
 		l := []*list{{}, {}}
 		for i, n := range []sardineknot.EntryHostID{"h0", "h1"} {
-			s.keepers = append(s.keepers, &store.Keeper{Store: s, Quarantines: l[i], Ranker: s, Self: n, Clock: clock.System{}, Log: zerolog.Nop()})
+			s.keepers = append(s.keepers, &store.Keeper{Store: s, Quarantines: l[i], Record: &record{}, Ranker: s, Self: n, Clock: clock.System{}, Log: zerolog.Nop()})
 		}
 		for _, k := range s.keepers {
 			go func() { _ = k.Run(ctx) }()
--- a/internal/quarantine/twirp/guard.go
+++ b/internal/quarantine/twirp/guard.go
@@ -55,13 +55,15 @@
 	// urgent holds an element if pending has a crash. This host may not live until the
 	// next interval.
 	urgent chan struct{}
-	// found holds an element if this host has found a quarantine.
+	// found holds an element if this host has found a quarantine, or learned of a crash
+	// under a request that recurs.
 	found chan struct{}
 }
 
 var (
 	_ sardineknot.CrashGuard     = (*Guard)(nil)
 	_ sardineknot.QuarantineList = (*Guard)(nil)
+	_ sardineknot.CrashRecord    = (*Guard)(nil)
 )
 
 // NewGuard returns a guard that bars nothing.
@@ -70,7 +72,8 @@
 }
 
 // Found returns a channel that receives an element when this host has found a
-// quarantine.
+// quarantine, or has learned of a crash under a request that several servers have ended
+// under.
 func (g *Guard) Found() <-chan struct{} { return g.found }
 
 // Check implements sardineknot.CrashGuard.
@@ -113,6 +116,15 @@
 	n, a := g.evidence.Known(c.Traits)
 	g.pending.Sound, g.pending.Answered = append(g.pending.Sound, n...), append(g.pending.Answered, a...)
 	signal(g.urgent)
+	g.signalRecurring(c)
+}
+
+// signalRecurring sends an element to found if crash ended one of several servers under
+// the same request.
+func (g *Guard) signalRecurring(crash sardineknot.ServerCrash) {
+	if g.evidence.Held(g.Clock.Now(), crash.Traits.Whole()) > 0 {
+		signal(g.found)
+	}
 }
 
 // signal sends an element to channel, unless it holds one already.
@@ -246,27 +258,39 @@
 
 // learn records what another host has sent.
 func (g *Guard) learn(message *rpc.Evidence) {
-	n := g.Clock.Now()
-	v := evidenceFromMessage(message, n)
+	g.AddEvidence(evidenceFromMessage(message, g.Clock.Now()))
+}
+
+// AddEvidence implements sardineknot.CrashRecord.
+func (g *Guard) AddEvidence(evidence sardineknot.CrashEvidence) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	for _, s := range v.Sound {
+	for _, s := range evidence.Sound {
 		g.evidence.AddSound(s.Trait, s.At)
 	}
-	for _, s := range v.Answered {
+	for _, s := range evidence.Answered {
 		g.evidence.AddAnswered(s.Trait, s.At)
 	}
-	for _, c := range v.Crashes {
-		g.evidence.AddCrash(c)
+	for _, c := range evidence.Crashes {
+		if g.evidence.AddCrash(c) {
+			g.signalRecurring(c)
+		}
 	}
-	for _, r := range v.Running {
+	for _, r := range evidence.Running {
 		g.evidence.AddRefutation(r)
 	}
-	for _, q := range v.Quarantines {
-		g.addQuarantineLocked(n, q)
+	for _, q := range evidence.Quarantines {
+		g.addQuarantineLocked(g.Clock.Now(), q)
 	}
 }
 
+// RecurringCrashes implements sardineknot.CrashRecord.
+func (g *Guard) RecurringCrashes() sardineknot.CrashEvidence {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.evidence.Recurring(g.Clock.Now())
+}
+
 // Quarantines implements sardineknot.QuarantineList.
 func (g *Guard) Quarantines() []sardineknot.Quarantine {
 	g.mu.Lock()
--- a/internal/quarantine/twirp/request_test.go
+++ b/internal/quarantine/twirp/request_test.go
@@ -102,6 +102,24 @@
 			assertRefused(t, f.guards, poison, 5)
 		})
 	})
+	t.Run("all hosts are killed after the third crash", func(t *testing.T) {
+		run(t, 4, func(t *testing.T, f *fleet) {
+			endSeries(f, 3, 3)
+			for _, g := range f.guards {
+				is.New(t).Equal(len(g.Found()), 1) // written to the store at once
+			}
+			v := f.guards[3].RecurringCrashes()
+			for i, s := range f.stops {
+				f.cut(i)
+				s()
+			}
+			g := f.start(t.Context())
+			g.AddEvidence(v)
+			end(g, 3, poison)
+			time.Sleep(known)
+			assertRefused(t, f.guards[4:], poison, 1)
+		})
+	})
 	t.Run("a host that others do not reach meanwhile", func(t *testing.T) {
 		run(t, 4, func(t *testing.T, f *fleet) {
 			f.cut(3)
--- a/quarantine.go
+++ b/quarantine.go
@@ -95,6 +95,17 @@
 	AddQuarantine(quarantine Quarantine)
 }
 
+// CrashRecord holds the crashes that a host knows of. Implementations are safe for
+// concurrent use.
+type CrashRecord interface {
+	// RecurringCrashes returns the crashes under requests that several servers have ended
+	// under, the first crash first, and what is known of the traits of these requests.
+	RecurringCrashes() CrashEvidence
+	// AddEvidence records evidence that was found by this host before it was started
+	// again, or by another one.
+	AddEvidence(evidence CrashEvidence)
+}
+
 // CrashGuard keeps requests from backend servers that crash every server that
 // begins to run them: those with a certain part in their prompts, and those that are
 // the same request of the same caller. Implementations are safe for concurrent use
