quarantine/evidence: a search for recurring crashes only while there are some

Change: the traits under which servers recur are noted when they are held, and only these are looked up. Times of the stored value that are ahead of the clock are limited for answers as for crashes.

The tests pass.

--- a/internal/quarantine/evidence/bench_test.go
+++ b/internal/quarantine/evidence/bench_test.go
@@ -29,3 +29,27 @@
 		e.Judge(after(time.Minute))
 	}
 }
+
+// BenchmarkRecurring measures the search for recurring requests in as much evidence as is
+// recorded, of which one recurs.
+func BenchmarkRecurring(b *testing.B) {
+	e := evidence.New()
+	n := sardineknot.Trait(0)
+	for i := range 128 {
+		for range 31 {
+			l := make(sardineknot.TraitList, 12)
+			for j := range l {
+				n++
+				l[j] = n
+			}
+			t := sardineknot.RequestTraits{Exact: l[:6], Broad: l[6:]}
+			e.AddCrash(sardineknot.ServerCrash{Process: process(i), Traits: t, At: after(time.Duration(i) * 200 * time.Millisecond)})
+		}
+	}
+	for i := range 3 {
+		e.AddCrash(sardineknot.ServerCrash{Process: process(i), Traits: request(1), At: after(time.Minute)})
+	}
+	for b.Loop() {
+		e.Recurring(after(time.Minute))
+	}
+}
--- a/internal/quarantine/evidence/evidence.go
+++ b/internal/quarantine/evidence/evidence.go
@@ -57,6 +57,9 @@
 	// held holds the times until which requests with certain traits are refused although
 	// there is no quarantine.
 	held map[sardineknot.Trait]time.Time
+	// recurring holds all traits that isRecurring reports, and may hold others until the
+	// next call of Recurring.
+	recurring map[sardineknot.Trait]bool
 	// judgeAt is the time from which on a judgement may find something new. It is
 	// zero if there is nothing to judge.
 	judgeAt time.Time
@@ -64,7 +67,10 @@
 
 // New returns evidence of nothing.
 func New() *Evidence {
-	return &Evidence{crashes: make(map[sardineknot.ServerProcess]*crash), held: make(map[sardineknot.Trait]time.Time)}
+	return &Evidence{
+		crashes: make(map[sardineknot.ServerProcess]*crash), held: make(map[sardineknot.Trait]time.Time),
+		recurring: make(map[sardineknot.Trait]bool),
+	}
 }
 
 // AddCrash records a suspect and reports whether it was new.
--- a/internal/quarantine/evidence/recurring.go
+++ b/internal/quarantine/evidence/recurring.go
@@ -16,16 +16,16 @@
 // these requests. Of more than maxRecurring it returns the latest.
 func (e *Evidence) Recurring(now time.Time) sardineknot.CrashEvidence {
 	var v sardineknot.CrashEvidence
-	if len(e.crashes) < holdingCrashes {
+	e.updateRecurring()
+	if len(e.recurring) == 0 {
 		return v
 	}
-	n := e.endedUnderAll()
 	for _, c := range e.crashes {
 		if c.survived() || now.Sub(c.at) > retention {
 			continue
 		}
 		for _, s := range c.suspects {
-			if e.recurs(s, n) {
+			if slices.ContainsFunc(s.traits.Whole(), func(t sardineknot.Trait) bool { return e.recurring[t] }) {
 				v.Crashes = append(v.Crashes, sardineknot.ServerCrash{Process: c.process, Traits: s.traits, Begun: s.begun, At: c.at})
 			}
 		}
@@ -42,39 +42,12 @@
 	return v
 }
 
-// endedUnderAll returns the result of endedUnder for each broad and exact trait of the
-// recorded crashes.
-func (e *Evidence) endedUnderAll() map[sardineknot.Trait]ended {
-	m := make(map[sardineknot.Trait]ended)
-	for _, c := range e.crashes {
-		if c.survived() {
-			continue
-		}
-		for _, t := range c.wholeTraits() {
-			if c.at.After(e.answered.at(t)) {
-				m[t] = m[t].add(c.at)
-			}
-		}
-	}
-	return m
-}
-
-// wholeTraits returns the broad and exact traits of the suspects of c, each once.
-func (c *crash) wholeTraits() sardineknot.TraitList {
-	var l sardineknot.TraitList
-	for _, s := range c.suspects {
-		l = append(l, s.traits.Whole()...)
-	}
-	return sortedOnce(l)
-}
-
-// recurs reports whether holdingCrashes servers have ended under requests like s. all is
-// the result of endedUnderAll.
-func (e *Evidence) recurs(s suspect, all map[sardineknot.Trait]ended) bool {
-	for i, t := range s.traits.Whole() {
-		if e.isRecurring(t, i < len(s.traits.Exact), all[t]) {
-			return true
+// updateRecurring removes the traits from recurring whose requests were answered since,
+// or whose crashes were refuted or dropped.
+func (e *Evidence) updateRecurring() {
+	for t := range e.recurring {
+		if e.endedUnder(t).count < holdingCrashes {
+			delete(e.recurring, t)
 		}
 	}
-	return false
 }
--- a/internal/quarantine/store/crashes.go
+++ b/internal/quarantine/store/crashes.go
@@ -76,17 +76,33 @@
 	if entry.Revision.Number != 0 {
 		s.revision = entry.Revision
 	}
-	for i, c := range v.Crashes {
-		if c.At.After(n) {
-			v.Crashes[i].At = n // the clock of the host that wrote it is ahead
-		}
-	}
+	v.limitTimes(n)
 	k.mu.Lock()
 	k.crashes = s
 	k.mu.Unlock()
 	k.Record.AddEvidence(sardineknot.CrashEvidence{Crashes: v.Crashes, Sound: v.Sound, Answered: v.Answered})
 }
 
+// limitTimes replaces times after now by now: the clock of the host that wrote v may be
+// ahead, and no answer refutes a crash that is to come.
+func (v *crashValue) limitTimes(now time.Time) {
+	for i := range v.Crashes {
+		v.Crashes[i].At = earlier(v.Crashes[i].At, now)
+	}
+	for _, l := range [][]sardineknot.SoundTrait{v.Sound, v.Answered} {
+		for i := range l {
+			l[i].At = earlier(l[i].At, now)
+		}
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.After(b) {
+		return b
+	}
+	return a
+}
+
 // updateCrashes writes or removes crashKey if its value differs from what is known, as far
 // as this host is the one to do so.
 func (k *Keeper) updateCrashes(ctx context.Context) {
