quarantine: guard, its exchange and the tests in smaller pieces

Cause: guard.go had grown to 323 lines with the judgement and the exchange with other hosts; the fixtures of the new tests stood twice.

No assertion is changed.

--- a/internal/quarantine/store/crashes_test.go
+++ b/internal/quarantine/store/crashes_test.go
@@ -1,7 +1,6 @@
 package store_test
 
 import (
-	"context"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -72,20 +71,7 @@
 // runCrashes runs test in virtual time with the records of two hosts.
 func runCrashes(t *testing.T, test func(*testing.T, *service, []*record)) {
 	t.Helper()
-	synctest.Test(t, func(t *testing.T) {
-		ctx, cancel := context.WithCancel(t.Context())
-		s := &service{entries: make(map[string]sardineknot.StoreEntry)}
-		l := []*record{{}, {}}
-		for i, n := range []sardineknot.EntryHostID{"h0", "h1"} {
-			s.keepers = append(s.keepers, &store.Keeper{Store: s, Quarantines: &list{}, Record: l[i], Ranker: s, Self: n, Clock: clock.System{}, Log: zerolog.Nop()})
-		}
-		for _, k := range s.keepers {
-			go func() { _ = k.Run(ctx) }()
-		}
-		test(t, s, l)
-		cancel()
-		synctest.Wait()
-	})
+	runKeepers(t, func(t *testing.T, s *service, _ []*list, r []*record) { test(t, s, r) })
 }
 
 // checkStored fails the test unless the service has the given keys and count writes were
--- a/internal/quarantine/store/keeper_test.go
+++ b/internal/quarantine/store/keeper_test.go
@@ -131,25 +131,33 @@
 	l.l = nil
 }
 
-// run runs test in virtual time with two hosts.
-func run(t *testing.T, test func(*testing.T, *service, []*list)) {
+// runKeepers runs test in virtual time with two hosts that have nothing to keep.
+func runKeepers(t *testing.T, test func(*testing.T, *service, []*list, []*record)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		s := &service{entries: make(map[string]sardineknot.StoreEntry)}
-		l := []*list{{}, {}}
+		l, r := []*list{{}, {}}, []*record{{}, {}}
 		for i, n := range []sardineknot.EntryHostID{"h0", "h1"} {
-			s.keepers = append(s.keepers, &store.Keeper{Store: s, Quarantines: l[i], Record: &record{}, Ranker: s, Self: n, Clock: clock.System{}, Log: zerolog.Nop()})
+			s.keepers = append(s.keepers, &store.Keeper{Store: s, Quarantines: l[i], Record: r[i], Ranker: s, Self: n, Clock: clock.System{}, Log: zerolog.Nop()})
 		}
 		for _, k := range s.keepers {
 			go func() { _ = k.Run(ctx) }()
 		}
+		test(t, s, l, r)
+		cancel()
+		synctest.Wait()
+	})
+}
+
+// run runs test in virtual time with two hosts that have a quarantine.
+func run(t *testing.T, test func(*testing.T, *service, []*list)) {
+	t.Helper()
+	runKeepers(t, func(t *testing.T, s *service, l []*list, _ []*record) {
 		for _, k := range l {
 			k.AddQuarantine(sardineknot.Quarantine{Traits: sardineknot.TraitList{1}, Until: time.Now().Add(time.Minute), Strikes: 1})
 		}
 		test(t, s, l)
-		cancel()
-		synctest.Wait()
 	})
 }
 
--- a/internal/quarantine/twirp/guard.go
+++ b/internal/quarantine/twirp/guard.go
@@ -15,7 +15,6 @@
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/quarantine/evidence"
 	"sardineknot.example/sardineknot/internal/quarantine/fingerprint"
-	rpc "sardineknot.example/sardineknot/internal/rpc/quarantine"
 )
 
 const (
@@ -211,86 +210,6 @@
 		Dur("left_ms", quarantine.Until.Sub(now)).Int("strikes", quarantine.Strikes).Bool("found", found).Send()
 }
 
-// send sends what this host has learned to all other hosts. A host that does not
-// get it fetches it later.
-func (g *Guard) send(ctx context.Context) {
-	g.mu.Lock()
-	v := g.pending
-	g.pending = sardineknot.CrashEvidence{}
-	g.mu.Unlock()
-	if v.Empty() {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	m := evidenceMessage(v, g.Clock.Now())
-	var l errgroup.Group
-	l.SetLimit(maxSends)
-	for _, h := range sardineknot.OtherHosts(g.Members) {
-		l.Go(func() error {
-			_, err := g.client(h).Share(ctx, m)
-			g.logFailure(h, err)
-			return nil
-		})
-	}
-	_ = l.Wait() // the calls return no error
-}
-
-// fetch fetches the evidence of a random other host.
-func (g *Guard) fetch(ctx context.Context) {
-	l := sardineknot.OtherHosts(g.Members)
-	if len(l) == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
-	h := l[g.Random.IntN(len(l))]
-	g.mu.Lock()
-	d := g.evidence.Digest()
-	g.mu.Unlock()
-	m, err := g.client(h).Fetch(ctx, &rpc.FetchRequest{Digest: d})
-	if err != nil {
-		g.logFailure(h, err)
-		return
-	}
-	g.learn(m)
-}
-
-// learn records what another host has sent.
-func (g *Guard) learn(message *rpc.Evidence) {
-	g.AddEvidence(evidenceFromMessage(message, g.Clock.Now()))
-}
-
-// AddEvidence implements sardineknot.CrashRecord.
-func (g *Guard) AddEvidence(evidence sardineknot.CrashEvidence) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, s := range evidence.Sound {
-		g.evidence.AddSound(s.Trait, s.At)
-	}
-	for _, s := range evidence.Answered {
-		g.evidence.AddAnswered(s.Trait, s.At)
-	}
-	for _, c := range evidence.Crashes {
-		if g.evidence.AddCrash(c) {
-			g.signalRecurring(c)
-		}
-	}
-	for _, r := range evidence.Running {
-		g.evidence.AddRefutation(r)
-	}
-	for _, q := range evidence.Quarantines {
-		g.addQuarantineLocked(g.Clock.Now(), q)
-	}
-}
-
-// RecurringCrashes implements sardineknot.CrashRecord.
-func (g *Guard) RecurringCrashes() sardineknot.CrashEvidence {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.evidence.Recurring(g.Clock.Now())
-}
-
 // Quarantines implements sardineknot.QuarantineList.
 func (g *Guard) Quarantines() []sardineknot.Quarantine {
 	g.mu.Lock()
@@ -310,14 +229,3 @@
 		g.record(now, quarantine, false)
 	}
 }
-
-// logFailure logs err, with which a call to host failed, unless it is nil.
-func (g *Guard) logFailure(host sardineknot.EntryHost, err error) {
-	if err != nil {
-		g.Log.Debug().Stringer("event", sardineknot.LogEvidenceNotSent).Str("peer", string(host.ID)).Err(err).Send()
-	}
-}
-
-func (g *Guard) client(host sardineknot.EntryHost) rpc.Quarantines {
-	return rpc.NewQuarantinesProtobufClient("http://"+host.PeerAddress.String(), g.Client)
-}
