--- a/logevent.go
+++ b/logevent.go
@@ -219,11 +219,12 @@
 	// LogEvidenceNotSent reports that another entry host was not reached to send
 	// or fetch evidence of requests that crash servers. It fetches the evidence later.
 	LogEvidenceNotSent LogEvent = "evidence_not_sent"
-	// LogQuarantineNotWritten reports that the quarantine with the key "key" could
-	// not be written to the store, or not be removed. That is tried again.
+	// LogQuarantineNotWritten reports that the quarantine with the key "key", or the
+	// crashes under it, could not be written to the store, or not be removed. That is
+	// tried again.
 	LogQuarantineNotWritten LogEvent = "quarantine_not_written"
-	// LogQuarantineNotRead reports that the store has no proper quarantine under
-	// the key "key".
+	// LogQuarantineNotRead reports that the store has no proper quarantine, or no proper
+	// crashes, under the key "key".
 	LogQuarantineNotRead LogEvent = "quarantine_not_read"
 	// LogStreamRetried reports why a stream is continued on another engine, and
 	// after which event.
