--- a/internal/host/gateway/follow_test.go
+++ b/internal/host/gateway/follow_test.go
@@ -18,6 +18,7 @@
 	"sardineknot.example/sardineknot/internal/orders/ledger"
 	"sardineknot.example/sardineknot/internal/platform/changelog"
 	feed "sardineknot.example/sardineknot/internal/platform/twirp"
+	quarantinestore "sardineknot.example/sardineknot/internal/quarantine/store"
 	versions "sardineknot.example/sardineknot/internal/versions/twirp"
 )
 
@@ -36,7 +37,7 @@
 func (decoder) Redact(entry sardineknot.StoreEntry) sardineknot.StoreEntry { return entry }
 
 func newTestProcess() *Process {
-	p := &Process{registry: membership.NewRegistry(sardineknot.EntryHost{ID: "a"}), source: configuration.NewSource(), entries: changelog.NewLog(), EntryDecoder: decoder{}}
+	p := &Process{registry: membership.NewRegistry(sardineknot.EntryHost{ID: "a"}), source: configuration.NewSource(), entries: changelog.NewLog(), EntryDecoder: decoder{}, keeper: &quarantinestore.Keeper{}}
 	p.exchange = &inforce.Exchange{Source: p.source, Members: p.registry, Random: rand.New(rand.NewPCG(1, 1))}
 	p.feed = &feed.Feed{Entries: p.entries, Clock: p.clock}
 	p.versions = versions.NewDirectory(p.clock)
--- a/internal/host/gateway/scale_bench_test.go
+++ b/internal/host/gateway/scale_bench_test.go
@@ -23,6 +23,7 @@
 	"sardineknot.example/sardineknot/internal/platform/rewrite"
 	feed "sardineknot.example/sardineknot/internal/platform/twirp"
 	"sardineknot.example/sardineknot/internal/policy/memory"
+	quarantinestore "sardineknot.example/sardineknot/internal/quarantine/store"
 	"sardineknot.example/sardineknot/internal/slots/twirp"
 	"sardineknot.example/sardineknot/internal/versions/history"
 	versions "sardineknot.example/sardineknot/internal/versions/twirp"
@@ -118,7 +119,7 @@
 			CallerAddress: netip.MustParseAddrPort("10.0.0.1:1"), PeerAddress: netip.MustParseAddrPort("10.0.0.1:2"), Processor: 0.12 + float64(i%7)/10,
 		}
 	}
-	p := &Process{registry: membership.NewRegistry(h(0)), source: configuration.NewSource(), entries: changelog.NewLog(), EntryDecoder: jsonDecoder{}}
+	p := &Process{registry: membership.NewRegistry(h(0)), source: configuration.NewSource(), entries: changelog.NewLog(), EntryDecoder: jsonDecoder{}, keeper: &quarantinestore.Keeper{}}
 	p.feed = &feed.Feed{Entries: p.entries, Clock: p.clock}
 	p.committed = true // no other host is there to be queried
 	p.versions = versions.NewDirectory(p.clock)
