backend/http1, answer/events: the framing of answers in metrics and logs

Change: the counter backend.answers by framing; framing, first and last in stream_ended and engine_failed. No decision changes.

--- a/call.go
+++ b/call.go
@@ -138,6 +138,8 @@
 	Status int
 	// Header holds the header fields that are passed on to the caller.
 	Header http.Header
+	// Framing is how the end of Body is marked. It is empty if that is unknown.
+	Framing Framing
 	// Body is the response body. Read returns io.EOF if and only if the
 	// response is complete. Closing Body before that cancels the work on the
 	// backend server.
--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -41,10 +41,11 @@
 	first *event
 	// sentAt is the time at which the last request was sent to an engine.
 	sentAt time.Time
-	// eventCount is the number of events relayed by this attempt, and begunAt the
-	// time of the first of them. sound is set once the engine is known not to end
+	// eventCount is the number of events relayed by this attempt. firstID is the
+	// identifier of the first of them, and begunAt its time. sound is set once the engine is known not to end
 	// because of the request.
 	eventCount int
+	firstID    int
 	begunAt    time.Time
 	sound      bool
 
@@ -341,7 +342,8 @@
 	}
 	a.reportCrash(err, n)
 	a.Log.Warn().Stringer("event", sardineknot.LogEngineFailed).Str("request", string(a.call.ID)).Str("server", string(n)).
-		Stringer("parts", a.call.Generation.Parts).Stringer("traits", fingerprint.Of(a.call).All()).Int("relayed", a.eventCount).Err(err).Send()
+		Stringer("parts", a.call.Generation.Parts).Stringer("traits", fingerprint.Of(a.call).All()).Int("relayed", a.eventCount).
+		Str("framing", a.framing()).Int("first", a.firstID).Int("last", a.resumeAfter).Err(err).Send()
 	var u *sardineknot.UnsentError
 	a.Slots.Report(a.job, sardineknot.JobEvent{
 		Key: a.job.Key, Kind: sardineknot.JobFailed, Server: n, Tokens: a.tokens(), Unreachable: errors.As(err, &u),
@@ -352,5 +354,14 @@
 	a.Slots.Report(a.job, sardineknot.JobEvent{Key: a.job.Key, Kind: k, Server: n, Tokens: a.tokens()})
 }
 
+// framing returns the framing of the engine's response, or an empty string if there is
+// none.
+func (a *attempt) framing() string {
+	if a.response == nil {
+		return ""
+	}
+	return string(a.response.Framing)
+}
+
 // tokens returns the number of tokens that this attempt has generated.
 func (a *attempt) tokens() int { return a.eventCount * a.eventTokens() }
--- a/internal/answer/events/relay.go
+++ b/internal/answer/events/relay.go
@@ -45,7 +45,7 @@
 	a.reportSound()
 	a.report(sardineknot.JobFinished, a.decode.Name)
 	a.Log.Info().Stringer("event", sardineknot.LogStreamEnded).Str("request", string(a.call.ID)).Str("server", string(a.decode.Name)).
-		Int("tries", a.number+1).Dur("first_ms", a.timeToFirst).Dur("pause_ms", a.longestPause).Int("tokens", a.tokens()).Int("expected", a.job.ExpectedTokens).Int("longest", a.job.MaxTokens).Send()
+		Int("tries", a.number+1).Str("framing", a.framing()).Int("first", a.firstID).Int("last", a.resumeAfter).Dur("first_ms", a.timeToFirst).Dur("pause_ms", a.longestPause).Int("tokens", a.tokens()).Int("expected", a.job.ExpectedTokens).Int("longest", a.job.MaxTokens).Send()
 	return nil
 }
 
@@ -106,7 +106,7 @@
 			return errors.WithStack(&writeError{cause: err})
 		}
 		a.recordEventTime()
-		a.reportProgress()
+		a.recordEvent(e.id)
 	}
 }
 
@@ -151,16 +151,17 @@
 	a.lastEventAt = n
 }
 
-// reportProgress reports the start of the decode at the first event, and
-// progress after every progressEvents events.
-func (a *attempt) reportProgress() {
+// recordEvent records that the event with the given identifier was relayed. It reports
+// the start of the decode at the first event, and progress after every progressEvents
+// events.
+func (a *attempt) recordEvent(id int) {
 	a.eventCount++
 	if a.lastEventAt.Sub(a.begunAt) >= soundTime && a.eventCount > 1 {
 		a.reportSound()
 	}
 	switch {
 	case a.eventCount == 1:
-		a.begunAt = a.lastEventAt
+		a.begunAt, a.firstID = a.lastEventAt, id
 		a.report(sardineknot.JobDecodeStarted, a.decode.Name)
 	case a.eventCount%progressEvents == 0:
 		a.report(sardineknot.JobProgress, a.decode.Name)
--- a/internal/backend/http1/client.go
+++ b/internal/backend/http1/client.go
@@ -40,6 +40,8 @@
 	// opened and reused count the exchanges on new and on reused connections.
 	opened metrics.Counter
 	reused metrics.Counter
+	// answers counts the responses by their framing.
+	answers map[sardineknot.Framing]metrics.Counter
 
 	mu sync.Mutex
 	// idle holds the idle connections by server, in the order in which they
@@ -55,14 +57,24 @@
 // in registry.
 func NewClient(c sardineknot.Clock, registry metrics.Registry) *Client {
 	return &Client{
-		Dialer: tcp.Dialer{},
-		clock:  c,
-		opened: metrics.GetOrRegisterCounter("backend.connections.opened", registry),
-		reused: metrics.GetOrRegisterCounter("backend.connections.reused", registry),
-		idle:   make(map[netip.AddrPort][]*conn),
+		Dialer:  tcp.Dialer{},
+		clock:   c,
+		opened:  metrics.GetOrRegisterCounter("backend.connections.opened", registry),
+		reused:  metrics.GetOrRegisterCounter("backend.connections.reused", registry),
+		answers: answerCounters(registry),
+		idle:    make(map[netip.AddrPort][]*conn),
 	}
 }
 
+// answerCounters registers a counter for each framing in registry.
+func answerCounters(registry metrics.Registry) map[sardineknot.Framing]metrics.Counter {
+	m := make(map[sardineknot.Framing]metrics.Counter)
+	for _, f := range []sardineknot.Framing{sardineknot.FramingLength, sardineknot.FramingChunks, sardineknot.FramingConnection} {
+		m[f] = metrics.GetOrRegisterCounter("backend.answers{framing="+string(f)+"}", registry)
+	}
+	return m
+}
+
 // CloseIdle closes all idle connections.
 func (c *Client) CloseIdle() {
 	c.mu.Lock()
--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -106,7 +106,21 @@
 		return nil, errors.WithStack(k.unavailable(cause(ctx, err)))
 	}
 	b := &body{conn: k, response: p, stop: stop, context: ctx}
-	return &sardineknot.Response{Status: p.StatusCode, Header: p.Header, Body: b}, nil
+	f := framing(p)
+	k.client.answers[f].Inc(1)
+	return &sardineknot.Response{Status: p.StatusCode, Header: p.Header, Framing: f, Body: b}, nil
+}
+
+// framing returns how the end of the body of response is marked.
+func framing(response *http.Response) sardineknot.Framing {
+	switch {
+	case len(response.TransferEncoding) > 0:
+		return sardineknot.FramingChunks
+	case response.ContentLength >= 0 || response.Body == http.NoBody:
+		return sardineknot.FramingLength
+	default:
+		return sardineknot.FramingConnection
+	}
 }
 
 // unavailable returns the error for an exchange that broke off with err.
--- a/logevent.go
+++ b/logevent.go
@@ -232,7 +232,9 @@
 	// LogStreamResumed reports that a stream that broke off is resumed on the
 	// same engine.
 	LogStreamResumed LogEvent = "stream_resumed"
-	// LogStreamEnded reports the latencies and the length of a stream.
+	// LogStreamEnded reports the latencies and the length of a stream, the framing of the
+	// response of the engine that ended it, and the identifiers of the first and the last
+	// event from that engine.
 	LogStreamEnded LogEvent = "stream_ended"
 	// LogSilentStreamStays reports that a stalled stream stays on its engine
 	// because no other engine was granted.
