backend/completion: an answer that ends with its connection is complete only if its server goes on

Cause: an answer with neither a length nor chunks ends with its connection, and the kernel ends the connections of a killed process with FIN, as after an orderly end; http1 returned io.EOF for both. Class: the end of a connection taken for the end of an answer. The error of the query is not unwrapped: that the query was not sent says nothing about the call, which may have run. Answers with a length or chunks are not queried.

--- a/errors.go
+++ b/errors.go
@@ -148,7 +148,12 @@
 // has ended. It is not if the server was silent, or if the host Through may have ended
 // instead.
 func (e *UnavailableError) ServerMayHaveEnded() bool {
-	return (e.Through == "" || e.ServerEnded) && !errors.Is(e.Cause, context.DeadlineExceeded)
+	c := e.Cause
+	var u *UnconfirmedEndError
+	if errors.As(c, &u) {
+		c = u.Cause
+	}
+	return (e.Through == "" || e.ServerEnded) && !errors.Is(c, context.DeadlineExceeded)
 }
 
 // StaleEraError reports that data of the store is of an era before the latest
--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -344,12 +344,18 @@
 	a.Log.Warn().Stringer("event", sardineknot.LogEngineFailed).Str("request", string(a.call.ID)).Str("server", string(n)).
 		Stringer("parts", a.call.Generation.Parts).Stringer("traits", fingerprint.Of(a.call).All()).Int("relayed", a.eventCount).
 		Str("framing", a.framing()).Int("first", a.firstID).Int("last", a.resumeAfter).Err(err).Send()
-	var u *sardineknot.UnsentError
 	a.Slots.Report(a.job, sardineknot.JobEvent{
-		Key: a.job.Key, Kind: sardineknot.JobFailed, Server: n, Tokens: a.tokens(), Unreachable: errors.As(err, &u),
+		Key: a.job.Key, Kind: sardineknot.JobFailed, Server: n, Tokens: a.tokens(), Unreachable: isUnreachable(err),
 	})
 }
 
+// isUnreachable reports whether err shows that an engine does not accept connections.
+func isUnreachable(err error) bool {
+	var u *sardineknot.UnsentError
+	var e *sardineknot.UnconfirmedEndError
+	return errors.As(err, &u) || errors.As(err, &e) && e.ServerGone()
+}
+
 func (a *attempt) report(k sardineknot.JobEventKind, n sardineknot.BackendServerName) {
 	a.Slots.Report(a.job, sardineknot.JobEvent{Key: a.job.Key, Kind: k, Server: n, Tokens: a.tokens()})
 }
--- /dev/null
+++ b/internal/backend/completion/forwarder_test.go
@@ -0,0 +1,92 @@
+package completion_test
+
+import (
+	"context"
+	"io"
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/backend/completion"
+)
+
+// server is a fake backend server: a forwarder that gets its answers, and a prober of it.
+type server struct {
+	sardineknot.Forwarder
+	framing sardineknot.Framing
+	// probeErr is the result of Probe, and probes counts its calls.
+	probeErr error
+	probes   int
+}
+
+func (s *server) Forward(context.Context, sardineknot.BackendServer, *sardineknot.Call, sardineknot.ForwardOptions) (*sardineknot.Response, error) {
+	return &sardineknot.Response{Status: 200, Framing: s.framing, Body: io.NopCloser(strings.NewReader("text"))}, nil
+}
+
+func (s *server) Probe(context.Context, sardineknot.BackendServer, string) error {
+	s.probes++
+	return s.probeErr
+}
+
+func (s *server) Current() *sardineknot.Configuration { return &sardineknot.Configuration{} }
+func (s *server) Changed() <-chan struct{}            { return nil }
+
+// read reads an answer of s to its end, and once more.
+func (s *server) read(t *testing.T) (string, error) {
+	t.Helper()
+	f := &completion.Forwarder{Forwarder: s, Prober: s, Source: s, Metrics: metrics.NewRegistry()}
+	p, err := f.Forward(t.Context(), sardineknot.BackendServer{Name: "s"}, &sardineknot.Call{ID: "c"}, sardineknot.ForwardOptions{})
+	is.New(t).NoErr(err)
+	b, err := io.ReadAll(p.Body)
+	_, again := p.Body.Read(make([]byte, 1))
+	is.New(t).True((err == nil) == errors.Is(again, io.EOF)) // the result stays the same
+	return string(b), err
+}
+
+// TestForwarder guards against ends of answers that are taken on trust, and against queries
+// for answers whose framing shows their end.
+func TestForwarder(t *testing.T) {
+	for _, f := range []sardineknot.Framing{sardineknot.FramingLength, sardineknot.FramingChunks, ""} {
+		t.Run("no query with framing "+string(f), func(t *testing.T) {
+			s := &server{framing: f, probeErr: errors.New("not called")}
+			b, err := s.read(t)
+			is.New(t).NoErr(err)
+			is.New(t).Equal(b, "text")
+			is.New(t).Equal(s.probes, 0)
+		})
+	}
+	t.Run("one query for an answer that ends with its connection", func(t *testing.T) {
+		s := &server{framing: sardineknot.FramingConnection}
+		_, err := s.read(t)
+		is.New(t).NoErr(err)
+		is.New(t).Equal(s.probes, 1)
+	})
+	refused := &sardineknot.UnsentError{Server: netip.MustParseAddrPort("127.0.0.1:1"), Cause: errors.New("refused")}
+	for _, e := range []error{refused, &sardineknot.RefusedError{Server: "s", Status: 421}, context.DeadlineExceeded} {
+		t.Run("broken off after "+e.Error(), func(t *testing.T) {
+			s := &server{framing: sardineknot.FramingConnection, probeErr: e}
+			b, err := s.read(t)
+			is.New(t).Equal(b, "text")
+			is.New(t).Equal(s.probes, 1)
+			assertUnconfirmed(t, err)
+		})
+	}
+}
+
+// assertUnconfirmed checks that err reports an unconfirmed end, and does not claim that the
+// request was not sent, refused or late, as the query was.
+func assertUnconfirmed(t *testing.T, err error) {
+	t.Helper()
+	var v *sardineknot.UnavailableError
+	var c *sardineknot.UnconfirmedEndError
+	var u *sardineknot.UnsentError
+	var r *sardineknot.RefusedError
+	is := is.New(t)
+	is.True(errors.As(err, &v) && errors.As(err, &c))
+	is.True(!errors.As(err, &u) && !errors.As(err, &r) && !errors.Is(err, context.DeadlineExceeded))
+}
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -23,6 +23,7 @@
 	"sardineknot.example/sardineknot/internal/answer/plain"
 	"sardineknot.example/sardineknot/internal/backend/backoff"
 	"sardineknot.example/sardineknot/internal/backend/breaker"
+	"sardineknot.example/sardineknot/internal/backend/completion"
 	"sardineknot.example/sardineknot/internal/backend/limited"
 	servermemory "sardineknot.example/sardineknot/internal/backend/memory"
 	"sardineknot.example/sardineknot/internal/backend/reach"
@@ -98,6 +99,8 @@
 	RequestDecoder sardineknot.CallDecoder
 	// Forwarder forwards calls to backend servers.
 	Forwarder sardineknot.Forwarder
+	// Prober queries backend servers for signs of life.
+	Prober sardineknot.ServerProber
 	// DialServer connects to a backend server without another host. Nil means TCP.
 	DialServer func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// CloseIdleConnections closes the idle connections to backend servers.
@@ -334,16 +337,17 @@
 		IdleTimeout: func() time.Duration { return p.source.Current().CallerLimits.IdleTime },
 	}
 	m := &servermemory.Budget{}
+	f := &completion.Forwarder{Forwarder: p.calls, Prober: p.Prober, Source: p.source, Log: p.Log, Metrics: p.Metrics}
 	n := uint64(self.Incarnation)
 	p.handler = &caller.Handler{
 		Source:  p.source,
 		Decoder: p.RequestDecoder,
 		Plain: &plain.Runner{
-			Source: p.source, Forwarder: p.calls, Circuits: breaker.NewSet(rand.NewPCG(n, n+1)), Backoffs: p.backoffs, Guard: p.guard,
+			Source: p.source, Forwarder: f, Circuits: breaker.NewSet(rand.NewPCG(n, n+1)), Backoffs: p.backoffs, Guard: p.guard,
 			Places: p.places, Budget: b, Memory: m, Clock: p.clock, Log: p.Log,
 		},
 		Stream: &events.Runner{
-			Source: p.source, Forwarder: p.calls, Slots: p.slots, Backoffs: p.backoffs, Guard: p.guard,
+			Source: p.source, Forwarder: f, Slots: p.slots, Backoffs: p.backoffs, Guard: p.guard,
 			Budget: b, Memory: m, Versions: p.versions, Self: self, Clock: p.clock, Log: p.Log,
 		},
 		Limiter:  p.accountLimiter,
--- a/logevent.go
+++ b/logevent.go
@@ -186,6 +186,9 @@
 	// that it waited for them, and the prompt and answer lengths on which the
 	// decision was based.
 	LogEnginesGranted LogEvent = "engines_granted"
+	// LogEndUnconfirmed reports an answer that ended with its connection, and why its
+	// server could not be shown to be running after that.
+	LogEndUnconfirmed LogEvent = "end_unconfirmed"
 	// LogEngineFailed reports that a call failed on an engine.
 	LogEngineFailed LogEvent = "engine_failed"
 	// LogCacheRefused reports that a decode engine refused to import a KV
--- /dev/null
+++ b/prober.go
@@ -0,0 +1,52 @@
+package sardineknot
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+
+	"github.com/pkg/errors"
+)
+
+// ServerProber queries backend servers for signs of life. Implementations are safe for
+// concurrent use.
+type ServerProber interface {
+	// Probe returns nil once the process that server describes has answered a query, and so
+	// was running after the call of Probe. It fails with an InstanceError if another process
+	// answers, and with another error if none does. healthPath is that of a plain service,
+	// or empty.
+	Probe(ctx context.Context, server BackendServer, healthPath string) error
+}
+
+// InstanceError reports that the address of a backend server belongs to another process.
+type InstanceError struct {
+	Server BackendServerName
+}
+
+// Error implements error.
+func (e *InstanceError) Error() string {
+	return fmt.Sprintf("another process has the address of %s", e.Server)
+}
+
+// UnconfirmedEndError reports that the connection ended that marks the end of an answer, and
+// that the process of the server could not be shown to be running after that. The answer may
+// be incomplete.
+type UnconfirmedEndError struct {
+	Server BackendServerName
+	// Cause is the error of the probe. It is not nil. It is not unwrapped, since it says
+	// nothing about the request that was answered.
+	Cause error
+}
+
+// Error implements error.
+func (e *UnconfirmedEndError) Error() string {
+	return fmt.Sprintf("the end of the answer of %s is not confirmed: %v", e.Server, e.Cause)
+}
+
+// ServerGone reports whether the process of the server has certainly ended: its address
+// accepts no connections, or belongs to another process.
+func (e *UnconfirmedEndError) ServerGone() bool {
+	var u *UnsentError
+	var i *InstanceError
+	return errors.As(e.Cause, &i) || errors.As(e.Cause, &u) && errors.Is(e.Cause, syscall.ECONNREFUSED)
+}
--- a/route.go
+++ b/route.go
@@ -77,6 +77,9 @@
 	// Engine describes the engines that provide the service. It is nil for
 	// plain services.
 	Engine *EngineLimits
+	// HealthPath is the path at which the servers report whether they are healthy. It is
+	// empty if they do not.
+	HealthPath string
 }
 
 // EngineLimits holds the capacity that the engines of a service have in common.
