backend/completion: servers that accept no requests are only connected to

Cause: the query after the end of an answer is a request, and a server that has asked for none or has named a limit gets none beside calls (load queries are left out for the same reason). Change: the end of its answer is confirmed by a connection that opens, without a request. Evidence: two subtests of TestForwarder, which failed before (a query was sent).

--- a/internal/backend/completion/forwarder.go
+++ b/internal/backend/completion/forwarder.go
@@ -29,6 +29,10 @@
 	sardineknot.Forwarder
 	// Prober queries the servers.
 	Prober sardineknot.ServerProber
+	// MayQuery reports whether a server accepts queries from this host now. Dialer connects
+	// to one that does not, since a connection is no request.
+	MayQuery func(server sardineknot.BackendServer) bool
+	Dialer   sardineknot.ServerDialer
 	// Source provides the services.
 	Source sardineknot.ConfigurationSource
 	// Log receives an event for each end that is not confirmed.
@@ -54,7 +58,7 @@
 func (f *Forwarder) confirm(ctx context.Context, server sardineknot.BackendServer, call sardineknot.RequestID) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
-	err := f.Prober.Probe(ctx, server, f.healthPath(server))
+	err := f.probe(ctx, server)
 	metrics.GetOrRegisterCounter("backend.ends{confirmed="+strconv.FormatBool(err == nil)+"}", f.Metrics).Inc(1)
 	if err == nil {
 		return nil
@@ -65,6 +69,20 @@
 	})
 }
 
+// probe fails unless the process of server is shown to be running. That its address accepts
+// connections shows it as well as a query does: a process that was killed has not started
+// again at the moment at which its connections end.
+func (f *Forwarder) probe(ctx context.Context, server sardineknot.BackendServer) error {
+	if f.MayQuery(server) {
+		return f.Prober.Probe(ctx, server, f.healthPath(server))
+	}
+	c, err := f.Dialer.Dial(ctx, server.Address)
+	if err != nil {
+		return errors.WithStack(&sardineknot.UnsentError{Server: server.Address, Cause: err})
+	}
+	return errors.WithStack(c.Close())
+}
+
 // healthPath returns the health path of the plain service of server. It is empty for
 // engines, whose reports need no slot.
 func (f *Forwarder) healthPath(server sardineknot.BackendServer) string {
--- a/internal/backend/completion/forwarder_test.go
+++ b/internal/backend/completion/forwarder_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/netip"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/matryer/is"
@@ -19,9 +21,12 @@
 type server struct {
 	sardineknot.Forwarder
 	framing sardineknot.Framing
-	// probeErr is the result of Probe, and probes counts its calls.
+	// probeErr is the result of Probe and Dial. probes and dials count their calls.
 	probeErr error
 	probes   int
+	dials    int
+	// limited is set if the server must not be queried.
+	limited bool
 }
 
 func (s *server) Forward(context.Context, sardineknot.BackendServer, *sardineknot.Call, sardineknot.ForwardOptions) (*sardineknot.Response, error) {
@@ -33,13 +38,23 @@
 	return s.probeErr
 }
 
+func (s *server) Dial(context.Context, netip.AddrPort) (net.Conn, error) {
+	s.dials++
+	c, _ := net.Pipe()
+	return c, s.probeErr
+}
+
+func (s *server) Usable(net.Conn) bool { return true }
+func (s *server) ReportSilence()       {}
+
 func (s *server) Current() *sardineknot.Configuration { return &sardineknot.Configuration{} }
 func (s *server) Changed() <-chan struct{}            { return nil }
 
 // read reads an answer of s to its end, and once more.
 func (s *server) read(t *testing.T) (string, error) {
 	t.Helper()
-	f := &completion.Forwarder{Forwarder: s, Prober: s, Source: s, Metrics: metrics.NewRegistry()}
+	f := &completion.Forwarder{Forwarder: s, Prober: s, Dialer: s, Source: s, Metrics: metrics.NewRegistry()}
+	f.MayQuery = func(sardineknot.BackendServer) bool { return !s.limited }
 	p, err := f.Forward(t.Context(), sardineknot.BackendServer{Name: "s"}, &sardineknot.Call{ID: "c"}, sardineknot.ForwardOptions{})
 	is.New(t).NoErr(err)
 	b, err := io.ReadAll(p.Body)
@@ -66,6 +81,18 @@
 		is.New(t).NoErr(err)
 		is.New(t).Equal(s.probes, 1)
 	})
+	t.Run("a connection, and no query, to a server that accepts no requests", func(t *testing.T) {
+		s := &server{framing: sardineknot.FramingConnection, limited: true}
+		_, err := s.read(t)
+		is.New(t).NoErr(err)
+		is.New(t).Equal(s.probes, 0)
+		is.New(t).Equal(s.dials, 1)
+	})
+	t.Run("broken off if such a server accepts no connections", func(t *testing.T) {
+		s := &server{framing: sardineknot.FramingConnection, limited: true, probeErr: syscall.ECONNREFUSED}
+		_, err := s.read(t)
+		assertUnconfirmed(t, err)
+	})
 	refused := &sardineknot.UnsentError{Server: netip.MustParseAddrPort("127.0.0.1:1"), Cause: errors.New("refused")}
 	for _, e := range []error{refused, &sardineknot.RefusedError{Server: "s", Status: 421}, context.DeadlineExceeded} {
 		t.Run("broken off after "+e.Error(), func(t *testing.T) {
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -337,7 +337,9 @@
 		IdleTimeout: func() time.Duration { return p.source.Current().CallerLimits.IdleTime },
 	}
 	m := &servermemory.Budget{}
-	f := &completion.Forwarder{Forwarder: p.calls, Prober: p.Prober, Source: p.source, Log: p.Log, Metrics: p.Metrics}
+	f := &completion.Forwarder{
+		Forwarder: p.calls, Prober: p.Prober, MayQuery: p.mayQuery, Dialer: p.dialer, Source: p.source, Log: p.Log, Metrics: p.Metrics,
+	}
 	n := uint64(self.Incarnation)
 	p.handler = &caller.Handler{
 		Source:  p.source,
@@ -360,6 +362,12 @@
 	}
 }
 
+// mayQuery reports whether server accepts requests beside calls: it has not asked for no
+// requests, and has named no limit.
+func (p *Process) mayQuery(server sardineknot.BackendServer) bool {
+	return p.backoffs.Left(p.clock.Now(), server) == 0 && !p.limiter.Limited(server)
+}
+
 // bodyMemory returns the budget of the bodies of calls, or nil if there is no memory limit.
 func (p *Process) bodyMemory() *servermemory.Budget {
 	if p.Settings.MemoryMegabytes <= 0 {
