caller/gateway: an answer without length and chunks is reset if the host is killed in its middle

What callers saw: callers of HTTP/1.0, with and without keep-alive, got a part of a stream as the whole one when the process of the host was killed.

Cause: such an answer has neither a length nor chunks and ends with its connection, which the kernel of a killed process ends with FIN, as after an orderly end. abort() reset it only if the host itself broke it off.

Why it works: SO_LINGER with zero seconds is set before the header is written, so that the kernel resets the connection whenever the process ends.

--- a/internal/caller/gateway/answer.go
+++ b/internal/caller/gateway/answer.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -19,6 +18,7 @@
 // answerWriter implements sardineknot.AnswerWriter on an http.ResponseWriter.
 type answerWriter struct {
 	writer     http.ResponseWriter
+	request    *http.Request
 	controller *http.ResponseController
 	// closesAt is not nil if the connection is closed after the answer.
 	closesAt *atomic.Pointer[time.Time]
@@ -28,17 +28,14 @@
 	// code that was sent with it, or zero.
 	started bool
 	status  int
+	// unfinished ends an answer that the end of its connection would complete.
+	unfinished unfinished
 }
 
-// lingerer is a connection that may be reset, such as a net.TCPConn.
-type lingerer interface {
-	SetLinger(seconds int) error
-}
-
-// abort resets the connection of an answer that has begun to request, if the end of the
-// connection is the end of the answer: it would look complete. It does not return.
-func (a *answerWriter) abort(request *http.Request) {
-	if !request.ProtoAtLeast(1, 1) {
+// abort resets the connection of an answer that has begun, if the end of the connection is
+// the end of the answer: it would look complete. It does not return.
+func (a *answerWriter) abort() {
+	if !a.request.ProtoAtLeast(1, 1) {
 		c, _, err := a.controller.Hijack()
 		if err == nil {
 			reset(c)
@@ -48,14 +45,6 @@
 	panic(http.ErrAbortHandler)
 }
 
-// reset closes connection with a reset, if that is possible.
-func reset(connection net.Conn) {
-	if l, ok := connection.(lingerer); ok {
-		_ = l.SetLinger(0) // it fails only for connections that are closed already
-	}
-	connection.Close()
-}
-
 // prepare keeps net/http from adding the header fields Date and Content-Type.
 func (a *answerWriter) prepare() {
 	h := a.writer.Header()
@@ -80,6 +69,7 @@
 		h.Set("Connection", "close")
 	}
 	a.started, a.status = true, status
+	a.unfinished.begin(a.request, h)
 	a.writer.WriteHeader(status)
 }
 
--- a/internal/caller/gateway/handler.go
+++ b/internal/caller/gateway/handler.go
@@ -83,7 +83,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	a := &answerWriter{writer: w, controller: http.NewResponseController(w), closesAt: &h.closesAt, clock: h.Clock}
+	a := &answerWriter{writer: w, request: r, controller: http.NewResponseController(w), closesAt: &h.closesAt, clock: h.Clock}
 	a.prepare()
 	var held int64
 	if h.Memory != nil {
@@ -94,7 +94,7 @@
 		h.refuse(a, r, err)
 		return
 	}
-	h.run(r, a, c)
+	h.run(a, c)
 }
 
 // admit validates r and returns its call. The body must arrive before the deadline of the
@@ -231,8 +231,8 @@
 // run runs call and writes its answer. If call fails before the header has been
 // sent, run sends the error status instead. If call fails later, run panics
 // with http.ErrAbortHandler.
-func (h *Handler) run(r *http.Request, writer *answerWriter, call *sardineknot.Call) {
-	ctx, cancel := context.WithDeadline(r.Context(), call.Deadline)
+func (h *Handler) run(writer *answerWriter, call *sardineknot.Call) {
+	ctx, cancel := context.WithDeadline(writer.request.Context(), call.Deadline)
 	defer cancel()
 	err := h.runWithinLimit(ctx, writer, call)
 	b := writer.started
@@ -243,8 +243,9 @@
 	if err != nil && b {
 		// Aborting the connection prevents the caller from mistaking the partial
 		// answer for a complete one.
-		writer.abort(r)
+		writer.abort()
 	}
+	writer.unfinished.end()
 }
 
 // runWithinLimit takes the cost of call from the limit of its client account and
--- a/internal/host/gateway/servers.go
+++ b/internal/host/gateway/servers.go
@@ -34,7 +34,8 @@
 	m.Handle(tunnel.Path, p.tunnels)
 	return []endpoint{
 		{p.Settings.CallerAddress, &http.Server{
-			Handler: p.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes, ConnState: p.connections.Track,
+			Handler: p.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ConnState: p.connections.Track, ConnContext: p.handler.ConnContext,
 		}},
 		{p.Settings.LookupAddress, &http.Server{Handler: p.NewLookupHandler(lookup.NewDirectory(p.registry)), ReadHeaderTimeout: headerTimeout}},
 		{p.Settings.ReadyAddress, &http.Server{Handler: p.NewReadyHandler(p.ready), ReadHeaderTimeout: headerTimeout}},
