backend/plainhttp: an answer that ends with its connection is complete only if its service goes on

What callers saw: with `sardineknot serve`, the part of an answer that a killed plain service had written, as the whole answer with its status, if the service answers without a length and without chunks. Of an unrepeatable call it was kept as its outcome.

Cause: the client reads such an answer to the end of its connection, and the kernel of a killed process ends that with FIN.

Weighed: to take all such answers as unknown would end the service of all that answer in HTTP/1.0 (TestSoundServiceEnds); a query over HTTP could run as a call, and the protocol names no path for one. What is left: a process that is started again at the same address within the time of a connection is not noticed, since the protocol does not identify the process.

--- a/internal/backend/plainhttp/client.go
+++ b/internal/backend/plainhttp/client.go
@@ -2,6 +2,10 @@
 //
 // The header Idempotency-Key holds the key of the request. A service that did
 // not run a call responds with status 503 or 429.
+//
+// The end of the connection may be the end of an answer that has neither a length
+// nor chunks. Such an answer is complete only if the service still accepts
+// connections after it; otherwise the outcome of the call is unknown.
 package plainhttp
 
 import (
@@ -65,6 +69,9 @@
 	if err == nil && len(b) > maxResponseBytes {
 		err = errors.Errorf("answer is longer than %d bytes", maxResponseBytes)
 	}
+	if err == nil {
+		err = confirmEnd(ctx, server, p)
+	}
 	if err != nil {
 		return sardineknot.ServiceAnswer{}, c.wrapUnavailable(server, err)
 	}
