answer/events: an engine that leaves events out does not go on with a stream

What callers saw: an answer that ended as complete with a piece missing, or a piece twice.

Cause: readEvent skipped events up to the last number and checked nothing else.

Now the first event that an attempt adds must have the next number, if the numbers that were relayed are consecutive from 1 or from the one that the caller resumed after; a run that ends before the caller's last event, and an event without a number at the seam, are a MissingEventsError too. Another engine is tried, and otherwise the answer breaks off. A stream whose last event has no number goes on at no other engine.

--- a/errors.go
+++ b/errors.go
@@ -246,6 +246,24 @@
 	return fmt.Sprintf("failed: %s (retry after %v)", e.Reason, e.RetryAfter)
 }
 
+// MissingEventsError reports that an engine does not go on with a stream after the last
+// event that the caller has. Events that the caller needs are missing.
+type MissingEventsError struct {
+	// After is the number of that last event.
+	After int
+	// Got is the number of the event that the engine sent instead of the next one, or
+	// the last one at which its stream ended. It is zero if that event has no number.
+	Got int
+}
+
+// Error implements error.
+func (e *MissingEventsError) Error() string {
+	if e.Got == 0 {
+		return fmt.Sprintf("an event without a number follows event %d", e.After)
+	}
+	return fmt.Sprintf("event %d is the next of the stream after event %d", e.Got, e.After)
+}
+
 // StaleConfigurationError reports a configuration that must not replace the one
 // in force on this host, because its revision is smaller, or because its
 // revision is equal but its content is different.
--- a/internal/answer/events/event.go
+++ b/internal/answer/events/event.go
@@ -33,23 +33,17 @@
 // by one with end set, whose text holds the comments after it.
 type event struct {
 	text []byte
-	// id is the identifier of the event, or zero if it has none.
-	id  int
-	end bool
+	// id is the identifier of the event. It is zero if the event has none, or one that
+	// is not a positive number.
+	id int
+	// data is set if the event has a data field. Other fields alone are no event of the
+	// answer.
+	data bool
+	end  bool
 }
 
-// readEvent reads the next complete event, and skips events up to resumeAfter.
-func (a *attempt) readEvent() (*event, error) {
-	for {
-		e, err := readEvent(a.reader, a.Memory)
-		if err != nil {
-			return nil, err
-		}
-		if e.end || e.id == 0 || e.id > a.resumeAfter {
-			return e, nil
-		}
-	}
-}
+// unnumbered reports whether the event is part of the answer and has no number.
+func (e *event) unnumbered() bool { return e.data && e.id == 0 }
 
 // readEvent reads an event from r. While it is incomplete, it takes its memory from
 // budget. Comments and empty lines are no event: a server may send them although its
@@ -75,7 +69,7 @@
 			return nil, err
 		}
 		if b.endLine() {
-			return &event{text: b.text.Bytes(), id: b.id}, nil
+			return &event{text: b.text.Bytes(), id: b.id, data: b.data}, nil
 		}
 	}
 }
@@ -90,6 +84,8 @@
 	// empty or there is none.
 	fields bool
 	blank  bool
+	// data is set once a line of the data field was read.
+	data bool
 }
 
 // endLine records the line that was read last, and reports whether the event is complete.
@@ -101,12 +97,22 @@
 		return p.fields
 	}
 	p.fields = p.fields || l[0] != ':'
+	p.data = p.data || bytes.HasPrefix(l, []byte("data"))
 	if v, ok := bytes.CutPrefix(l, []byte("id:")); ok {
-		p.id, _ = strconv.Atoi(string(bytes.TrimSpace(v)))
+		p.id = parseID(string(bytes.TrimSpace(v)))
 	}
 	return false
 }
 
+// parseID returns the number that text states, or zero if it is not a positive one.
+func parseID(text string) int {
+	n, err := strconv.Atoi(text)
+	if err != nil {
+		return 0
+	}
+	return max(0, n)
+}
+
 // truncated reports whether the stream must not end after the bytes that were read.
 func (p *partialEvent) truncated() bool {
 	return p.fields || !p.blank || p.text.Len() > p.line
--- a/internal/answer/events/explorer_test.go
+++ b/internal/answer/events/explorer_test.go
@@ -55,6 +55,9 @@
 	// silent, but do not fail.
 	calm   bool
 	random *rand.Rand
+	// seams draws how engines go on with a stream, apart from random so that the
+	// regressions stay what they are.
+	seams *rand.Rand
 
 	mu        sync.Mutex
 	exchanges []*exchange
@@ -70,7 +73,7 @@
 }
 
 func newExplorer(seed uint64, calm bool) *explorer {
-	return &explorer{calm: calm, random: rand.New(rand.NewPCG(seed, 1)), open: make(map[sardineknot.RequestKey]bool)}
+	return &explorer{calm: calm, random: rand.New(rand.NewPCG(seed, 1)), seams: rand.New(rand.NewPCG(seed, 2)), open: make(map[sardineknot.RequestKey]bool)}
 }
 
 // chance reports true with probability p.
@@ -195,7 +198,8 @@
 		x.finish(k)
 		return nil, err
 	}
-	b := &explorerBody{explorer: x, ctx: ctx, exchange: k, next: o.ResumeAfter + 1}
+	b := &explorerBody{explorer: x, ctx: ctx, exchange: k, next: o.ResumeAfter + 1, last: streamEvents}
+	x.drawSeam(b)
 	return &sardineknot.Response{Status: http.StatusOK, Header: make(http.Header), Body: b}, nil
 }
 
@@ -225,9 +229,33 @@
 	ctx      context.Context
 	exchange *exchange
 	next     int
+	last     int
 	rest     string
 }
 
+// drawSeam draws how the engine of b goes on with a stream: now and then it repeats the
+// stream, repeats a part of it that the caller has and ends, or leaves an event out.
+func (x *explorer) drawSeam(b *explorerBody) {
+	after := b.next - 1
+	if x.calm || after == 0 {
+		return
+	}
+	x.mu.Lock()
+	n := x.seams.IntN(12)
+	x.mu.Unlock()
+	switch {
+	case n == 0:
+		b.next = 1
+	case n == 1:
+		b.next = 1 + after/2
+	case n == 2 && after > 1:
+		b.next, b.last = 1, after-1
+	case n <= 4 && after < streamEvents-1:
+		b.next++
+	}
+	x.note("%s goes on at %d and ends at %d", b.exchange.engine, b.next, b.last)
+}
+
 // Read implements io.Reader.
 func (b *explorerBody) Read(p []byte) (int, error) {
 	if b.rest == "" {
@@ -244,7 +272,7 @@
 
 // prepare waits for the next event, or for the end of the stream.
 func (b *explorerBody) prepare() error {
-	if b.next > streamEvents {
+	if b.next > b.last {
 		return io.EOF
 	}
 	d := eventInterval
@@ -373,7 +401,7 @@
 
 // TestExplorer runs streams over engines, pools and callers of random behaviour
 // in virtual time and checks the invariants of a stream: its events come once
-// and in order, from engines of one software version; it runs on no more engines
+// and in order and none is left out, from engines of one software version; it runs on no more engines
 // than allowed, and on two at once only briefly; it is refused as not run only
 // if it did not run; every granted job ends once; and if engines are only silent,
 // it is answered whole. A failure shows the shortest trace.
--- a/internal/answer/events/fake_test.go
+++ b/internal/answer/events/fake_test.go
@@ -95,6 +95,9 @@
 	// continuation, if not empty, is sent after the body and a pause.
 	continuation string
 	pause        time.Duration
+	// endsWhenLeft makes a silent body end without an error once the exchange is
+	// cancelled.
+	endsWhenLeft bool
 	// delay is the time until the response header is sent.
 	delay time.Duration
 }
@@ -198,6 +201,9 @@
 	}
 	if b.silent {
 		<-b.ctx.Done()
+		if b.endsWhenLeft {
+			return 0, io.EOF
+		}
 		return 0, errCancelled(b.ctx)
 	}
 	return n, b.err
@@ -290,6 +296,11 @@
 	}
 }
 
+// engineNames returns the names of the decode engines of newRunner.
+func engineNames() []sardineknot.BackendServerName {
+	return []sardineknot.BackendServerName{"d", "e", "f"}
+}
+
 const (
 	one   = "id: 1\ndata: a\n\n"
 	two   = "id: 2\ndata: b\n\n"
--- a/internal/answer/events/relay.go
+++ b/internal/answer/events/relay.go
@@ -95,7 +95,7 @@
 		if e.end {
 			return a.finishStream(e.text)
 		}
-		if !a.claimEvent(e.id) {
+		if !a.claimEvent(e) {
 			return errSilent
 		}
 		a.sendHeader(a.response.Status, a.response.Header)
--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -86,6 +86,11 @@
 	lastEventID int
 	// relayedEvents is the number of events sent to the caller.
 	relayedEvents int
+	// numbered is set once an event with a number was relayed, and stepped once one
+	// whose number does not follow that of the event before, which is zero at the start
+	// of the stream. unnumbered is set while the last event has no number, so that no
+	// other engine can go on after it.
+	numbered, stepped, unnumbered bool
 	// version is the software version of the engine that began the stream. It is
 	// empty until the stream has begun, and if engines have no versions.
 	version sardineknot.SoftwareVersion
@@ -158,7 +163,7 @@
 	if s.attempts-s.takeovers >= maxAttempts || s.executions >= s.call.Route.Attempts {
 		return false
 	}
-	return s.executions == 0 || s.call.Route.Repeatable()
+	return s.executions == 0 || s.call.Route.Repeatable() && !s.unnumbered
 }
 
 // mayRunAgain reports whether another engine may run a call that has run.
--- a/internal/answer/events/takeover.go
+++ b/internal/answer/events/takeover.go
@@ -91,8 +91,8 @@
 }
 
 // newTakeover returns a takeover of the stream of a, or nil if a has ended, an
-// event has just arrived, a takeover is in progress or the route allows no other
-// engine.
+// event has just arrived, a takeover is in progress, the route allows no other
+// engine or none could go on after the last event.
 func (a *attempt) newTakeover() *takeover {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -101,7 +101,7 @@
 		// The silent engine may run the call although it owes its header.
 		n++
 	}
-	if a.ended || !a.watched || a.takeover != nil || n >= a.call.Route.Attempts || a.takeovers >= maxTakeovers {
+	if a.ended || !a.watched || a.unnumbered || a.takeover != nil || n >= a.call.Route.Attempts || a.takeovers >= maxTakeovers {
 		return nil
 	}
 	a.takeovers++
@@ -198,11 +198,11 @@
 	}
 }
 
-// claimEvent reports whether the attempt may relay the event with the given
-// identifier, and counts it as relayed. It may unless another engine has taken
+// claimEvent reports whether the attempt may relay the event e, and counts it as
+// relayed. It may unless another engine has taken
 // the stream over. A takeover in progress is cancelled, and the watch for silence
 // pauses until the next event is awaited.
-func (a *attempt) claimEvent(id int) bool {
+func (a *attempt) claimEvent(e *event) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.silence != nil {
@@ -218,9 +218,7 @@
 	}
 	a.relayedEvents++
 	a.version = a.decode.SoftwareVersion
-	if id > 0 {
-		a.lastEventID, a.resumeAfter = id, id
-	}
+	a.recordNumber(e)
 	return true
 }
 
