answer/events: the end of a replaced engine's stream does not end the answer

What callers saw: by test, an answer that ended as complete after event 1 although the engine that had taken the stream over had sent event 2.

Cause: an event of the silent engine is relayed only if no other engine was accepted, but its end was taken in any case. If the silent engine's stream ended in the moment in which the other one was accepted, the answer ended there.

The end is now claimed like an event. The subtest "the engine that was replaced ends its stream" of TestEndAtSeam failed before.

--- a/internal/answer/events/relay.go
+++ b/internal/answer/events/relay.go
@@ -92,10 +92,10 @@
 		if err != nil {
 			return err
 		}
-		if e.end {
+		if e.end && a.claimEnd() {
 			return a.finishStream(e.text)
 		}
-		if !a.claimEvent(e) {
+		if e.end || !a.claimEvent(e) {
 			return errSilent
 		}
 		a.sendHeader(a.response.Status, a.response.Header)
--- a/internal/answer/events/seam_test.go
+++ b/internal/answer/events/seam_test.go
@@ -62,6 +62,7 @@
 
 func breaks(body string) answer { return answer{status: 200, body: body, err: errReset} }
 func ends(body string) answer   { return answer{status: 200, body: body} }
+func hangs(body string) answer  { return answer{status: 200, body: body, silent: true} }
 
 // TestGapAtSeam guards against a piece that is missing where another engine goes on
 // with a stream.
@@ -145,6 +146,11 @@
 	t.Run("a run repeats an event and ends", func(t *testing.T) {
 		seam{answers: []answer{ends(one + two + three + two)}}.endsWhole(t, one+two+three)
 	})
+	t.Run("the engine that was replaced ends its stream", func(t *testing.T) {
+		a := hangs(one)
+		a.endsWhenLeft = true
+		seam{answers: []answer{a, ends(two + three)}}.endsWhole(t, one+two+three)
+	})
 }
 
 // TestUnnumberedEvents guards against events that come twice or are lost, because
--- a/internal/answer/events/takeover.go
+++ b/internal/answer/events/takeover.go
@@ -222,6 +222,15 @@
 	return true
 }
 
+// claimEnd reports whether the attempt may end the answer at the end of its stream. It
+// may unless another engine has taken the stream over, which has a further event.
+func (a *attempt) claimEnd() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	t := a.takeover
+	return t == nil || t.from != a || !t.accepted
+}
+
 // discard ends an attempt that does not continue the stream. err is the error
 // with which it failed, or nil if its stream is open.
 func (a *attempt) discard(err error) {
