configuration/store: a server process that was replaced does not come back with an older copy

What callers saw: by test, after a restore of the store, calls to the process of before under a server's name, until the present process reported again: at the address and in the state of the older copy.

Cause: an entry of a process of which the last report is known counts only if it is newer, but processes were recorded only when their entry was removed. A process that starts under the id of the one before replaces its entry without a removal, and `born` went back with the older copy. The times of birth are not compared, since a clock may have been set.

A replaced process is now recorded like a removed one.

--- a/internal/configuration/departed/set.go
+++ b/internal/configuration/departed/set.go
@@ -1,5 +1,7 @@
 // Package departed records the backend server processes whose entries were removed
-// from the platform's key-value service, with the last report of each.
+// from the platform's key-value service, or replaced there by the entry of the next
+// process under the name, with the last report of each. The times at which two processes
+// were born do not tell which one is the next, since a clock may have been set.
 //
 // An entry of such a process may return: from an older copy of the service, or in
 // a report that was delayed. It counts only if the process has reported since.
@@ -32,7 +34,7 @@
 // NewSet returns an empty set.
 func NewSet() *Set { return &Set{reports: make(map[process]report)} }
 
-// Add records that the entry of the process of server was removed. Its last report had
+// Add records that the entry of the process of server was removed or replaced. Its last report had
 // the given sequence number and was read in era. A process whose start is unknown is
 // not recorded.
 func (s *Set) Add(server sardineknot.BackendServer, sequence int64, era sardineknot.StoreEra) {
@@ -51,9 +53,9 @@
 }
 
 // Outdated reports whether a report of the process of server, read in era, is not newer
-// than the one before its entry was removed. In the era of the removal, a report with
-// the same number counts: after an outage of the service a process writes its entry
-// again.
+// than the one before its entry was removed or replaced. In the era of the removal, a
+// report with the same number counts: after an outage of the service a process writes its
+// entry again.
 func (s *Set) Outdated(server sardineknot.BackendServer, sequence int64, era sardineknot.StoreEra) bool {
 	r, ok := s.reports[process{server.Name, server.Born}]
 	if !ok {
--- a/internal/configuration/store/departed_test.go
+++ b/internal/configuration/store/departed_test.go
@@ -93,3 +93,33 @@
 		assertAccepting(t, s, true)
 	})
 }
+
+// TestReplacedServer guards against a process that was replaced under its name, and that is
+// used again because the store was restored from an older copy.
+func TestReplacedServer(t *testing.T) {
+	t.Run("does not come back with an older copy", func(t *testing.T) {
+		for _, e := range []string{"14", "12"} {
+			s := newReportSource("14")
+			s.report(0, "21")
+			s.report(1, e)
+			assertAccepting(t, s, false)
+			s.report(1, "22")
+			assertAccepting(t, s, true)
+		}
+	})
+	t.Run("does not come back if its clock was ahead", func(t *testing.T) {
+		s := newReportSource("25")
+		s.report(0, "14")
+		assertAccepting(t, s, true)
+		s.report(1, "25")
+		assertAccepting(t, s, true)
+	})
+	t.Run("is back with its next report", func(t *testing.T) {
+		s := newReportSource("14")
+		s.report(0, "21")
+		s.report(0, "16")
+		assertAccepting(t, s, true)
+		s.report(0, "23")
+		assertAccepting(t, s, false)
+	})
+}
--- a/internal/configuration/store/source.go
+++ b/internal/configuration/store/source.go
@@ -67,7 +67,7 @@
 	// removed holds the keys of servers whose entries were removed.
 	removed map[string]bool
 	// leaving holds the processes that have reported that they are leaving, and departed
-	// those whose entries were removed.
+	// those whose entries were removed, or replaced by that of the next process.
 	leaving  *leaving.Set
 	departed *departed.Set
 	// refused holds the keys of servers whose entries were rejected.
@@ -220,6 +220,9 @@
 		o.latest, o.era = e.Value, r
 		return false
 	}
+	if o != nil && o.Born != b.Born {
+		s.departed.Add(o.BackendServer, s.sequenceLocked(e.Key, o), o.era)
+	}
 	s.servers[e.Key] = &server{BackendServer: b, value: e.Value, latest: e.Value, era: r}
 	s.touched[e.Key] = b.Name
 	return true
