membership/store: a process that was replaced is dead, also if its number is greater

What callers saw: by test, less room at engines: the slots of a host that was killed stay taken if its clock was set back before it started again.

Cause: the incarnation of a host is the time at which it started, and the owner of the slots cancels the jobs of an incarnation only if the host's key has a later one. After a step of the clock the new one is earlier.

An incarnation whose key was replaced within an era of the store is now dead whatever its number. In a new era the key may be an older copy's and shows nothing.

--- a/internal/membership/store/entries.go
+++ b/internal/membership/store/entries.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -14,6 +15,8 @@
 	// which hosts whose keys were removed are kept, so that they can write
 	// their keys again.
 	reregistrationGrace = 3 * time.Second
+	// maxReplaced bounds the earlier incarnations that are kept of a host.
+	maxReplaced = 64
 	// maxLoggedNames is the maximum number of hosts whose names a log line
 	// lists.
 	maxLoggedNames = 8
@@ -49,7 +52,7 @@
 		return true
 	}
 	r.refused.Remove(n)
-	r.addLocked(h)
+	r.addLocked(h, e.Revision.Era)
 	return true
 }
 
@@ -84,18 +87,37 @@
 	}
 }
 
-func (r *Registry) addLocked(h sardineknot.EntryHost) {
+func (r *Registry) addLocked(h sardineknot.EntryHost, era sardineknot.StoreEra) {
 	m := r.hosts[h.ID]
 	if m == nil || m.host.Incarnation != h.Incarnation {
-		m = &member{}
+		m = m.next(h.Incarnation, era)
 		r.hosts[h.ID] = m
 		r.joined = append(r.joined, string(h.ID))
 	}
-	m.host = h
+	m.host, m.era = h, era
 	m.keyRemovedAt = time.Time{}
 	r.dirty = true
 }
 
+// next returns the state of a host whose key has the given incarnation now, read in era.
+// m is its state before, or nil. A key that differs in a new era may be of an older copy
+// of the service, and shows nothing about the incarnation before.
+func (m *member) next(incarnation sardineknot.Incarnation, era sardineknot.StoreEra) *member {
+	n := &member{replaced: make(map[sardineknot.Incarnation]bool)}
+	if m == nil {
+		return n
+	}
+	maps.Copy(n.replaced, m.replaced)
+	if len(n.replaced) >= maxReplaced {
+		clear(n.replaced)
+	}
+	if era == m.era {
+		n.replaced[m.host.Incarnation] = true
+	}
+	delete(n.replaced, incarnation)
+	return n
+}
+
 // Refresh puts all applied changes in force. It ends exclusions whose time has
 // passed and removes hosts whose keys were removed, except during an outage of
 // the service and shortly after it.
--- a/internal/membership/store/registry.go
+++ b/internal/membership/store/registry.go
@@ -81,7 +81,12 @@
 
 // member is the state of another host.
 type member struct {
+	// host is the host as in its key, which was read in era.
 	host sardineknot.EntryHost
+	era  sardineknot.StoreEra
+	// replaced holds the incarnations of the host whose key was replaced. They may be
+	// greater than the present one, if the clock was set back.
+	replaced map[sardineknot.Incarnation]bool
 	// keyRemovedAt is the time at which the key was removed, or zero while it
 	// exists.
 	keyRemovedAt time.Time
@@ -191,7 +196,7 @@
 }
 
 // Dead reports whether incarnation n of host i counts as dead, because the host
-// is not known or has a later incarnation. For this host, every incarnation
+// is not known, has a later incarnation or has replaced incarnation n. For this host, every incarnation
 // other than its own counts as dead.
 func (r *Registry) Dead(i sardineknot.EntryHostID, n sardineknot.Incarnation) bool {
 	r.mu.Lock()
@@ -200,5 +205,5 @@
 		return n != r.self.Incarnation
 	}
 	m := r.hosts[i]
-	return m == nil || m.host.Incarnation > n
+	return m == nil || m.host.Incarnation > n || m.replaced[n]
 }
