caller/services: answers have a length

What callers saw: with `sardineknot serve`, callers of HTTP/1.0 got answers of more than 2 KiB without a length, so that a part of one looked whole if the host was killed while it was written.

Cause: the handler left the framing to net/http, which sets a length only for answers that fit its buffer, and sends chunks to callers of HTTP/1.1 only.

Evidence: TestAnswerLength, which got no length before. The answer is in memory as a whole, so its length is known.

--- a/internal/caller/services/handler.go
+++ b/internal/caller/services/handler.go
@@ -9,6 +9,7 @@
 import (
 	"io"
 	"net/http"
+	"strconv"
 
 	"github.com/pkg/errors"
 
@@ -52,6 +53,11 @@
 	}
 	m.Token()
 	w.Header().Set("Content-Type", a.ContentType)
+	if len(a.Body) > 0 {
+		// Without a length, the answer to a caller of HTTP/1.0 would end with its
+		// connection, and a part of it would look complete.
+		w.Header().Set("Content-Length", strconv.Itoa(len(a.Body)))
+	}
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body)
 }
