answer/h2c: a relayed answer that ends without its end is no complete one

Cause: between hosts, a response that ends between two messages gave an UnavailableError whose cause is io.EOF, and errors.Is finds that: io.EOF is what TokenStream returns after a complete answer. Callers saw nothing of it, since caller/completions looks for the UnavailableError first.

Evidence: TestEndOfRelay ends a response at each byte. Before, the ends between two messages were io.EOF. A host that is killed gives io.ErrUnexpectedEOF by HTTP/2 already.

Fix: the cause is io.ErrUnexpectedEOF.

--- a/internal/answer/h2c/relay.go
+++ b/internal/answer/h2c/relay.go
@@ -127,6 +127,9 @@
 	for {
 		var m message
 		err := s.decoder.Decode(&m)
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF // io.EOF is the end of a complete answer
+		}
 		if err != nil {
 			return sardineknot.Token{}, errors.WithStack(&sardineknot.UnavailableError{Peer: string(s.record.Host), Cause: err})
 		}
