versions, answer/events: the version of a stream is announced at its grant

Cause: the version was recorded with the first event and in the store up to 0.25 s and a write later; the caller had the event by then. Change: the version of the first engine is announced to the recorder at its grant, some 120 ms before the first event, under a hash of stream and version; the recorder writes at once if its last write is 200 ms ago, at most five times a second as before; hosts gather for 10 ms instead of 50. An engine of another version sends its first event only after its own announcement is written, and a stream with two announcements and no record is refused as before, so that no stream is joined. With Announce as a no-op the first subtest of TestAnnounced fails.

--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -137,8 +137,10 @@
 	a.logGrant(g, a.Clock.Now().Sub(n))
 	if err != nil {
 		a.returnGrant(err)
+		return err
 	}
-	return err
+	a.announceVersion()
+	return nil
 }
 
 // logGrant logs the grant g, for which the attempt waited for w.
--- a/internal/answer/events/fake_test.go
+++ b/internal/answer/events/fake_test.go
@@ -232,6 +232,12 @@
 // map.
 type versions map[sardineknot.RequestID]sardineknot.SoftwareVersion
 
+func (v versions) Announce(sardineknot.RequestID, sardineknot.SoftwareVersion) {}
+
+func (v versions) Confirm(context.Context, sardineknot.RequestID, sardineknot.SoftwareVersion) error {
+	return nil
+}
+
 func (v versions) Record(s sardineknot.RequestID, x sardineknot.SoftwareVersion) { v[s] = x }
 
 func (v versions) Find(_ context.Context, s sardineknot.RequestID, _ sardineknot.ServiceName) (sardineknot.SoftwareVersion, bool) {
--- a/internal/answer/events/relay.go
+++ b/internal/answer/events/relay.go
@@ -95,6 +95,10 @@
 		if e.end && a.claimEnd() {
 			return a.finishStream(e.text)
 		}
+		err = a.confirmVersion()
+		if err != nil {
+			return err
+		}
 		if e.end || !a.claimEvent(e) {
 			return errSilent
 		}
--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -94,6 +94,9 @@
 	// version is the software version of the engine that began the stream. It is
 	// empty until the stream has begun, and if engines have no versions.
 	version sardineknot.SoftwareVersion
+	// announced is the software version of the engine that was granted first. It is
+	// empty before, for resumed streams, and if engines have no versions.
+	announced sardineknot.SoftwareVersion
 	// takeover is the takeover in progress, or nil.
 	takeover *takeover
 	// cachedOn is the prefill engine that probably still caches the prompt, or
--- a/internal/answer/events/version.go
+++ b/internal/answer/events/version.go
@@ -22,6 +22,35 @@
 	return nil
 }
 
+// announceVersion announces the software version of the first engine that is granted to a
+// new stream, before that engine gets the request: a caller that has the first event may
+// return after all hosts were lost.
+func (a *attempt) announceVersion() {
+	v := a.decode.SoftwareVersion
+	a.mu.Lock()
+	k := a.announced == "" && a.call.Generation.ResumeAfter == 0
+	if k {
+		a.announced = v
+	}
+	a.mu.Unlock()
+	if k && v != "" && a.call.ID != "" {
+		a.Versions.Announce(a.call.ID, v)
+	}
+}
+
+// confirmVersion is called before the first event of the answer is relayed. If another
+// software version than that of the engine was announced, it fails unless the stream is sure
+// not to count as begun by that one.
+func (a *attempt) confirmVersion() error {
+	a.mu.Lock()
+	k := a.announced == "" || a.announced == a.decode.SoftwareVersion
+	a.mu.Unlock()
+	if k || !a.lastEventAt.IsZero() {
+		return nil
+	}
+	return a.Versions.Confirm(a.ctx, a.call.ID, a.decode.SoftwareVersion)
+}
+
 // recordVersion records the software version of the engine that begins the
 // stream, or that goes on with a resumed one.
 func (a *attempt) recordVersion() {
--- a/internal/answer/events/versions_test.go
+++ b/internal/answer/events/versions_test.go
@@ -1,6 +1,7 @@
 package events_test
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 
@@ -19,6 +20,58 @@
 	return r
 }
 
+// announcedVersions is a fake sardineknot.StreamVersions that records what is announced and
+// confirmed, and fails to confirm with err.
+type announcedVersions struct {
+	versions
+	announced, confirmed []sardineknot.SoftwareVersion
+	err                  error
+}
+
+func (v *announcedVersions) Announce(_ sardineknot.RequestID, version sardineknot.SoftwareVersion) {
+	v.announced = append(v.announced, version)
+}
+
+func (v *announcedVersions) Confirm(_ context.Context, _ sardineknot.RequestID, version sardineknot.SoftwareVersion) error {
+	v.confirmed = append(v.confirmed, version)
+	return v.err
+}
+
+// TestAnnouncedVersion guards against a first event that reaches the caller while another
+// version counts as the one that begins the stream.
+func TestAnnouncedVersion(t *testing.T) {
+	engineVersions := map[sardineknot.BackendServerName]sardineknot.SoftwareVersion{"d": "v1", "e": "v2", "f": "v2"}
+	run := func(t *testing.T, v *announcedVersions, l ...answer) (string, error) {
+		e, w := &engines{answers: l}, &writer{}
+		c := newCall(true)
+		c.Route.Attempts = 3
+		r := withVersions(newRunner(e, &grantsOnce{&slots{decode: []sardineknot.BackendServerName{"d", "e", "f"}}}), engineVersions)
+		r.Versions = v
+		err := r.Run(t.Context(), c, w)
+		return w.got(), err
+	}
+	t.Run("the first engine begins the stream", func(t *testing.T) {
+		v := &announcedVersions{versions: versions{}}
+		_, err := run(t, v, answer{status: 200, body: one})
+		is.New(t).NoErr(err)
+		is.New(t).Equal(v.announced, []sardineknot.SoftwareVersion{"v1"})
+		is.New(t).Equal(len(v.confirmed), 0)
+	})
+	t.Run("an engine of another version begins it", func(t *testing.T) {
+		v := &announcedVersions{versions: versions{}}
+		_, err := run(t, v, answer{err: errReset}, answer{status: 200, body: one})
+		is.New(t).NoErr(err)
+		is.New(t).Equal(v.announced, []sardineknot.SoftwareVersion{"v1"})
+		is.New(t).Equal(v.confirmed, []sardineknot.SoftwareVersion{"v2"})
+	})
+	t.Run("nothing is relayed if that is not confirmed", func(t *testing.T) {
+		v := &announcedVersions{versions: versions{}, err: errReset}
+		b, err := run(t, v, answer{err: errReset}, answer{status: 200, body: one}, answer{status: 200, body: one})
+		is.New(t).True(err != nil)
+		is.New(t).Equal(b, "")
+	})
+}
+
 // TestStreamKeepsVersion guards against an answer that joins events from engines
 // of two software versions.
 func TestStreamKeepsVersion(t *testing.T) {
--- a/internal/versions/store/lookup.go
+++ b/internal/versions/store/lookup.go
@@ -29,17 +29,28 @@
 	// never change, so that a record that was once read need not be read again while
 	// the stream may be resumed.
 	records map[uint64]sardineknot.SoftwareVersion
+	// versions holds all versions in records.
+	versions map[sardineknot.SoftwareVersion]bool
 	// readAt is the time at which the last read ended, and reading is closed when the
 	// present one ends. It is nil if there is none.
 	readAt  time.Time
 	reading chan struct{}
 }
 
+// StreamHash returns the hash under which the version that began stream is recorded.
+func StreamHash(stream sardineknot.RequestID) uint64 { return xxhash.Sum64String(string(stream)) }
+
+// GrantHash returns the hash under which is recorded that an engine of version was granted to
+// stream.
+func GrantHash(stream sardineknot.RequestID, version sardineknot.SoftwareVersion) uint64 {
+	return xxhash.Sum64String(string(stream) + "\x00" + string(version))
+}
+
 // Find returns the version that began stream. It reads the segments unless they were
-// read just now.
+// read just now. Without a record of the version, it is the one whose engines were granted to
+// the stream, if there is only one.
 func (k *Keeper) Find(ctx context.Context, stream sardineknot.RequestID) (sardineknot.SoftwareVersion, bool) {
-	n := xxhash.Sum64String(string(stream))
-	v, c := k.cached(n)
+	v, c := k.cached(StreamHash(stream))
 	if c != nil {
 		t := time.NewTimer(lookupTimeout)
 		defer t.Stop()
@@ -48,9 +59,9 @@
 		case <-t.C:
 		case <-ctx.Done():
 		}
-		k.lookup.mu.Lock()
-		v = k.lookup.records[n]
-		k.lookup.mu.Unlock()
+	}
+	if v == "" {
+		v = k.lookup.begun(stream)
 	}
 	if v != "" {
 		metrics.GetOrRegisterCounter("versions_found", k.Metrics).Inc(1)
@@ -58,6 +69,29 @@
 	return v, v != ""
 }
 
+// begun returns the version that began stream, as far as the segments show it, or an empty
+// version.
+func (l *lookup) begun(stream sardineknot.RequestID) sardineknot.SoftwareVersion {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r, ok := l.records[StreamHash(stream)]
+	if ok {
+		return r
+	}
+	var g sardineknot.SoftwareVersion
+	for v := range l.versions {
+		_, ok := l.records[GrantHash(stream, v)]
+		switch {
+		case !ok:
+		case g != "":
+			return ""
+		default:
+			g = v
+		}
+	}
+	return g
+}
+
 // cached returns the version of the stream with the given hash, or a channel that is
 // closed once the segments are read. It returns neither if they were read just now.
 func (k *Keeper) cached(hash uint64) (sardineknot.SoftwareVersion, <-chan struct{}) {
@@ -94,7 +128,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if err == nil {
-		l.records = m
+		l.records, l.versions = m, make(map[sardineknot.SoftwareVersion]bool)
+		for _, v := range m {
+			l.versions[v] = true
+		}
 	}
 	l.readAt = k.Clock.Now()
 	close(l.reading)
--- a/internal/versions/store/recorder.go
+++ b/internal/versions/store/recorder.go
@@ -18,8 +18,8 @@
 const (
 	// segmentPrefix is the prefix of the keys of segments.
 	segmentPrefix = "streams/"
-	// batchInterval is the time from the first record of a batch to its write, and so
-	// the least time between two writes.
+	// batchInterval is the least time between two writes. A record that arrives after a
+	// longer time without one is written at once.
 	batchInterval = 200 * time.Millisecond
 	// segmentTime is the time for which records are added to a segment. A longer time
 	// takes fewer keys, but more bytes, because a segment is written whole.
@@ -31,8 +31,9 @@
 // recorder gathers records and writes them in batches. The zero value has none.
 type recorder struct {
 	mu sync.Mutex
-	// next is the batch that is gathered, or nil.
-	next *batch
+	// next is the batch that is gathered, or nil. flushedAt is the time of the last write.
+	next      *batch
+	flushedAt time.Time
 
 	// writing is held while a batch is written, and guards the fields below.
 	writing sync.Mutex
@@ -66,7 +67,7 @@
 	if b == nil {
 		b = &batch{records: make(map[uint64]sardineknot.SoftwareVersion), done: make(chan struct{})}
 		r.next = b
-		time.AfterFunc(batchInterval, k.flush)
+		time.AfterFunc(batchInterval-k.Clock.Now().Sub(r.flushedAt), k.flush)
 	}
 	if len(b.records)+len(m) > maxSegmentRecords {
 		r.mu.Unlock()
@@ -89,7 +90,7 @@
 	defer r.writing.Unlock()
 	r.mu.Lock()
 	b := r.next
-	r.next = nil
+	r.next, r.flushedAt = nil, k.Clock.Now()
 	r.mu.Unlock()
 	k.beginSegment(len(b.records))
 	maps.Copy(r.segment, b.records)
--- a/internal/versions/twirp/directory.go
+++ b/internal/versions/twirp/directory.go
@@ -134,13 +134,32 @@
 	}
 }
 
+// Announce implements sardineknot.StreamVersions. Only the key-value service keeps it, for
+// callers that return after all hosts were lost: it is written while the first event is
+// generated.
+func (d *Directory) Announce(stream sardineknot.RequestID, version sardineknot.SoftwareVersion) {
+	d.recordBatch(store.GrantHash(stream, version), version)
+}
+
+// Confirm implements sardineknot.StreamVersions. A stream with two announced versions counts
+// as begun by none of them. Nothing was announced while no service was mixed.
+func (d *Directory) Confirm(ctx context.Context, stream sardineknot.RequestID, version sardineknot.SoftwareVersion) error {
+	d.outbox.mu.Lock()
+	k := len(d.outbox.mixed) == 0
+	d.outbox.mu.Unlock()
+	if k {
+		return nil
+	}
+	return d.write(ctx, map[uint64]sardineknot.SoftwareVersion{store.GrantHash(stream, version): version})
+}
+
 // Record implements sardineknot.StreamVersions.
 func (d *Directory) Record(stream sardineknot.RequestID, version sardineknot.SoftwareVersion) {
 	if version == "" {
 		return
 	}
 	d.put(stream, version)
-	d.recordBatch(stream, version)
+	d.recordBatch(store.StreamHash(stream), version)
 	for _, h := range d.peers(stream, replicas) {
 		select {
 		case d.sends <- struct{}{}:
--- a/internal/versions/twirp/outbox.go
+++ b/internal/versions/twirp/outbox.go
@@ -7,19 +7,19 @@
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/membership/rendezvous"
 	rpc "sardineknot.example/sardineknot/internal/rpc/versions"
+	"sardineknot.example/sardineknot/internal/versions/store"
 )
 
 const (
 	// recorderKey is what hosts are ranked by as recorders.
 	recorderKey = "streams/"
 	// batchDelay is the time for which a host gathers records before it sends them.
-	batchDelay = 50 * time.Millisecond
+	batchDelay = 10 * time.Millisecond
 	// retryDelay is the time after which it sends those again that were not written.
 	retryDelay = 500 * time.Millisecond
 	// recorderTimeout bounds a call to a recorder, which gathers records and writes
@@ -70,13 +70,18 @@
 	return m
 }
 
-// recordBatch adds a record to the outbox if version is one of a mixed service.
-func (d *Directory) recordBatch(stream sardineknot.RequestID, version sardineknot.SoftwareVersion) {
+// isMixed reports whether version is one of a mixed service.
+func (d *Directory) isMixed(version sardineknot.SoftwareVersion) bool {
 	d.outbox.mu.Lock()
-	k := slices.Contains(d.outbox.mixed, version)
-	d.outbox.mu.Unlock()
-	if k {
-		d.outbox.add(xxhash.Sum64String(string(stream)), version)
+	defer d.outbox.mu.Unlock()
+	return slices.Contains(d.outbox.mixed, version)
+}
+
+// recordBatch adds a record with the given hash to the outbox if version is one of a mixed
+// service.
+func (d *Directory) recordBatch(hash uint64, version sardineknot.SoftwareVersion) {
+	if d.isMixed(version) {
+		d.outbox.add(hash, version)
 		d.notify(d.outbox.wake)
 	}
 }
@@ -99,7 +104,7 @@
 	}
 	d.records.each(d.Clock.Now().Add(-d.streamTime()), func(n sardineknot.RequestID, v sardineknot.SoftwareVersion) {
 		if slices.Contains(a, v) {
-			d.outbox.add(xxhash.Sum64String(string(n)), v)
+			d.outbox.add(store.StreamHash(n), v)
 		}
 	})
 	d.notify(d.outbox.wake)
@@ -124,17 +129,12 @@
 	}
 }
 
-// sendBatch sends records to the recorders that rank first, one after the other until
-// one has written them. If none has, the records return to the outbox.
+// sendBatch sends records to the recorders. If none has written them, they return to the
+// outbox.
 func (d *Directory) sendBatch(ctx context.Context, records map[uint64]sardineknot.SoftwareVersion) {
-	q := encode(records)
-	for _, h := range d.recorders() {
-		err := d.sendToRecorder(ctx, h, q)
-		if err == nil || ctx.Err() != nil {
-			return
-		}
-		d.Log.Debug().Stringer("event", sardineknot.LogVersionNotSent).Int("records", len(records)).Str("peer", string(h.ID)).Err(err).Send()
-		d.avoid(h.ID)
+	err := d.write(ctx, records)
+	if err == nil || ctx.Err() != nil {
+		return
 	}
 	for n, v := range records {
 		d.outbox.add(n, v)
@@ -144,6 +144,27 @@
 	}
 }
 
+// errNoRecorder reports that no host is known to which records may be sent.
+var errNoRecorder = errors.New("no host is known")
+
+// write sends records to the recorders that rank first, one after the other until one has
+// written them. It fails with an UnavailableError if none has.
+func (d *Directory) write(ctx context.Context, records map[uint64]sardineknot.SoftwareVersion) error {
+	q, err := encode(records), errNoRecorder
+	for _, h := range d.recorders() {
+		err = d.sendToRecorder(ctx, h, q)
+		if err == nil || ctx.Err() != nil {
+			break
+		}
+		d.Log.Debug().Stringer("event", sardineknot.LogVersionNotSent).Int("records", len(records)).Str("peer", string(h.ID)).Err(err).Send()
+		d.avoid(h.ID)
+	}
+	if err == nil {
+		return nil
+	}
+	return errors.WithStack(&sardineknot.UnavailableError{Peer: "recorders of stream versions", Cause: err})
+}
+
 // sendToRecorder makes host write the records of request.
 func (d *Directory) sendToRecorder(ctx context.Context, host sardineknot.EntryHost, request *rpc.RecordBatchRequest) error {
 	ctx, cancel := context.WithTimeout(ctx, recorderTimeout)
--- a/streamversions.go
+++ b/streamversions.go
@@ -6,6 +6,14 @@
 // recent streams, across all entry hosts. A stream continues only on a server of
 // the version that began it. Implementations are safe for concurrent use.
 type StreamVersions interface {
+	// Announce keeps that an engine of version was granted to stream, which has no event
+	// yet. Unless Record follows, version counts as the one that began stream. It does not
+	// block.
+	Announce(stream RequestID, version SoftwareVersion)
+	// Confirm is Announce for a stream for which another version was announced. It returns
+	// once stream does not count as begun by that one any more, and fails with an
+	// UnavailableError if this takes too long.
+	Confirm(ctx context.Context, stream RequestID, version SoftwareVersion) error
 	// Record keeps the version that began stream. It does not block.
 	Record(stream RequestID, version SoftwareVersion)
 	// Find returns the version that began stream, an interrupted stream of
