platform/twirp: all keys are not read from a follower that is behind this host

What callers saw: by test, keys that were removed are back, and written ones gone, until the follower catches up: a server that has left gets calls again.

Cause: a host that reads all keys again, because its follower keeps no history that far back, may read them from another follower. Answers of an earlier era were refused, older ones of the same era were not; changes were safe (changelog never goes back).

Such a copy now counts as no answer: the next follower is asked, and then the service, whose own answer is always taken.

--- a/errors.go
+++ b/errors.go
@@ -167,6 +167,18 @@
 	return fmt.Sprintf("data of era %d of the store, expected era %d", e.Got, e.Latest)
 }
 
+// StaleRevisionError reports that data of the store is older than what was read before,
+// and is therefore not used.
+type StaleRevisionError struct {
+	// Got is the revision of the data, and Read the one up to which the store was read.
+	Got, Read StoreRevision
+}
+
+// Error implements error.
+func (e *StaleRevisionError) Error() string {
+	return fmt.Sprintf("data of revision %d of era %d of the store, revision %d of era %d was read before", e.Got.Number, e.Got.Era, e.Read.Number, e.Read.Era)
+}
+
 // RefusedError reports that a backend server refused a request without running
 // it.
 type RefusedError struct {
--- a/internal/platform/twirp/age.go
+++ b/internal/platform/twirp/age.go
@@ -34,8 +34,9 @@
 }
 
 // recordRead records that the answer of a read which ended with err shows the service as
-// of the given time. Answers of followers may be older than those before.
-func (f *Feed) recordRead(asOf time.Time, err error) {
+// of the given time and up to revision. Answers of followers may be older than those
+// before.
+func (f *Feed) recordRead(asOf time.Time, revision sardineknot.StoreRevision, err error) {
 	if err != nil {
 		return
 	}
@@ -45,6 +46,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.readTo = f.readTo.Later(revision)
 	if asOf.After(f.readAsOf) {
 		f.readAsOf = asOf
 	}
--- a/internal/platform/twirp/feed.go
+++ b/internal/platform/twirp/feed.go
@@ -100,6 +100,8 @@
 	// readAsOf is the time for which the last answer shows the service. currentAsOf is the
 	// same for what Commit has made visible. Both are zero before the first answer.
 	readAsOf, currentAsOf time.Time
+	// readTo is the latest revision up to which this host has read the entries.
+	readTo sardineknot.StoreRevision
 	// failed holds the sources that have failed since the last answer.
 	failed map[sardineknot.EntryHostID]bool
 }
@@ -126,7 +128,7 @@
 		var e error
 		entries, revision, d, e = snapshotFrom(ctx, peer)
 		a = b.Add(d)
-		return f.admit(revision, e)
+		return f.admitCopy(revision, f.admit(revision, e))
 	}, store: func(ctx context.Context, _ time.Duration) error {
 		ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 		defer cancel()
@@ -136,7 +138,7 @@
 		return f.admit(revision, e)
 	}}
 	err = f.read(ctx, maxPeerWait, q)
-	f.recordRead(a, err)
+	f.recordRead(a, revision, err)
 	return entries, revision, err
 }
 
@@ -163,7 +165,7 @@
 		return f.admit(next, e)
 	}}
 	err = f.read(ctx, timeout, q)
-	f.recordRead(a, err)
+	f.recordRead(a, next, err)
 	return changes, next, err
 }
 
@@ -176,6 +178,19 @@
 	return f.latest.Admit(revision.Era)
 }
 
+// admitCopy returns err or, if there is none, an error if a follower's copy of all entries
+// at revision is older than what this host has read: keys that were removed since would be
+// back, and those that were written would be gone.
+func (f *Feed) admitCopy(revision sardineknot.StoreRevision, err error) error {
+	f.mu.Lock()
+	r := f.readTo
+	f.mu.Unlock()
+	if err != nil || revision.Compare(r) >= 0 {
+		return err
+	}
+	return errors.WithStack(&sardineknot.StaleRevisionError{Got: revision, Read: r})
+}
+
 // read reads from followers until one answers, and from the service if none does. A host
 // that is a follower itself reads from the service first. The service may refuse this host
 // and serve others. A CompactedError is an answer. wait is the longest time for which a call
