answer/events: names of the field for where another engine goes on

checkSeam is checkContinuation, seam_test.go is resume_test.go, TestGapAtSeam is TestGapAfterResume and TestEndAtSeam is TestEndAfterResume. No change of behaviour.

--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -39,10 +39,10 @@
 	// first is an event that was read before the attempt was accepted as the
 	// one that continues the stream, or nil.
 	first *event
-	// seamPassed is set once an event was read that is part of the answer and new to the
+	// continued is set once an event was read that is part of the answer and new to the
 	// caller. repeated is the highest number of an event that was skipped, or zero.
-	seamPassed bool
-	repeated   int
+	continued bool
+	repeated  int
 	// sentAt is the time at which the last request was sent to an engine.
 	sentAt time.Time
 	// eventCount is the number of events relayed by this attempt. firstID is the
--- a/internal/answer/events/explorer_test.go
+++ b/internal/answer/events/explorer_test.go
@@ -55,9 +55,9 @@
 	// silent, but do not fail.
 	calm   bool
 	random *rand.Rand
-	// seams draws how engines go on with a stream, apart from random so that the
+	// resumes draws how engines go on with a stream, apart from random so that the
 	// regressions stay what they are.
-	seams *rand.Rand
+	resumes *rand.Rand
 
 	mu        sync.Mutex
 	exchanges []*exchange
@@ -73,7 +73,7 @@
 }
 
 func newExplorer(seed uint64, calm bool) *explorer {
-	return &explorer{calm: calm, random: rand.New(rand.NewPCG(seed, 1)), seams: rand.New(rand.NewPCG(seed, 2)), open: make(map[sardineknot.RequestKey]bool)}
+	return &explorer{calm: calm, random: rand.New(rand.NewPCG(seed, 1)), resumes: rand.New(rand.NewPCG(seed, 2)), open: make(map[sardineknot.RequestKey]bool)}
 }
 
 // chance reports true with probability p.
@@ -199,7 +199,7 @@
 		return nil, err
 	}
 	b := &explorerBody{explorer: x, ctx: ctx, exchange: k, next: o.ResumeAfter + 1, last: streamEvents}
-	x.drawSeam(b)
+	x.drawResume(b)
 	return &sardineknot.Response{Status: http.StatusOK, Header: make(http.Header), Body: b}, nil
 }
 
@@ -233,15 +233,15 @@
 	rest     string
 }
 
-// drawSeam draws how the engine of b goes on with a stream: now and then it repeats the
+// drawResume draws how the engine of b goes on with a stream: now and then it repeats the
 // stream, repeats a part of it that the caller has and ends, or leaves an event out.
-func (x *explorer) drawSeam(b *explorerBody) {
+func (x *explorer) drawResume(b *explorerBody) {
 	after := b.next - 1
 	if x.calm || after == 0 {
 		return
 	}
 	x.mu.Lock()
-	n := x.seams.IntN(12)
+	n := x.resumes.IntN(12)
 	x.mu.Unlock()
 	switch {
 	case n == 0:
--- a/internal/answer/events/numbers.go
+++ b/internal/answer/events/numbers.go
@@ -17,7 +17,7 @@
 		case e.end:
 			return e, a.checkEnd()
 		case !a.skips(e):
-			return e, a.checkSeam(e)
+			return e, a.checkContinuation(e)
 		}
 	}
 }
@@ -28,7 +28,7 @@
 func (a *attempt) skips(e *event) bool {
 	switch {
 	case e.id == 0:
-		return !a.seamPassed && a.repeated > 0 && a.repeated < a.resumeAfter
+		return !a.continued && a.repeated > 0 && a.repeated < a.resumeAfter
 	case e.id > a.resumeAfter:
 		return false
 	default:
@@ -39,22 +39,23 @@
 
 // checkEnd fails if the stream ends at an event before the last one that the caller has.
 func (a *attempt) checkEnd() error {
-	if a.seamPassed || a.repeated == 0 || a.repeated == a.resumeAfter {
+	if a.continued || a.repeated == 0 || a.repeated == a.resumeAfter {
 		return nil
 	}
 	return errors.WithStack(&sardineknot.MissingEventsError{After: a.resumeAfter, Got: a.repeated})
 }
 
-// checkSeam fails if e, with which the attempt goes on with a stream, is known not to
-// be the event after the last one that the caller has. All engines number the events of
-// a stream alike. If its numbers were consecutive from 1, a gap between two engines is
-// therefore a missing event. Numbers that increase by more than one show nothing, and
-// after a take-up by the caller, the first event of this answer does not either.
-func (a *attempt) checkSeam(e *event) error {
-	if a.seamPassed || !e.data && e.id == 0 {
+// checkContinuation fails if e, with which the attempt goes on with a stream, is known not
+// to be the event after the last one that the caller has. All engines number the events of
+// a stream alike. If the numbers that were relayed are consecutive from 1, or from the one
+// that the caller resumed after, a gap between two engines is therefore a missing event.
+// Numbers that increase by more than one show nothing, and after a take-up by the caller,
+// the first event of this answer does not either.
+func (a *attempt) checkContinuation(e *event) error {
+	if a.continued || !e.data && e.id == 0 {
 		return nil
 	}
-	a.seamPassed = true
+	a.continued = true
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	n := a.resumeAfter
--- a/internal/answer/events/seam_test.go
+++ b/internal/answer/events/resume_test.go
@@ -17,16 +17,16 @@
 	plain = "data: x\n\n"
 )
 
-// seam scripts a stream: the answers of engines d, e and f in turn, for a caller that
+// resumed scripts a stream: the answers of engines d, e and f in turn, for a caller that
 // has the events up to after.
-type seam struct {
+type resumed struct {
 	after   int
 	answers []answer
 }
 
 // run runs the stream and returns what the caller got, the requests that were sent to
 // engines and the error of the call.
-func (s seam) run(t *testing.T) (got string, e *engines, err error) {
+func (s resumed) run(t *testing.T) (got string, e *engines, err error) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		e = &engines{answers: s.answers}
@@ -42,7 +42,7 @@
 }
 
 // endsWhole checks that the caller gets want as a complete answer.
-func (s seam) endsWhole(t *testing.T, want string) {
+func (s resumed) endsWhole(t *testing.T, want string) {
 	t.Helper()
 	is := is.New(t)
 	got, _, err := s.run(t)
@@ -51,7 +51,7 @@
 }
 
 // breaksOff checks that the caller gets want and then an error.
-func (s seam) breaksOff(t *testing.T, want string) error {
+func (s resumed) breaksOff(t *testing.T, want string) error {
 	t.Helper()
 	is := is.New(t)
 	got, _, err := s.run(t)
@@ -64,28 +64,28 @@
 func ends(body string) answer   { return answer{status: 200, body: body} }
 func hangs(body string) answer  { return answer{status: 200, body: body, silent: true} }
 
-// TestGapAtSeam guards against a piece that is missing where another engine goes on
+// TestGapAfterResume guards against a piece that is missing where another engine goes on
 // with a stream.
-func TestGapAtSeam(t *testing.T) {
+func TestGapAfterResume(t *testing.T) {
 	t.Run("a third engine has the missing event", func(t *testing.T) {
-		seam{answers: []answer{breaks(one + two), ends(four + five), ends(three + four)}}.endsWhole(t, one+two+three+four)
+		resumed{answers: []answer{breaks(one + two), ends(four + five), ends(three + four)}}.endsWhole(t, one+two+three+four)
 	})
 	t.Run("no engine has the missing event", func(t *testing.T) {
 		is := is.New(t)
-		err := seam{answers: []answer{breaks(one + two), ends(four)}}.breaksOff(t, one+two)
+		err := resumed{answers: []answer{breaks(one + two), ends(four)}}.breaksOff(t, one+two)
 		var m *sardineknot.MissingEventsError
 		is.True(errors.As(err, &m))
 		is.Equal(*m, sardineknot.MissingEventsError{After: 2, Got: 4})
 	})
 	t.Run("after a take-up that was consecutive", func(t *testing.T) {
-		seam{after: 1, answers: []answer{breaks(two), ends(four)}}.breaksOff(t, two)
+		resumed{after: 1, answers: []answer{breaks(two), ends(four)}}.breaksOff(t, two)
 	})
 	t.Run("the engine repeats events and then leaves one out", func(t *testing.T) {
-		seam{answers: []answer{breaks(one + two), ends(one + two + four)}}.breaksOff(t, one+two)
+		resumed{answers: []answer{breaks(one + two), ends(one + two + four)}}.breaksOff(t, one+two)
 	})
 	t.Run("a silent engine is not left for one that leaves an event out", func(t *testing.T) {
 		a := answer{status: 200, body: one, continuation: two, pause: shortSilence}
-		seam{answers: []answer{a, ends(three)}}.endsWhole(t, one+two)
+		resumed{answers: []answer{a, ends(three)}}.endsWhole(t, one+two)
 	})
 }
 
@@ -94,16 +94,16 @@
 func TestSteppedNumbers(t *testing.T) {
 	const ten, twenty, thirty = "id: 10\ndata: a\n\n", "id: 20\ndata: b\n\n", "id: 30\ndata: c\n\n"
 	t.Run("in one run", func(t *testing.T) {
-		seam{answers: []answer{ends(ten + twenty + thirty)}}.endsWhole(t, ten+twenty+thirty)
+		resumed{answers: []answer{ends(ten + twenty + thirty)}}.endsWhole(t, ten+twenty+thirty)
 	})
 	t.Run("after the first event", func(t *testing.T) {
-		seam{answers: []answer{breaks(ten), ends(twenty + thirty)}}.endsWhole(t, ten+twenty+thirty)
+		resumed{answers: []answer{breaks(ten), ends(twenty + thirty)}}.endsWhole(t, ten+twenty+thirty)
 	})
 	t.Run("after a take-up", func(t *testing.T) {
-		seam{after: 10, answers: []answer{breaks(twenty), ends(thirty)}}.endsWhole(t, twenty+thirty)
+		resumed{after: 10, answers: []answer{breaks(twenty), ends(thirty)}}.endsWhole(t, twenty+thirty)
 	})
 	t.Run("from the second event", func(t *testing.T) {
-		seam{answers: []answer{breaks(one + three), ends(five)}}.endsWhole(t, one+three+five)
+		resumed{answers: []answer{breaks(one + three), ends(five)}}.endsWhole(t, one+three+five)
 	})
 }
 
@@ -111,45 +111,45 @@
 // before the number that was asked for, or goes back.
 func TestRepeatedNumbers(t *testing.T) {
 	t.Run("the other engine starts at the beginning", func(t *testing.T) {
-		seam{answers: []answer{breaks(one + two), ends(one + two + three)}}.endsWhole(t, one+two+three)
+		resumed{answers: []answer{breaks(one + two), ends(one + two + three)}}.endsWhole(t, one+two+three)
 	})
 	t.Run("a take-up starts at the beginning", func(t *testing.T) {
-		seam{after: 2, answers: []answer{ends(one + two + three)}}.endsWhole(t, three)
+		resumed{after: 2, answers: []answer{ends(one + two + three)}}.endsWhole(t, three)
 	})
 	t.Run("an event comes twice", func(t *testing.T) {
-		seam{answers: []answer{ends(one + two + two + three)}}.endsWhole(t, one+two+three)
+		resumed{answers: []answer{ends(one + two + two + three)}}.endsWhole(t, one+two+three)
 	})
 	t.Run("the numbers go back", func(t *testing.T) {
-		seam{answers: []answer{ends(one + two + three + two + three + four)}}.endsWhole(t, one+two+three+four)
+		resumed{answers: []answer{ends(one + two + three + two + three + four)}}.endsWhole(t, one+two+three+four)
 	})
 }
 
-// TestEndAtSeam guards against a stream that ends as complete because another engine
+// TestEndAfterResume guards against a stream that ends as complete because another engine
 // ended it too early, and against one that does not end although it is complete.
-func TestEndAtSeam(t *testing.T) {
+func TestEndAfterResume(t *testing.T) {
 	nothing := answer{status: 200, empty: true}
 	t.Run("no event follows within the answer", func(t *testing.T) {
-		seam{answers: []answer{breaks(one + two), nothing}}.endsWhole(t, one+two)
+		resumed{answers: []answer{breaks(one + two), nothing}}.endsWhole(t, one+two)
 	})
 	t.Run("no event follows at a take-up", func(t *testing.T) {
-		seam{after: 2, answers: []answer{nothing}}.endsWhole(t, "")
+		resumed{after: 2, answers: []answer{nothing}}.endsWhole(t, "")
 	})
 	t.Run("a repeated run ends with the last event", func(t *testing.T) {
-		seam{after: 2, answers: []answer{ends(one + two)}}.endsWhole(t, "")
+		resumed{after: 2, answers: []answer{ends(one + two)}}.endsWhole(t, "")
 	})
 	t.Run("a repeated run ends before the last event", func(t *testing.T) {
-		seam{after: 2, answers: []answer{ends(one)}}.breaksOff(t, "")
+		resumed{after: 2, answers: []answer{ends(one)}}.breaksOff(t, "")
 	})
 	t.Run("a repeated run within the answer ends before the last event", func(t *testing.T) {
-		seam{answers: []answer{breaks(one + two), ends(one)}}.breaksOff(t, one+two)
+		resumed{answers: []answer{breaks(one + two), ends(one)}}.breaksOff(t, one+two)
 	})
 	t.Run("a run repeats an event and ends", func(t *testing.T) {
-		seam{answers: []answer{ends(one + two + three + two)}}.endsWhole(t, one+two+three)
+		resumed{answers: []answer{ends(one + two + three + two)}}.endsWhole(t, one+two+three)
 	})
 	t.Run("the engine that was replaced ends its stream", func(t *testing.T) {
 		a := hangs(one)
 		a.endsWhenLeft = true
-		seam{answers: []answer{a, ends(two + three)}}.endsWhole(t, one+two+three)
+		resumed{answers: []answer{a, ends(two + three)}}.endsWhole(t, one+two+three)
 	})
 }
 
@@ -157,7 +157,7 @@
 // another engine went on with a stream whose last event has no number.
 func TestUnnumberedEvents(t *testing.T) {
 	t.Run("in one run", func(t *testing.T) {
-		seam{answers: []answer{ends(plain + plain)}}.endsWhole(t, plain+plain)
+		resumed{answers: []answer{ends(plain + plain)}}.endsWhole(t, plain+plain)
 	})
 	for name, id := range map[string]string{"missing": "", "zero": "0", "negative": "-3", "huge": "99999999999999999999", "text": "x"} {
 		e := "id: " + id + "\ndata: x\n\n"
@@ -165,34 +165,34 @@
 			e = plain
 		}
 		t.Run("relayed, number is "+name, func(t *testing.T) {
-			seam{answers: []answer{ends(one + e + two)}}.endsWhole(t, one+e+two)
+			resumed{answers: []answer{ends(one + e + two)}}.endsWhole(t, one+e+two)
 		})
 		t.Run("no other engine goes on, number is "+name, func(t *testing.T) {
 			is := is.New(t)
-			s := seam{answers: []answer{breaks(one + e), ends(e + two)}}
+			s := resumed{answers: []answer{breaks(one + e), ends(e + two)}}
 			s.breaksOff(t, one+e)
 			_, l, _ := s.run(t)
 			is.Equal(len(l.sends), 1)
 		})
 		t.Run("the other engine begins with it, number is "+name, func(t *testing.T) {
-			seam{answers: []answer{breaks(one), ends(e + two)}}.breaksOff(t, one)
+			resumed{answers: []answer{breaks(one), ends(e + two)}}.breaksOff(t, one)
 		})
 		t.Run("a take-up begins with it, number is "+name, func(t *testing.T) {
-			seam{after: 1, answers: []answer{ends(e + two)}}.breaksOff(t, "")
+			resumed{after: 1, answers: []answer{ends(e + two)}}.breaksOff(t, "")
 		})
 	}
 	t.Run("a silent engine stays", func(t *testing.T) {
 		is := is.New(t)
-		s := seam{answers: []answer{{status: 200, body: plain, continuation: plain, pause: 5 * time.Second}, ends(plain + plain)}}
+		s := resumed{answers: []answer{{status: 200, body: plain, continuation: plain, pause: 5 * time.Second}, ends(plain + plain)}}
 		got, e, err := s.run(t)
 		is.NoErr(err)
 		is.Equal(got, plain+plain)
 		is.Equal(len(e.sends), 1)
 	})
 	t.Run("a number follows", func(t *testing.T) {
-		seam{answers: []answer{breaks(one + plain + two), ends(three)}}.endsWhole(t, one+plain+two+three)
+		resumed{answers: []answer{breaks(one + plain + two), ends(three)}}.endsWhole(t, one+plain+two+three)
 	})
 	t.Run("a field without data is no event", func(t *testing.T) {
-		seam{answers: []answer{breaks(one), ends("retry: 100\n\n" + two)}}.endsWhole(t, one+"retry: 100\n\n"+two)
+		resumed{answers: []answer{breaks(one), ends("retry: 100\n\n" + two)}}.endsWhole(t, one+"retry: 100\n\n"+two)
 	})
 }
--- a/internal/answer/events/tworuns_test.go
+++ b/internal/answer/events/tworuns_test.go
@@ -110,7 +110,7 @@
 func TestWrongEngineIsLeft(t *testing.T) {
 	is := is.New(t)
 	a := hangs(four)
-	got, e, err := seam{answers: []answer{breaks(one + two), a, ends(three)}}.run(t)
+	got, e, err := resumed{answers: []answer{breaks(one + two), a, ends(three)}}.run(t)
 	is.NoErr(err)
 	is.Equal(got, one+two+three)
 	is.Equal(len(e.sentAt), 3)
