backend/breaker, answer/plain: a server that never ends its answers loses its share of the calls

Callers saw 5 to 21% of their plain calls fail for as long as one server of four sent a body without end, slowly: they waited for it and left. Each host counted such a call as given up, which says nothing about the server, so that the circuit of the server never opened.

A call that its caller gave up, after half of its time or 0.5 s, now counts as a failure if the server has answered no other call since it was sent. A circuit that such calls have opened excludes no server if all circuits of the service are open. Once the open time has passed, one call is let through without the cost of the earlier failures. Failures of other kinds (errors, resets, deadlines) count as before.

--- a/internal/answer/plain/runner.go
+++ b/internal/answer/plain/runner.go
@@ -32,6 +32,9 @@
 	// queuePollInterval is the interval at which a waiting call tries again to
 	// find a server.
 	queuePollInterval = 10 * time.Millisecond
+	// maxOverdueTime is an upper bound of the time after which a call without an answer
+	// is overdue.
+	maxOverdueTime = 500 * time.Millisecond
 	// noCapacity is the reason of the NotRunError of a call that found no server with
 	// free capacity.
 	noCapacity = "no backend server has free capacity"
@@ -211,27 +214,37 @@
 		b, err = r.readAnswer(s, p)
 	}
 	o := outcome{reply: p, body: b, err: err}
-	r.recordOutcome(ctx, s.Name, o)
+	r.recordOutcome(ctx, s.Name, c, n, o)
 	r.end(a, o)
 	r.reportCrash(ctx, s, c, o, n)
 	return o
 }
 
-// recordOutcome records o with the circuit breaker of server s. A call that was
-// not sent, or whose caller has disconnected, counts neither as success nor as
-// failure.
-func (r *Runner) recordOutcome(ctx context.Context, s sardineknot.BackendServerName, o outcome) {
+// recordOutcome records o, the outcome of c, which was sent to server at the time sentAt,
+// with the circuit breaker of the server. A call that was not sent, or whose caller has
+// disconnected before it was overdue, counts neither as success nor as failure.
+func (r *Runner) recordOutcome(ctx context.Context, server sardineknot.BackendServerName, c *sardineknot.Call, sentAt time.Time, o outcome) {
 	n := r.Clock.Now()
 	switch {
 	case o.succeeded():
-		r.Circuits.Done(n, s, breaker.Succeeded)
-	case o.notAllowed() || o.err != nil && errors.Is(ctx.Err(), context.Canceled):
-		r.Circuits.Done(n, s, breaker.Abandoned)
+		r.Circuits.Done(n, server, breaker.Succeeded)
+	case o.notAllowed():
+		r.Circuits.Done(n, server, breaker.Abandoned)
+	case o.err == nil || !errors.Is(ctx.Err(), context.Canceled):
+		r.Circuits.Done(n, server, breaker.Failed)
+	case o.mayHaveRun() && n.Sub(sentAt) >= overdueTime(c, sentAt):
+		r.Circuits.Unanswered(n, sentAt, server)
 	default:
-		r.Circuits.Done(n, s, breaker.Failed)
+		r.Circuits.Done(n, server, breaker.Abandoned)
 	}
 }
 
+// overdueTime returns the time after which a call without an answer, sent at the time
+// sentAt, shows that its server may give none.
+func overdueTime(c *sardineknot.Call, sentAt time.Time) time.Duration {
+	return min(maxOverdueTime, c.Deadline.Sub(sentAt)/2)
+}
+
 // mayRetry reports whether c may be sent to another server after the outcome o.
 // ran is the number of servers that may have run c. Only calls that may have
 // reached a server consume retry budget.
--- a/internal/backend/breaker/set.go
+++ b/internal/backend/breaker/set.go
@@ -5,7 +5,9 @@
 // the server gets no calls; the open time doubles with each further failure.
 // Afterwards the circuit is half-open: a single probe call is let through, and
 // its result closes or opens the circuit. See Nygard, "Release It!", 2nd
-// edition, 2018, section 5.2.
+// edition, 2018, section 5.2. Calls that callers give up count too if the server
+// answers none meanwhile (Set.Unanswered): a server that never ends its answers would
+// otherwise keep its share of the calls.
 //
 // Each host has its own circuits and counts only its own calls.
 // BackendServer.Slots bounds the concurrent calls of one host to a server.
@@ -68,6 +70,12 @@
 	// probing is set while the probe call of a half-open circuit is in
 	// progress.
 	probing bool
+	// succeededAt is the time of the last success. unansweredAt is the time of the last
+	// unanswered call that counted as a failure, and unanswered is set if there was one
+	// since the last success.
+	succeededAt  time.Time
+	unansweredAt time.Time
+	unanswered   bool
 }
 
 // NewSet returns a set in which all circuits are closed. It panics if source
@@ -83,8 +91,9 @@
 // Pick selects one of servers for a call and counts the call, which must be
 // ended by Done. It prefers servers that are not in tried, then servers with
 // few recent failures and a small fraction of their slots in use, and takes
-// equal ones in turn. If no server is available, ok is false and wait is the
-// time after which to call Pick again.
+// equal ones in turn. If all servers are excluded, those whose circuits were opened by
+// unanswered calls are not. If no server is available, ok is false and wait is the time
+// after which to call Pick again.
 func (s *Set) Pick(now time.Time, servers []sardineknot.BackendServer, tried map[sardineknot.BackendServerName]bool) (server sardineknot.BackendServer, wait time.Duration, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -98,11 +107,14 @@
 			wait = min(wait, max(c.openUntil.Sub(now), minOpenTime/10))
 			continue
 		}
-		w := c.cost(servers[i].Slots, tried[servers[i].Name])
+		w := c.cost(now, servers[i].Slots, tried[servers[i].Name])
 		if !ok || w < m {
 			server, m, ok = servers[i], w, true
 		}
 	}
+	if !ok {
+		server, ok = s.pickUnansweredLocked(servers)
+	}
 	if ok {
 		c := s.circuitLocked(server.Name)
 		c.calls++
@@ -115,12 +127,17 @@
 func (s *Set) Done(now time.Time, server sardineknot.BackendServerName, outcome callOutcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.doneLocked(now, server, outcome)
+}
+
+func (s *Set) doneLocked(now time.Time, server sardineknot.BackendServerName, outcome callOutcome) {
 	c := s.circuitLocked(server)
 	c.calls--
 	c.probing = false
 	switch outcome {
 	case Succeeded:
 		c.failures = 0
+		c.succeededAt, c.unanswered = now, false
 	case Failed:
 		c.failures++
 		c.openUntil = now.Add(s.openTimeLocked(c.failures))
@@ -160,9 +177,13 @@
 
 // cost returns the cost of a call to the server, by which servers are compared.
 // Each consecutive failure counts as much as the use of all slots, so that a
-// server whose calls fail quickly is not mistaken for an idle one.
-func (c *circuit) cost(slots int, tried bool) float64 {
-	w := float64(c.calls)/float64(slots) + float64(c.failures)
+// server whose calls fail quickly is not mistaken for an idle one. After unanswered calls,
+// one call at a time is let through at no such cost once the open time has passed.
+func (c *circuit) cost(now time.Time, slots int, tried bool) float64 {
+	w := float64(c.calls) / float64(slots)
+	if !c.unanswered || c.calls > 0 || now.Before(c.openUntil) {
+		w += float64(c.failures)
+	}
 	if tried {
 		w += failureThreshold
 	}
