policy/memory, answer/events: an engine whose answers all break loses its share of the jobs

Callers saw 20 to 64% of their streams fail for as long as one engine of each kind of four gave no whole answer. Two causes: a first event counted as a success, so that an engine that breaks off after it never tripped, and was mostly idle and so chosen first; and a job that its caller gave up showed nothing about the engine, so that one that sends without end until the callers leave was never found.

The owner of a shard now counts consecutive broken answers of an engine (type outlier): those that fail after their first event, and those that their caller gave up when they were overdue or stalled. A whole answer, or one that lasts for 1 s, ends the count. From three on the engine gets one job after each backoff, 1 s to 8 s. Answers that break within 250 ms of each other count once, as do all that had begun before. If all engines are excluded, none is. A caller that takes no more of its answer was reported as a failure of the engine; it is not any more.

--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -334,12 +334,18 @@
 }
 
 // reportFailure reports that engine n failed the job, or that the job was
-// cancelled if the caller has disconnected or the stream goes on elsewhere.
+// cancelled if the caller has disconnected or takes no more of its answer, or the stream
+// goes on elsewhere.
 func (a *attempt) reportFailure(err error, n sardineknot.BackendServerName) {
-	if a.superseded() {
+	var w *writeError
+	if errors.As(err, &w) {
 		a.report(sardineknot.JobCancelled, "")
 		return
 	}
+	if a.superseded() {
+		a.report(sardineknot.JobCancelled, a.awaited(n))
+		return
+	}
 	a.reportCrash(err, n)
 	a.Log.Warn().Stringer("event", sardineknot.LogEngineFailed).Str("request", string(a.call.ID)).Str("server", string(n)).
 		Stringer("parts", a.call.Generation.Parts).Stringer("traits", fingerprint.Of(a.call).All()).Int("relayed", a.eventCount).
@@ -349,6 +355,15 @@
 	})
 }
 
+// awaited returns n, the engine whose answer a was reading, if a has ended because its
+// caller disconnected, and an empty name otherwise.
+func (a *attempt) awaited(n sardineknot.BackendServerName) sardineknot.BackendServerName {
+	if c := context.Cause(a.ctx); errors.Is(c, errSuperseded) || errors.Is(c, errSilent) {
+		return ""
+	}
+	return n
+}
+
 // isUnreachable reports whether err shows that an engine does not accept connections.
 func isUnreachable(err error) bool {
 	var u *sardineknot.UnsentError
--- a/internal/answer/events/fake_test.go
+++ b/internal/answer/events/fake_test.go
@@ -38,6 +38,8 @@
 	// grants the engine.
 	onGrant map[sardineknot.BackendServerName]func()
 	events  []sardineknot.JobEventKind
+	// last is the event that was reported last.
+	last sardineknot.JobEvent
 }
 
 func (s *slots) Acquire(_ context.Context, j sardineknot.Job) (sardineknot.Grant, error) {
@@ -63,6 +65,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.events = append(s.events, e.Kind)
+	s.last = e
 }
 
 // cancelledJobs returns the number of jobs that were reported as cancelled.
--- a/internal/policy/memory/engine.go
+++ b/internal/policy/memory/engine.go
@@ -74,6 +74,8 @@
 	backoffUntil time.Time
 	// ramp limits the jobs of an engine that has just started or recovered.
 	ramp ramp.Ramp
+	// outlier limits the jobs of an engine whose answers break off.
+	outlier outlier
 }
 
 // prefillWait returns the time until e can start another prefill. A prefill that
--- a/internal/policy/memory/job.go
+++ b/internal/policy/memory/job.go
@@ -32,6 +32,8 @@
 	// the first report.
 	tokens           float64
 	tokensReportedAt time.Time
+	// firstEventAt is the time of the first report of tokens, or zero.
+	firstEventAt time.Time
 	// limited is set if the software version that the job requires excludes some
 	// decode engines, and servable if there is an engine of that version, as of
 	// the last call of schedule.
@@ -74,6 +76,12 @@
 		j.decode.observeTokens(now, float64(tokens)-j.tokens, now.Sub(j.tokensReportedAt))
 	}
 	j.tokens, j.tokensReportedAt = float64(tokens), now
+	if j.firstEventAt.IsZero() {
+		j.firstEventAt = now
+	}
+	if now.Sub(j.firstEventAt) >= soundTime {
+		j.decode.outlier.recordSound(now, j.startedAt)
+	}
 	j.decode.invalidateSpans()
 }
 
@@ -148,6 +156,9 @@
 		e.busyUntil = now
 	}
 	e.lossRate.addWeighted(0, lossWeight)
+	if e != j.decode {
+		e.outlier.recordSound(now, j.startedAt)
+	}
 	if e == j.decode || j.CachedOn != "" || j.PromptTokens == 0 {
 		return
 	}
@@ -163,6 +174,7 @@
 func (s *Scheduler) handleFinished(now time.Time, j *job, tokens int) {
 	if j.decode != nil {
 		j.decode.recordSuccess()
+		j.decode.outlier.recordSound(now, j.startedAt)
 	}
 	if tokens > 0 {
 		s.lengths.observe(j.Job, tokens)
@@ -190,6 +202,9 @@
 	if e != nil && e == j.prefill {
 		e.lossRate.addWeighted(1, lossWeight)
 	}
+	if e != nil && e == j.decode && !j.firstEventAt.IsZero() {
+		e.outlier.recordBroken(now, j.startedAt)
+	}
 	switch {
 	case e == nil:
 	case event.Unreachable:
--- a/internal/policy/memory/local.go
+++ b/internal/policy/memory/local.go
@@ -71,7 +71,7 @@
 	var b *engine
 	var m time.Duration
 	for _, e := range s.decode {
-		if !j.mayRunOn(e) || j.barredFrom(now, e) || !s.mayPrefill(now, j, e) {
+		if !j.mayRunOn(e) || j.barredFrom(now, e) || e.outlier.excluded(now) || !s.mayPrefill(now, j, e) {
 			continue
 		}
 		t := s.localPrefillTime(now, j, e)
--- a/internal/policy/memory/place.go
+++ b/internal/policy/memory/place.go
@@ -91,8 +91,9 @@
 func (s *Scheduler) chooseDecode(now time.Time, j *job) *engine {
 	var b *engine
 	var m float64
+	a := allOutliers(now, s.decode, j)
 	for _, e := range s.decode {
-		if !j.mayRunOn(e) || j.barredFrom(now, e) {
+		if !j.mayRunOn(e) || j.barredFrom(now, e) || !a && e.outlier.excluded(now) {
 			continue
 		}
 		f, ok := e.utilization(now, j)
@@ -177,9 +178,10 @@
 func (s *Scheduler) preferredPrefill(now time.Time, j *job, decode *engine) *engine {
 	var e *engine
 	var m time.Duration
+	a := allOutliers(now, s.prefill, j)
 	for _, p := range s.prefill {
 		w := p.prefillWait(now)
-		if !p.usable(now) || w > maxPrefillBacklog || j.barredFrom(now, p) {
+		if !p.usable(now) || !a && p.outlier.excluded(now) || w > maxPrefillBacklog || j.barredFrom(now, p) {
 			continue
 		}
 		if p.server.Name == j.CachedOn {
@@ -206,6 +208,8 @@
 	prefillEngine.busyUntil = now.Add(w + time.Duration(prefillEngine.prefillPace(now, s.typical)*float64(j.prefillTime)))
 	decodeEngine.decodes = append(decodeEngine.decodes, j)
 	decodeEngine.invalidateSpans()
+	prefillEngine.outlier.begin(now)
+	decodeEngine.outlier.begin(now)
 	s.recordServed(now, j)
 	// The shard reads both engines of the grant when it receives the prefill
 	// decision, so the decode decision has to precede it.
--- a/internal/policy/memory/scheduler.go
+++ b/internal/policy/memory/scheduler.go
@@ -166,6 +166,7 @@
 	case sardineknot.JobFailed:
 		s.recordFailure(now, j, event)
 	case sardineknot.JobCancelled:
+		s.recordCancelled(now, j, event)
 		s.remove(j)
 	}
 	s.schedule(now)
--- a/scheduler.go
+++ b/scheduler.go
@@ -133,7 +133,9 @@
 	Key RequestKey
 	// Kind is what happened to the job.
 	Kind JobEventKind
-	// Server is the engine on which the event occurred.
+	// Server is the engine on which the event occurred. With JobCancelled, unless Leaving
+	// is set, it is the engine from which the next part of the answer was awaited when the
+	// caller disconnected, and empty if the job was given up for another reason.
 	Server BackendServerName
 	// Tokens is the number of tokens generated so far.
 	Tokens int
