--- a/internal/backend/completion/forwarder.go
+++ b/internal/backend/completion/forwarder.go
@@ -69,12 +69,14 @@
 	})
 }
 
-// probe fails unless the process of server is shown to be running. That its address accepts
-// connections shows it as well as a query does: a process that was killed has not started
-// again at the moment at which its connections end.
+// probe fails unless the process of server is shown to be running. Where a server accepts no
+// query, its address must accept connections: a process that was killed has not started again
+// at the moment at which its connections end.
 func (f *Forwarder) probe(ctx context.Context, server sardineknot.BackendServer) error {
-	if f.MayQuery(server) {
-		return f.Prober.Probe(ctx, server, f.healthPath(server))
+	s := f.service(server)
+	k := s.Engine != nil || s.HealthPath != ""
+	if k && f.MayQuery(server) {
+		return f.Prober.Probe(ctx, server, s)
 	}
 	c, err := f.Dialer.Dial(ctx, server.Address)
 	if err != nil {
@@ -83,15 +85,14 @@
 	return errors.WithStack(c.Close())
 }
 
-// healthPath returns the health path of the plain service of server. It is empty for
-// engines, whose reports need no slot.
-func (f *Forwarder) healthPath(server sardineknot.BackendServer) string {
+// service returns the service of server, or the zero value if it is not in the configuration.
+func (f *Forwarder) service(server sardineknot.BackendServer) sardineknot.Service {
 	for _, s := range f.Source.Current().Services {
-		if string(s.Name) == server.Service && s.Engine == nil {
-			return s.HealthPath
+		if string(s.Name) == server.Service {
+			return s
 		}
 	}
-	return ""
+	return sardineknot.Service{}
 }
 
 // body is the body of a response that ends with its connection.
--- a/internal/backend/completion/forwarder_test.go
+++ b/internal/backend/completion/forwarder_test.go
@@ -27,13 +27,15 @@
 	dials    int
 	// limited is set if the server must not be queried.
 	limited bool
+	// healthPath is that of the service.
+	healthPath string
 }
 
 func (s *server) Forward(context.Context, sardineknot.BackendServer, *sardineknot.Call, sardineknot.ForwardOptions) (*sardineknot.Response, error) {
 	return &sardineknot.Response{Status: 200, Framing: s.framing, Body: io.NopCloser(strings.NewReader("text"))}, nil
 }
 
-func (s *server) Probe(context.Context, sardineknot.BackendServer, string) error {
+func (s *server) Probe(context.Context, sardineknot.BackendServer, sardineknot.Service) error {
 	s.probes++
 	return s.probeErr
 }
@@ -47,15 +49,17 @@
 func (s *server) Usable(net.Conn) bool { return true }
 func (s *server) ReportSilence()       {}
 
-func (s *server) Current() *sardineknot.Configuration { return &sardineknot.Configuration{} }
-func (s *server) Changed() <-chan struct{}            { return nil }
+func (s *server) Current() *sardineknot.Configuration {
+	return &sardineknot.Configuration{Services: []sardineknot.Service{{Name: "plain", HealthPath: s.healthPath}}}
+}
+func (s *server) Changed() <-chan struct{} { return nil }
 
 // read reads an answer of s to its end, and once more.
 func (s *server) read(t *testing.T) (string, error) {
 	t.Helper()
 	f := &completion.Forwarder{Forwarder: s, Prober: s, Dialer: s, Source: s, Metrics: metrics.NewRegistry()}
 	f.MayQuery = func(sardineknot.BackendServer) bool { return !s.limited }
-	p, err := f.Forward(t.Context(), sardineknot.BackendServer{Name: "s"}, &sardineknot.Call{ID: "c"}, sardineknot.ForwardOptions{})
+	p, err := f.Forward(t.Context(), sardineknot.BackendServer{Name: "s", Service: "plain"}, &sardineknot.Call{ID: "c"}, sardineknot.ForwardOptions{})
 	is.New(t).NoErr(err)
 	b, err := io.ReadAll(p.Body)
 	_, again := p.Body.Read(make([]byte, 1))
@@ -76,27 +80,34 @@
 		})
 	}
 	t.Run("one query for an answer that ends with its connection", func(t *testing.T) {
-		s := &server{framing: sardineknot.FramingConnection}
+		s := &server{healthPath: "/health", framing: sardineknot.FramingConnection}
 		_, err := s.read(t)
 		is.New(t).NoErr(err)
 		is.New(t).Equal(s.probes, 1)
 	})
 	t.Run("a connection, and no query, to a server that accepts no requests", func(t *testing.T) {
-		s := &server{framing: sardineknot.FramingConnection, limited: true}
+		s := &server{healthPath: "/health", framing: sardineknot.FramingConnection, limited: true}
+		_, err := s.read(t)
+		is.New(t).NoErr(err)
+		is.New(t).Equal(s.probes, 0)
+		is.New(t).Equal(s.dials, 1)
+	})
+	t.Run("a connection to a server without a health path", func(t *testing.T) {
+		s := &server{framing: sardineknot.FramingConnection}
 		_, err := s.read(t)
 		is.New(t).NoErr(err)
 		is.New(t).Equal(s.probes, 0)
 		is.New(t).Equal(s.dials, 1)
 	})
 	t.Run("broken off if such a server accepts no connections", func(t *testing.T) {
-		s := &server{framing: sardineknot.FramingConnection, limited: true, probeErr: syscall.ECONNREFUSED}
+		s := &server{healthPath: "/health", framing: sardineknot.FramingConnection, limited: true, probeErr: syscall.ECONNREFUSED}
 		_, err := s.read(t)
 		assertUnconfirmed(t, err)
 	})
 	refused := &sardineknot.UnsentError{Server: netip.MustParseAddrPort("127.0.0.1:1"), Cause: errors.New("refused")}
 	for _, e := range []error{refused, &sardineknot.RefusedError{Server: "s", Status: 421}, context.DeadlineExceeded} {
 		t.Run("broken off after "+e.Error(), func(t *testing.T) {
-			s := &server{framing: sardineknot.FramingConnection, probeErr: e}
+			s := &server{healthPath: "/health", framing: sardineknot.FramingConnection, probeErr: e}
 			b, err := s.read(t)
 			is.New(t).Equal(b, "text")
 			is.New(t).Equal(s.probes, 1)
--- a/prober.go
+++ b/prober.go
@@ -13,9 +13,9 @@
 type ServerProber interface {
 	// Probe returns nil once the process that server describes has answered a query, and so
 	// was running after the call of Probe. It fails with an InstanceError if another process
-	// answers, and with another error if none does. healthPath is that of a plain service,
-	// or empty.
-	Probe(ctx context.Context, server BackendServer, healthPath string) error
+	// answers, and with another error if none does. service is that of server. If it is a
+	// plain one, it has a health path.
+	Probe(ctx context.Context, server BackendServer, service Service) error
 }
 
 // InstanceError reports that the address of a backend server belongs to another process.
