--- a/internal/backend/completion/replaced_test.go
+++ b/internal/backend/completion/replaced_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
@@ -38,6 +39,7 @@
 	go func() {
 		c, err := l.Accept()
 		if err == nil {
+			time.Sleep(2 * time.Millisecond) // the connection is open before it is reset
 			_ = c.(*net.TCPConn).SetLinger(0)
 			c.Close()
 		}
