backend/completion: one failed query is no proof that a server has ended

What callers would see (review, each with a test that failed before): a part that looks whole, since a connection confirmed an end that the kernel of a killed process accepted just before its listener closed (TestEndingServer), or that belonged to the next process under the name (TestRestartedServer); whole answers that fail, since one query was reset by a server with too many connections (TestQueryIsReset) or its health check waited for a slot (TestHealthWaitsForSlot); a crash of a server that was reported although the host on the way had ended (TestUnconfirmedEndThroughHost). Cause: a connection counted as proof without staying open; the view of the server was not consulted; any failed query counted as the end of the server. Change: the query is repeated until the server is shown to be running or to have ended (connection refused, another process, not reached through another host), within 0.5 s for calls that may run again and 1.5 s for others. A query without an answer in 0.4 s is followed by a connection that must stay open for 10 ms, as in backend/plainhttp, which now shares that check. The process must still be the one of the configuration. An error on the way through another host counts as one of that host. Cancelled confirmations are not counted.

--- a/errors.go
+++ b/errors.go
@@ -153,6 +153,10 @@
 	if errors.As(c, &u) {
 		c = u.Cause
 	}
+	var v *UnavailableError
+	if errors.As(c, &v) && !v.ServerMayHaveEnded() {
+		return false
+	}
 	return (e.Through == "" || e.ServerEnded) && !errors.Is(c, context.DeadlineExceeded)
 }
 
--- a/internal/backend/completion/forwarder.go
+++ b/internal/backend/completion/forwarder.go
@@ -18,10 +18,20 @@
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/backend/tcp"
 )
 
-// probeTimeout bounds the query after the end of an answer.
-const probeTimeout = 500 * time.Millisecond
+const (
+	// repeatableTimeout and onceTimeout bound the confirmation of an end, for calls that may
+	// run again and for others, whose answers cannot be replaced.
+	repeatableTimeout = 500 * time.Millisecond
+	onceTimeout       = 1500 * time.Millisecond
+	// queryTimeout bounds a query.
+	queryTimeout = 400 * time.Millisecond
+	// retryDelay is the delay before another try. A server that has too many connections
+	// resets some of them.
+	retryDelay = 30 * time.Millisecond
+)
 
 // Forwarder is a sardineknot.Forwarder that confirms the ends of answers. All exported
 // fields must be set before use.
@@ -49,40 +59,108 @@
 	if err != nil || p.Framing != sardineknot.FramingConnection {
 		return p, err
 	}
-	p.Body = &body{ReadCloser: p.Body, forwarder: f, ctx: ctx, server: server, call: call.ID}
+	p.Body = &body{ReadCloser: p.Body, forwarder: f, ctx: ctx, server: server, call: call}
 	return p, nil
 }
 
 // confirm fails with an UnavailableError, whose cause is an UnconfirmedEndError, unless
 // server is running.
-func (f *Forwarder) confirm(ctx context.Context, server sardineknot.BackendServer, call sardineknot.RequestID) error {
-	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
-	defer cancel()
-	err := f.probe(ctx, server)
-	metrics.GetOrRegisterCounter("backend.ends{confirmed="+strconv.FormatBool(err == nil)+"}", f.Metrics).Inc(1)
+func (f *Forwarder) confirm(ctx context.Context, server sardineknot.BackendServer, call *sardineknot.Call) error {
+	err := f.awaitProof(ctx, server, timeout(call))
+	if ctx.Err() == nil {
+		f.record(server, call.ID, err)
+	}
 	if err == nil {
 		return nil
 	}
-	f.Log.Warn().Stringer("event", sardineknot.LogEndUnconfirmed).Str("request", string(call)).Str("server", string(server.Name)).Err(err).Send()
-	return errors.WithStack(&sardineknot.UnavailableError{
-		Peer: string(server.Name), Cause: &sardineknot.UnconfirmedEndError{Server: server.Name, Cause: err},
-	})
+	return errors.WithStack(&sardineknot.UnavailableError{Peer: string(server.Name), Cause: err})
+}
+
+// timeout returns the time within which the end of the answer to call must be confirmed.
+func timeout(call *sardineknot.Call) time.Duration {
+	if call.Route.Repeatable() {
+		return repeatableTimeout
+	}
+	return onceTimeout
+}
+
+// record records the result of the confirmation of the end of call.
+func (f *Forwarder) record(server sardineknot.BackendServer, call sardineknot.RequestID, err *sardineknot.UnconfirmedEndError) {
+	metrics.GetOrRegisterCounter("backend.ends{confirmed="+strconv.FormatBool(err == nil)+"}", f.Metrics).Inc(1)
+	if err != nil {
+		f.Log.Warn().Stringer("event", sardineknot.LogEndUnconfirmed).Str("request", string(call)).Str("server", string(server.Name)).Err(err).Send()
+	}
+}
+
+// awaitProof probes server until it is shown to be running, and returns nil, or until it is
+// shown to have ended or limit has passed.
+func (f *Forwarder) awaitProof(ctx context.Context, server sardineknot.BackendServer, limit time.Duration) *sardineknot.UnconfirmedEndError {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for {
+		err := f.probe(ctx, server)
+		if err == nil {
+			err = f.checkInstance(server)
+		}
+		if err == nil {
+			return nil
+		}
+		e := &sardineknot.UnconfirmedEndError{Server: server.Name, Cause: err}
+		if e.ServerGone() || !pause(ctx, retryDelay) {
+			return e
+		}
+	}
 }
 
-// probe fails unless the process of server is shown to be running. Where a server accepts no
-// query, its address must accept connections: a process that was killed has not started again
-// at the moment at which its connections end.
+// probe fails unless the process of server is shown to be running. Where it accepts no query,
+// or does not answer one in time, its address must accept connections.
 func (f *Forwarder) probe(ctx context.Context, server sardineknot.BackendServer) error {
 	s := f.service(server)
-	k := s.Engine != nil || s.HealthPath != ""
-	if k && f.MayQuery(server) {
-		return f.Prober.Probe(ctx, server, s)
+	if (s.Engine != nil || s.HealthPath != "") && f.MayQuery(server) {
+		err := f.query(ctx, server, s)
+		if !errors.Is(err, context.DeadlineExceeded) {
+			return err
+		}
 	}
+	return f.connect(ctx, server)
+}
+
+func (f *Forwarder) query(ctx context.Context, server sardineknot.BackendServer, service sardineknot.Service) error {
+	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
+	defer cancel()
+	return f.Prober.Probe(ctx, server, service)
+}
+
+// connect fails unless the address of server accepts a connection that stays open.
+func (f *Forwarder) connect(ctx context.Context, server sardineknot.BackendServer) error {
 	c, err := f.Dialer.Dial(ctx, server.Address)
 	if err != nil {
 		return errors.WithStack(&sardineknot.UnsentError{Server: server.Address, Cause: err})
 	}
-	return errors.WithStack(c.Close())
+	return tcp.StaysOpen(ctx, c)
+}
+
+// checkInstance fails with an InstanceError if another process has started under the name of
+// server since it got the request. The end of an answer may be read long after it has arrived:
+// the caller may be slow, or this host was paused.
+func (f *Forwarder) checkInstance(server sardineknot.BackendServer) error {
+	b, ok := f.Source.Current().Server(server.Name)
+	if !ok || b.Born == server.Born {
+		return nil
+	}
+	return errors.WithStack(&sardineknot.InstanceError{Server: server.Name})
+}
+
+// pause waits for duration, and reports whether ctx is not done.
+func pause(ctx context.Context, duration time.Duration) bool {
+	t := time.NewTimer(duration)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
 }
 
 // service returns the service of server, or the zero value if it is not in the configuration.
@@ -101,7 +179,7 @@
 	forwarder *Forwarder
 	ctx       context.Context
 	server    sardineknot.BackendServer
-	call      sardineknot.RequestID
+	call      *sardineknot.Call
 	// err is what Read returns once the connection has ended.
 	err error
 }
--- a/internal/backend/plainhttp/end.go
+++ b/internal/backend/plainhttp/end.go
@@ -4,21 +4,16 @@
 	"context"
 	"net"
 	"net/http"
-	"os"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/backend/tcp"
 )
 
-const (
-	// connectTimeout bounds the connection that confirms the end of an answer.
-	connectTimeout = 500 * time.Millisecond
-	// openTime is the time for which that connection must stay open. The kernel may accept
-	// one just before it closes the listener of a killed process, and then resets it.
-	openTime = 10 * time.Millisecond
-)
+// connectTimeout bounds the connection that confirms the end of an answer.
+const connectTimeout = 500 * time.Millisecond
 
 // endsWithConnection reports whether the end of the connection is the end of response. An
 // answer that net/http has decompressed counts as one, since its length is not known.
@@ -40,22 +35,10 @@
 	var d net.Dialer
 	c, err := d.DialContext(ctx, "tcp", server.Address.String())
 	if err == nil {
-		err = awaitEnd(ctx, c)
+		err = tcp.StaysOpen(ctx, c)
 	}
-	if err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+	if err == nil {
 		return nil
 	}
 	return errors.WithStack(&sardineknot.UnconfirmedEndError{Server: server.Name, Cause: err})
 }
-
-// awaitEnd waits for openTime, or until ctx is done, and closes connection. It fails with
-// os.ErrDeadlineExceeded if connection did not end before, and returns nil if a byte arrived.
-func awaitEnd(ctx context.Context, connection net.Conn) error {
-	defer connection.Close()
-	ctx, cancel := context.WithTimeout(ctx, openTime)
-	defer cancel()
-	t, _ := ctx.Deadline()
-	_ = connection.SetReadDeadline(t) // it fails only for connections that are closed already
-	_, err := connection.Read(make([]byte, 1))
-	return errors.WithStack(err)
-}
--- a/prober.go
+++ b/prober.go
@@ -43,10 +43,11 @@
 	return fmt.Sprintf("the end of the answer of %s is not confirmed: %v", e.Server, e.Cause)
 }
 
-// ServerGone reports whether the process of the server has certainly ended: its address
-// accepts no connections, or belongs to another process.
+// ServerGone reports whether the process of the server has ended: its address accepts no
+// connections, from this host or from the one through which this host connects, or belongs
+// to another process.
 func (e *UnconfirmedEndError) ServerGone() bool {
-	var u *UnsentError
 	var i *InstanceError
-	return errors.As(e.Cause, &i) || errors.As(e.Cause, &u) && errors.Is(e.Cause, syscall.ECONNREFUSED)
+	var n *NotReachedError
+	return errors.As(e.Cause, &i) || errors.As(e.Cause, &n) || errors.Is(e.Cause, syscall.ECONNREFUSED)
 }
