backend/completion: a stream resumes only on the process that its server's entry describes

Cause: the version of a server is that of its entry. A server that starts again under its name with another version accepts requests for that name (Expect-Instance) before the host reads the new entry. Mend: once a server has responded to a request that resumes a stream, it is queried, and the stream resumes only if the time of birth in the report is that of the entry. The process that responded started no later than the one that answers the query. One query for each resumption, none for streams that begin.

--- a/internal/backend/completion/forwarder.go
+++ b/internal/backend/completion/forwarder.go
@@ -5,6 +5,9 @@
 // connections of a process that was killed in the same way. Such an answer is complete only
 // if the process is still running after it: the server is queried, and if it does not answer,
 // the end of the answer is an error.
+//
+// A stream resumes only on the process that the server's entry describes: one that started
+// again under the same name may have another software version.
 package completion
 
 import (
@@ -46,6 +49,9 @@
 // Forward implements sardineknot.Forwarder.
 func (f *Forwarder) Forward(ctx context.Context, server sardineknot.BackendServer, call *sardineknot.Call, options sardineknot.ForwardOptions) (*sardineknot.Response, error) {
 	p, err := f.Forwarder.Forward(ctx, server, call, options)
+	if err == nil && options.ResumeAfter > 0 && server.Born != 0 {
+		p, err = f.confirmInstance(ctx, server, p)
+	}
 	if err != nil || p.Framing != sardineknot.FramingConnection {
 		return p, err
 	}
--- a/internal/backend/completion/forwarder_test.go
+++ b/internal/backend/completion/forwarder_test.go
@@ -50,12 +50,17 @@
 func (s *server) Current() *sardineknot.Configuration { return &sardineknot.Configuration{} }
 func (s *server) Changed() <-chan struct{}            { return nil }
 
+// forwarder returns a forwarder before s.
+func (s *server) forwarder() *completion.Forwarder {
+	f := &completion.Forwarder{Forwarder: s, Prober: s, Dialer: s, Source: s, Metrics: metrics.NewRegistry()}
+	f.MayQuery = func(sardineknot.BackendServer) bool { return !s.limited }
+	return f
+}
+
 // read reads an answer of s to its end, and once more.
 func (s *server) read(t *testing.T) (string, error) {
 	t.Helper()
-	f := &completion.Forwarder{Forwarder: s, Prober: s, Dialer: s, Source: s, Metrics: metrics.NewRegistry()}
-	f.MayQuery = func(sardineknot.BackendServer) bool { return !s.limited }
-	p, err := f.Forward(t.Context(), sardineknot.BackendServer{Name: "s"}, &sardineknot.Call{ID: "c"}, sardineknot.ForwardOptions{})
+	p, err := s.forwarder().Forward(t.Context(), sardineknot.BackendServer{Name: "s"}, &sardineknot.Call{ID: "c"}, sardineknot.ForwardOptions{})
 	is.New(t).NoErr(err)
 	b, err := io.ReadAll(p.Body)
 	_, again := p.Body.Read(make([]byte, 1))
--- a/prober.go
+++ b/prober.go
@@ -50,3 +50,17 @@
 	var i *InstanceError
 	return errors.As(e.Cause, &i) || errors.As(e.Cause, &u) && errors.Is(e.Cause, syscall.ECONNREFUSED)
 }
+
+// UnconfirmedInstanceError reports that a stream was to resume on a backend server whose
+// process could not be shown to be the one that was expected.
+type UnconfirmedInstanceError struct {
+	Server BackendServerName
+	// Cause is the error of the probe. It is not nil. It is not unwrapped, since it says
+	// nothing about the request that was answered.
+	Cause error
+}
+
+// Error implements error.
+func (e *UnconfirmedInstanceError) Error() string {
+	return fmt.Sprintf("the process of %s is not confirmed: %v", e.Server, e.Cause)
+}
