--- a/internal/backend/completion/forwarder_test.go
+++ b/internal/backend/completion/forwarder_test.go
@@ -58,12 +58,22 @@
 }
 func (s *server) Changed() <-chan struct{} { return nil }
 
+// forwarder returns a forwarder before s.
+func (s *server) forwarder() *completion.Forwarder {
+	f := &completion.Forwarder{Forwarder: s, Prober: s, Dialer: s, Source: s, Metrics: metrics.NewRegistry()}
+	f.MayQuery = func(sardineknot.BackendServer) bool { return !s.limited }
+	return f
+}
+
+// safeCall returns a call that may run again.
+func safeCall() *sardineknot.Call {
+	return &sardineknot.Call{ID: "c", Route: &sardineknot.Route{Kind: sardineknot.RouteSafe}}
+}
+
 // read reads an answer of s to its end, and once more.
 func (s *server) read(t *testing.T) (string, error) {
 	t.Helper()
-	f := &completion.Forwarder{Forwarder: s, Prober: s, Dialer: s, Source: s, Metrics: metrics.NewRegistry()}
-	f.MayQuery = func(sardineknot.BackendServer) bool { return !s.limited }
-	p, err := f.Forward(t.Context(), sardineknot.BackendServer{Name: "s", Service: "plain"}, &sardineknot.Call{ID: "c", Route: &sardineknot.Route{Kind: sardineknot.RouteSafe}}, sardineknot.ForwardOptions{})
+	p, err := s.forwarder().Forward(t.Context(), sardineknot.BackendServer{Name: "s", Service: "plain"}, safeCall(), sardineknot.ForwardOptions{})
 	is.New(t).NoErr(err)
 	b, err := io.ReadAll(p.Body)
 	_, again := p.Body.Read(make([]byte, 1))
