peer/h2c: messages between hosts have a limit

A host read requests and responses of other hosts as a whole, whatever their length (twirp reads to the end): one faulty host could fill the memory of all others. Bodies are limited to 16 MiB now and headers to 64 KiB. A response beyond that fails with an UnavailableError, which all callers treat as a host that does not answer; a request beyond it fails with http.MaxBytesError. Tunnels and answers that hosts relay are streams, which are not kept: they use StreamClient.

--- a/internal/host/gateway/dialer.go
+++ b/internal/host/gateway/dialer.go
@@ -16,7 +16,7 @@
 // addDialer creates what connects to backend servers.
 func (p *Process) addDialer() {
 	n := uint64(p.registry.Self().Incarnation)
-	p.tunnels = &tunnel.Tunnels{Client: p.peers.Client(), Source: p.source, Metrics: p.Metrics}
+	p.tunnels = &tunnel.Tunnels{Client: p.peers.StreamClient(), Source: p.source, Metrics: p.Metrics}
 	p.dialer = reach.NewDialer()
 	p.dialer.Self, p.dialer.Members, p.dialer.Source, p.dialer.Clock = p.Settings.ID, p.registry, p.source, p.clock
 	p.dialer.Tunnels, p.dialer.Direct, p.dialer.Changed = p.tunnels, p.DialServer, p.CloseIdleConnections
--- a/internal/host/gateway/servers.go
+++ b/internal/host/gateway/servers.go
@@ -39,7 +39,7 @@
 		{p.Settings.LookupAddress, &http.Server{Handler: p.NewLookupHandler(lookup.NewDirectory(p.registry)), ReadHeaderTimeout: headerTimeout}},
 		{p.Settings.ReadyAddress, &http.Server{Handler: p.NewReadyHandler(p.ready), ReadHeaderTimeout: headerTimeout}},
 		{p.Settings.MetricsAddress, &http.Server{Handler: http.HandlerFunc(p.serveMetrics), ReadHeaderTimeout: headerTimeout}},
-		{p.Settings.PeerAddress, h2c.NewServer(m)},
+		{p.Settings.PeerAddress, h2c.NewServer(m, tunnel.Path)},
 	}
 }
 
--- a/internal/host/process/answers.go
+++ b/internal/host/process/answers.go
@@ -56,7 +56,7 @@
 	p.answers = answers{
 		registry: g,
 		runner:   p.newRunner(d, u),
-		relay:    &h2c.Relay{Answers: g, Client: p.peers.Client()},
+		relay:    &h2c.Relay{Answers: g, Client: p.peers.StreamClient()},
 	}
 	p.peerMux.Handle(d.Handler())
 	p.peerMux.Handle("GET "+h2c.Path, p.guard.Track(p.answers.relay))
--- a/internal/host/process/services.go
+++ b/internal/host/process/services.go
@@ -25,7 +25,7 @@
 		Claims:         p.claims,
 		ClaimRetention: claimRetention,
 		Releases:       q,
-		Holders:        holder.NewClient(p.members, p.peers.Client()),
+		Holders:        holder.NewClient(p.members, p.peers.StreamClient()),
 		Calls:          p.calls,
 		Circuits:       breaker.NewSet(rand.NewPCG(uint64(p.self.Incarnation), 1)),
 		Retries:        retry.NewPolicy(rand.NewPCG(uint64(p.self.Incarnation), 2)),
--- a/internal/peer/h2c/transport.go
+++ b/internal/peer/h2c/transport.go
@@ -39,6 +39,7 @@
 	sent     metrics.Counter
 	received metrics.Counter
 	client   *http.Client
+	streams  *http.Client
 }
 
 // NewTransport returns a transport that registers its metrics in r.
@@ -51,24 +52,34 @@
 		DialContext:     t.dial,
 		IdleConnTimeout: idleTimeout,
 		Protocols:       protocols(),
+
+		MaxResponseHeaderBytes: maxHeaderBytes,
 		HTTP2: &http.HTTP2Config{
 			SendPingTimeout:           pingInterval,
 			PingTimeout:               pingTimeout,
 			MaxReceiveBufferPerStream: streamBytes,
 		},
 	}
-	t.client = &http.Client{Transport: h}
+	t.client = &http.Client{Transport: limitedTransport{h}}
+	t.streams = &http.Client{Transport: h}
 	return t
 }
 
 // Client returns a client for calls to any peer. It sets no timeout: callers
-// bound each call by its context.
+// bound each call by its context. Reading a response of more than 16 MiB fails with a
+// sardineknot.UnavailableError.
 func (t *Transport) Client() *http.Client { return t.client }
 
-// NewServer returns a server that serves calls from peers with h.
-func NewServer(h http.Handler) *http.Server {
+// StreamClient returns a client like Client whose responses may have any length. They
+// must not be kept as a whole.
+func (t *Transport) StreamClient() *http.Client { return t.streams }
+
+// NewServer returns a server that serves calls from peers with h. Reading a request of
+// more than 16 MiB fails with an http.MaxBytesError, unless its path is one of
+// streamPaths.
+func NewServer(h http.Handler, streamPaths ...string) *http.Server {
 	return &http.Server{
-		Handler: h, Protocols: protocols(), ReadHeaderTimeout: dialTimeout,
+		Handler: limitRequests(h, streamPaths), Protocols: protocols(), ReadHeaderTimeout: dialTimeout, MaxHeaderBytes: maxHeaderBytes,
 		HTTP2: &http.HTTP2Config{MaxReceiveBufferPerStream: streamBytes},
 	}
 }
--- a/internal/peer/tunnel/tunnels_test.go
+++ b/internal/peer/tunnel/tunnels_test.go
@@ -69,12 +69,12 @@
 	x := http.NewServeMux()
 	x.Handle(tunnel.Path, h.served)
 	l, a := listen(t)
-	s := h2c.NewServer(x)
+	s := h2c.NewServer(x, tunnel.Path)
 	go func() { _ = s.Serve(l) }()
 	h.stop = func() { s.Close() }
 	t.Cleanup(h.stop)
 	h.host = sardineknot.EntryHost{ID: "helper", PeerAddress: a}
-	h.near = &tunnel.Tunnels{Client: h2c.NewTransport(m).Client()}
+	h.near = &tunnel.Tunnels{Client: h2c.NewTransport(m).StreamClient()}
 	return h
 }
 
