--- a/internal/backend/completion/forwarder_test.go
+++ b/internal/backend/completion/forwarder_test.go
@@ -118,6 +118,11 @@
 		_, err := s.read(t)
 		assertUnconfirmed(t, err)
 	})
+}
+
+// TestUnconfirmedEnd guards against parts of answers that count as complete, and against one
+// failed query that counts as the end of its server.
+func TestUnconfirmedEnd(t *testing.T) {
 	refused := &sardineknot.UnsentError{Server: netip.MustParseAddrPort("127.0.0.1:1"), Cause: syscall.ECONNREFUSED}
 	for _, e := range []error{refused, &sardineknot.InstanceError{Server: "s"}} {
 		t.Run("broken off at once after "+e.Error(), func(t *testing.T) {
