versions/engines: the version of a stream that an engine still runs

Cause: the record of a stream is written some 0.3 s after its first event. A stream that begins just before all hosts lose power is recorded nowhere.

Why this works: the engines go on with these streams, since nothing closes the connections, and their reports list the calls by the callers' identifiers. As the last step before a refusal the reports of the service's decode engines are read, shared by all callers, and the version of the engines that run the call is taken if no engine of another version may run it as well.

--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -51,6 +51,7 @@
 	quarantine "sardineknot.example/sardineknot/internal/quarantine/twirp"
 	serverlimits "sardineknot.example/sardineknot/internal/serverlimits/twirp"
 	"sardineknot.example/sardineknot/internal/slots/twirp"
+	"sardineknot.example/sardineknot/internal/versions/engines"
 	versions "sardineknot.example/sardineknot/internal/versions/twirp"
 )
 
@@ -255,10 +256,10 @@
 	p.backoffs = backoff.NewSet(rand.NewPCG(n, n+2))
 	p.addSlots()
 	p.addOrders()
-	p.addVersions()
 	p.addDialer()
 	p.addGuard()
 	p.addLimiter()
+	p.addVersions()
 	p.addAccountLimits()
 	p.addPlaces()
 	p.addCallHandler(h)
@@ -276,6 +277,7 @@
 	d.Members, d.Source, d.Client, d.Refresh, d.Log = p.registry, p.source, p.peers.Client(), p.mirror.Refresh, p.Log
 	k := d.Keeper
 	k.Store, k.Ranker, k.Self, k.Log, k.Metrics = p.Store, rendezvous.NewRanker(p.registry), p.registry.Self().ID, p.Log, p.Metrics
+	d.Running = &engines.Finder{Source: p.source, Forwarder: p.calls, Backoffs: p.backoffs, Clock: p.clock, Log: p.Log, Metrics: p.Metrics}
 	p.versions = d
 }
 
--- a/internal/versions/twirp/directory.go
+++ b/internal/versions/twirp/directory.go
@@ -50,8 +50,10 @@
 	// Keeper keeps versions in the key-value service. NewDirectory creates it; its
 	// other fields must be set.
 	Keeper *store.Keeper
+	// Running finds streams that engines are running.
+	Running sardineknot.RunningStreams
 	// Log receives an event for each record that another host did not get, and
-	// for each version that was not found.
+	// for each version that was found on an engine or not at all.
 	Log zerolog.Logger
 
 	records records
@@ -217,10 +219,30 @@
 	if o {
 		return l[0], true
 	}
+	if v, ok := d.findRunning(ctx, latest, stream, service); ok {
+		return v, true
+	}
 	d.Log.Warn().Stringer("event", sardineknot.LogVersionUnknown).Str("request", string(stream)).Str("service", string(service)).Int("versions", len(l)).Bool("read", k).Bool("current", c).Send()
 	return "", false
 }
 
+// findRunning returns the version of the engines that are still running stream, whose record
+// was lost with all hosts. It records the version, since the stream may break off again
+// after the engine has ended it. Unless latest, a read of the latest changes, has succeeded,
+// there may be engines that this host does not list, and none is queried.
+func (d *Directory) findRunning(ctx context.Context, latest *refresh, stream sardineknot.RequestID, service sardineknot.ServiceName) (sardineknot.SoftwareVersion, bool) {
+	if !latest.current() {
+		return "", false
+	}
+	v, ok := d.Running.Version(ctx, stream, service)
+	if !ok {
+		return "", false
+	}
+	d.Log.Info().Stringer("event", sardineknot.LogVersionRunning).Str("request", string(stream)).Str("service", string(service)).Str("version", string(v)).Send()
+	d.Record(stream, v)
+	return v, true
+}
+
 // serves reports whether the configuration has a server of service with version.
 func (d *Directory) serves(service sardineknot.ServiceName, version sardineknot.SoftwareVersion) bool {
 	return slices.ContainsFunc(d.Source.Current().BackendServers, func(b sardineknot.BackendServer) bool {
--- a/internal/versions/twirp/directory_test.go
+++ b/internal/versions/twirp/directory_test.go
@@ -45,11 +45,15 @@
 	current   *sardineknot.Configuration
 	changed   chan struct{}
 	calls     int
+	// running holds the versions of the streams that engines are running, and lookups
+	// counts the calls of Version.
+	running map[sardineknot.RequestID]sardineknot.SoftwareVersion
+	lookups int
 }
 
 // newFleet returns a fleet without hosts whose servers have the given versions.
 func newFleet(versions ...sardineknot.SoftwareVersion) *fleet {
-	f := &fleet{muxes: make(map[string]*http.ServeMux), changed: make(chan struct{}), store: newFakeStore(), paused: make(map[string]bool), older: make(map[string]bool), behind: make(map[string]*sardineknot.Configuration)}
+	f := &fleet{muxes: make(map[string]*http.ServeMux), changed: make(chan struct{}), store: newFakeStore(), paused: make(map[string]bool), older: make(map[string]bool), behind: make(map[string]*sardineknot.Configuration), running: make(map[sardineknot.RequestID]sardineknot.SoftwareVersion)}
 	f.setVersions(versions...)
 	return f
 }
@@ -125,6 +129,25 @@
 	return w.Result(), nil
 }
 
+// Version implements sardineknot.RunningStreams.
+func (f *fleet) Version(_ context.Context, stream sardineknot.RequestID, _ sardineknot.ServiceName) (sardineknot.SoftwareVersion, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lookups++
+	v, ok := f.running[stream]
+	return v, ok
+}
+
+// setRunning lets an engine of version run stream. An empty version ends the stream.
+func (f *fleet) setRunning(stream sardineknot.RequestID, version sardineknot.SoftwareVersion) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.running, stream)
+	if version != "" {
+		f.running[stream] = version
+	}
+}
+
 // member is the membership of one host of a fleet.
 type member struct {
 	*fleet
@@ -138,6 +161,7 @@
 	h := sardineknot.EntryHost{ID: sardineknot.EntryHostID(fmt.Sprint("h", n)), PeerAddress: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(n >> 8), byte(n)}), 1)}
 	d := twirp.NewDirectory(f)
 	d.Members, d.Source, d.Client, d.Log = member{f, h}, hostSource{f, h.PeerAddress.String()}, &http.Client{Transport: f}, zerolog.Nop()
+	d.Running = f
 	d.Keeper.Ranker, d.Keeper.Self, d.Keeper.Log, d.Keeper.Metrics = rendezvous.NewRanker(d.Members), h.ID, zerolog.Nop(), metrics.NewRegistry()
 	ctx, cancel := context.WithCancel(ctx)
 	o := &hostStore{fakeStore: f.store, ctx: ctx, address: h.PeerAddress.String()}
--- a/logevent.go
+++ b/logevent.go
@@ -204,6 +204,13 @@
 	// ("versions"), or there may be one that this host has not read yet ("current" is
 	// false).
 	LogVersionUnknown LogEvent = "version_unknown"
+	// LogVersionRunning reports that the software version that began a resumed stream is
+	// not recorded, and was found on an engine that is still running the stream.
+	LogVersionRunning LogEvent = "version_running"
+	// LogRunningStreamsRead reports that "engines" decode engines were queried for the
+	// streams that they are running. "unread" of them sent no report, and the others are
+	// running "running" streams.
+	LogRunningStreamsRead LogEvent = "running_streams_read"
 	// LogVersionsMixed reports whether streams of several software versions of the
 	// service "service" may be resumed ("mixed"), so that the version of each stream
 	// is written to the store.
--- a/streamversions.go
+++ b/streamversions.go
@@ -15,3 +15,13 @@
 	// since the stream may have begun.
 	Find(ctx context.Context, stream RequestID, service ServiceName) (version SoftwareVersion, found bool)
 }
+
+// RunningStreams finds streams that backend servers are still running. It is for streams
+// that no entry host and no record in the key-value service lists. Implementations are
+// safe for concurrent use.
+type RunningStreams interface {
+	// Version returns the software version of the servers of service that are running
+	// stream. found is false if no server reports it, if servers of several versions do,
+	// or if a server of another version may be running it as well.
+	Version(ctx context.Context, stream RequestID, service ServiceName) (version SoftwareVersion, found bool)
+}
