--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -135,6 +135,9 @@
 	}
 	err = a.checkGrant(g)
 	a.logGrant(g, a.Clock.Now().Sub(n))
+	if err == nil && a.lastEventAt.IsZero() {
+		a.recordVersion()
+	}
 	if err != nil {
 		a.returnGrant(err)
 	}
--- a/internal/versions/store/recorder.go
+++ b/internal/versions/store/recorder.go
@@ -20,7 +20,7 @@
 	segmentPrefix = "streams/"
 	// batchInterval is the time from the first record of a batch to its write, and so
 	// the least time between two writes.
-	batchInterval = 200 * time.Millisecond
+	batchInterval = 20 * time.Millisecond
 	// segmentTime is the time for which records are added to a segment. A longer time
 	// takes fewer keys, but more bytes, because a segment is written whole.
 	segmentTime = 4 * time.Second
--- a/internal/versions/twirp/outbox.go
+++ b/internal/versions/twirp/outbox.go
@@ -19,7 +19,7 @@
 	// recorderKey is what hosts are ranked by as recorders.
 	recorderKey = "streams/"
 	// batchDelay is the time for which a host gathers records before it sends them.
-	batchDelay = 50 * time.Millisecond
+	batchDelay = 5 * time.Millisecond
 	// retryDelay is the time after which it sends those again that were not written.
 	retryDelay = 500 * time.Millisecond
 	// recorderTimeout bounds a call to a recorder, which gathers records and writes
