--- a/internal/backend/breaker/set.go
+++ b/internal/backend/breaker/set.go
@@ -5,7 +5,7 @@
 // the server gets no calls; the open time doubles with each further failure.
 // Afterwards the circuit is half-open: a single probe call is let through, and
 // its result closes or opens the circuit. See Nygard, "Release It!", 2nd
-// edition, 2018, section 5.2. Calls that callers give up count too if the server
+// edition, 2018, section 5.2. Calls that callers abandon count too if the server
 // answers none meanwhile (Set.Unanswered): a server that never ends its answers would
 // otherwise keep its share of the calls.
 //
--- a/internal/backend/breaker/unanswered.go
+++ b/internal/backend/breaker/unanswered.go
@@ -10,7 +10,7 @@
 const minUnansweredSpacing = 250 * time.Millisecond
 
 // Unanswered ends a call to server that Pick or Assign has counted, that was sent at the
-// time sentAt, and that its caller gave up after a long wait. Callers give up calls to sound
+// time sentAt, and that its caller abandoned after a long wait. Callers abandon calls to sound
 // servers too, many at a time. Such a call counts as a failure only if server has answered
 // no other call since sentAt. Only one of the calls that end within minUnansweredSpacing
 // counts, and none that was sent before the circuit opened. A circuit that such calls have
--- a/internal/backend/completion/forwarder.go
+++ b/internal/backend/completion/forwarder.go
@@ -1,5 +1,5 @@
-// Package completion tells answers of backend servers that are complete from those that
-// broke off, where their framing does not.
+// Package completion detects answers of backend servers that broke off although their
+// framing does not show it.
 //
 // An answer with neither a length nor chunks ends with its connection. The kernel ends the
 // connections of a process that was killed in the same way. Such an answer is complete only
@@ -43,7 +43,7 @@
 	// Prober queries the servers.
 	Prober sardineknot.ServerProber
 	// MayQuery reports whether a server accepts queries from this host now. Dialer connects
-	// to one that does not, since a connection is no request.
+	// to the others, since a connection is no request.
 	MayQuery func(server sardineknot.BackendServer) bool
 	Dialer   sardineknot.ServerDialer
 	// Source provides the services.
--- a/internal/configuration/departed/set.go
+++ b/internal/configuration/departed/set.go
@@ -1,7 +1,7 @@
 // Package departed records the backend server processes whose entries were removed
 // from the platform's key-value service, or replaced there by the entry of the next
 // process under the name, with the last report of each. The times at which two processes
-// were born do not tell which one is the next, since a clock may have been set.
+// were born do not show which one is the next, since a clock may have been set.
 //
 // An entry of such a process may return: from an older copy of the service, or in
 // a report that was delayed. It counts only if the process has reported since.
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -362,8 +362,8 @@
 	}
 }
 
-// mayQuery reports whether server accepts requests beside calls: it has not asked for no
-// requests, and has named no limit.
+// mayQuery reports whether server accepts requests beside calls: it has requested no backoff
+// and announced no limit.
 func (p *Process) mayQuery(server sardineknot.BackendServer) bool {
 	return p.backoffs.Left(p.clock.Now(), server) == 0 && !p.limiter.Limited(server)
 }
--- a/prober.go
+++ b/prober.go
@@ -33,8 +33,8 @@
 // be incomplete.
 type UnconfirmedEndError struct {
 	Server BackendServerName
-	// Cause is the error of the probe. It is not nil. It is not unwrapped, since it says
-	// nothing about the request that was answered.
+	// Cause is the error of the probe. It is not nil. It is not unwrapped, since it
+	// concerns the query and not the request that was answered.
 	Cause error
 }
 
@@ -56,8 +56,8 @@
 // process could not be shown to be the one that was expected.
 type UnconfirmedInstanceError struct {
 	Server BackendServerName
-	// Cause is the error of the probe. It is not nil. It is not unwrapped, since it says
-	// nothing about the request that was answered.
+	// Cause is the error of the probe. It is not nil. It is not unwrapped, since it
+	// concerns the query and not the request that was answered.
 	Cause error
 }
 
--- a/scheduler.go
+++ b/scheduler.go
@@ -135,7 +135,7 @@
 	Kind JobEventKind
 	// Server is the engine on which the event occurred. With JobCancelled, unless Leaving
 	// is set, it is the engine from which the next part of the answer was awaited when the
-	// caller disconnected, and empty if the job was given up for another reason.
+	// caller disconnected, and empty if the job was cancelled for another reason.
 	Server BackendServerName
 	// Tokens is the number of tokens generated so far.
 	Tokens int
