--- a/internal/backend/completion/replaced_test.go
+++ b/internal/backend/completion/replaced_test.go
@@ -5,8 +5,8 @@
 	"io"
 	"net"
 	"net/netip"
+	"syscall"
 	"testing"
-	"time"
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
@@ -16,42 +16,35 @@
 	"sardineknot.example/sardineknot/internal/backend/completion"
 )
 
-// listener is a ServerDialer that connects to a listener, whatever the address.
-type listener struct {
-	net.Listener
+// endingDialer is a ServerDialer to a server whose process is ending: the kernel accepts one
+// more connection and resets it, and refuses all others.
+type endingDialer struct {
+	dials int
 }
 
-func (l *listener) Dial(ctx context.Context, _ netip.AddrPort) (net.Conn, error) {
-	var d net.Dialer
-	c, err := d.DialContext(ctx, "tcp", l.Addr().String())
-	return c, errors.WithStack(err)
+func (d *endingDialer) Dial(context.Context, netip.AddrPort) (net.Conn, error) {
+	d.dials++
+	if d.dials > 1 {
+		return nil, errors.WithStack(syscall.ECONNREFUSED)
+	}
+	c, s := net.Pipe()
+	return c, errors.WithStack(s.Close())
 }
 
-func (l *listener) Usable(net.Conn) bool { return true }
-func (l *listener) ReportSilence()       {}
+func (*endingDialer) Usable(net.Conn) bool { return true }
+func (*endingDialer) ReportSilence()       {}
 
 // TestEndingServer guards against an end that is confirmed by a connection that the kernel of
 // a killed process accepted just before it closed the listener: it resets that connection.
 func TestEndingServer(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	is.New(t).NoErr(err)
-	defer l.Close()
-	go func() {
-		c, err := l.Accept()
-		if err == nil {
-			time.Sleep(2 * time.Millisecond) // the connection is open before it is reset
-			l.Close()
-			_ = c.(*net.TCPConn).SetLinger(0)
-			c.Close()
-		}
-	}()
-	s := &server{framing: sardineknot.FramingConnection}
-	f := &completion.Forwarder{Forwarder: s, Prober: s, Dialer: &listener{l}, Source: s, Metrics: metrics.NewRegistry()}
+	s, d := &server{framing: sardineknot.FramingConnection}, &endingDialer{}
+	f := &completion.Forwarder{Forwarder: s, Prober: s, Dialer: d, Source: s, Metrics: metrics.NewRegistry()}
 	f.MayQuery = func(sardineknot.BackendServer) bool { return false }
 	p, err := f.Forward(t.Context(), sardineknot.BackendServer{Name: "s"}, safeCall(), sardineknot.ForwardOptions{})
 	is.New(t).NoErr(err)
 	_, err = io.ReadAll(p.Body)
 	assertUnconfirmed(t, err)
+	is.New(t).Equal(d.dials, 2)
 }
 
 // restarted is a ConfigurationSource in which the process of server s is a later one.
