--- a/internal/answer/events/resume_test.go
+++ b/internal/answer/events/resume_test.go
@@ -41,7 +41,7 @@
 	return got, e, err
 }
 
-// endsWhole checks that the caller gets want as a complete answer.
+// endsWhole checks that the caller receives want as a complete answer.
 func (s resumed) endsWhole(t *testing.T, want string) {
 	t.Helper()
 	is := is.New(t)
@@ -50,7 +50,7 @@
 	is.Equal(got, want)
 }
 
-// breaksOff checks that the caller gets want and then an error.
+// breaksOff checks that the caller receives want and then an error.
 func (s resumed) breaksOff(t *testing.T, want string) error {
 	t.Helper()
 	is := is.New(t)
@@ -108,7 +108,7 @@
 }
 
 // TestRepeatedNumbers guards against a piece that comes twice because an engine starts
-// before the number that was asked for, or goes back.
+// before the requested number, or goes back.
 func TestRepeatedNumbers(t *testing.T) {
 	t.Run("the other engine starts at the beginning", func(t *testing.T) {
 		resumed{answers: []answer{breaks(one + two), ends(one + two + three)}}.endsWhole(t, one+two+three)
--- a/internal/backend/breaker/unanswered_test.go
+++ b/internal/backend/breaker/unanswered_test.go
@@ -9,7 +9,7 @@
 	"sardineknot.example/sardineknot"
 )
 
-// giveUp sends a call to one of servers at start plus at, which its caller gives up a second
+// giveUp sends a call to one of servers at start plus at, which its caller abandons a second
 // later. It returns the name of the server, or "" if none is available.
 func giveUp(set *Set, at time.Duration, servers []sardineknot.BackendServer) string {
 	b, _, ok := set.Pick(start.Add(at), servers, nil)
--- a/internal/platform/twirp/behind_test.go
+++ b/internal/platform/twirp/behind_test.go
@@ -30,7 +30,7 @@
 	return nil, f.at, nil
 }
 
-// fixedSelector is a fake sardineknot.FollowerSelector of a host that asks the followers in
+// fixedSelector is a fake sardineknot.FollowerSelector of a host that reads from the followers in
 // the list.
 type fixedSelector []sardineknot.EntryHost
 
