platform/twirp, configuration/store: the bytes of reads and the time to decode a configuration

A read that fails now says how many bytes had arrived; metrics count the bytes received from followers, those discarded with broken reads, and those served to readers; configuration_accepted has the size and the time to decode. No change of logic. Tests of platform and configuration pass.

--- a/internal/configuration/store/source.go
+++ b/internal/configuration/store/source.go
@@ -146,15 +146,16 @@
 	if s.repeatedLocked(e) {
 		return false
 	}
+	b := s.Clock.Now()
 	c, ok, err := s.Decoder.DecodeConfiguration(e)
 	if ok {
 		n := e.Revision.Era != s.offered.Revision.Era || !bytes.Equal(e.Value, s.offered.Value)
 		s.offered = e
-		s.acceptLocked(e, c, err)
+		s.acceptLocked(e, c, s.Clock.Now().Sub(b), err)
 		return n
 	}
-	b, ok, err := s.Decoder.DecodeServer(e)
-	return ok && s.putLocked(e, b, err)
+	r, ok, err := s.Decoder.DecodeServer(e)
+	return ok && s.putLocked(e, r, err)
 }
 
 // repeatedLocked reports whether e certainly describes the server that is known.
@@ -176,15 +177,16 @@
 func (s *Source) Adopt(e sardineknot.StoreEntry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	b := s.Clock.Now()
 	c, ok, err := s.Decoder.DecodeConfiguration(e)
 	if ok {
-		s.acceptLocked(e, c, err)
+		s.acceptLocked(e, c, s.Clock.Now().Sub(b), err)
 	}
 }
 
-// acceptLocked makes c, which was decoded from e with the error err, the operators'
-// configuration if it is valid and newer than the present one.
-func (s *Source) acceptLocked(e sardineknot.StoreEntry, c *sardineknot.Configuration, err error) {
+// acceptLocked makes c, which was decoded from e within the given time and with the error
+// err, the operators' configuration if it is valid and newer than the present one.
+func (s *Source) acceptLocked(e sardineknot.StoreEntry, c *sardineknot.Configuration, took time.Duration, err error) {
 	if err != nil {
 		s.Log.Error().Stringer("event", sardineknot.LogConfigurationRefused).Err(err).Send()
 		return
@@ -192,7 +194,8 @@
 	if c.Revision <= s.base.Revision {
 		return
 	}
-	s.Log.Info().Stringer("event", sardineknot.LogConfigurationAccepted).Int64("revision", int64(c.Revision)).Int("routes", len(c.Routes)).Send()
+	s.Log.Info().Stringer("event", sardineknot.LogConfigurationAccepted).Int64("revision", int64(c.Revision)).Int("routes", len(c.Routes)).
+		Int("bytes", len(e.Value)).Dur("decode_ms", took).Send()
 	s.base, s.accepted, s.stale = c, e, true
 }
 
--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -58,6 +58,10 @@
 		PeerCalls:     metrics.GetOrRegisterCounter("store.peer_reads", p.Metrics),
 		StoreFailures: metrics.GetOrRegisterCounter("store.failed_reads", p.Metrics),
 		PeerFailures:  metrics.GetOrRegisterCounter("store.failed_peer_reads", p.Metrics),
+
+		PeerBytes:      metrics.GetOrRegisterCounter("store.peer_bytes", p.Metrics),
+		DiscardedBytes: metrics.GetOrRegisterCounter("store.discarded_peer_bytes", p.Metrics),
+		ServedBytes:    metrics.GetOrRegisterCounter("store.served_bytes", p.Metrics),
 	}
 	p.mirror.Feed, p.feed.Refresh = p.feed, p.mirror.Refresh
 	p.mirror.List, p.mirror.Prefix, p.mirror.OnList = p.listHosts, membership.KeyPrefix, p.beginWithHosts
--- a/internal/host/gateway/snapshot_bench_test.go
+++ b/internal/host/gateway/snapshot_bench_test.go
@@ -38,6 +38,7 @@
 		Entries: f.entries, Reachability: func() (bool, time.Time) { return true, time.Time{} }, Clock: clock.System{}, Log: zerolog.Nop(),
 		StoreCalls: metrics.NewCounter(), PeerCalls: metrics.NewCounter(),
 		StoreFailures: metrics.NewCounter(), PeerFailures: metrics.NewCounter(),
+		PeerBytes: metrics.NewCounter(), DiscardedBytes: metrics.NewCounter(), ServedBytes: metrics.NewCounter(),
 	}
 	_, h := s.Handler()
 	for _, n := range []struct {
--- a/internal/platform/twirp/age.go
+++ b/internal/platform/twirp/age.go
@@ -53,8 +53,9 @@
 }
 
 // recordFailure records that a call to peer, or to the service if peer is empty, failed
-// with err. The first failure of each since the last answer is logged.
-func (f *Feed) recordFailure(peer sardineknot.EntryHostID, begin time.Time, err error) {
+// with err after received bytes of the answer of a peer. The first failure of each since the
+// last answer is logged.
+func (f *Feed) recordFailure(peer sardineknot.EntryHostID, begin time.Time, received int64, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if peer == "" {
@@ -68,7 +69,7 @@
 	}
 	f.failed[peer] = true
 	f.Log.Info().Stringer("event", sardineknot.LogStoreSourceFailed).Str("peer", string(peer)).Bool("direct", peer == "").
-		Dur("took_ms", f.Clock.Now().Sub(begin)).Dur("view_ms", f.ageLocked()).Err(err).Send()
+		Dur("took_ms", f.Clock.Now().Sub(begin)).Dur("view_ms", f.ageLocked()).Int64("received_bytes", received).Err(err).Send()
 }
 
 // currentSince returns the time from begin until the view of this host was last known to
--- a/internal/platform/twirp/behind_test.go
+++ b/internal/platform/twirp/behind_test.go
@@ -45,6 +45,7 @@
 		Reachability: func() (bool, time.Time) { return true, time.Time{} },
 		Refresh:      func(context.Context) error { return nil },
 		StoreCalls:   metrics.NewCounter(), PeerCalls: metrics.NewCounter(), StoreFailures: metrics.NewCounter(), PeerFailures: metrics.NewCounter(),
+		PeerBytes: metrics.NewCounter(), DiscardedBytes: metrics.NewCounter(), ServedBytes: metrics.NewCounter(),
 	}
 }
 
--- a/internal/platform/twirp/cluster_test.go
+++ b/internal/platform/twirp/cluster_test.go
@@ -245,6 +245,7 @@
 		Store: pausedFeed{h.store, h}, Entries: changelog.NewLog(), Selector: followers.NewSelector(h), Clock: clock.System{}, Client: &http.Client{Transport: h},
 		Log: zerolog.Nop(), Bound: func() time.Duration { return c.bound }, StoreCalls: metrics.NewCounter(), PeerCalls: metrics.NewCounter(),
 		StoreFailures: metrics.NewCounter(), PeerFailures: metrics.NewCounter(),
+		PeerBytes: metrics.NewCounter(), DiscardedBytes: metrics.NewCounter(), ServedBytes: metrics.NewCounter(),
 	}
 	_, h.handler = h.feed.Handler()
 	h.mirror = &mirror.Mirror{
--- a/internal/platform/twirp/feed.go
+++ b/internal/platform/twirp/feed.go
@@ -72,6 +72,9 @@
 	// StoreFailures and PeerFailures count those of them that failed.
 	StoreCalls, PeerCalls       metrics.Counter
 	StoreFailures, PeerFailures metrics.Counter
+	// PeerBytes counts the bytes of the answers of followers, and DiscardedBytes those of
+	// answers that were broken off. ServedBytes counts the bytes of answers to other hosts.
+	PeerBytes, DiscardedBytes, ServedBytes metrics.Counter
 	// FirstStoreWait returns the time after the first call for which a host that is not
 	// a follower leaves the service alone and only queries followers, if nothing was
 	// answered yet. It is to differ between hosts, which may all have started together:
@@ -286,14 +289,18 @@
 // tryPeer reads from the follower host.
 func (f *Feed) tryPeer(ctx context.Context, host sardineknot.EntryHost, wait time.Duration, q request) error {
 	f.PeerCalls.Inc(1)
+	c := &meteredClient{client: f.Client}
 	b := f.Clock.Now()
-	err := callPeer(ctx, f.Client, host, wait, q.peer)
+	err := callPeer(ctx, c, host, wait, q.peer)
+	n := c.received.Load()
+	f.PeerBytes.Inc(n)
 	if isAnswer(err) {
 		f.setSource(host.ID)
 		return err
 	}
 	f.PeerFailures.Inc(1)
-	f.recordFailure(host.ID, b, err)
+	f.DiscardedBytes.Inc(n)
+	f.recordFailure(host.ID, b, n, err)
 	return err
 }
 
@@ -308,7 +315,7 @@
 	}
 	if ctx.Err() == nil {
 		f.StoreFailures.Inc(1)
-		f.recordFailure("", b, err)
+		f.recordFailure("", b, 0, err)
 	}
 	return err
 }
--- a/internal/platform/twirp/peer.go
+++ b/internal/platform/twirp/peer.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -13,7 +12,7 @@
 )
 
 // callPeer calls ask with a client of host.
-func callPeer(ctx context.Context, client *http.Client, host sardineknot.EntryHost, wait time.Duration, ask func(context.Context, rpc.Changes, time.Duration) error) error {
+func callPeer(ctx context.Context, client rpc.HTTPClient, host sardineknot.EntryHost, wait time.Duration, ask func(context.Context, rpc.Changes, time.Duration) error) error {
 	err := ask(ctx, rpc.NewChangesProtobufClient("http://"+host.PeerAddress.String(), client), wait)
 	if isAnswer(err) {
 		return err
--- a/internal/platform/twirp/service.go
+++ b/internal/platform/twirp/service.go
@@ -24,7 +24,7 @@
 // under which it must be registered.
 func (f *Feed) Handler() (path string, handler http.Handler) {
 	s := rpc.NewChangesServer(&service{feed: f})
-	return s.PathPrefix(), s
+	return s.PathPrefix(), meter(s, f.ServedBytes)
 }
 
 // Snapshot implements rpc.Changes.
