platform/twirp: tests of large configurations and of leaving servers beside them, which fail

Hosts of the tests get links: answers of followers and of the service take the time that the links of both ends need, in turns with all others.

--- a/internal/platform/twirp/bound_test.go
+++ b/internal/platform/twirp/bound_test.go
@@ -47,10 +47,18 @@
 // startSite starts the hosts of s at different moments, with the pauses between polls that
 // they have in production, while backend servers report.
 func startSite(t *testing.T, s site) *cluster {
+	return startSiteWith(t, s, func(*host, int) {})
+}
+
+// startSiteWith starts the hosts of s as startSite does. equip may change each of them, by
+// its position, before they start.
+func startSiteWith(t *testing.T, s site, equip func(h *host, i int)) *cluster {
 	c := &cluster{service: newService(), bound: s.bound}
 	l := newEntries(s.hosts, s.zones)
-	for _, e := range l {
+	for i, e := range l {
 		h := newHost(c, e, l)
+		equip(h, i)
+		l[i] = h.entry
 		h.mirror.PollDelay = func() time.Duration { return h.pollDelay(s) }
 		c.hosts = append(c.hosts, h)
 	}
--- a/internal/platform/twirp/cluster_test.go
+++ b/internal/platform/twirp/cluster_test.go
@@ -36,6 +36,8 @@
 	calls atomic.Int64
 	// revision is the revision of the last write.
 	revision sardineknot.StoreRevision
+	// link carries the answers to hosts that have links.
+	link *link
 }
 
 // put writes an entry.
@@ -78,6 +80,8 @@
 	silent atomic.Bool
 	// old, if set, replaces the state of the service for this host.
 	old atomic.Pointer[changelog.Log]
+	// carry takes the time in which entries arrive from the service. Nil means no time.
+	carry func(ctx context.Context, entries []sardineknot.StoreEntry) error
 }
 
 func (f *hostFeed) call(ctx context.Context) error {
@@ -103,7 +107,15 @@
 		s = o
 	}
 	l, n := s.Snapshot()
-	return l, n, nil
+	return l, n, f.arrive(ctx, l)
+}
+
+// arrive waits until entries have arrived.
+func (f *hostFeed) arrive(ctx context.Context, entries []sardineknot.StoreEntry) error {
+	if f.carry == nil {
+		return nil
+	}
+	return f.carry(ctx, entries)
 }
 
 // Next implements sardineknot.ChangeFeed.
@@ -112,10 +124,18 @@
 	if err != nil {
 		return nil, revision, err
 	}
+	s := f.service.log.Load()
 	if o := f.old.Load(); o != nil {
-		return o.Next(ctx, revision, timeout)
+		s = o
 	}
-	return f.service.log.Load().Next(ctx, revision, timeout)
+	l, n, err := s.Next(ctx, revision, timeout)
+	if err == nil {
+		err = f.arrive(ctx, l)
+	}
+	if err != nil {
+		return nil, revision, err
+	}
+	return l, n, nil
 }
 
 // cluster is a set of hosts that follow the service and each other in virtual
@@ -148,6 +168,10 @@
 	answers atomic.Int64
 	// harmed is set while a fault concerns the host.
 	harmed bool
+	// link carries the answers of the host and to the host. Nil means that they take no time.
+	link *link
+	// sent counts the bytes of the answers of the host over link.
+	sent atomic.Int64
 
 	mu sync.Mutex
 	// seen holds the values that the host has read, by key. seenAt holds the
@@ -179,7 +203,7 @@
 		if r.Context().Err() != nil {
 			return nil, r.Context().Err()
 		}
-		return w.Result(), nil
+		return sendResponse(r.Context(), w.Result(), o, h)
 	}
 	return nil, errCut
 }
