platform/twirp: followers send what has changed of a large value, packed once for all readers

Cause: a follower sent each change of a route as the whole configuration to up to 30 readers at the same moment, 8 MB and more on a link of 25 Mbit/s. Change: a reader says which large values it has; a follower answers with a Zstandard frame that refers to that value, made once for each base. Readers of builds before get whole values. The log keeps the last versions of large values, and of its changes only the last of each: 4,096 versions of 275 KB would have been 1.1 GB.

--- a/internal/platform/changelog/log.go
+++ b/internal/platform/changelog/log.go
@@ -12,9 +12,15 @@
 	"sardineknot.example/sardineknot"
 )
 
-// maxChanges is the number of changes that are kept besides the current
-// entries. Readers that are further behind read all entries again.
-const maxChanges = 4096
+const (
+	// maxChanges is the number of changes that are kept besides the current
+	// entries. Readers that are further behind read all entries again.
+	maxChanges = 4096
+	// maxVersions and maxVersionBytes bound the versions of a large value that are kept,
+	// the current one included, which is kept in any case.
+	maxVersions     = 4
+	maxVersionBytes = 2 * sardineknot.MaxStoreValueBytes
+)
 
 // Log holds the current entries and the recent changes. It is safe for
 // concurrent use. Use NewLog to create one.
@@ -25,8 +31,12 @@
 	// pending holds the changes recorded since the last Commit.
 	pending []sardineknot.StoreEntry
 	// batches holds the kept batches in the order of their revisions. None is
-	// empty.
+	// empty. A large value that was replaced since is left out: with thousands of changes,
+	// all its versions would take more memory than a host has.
 	batches []batch
+	// versions holds the last versions of the large values in entries, by key and in the
+	// order of their revisions. The last one is the one in entries.
+	versions map[string][]sardineknot.StoreEntry
 	// changes is the number of changes in batches.
 	changes int
 	// start is the revision after which batches is complete. end is the
@@ -46,7 +56,11 @@
 
 // NewLog returns an empty log.
 func NewLog() *Log {
-	return &Log{entries: make(map[string]sardineknot.StoreEntry), grown: make(chan struct{})}
+	return &Log{
+		entries:  make(map[string]sardineknot.StoreEntry),
+		versions: make(map[string][]sardineknot.StoreEntry),
+		grown:    make(chan struct{}),
+	}
 }
 
 // Record records a change. An entry without a revision number was removed.
@@ -95,6 +109,7 @@
 // Readers that wait for changes of the era before notice it.
 func (l *Log) beginLocked(revision sardineknot.StoreRevision) {
 	clear(l.entries)
+	clear(l.versions)
 	l.applyLocked()
 	l.pending, l.batches, l.changes = nil, nil, 0
 	l.start, l.end = revision, revision
@@ -104,12 +119,69 @@
 // applyLocked applies the recorded changes to the entries.
 func (l *Log) applyLocked() {
 	for _, e := range l.pending {
+		if l.versions[e.Key] != nil {
+			l.dropReplacedLocked(e.Key)
+		}
 		if e.Revision.Absent() {
 			delete(l.entries, e.Key)
+			delete(l.versions, e.Key)
 			continue
 		}
 		l.entries[e.Key] = e
+		l.addVersionLocked(e)
+	}
+	l.pending = slices.DeleteFunc(l.pending, func(e sardineknot.StoreEntry) bool {
+		return e.Large() && l.entries[e.Key].Revision != e.Revision
+	})
+}
+
+// dropReplacedLocked removes the changes of key from the batches.
+func (l *Log) dropReplacedLocked(key string) {
+	for i := range l.batches {
+		b := &l.batches[i]
+		n := len(b.changes)
+		b.changes = slices.DeleteFunc(b.changes, func(e sardineknot.StoreEntry) bool { return e.Key == key })
+		l.changes -= n - len(b.changes)
+	}
+	l.batches = slices.DeleteFunc(l.batches, func(b batch) bool { return len(b.changes) == 0 })
+}
+
+// addVersionLocked records e as the current version of its key. Only large values have
+// versions.
+func (l *Log) addVersionLocked(e sardineknot.StoreEntry) {
+	if !e.Large() {
+		delete(l.versions, e.Key)
+		return
+	}
+	v := append(slices.Clip(l.versions[e.Key]), e)
+	n := 0
+	for _, o := range v {
+		n += len(o.Value)
+	}
+	for len(v) > maxVersions || len(v) > 1 && n > maxVersionBytes {
+		n -= len(v[0].Value)
+		v = v[1:]
+	}
+	l.versions[e.Key] = v
+}
+
+// Versions returns the last versions of the large value of key in the order of their
+// revisions, or nothing if its value is not large. The last one is the current one.
+func (l *Log) Versions(key string) []sardineknot.StoreEntry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.versions[key]
+}
+
+// Large returns the current entries with large values, in no particular order.
+func (l *Log) Large() []sardineknot.StoreEntry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	r := make([]sardineknot.StoreEntry, 0, len(l.versions))
+	for _, v := range l.versions {
+		r = append(r, v[len(v)-1])
 	}
+	return r
 }
 
 // notifyLocked wakes the readers that wait.
--- a/internal/platform/twirp/feed.go
+++ b/internal/platform/twirp/feed.go
@@ -83,6 +83,8 @@
 
 	// packs holds the entries as they are sent to hosts that start.
 	packs packedEntries
+	// patches holds the patches of large values for hosts that read from this one.
+	patches patches
 	// latest is the latest era of an answer.
 	latest era.Latest
 
@@ -152,7 +154,7 @@
 		b := f.Clock.Now()
 		var d time.Duration
 		var e error
-		changes, next, d, e = nextFrom(ctx, peer, revision, wait)
+		changes, next, d, e = f.nextFrom(ctx, peer, revision, wait)
 		a = b.Add(d)
 		return f.admit(next, e)
 	}, store: func(ctx context.Context, wait time.Duration) error {
--- a/internal/platform/twirp/pack.go
+++ b/internal/platform/twirp/pack.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"context"
 	"io"
+	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -16,7 +17,7 @@
 
 const (
 	// maxLaterChanges is the number of changes that are sent beside packed entries.
-	// With more, all entries are packed again.
+	// With more, or with a large value among them, all entries are packed again.
 	maxLaterChanges = 128
 	// maxUnpackedBytes bounds what a reader unpacks. A part of the entries counts as
 	// none, because servers would be missing.
@@ -40,7 +41,7 @@
 	defer p.mu.Unlock()
 	if p.packed != nil {
 		l, n, err := f.Entries.Next(ctx, p.revision, 0)
-		if err == nil && len(l) <= maxLaterChanges {
+		if err == nil && len(l) <= maxLaterChanges && !slices.ContainsFunc(l, sardineknot.StoreEntry.Large) {
 			return &rpc.SnapshotResponse{Packed: p.packed, Entries: entriesMessage(l), Era: int64(n.Era), Revision: n.Number}, nil
 		}
 	}
--- a/internal/platform/twirp/peer.go
+++ b/internal/platform/twirp/peer.go
@@ -57,10 +57,13 @@
 // and with an UnavailableError if it has not read the service as requested. current is the
 // time, counted from the call, at which the changes were complete at the earliest; it is
 // negative if that was before the call.
-func nextFrom(ctx context.Context, peer rpc.Changes, revision sardineknot.StoreRevision, wait time.Duration) (changes []sardineknot.StoreEntry, next sardineknot.StoreRevision, current time.Duration, err error) {
+func (f *Feed) nextFrom(ctx context.Context, peer rpc.Changes, revision sardineknot.StoreRevision, wait time.Duration) (changes []sardineknot.StoreEntry, next sardineknot.StoreRevision, current time.Duration, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+peerMargin)
 	defer cancel()
-	a, err := peer.Next(ctx, &rpc.NextRequest{Era: int64(revision.Era), Revision: revision.Number, WaitMicros: wait.Microseconds(), Refresh: wait == 0})
+	a, err := peer.Next(ctx, &rpc.NextRequest{
+		Era: int64(revision.Era), Revision: revision.Number, WaitMicros: wait.Microseconds(), Refresh: wait == 0,
+		AcceptsPatches: true, Bases: f.bases(),
+	})
 	if err != nil {
 		return nil, revision, 0, err
 	}
@@ -71,7 +74,8 @@
 		return nil, sardineknot.StoreRevision{}, 0, errors.WithStack(&sardineknot.CompactedError{After: revision})
 	}
 	e := sardineknot.StoreEra(a.GetEra())
-	return entriesFromMessage(a.GetEntries(), e), sardineknot.StoreRevision{Era: e, Number: a.GetRevision()}, micros.Duration(a.GetCurrentMicros()), nil
+	l, err := f.applyPatches(entriesFromMessage(a.GetEntries(), e), a.GetEntries())
+	return l, sardineknot.StoreRevision{Era: e, Number: a.GetRevision()}, micros.Duration(a.GetCurrentMicros()), err
 }
 
 // entriesFromMessage returns the entries of message, which were read in era.
--- a/internal/platform/twirp/service.go
+++ b/internal/platform/twirp/service.go
@@ -81,7 +81,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return &rpc.NextResponse{Entries: entriesMessage(l), Era: int64(n.Era), Revision: n.Number, Refreshed: request.GetRefresh(), CurrentMicros: c}, nil
+	m, err := s.feed.changesMessage(l, request)
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &rpc.NextResponse{Entries: m, Era: int64(n.Era), Revision: n.Number, Refreshed: request.GetRefresh(), CurrentMicros: c}, nil
 }
 
 // changesAfter waits for changes after revision, for at most wait. current is the result
--- a/store.go
+++ b/store.go
@@ -16,6 +16,14 @@
 	Revision StoreRevision
 }
 
+// largeValueBytes is the length from which on a value is large: it takes several packets, so that
+// sending what has changed in its place pays.
+const largeValueBytes = 4 << 10
+
+// Large reports whether the value is large. Entry hosts send each other large values apart
+// from others, and what has changed in place of them.
+func (e StoreEntry) Large() bool { return len(e.Value) >= largeValueBytes }
+
 // MaxStoreValueBytes is the maximum length of a value, in bytes.
 const MaxStoreValueBytes = 1 << 20
 
