platform/twirp: large values are read apart, so that a leaving server does not wait for them

Cause: changes come as one answer, complete up to a revision, so that the news of a leaving server wait until the large configuration before it, or beside it, has arrived. Change: a patch of more than 4 KB is announced only; the reader requests it in parts of 16 KB beside its reads of changes, goes on with the bytes that it has at another follower when one fails, and reads the value from the service when followers fail or the bound is near. The age of the view counts what is still missing, so that unknown routes are refused as not run meanwhile, and a host that misses a value serves no changes.

--- a/feed.go
+++ b/feed.go
@@ -17,7 +17,8 @@
 	// Next returns the changes that were made after revision, and the revision
 	// to pass to the next call. If there are no such changes yet, Next waits
 	// for them, for at most timeout. With a timeout of zero, the result holds all
-	// changes that were made before the call. Next fails with a CompactedError if the
+	// changes that were made before the call, but for large values that take longer to arrive
+	// and are among the results of later calls. Next fails with a CompactedError if the
 	// service no longer keeps these changes, or if a new era has begun.
 	Next(ctx context.Context, revision StoreRevision, timeout time.Duration) ([]StoreEntry, StoreRevision, error)
 }
--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -54,6 +54,7 @@
 	p.mirror = &mirror.Mirror{Clock: p.clock, Sleep: p.clock.Sleep, PollDelay: p.pollDelay, Log: p.Log, Restores: metrics.GetOrRegisterCounter("store.restores", p.Metrics)}
 	p.feed = &feed.Feed{
 		Store: p.Feed, Entries: p.entries, Selector: p.followers, Bound: p.readBound, Reachability: p.mirror.Reachability, Clock: p.clock.SinceBootClock(), Client: p.peers.Client(), Log: p.Log,
+		ReadEntry: p.Store.Get, Sleep: p.clock.Sleep,
 		StoreCalls:    metrics.GetOrRegisterCounter("store.reads", p.Metrics),
 		PeerCalls:     metrics.GetOrRegisterCounter("store.peer_reads", p.Metrics),
 		StoreFailures: metrics.GetOrRegisterCounter("store.failed_reads", p.Metrics),
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -204,7 +204,7 @@
 		}
 		g.Go(func() error { return serve(s.server, n) })
 	}
-	for _, f := range append(p.Tasks, p.mirror.Run, p.registry.Run, p.slots.Run, p.versions.Run, p.guard.Run, p.keeper.Run, p.refresh, p.watchSettings, p.observeLoads, p.newRoleController().Run, p.places.Run, p.runAccountLimits, p.connections.Run, p.dialer.Run) {
+	for _, f := range append(p.Tasks, p.feed.Run, p.mirror.Run, p.registry.Run, p.slots.Run, p.versions.Run, p.guard.Run, p.keeper.Run, p.refresh, p.watchSettings, p.observeLoads, p.newRoleController().Run, p.places.Run, p.runAccountLimits, p.connections.Run, p.dialer.Run) {
 		g.Go(func() error { return f(w) })
 	}
 	p.Log.Info().Stringer("event", sardineknot.LogStarted).Str("zone", string(p.Settings.Zone)).Send()
--- a/internal/platform/patch/patch.go
+++ b/internal/platform/patch/patch.go
@@ -24,8 +24,9 @@
 
 // Patch is a value in encoded form.
 type Patch struct {
-	// Data is the Zstandard frame.
-	Data []byte
+	// Data is the Zstandard frame, and DataDigest the result of Digest for it.
+	Data       []byte
+	DataDigest uint64
 	// Size is the length of the value, and Digest the result of Digest for it.
 	Size   int
 	Digest uint64
@@ -48,12 +49,12 @@
 	if err != nil {
 		return Patch{}, errors.WithStack(err)
 	}
-	defer e.Close()
-	return Patch{Data: e.EncodeAll(value, nil), Size: len(value), Digest: Digest(value)}, nil
+	d := e.EncodeAll(value, nil)
+	return Patch{Data: d, DataDigest: Digest(d), Size: len(value), Digest: Digest(value)}, nil
 }
 
 // Apply returns the value that p makes from base. It fails with an InvalidError if p was not
-// made for base, or is malformed.
+// made for base, or is malformed. It does not need DataDigest.
 func (p Patch) Apply(base []byte) ([]byte, error) {
 	o := []zstd.DOption{
 		zstd.WithDecoderConcurrency(1), zstd.WithDecoderLowmem(true), zstd.WithDecoderMaxMemory(windowBytes), zstd.WithDecoderMaxWindow(windowBytes),
--- a/internal/platform/twirp/age.go
+++ b/internal/platform/twirp/age.go
@@ -10,14 +10,25 @@
 // up to revision and reflect the last answer.
 func (f *Feed) Commit(revision sardineknot.StoreRevision) {
 	f.Entries.Commit(revision)
+	p := f.transfers.pending()
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.currentAsOf = f.readAsOf
+	if !p {
+		f.completeAsOf = f.currentAsOf
+	}
 }
 
-// ViewAge returns the time since the view of this host was last known to be current. It is
-// zero before the first Commit.
+// ViewAge returns the time since the view of this host was last known to be current, large
+// values included. It is zero before the first Commit.
 func (f *Feed) ViewAge() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.sinceLocked(f.completeAsOf)
+}
+
+// changesAge returns the same as ViewAge, but for large values that are being read.
+func (f *Feed) changesAge() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.ageLocked()
@@ -26,11 +37,14 @@
 // Outdated reports whether changes may exist that should have reached this host by now.
 func (f *Feed) Outdated() bool { return f.ViewAge() > f.Bound() }
 
-func (f *Feed) ageLocked() time.Duration {
-	if f.currentAsOf.IsZero() {
+func (f *Feed) ageLocked() time.Duration { return f.sinceLocked(f.currentAsOf) }
+
+// sinceLocked returns the time since asOf, or zero if asOf is zero.
+func (f *Feed) sinceLocked(asOf time.Time) time.Duration {
+	if asOf.IsZero() {
 		return 0
 	}
-	return f.Clock.Now().Sub(f.currentAsOf)
+	return f.Clock.Now().Sub(asOf)
 }
 
 // recordRead records that the answer of a read which ended with err shows the service as
--- a/internal/platform/twirp/bound_test.go
+++ b/internal/platform/twirp/bound_test.go
@@ -65,7 +65,7 @@
 	for i, h := range c.hosts {
 		go func() {
 			time.Sleep(time.Duration(i*37%1000) * time.Millisecond)
-			_ = h.mirror.Run(t.Context())
+			h.run(t.Context())
 		}()
 	}
 	go func() {
--- a/internal/platform/twirp/cluster_test.go
+++ b/internal/platform/twirp/cluster_test.go
@@ -110,6 +110,17 @@
 	return l, n, f.arrive(ctx, l)
 }
 
+// get reads the entry of key.
+func (f *hostFeed) get(ctx context.Context, key string) (sardineknot.StoreEntry, error) {
+	l, _, err := f.Snapshot(ctx)
+	for _, e := range l {
+		if e.Key == key {
+			return e, err
+		}
+	}
+	return sardineknot.StoreEntry{Key: key}, err
+}
+
 // arrive waits until entries have arrived.
 func (f *hostFeed) arrive(ctx context.Context, entries []sardineknot.StoreEntry) error {
 	if f.carry == nil {
@@ -257,7 +268,7 @@
 		c.hosts = append(c.hosts, newHost(c, e, l))
 	}
 	for _, h := range c.hosts {
-		go func() { _ = h.mirror.Run(t.Context()) }()
+		go h.run(t.Context())
 	}
 	advance(10 * time.Second)
 	return c
@@ -267,6 +278,7 @@
 	h := &host{cluster: c, entry: self, list: list, store: &hostFeed{service: c.service}, seen: make(map[string]string), seenAt: make(map[string]time.Time)}
 	h.feed = &twirp.Feed{
 		Store: pausedFeed{h.store, h}, Entries: changelog.NewLog(), Selector: followers.NewSelector(h), Clock: clock.System{}, Client: &http.Client{Transport: h},
+		ReadEntry: h.store.get, Sleep: clock.System{}.Sleep,
 		Log: zerolog.Nop(), Bound: func() time.Duration { return c.bound }, StoreCalls: metrics.NewCounter(), PeerCalls: metrics.NewCounter(),
 		StoreFailures: metrics.NewCounter(), PeerFailures: metrics.NewCounter(),
 		PeerBytes: metrics.NewCounter(), DiscardedBytes: metrics.NewCounter(), ServedBytes: metrics.NewCounter(),
@@ -281,6 +293,12 @@
 	return h
 }
 
+// run follows the service until ctx is done.
+func (h *host) run(ctx context.Context) {
+	go func() { _ = h.feed.Run(ctx) }()
+	_ = h.mirror.Run(ctx)
+}
+
 // advance lets the hosts run for d in virtual time.
 func advance(d time.Duration) {
 	time.Sleep(d)
--- a/internal/platform/twirp/feed.go
+++ b/internal/platform/twirp/feed.go
@@ -61,6 +61,10 @@
 	Reachability func() (reachable bool, since time.Time)
 	// Refresh waits until Entries holds all changes that were made before the call.
 	Refresh func(context.Context) error
+	// ReadEntry reads the entry of a key from the service.
+	ReadEntry func(ctx context.Context, key string) (sardineknot.StoreEntry, error)
+	// Sleep waits for a duration, or returns an error when the context is done.
+	Sleep func(context.Context, time.Duration) error
 	// Clock provides the current time. It must count the time for which the machine is
 	// suspended, in which the view of this host gets older too.
 	Clock sardineknot.Clock
@@ -85,6 +89,10 @@
 	packs packedEntries
 	// patches holds the patches of large values for hosts that read from this one.
 	patches patches
+	// transfers holds the large values that are being read. valueAskedAt is the time of the
+	// last call to the service for one of them, which only Run uses.
+	transfers    transfers
+	valueAskedAt time.Time
 	// latest is the latest era of an answer.
 	latest era.Latest
 
@@ -103,8 +111,9 @@
 	startedAt time.Time
 	answered  bool
 	// readAsOf is the time for which the last answer shows the service. currentAsOf is the
-	// same for what Commit has made visible. Both are zero before the first answer.
-	readAsOf, currentAsOf time.Time
+	// same for what Commit has made visible, but for large values that are being read, and
+	// completeAsOf the same with them. All are zero before the first answer.
+	readAsOf, currentAsOf, completeAsOf time.Time
 	// readTo is the latest revision up to which this host has read the entries.
 	readTo sardineknot.StoreRevision
 	// failed holds the sources that have failed since the last answer.
@@ -144,34 +153,62 @@
 	}}
 	err = f.read(ctx, maxPeerWait, q)
 	f.recordRead(a, revision, err)
+	if err == nil {
+		f.transfers.clear()
+	}
 	return entries, revision, err
 }
 
-// Next implements sardineknot.ChangeFeed.
+// Next implements sardineknot.ChangeFeed. Large values that followers send in parts are
+// returned once they have arrived, whatever timeout is.
 func (f *Feed) Next(ctx context.Context, revision sardineknot.StoreRevision, timeout time.Duration) (changes []sardineknot.StoreEntry, next sardineknot.StoreRevision, err error) {
-	var a time.Time
+	l := f.transfers.take()
+	if len(l) > 0 {
+		return l, revision, nil
+	}
+	c, cancel := f.transfers.interruptible(ctx)
+	defer cancel()
+	changes, next, err = f.next(c, revision, timeout)
+	if err != nil && isInterrupted(c) {
+		return f.transfers.take(), revision, nil
+	}
+	return changes, next, err
+}
+
+// next reads the changes made after revision from a follower or from the service.
+func (f *Feed) next(ctx context.Context, revision sardineknot.StoreRevision, timeout time.Duration) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
+	var a answer
 	q := request{bounded: true, peer: func(ctx context.Context, peer rpc.Changes, wait time.Duration) error {
 		b := f.Clock.Now()
-		var d time.Duration
 		var e error
-		changes, next, d, e = f.nextFrom(ctx, peer, revision, wait)
-		a = b.Add(d)
-		return f.admit(next, e)
+		a, e = f.nextFrom(ctx, peer, revision, wait)
+		a.asOf = b.Add(a.current)
+		return f.admit(a.next, e)
 	}, store: func(ctx context.Context, wait time.Duration) error {
 		ctx, cancel := context.WithTimeout(ctx, wait+storeMargin)
 		defer cancel()
 		b := f.Clock.Now()
-		var e error
-		changes, next, e = f.Store.Next(ctx, revision, wait)
-		a = b
-		if len(changes) == 0 && f.Clock.Now().Sub(b) >= wait {
-			a = b.Add(wait) // the service held the call to the end
+		l, n, e := f.Store.Next(ctx, revision, wait)
+		a = answer{changes: l, next: n, asOf: b}
+		if len(l) == 0 && f.Clock.Now().Sub(b) >= wait {
+			a.asOf = b.Add(wait) // the service held the call to the end
 		}
-		return f.admit(next, e)
+		return f.admit(n, e)
 	}}
-	err = f.read(ctx, timeout, q)
-	f.recordRead(a, next, err)
-	return changes, next, err
+	err := f.read(ctx, timeout, q)
+	f.recordRead(a.asOf, a.next, err)
+	if err != nil {
+		return nil, revision, err
+	}
+	f.transfers.end(a.changes)
+	f.transfers.begin(a.deferred, f.currentSource(), f.Clock.Now())
+	return a.changes, a.next, nil
+}
+
+// isInterrupted reports whether ctx is done because a large value has arrived.
+func isInterrupted(ctx context.Context) bool {
+	var a *arrivedError
+	return errors.As(context.Cause(ctx), &a)
 }
 
 // admit returns err or, if there is none, an error if revision, the one of an
@@ -300,6 +337,9 @@
 		f.setSource(host.ID)
 		return err
 	}
+	if isInterrupted(ctx) {
+		return err
+	}
 	f.PeerFailures.Inc(1)
 	f.DiscardedBytes.Inc(n)
 	f.recordFailure(host.ID, b, n, err)
--- a/internal/platform/twirp/large_test.go
+++ b/internal/platform/twirp/large_test.go
@@ -9,6 +9,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/matryer/is"
+
 	"sardineknot.example/sardineknot"
 )
 
@@ -65,9 +67,6 @@
 	})
 }
 
-// routeBytes is about the size of one route in a configuration.
-const routeBytes = 180
-
 // newRoutes returns the text of a configuration with count routes, whose names differ as
 // those of operators do. The first routes are the same for each count.
 func newRoutes(count int) string {
@@ -198,3 +197,62 @@
 		}
 	}
 }
+
+// sentBytes returns the number of bytes that hosts have sent each other.
+func (c *cluster) sentBytes() int64 {
+	var n int64
+	for _, h := range c.hosts {
+		n += h.sent.Load()
+	}
+	return n
+}
+
+// TestBrokenTransferGoesOn guards against a large value that is read from its beginning again
+// when the follower from which a host reads it dies, which costs the other followers the time
+// of their links that all need.
+func TestBrokenTransferGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startFleet(t, fleets[0])
+		b := c.sentBytes()
+		c.service.put("config", randomText(200<<10, 4))
+		advance(1500 * time.Millisecond)
+		harmFollowers(c, even, kill)
+		advance(10 * time.Second)
+		n := 0
+		for _, h := range c.hosts {
+			v, _ := h.get("config")
+			is.True(h.harmed || len(v) == 200<<10)
+			if !h.feed.Selector.FollowsStore() {
+				n++
+			}
+		}
+		s := c.sentBytes() - b
+		t.Logf("%d bytes for %d readers", s, n)
+		is.True(s < int64(n)*(200<<10)*5/4)
+	})
+}
+
+// TestViewOfMissingValue guards against a host that denies what a large value on its way may
+// allow, and against one that passes on a state without that value as complete.
+func TestViewOfMissingValue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := startFleet(t, fleets[2])
+		c.service.put("config", randomText(700<<10, 5))
+		advance(2 * time.Second)
+		c.service.put("server", "leaving")
+		advance(900 * time.Millisecond)
+		n := 0
+		for _, h := range c.hosts {
+			v, _ := h.get("config")
+			s, _ := h.get("server")
+			if len(v) > 1 || s == "" {
+				continue
+			}
+			n++
+			is.True(h.feed.ViewAge() > 2*time.Second)
+		}
+		is.True(n > 0) // some hosts have the small change only
+	})
+}
--- a/internal/platform/twirp/patches.go
+++ b/internal/platform/twirp/patches.go
@@ -1,6 +1,7 @@
 package twirp
 
 import (
+	"slices"
 	"strconv"
 	"sync"
 
@@ -11,25 +12,29 @@
 	rpc "sardineknot.example/sardineknot/internal/rpc/changes"
 )
 
+// maxInlineBytes is the length up to which a patch is sent together with other changes. They
+// must not wait for longer ones.
+const maxInlineBytes = 4 << 10
+
 // patches makes the patches of large values, each once for all readers that have the same
 // base.
 type patches struct {
 	mu sync.Mutex
-	// made holds the patches of the current values, by key.
-	made map[string]*patchesOfValue
-	// digests holds the digests of values, by key and revision.
+	// made holds the patches of the versions that are kept, by key.
+	made map[string]map[patchName]patch.Patch
+	// digests holds the digests of these versions, by key.
 	digests map[string]map[sardineknot.StoreRevision]uint64
 }
 
-// patchesOfValue holds the patches that make one version of a value.
-type patchesOfValue struct {
-	revision sardineknot.StoreRevision
-	// byBase holds the patches by the revision of their base. That of the compressed value
-	// has the number zero.
-	byBase map[int64]patch.Patch
+// patchName identifies a patch of a key.
+type patchName struct {
+	// revision is the one of the value that the patch makes, and base the one of the value
+	// that it refers to. base has no number if there is none.
+	revision, base sardineknot.StoreRevision
 }
 
-// digest returns the digest of e. versions holds the versions of its key that are kept.
+// digest returns the digest of e, which is one of versions. These are the versions of its key
+// that are kept.
 func (p *patches) digest(e sardineknot.StoreEntry, versions []sardineknot.StoreEntry) uint64 {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -41,44 +46,62 @@
 	if ok {
 		return d
 	}
-	m := map[sardineknot.StoreRevision]uint64{e.Revision: patch.Digest(e.Value)}
-	for _, v := range versions {
-		o, ok := p.digests[e.Key][v.Revision]
-		if ok {
-			m[v.Revision] = o
+	p.discardLocked(e.Key, versions)
+	d = patch.Digest(e.Value)
+	p.digests[e.Key][e.Revision] = d
+	return d
+}
+
+// discardLocked discards what was made for versions of key that are no longer kept.
+func (p *patches) discardLocked(key string, versions []sardineknot.StoreEntry) {
+	if p.digests[key] == nil {
+		p.digests, p.made = withKey(p.digests, key), withKey(p.made, key)
+	}
+	for r := range p.digests[key] {
+		if !hasRevision(versions, r) {
+			delete(p.digests[key], r)
 		}
 	}
-	if p.digests == nil {
-		p.digests = make(map[string]map[sardineknot.StoreRevision]uint64)
+	for n := range p.made[key] {
+		if !hasRevision(versions, n.revision) {
+			delete(p.made[key], n)
+		}
 	}
-	p.digests[e.Key] = m
-	return m[e.Revision]
 }
 
-// message returns the patch that makes the value of e for a reader that has base, which may
-// be nil. versions holds the versions of its key that are kept.
-func (p *patches) message(e sardineknot.StoreEntry, base *rpc.Base, versions []sardineknot.StoreEntry) (*rpc.Patch, error) {
+// hasRevision reports whether one of versions has the given revision.
+func hasRevision(versions []sardineknot.StoreEntry, revision sardineknot.StoreRevision) bool {
+	return slices.ContainsFunc(versions, func(v sardineknot.StoreEntry) bool { return v.Revision == revision })
+}
+
+// withKey returns m, or a new map if m is nil, with an empty map for key.
+func withKey[K comparable, V any](m map[string]map[K]V, key string) map[string]map[K]V {
+	if m == nil {
+		m = make(map[string]map[K]V)
+	}
+	m[key] = make(map[K]V)
+	return m
+}
+
+// find returns the patch that makes the value of e for a reader that has base, which may be
+// nil, and the revision that the patch refers to. versions holds the versions of the key of e
+// that are kept, e among them.
+func (p *patches) find(e sardineknot.StoreEntry, base *rpc.Base, versions []sardineknot.StoreEntry) (patch.Patch, sardineknot.StoreRevision, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.digestLocked(e, versions)
 	b := p.baseLocked(base, versions)
-	m := p.made[e.Key]
-	if m == nil || m.revision != e.Revision {
-		m = &patchesOfValue{revision: e.Revision, byBase: make(map[int64]patch.Patch)}
-	}
-	c, ok := m.byBase[b.Revision.Number]
-	if !ok {
-		var err error
-		c, err = patch.New(e.Value, b.Value)
-		if err != nil {
-			return nil, err
-		}
-		m.byBase[b.Revision.Number] = c
+	n := patchName{revision: e.Revision, base: b.Revision}
+	c, ok := p.made[e.Key][n]
+	if ok {
+		return c, b.Revision, nil
 	}
-	if p.made == nil {
-		p.made = make(map[string]*patchesOfValue)
+	c, err := patch.New(e.Value, b.Value)
+	if err != nil {
+		return patch.Patch{}, sardineknot.StoreRevision{}, err
 	}
-	p.made[e.Key] = m
-	return &rpc.Patch{Data: c.Data, BaseRevision: b.Revision.Number, Size: int64(c.Size), Digest: c.Digest}, nil
+	p.made[e.Key][n] = c
+	return c, b.Revision, nil
 }
 
 // baseLocked returns the version that base describes. Its revision has no number if that is
@@ -96,12 +119,16 @@
 func (f *Feed) bases() []*rpc.Base {
 	var l []*rpc.Base
 	for _, e := range f.Entries.Large() {
-		d := f.patches.digest(e, f.Entries.Versions(e.Key))
-		l = append(l, &rpc.Base{Key: e.Key, Revision: e.Revision.Number, Digest: d})
+		l = append(l, f.baseMessage(e))
 	}
 	return l
 }
 
+// baseMessage describes e, a version of a large value that this host has.
+func (f *Feed) baseMessage(e sardineknot.StoreEntry) *rpc.Base {
+	return &rpc.Base{Key: e.Key, Revision: e.Revision.Number, Digest: f.patches.digest(e, f.Entries.Versions(e.Key))}
+}
+
 // changesMessage returns changes as the reader that sent request accepts them.
 func (f *Feed) changesMessage(changes []sardineknot.StoreEntry, request *rpc.NextRequest) ([]*rpc.Entry, error) {
 	l := entriesMessage(changes)
@@ -112,15 +139,25 @@
 		if !e.Large() {
 			continue
 		}
-		m, err := f.patches.message(e, baseOf(e.Key, request.GetBases()), f.Entries.Versions(e.Key))
+		l[i].Value = nil
+		p, b, err := f.patches.find(e, baseOf(e.Key, request.GetBases()), f.Entries.Versions(e.Key))
 		if err != nil {
 			return nil, err
 		}
-		l[i].Value, l[i].Patch = nil, m
+		if len(p.Data) > maxInlineBytes {
+			l[i].Deferred = true
+			continue
+		}
+		l[i].Patch = patchMessage(p, b)
 	}
 	return l, nil
 }
 
+// patchMessage returns p, which refers to the value at the revision base.
+func patchMessage(p patch.Patch, base sardineknot.StoreRevision) *rpc.Patch {
+	return &rpc.Patch{Data: p.Data, BaseRevision: base.Number, Size: int64(p.Size), Digest: p.Digest}
+}
+
 // baseOf returns the element of bases for key, or nil if there is none.
 func baseOf(key string, bases []*rpc.Base) *rpc.Base {
 	for _, b := range bases {
@@ -131,35 +168,46 @@
 	return nil
 }
 
-// applyPatches sets the values of those entries for which message, which has the same order,
-// holds patches.
-func (f *Feed) applyPatches(entries []sardineknot.StoreEntry, message []*rpc.Entry) ([]sardineknot.StoreEntry, error) {
+// applyPatches returns entries with the values of those for which message, which has the same
+// order, holds patches, and without those that are deferred, which it returns apart.
+func (f *Feed) applyPatches(entries []sardineknot.StoreEntry, message []*rpc.Entry) (complete, deferred []sardineknot.StoreEntry, err error) {
 	for i, m := range message {
-		p := m.GetPatch()
-		if p == nil {
+		e := entries[i]
+		if m.GetDeferred() {
+			deferred = append(deferred, e)
 			continue
 		}
-		b, err := f.base(m.GetKey(), sardineknot.StoreRevision{Era: entries[i].Revision.Era, Number: p.GetBaseRevision()})
-		if err != nil {
-			return nil, err
+		p := m.GetPatch()
+		if p != nil {
+			e.Value, err = f.applyPatch(e, p.GetData(), p)
 		}
-		entries[i].Value, err = patch.Patch{Data: p.GetData(), Size: int(p.GetSize()), Digest: p.GetDigest()}.Apply(b)
 		if err != nil {
-			return nil, err
+			return nil, nil, err
 		}
+		complete = append(complete, e)
+	}
+	return complete, deferred, nil
+}
+
+// applyPatch returns the value of e that data, the frame of p, makes from the version of the
+// same key that p refers to.
+func (f *Feed) applyPatch(e sardineknot.StoreEntry, data []byte, p *rpc.Patch) ([]byte, error) {
+	b, err := f.version(e.Key, sardineknot.StoreRevision{Era: e.Revision.Era, Number: p.GetBaseRevision()})
+	if err != nil {
+		return nil, err
 	}
-	return entries, nil
+	return patch.Patch{Data: data, Size: int(p.GetSize()), Digest: p.GetDigest()}.Apply(b.Value)
 }
 
-// base returns the value of key at revision, or nil if revision has no number.
-func (f *Feed) base(key string, revision sardineknot.StoreRevision) ([]byte, error) {
+// version returns the version of key at revision. It is empty if revision has no number.
+func (f *Feed) version(key string, revision sardineknot.StoreRevision) (sardineknot.StoreEntry, error) {
 	if revision.Absent() {
-		return nil, nil
+		return sardineknot.StoreEntry{}, nil
 	}
 	for _, v := range f.Entries.Versions(key) {
 		if v.Revision == revision {
-			return v.Value, nil
+			return v, nil
 		}
 	}
-	return nil, errors.WithStack(&sardineknot.UnknownError{What: "version of " + key, Name: strconv.FormatInt(revision.Number, 10)})
+	return sardineknot.StoreEntry{}, errors.WithStack(&sardineknot.UnknownError{What: "version of " + key, Name: strconv.FormatInt(revision.Number, 10)})
 }
--- a/internal/platform/twirp/patches_test.go
+++ b/internal/platform/twirp/patches_test.go
@@ -41,8 +41,9 @@
 	if n == 0 || n > maxBytes {
 		t.Errorf("the patch has %d bytes, want at most %d", n, maxBytes)
 	}
-	l, err := reader.applyPatches(entriesFromMessage(p.GetEntries(), 0), p.GetEntries())
+	l, d, err := reader.applyPatches(entriesFromMessage(p.GetEntries(), 0), p.GetEntries())
 	is.NoErr(err)
+	is.Equal(len(d), 0)
 	is.Equal(string(l[0].Value), string(largeText(want)))
 }
 
@@ -68,7 +69,7 @@
 		for range 2 {
 			checkChange(t, newFollower("one", "two"), f, 2, "three", patchBytes)
 		}
-		is.Equal(len(f.patches.made["config"].byBase), 3) // two, one, and none
+		is.Equal(len(f.patches.made["config"]), 3) // from two, from one, and from none
 	})
 	t.Run("a reader of a build without patches", func(t *testing.T) {
 		is := is.New(t)
@@ -78,7 +79,7 @@
 		is.True(p.GetEntries()[0].GetPatch() == nil)
 	})
 	t.Run("a reader that has lost the base", func(t *testing.T) {
-		_, err := newFollower().applyPatches([]sardineknot.StoreEntry{{Key: "config"}}, []*rpc.Entry{{Key: "config", Patch: &rpc.Patch{BaseRevision: 7}}})
+		_, _, err := newFollower().applyPatches([]sardineknot.StoreEntry{{Key: "config"}}, []*rpc.Entry{{Key: "config", Patch: &rpc.Patch{BaseRevision: 7}}})
 		var u *sardineknot.UnknownError
 		is.New(t).True(errors.As(err, &u))
 	})
--- a/internal/platform/twirp/peer.go
+++ b/internal/platform/twirp/peer.go
@@ -51,13 +51,26 @@
 	return err
 }
 
+// answer is the answer of a follower or of the service to a request for changes.
+type answer struct {
+	changes []sardineknot.StoreEntry
+	// deferred holds the changed entries, without values, whose values are to be read apart.
+	deferred []sardineknot.StoreEntry
+	// next is the revision to pass to the next request.
+	next sardineknot.StoreRevision
+	// current is the time, counted from the call, at which a follower's answer was complete
+	// at the earliest. It is negative if that was before the call. asOf is the same as a
+	// time.
+	current time.Duration
+	asOf    time.Time
+}
+
 // nextFrom reads the changes of peer after revision, for which peer waits for
 // at most wait. If wait is zero, peer first reads what there is in the service. The call
 // may take peerMargin more. It fails with a CompactedError if peer does not have them,
-// and with an UnavailableError if it has not read the service as requested. current is the
-// time, counted from the call, at which the changes were complete at the earliest; it is
-// negative if that was before the call.
-func (f *Feed) nextFrom(ctx context.Context, peer rpc.Changes, revision sardineknot.StoreRevision, wait time.Duration) (changes []sardineknot.StoreEntry, next sardineknot.StoreRevision, current time.Duration, err error) {
+// and with an UnavailableError if it has not read the service as requested. It does not set
+// asOf.
+func (f *Feed) nextFrom(ctx context.Context, peer rpc.Changes, revision sardineknot.StoreRevision, wait time.Duration) (answer, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+peerMargin)
 	defer cancel()
 	a, err := peer.Next(ctx, &rpc.NextRequest{
@@ -65,17 +78,23 @@
 		AcceptsPatches: true, Bases: f.bases(),
 	})
 	if err != nil {
-		return nil, revision, 0, err
+		return answer{}, err
 	}
 	if wait == 0 && !a.GetRefreshed() {
-		return nil, revision, 0, errors.WithStack(&sardineknot.UnavailableError{Peer: "follower"})
+		return answer{}, errors.WithStack(&sardineknot.UnavailableError{Peer: "follower"})
 	}
 	if a.GetCompacted() {
-		return nil, sardineknot.StoreRevision{}, 0, errors.WithStack(&sardineknot.CompactedError{After: revision})
+		return answer{}, errors.WithStack(&sardineknot.CompactedError{After: revision})
 	}
 	e := sardineknot.StoreEra(a.GetEra())
-	l, err := f.applyPatches(entriesFromMessage(a.GetEntries(), e), a.GetEntries())
-	return l, sardineknot.StoreRevision{Era: e, Number: a.GetRevision()}, micros.Duration(a.GetCurrentMicros()), err
+	c, d, err := f.applyPatches(entriesFromMessage(a.GetEntries(), e), a.GetEntries())
+	if err != nil {
+		return answer{}, err
+	}
+	return answer{
+		changes: c, deferred: d, next: sardineknot.StoreRevision{Era: e, Number: a.GetRevision()},
+		current: micros.Duration(a.GetCurrentMicros()),
+	}, nil
 }
 
 // entriesFromMessage returns the entries of message, which were read in era.
--- a/internal/platform/twirp/service.go
+++ b/internal/platform/twirp/service.go
@@ -111,12 +111,11 @@
 	if !s.feed.followsDirectly() {
 		return twirp.FailedPrecondition.Error("this host does not read from the key-value service")
 	}
+	if s.feed.transfers.pending() {
+		return twirp.Unavailable.Error("this host does not have all large values yet")
+	}
 	return nil
 }
 
 // followsDirectly reports whether the last answer came from the service.
-func (f *Feed) followsDirectly() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.source == ""
-}
+func (f *Feed) followsDirectly() bool { return f.currentSource() == "" }
--- a/internal/platform/twirp/sources.go
+++ b/internal/platform/twirp/sources.go
@@ -63,3 +63,11 @@
 	f.source = peer
 	f.Log.Info().Stringer("event", sardineknot.LogStoreSource).Str("peer", string(peer)).Bool("direct", peer == "").Dur("view_ms", f.ageLocked()).Send()
 }
+
+// currentSource returns the follower that answered last. It is empty if the service itself
+// did.
+func (f *Feed) currentSource() sardineknot.EntryHostID {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.source
+}
--- a/internal/platform/twirp/start_test.go
+++ b/internal/platform/twirp/start_test.go
@@ -139,7 +139,7 @@
 	t.Helper()
 	for _, h := range c.hosts {
 		if !h.dead.Load() {
-			go func() { _ = h.mirror.Run(t.Context()) }()
+			go h.run(t.Context())
 		}
 	}
 	advance(limit)
--- a/internal/platform/twirp/timing.go
+++ b/internal/platform/twirp/timing.go
@@ -26,12 +26,12 @@
 
 // peerWait returns the time, at most wait, for which a follower is to hold a call.
 func (f *Feed) peerWait(wait time.Duration) time.Duration {
-	return min(wait, maxPeerWait, max(f.Bound()/8, f.retryAge()-f.ViewAge()))
+	return min(wait, maxPeerWait, max(f.Bound()/8, f.retryAge()-f.changesAge()))
 }
 
 // untilDue returns the time until the view of this host is due to be read from the service.
 // It is not positive if that time is over.
-func (f *Feed) untilDue() time.Duration { return f.dueAge() - f.ViewAge() }
+func (f *Feed) untilDue() time.Duration { return f.dueAge() - f.changesAge() }
 
 // takeDueRead reports whether the view of this host is due to be read from the service. If
 // so, it records a call. The service is not called again soon after a failure: an outage
--- a/logevent.go
+++ b/logevent.go
@@ -67,6 +67,12 @@
 	// LogStoreSource reports from where this host now reads the changes of the
 	// store: from the store itself, or from the entry host "peer".
 	LogStoreSource LogEvent = "store_source"
+	// LogLargeValueRead reports that a large value was read apart from other changes: from
+	// the store itself, or from the entry host "peer".
+	LogLargeValueRead LogEvent = "large_value_read"
+	// LogLargeValueDelayed reports the first failure, since the last part of a large value, of
+	// a call for the next one.
+	LogLargeValueDelayed LogEvent = "large_value_delayed"
 	// LogConfigurationAccepted reports that a new configuration was read from
 	// the store.
 	LogConfigurationAccepted LogEvent = "configuration_accepted"
