membership: followers have strong links

On the sites with hosts of 200, 25 and 10 Mbit/s seven of nine candidates of a zone had 25, over which all others of the zone read. A host states the rate of its link in its key; among hosts with strong processors those with at least half of the strongest link come first. Keys of builds before state none, and rank last beside others: hosts of two builds may choose different followers, which costs calls only. TestStrongLinks.

--- a/entryhost.go
+++ b/entryhost.go
@@ -61,6 +61,9 @@
 	// Processor is the processor capacity of the host, in cores. Zero means
 	// unknown.
 	Processor float64
+	// LinkMegabits is the rate of the network link of the host in megabits a second. Zero
+	// means unknown.
+	LinkMegabits float64
 	// State only advances within one incarnation, except that a suspect host
 	// may become alive again.
 	State EntryHostState
--- a/gatewaysettings.go
+++ b/gatewaysettings.go
@@ -35,6 +35,9 @@
 	// unknown for the share and 1 for the speed.
 	ProcessorShare float64
 	ProcessorSpeed float64
+	// LinkMegabits is the rate of the network link of the host in megabits a second. Zero
+	// means unknown.
+	LinkMegabits float64
 	// StopLimit is the time that the platform gives the process to stop before
 	// it kills the process. Zero means 8 s.
 	StopLimit time.Duration
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -241,6 +241,7 @@
 		PeerAddress:   s.PeerAddress,
 		Zone:          s.Zone,
 		Processor:     s.Processor(),
+		LinkMegabits:  s.LinkMegabits,
 	}
 	p.registry = membership.NewRegistry(h)
 	p.peers = h2c.NewTransport(p.Metrics)
--- a/internal/membership/followers/selector.go
+++ b/internal/membership/followers/selector.go
@@ -93,8 +93,8 @@
 	return r
 }
 
-// ofZone returns the followers of a zone: the perZone live hosts that rank
-// first.
+// ofZone returns the followers of a zone: the perZone live hosts with strong processors that
+// rank first, by their links and then by their names.
 func ofZone(hosts []sardineknot.EntryHost, zone sardineknot.AvailabilityZone) []sardineknot.EntryHost {
 	var r []sardineknot.EntryHost
 	for _, h := range hosts {
@@ -104,12 +104,30 @@
 	}
 	n := shardPrefix + string(zone)
 	r = rendezvous.Strongest(r)
+	m := strongLink(r)
 	slices.SortFunc(r, func(a, b sardineknot.EntryHost) int {
-		return cmp.Compare(rendezvous.Weight(n, b.ID), rendezvous.Weight(n, a.ID))
+		return cmp.Or(
+			cmp.Compare(min(b.LinkMegabits, m), min(a.LinkMegabits, m)),
+			cmp.Compare(rendezvous.Weight(n, b.ID), rendezvous.Weight(n, a.ID)),
+		)
 	})
 	return r[:min(len(r), perZone)]
 }
 
+// strongShare is the part of the rate of the strongest link from which on a link is strong.
+const strongShare = 0.5
+
+// strongLink returns the rate from which on the links of hosts are strong, in megabits a
+// second. All hosts of a zone read over the links of its followers, so that hosts with strong
+// ones come first.
+func strongLink(hosts []sardineknot.EntryHost) float64 {
+	var m float64
+	for _, h := range hosts {
+		m = max(m, h.LinkMegabits)
+	}
+	return strongShare * m
+}
+
 // zones returns the zones of hosts in the order of their names.
 func zones(hosts []sardineknot.EntryHost) []sardineknot.AvailabilityZone {
 	var z []sardineknot.AvailabilityZone
--- a/internal/membership/followers/selector_test.go
+++ b/internal/membership/followers/selector_test.go
@@ -40,6 +40,31 @@
 	return m
 }
 
+// TestStrongLinks guards against followers over whose weak links all hosts of a zone read,
+// although there are hosts with strong ones.
+func TestStrongLinks(t *testing.T) {
+	check := func(name string, links []float64, want ...int) {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := newHosts(len(links), 1)
+			for i, n := range links {
+				l[i].LinkMegabits = n
+			}
+			var r []int
+			for i := range l {
+				if followers.NewSelector(&members{self: i, hosts: l}).FollowsStore() {
+					r = append(r, i)
+				}
+			}
+			is.Equal(r, want)
+		})
+	}
+	check("two strong links", []float64{25, 10, 200, 25, 150, 10, 0}, 2, 4)
+	check("one strong link", []float64{25, 10, 200, 25, 99, 10, 0}, 2, 4)
+	check("hosts that state no link", []float64{0, 0, 10, 0, 10}, 2, 4)
+	check("no host states its link", []float64{0, 0}, 0, 1)
+}
+
 func TestSelector(t *testing.T) {
 	t.Run("two hosts of each zone follow the service", func(t *testing.T) {
 		is := is.New(t)
--- a/internal/membership/store/decode.go
+++ b/internal/membership/store/decode.go
@@ -30,7 +30,10 @@
 	if v.Processor < 0 || v.Processor > maxProcessor {
 		return sardineknot.EntryHost{}, errors.WithStack(&sardineknot.InvalidError{What: "processor of " + string(i), Got: strconv.FormatFloat(v.Processor, 'g', -1, 64), Expected: "0 to " + strconv.Itoa(maxProcessor) + " cores"})
 	}
-	h := sardineknot.EntryHost{ID: i, Incarnation: v.Incarnation, CallerAddress: c, PeerAddress: p, Zone: v.Zone, Processor: v.Processor}
+	if v.LinkMegabits < 0 {
+		return sardineknot.EntryHost{}, errors.WithStack(&sardineknot.InvalidError{What: "link of " + string(i), Got: strconv.FormatFloat(v.LinkMegabits, 'g', -1, 64), Expected: "at least 0 megabits a second"})
+	}
+	h := sardineknot.EntryHost{ID: i, Incarnation: v.Incarnation, CallerAddress: c, PeerAddress: p, Zone: v.Zone, Processor: v.Processor, LinkMegabits: v.LinkMegabits}
 	if v.Leaving {
 		h.State = sardineknot.EntryHostLeaving
 	}
--- a/internal/membership/store/key.go
+++ b/internal/membership/store/key.go
@@ -122,6 +122,7 @@
 		PeerAddress:   h.PeerAddress.String(),
 		Zone:          h.Zone,
 		Processor:     h.Processor,
+		LinkMegabits:  h.LinkMegabits,
 		Leaving:       h.State == sardineknot.EntryHostLeaving,
 	})
 	return b
--- a/internal/membership/store/registry.go
+++ b/internal/membership/store/registry.go
@@ -103,7 +103,9 @@
 	PeerAddress   string
 	Zone          sardineknot.AvailabilityZone
 	Processor     float64
-	Leaving       bool
+	// LinkMegabits is zero in keys of builds that do not write it.
+	LinkMegabits float64
+	Leaving      bool
 }
 
 var (
--- a/internal/operator/settings/gateway.go
+++ b/internal/operator/settings/gateway.go
@@ -33,6 +33,9 @@
 	if s.ProcessorShare < 0 || s.ProcessorSpeed < 0 {
 		d.ReportValue("/ProcessorShare", s.ProcessorShare, "ProcessorShare and ProcessorSpeed of at least 0")
 	}
+	if s.LinkMegabits < 0 {
+		d.ReportValue("/LinkMegabits", s.LinkMegabits, "at least 0")
+	}
 	if s.ConfigurationBound < 0 || s.ConfigurationBound > maxDuration {
 		d.ReportValue("/ConfigurationBound", s.ConfigurationBound, "0s to 1h")
 	}
