peer/progress: reads of changes and values are bounded by their progress

A follower behind 10 Mbit/s could never read 1.4 MB. Change: a read goes on as long as at least 8 KB arrive within the time limit; a silent or trickling peer is noticed as before. A missing value is read from the service at half of the bound, since that takes time on a weak link, and other changes 1 s before the bound in place of 0.75 s where it is 3 s or more.

--- a/internal/platform/twirp/feed.go
+++ b/internal/platform/twirp/feed.go
@@ -11,6 +11,7 @@
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/peer/progress"
 	"sardineknot.example/sardineknot/internal/platform/changelog"
 	"sardineknot.example/sardineknot/internal/platform/era"
 	rpc "sardineknot.example/sardineknot/internal/rpc/changes"
@@ -23,21 +24,19 @@
 	// retryWait replaces maxPeerWait after a follower has failed, so that the
 	// search for another one is short.
 	retryWait = 100 * time.Millisecond
-	// peerMargin is the time that a call may take in addition to the time for
-	// which the follower holds it.
+	// peerMargin is the time within which the answer to a call begins, in addition to the
+	// time for which the follower holds it, and within which it makes progress.
 	peerMargin = 400 * time.Millisecond
 	// maxPeersTried is the number of followers that are asked within one call.
 	maxPeersTried = 3
-	// storeMargin is the time that a call to the service may take in addition
-	// to the time for which the service holds it.
+	// storeMargin is the same as peerMargin for a call to the service.
 	storeMargin = 600 * time.Millisecond
-	// snapshotTimeout bounds a read of all keys of the service. The keys of
-	// thousands of backend servers take many pages, each with a time limit of
-	// its own.
-	snapshotTimeout = 20 * time.Second
-	// peerSnapshotTimeout bounds a read of all keys from a follower, which many hosts
-	// may do at the same time.
-	peerSnapshotTimeout = 5 * time.Second
+	// snapshotTimeout bounds the time without progress in a read of all keys of the
+	// service. Its pages have shorter time limits of their own.
+	snapshotTimeout = 5 * time.Second
+	// peerSnapshotTimeout bounds the time without progress in a read of all keys from a
+	// follower, which many hosts may do at the same time.
+	peerSnapshotTimeout = 2 * time.Second
 	// storeInterval is the least time between two calls to the service of a
 	// host that is not a follower, or of a follower that the service does not answer
 	// while other followers do.
@@ -144,7 +143,7 @@
 		a = b.Add(d)
 		return f.admitCopy(revision, f.admit(revision, e))
 	}, store: func(ctx context.Context, _ time.Duration) error {
-		ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+		ctx, cancel := progress.WithTimeout(ctx, snapshotTimeout, snapshotTimeout)
 		defer cancel()
 		a = f.Clock.Now()
 		var e error
@@ -185,7 +184,7 @@
 		a.asOf = b.Add(a.current)
 		return f.admit(a.next, e)
 	}, store: func(ctx context.Context, wait time.Duration) error {
-		ctx, cancel := context.WithTimeout(ctx, wait+storeMargin)
+		ctx, cancel := progress.WithTimeout(ctx, wait+storeMargin, storeMargin)
 		defer cancel()
 		b := f.Clock.Now()
 		l, n, e := f.Store.Next(ctx, revision, wait)
--- a/internal/platform/twirp/meter.go
+++ b/internal/platform/twirp/meter.go
@@ -6,10 +6,12 @@
 	"sync/atomic"
 
 	"github.com/rcrowley/go-metrics"
+
+	"sardineknot.example/sardineknot/internal/peer/progress"
 )
 
-// meteredClient sends the requests of one call and counts the bytes of the bodies of its
-// responses.
+// meteredClient sends the requests of one call, counts the bytes of the bodies of its
+// responses, and records their progress.
 type meteredClient struct {
 	client   *http.Client
 	received atomic.Int64
@@ -17,7 +19,7 @@
 
 // Do sends r.
 func (c *meteredClient) Do(r *http.Request) (*http.Response, error) {
-	p, err := c.client.Do(r)
+	p, err := progress.Client{Client: c.client}.Do(r)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/platform/twirp/parts.go
+++ b/internal/platform/twirp/parts.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/peer/progress"
 	"sardineknot.example/sardineknot/internal/platform/patch"
 	rpc "sardineknot.example/sardineknot/internal/rpc/changes"
 )
@@ -16,7 +17,7 @@
 	// partBytes is the length of the parts in which a patch is read. Many readers share the
 	// link of a follower, on which other answers must not wait.
 	partBytes = 16 << 10
-	// partTimeout bounds the time to read a part.
+	// partTimeout bounds the time without progress in a read of a part.
 	partTimeout = 500 * time.Millisecond
 	// maxFrameBytes bounds the length of a patch. Data that cannot be compressed gets a
 	// little longer.
@@ -81,7 +82,7 @@
 // the bound, the whole value from the service.
 func (f *Feed) advance(ctx context.Context, t *transfer) error {
 	l := f.Selector.Peers()
-	if len(l) == 0 || t.failures >= maxPeersTried || f.ViewAge() >= f.dueAge() {
+	if len(l) == 0 || t.failures >= maxPeersTried || f.untilValueDue() <= 0 {
 		err := f.readWhole(ctx, t)
 		if err == nil || len(l) == 0 {
 			return err
@@ -94,7 +95,11 @@
 
 // readPart reads the next part of t from host.
 func (f *Feed) readPart(ctx context.Context, t *transfer, host sardineknot.EntryHost) error {
-	ctx, cancel := context.WithTimeout(ctx, partTimeout)
+	w := partTimeout
+	if d := f.untilValueDue(); d > 0 {
+		w = min(w, d)
+	}
+	ctx, cancel := progress.WithTimeout(ctx, w, partTimeout)
 	defer cancel()
 	f.PeerCalls.Inc(1)
 	c := &meteredClient{client: f.Client}
--- a/internal/platform/twirp/peer.go
+++ b/internal/platform/twirp/peer.go
@@ -8,6 +8,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/peer/micros"
+	"sardineknot.example/sardineknot/internal/peer/progress"
 	rpc "sardineknot.example/sardineknot/internal/rpc/changes"
 )
 
@@ -28,7 +29,7 @@
 	if err != nil {
 		return nil, sardineknot.StoreRevision{}, 0, err
 	}
-	ctx, cancel := context.WithTimeout(ctx, peerSnapshotTimeout)
+	ctx, cancel := progress.WithTimeout(ctx, peerSnapshotTimeout, peerSnapshotTimeout)
 	defer cancel()
 	a, err := peer.Snapshot(ctx, &rpc.SnapshotRequest{AcceptsPacked: true})
 	if err != nil {
@@ -66,12 +67,12 @@
 }
 
 // nextFrom reads the changes of peer after revision, for which peer waits for
-// at most wait. If wait is zero, peer first reads what there is in the service. The call
-// may take peerMargin more. It fails with a CompactedError if peer does not have them,
+// at most wait. If wait is zero, peer first reads what there is in the service. The answer
+// must begin within peerMargin more, and go on. It fails with a CompactedError if peer does not have them,
 // and with an UnavailableError if it has not read the service as requested. It does not set
 // asOf.
 func (f *Feed) nextFrom(ctx context.Context, peer rpc.Changes, revision sardineknot.StoreRevision, wait time.Duration) (answer, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+peerMargin)
+	ctx, cancel := progress.WithTimeout(ctx, wait+peerMargin, peerMargin)
 	defer cancel()
 	a, err := peer.Next(ctx, &rpc.NextRequest{
 		Era: int64(revision.Era), Revision: revision.Number, WaitMicros: wait.Microseconds(), Refresh: wait == 0,
--- a/internal/platform/twirp/timing.go
+++ b/internal/platform/twirp/timing.go
@@ -2,13 +2,28 @@
 
 import "time"
 
-// storeReserve is the time before the bound at which a host reads from the service itself.
-// It covers the wait after a failed poll, and the answer.
-const storeReserve = 750 * time.Millisecond
+const (
+	// storeReserve is the time before the bound at which a host reads from the service itself.
+	// It covers the wait after a failed poll, and the answer, which may hold a large value.
+	storeReserve = time.Second
+	// minDueShare is the least part of the bound after which it does so. Without faults, no
+	// view gets that old.
+	minDueShare = 0.625
+	// valueDueShare is the part of the bound after which a host reads a large value that is
+	// missing in its view from the service itself.
+	valueDueShare = 0.5
+)
 
 // dueAge returns the age of the view of this host at which it reads from the service itself,
 // whatever followers do.
-func (f *Feed) dueAge() time.Duration { return max(f.Bound()/2, f.Bound()-storeReserve) }
+func (f *Feed) dueAge() time.Duration { return max(f.share(minDueShare), f.Bound()-storeReserve) }
+
+// share returns the given part of the bound.
+func (f *Feed) share(part float64) time.Duration { return time.Duration(part * float64(f.Bound())) }
+
+// untilValueDue returns the time until a missing large value is due to be read from the
+// service. It is not positive if that time is over.
+func (f *Feed) untilValueDue() time.Duration { return f.share(valueDueShare) - f.ViewAge() }
 
 // maxStoreWait returns the longest time for which the service is to hold a call. It bounds
 // the time after which a follower notices that the service does not answer.
