platform/twirp: the changes of many servers are sent packed, once for all readers

Changes of more than 4 KB are a Zstandard frame, made once for the readers that get the same; readers of builds before get them as they did.

--- a/internal/platform/twirp/large_test.go
+++ b/internal/platform/twirp/large_test.go
@@ -300,3 +300,27 @@
 	}
 	return n
 }
+
+// TestManyChangesWithinBound guards against hosts that get the changes of thousands of servers
+// late, such as a release of all at once, because followers send them to all readers in full
+// length over weak links.
+func TestManyChangesWithinBound(t *testing.T) {
+	const servers = 2500
+	value := func(i int) string {
+		return fmt.Sprintf(`{"service":"wuno96b","addr":"10.1.%d.%d:8406","zone":"mids-a","version":"v2","slots":6,"state":"draining","coldLeftMs":0,"sequence":%d,"born":%d,"stage":"decode","models":[{"name":"m","version":1,"adapters":[]}]}`, i>>8, i&255, i*7, 1770000000000+i*131)
+	}
+	for _, f := range fleets {
+		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				c := startFleet(t, f)
+				b := time.Now()
+				for i := range servers {
+					c.service.put(fmt.Sprintf("server-%d", i), value(i))
+				}
+				c.checkKnown(t, "server-0", value(0), b)
+				c.checkKnown(t, fmt.Sprintf("server-%d", servers-1), value(servers-1), b)
+			})
+		})
+	}
+}
--- a/internal/platform/twirp/patches.go
+++ b/internal/platform/twirp/patches.go
@@ -6,6 +6,7 @@
 	"sync"
 
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/platform/patch"
@@ -16,6 +17,9 @@
 // must not wait for longer ones.
 const maxInlineBytes = 4 << 10
 
+// maxPackedBytes is the length up to which changes are packed. A patch has no more.
+const maxPackedBytes = sardineknot.MaxStoreValueBytes
+
 // patches makes the patches of large values, each once for all readers that have the same
 // base.
 type patches struct {
@@ -24,6 +28,8 @@
 	made map[string]map[patchName]patch.Patch
 	// digests holds the digests of these versions, by key.
 	digests map[string]map[sardineknot.StoreRevision]uint64
+	// packed is the last result of pack.
+	packed patch.Patch
 }
 
 // patchName identifies a patch of a key.
@@ -104,6 +110,24 @@
 	return c, b.Revision, nil
 }
 
+// pack returns entries as a compressed message. The changes of a moment are compressed once
+// for all readers that get the same.
+func (p *patches) pack(entries *rpc.Entries) (*rpc.Patch, error) {
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(entries)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.packed.Size != len(b) || p.packed.Digest != patch.Digest(b) {
+		p.packed, err = patch.New(b, nil)
+	}
+	if err != nil {
+		return nil, err
+	}
+	return patchMessage(p.packed, sardineknot.StoreRevision{}), nil
+}
+
 // baseLocked returns the version that base describes. Its revision has no number if that is
 // not kept.
 func (p *patches) baseLocked(base *rpc.Base, versions []sardineknot.StoreEntry) sardineknot.StoreEntry {
@@ -129,6 +153,37 @@
 	return &rpc.Base{Key: e.Key, Revision: e.Revision.Number, Digest: f.patches.digest(e, f.Entries.Versions(e.Key))}
 }
 
+// setChanges sets changes in answer, as the reader that sent request accepts them.
+func (f *Feed) setChanges(answer *rpc.NextResponse, changes []sardineknot.StoreEntry, request *rpc.NextRequest) error {
+	m, err := f.changesMessage(changes, request)
+	if err != nil {
+		return err
+	}
+	e := &rpc.Entries{Entries: m}
+	n := proto.Size(e)
+	if !request.GetAcceptsPatches() || n <= maxInlineBytes || n > maxPackedBytes {
+		answer.Entries = m
+		return nil
+	}
+	answer.Packed, err = f.patches.pack(e)
+	return err
+}
+
+// changes returns the changes in answer.
+func changes(answer *rpc.NextResponse) ([]*rpc.Entry, error) {
+	p := answer.GetPacked()
+	if p == nil {
+		return answer.GetEntries(), nil
+	}
+	v, err := patch.Patch{Data: p.GetData(), Size: int(p.GetSize()), Digest: p.GetDigest()}.Apply(nil)
+	if err != nil {
+		return nil, err
+	}
+	var m rpc.Entries
+	err = proto.Unmarshal(v, &m)
+	return m.GetEntries(), errors.WithStack(err)
+}
+
 // changesMessage returns changes as the reader that sent request accepts them.
 func (f *Feed) changesMessage(changes []sardineknot.StoreEntry, request *rpc.NextRequest) ([]*rpc.Entry, error) {
 	l := entriesMessage(changes)
--- a/internal/platform/twirp/peer.go
+++ b/internal/platform/twirp/peer.go
@@ -88,7 +88,11 @@
 		return answer{}, errors.WithStack(&sardineknot.CompactedError{After: revision})
 	}
 	e := sardineknot.StoreEra(a.GetEra())
-	c, d, err := f.applyPatches(entriesFromMessage(a.GetEntries(), e), a.GetEntries())
+	m, err := changes(a)
+	if err != nil {
+		return answer{}, err
+	}
+	c, d, err := f.applyPatches(entriesFromMessage(m, e), m)
 	if err != nil {
 		return answer{}, err
 	}
--- a/internal/platform/twirp/service.go
+++ b/internal/platform/twirp/service.go
@@ -81,11 +81,12 @@
 	if err != nil {
 		return nil, err
 	}
-	m, err := s.feed.changesMessage(l, request)
+	a := &rpc.NextResponse{Era: int64(n.Era), Revision: n.Number, Refreshed: request.GetRefresh(), CurrentMicros: c}
+	err = s.feed.setChanges(a, l, request)
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
 	}
-	return &rpc.NextResponse{Entries: m, Era: int64(n.Era), Revision: n.Number, Refreshed: request.GetRefresh(), CurrentMicros: c}, nil
+	return a, nil
 }
 
 // changesAfter waits for changes after revision, for at most wait. current is the result
