--- a/internal/operator/settings/gateway.go
+++ b/internal/operator/settings/gateway.go
@@ -27,6 +27,12 @@
 	for _, f := range []string{"ID", "Zone", "CallerAddress", "ReadyAddress", "LookupAddress", "PeerAddress", "MetricsAddress", "Store"} {
 		d.Require(fieldPointer(f))
 	}
+	checkGatewayNumbers(d, s)
+	checkGatewayDurations(d, s)
+}
+
+// checkGatewayNumbers records the numbers of s that are negative in d.
+func checkGatewayNumbers(d *hujson.Document, s sardineknot.GatewaySettings) {
 	if s.RetryRatio < 0 || s.RetrySlack < 0 {
 		d.ReportValue("/RetryRatio", s.RetryRatio, "RetryRatio and RetrySlack of at least 0")
 	}
@@ -36,6 +42,10 @@
 	if s.LinkMegabits < 0 {
 		d.ReportValue("/LinkMegabits", s.LinkMegabits, "at least 0")
 	}
+}
+
+// checkGatewayDurations records the durations of s that are out of range in d.
+func checkGatewayDurations(d *hujson.Document, s sardineknot.GatewaySettings) {
 	if s.ConfigurationBound < 0 || s.ConfigurationBound > maxDuration {
 		d.ReportValue("/ConfigurationBound", s.ConfigurationBound, "0s to 1h")
 	}
