caller/intake: all clients of a host together stay within its memory and descriptors

Cause: what a host keeps before a call runs was bounded for each request and not for all together; the parsed form of a head takes ten and more times its bytes, connections were not counted, 64 KB of each body cost nothing, and three addresses had net/http's 1 MB for a head. Change: a guard at each address bounds the connections, by memory and descriptors, and the memory of heads beyond 8 KB each, counted as they arrive. Beyond that it closes connections with incomplete requests, the oldest first, then idle ones; no call that runs is broken off. 8 KB of each body cost nothing, and all bodies take a sixth of the memory. Also at the addresses of sardineknot serve.

--- a/gatewaysettings.go
+++ b/gatewaysettings.go
@@ -30,6 +30,9 @@
 	Store netip.AddrPort
 	// MemoryMegabytes is the memory limit of the process. Zero means unlimited.
 	MemoryMegabytes int64
+	// MaxDescriptors is the maximum number of descriptors that the process may open. Zero
+	// means the limit of the operating system.
+	MaxDescriptors int
 	// ProcessorShare is the part of a core that the process may use, and
 	// ProcessorSpeed how many times as fast as a usual core it is. Zero means
 	// unknown for the share and 1 for the speed.
--- a/internal/backend/memory/budget.go
+++ b/internal/backend/memory/budget.go
@@ -3,12 +3,14 @@
 // without end, and many may do so at once.
 package memory
 
-import "sync/atomic"
+import (
+	"cmp"
+	"sync/atomic"
+)
 
 const (
-	// freeBytes is the number of bytes of each event or answer that cost nothing.
-	// Nearly all are shorter.
-	freeBytes = 64 << 10
+	// defaultFreeBytes replaces a zero Free.
+	defaultFreeBytes = 64 << 10
 	// stepBytes is the number of bytes by which they grow beyond that.
 	stepBytes = 64 << 10
 	// defaultBytes replaces a zero limit.
@@ -21,6 +23,9 @@
 	// Bytes is the number of bytes of all of them together, beyond those that cost
 	// nothing. Zero means 8 MiB.
 	Bytes int64
+	// Free is the number of bytes of each event, answer or body that cost nothing. Nearly
+	// all are shorter. Zero means 64 KiB.
+	Free int64
 
 	used atomic.Int64
 }
@@ -29,7 +34,7 @@
 // enough for the given number of bytes in all. It reports whether the budget allows
 // that. held is zero at first and must be released.
 func (b *Budget) Grow(held *int64, bytes int) bool {
-	n := int64(bytes) - freeBytes - *held
+	n := int64(bytes) - cmp.Or(b.Free, defaultFreeBytes) - *held
 	if n <= 0 {
 		return true
 	}
--- a/internal/caller/idle/drain.go
+++ b/internal/caller/idle/drain.go
@@ -135,6 +135,9 @@
 	connections *Connections
 }
 
+// NetConn returns the connection below.
+func (k *conn) NetConn() net.Conn { return k.Conn }
+
 // SetLinger is the method of net.TCPConn. It fails for a connection that has none.
 func (k *conn) SetLinger(seconds int) error {
 	l, ok := k.Conn.(interface{ SetLinger(seconds int) error })
--- /dev/null
+++ b/internal/caller/intake/guard_test.go
@@ -0,0 +1,217 @@
+package intake_test
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rcrowley/go-metrics"
+
+	"sardineknot.example/sardineknot/internal/caller/intake"
+	"sardineknot.example/sardineknot/internal/host/clock"
+)
+
+// waitTime bounds the wait for what happens within milliseconds.
+const waitTime = 20 * time.Second
+
+// server is a server whose connections a Guard bounds.
+type server struct {
+	*intake.Guard
+	address string
+	// blocked is closed to end the calls of /block.
+	blocked chan struct{}
+}
+
+// start starts a server with the given limits. It reads bodies, and answers.
+func start(t *testing.T, connections int, headBytes int64) *server {
+	s := &server{
+		Guard:   &intake.Guard{Connections: connections, HeadBytes: headBytes, Clock: clock.System{}, Closed: metrics.NewCounter()},
+		blocked: make(chan struct{}),
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.New(t).NoErr(err)
+	s.address = l.Addr().String()
+	h := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, err := io.Copy(io.Discard, r.Body)
+		if err != nil {
+			return
+		}
+		if r.URL.Path == "/block" {
+			fmt.Fprint(w, "begun")
+			_ = http.NewResponseController(w).Flush()
+			<-s.blocked
+		}
+	})}
+	g := s.Serve(h, l)
+	go func() { _ = h.Serve(g) }()
+	t.Cleanup(func() { h.Close() })
+	return s
+}
+
+// client is a connection to a server.
+type client struct {
+	t *testing.T
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (s *server) dial(t *testing.T) *client {
+	t.Helper()
+	c, err := net.Dial("tcp", s.address)
+	is.New(t).NoErr(err)
+	t.Cleanup(func() { c.Close() })
+	is.New(t).NoErr(c.SetDeadline(time.Now().Add(waitTime)))
+	return &client{t: t, Conn: c, reader: bufio.NewReader(c)}
+}
+
+// send sends text.
+func (c *client) send(text string) *client {
+	_, _ = io.WriteString(c, text)
+	return c
+}
+
+// status returns the status of the next answer, whose body is not read, or 0 if the connection
+// ends instead.
+func (c *client) status() int {
+	p, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return 0
+	}
+	return p.StatusCode
+}
+
+// assertEnds checks that the server closes the connection without an answer.
+func (c *client) assertEnds() {
+	c.t.Helper()
+	is.New(c.t).Equal(c.status(), 0)
+}
+
+// assertServed checks that the server answers.
+func (c *client) assertServed() {
+	c.t.Helper()
+	is.New(c.t).Equal(c.status(), http.StatusOK)
+}
+
+const (
+	call  = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	block = "GET /block HTTP/1.1\r\nHost: h\r\n\r\n"
+	part  = "GET / HTTP/1.1\r\nHost: h\r\n"
+)
+
+// longHead returns a part of a head with count lines.
+func longHead(count int) string { return part + strings.Repeat("a: b\r\n", count) }
+
+// TestConnections guards against callers that cannot connect because others hold all
+// connections, and against calls that are broken off for new connections.
+func TestConnections(t *testing.T) {
+	t.Run("the oldest connection with an incomplete request is closed", func(t *testing.T) {
+		s := start(t, 3, 1<<20)
+		idle := s.dial(t).send(call)
+		idle.assertServed()
+		stalled := s.dial(t).send(part)
+		silent := s.dial(t)
+		s.dial(t).send(call).assertServed()
+		stalled.assertEnds()
+		s.dial(t).send(call).assertServed()
+		silent.assertEnds()
+		idle.send(call).assertServed()
+		is.New(t).Equal(s.Closed.Count(), int64(2))
+	})
+	t.Run("then the one that was idle for the longest time", func(t *testing.T) {
+		s := start(t, 2, 1<<20)
+		a, b := s.dial(t).send(call), s.dial(t).send(call)
+		a.assertServed()
+		b.assertServed()
+		b.send(call).assertServed()
+		s.dial(t).send(call).assertServed()
+		a.assertEnds()
+		b.send(call).assertServed()
+	})
+	t.Run("no call is broken off", func(t *testing.T) {
+		s := start(t, 2, 1<<20)
+		a, b := s.dial(t).send(block), s.dial(t).send(block)
+		a.assertServed()
+		b.assertServed()
+		s.dial(t).send(call).assertEnds()
+		close(s.blocked)
+		a.send(call)
+		_, err := io.CopyN(io.Discard, a.reader, 1)
+		is.New(t).NoErr(err)
+	})
+	t.Run("a body that stops", func(t *testing.T) {
+		s := start(t, 1, 1<<20)
+		a := s.dial(t).send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n1")
+		s.dial(t).send(call).assertServed()
+		a.assertEnds()
+	})
+}
+
+// TestHeads guards against heads of many lines that take the memory of the host, and against
+// usual requests that are refused because of them.
+func TestHeads(t *testing.T) {
+	const lines = 1000
+	t.Run("heads that stop are closed for others", func(t *testing.T) {
+		s := start(t, 0, 600<<10)
+		a, b := s.dial(t).send(longHead(lines)), s.dial(t).send(longHead(lines))
+		c := s.dial(t).send(longHead(lines) + "\r\n")
+		c.assertServed()
+		a.assertEnds()
+		b.send("\r\n").assertServed()
+	})
+	t.Run("a head beyond all memory", func(t *testing.T) {
+		s := start(t, 0, 100<<10)
+		s.dial(t).send(longHead(lines)).assertEnds()
+		s.dial(t).send(call).assertServed()
+	})
+	t.Run("usual heads beside calls that hold all memory", func(t *testing.T) {
+		s := start(t, 0, 300<<10)
+		a := s.dial(t).send(strings.Replace(longHead(lines), "/ ", "/block ", 1) + "\r\n")
+		a.assertServed()
+		s.dial(t).send(longHead(lines)).assertEnds()
+		s.dial(t).send(call).assertServed()
+		close(s.blocked)
+	})
+	t.Run("memory is released with the call", func(t *testing.T) {
+		s := start(t, 0, 300<<10)
+		for range 3 {
+			s.dial(t).send(longHead(lines) + "\r\n").assertServed()
+		}
+		c := s.dial(t)
+		for range 3 {
+			c.send(longHead(lines) + "\r\n").assertServed()
+		}
+	})
+}
+
+// TestLimits guards against limits that leave a host without connections, or with more than
+// it has descriptors.
+func TestLimits(t *testing.T) {
+	check := func(megabytes int64, descriptors, connections int) {
+		t.Helper()
+		is.New(t).Equal(intake.CallerConnections(megabytes, descriptors), connections)
+	}
+	check(80, 3075, 640)
+	check(120, 3075, 958)
+	check(536, 8192, 2664)
+	check(0, 4100, 1300)
+	check(80, 100, 64)
+	is := is.New(t)
+	is.True(intake.CallerConnections(0, 0) > 0)
+	is.Equal(intake.HeadBytes(80), int64(5<<20))
+	is.True(intake.HeadBytes(0) > 0)
+}
+
+// TestWithoutGuard covers requests on connections that the guard does not know.
+func TestWithoutGuard(t *testing.T) {
+	g := &intake.Guard{Clock: clock.System{}}
+	c, _ := net.Pipe()
+	defer c.Close()
+	is.New(t).Equal(g.ConnContext(context.Background(), c), context.Background())
+}
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -58,8 +58,10 @@
 	// memoryFraction is the fraction of the process's memory limit that is set
 	// as the soft limit of the Go runtime.
 	memoryFraction = 0.7
-	// 1/bodyMemoryParts of the memory limit is for the bodies of calls.
-	bodyMemoryParts = 4
+	// 1/bodyMemoryParts of the memory limit is for the bodies of calls. Of each, freeBodyBytes
+	// cost nothing.
+	bodyMemoryParts = 6
+	freeBodyBytes   = 8 << 10
 	// gcPercent is the growth of the heap, in percent, that triggers the next
 	// garbage collection. It is below the default of 100 because memory is
 	// scarcer than processor time.
@@ -199,6 +201,7 @@
 		if err != nil {
 			return err
 		}
+		n = s.guard.Serve(s.server, n)
 		if i == 0 {
 			n = p.connections.Listener(n)
 		}
@@ -374,7 +377,7 @@
 	if p.Settings.MemoryMegabytes <= 0 {
 		return nil
 	}
-	return &servermemory.Budget{Bytes: p.Settings.MemoryMegabytes << 20 / bodyMemoryParts}
+	return &servermemory.Budget{Bytes: p.Settings.MemoryMegabytes << 20 / bodyMemoryParts, Free: freeBodyBytes}
 }
 
 // refresh periodically commits the configuration, updates the membership and
--- a/internal/host/gateway/servers.go
+++ b/internal/host/gateway/servers.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"net"
 	"net/http"
 	"net/netip"
@@ -8,15 +9,17 @@
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/caller/intake"
 	"sardineknot.example/sardineknot/internal/caller/lookup"
 	"sardineknot.example/sardineknot/internal/peer/h2c"
 	"sardineknot.example/sardineknot/internal/peer/tunnel"
 	"sardineknot.example/sardineknot/internal/report/exposition"
 )
 
-// endpoint is a server and its listen address.
+// endpoint is a server, its listen address, and the guard of its connections.
 type endpoint struct {
 	address netip.AddrPort
+	guard   *intake.Guard
 	server  *http.Server
 }
 
@@ -32,18 +35,28 @@
 	m.Handle(p.accountClient.Handler())
 	m.Handle(p.places.Handler())
 	m.Handle(tunnel.Path, p.tunnels)
+	c := p.newGuard(intake.CallerConnections(p.Settings.MemoryMegabytes, p.Settings.MaxDescriptors))
+	h := p.newGuard(peerConnections)
+	h.HeadBytes = 0 // HTTP/2 bounds the header blocks of a connection
 	return []endpoint{
-		{p.Settings.CallerAddress, &http.Server{
+		{p.Settings.CallerAddress, c, &http.Server{
 			Handler: p.handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes,
-			ConnState: p.connections.Track, ConnContext: p.handler.ConnContext,
+			ConnState: p.connections.Track, ConnContext: func(ctx context.Context, n net.Conn) context.Context {
+				return c.ConnContext(p.handler.ConnContext(ctx, n), n)
+			},
 		}},
-		{p.Settings.LookupAddress, &http.Server{Handler: p.NewLookupHandler(lookup.NewDirectory(p.registry)), ReadHeaderTimeout: headerTimeout}},
-		{p.Settings.ReadyAddress, &http.Server{Handler: p.NewReadyHandler(p.ready), ReadHeaderTimeout: headerTimeout}},
-		{p.Settings.MetricsAddress, &http.Server{Handler: http.HandlerFunc(p.serveMetrics), ReadHeaderTimeout: headerTimeout}},
-		{p.Settings.PeerAddress, h2c.NewServer(m, tunnel.Path)},
+		p.otherEndpoint(p.Settings.LookupAddress, p.NewLookupHandler(lookup.NewDirectory(p.registry))),
+		p.otherEndpoint(p.Settings.ReadyAddress, p.NewReadyHandler(p.ready)),
+		p.otherEndpoint(p.Settings.MetricsAddress, http.HandlerFunc(p.serveMetrics)),
+		{p.Settings.PeerAddress, h, h2c.NewServer(m, tunnel.Path)},
 	}
 }
 
+// otherEndpoint returns a server of handler, whose calls are short, at address.
+func (p *Process) otherEndpoint(address netip.AddrPort, handler http.Handler) endpoint {
+	return endpoint{address, p.newGuard(otherConnections), &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}}
+}
+
 // ready reports whether the host accepts calls: it has a configuration and is
 // alive.
 func (p *Process) ready() bool {
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -19,6 +19,7 @@
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/answer/join"
 	"sardineknot.example/sardineknot/internal/caller/admission"
+	"sardineknot.example/sardineknot/internal/caller/intake"
 	"sardineknot.example/sardineknot/internal/host/clock"
 	"sardineknot.example/sardineknot/internal/membership/liveness"
 	"sardineknot.example/sardineknot/internal/membership/twirp"
@@ -28,8 +29,16 @@
 	"sardineknot.example/sardineknot/internal/report/tracker"
 )
 
-// headerTimeout is the maximum time to receive the header of a request.
-const headerTimeout = 2 * time.Second
+const (
+	// headerTimeout is the maximum time to receive the header of a request, and
+	// maxHeaderBytes its maximum size.
+	headerTimeout  = 2 * time.Second
+	maxHeaderBytes = 64 << 10
+	// adminConnections and peerConnections are the maximum numbers of connections to the
+	// address for operators and to that for other hosts.
+	adminConnections = 128
+	peerConnections  = 600
+)
 
 // Process runs one entry host. Create it with NewProcess.
 type Process struct {
@@ -123,7 +132,8 @@
 			return err
 		}
 		defer l.Close()
-		g.Go(func() error { return serve(w, l, s.server) })
+		n := s.guard.Serve(s.server, l)
+		g.Go(func() error { return serve(w, n, s.server) })
 	}
 	for _, f := range p.tasks {
 		g.Go(func() error { return f(w) })
@@ -133,20 +143,32 @@
 	return g.Wait()
 }
 
-// endpoint is a server and its listen address.
+// endpoint is a server, its listen address, and the guard of its connections.
 type endpoint struct {
 	address netip.AddrPort
+	guard   *intake.Guard
 	server  *http.Server
 }
 
 func (p *Process) servers() []endpoint {
+	h := p.newGuard(peerConnections)
+	h.HeadBytes = 0 // HTTP/2 bounds the header blocks of a connection
 	return []endpoint{
-		{p.settings.CallerAddress, &http.Server{Handler: p.callerMux, ReadHeaderTimeout: headerTimeout}},
-		{p.settings.AdminAddress, &http.Server{Handler: p.adminMux, ReadHeaderTimeout: headerTimeout}},
-		{p.settings.PeerAddress, h2c.NewServer(p.peerMux)},
+		{p.settings.CallerAddress, p.newGuard(intake.CallerConnections(0, 0)), newServer(p.callerMux)},
+		{p.settings.AdminAddress, p.newGuard(adminConnections), newServer(p.adminMux)},
+		{p.settings.PeerAddress, h, h2c.NewServer(p.peerMux)},
 	}
 }
 
+// newGuard returns a guard of a server for at most the given number of connections.
+func (p *Process) newGuard(connections int) *intake.Guard {
+	return &intake.Guard{Connections: connections, HeadBytes: intake.HeadBytes(0), Clock: p.clock}
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+}
+
 func (p *Process) listen(address netip.AddrPort) (net.Listener, error) {
 	l, err := net.Listen("tcp", address.String())
 	if err != nil {
--- a/internal/operator/settings/gateway.go
+++ b/internal/operator/settings/gateway.go
@@ -39,6 +39,9 @@
 	if s.ProcessorShare < 0 || s.ProcessorSpeed < 0 {
 		d.ReportValue("/ProcessorShare", s.ProcessorShare, "ProcessorShare and ProcessorSpeed of at least 0")
 	}
+	if s.MaxDescriptors < 0 {
+		d.ReportValue("/MaxDescriptors", s.MaxDescriptors, "at least 0")
+	}
 	if s.LinkMegabits < 0 {
 		d.ReportValue("/LinkMegabits", s.LinkMegabits, "at least 0")
 	}
--- a/internal/peer/h2c/transport.go
+++ b/internal/peer/h2c/transport.go
@@ -79,7 +79,7 @@
 // streamPaths.
 func NewServer(h http.Handler, streamPaths ...string) *http.Server {
 	return &http.Server{
-		Handler: limitRequests(h, streamPaths), Protocols: protocols(), ReadHeaderTimeout: dialTimeout, MaxHeaderBytes: maxHeaderBytes,
+		Handler: limitRequests(h, streamPaths), Protocols: protocols(), ReadHeaderTimeout: dialTimeout, IdleTimeout: 2 * idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		HTTP2: &http.HTTP2Config{MaxReceiveBufferPerStream: streamBytes},
 	}
 }
