--- a/internal/platform/twirp/feed.go
+++ b/internal/platform/twirp/feed.go
@@ -92,6 +92,8 @@
 	// last call to the service for one of them, which only Run uses.
 	transfers    transfers
 	valueAskedAt time.Time
+	// answers reports whether the last call of Next was answered. Only Next uses it.
+	answers bool
 	// latest is the latest era of an answer.
 	latest era.Latest
 
@@ -158,19 +160,24 @@
 	return entries, revision, err
 }
 
-// Next implements sardineknot.ChangeFeed. Large values that followers send in parts are
-// returned once they have arrived, whatever timeout is.
+// Next implements sardineknot.ChangeFeed. Large values that followers send in parts end the
+// wait for changes when they arrive.
 func (f *Feed) Next(ctx context.Context, revision sardineknot.StoreRevision, timeout time.Duration) (changes []sardineknot.StoreEntry, next sardineknot.StoreRevision, err error) {
-	l := f.transfers.take()
-	if len(l) > 0 {
-		return l, revision, nil
+	// A read without a wait, or after a failure, is to show what the service holds, or
+	// whether it answers. A value that has arrived shows neither.
+	c, cancel := ctx, func() {}
+	if timeout > 0 && f.answers {
+		c, cancel = f.transfers.interruptible(ctx)
 	}
-	c, cancel := f.transfers.interruptible(ctx)
 	defer cancel()
 	changes, next, err = f.next(c, revision, timeout)
 	if err != nil && isInterrupted(c) {
 		return f.transfers.take(), revision, nil
 	}
+	f.answers = err == nil
+	if err == nil {
+		changes = append(f.transfers.take(), changes...)
+	}
 	return changes, next, err
 }
 
--- a/internal/platform/twirp/parts_test.go
+++ b/internal/platform/twirp/parts_test.go
@@ -1,11 +1,13 @@
 package twirp
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
@@ -161,3 +163,68 @@
 		})
 	}
 }
+
+// countedFeed is a fake sardineknot.ChangeFeed without changes that counts its calls.
+type countedFeed struct {
+	sardineknot.ChangeFeed
+	calls int
+	err   error
+}
+
+func (c *countedFeed) Next(_ context.Context, revision sardineknot.StoreRevision, _ time.Duration) ([]sardineknot.StoreEntry, sardineknot.StoreRevision, error) {
+	c.calls++
+	return nil, revision, c.err
+}
+
+// loneFollower is a fake sardineknot.FollowerSelector of a host without others.
+type loneFollower struct{}
+
+func (loneFollower) FollowsStore() bool             { return true }
+func (loneFollower) Peers() []sardineknot.EntryHost { return nil }
+
+// TestArrivedValueIsNoAnswer guards against a read for decisions that need the present state,
+// or one that shows whether the service answers, that ends without a call because a large value
+// has arrived meanwhile.
+func TestArrivedValueIsNoAnswer(t *testing.T) {
+	start := func() (*Feed, *countedFeed) {
+		f, r := newReader(1)
+		c := &countedFeed{}
+		f.Store, f.Selector, f.Bound = c, loneFollower{}, func() time.Duration { return time.Second }
+		f.StoreCalls, f.StoreFailures = metrics.NewCounter(), metrics.NewCounter()
+		f.answers = true
+		f.finishTransfer(r, sardineknot.StoreEntry{Key: "config", Revision: sardineknot.StoreRevision{Number: 1}}, 0, "a")
+		return f, c
+	}
+	next := func(f *Feed, timeout time.Duration) (int, error) {
+		l, _, err := f.Next(t.Context(), sardineknot.StoreRevision{Number: 9}, timeout)
+		return len(l), err
+	}
+	t.Run("a wait ends", func(t *testing.T) {
+		is := is.New(t)
+		f, c := start()
+		c.err = context.Canceled
+		n, err := next(f, time.Second)
+		is.NoErr(err)
+		is.Equal(n, 1)
+	})
+	t.Run("a read without a wait", func(t *testing.T) {
+		is := is.New(t)
+		f, c := start()
+		n, err := next(f, 0)
+		is.NoErr(err)
+		is.Equal(n, 1)
+		is.Equal(c.calls, 1)
+	})
+	t.Run("a read after a failure", func(t *testing.T) {
+		is := is.New(t)
+		f, c := start()
+		f.answers = false
+		c.err = context.DeadlineExceeded
+		_, err := next(f, time.Second)
+		is.True(err != nil)
+		c.err = nil
+		n, err := next(f, time.Second)
+		is.NoErr(err)
+		is.Equal(n, 1)
+	})
+}
