--- a/internal/platform/twirp/large_test.go
+++ b/internal/platform/twirp/large_test.go
@@ -57,11 +57,17 @@
 	}
 }
 
-// startFleet starts the hosts of f.
+// startFleet starts the hosts of f and waits for some seconds.
 func startFleet(t *testing.T, f fleet) *cluster {
+	return startFleetWith(t, f, func(*service) {})
+}
+
+// startFleetWith starts the hosts of f at a service that fill has filled.
+func startFleetWith(t *testing.T, f fleet, fill func(*service)) *cluster {
 	return startSiteWith(t, f.site, func(h *host, i int) {
 		if i == 0 {
 			h.cluster.service.link = newLink(storeMegabits)
+			fill(h.cluster.service)
 		}
 		f.equip(h, i/f.zones)
 	})
@@ -232,6 +238,33 @@
 	}
 }
 
+// TestStartWithLargeConfiguration guards against hosts that start together, and read a large
+// configuration and many servers so slowly that they do not serve within seconds.
+func TestStartWithLargeConfiguration(t *testing.T) {
+	const servers = 300
+	many := newRoutes(manyRoutes)
+	for _, f := range fleets {
+		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				c := startFleetWith(t, f, func(s *service) {
+					s.put("config", many)
+					for i := range servers {
+						s.put(fmt.Sprintf("server-%d", i), strings.Repeat("v", 290))
+					}
+				})
+				for _, h := range c.hosts {
+					v, _ := h.get("config")
+					w, _ := h.get(fmt.Sprintf("server-%d", servers-1))
+					if v != many || w == "" {
+						t.Errorf("%s has %d bytes of the configuration and %d of a server", h.entry.ID, len(v), len(w))
+					}
+				}
+			})
+		})
+	}
+}
+
 // sentBytes returns the number of bytes that hosts have sent each other.
 func (c *cluster) sentBytes() int64 {
 	var n int64
