backend/http1: TestKeptConnection does not wait for a connection that nobody accepts

Trace: its second exchange was on a new connection, which the server does not accept, and no connection of the client was kept: body.requestSent found the write of the first request not yet returned when its response was read, and such a connection is not kept. That is allowed; the test took it for impossible.

--- a/internal/backend/http1/copy_test.go
+++ b/internal/backend/http1/copy_test.go
@@ -87,11 +87,26 @@
 	})
 }
 
+// keepTries bounds the tries of TestKeptConnection. A response that is read before the write of
+// its request has returned ends the connection, which a busy machine brings about.
+const keepTries = 20
+
 // TestKeptConnection guards against a connection for each load query, which costs a
 // server more than the query itself.
 func TestKeptConnection(t *testing.T) {
+	for range keepTries {
+		if usesKeptConnection(t) {
+			return
+		}
+	}
+	t.Errorf("no connection was kept in %d tries", keepTries)
+}
+
+// usesKeptConnection reports whether a request that permits a kept connection is sent on the one
+// of the call before it.
+func usesKeptConnection(t *testing.T) bool {
 	is := is.New(t)
-	s := serve(t, []string{ok("1", "a"), right + "r"})
+	s := serve(t, []string{ok("1", "a"), right + "r"}, []string{right + "n"})
 	c := newClient()
 	_, err := exchange(c, s, "1")
 	is.NoErr(err)
@@ -99,5 +114,6 @@
 	is.NoErr(err)
 	b, err := io.ReadAll(p.Body)
 	is.NoErr(err)
-	is.Equal(string(b), "r")
+	is.True(string(b) == "r" || string(b) == "n")
+	return string(b) == "r"
 }
