caller/gateway, answer/events: what a stop cuts, and what it was waiting for

The lines of a host that stops do not tell the three hypotheses of docs/incidents/lost-rare-stream-in-stop.md apart: neither when a cut call was admitted, nor what it was waiting for, nor how long the stop took.

Change: call_ended and call_refused have the time since the begin of the stop (stopping_ms, with took_ms the time of the admission), drained has took_ms, and stream_cut says what a stream whose connection ended was waiting for. No decision has changed.

--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -43,6 +43,8 @@
 	// caller. repeated is the highest number of an event that was skipped, or zero.
 	continued bool
 	repeated  int
+	// stage is what the attempt waits for.
+	stage stage
 	// sentAt is the time at which the last request was sent to an engine.
 	sentAt time.Time
 	// eventCount is the number of events relayed by this attempt. firstID is the
@@ -75,7 +77,7 @@
 }
 
 func (s *session) newAttemptLocked() *attempt {
-	a := &attempt{session: s, number: s.attempts, resumeAfter: s.lastEventID, job: s.nextJob()}
+	a := &attempt{session: s, number: s.attempts, resumeAfter: s.lastEventID, job: s.nextJob(), stage: stageGrant}
 	a.ctx, a.stop = context.WithCancelCause(s.ctx)
 	s.attempts++
 	return a
@@ -220,6 +222,7 @@
 		a.returnGrant(err)
 		return err
 	}
+	a.stage = stagePrefill
 	ctx, cancel := context.WithTimeout(a.ctx, prefillTimeout)
 	defer cancel()
 	a.sentAt = a.Clock.Now()
@@ -257,6 +260,7 @@
 	} else {
 		a.watchSilence(headerTimeout)
 	}
+	a.stage = stageHeader
 	p, err := a.forward(a.cache.KVCacheReference)
 	var r *sardineknot.RefusedError
 	if errors.As(err, &r) && a.cache.Handle != "" && a.checkAccepting(a.decode) == nil {
@@ -281,7 +285,7 @@
 		a.reportFailure(err, a.decode.Name)
 		return err
 	}
-	a.response = p
+	a.response, a.stage = p, stageEvents
 	a.reader = bufio.NewReaderSize(p.Body, readBytes)
 	return nil
 }
--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -132,6 +132,7 @@
 		}
 		n := s.finishTakeover()
 		if n == nil && !s.mayRetry(err) {
+			a.logCut()
 			return s.finalError(err)
 		}
 		if n == nil {
--- a/internal/caller/gateway/answer.go
+++ b/internal/caller/gateway/answer.go
@@ -2,12 +2,12 @@
 
 import (
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/caller/stopping"
 )
 
 // writeTimeout is the longest time for which a caller may take no bytes, or hardly any,
@@ -20,8 +20,9 @@
 	writer     http.ResponseWriter
 	request    *http.Request
 	controller *http.ResponseController
-	// closesAt is not nil if the connection is closed after the answer.
-	closesAt *atomic.Pointer[time.Time]
+	// stop is the schedule of the host's stop. The connections of a host that is stopping are
+	// closed after their answers.
+	stop *stopping.Schedule
 	// clock returns the current time.
 	clock sardineknot.Clock
 	// started reports whether the header has been sent. status is the status
@@ -65,7 +66,7 @@
 	for k, v := range header {
 		h[k] = v
 	}
-	if a.closesAt.Load() != nil {
+	if _, ok := a.stop.EndsAt(); ok {
 		h.Set("Connection", "close")
 	}
 	a.started, a.status = true, status
--- a/internal/caller/gateway/handler.go
+++ b/internal/caller/gateway/handler.go
@@ -18,6 +18,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/backend/memory"
+	"sardineknot.example/sardineknot/internal/caller/stopping"
 	"sardineknot.example/sardineknot/internal/policy/durations"
 )
 
@@ -59,6 +60,8 @@
 	// Outdated reports whether routes and keys may exist that this host should have by now
 	// and lacks. Nil means that it always returns false.
 	Outdated func() bool
+	// Stop is the schedule of the host's planned stop.
+	Stop *stopping.Schedule
 	// Clock returns the current time.
 	Clock sardineknot.Clock
 	// Log receives one event for each call.
@@ -67,8 +70,6 @@
 	// durations.
 	Metrics metrics.Registry
 
-	// closesAt is set by Leave, and nil before.
-	closesAt atomic.Pointer[time.Time]
 	// durations records how long calls take.
 	durations durations.Longest
 	// active is the number of calls in progress.
@@ -82,7 +83,7 @@
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	h.active.Add(1)
 	defer h.active.Add(-1)
-	a := &answerWriter{writer: w, request: r, controller: http.NewResponseController(w), closesAt: &h.closesAt, clock: h.Clock}
+	a := &answerWriter{writer: w, request: r, controller: http.NewResponseController(w), stop: h.Stop, clock: h.Clock}
 	a.prepare()
 	var held int64
 	if h.Memory != nil {
@@ -288,5 +289,5 @@
 		e = h.Log.Warn().Err(err)
 	}
 	e.Stringer("event", sardineknot.LogCallEnded).Str("request", string(call.ID)).Str("account", string(call.AccountName())).Str("route", string(call.Route.Name)).Int64("revision", int64(call.Revision)).
-		Dur("view_ms", call.ViewAge).Str("service", string(call.Service)).Int("status", status).Dur("took_ms", d).Send()
+		Dur("view_ms", call.ViewAge).Str("service", string(call.Service)).Int("status", status).Dur("took_ms", d).Func(h.logStop(n)).Send()
 }
--- a/internal/caller/gateway/refusal.go
+++ b/internal/caller/gateway/refusal.go
@@ -27,7 +27,7 @@
 func (h *Handler) refuse(writer *answerWriter, r *http.Request, err error) {
 	s := h.sendError(writer, err)
 	h.Log.Warn().Stringer("event", sardineknot.LogCallRefused).Str("called_host", r.Host).Str("path", r.URL.Path).Int("status", s).
-		Int64("revision", int64(h.Source.Current().Revision)).Dur("view_ms", h.viewAge()).Err(err).Send()
+		Int64("revision", int64(h.Source.Current().Revision)).Dur("view_ms", h.viewAge()).Func(h.logStop(h.Clock.Now())).Err(err).Send()
 }
 
 // sendError sends the status code that corresponds to err, with an empty body,
--- a/internal/caller/gateway/stop.go
+++ b/internal/caller/gateway/stop.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
 )
@@ -17,19 +18,13 @@
 	durationFactorTenths = 15
 )
 
-// Leave announces that the host closes its connections at the given time. It adds the
-// header field "Connection: close" to all answers that begin from now on, also to calls
-// that have already arrived: their connections are closed after the answer, and the
-// callers connect to other hosts. Calls that may not end in time are refused.
-func (h *Handler) Leave(closesAt time.Time) { h.closesAt.Store(&closesAt) }
-
-// checkTime fails with a NotRunError if the host is leaving and call may not end before
+// checkTime fails with a NotRunError if the host is stopping and call may not end before
 // it closes its connections. A call ends at its deadline at the latest. Most end much
 // sooner, and are expected to take not much longer than the longest recent one of
 // their route.
 func (h *Handler) checkTime(call *sardineknot.Call) error {
-	e := h.closesAt.Load()
-	if e == nil {
+	e, ok := h.Stop.EndsAt()
+	if !ok {
 		return nil
 	}
 	n, t := h.Clock.Now(), e.Add(-answerMargin)
@@ -43,3 +38,13 @@
 	// Other hosts can run it at once.
 	return errors.WithStack(&sardineknot.NotRunError{Reason: "the host stops before the call may end"})
 }
+
+// logStop returns a function that adds the time from the begin of the host's stop to now to a
+// log line. It adds nothing if the host is not stopping.
+func (h *Handler) logStop(now time.Time) func(*zerolog.Event) {
+	return func(e *zerolog.Event) {
+		if d, ok := h.Stop.Elapsed(now); ok {
+			e.Dur("stopping_ms", d)
+		}
+	}
+}
--- a/internal/caller/gateway/stop_test.go
+++ b/internal/caller/gateway/stop_test.go
@@ -16,6 +16,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/caller/gateway"
+	"sardineknot.example/sardineknot/internal/caller/stopping"
 	"sardineknot.example/sardineknot/internal/host/clock"
 )
 
@@ -69,7 +70,7 @@
 	t.Run(name, func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			q := &timedRunner{duration: streams}
-			h := &stoppable{&gateway.Handler{Source: routes{}, Decoder: decoder{}, Plain: q, Stream: q, Clock: clock.System{}, Log: zerolog.Nop(), Metrics: metrics.NewRegistry()}, q}
+			h := &stoppable{&gateway.Handler{Source: routes{}, Decoder: decoder{}, Plain: q, Stream: q, Stop: &stopping.Schedule{}, Clock: clock.System{}, Log: zerolog.Nop(), Metrics: metrics.NewRegistry()}, q}
 			for b := time.Now(); streams > 0 && time.Since(b) <= streamTimeout; {
 				h.call("/stream/a", strings.NewReader(""))
 			}
@@ -90,7 +91,8 @@
 
 // leave makes the handler leave, and lets a time pass.
 func (h *stoppable) leave(elapsed time.Duration) {
-	h.Leave(time.Now().Add(stopTime))
+	n := time.Now()
+	h.Stop.Begin(n, n.Add(stopTime))
 	time.Sleep(elapsed)
 }
 
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -30,6 +30,7 @@
 	"sardineknot.example/sardineknot/internal/backend/sharedbudget"
 	caller "sardineknot.example/sardineknot/internal/caller/gateway"
 	"sardineknot.example/sardineknot/internal/caller/idle"
+	"sardineknot.example/sardineknot/internal/caller/stopping"
 	"sardineknot.example/sardineknot/internal/configuration/inforce"
 	configuration "sardineknot.example/sardineknot/internal/configuration/store"
 	"sardineknot.example/sardineknot/internal/host/clock"
@@ -155,6 +156,8 @@
 	// followers selects the hosts that read from the key-value service.
 	followers *followers.Selector
 	handler   *caller.Handler
+	// stopping is the schedule of the planned stop.
+	stopping stopping.Schedule
 	// connections tracks the connections of callers.
 	connections *idle.Connections
 	slots       *twirp.Pool
@@ -360,6 +363,7 @@
 		Memory:   p.bodyMemory(),
 		ViewAge:  p.feed.ViewAge,
 		Outdated: p.feed.Outdated,
+		Stop:     &p.stopping,
 		Clock:    p.clock,
 		Log:      p.Log,
 		Metrics:  p.Metrics,
--- a/internal/host/gateway/stop.go
+++ b/internal/host/gateway/stop.go
@@ -34,10 +34,11 @@
 	if d <= 0 {
 		d = defaultStopLimit
 	}
-	e := p.clock.Now().Add(d - stopMargin)
+	n := p.clock.Now()
+	e := n.Add(d - stopMargin)
 	p.Log.Info().Stringer("event", sardineknot.LogLeaving).Int("calls", p.handler.Active()).Send()
 	p.registry.Leave()
-	p.handler.Leave(e)
+	p.stopping.Begin(n, e)
 	p.tunnels.Leave()
 	time.Sleep(acceptDelay)
 	ctx, cancel := context.WithDeadline(context.Background(), e)
@@ -45,7 +46,7 @@
 	err := p.connections.Drain(ctx)
 	p.tunnels.Wait(ctx)
 	p.shutDown(endpoints[1:])
-	p.Log.Info().Stringer("event", sardineknot.LogDrained).Int("calls", p.handler.Active()).Err(err).Send()
+	p.Log.Info().Stringer("event", sardineknot.LogDrained).Int("calls", p.handler.Active()).Dur("took_ms", p.clock.Now().Sub(n)).Err(err).Send()
 }
 
 // shutDown lets the requests in progress at endpoints end, for at most shutdownTime.
--- a/logevent.go
+++ b/logevent.go
@@ -24,7 +24,7 @@
 	// LogLeaving reports that the process was asked to stop and begins to drain.
 	LogLeaving LogEvent = "leaving"
 	// LogDrained reports that a stopping process has finished draining, with
-	// the number of calls that still run.
+	// the number of calls that still run and the time since LogLeaving.
 	LogDrained LogEvent = "drained"
 	// LogStopped is the last event of a process.
 	LogStopped LogEvent = "stopped"
@@ -185,8 +185,8 @@
 	LogCallBrokenOff LogEvent = "call_broken_off"
 	// LogCallFailed reports why an attempt to run a call on a server failed.
 	LogCallFailed LogEvent = "call_failed"
-	// LogCallEnded is the last event of a call. It reports the status and the
-	// duration.
+	// LogCallEnded is the last event of a call. It reports the status, the duration and, if the
+	// host is stopping, the time since LogLeaving ("stopping_ms").
 	LogCallEnded LogEvent = "call_ended"
 	// LogEnginesGranted reports the engines that a call was granted, the time
 	// that it waited for them, and the prompt and answer lengths on which the
@@ -245,6 +245,11 @@
 	// response of the engine that ended it, and the identifiers of the first and the last
 	// event from that engine.
 	LogStreamEnded LogEvent = "stream_ended"
+	// LogStreamCut reports a stream that has ended because the connection of its caller has, what
+	// it was waiting for ("stage": grant, prefill, header or events) and for how long after its
+	// last request to an engine, the events that its caller has, and its expected and its
+	// maximum number of tokens.
+	LogStreamCut LogEvent = "stream_cut"
 	// LogSilentStreamStays reports that a stalled stream stays on its engine
 	// because no other engine was granted.
 	LogSilentStreamStays LogEvent = "silent_stream_stays"
