--- a/scenarios/commands_test.go
+++ b/scenarios/commands_test.go
@@ -62,10 +62,10 @@
 	s.byName[args[0]] = p
 }
 
-// signal NAME KILL|STOP|CONT|TERM sends a signal to the process NAME.
+// signal NAME KILL|STOP|CONT|TERM|INT sends a signal to the process NAME.
 func signal(t *testscript.TestScript, _ bool, args []string) {
 	n := map[string]syscall.Signal{
-		"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM,
+		"KILL": syscall.SIGKILL, "STOP": syscall.SIGSTOP, "CONT": syscall.SIGCONT, "TERM": syscall.SIGTERM, "INT": syscall.SIGINT,
 	}[args[1]]
 	t.Check(findProcess(t, args[0]).cmd.Process.Signal(n))
 }
