membership/rendezvous: shards have an owner while all hosts are leaving

Cause: a host that is leaving owns nothing, and without any other live host nothing owned a shard of engines. A stream that waited for an engine when the only host was stopped, or when all hosts were, got none, although engines were free, and its connection was closed without an answer 0.5 s before the limit.

Change: the ranker falls back to the hosts that are leaving if there is no live one. Dead hosts own nothing, as before. A host that is alone keeps its shard over SIGTERM, with all that waits in it.

--- a/internal/membership/rendezvous/ranker.go
+++ b/internal/membership/rendezvous/ranker.go
@@ -27,7 +27,9 @@
 var _ sardineknot.Ranker = (*Ranker)(nil)
 
 // NewRanker returns a ranker over the strong hosts of m that are alive or
-// suspect. Hosts in other states own no shards.
+// suspect. Without any such host, those that are leaving own the shards until
+// they end: what waits at a shard would get nothing otherwise. Hosts in other
+// states own no shards.
 func NewRanker(m sardineknot.Membership) *Ranker {
 	return &Ranker{members: m}
 }
@@ -35,21 +37,31 @@
 // Owner implements sardineknot.Ranker.
 func (r *Ranker) Owner(shard string) (h sardineknot.EntryHost, ok bool) {
 	l := r.members.Hosts()
-	n := minCapacity(l)
+	h, ok = owner(shard, l, isLive)
+	if !ok {
+		h, ok = owner(shard, l, isLeaving)
+	}
+	return h, ok
+}
+
+// owner returns the owner of shard among the strong ones of the hosts for which in
+// returns true.
+func owner(shard string, hosts []sardineknot.EntryHost, in func(*sardineknot.EntryHost) bool) (sardineknot.EntryHost, bool) {
+	n := minCapacity(hosts, in)
 	b := -1
 	var m uint64
-	for i := range l {
-		if !isStrong(&l[i], n) {
+	for i := range hosts {
+		if !in(&hosts[i]) || hosts[i].Processor < n {
 			continue
 		}
-		if w := Weight(shard, l[i].ID); b < 0 || w > m {
+		if w := Weight(shard, hosts[i].ID); b < 0 || w > m {
 			b, m = i, w
 		}
 	}
 	if b < 0 {
 		return sardineknot.EntryHost{}, false
 	}
-	return l[b], true
+	return hosts[b], true
 }
 
 // Strongest returns those of hosts that are alive or suspect and have at least
@@ -57,36 +69,36 @@
 // capacity are left out if any host has a known one. The result is a new slice
 // in the order of hosts.
 func Strongest(hosts []sardineknot.EntryHost) []sardineknot.EntryHost {
-	n := minCapacity(hosts)
+	n := minCapacity(hosts, isLive)
 	r := make([]sardineknot.EntryHost, 0, len(hosts))
 	for i := range hosts {
-		if isStrong(&hosts[i], n) {
+		if isLive(&hosts[i]) && hosts[i].Processor >= n {
 			r = append(r, hosts[i])
 		}
 	}
 	return r
 }
 
-// minCapacity returns the least processor capacity of a strong host among hosts.
-func minCapacity(hosts []sardineknot.EntryHost) float64 {
+// minCapacity returns the least processor capacity of a strong host among the hosts
+// for which in returns true.
+func minCapacity(hosts []sardineknot.EntryHost, in func(*sardineknot.EntryHost) bool) float64 {
 	var m float64
 	for i := range hosts {
-		if isLive(&hosts[i]) {
+		if in(&hosts[i]) {
 			m = max(m, hosts[i].Processor)
 		}
 	}
 	return strongShare * m
 }
 
-// isStrong reports whether host is live and has at least the given capacity.
-func isStrong(host *sardineknot.EntryHost, capacity float64) bool {
-	return isLive(host) && host.Processor >= capacity
-}
-
 func isLive(host *sardineknot.EntryHost) bool {
 	return host.State == sardineknot.EntryHostAlive || host.State == sardineknot.EntryHostSuspect
 }
 
+func isLeaving(host *sardineknot.EntryHost) bool {
+	return host.State == sardineknot.EntryHostLeaving
+}
+
 // maxNames is the length of the names of a shard and a host that are hashed without
 // an allocation.
 const maxNames = 128
--- a/internal/membership/rendezvous/ranker_test.go
+++ b/internal/membership/rendezvous/ranker_test.go
@@ -40,3 +40,28 @@
 		is.New(t).Equal(len(rendezvous.Strongest(l)), 2)
 	})
 }
+
+// TestOwnerWithoutLiveHost guards against shards without an owner while all hosts are
+// leaving: what waits at them would get nothing until the hosts have stopped.
+func TestOwnerWithoutLiveHost(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		states []sardineknot.EntryHostState
+		want   string
+	}{
+		{"a live host before those that are leaving", []sardineknot.EntryHostState{sardineknot.EntryHostLeaving, sardineknot.EntryHostAlive}, "1"},
+		{"the only host, which is leaving", []sardineknot.EntryHostState{sardineknot.EntryHostLeaving}, "0"},
+		{"a dead host beside one that is leaving", []sardineknot.EntryHostState{sardineknot.EntryHostDead, sardineknot.EntryHostLeaving}, "1"},
+		{"dead hosts", []sardineknot.EntryHostState{sardineknot.EntryHostDead, sardineknot.EntryHostDead}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			l := newHosts(make([]float64, len(c.states))...)
+			for i, s := range c.states {
+				l[i].State = s
+			}
+			h, ok := rendezvous.NewRanker(&members{hosts: l}).Owner("shard")
+			is.New(t).Equal(ok, c.want != "")
+			is.New(t).Equal(string(h.ID), c.want)
+		})
+	}
+}
