caller/intake: no connection is closed between a call's end and its answer

Cause: at the limit of connections, a guard closes a connection for a new one if no call runs on it. A call counted as ended when its handler had returned, but net/http writes the rest of the answer after that: all of a refusal, and the end of the chunks of a stream. The caller then had no whole answer.

Change: the connection stays until the server reports it as idle, which is after the answer was written, for at most 10 s. This holds only for calls whose body was read: a caller that stops in a body or a head can hold no connection by it.

A caller may have its answer shortly before the server reports the connection as idle.

--- a/internal/caller/intake/conn.go
+++ b/internal/caller/intake/conn.go
@@ -22,6 +22,10 @@
 	served bool
 	// since is the time of the last begin or end of a call or a body.
 	since time.Time
+	// answering is set from the end of a call whose body was read until its answer was
+	// written, and endedAt is the time of the last such end.
+	answering bool
+	endedAt   time.Time
 	// head is about the memory of the head that is read, in bytes, and held the part of
 	// the budget that it holds.
 	head, held int64
@@ -103,23 +107,36 @@
 func (c *conn) end(q *request) {
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
+	n := c.guard.Clock.Now()
+	if !q.body {
+		c.answering, c.endedAt = true, n
+	}
 	c.endBodyLocked(q)
 	c.calls--
-	c.since = c.guard.Clock.Now()
+	c.since = n
 	if c.calls == 0 {
 		c.guard.used -= c.held
 		c.head, c.held = 0, 0
 	}
 }
 
+// endAnswers records that all answers were written.
+func (c *conn) endAnswers() {
+	c.guard.mu.Lock()
+	defer c.guard.mu.Unlock()
+	c.answering = false
+}
+
 // isIncomplete reports whether a request is not complete, or none has been sent.
 func (c *conn) isIncomplete() bool {
 	return c.bodies > 0 || c.calls == 0 && (!c.served || c.head > 0)
 }
 
 // isClosable reports whether c may be closed for another connection: it runs no call
-// whose body was read.
-func (c *conn) isClosable() bool { return c.calls == c.bodies }
+// whose body was read, and the server has written the answers.
+func (c *conn) isClosable() bool {
+	return c.calls == c.bodies && (!c.answering || c.guard.Clock.Now().Sub(c.endedAt) >= answerTime)
+}
 
 // isClosableWithHead reports whether c may be closed for the memory that it holds for a
 // request that is not complete.
--- a/internal/caller/intake/guard.go
+++ b/internal/caller/intake/guard.go
@@ -17,6 +17,7 @@
 	"net/http"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
@@ -48,6 +49,10 @@
 	byteFactor = 2
 	// freeHeadBytes is the memory of a head that is not counted. Nearly all need less.
 	freeHeadBytes = 8 << 10
+	// answerTime is the time for which a connection is kept after the end of a call, while
+	// the server writes the rest of the answer. A caller that takes none of it for longer
+	// loses its connection if there are too many.
+	answerTime = 10 * time.Second
 )
 
 // Guard bounds the connections of one server. It is safe for concurrent use. The exported
@@ -111,6 +116,15 @@
 	if server.ConnContext == nil {
 		server.ConnContext = g.ConnContext
 	}
+	f := server.ConnState
+	server.ConnState = func(connection net.Conn, state http.ConnState) {
+		if c := guarded(connection); c != nil && state == http.StateIdle {
+			c.endAnswers()
+		}
+		if f != nil {
+			f(connection, state)
+		}
+	}
 	return g.Listener(inner)
 }
 
@@ -166,10 +180,19 @@
 
 // ConnContext returns ctx with connection. It is the ConnContext of the server.
 func (g *Guard) ConnContext(ctx context.Context, connection net.Conn) context.Context {
+	c := guarded(connection)
+	if c == nil {
+		return ctx
+	}
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// guarded returns the connection of a Guard that is connection or below it, or nil.
+func guarded(connection net.Conn) *conn {
 	for connection != nil {
 		c, ok := connection.(*conn)
 		if ok {
-			return context.WithValue(ctx, connKey{}, c)
+			return c
 		}
 		u, ok := connection.(interface{ NetConn() net.Conn })
 		if !ok {
@@ -177,7 +200,7 @@
 		}
 		connection = u.NetConn()
 	}
-	return ctx
+	return nil
 }
 
 func connOf(ctx context.Context) *conn {
--- a/internal/caller/intake/guard_test.go
+++ b/internal/caller/intake/guard_test.go
@@ -86,6 +86,26 @@
 	t.Errorf("heads do not hold %d bytes", bytes)
 }
 
+// waitWritten waits until the server knows that all answers were written, which is after
+// their callers have read them.
+func (s *server) waitWritten(t *testing.T) {
+	t.Helper()
+	for b := time.Now(); time.Since(b) < waitTime; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		n := 0
+		for c := range s.open {
+			if c.answering {
+				n++
+			}
+		}
+		s.mu.Unlock()
+		if n == 0 {
+			return
+		}
+	}
+	t.Error("answers were not written")
+}
+
 // send sends text.
 func (c *client) send(text string) *client {
 	_, _ = io.WriteString(c, text)
@@ -146,6 +166,7 @@
 		a.assertServed()
 		b.assertServed()
 		b.send(call).assertServed()
+		s.waitWritten(t)
 		s.dial(t).send(call).assertServed()
 		a.assertEnds()
 		b.send(call).assertServed()
