caller/intake: a call does not run after its connection was closed

Cause: a connection whose head is incomplete or which is idle may be closed for another one between the read of the end of the head and the begin of the call. The call then began, and could be passed on to a server, with an answer that nobody could get.

Change: a call whose connection was closed by the guard is aborted before it runs.

Measured: TestConnectionOfNextCall closes the connection when net/http reports it as active.

--- a/internal/caller/intake/answer_test.go
+++ b/internal/caller/intake/answer_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -81,3 +82,27 @@
 	}
 	c.assertEnds() // it was idle
 }
+
+// TestConnectionOfNextCall guards against a call that runs although its connection was closed
+// for another one after its head had been read.
+func TestConnectionOfNextCall(t *testing.T) {
+	is := is.New(t)
+	var runs atomic.Int64
+	var guarded *server
+	closed := make(chan bool, 1)
+	ready := make(chan struct{})
+	h := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) { runs.Add(1) })}
+	h.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateActive { // the head was read
+			<-ready
+			closed <- guarded.admits()
+		}
+	}
+	s, l := startHeld(t, h)
+	guarded = s
+	close(l.held)
+	close(ready)
+	s.dial(t).send(call).assertEnds()
+	is.True(<-closed)
+	is.Equal(runs.Load(), int64(0))
+}
--- a/internal/caller/intake/conn.go
+++ b/internal/caller/intake/conn.go
@@ -26,6 +26,8 @@
 	// written, and endedAt is the time of the last such end.
 	answering bool
 	endedAt   time.Time
+	// closed is set once the connection was closed for another one.
+	closed bool
 	// head is about the memory of the head that is read, in bytes, and held the part of
 	// the budget that it holds.
 	head, held int64
@@ -75,16 +77,21 @@
 	return l.SetLinger(seconds)
 }
 
-// begin records that the head of q is complete.
-func (c *conn) begin(q *request) {
+// begin records that the head of q is complete. It returns false if c was closed for another
+// connection: q must not run, since its answer would be lost.
+func (c *conn) begin(q *request) bool {
 	c.guard.mu.Lock()
 	defer c.guard.mu.Unlock()
+	if c.closed {
+		return false
+	}
 	c.calls++
 	c.served = true
 	c.since = c.guard.Clock.Now()
 	if q.body {
 		c.bodies++
 	}
+	return true
 }
 
 // endBody records that the body of q was read.
--- a/internal/caller/intake/guard.go
+++ b/internal/caller/intake/guard.go
@@ -143,7 +143,9 @@
 			return
 		}
 		q := &request{conn: c, body: r.Body != nil && r.Body != http.NoBody}
-		c.begin(q)
+		if !c.begin(q) {
+			panic(http.ErrAbortHandler)
+		}
 		defer c.end(q)
 		if q.body {
 			r = r.WithContext(r.Context()) // the server keeps its own
@@ -241,6 +243,7 @@
 	if g.Closed != nil {
 		g.Closed.Inc(1)
 	}
+	v.closed = true
 	// The server ends the connection when its next read fails.
 	_ = v.Conn.Close()
 	return true
