caller/idle: a closed connection does not lose the end of its answer

Cause: a host that stops closes a connection after its answer. If the caller has sent anything behind the request by then (its next request, or the superfluous line end of old clients), the kernel resets the connection, and what the caller has yet to take of the answer is lost, with a status 200 and no whole body.

Change: the close after a request discards what has arrived, about 64 KiB at most. Connections that are idle are closed as before, so that a request that crosses the close is not taken for one that was read.

--- a/internal/caller/idle/connections.go
+++ b/internal/caller/idle/connections.go
@@ -133,6 +133,15 @@
 	return i != nil && i.expired
 }
 
+// isActive reports whether a request on connection is served or was the last thing that
+// happened on it.
+func (c *Connections) isActive(connection net.Conn) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	i := c.tracked[connection]
+	return i != nil && i.active
+}
+
 // Run closes expired connections until ctx is done. It always returns nil.
 func (c *Connections) Run(ctx context.Context) error {
 	t := time.NewTicker(checkInterval)
--- a/internal/caller/idle/drain.go
+++ b/internal/caller/idle/drain.go
@@ -128,34 +128,3 @@
 	n, err := net.FileConn(f)
 	return n, errors.WithStack(err)
 }
-
-// conn is a connection that records when bytes are read.
-type conn struct {
-	net.Conn
-	connections *Connections
-}
-
-// NetConn returns the connection below.
-func (k *conn) NetConn() net.Conn { return k.Conn }
-
-// SetLinger is the method of net.TCPConn. It fails for a connection that has none.
-func (k *conn) SetLinger(seconds int) error {
-	l, ok := k.Conn.(interface{ SetLinger(seconds int) error })
-	if !ok {
-		return errors.WithStack(http.ErrNotSupported)
-	}
-	return errors.WithStack(l.SetLinger(seconds))
-}
-
-// Read implements net.Conn.
-func (k *conn) Read(b []byte) (int, error) {
-	n, err := k.Conn.Read(b)
-	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && k.connections.isExpired(k) {
-		k.connections.setReadDeadline(k.Conn, k.connections.Clock.Now().Add(lastReadTime))
-		n, err = k.Conn.Read(b)
-	}
-	if n > 0 {
-		k.connections.recordRead(k)
-	}
-	return n, err
-}
--- a/internal/caller/intake/conn.go
+++ b/internal/caller/intake/conn.go
@@ -68,6 +68,9 @@
 	return c.Conn.Close()
 }
 
+// NetConn returns the connection below.
+func (c *conn) NetConn() net.Conn { return c.Conn }
+
 // SetLinger is the method of net.TCPConn. It fails for a connection that has none.
 func (c *conn) SetLinger(seconds int) error {
 	l, ok := c.Conn.(interface{ SetLinger(seconds int) error })
