host/gateway: calls that a stop cuts leave their log lines

Cause: after the close of its connections the process exited without waiting for the handlers of the calls, so that call_ended and stream_cut of most cut calls were never written.

Change: the process waits for the cut calls for 0.1 s at most, within the margin of 0.5 s for its exit.

--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -226,6 +226,7 @@
 	for _, s := range l {
 		s.server.Close()
 	}
+	p.awaitCut()
 	err := g.Wait()
 	p.Log.Info().Stringer("event", sardineknot.LogStopped).Err(err).Send()
 	return err
--- a/internal/host/gateway/stop.go
+++ b/internal/host/gateway/stop.go
@@ -22,6 +22,11 @@
 	// other servers may go on after the last call of a caller. It is part of
 	// stopMargin. Calls of hosts that wait for changes are cut after it.
 	shutdownTime = 200 * time.Millisecond
+	// cutTime is the time for which the process waits for the calls that it has cut, so that
+	// their log lines are written. It is part of stopMargin.
+	cutTime = 100 * time.Millisecond
+	// cutInterval is the interval at which awaitCut looks for calls.
+	cutInterval = 5 * time.Millisecond
 )
 
 // stop stops the host gracefully. It marks the host as leaving, so that other
@@ -49,6 +54,13 @@
 	p.Log.Info().Stringer("event", sardineknot.LogDrained).Int("calls", p.handler.Active()).Dur("took_ms", p.clock.Now().Sub(n)).Err(err).Send()
 }
 
+// awaitCut waits until the calls whose connections were closed have ended, for at most cutTime.
+func (p *Process) awaitCut() {
+	for b := p.clock.Now(); p.handler.Active() > 0 && p.clock.Now().Sub(b) < cutTime; {
+		time.Sleep(cutInterval)
+	}
+}
+
 // logRepeatedStops logs the signals that request a stop while the process is stopping, until
 // ctx is done. It always returns nil.
 func (p *Process) logRepeatedStops(ctx context.Context) error {
