host/gateway: a host with a short StopLimit stops within it

Cause: a host accepts connections for 0.8 s after the signal, however little time it has to stop. With a StopLimit below 0.8 s it was killed while it waited, and with up to 1.3 s its connections were closed later than StopLimit says. The default of 8 s is not concerned.

Change: the time is at most half of that until the close of the connections.

--- a/internal/host/gateway/stop.go
+++ b/internal/host/gateway/stop.go
@@ -13,8 +13,10 @@
 	// defaultStopLimit is the stop limit if the settings have none.
 	defaultStopLimit = 8 * time.Second
 	// acceptDelay is the time for which the host still accepts connections
-	// after it was asked to stop, so that callers learn that it is leaving.
+	// after it was asked to stop, so that callers learn that it is leaving. It is at
+	// most 1/acceptParts of the time until the connections are closed.
 	acceptDelay = 800 * time.Millisecond
+	acceptParts = 2
 	// stopMargin is the part of the stop limit that is reserved for the exit of
 	// the process after its calls have ended.
 	stopMargin = 500 * time.Millisecond
@@ -30,7 +32,7 @@
 )
 
 // stop stops the host gracefully. It marks the host as leaving, so that other
-// hosts no longer list it, accepts connections for acceptDelay, and then waits
+// hosts no longer list it, accepts connections for a while, and then waits
 // for the calls in progress, its own and those of other hosts that go through it,
 // until the stop limit. The first of endpoints must
 // be the server for callers.
@@ -45,7 +47,7 @@
 	p.registry.Leave()
 	p.stopping.Begin(n, e)
 	p.tunnels.Leave()
-	time.Sleep(acceptDelay)
+	time.Sleep(min(acceptDelay, (d-stopMargin)/acceptParts))
 	ctx, cancel := context.WithDeadline(context.Background(), e)
 	defer cancel()
 	err := p.connections.Drain(ctx)
