answer/events: a stopping host admits a stream by its own length and the pace of its engine

Cause: the host compared the time that was left with the longest stream of the same route in the last half minute, times 1.5. Of a rare route that is one or two streams, often short ones, and those that are still in progress do not count. Class: an irreversible step depends on a guess from others, although its own figures are at hand. The same class where a stream waits: nothing bounded the wait of an admitted stream for engines by the time that was left.

Change: a stream is admitted during a stop only if its longest permitted length ends in time at half of the pace that the engines of its pool have shown lately (policy/streampace): after its body for the fastest engine, after its grant for that engine, and again between prefill and decode. A stream that waits for engines is refused as not run once it may not end any more.

Ruled out: the expected length in place of the longest one (callers' estimates are off), and a fixed time (the time of streams differs by route and load).

--- a/errors.go
+++ b/errors.go
@@ -23,6 +23,15 @@
 	return fmt.Sprintf("not run: %s (retry after %v)", e.Reason, e.RetryAfter)
 }
 
+// StoppingError reports that something was given up because this host is stopping.
+type StoppingError struct {
+	// EndsAt is the time at which the host closes its connections.
+	EndsAt time.Time
+}
+
+// Error implements error.
+func (e *StoppingError) Error() string { return "the host is stopping" }
+
 // UnauthorizedError reports that a request has no key, or one that belongs to no
 // client account. The request did not run.
 type UnauthorizedError struct{}
--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -45,6 +45,8 @@
 	repeated  int
 	// stage is what the attempt waits for.
 	stage stage
+	// grantedAt is the time at which the attempt was granted its engines.
+	grantedAt time.Time
 	// sentAt is the time at which the last request was sent to an engine.
 	sentAt time.Time
 	// eventCount is the number of events relayed by this attempt. firstID is the
@@ -54,6 +56,10 @@
 	firstID    int
 	begunAt    time.Time
 	sound      bool
+	// pacedCount is the number of events, and pacedAt the time of the last of them, when the
+	// pace of the engine was last recorded.
+	pacedCount int
+	pacedAt    time.Time
 
 	// The fields below are guarded by the mutex of the session.
 
@@ -128,15 +134,19 @@
 		return err
 	}
 	err = a.checkPool(n)
+	if err == nil {
+		err = a.checkStop("")
+	}
 	if err != nil {
 		return err
 	}
-	g, err := a.Slots.Acquire(a.ctx, a.job)
+	g, err := a.awaitGrant()
 	if err != nil {
 		return err
 	}
+	a.grantedAt = a.Clock.Now()
 	err = a.checkGrant(g)
-	a.logGrant(g, a.Clock.Now().Sub(n))
+	a.logGrant(g, a.grantedAt.Sub(n))
 	if err != nil {
 		a.returnGrant(err)
 		return err
@@ -176,6 +186,9 @@
 	if err == nil {
 		err = a.checkKey()
 	}
+	if err == nil {
+		err = a.checkStop(a.decode.Name)
+	}
 	if err != nil || a.replacing == nil {
 		return err
 	}
@@ -249,7 +262,7 @@
 // engine that accepts no work at all says nothing about the cache, which goes to
 // the next engine.
 func (a *attempt) startDecode() error {
-	err := a.checkAccepting(a.decode)
+	err := a.checkDecode()
 	if err != nil {
 		a.retainCache(err)
 		a.returnGrant(err)
@@ -290,6 +303,16 @@
 	return nil
 }
 
+// checkDecode fails if the decode engine accepts no work by now, or the stream may not end on it
+// before the host has stopped.
+func (a *attempt) checkDecode() error {
+	err := a.checkAccepting(a.decode)
+	if err != nil {
+		return err
+	}
+	return a.checkStop(a.decode.Name)
+}
+
 // mayPrefillLocally reports whether the decode engine may prefill the prompt
 // itself. That takes too long for a takeover.
 func (a *attempt) mayPrefillLocally() bool {
--- a/internal/answer/events/relay.go
+++ b/internal/answer/events/relay.go
@@ -43,6 +43,7 @@
 		return err
 	}
 	a.reportSound()
+	a.recordPace()
 	a.report(sardineknot.JobFinished, a.decode.Name)
 	a.Log.Info().Stringer("event", sardineknot.LogStreamEnded).Str("request", string(a.call.ID)).Str("server", string(a.decode.Name)).
 		Int("tries", a.number+1).Str("framing", a.framing()).Int("first", a.firstID).Int("last", a.resumeAfter).Dur("first_ms", a.timeToFirst).Dur("pause_ms", a.longestPause).Int("tokens", a.tokens()).Int("expected", a.job.ExpectedTokens).Int("longest", a.job.MaxTokens).Send()
@@ -166,8 +167,10 @@
 	switch {
 	case a.eventCount == 1:
 		a.begunAt, a.firstID = a.lastEventAt, id
+		a.recordStart()
 		a.report(sardineknot.JobDecodeStarted, a.decode.Name)
 	case a.eventCount%progressEvents == 0:
 		a.report(sardineknot.JobProgress, a.decode.Name)
+		a.recordPace()
 	}
 }
--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -13,6 +13,8 @@
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/backend/backoff"
 	"sardineknot.example/sardineknot/internal/backend/memory"
+	"sardineknot.example/sardineknot/internal/caller/stopping"
+	"sardineknot.example/sardineknot/internal/policy/streampace"
 )
 
 const (
@@ -52,6 +54,10 @@
 	Memory *memory.Budget
 	// Versions keeps the software versions that began streams.
 	Versions sardineknot.StreamVersions
+	// Stop is the schedule of the planned stop of this host. Nil means that it never stops.
+	Stop *stopping.Schedule
+	// Paces records how fast engines generate. Nil means that this is never known.
+	Paces *streampace.Paces
 	// Self is this entry host.
 	Self sardineknot.EntryHost
 	// Clock returns the current time.
@@ -69,6 +75,8 @@
 	ctx    context.Context
 	call   *sardineknot.Call
 	writer sardineknot.AnswerWriter
+	// late is set if the call was admitted after the begin of the host's stop.
+	late bool
 	// timeToFirst is the time from the arrival of the call to its first event,
 	// longestPause the longest time between two events, and lastEventAt the
 	// time of the last event.
@@ -120,6 +128,7 @@
 	s := &session{Runner: r, ctx: ctx, call: c, writer: w, lastEventID: c.Generation.ResumeAfter}
 	defer s.releaseRetainedCache()
 	defer s.dropTakeover()
+	_, s.late = r.Stop.EndsAt()
 	err := s.findVersion()
 	if err != nil {
 		return err
--- a/internal/caller/gateway/handler.go
+++ b/internal/caller/gateway/handler.go
@@ -19,7 +19,6 @@
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/backend/memory"
 	"sardineknot.example/sardineknot/internal/caller/stopping"
-	"sardineknot.example/sardineknot/internal/policy/durations"
 )
 
 const (
@@ -46,7 +45,8 @@
 	Source sardineknot.ConfigurationSource
 	// Decoder decodes the callers' HTTP requests.
 	Decoder sardineknot.CallDecoder
-	// Plain runs the calls of plain services, and Stream runs generations.
+	// Plain runs the calls of plain services, and Stream runs generations. Stream refuses those
+	// that may not end before the host has stopped.
 	Plain  sardineknot.CallRunner
 	Stream sardineknot.CallRunner
 	// Limiter keeps client accounts within their limits. Nil means that there are no
@@ -70,8 +70,6 @@
 	// durations.
 	Metrics metrics.Registry
 
-	// durations records how long calls take.
-	durations durations.Longest
 	// active is the number of calls in progress.
 	active atomic.Int64
 }
@@ -279,9 +277,6 @@
 func (h *Handler) record(call *sardineknot.Call, status int, err error) {
 	n := h.Clock.Now()
 	d := n.Sub(call.ArrivedAt)
-	if err == nil {
-		h.durations.Record(n, call.Route.Name, d)
-	}
 	metrics.GetOrRegisterCounter("calls{kind="+string(call.Route.Kind)+",status="+strconv.Itoa(status)+"}", h.Metrics).Inc(1)
 	metrics.GetOrRegisterTimer("call{kind="+string(call.Route.Kind)+"}", h.Metrics).Update(d)
 	e := h.Log.Info()
--- a/internal/caller/gateway/stop.go
+++ b/internal/caller/gateway/stop.go
@@ -9,30 +9,17 @@
 	"sardineknot.example/sardineknot"
 )
 
-const (
-	// answerMargin is the time before the host closes its connections at which a call
-	// must have ended, so that the rest of its answer can be sent.
-	answerMargin = 100 * time.Millisecond
-	// durationFactorTenths is the factor, in tenths, by which a call may take longer than
-	// the longest recent one of its route.
-	durationFactorTenths = 15
-)
+// answerMargin is the time before the host closes its connections at which a call
+// must have ended, so that the rest of its answer can be sent.
+const answerMargin = 100 * time.Millisecond
 
-// checkTime fails with a NotRunError if the host is stopping and call may not end before
-// it closes its connections. A call ends at its deadline at the latest. Most end much
-// sooner, and are expected to take not much longer than the longest recent one of
-// their route.
+// checkTime fails with a NotRunError if the host is stopping and call may not end before it
+// closes its connections. A call ends at its deadline at the latest. Streams, which mostly end
+// much sooner, are admitted here: their runner knows how long they are, and refuses those that
+// may not end in time.
 func (h *Handler) checkTime(call *sardineknot.Call) error {
 	e, ok := h.Stop.EndsAt()
-	if !ok {
-		return nil
-	}
-	n, t := h.Clock.Now(), e.Add(-answerMargin)
-	if !call.Deadline.After(t) {
-		return nil
-	}
-	d, ok := h.durations.Longest(n, call.Route.Name, call.Deadline.Sub(n))
-	if ok && !n.Add(d*durationFactorTenths/10).After(t) {
+	if !ok || call.Generation != nil || !call.Deadline.After(e.Add(-answerMargin)) {
 		return nil
 	}
 	// Other hosts can run it at once.
--- a/internal/caller/stopping/schedule.go
+++ b/internal/caller/stopping/schedule.go
@@ -3,15 +3,32 @@
 package stopping
 
 import (
-	"sync/atomic"
+	"context"
+	"sync"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"sardineknot.example/sardineknot"
 )
 
 // Schedule is the schedule of the planned stop of a host. The zero value, like nil, is that of
 // a host that is not stopping. It is safe for concurrent use.
 type Schedule struct {
+	mu sync.Mutex
 	// stop is nil until Begin.
-	stop atomic.Pointer[stop]
+	stop *stop
+	// waits holds the contexts of Limit that are not done.
+	waits map[*wait]struct{}
+}
+
+// wait is a context of Limit.
+type wait struct {
+	cancel context.CancelCauseFunc
+	// latest returns the time at which the context ends, for a stop that ends at the given time.
+	latest func(endsAt time.Time) time.Time
+	// timer ends the context. It is nil unless the host is stopping.
+	timer *time.Timer
 }
 
 // stop is a planned stop.
@@ -25,7 +42,53 @@
 // Begin records at time now that the host was asked to stop, and that it closes its
 // connections at the time endsAt. Later calls have no effect.
 func (s *Schedule) Begin(now, endsAt time.Time) {
-	s.stop.CompareAndSwap(nil, &stop{begunAt: now, endsAt: endsAt})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stop != nil {
+		return
+	}
+	s.stop = &stop{begunAt: now, endsAt: endsAt}
+	for w := range s.waits {
+		w.start(now, endsAt)
+	}
+}
+
+// Limit returns a copy of ctx for something that can wait until the time that latest returns, once
+// the host is stopping. The context ends then, with a sardineknot.StoppingError as its cause. now is the current
+// time. latest is called at most once, when the host is stopping, with the time at which it closes
+// its connections. The function that Limit returns ends the context, and must be called.
+func (s *Schedule) Limit(ctx context.Context, now time.Time, latest func(endsAt time.Time) time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	if s == nil {
+		return ctx, func() { cancel(nil) }
+	}
+	w := &wait{cancel: cancel, latest: latest}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stop != nil {
+		w.start(now, s.stop.endsAt)
+	}
+	if s.waits == nil {
+		s.waits = make(map[*wait]struct{})
+	}
+	s.waits[w] = struct{}{}
+	return ctx, func() { s.remove(w) }
+}
+
+// start starts the timer of w at time now, for a stop that ends at endsAt.
+func (w *wait) start(now, endsAt time.Time) {
+	w.timer = time.AfterFunc(w.latest(endsAt).Sub(now), func() { w.cancel(errors.WithStack(&sardineknot.StoppingError{EndsAt: endsAt})) })
+}
+
+// remove ends w.
+func (s *Schedule) remove(w *wait) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waits, w)
+	if w.timer != nil {
+		w.timer.Stop()
+	}
+	w.cancel(nil)
 }
 
 // EndsAt returns the time at which the host closes its connections. It returns false if the
@@ -48,9 +111,12 @@
 	return now.Sub(p.begunAt), true
 }
 
+// current returns the stop in progress, or nil.
 func (s *Schedule) current() *stop {
 	if s == nil {
 		return nil
 	}
-	return s.stop.Load()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stop
 }
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -48,6 +48,7 @@
 	"sardineknot.example/sardineknot/internal/platform/mirror"
 	feed "sardineknot.example/sardineknot/internal/platform/twirp"
 	"sardineknot.example/sardineknot/internal/policy/memory"
+	"sardineknot.example/sardineknot/internal/policy/streampace"
 	quarantinestore "sardineknot.example/sardineknot/internal/quarantine/store"
 	quarantine "sardineknot.example/sardineknot/internal/quarantine/twirp"
 	serverlimits "sardineknot.example/sardineknot/internal/serverlimits/twirp"
@@ -357,7 +358,7 @@
 		},
 		Stream: &events.Runner{
 			Source: p.source, Forwarder: f, Slots: p.slots, Backoffs: p.backoffs, Guard: p.guard,
-			Budget: b, Memory: m, Versions: p.versions, Self: self, Clock: p.clock, Log: p.Log,
+			Budget: b, Memory: m, Versions: p.versions, Stop: &p.stopping, Paces: &streampace.Paces{}, Self: self, Clock: p.clock, Log: p.Log,
 		},
 		Limiter:  p.accountLimiter,
 		Memory:   p.bodyMemory(),
