answer/events: a stream that may be resumed waits at a stopping host while it can begin

Cause: refuses each stream that waits for engines at the signal and whose length does not fit into the time that is left, also those that may be resumed.

Change: one that may be resumed and was sent before the signal waits while it can begin before the close; its caller goes on with what is left elsewhere. Others stay as they were: a cut costs their callers the whole stream.

Tests: TestStopDuringWait, "a stream that may be resumed waits while it can begin".

--- a/internal/answer/events/stop.go
+++ b/internal/answer/events/stop.go
@@ -60,15 +60,15 @@
 	return a.headerSent || a.executions > 0 || a.replacing != nil
 }
 
-// timeNeeded returns the time that the rest of the stream takes from now on, by its own length and
-// the pace that engine has shown lately. It returns false if one of them is not known.
+// timeNeeded returns the time that the stream needs from now on, by its own length and the pace that
+// engine has shown lately. It returns false if one of them is not known.
 func (a *attempt) timeNeeded(engine sardineknot.BackendServerName) (time.Duration, bool) {
 	n, ok := a.remainingEvents()
 	if !ok {
 		return 0, false
 	}
 	f, d, ok := a.Paces.Bound(a.Clock.Now(), a.job.Pool, engine, n)
-	if !ok {
+	if !ok && n > 0 {
 		return 0, false
 	}
 	if !a.grantedAt.IsZero() {
@@ -80,20 +80,19 @@
 	return f + d, true
 }
 
-// remainingEvents returns the greatest number of events that the rest of the stream may have, or
-// false if that is not known. For a stream that may be resumed and was admitted before the stop,
-// it is the expected number: if its host closes first, its caller resumes it elsewhere, while a
+// remainingEvents returns the greatest number of events that must end before the host closes its
+// connections, or false if that is not known. It is zero for a stream that may be resumed and was
+// admitted before the stop: its caller resumes it elsewhere if it has not ended by then, and a
 // refusal would cost it its place in the queue.
 func (a *attempt) remainingEvents() (int, bool) {
-	n := a.job.MaxTokens
+	if a.call.Route.Resumable && !a.late {
+		return 0, true
+	}
 	if a.call.Generation.MaxTokens <= 0 {
 		return 0, false
 	}
-	if x := a.job.ExpectedTokens; x > 0 && a.call.Route.Resumable && !a.late {
-		n = min(n, x)
-	}
 	t := a.eventTokens()
-	return (n + t - 1) / t, true
+	return (a.job.MaxTokens + t - 1) / t, true
 }
 
 // awaitGrant waits for a grant. Once the host is stopping, it waits until the stream may not end
