sardineknot: a repeated SIGTERM does not cut the calls of a stopping host

Cause: main restored the default action after the first signal, so that a second SIGTERM ended the process at once, with all its calls. An orchestrator may send it again.

Change: SIGTERM stays handled, and has no effect after the first signal but the line stop_repeated of the gateway. SIGINT after the first signal ends the process at once, as before. The same holds for serve and all other commands.

--- a/cmd/sardineknot/main.go
+++ b/cmd/sardineknot/main.go
@@ -35,9 +35,10 @@
 	parse(os.Args[1:])
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
-	// Restores the default signal handling, so that a second signal terminates
-	// the process immediately.
-	context.AfterFunc(ctx, cancel)
+	// An interrupt after the first signal terminates the process immediately. A
+	// further SIGTERM has no effect: an orchestrator may repeat it, and the calls
+	// in progress would be cut.
+	context.AfterFunc(ctx, func() { signal.Reset(os.Interrupt) })
 	s := subcommands.Execute(ctx)
 	if s == subcommands.ExitUsageError && flag.Arg(0) == p.Name() && !p.Changed() {
 		// plan exits with the status of wrong usage if there are changes.
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -124,6 +124,9 @@
 	LoadSettings func() (sardineknot.GatewaySettings, error)
 	// ReloadSignals delivers the signals that request a reload of the settings.
 	ReloadSignals <-chan os.Signal
+	// RepeatedStopSignals delivers the signals that request a stop while the process is
+	// stopping. They are logged and have no effect. Nil delivers none.
+	RepeatedStopSignals <-chan os.Signal
 	// Log receives the events of the host.
 	Log zerolog.Logger
 	// Metrics holds all metrics of the process.
@@ -210,7 +213,7 @@
 		}
 		g.Go(func() error { return serve(s.server, n) })
 	}
-	for _, f := range append(p.Tasks, p.feed.Run, p.mirror.Run, p.registry.Run, p.slots.Run, p.versions.Run, p.guard.Run, p.keeper.Run, p.refresh, p.watchSettings, p.observeLoads, p.newRoleController().Run, p.places.Run, p.runAccountLimits, p.connections.Run, p.dialer.Run) {
+	for _, f := range append(p.Tasks, p.feed.Run, p.mirror.Run, p.registry.Run, p.slots.Run, p.versions.Run, p.guard.Run, p.keeper.Run, p.refresh, p.watchSettings, p.logRepeatedStops, p.observeLoads, p.newRoleController().Run, p.places.Run, p.runAccountLimits, p.connections.Run, p.dialer.Run) {
 		g.Go(func() error { return f(w) })
 	}
 	p.Log.Info().Stringer("event", sardineknot.LogStarted).Str("zone", string(p.Settings.Zone)).Send()
--- a/internal/host/gateway/stop.go
+++ b/internal/host/gateway/stop.go
@@ -49,6 +49,19 @@
 	p.Log.Info().Stringer("event", sardineknot.LogDrained).Int("calls", p.handler.Active()).Dur("took_ms", p.clock.Now().Sub(n)).Err(err).Send()
 }
 
+// logRepeatedStops logs the signals that request a stop while the process is stopping, until
+// ctx is done. It always returns nil.
+func (p *Process) logRepeatedStops(ctx context.Context) error {
+	for {
+		select {
+		case <-p.RepeatedStopSignals:
+			p.Log.Info().Stringer("event", sardineknot.LogStopRepeated).Int("calls", p.handler.Active()).Send()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // shutDown lets the requests in progress at endpoints end, for at most shutdownTime.
 func (p *Process) shutDown(endpoints []endpoint) {
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTime)
