host/gateway: a host that is stopping gives no orders to engines

Cause: since shards fall back to hosts that are leaving when no other is left, such a host may own a shard of engines in its last seconds. Orders that it gives would be followed by those of the next owner within seconds.

Change: no shard's engines are ordered by a host that is stopping. Jobs at its shard are granted engines as before.

Test: TestOrdersOfStoppingHost, which panics without the change, since the store is asked first.

--- a/internal/host/gateway/observe.go
+++ b/internal/host/gateway/observe.go
@@ -96,10 +96,14 @@
 	return sardineknot.EngineDemand{}
 }
 
-// ownedShards returns the shards that this host owns. It returns none while the
+// ownedShards returns the shards whose engines this host orders. It returns none while the
 // store is unreachable, because another host may then consider itself the owner
-// as well.
+// as well, and none while this host is stopping: it may own shards then because no other
+// host is left, and would hand them over at once.
 func (p *Process) ownedShards() []shard.Shard {
+	if _, ok := p.stopping.EndsAt(); ok {
+		return nil
+	}
 	if k, _ := p.mirror.Reachability(); !k {
 		return nil
 	}
--- a/internal/host/gateway/orders_test.go
+++ b/internal/host/gateway/orders_test.go
@@ -57,3 +57,12 @@
 		is.Equal(c.requests, 2)
 	})
 }
+
+// TestOrdersOfStoppingHost guards against a host that gives orders to engines while it stops, so
+// that the next owner of their shard follows within seconds.
+func TestOrdersOfStoppingHost(t *testing.T) {
+	p := &Process{}
+	n := time.Now()
+	p.stopping.Begin(n, n.Add(time.Second))
+	is.New(t).Equal(len(p.ownedShards()), 0)
+}
