answer/events: each step of a stream in a stop is bounded, by the figures of its own step

The time to the first event was the longest of others from grant to event, without the factor that allows for slower engines, and was used up by a long prefill. 3. The pace came from streams that had ended: an engine whose streams stall counted as quick; two events in one packet counted as no time at all, and a caller that reads slowly made its engine slow for others. 4. A stream whose deadline comes before the close was refused all the same if it had to wait for its grant.

Change: the prefill ends, with a refusal as not run, when the rest of the stream may not fit any more. Prefill, first event and pace are recorded apart; the factor holds for all that the decode engine does. Streams in progress count by how long their next event has been awaited; short streams count with their first event, blocks that their caller took slowly do not count. One condition says which streams are judged.

TestGoesOnInStop replaces TestStopOfBegunStream, which passed also without the rule that it names. TestRareStreamInStop: the case without another host now checks that the stream is served, since shards have an owner then.

--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -45,8 +45,8 @@
 	repeated  int
 	// stage is what the attempt waits for.
 	stage stage
-	// grantedAt is the time at which the attempt was granted its engines.
-	grantedAt time.Time
+	// prefilled is set once the prefill engine has computed the KV cache.
+	prefilled bool
 	// sentAt is the time at which the last request was sent to an engine.
 	sentAt time.Time
 	// eventCount is the number of events relayed by this attempt. firstID is the
@@ -56,10 +56,13 @@
 	firstID    int
 	begunAt    time.Time
 	sound      bool
-	// pacedCount is the number of events, and pacedAt the time of the last of them, when the
-	// pace of the engine was last recorded.
-	pacedCount int
-	pacedAt    time.Time
+	// readAt is the time at which the last event was read, and written the time for which the
+	// caller took events. pace is that of the decode engine. unfollow ends what recordFirst has
+	// begun. It is nil before the first event.
+	readAt   time.Time
+	written  time.Duration
+	pace     pace
+	unfollow func()
 
 	// The fields below are guarded by the mutex of the session.
 
@@ -110,6 +113,9 @@
 		a.silence.Stop()
 	}
 	a.mu.Unlock()
+	if a.unfollow != nil {
+		a.unfollow()
+	}
 	a.stop(nil)
 }
 
@@ -144,9 +150,8 @@
 	if err != nil {
 		return err
 	}
-	a.grantedAt = a.Clock.Now()
 	err = a.checkGrant(g)
-	a.logGrant(g, a.grantedAt.Sub(n))
+	a.logGrant(g, a.Clock.Now().Sub(n))
 	if err != nil {
 		a.returnGrant(err)
 		return err
@@ -219,43 +224,6 @@
 	return errors.WithStack(&sardineknot.NotRunError{Reason: "retry budget is exhausted", RetryAfter: failureRetryAfter})
 }
 
-// runPrefill has the prefill engine compute the KV cache of the prompt, unless
-// it is also the decode engine or the KV cache of an earlier attempt can be
-// reused.
-func (a *attempt) runPrefill() error {
-	if a.reuseCache() {
-		a.report(sardineknot.JobPrefillDone, a.prefill.Name)
-		return nil
-	}
-	if a.prefill.Name == a.decode.Name {
-		return nil
-	}
-	err := a.allowPrefill()
-	if err != nil {
-		a.returnGrant(err)
-		return err
-	}
-	a.stage = stagePrefill
-	ctx, cancel := context.WithTimeout(a.ctx, prefillTimeout)
-	defer cancel()
-	a.sentAt = a.Clock.Now()
-	k, err := a.Forwarder.Prefill(ctx, a.prefill, a.call, a.call.Deadline)
-	if isNotSent(err) {
-		a.uncountPrefill()
-		a.returnGrant(err)
-		return err
-	}
-	if err != nil {
-		a.recordPrefillFailure(err)
-		a.reportFailure(err, a.prefill.Name)
-		return err
-	}
-	a.cache = promptCache{KVCacheReference: k, createdAt: a.Clock.Now()}
-	a.setCachedOn(a.prefill.Name)
-	a.report(sardineknot.JobPrefillDone, a.prefill.Name)
-	return nil
-}
-
 // startDecode forwards the call to the decode engine and waits for the header of
 // its response. If the engine refuses the KV cache, the engine prefills the
 // prompt itself, if it may and the retry budget allows it. The refusal of an
@@ -391,7 +359,8 @@
 // awaited returns n, the engine whose answer a was reading, if a has ended because its
 // caller disconnected, and an empty name otherwise.
 func (a *attempt) awaited(n sardineknot.BackendServerName) sardineknot.BackendServerName {
-	if c := context.Cause(a.ctx); errors.Is(c, errSuperseded) || errors.Is(c, errSilent) {
+	var s *sardineknot.StoppingError
+	if c := context.Cause(a.ctx); errors.Is(c, errSuperseded) || errors.Is(c, errSilent) || errors.As(c, &s) {
 		return ""
 	}
 	return n
--- a/internal/answer/events/relay.go
+++ b/internal/answer/events/relay.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -43,7 +44,7 @@
 		return err
 	}
 	a.reportSound()
-	a.recordPace()
+	a.recordShortPace()
 	a.report(sardineknot.JobFinished, a.decode.Name)
 	a.Log.Info().Stringer("event", sardineknot.LogStreamEnded).Str("request", string(a.call.ID)).Str("server", string(a.decode.Name)).
 		Int("tries", a.number+1).Str("framing", a.framing()).Int("first", a.firstID).Int("last", a.resumeAfter).Dur("first_ms", a.timeToFirst).Dur("pause_ms", a.longestPause).Int("tokens", a.tokens()).Int("expected", a.job.ExpectedTokens).Int("longest", a.job.MaxTokens).Send()
@@ -107,10 +108,12 @@
 		if a.lastEventAt.IsZero() {
 			a.recordVersion()
 		}
+		a.readAt = a.Clock.Now()
 		if err := a.writer.Write(e.text); err != nil {
 			return errors.WithStack(&writeError{cause: err})
 		}
 		a.recordEventTime()
+		a.written += a.lastEventAt.Sub(a.readAt)
 		a.recordEvent(e.id)
 	}
 }
@@ -141,6 +144,10 @@
 		return e, nil
 	}
 	a.watchSilence(silenceTimeout)
+	if a.eventCount > 0 {
+		a.pace.await(a.Clock.Now())
+		defer a.pace.await(time.Time{})
+	}
 	return a.readEvent()
 }
 
@@ -167,7 +174,7 @@
 	switch {
 	case a.eventCount == 1:
 		a.begunAt, a.firstID = a.lastEventAt, id
-		a.recordStart()
+		a.recordFirst()
 		a.report(sardineknot.JobDecodeStarted, a.decode.Name)
 	case a.eventCount%progressEvents == 0:
 		a.report(sardineknot.JobProgress, a.decode.Name)
--- a/internal/answer/events/runner.go
+++ b/internal/answer/events/runner.go
@@ -214,6 +214,11 @@
 	if k || errors.As(err, &n) || errors.As(err, &a) {
 		return err
 	}
+	var t *sardineknot.StoppingError
+	if errors.As(context.Cause(s.ctx), &t) {
+		// Another host can run the call at once.
+		return errors.WithStack(&sardineknot.NotRunError{Reason: t.Error()})
+	}
 	return errors.WithStack(&sardineknot.NotRunError{Reason: err.Error(), RetryAfter: failureRetryAfter})
 }
 
--- a/internal/answer/events/stop.go
+++ b/internal/answer/events/stop.go
@@ -11,10 +11,10 @@
 )
 
 const (
-	// stopMargin is the time before the host closes its connections at which a stream must have
+	// closeMargin is the time before the host closes its connections at which a stream must have
 	// ended, so that the rest of its answer can be sent.
-	stopMargin = 100 * time.Millisecond
-	// lateFactor is how much slower than lately the engines may become before a stream that was
+	closeMargin = 100 * time.Millisecond
+	// lateFactor is how much slower than lately a decode engine may become before a stream that was
 	// admitted during the stop of its host is cut. Such a stream can run elsewhere at once.
 	lateFactor = 2
 	// maxLateWait is the longest time for which a stream that was admitted during the stop of its
@@ -24,123 +24,126 @@
 	durationStep = 10 * time.Millisecond
 )
 
-// checkStop fails with a NotRunError if the host is stopping and the stream may not end on engine
-// before it closes its connections. An empty engine means the fastest one. A stream that has
-// begun goes on: no other host can take it over from this one.
+// checkStop fails with a NotRunError if the host is stopping and the stream may not end on the named
+// engine before it closes its connections. An empty name means the fastest one.
 func (a *attempt) checkStop(engine sardineknot.BackendServerName) error {
 	e, ok := a.Stop.EndsAt()
-	if !ok || a.mustGoOn() || !a.call.Deadline.After(e.Add(-stopMargin)) {
+	if !ok || a.mustGoOn() || a.deadlineBefore(e) {
 		return nil
 	}
-	l := e.Add(-stopMargin).Sub(a.Clock.Now())
+	n := a.Clock.Now()
 	d, ok := a.timeNeeded(engine)
-	if ok && d <= l {
+	if ok && !n.Add(d+closeMargin).After(e) {
 		return nil
 	}
-	return newStopError(l, d)
+	return a.newStopError(e)
 }
 
-// newStopError returns the error of a stream that may take the time needed, of which left is left.
-// Zero means that it is not known.
-func newStopError(left, needed time.Duration) error {
-	s := fmt.Sprintf("the host stops in %v, and the stream may take ", left.Round(durationStep))
-	if needed == 0 {
-		s += "longer"
+// newStopError returns the error of a stream that may not end before the host closes its connections
+// at the time endsAt.
+func (a *attempt) newStopError(endsAt time.Time) error {
+	s := fmt.Sprintf("the host stops in %v, and the stream may take ", endsAt.Sub(a.Clock.Now()).Round(durationStep))
+	d, ok := a.timeNeeded(a.decode.Name)
+	if ok {
+		s += d.Round(durationStep).String()
 	} else {
-		s += needed.Round(durationStep).String()
+		s += "longer"
 	}
 	return errors.WithStack(&sardineknot.NotRunError{Reason: s})
 }
 
-// mustGoOn reports whether the attempt goes on with an answer of which the caller may have a part
-// from this host already.
+// mustGoOn reports whether the attempt goes on with an answer that an engine may have begun for the
+// caller. No other host can take it over from this one.
 func (a *attempt) mustGoOn() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	return a.headerSent || a.executions > 0 || a.replacing != nil
 }
 
+// deadlineBefore reports whether the deadline of the call comes before the host closes its
+// connections at the time endsAt.
+func (a *attempt) deadlineBefore(endsAt time.Time) bool {
+	return !a.call.Deadline.After(endsAt.Add(-closeMargin))
+}
+
 // timeNeeded returns the time that the stream needs from now on, by its own length and the pace that
-// engine has shown lately. It returns false if one of them is not known.
+// the named engine has shown lately. It returns false if one of them is not known. A stream that
+// may be resumed and was admitted before the stop only needs the time to begin: its caller resumes
+// it elsewhere, and a refusal would cost it its place in the queue.
 func (a *attempt) timeNeeded(engine sardineknot.BackendServerName) (time.Duration, bool) {
-	n, ok := a.remainingEvents()
-	if !ok {
-		return 0, false
+	n := a.remainingEvents()
+	b := a.call.Route.Resumable && !a.late
+	if b {
+		n = 0
 	}
-	f, d, ok := a.Paces.Bound(a.Clock.Now(), a.job.Pool, engine, n)
-	if !ok && n > 0 {
+	p, d, ok := a.Paces.Bound(a.Clock.Now(), a.job.Pool, engine, n)
+	if !b && (n == 0 || !ok) {
 		return 0, false
 	}
-	if !a.grantedAt.IsZero() {
-		f = max(0, f-a.Clock.Now().Sub(a.grantedAt))
+	if a.prefilled {
+		p = 0
 	}
 	if a.late {
 		d *= lateFactor
 	}
-	return f + d, true
+	return p + d, true
 }
 
-// remainingEvents returns the greatest number of events that must end before the host closes its
-// connections, or false if that is not known. It is zero for a stream that may be resumed and was
-// admitted before the stop: its caller resumes it elsewhere if it has not ended by then, and a
-// refusal would cost it its place in the queue.
-func (a *attempt) remainingEvents() (int, bool) {
-	if a.call.Route.Resumable && !a.late {
-		return 0, true
-	}
+// remainingEvents returns the greatest number of events that the stream may still have, or zero if
+// its caller states no maximum length.
+func (a *attempt) remainingEvents() int {
 	if a.call.Generation.MaxTokens <= 0 {
-		return 0, false
+		return 0
 	}
 	t := a.eventTokens()
-	return (a.job.MaxTokens + t - 1) / t, true
+	return (a.job.MaxTokens + t - 1) / t
 }
 
 // awaitGrant waits for a grant. Once the host is stopping, it waits until the stream may not end
 // any more before the host closes its connections, and fails with a NotRunError then.
 func (a *attempt) awaitGrant() (sardineknot.Grant, error) {
-	if a.mustGoOn() {
-		return a.Slots.Acquire(a.ctx, a.job)
-	}
-	ctx, cancel := a.Stop.Limit(a.ctx, a.Clock.Now(), a.latestGrant)
+	ctx, cancel := a.limitByStop(a.ctx)
 	defer cancel()
 	g, err := a.Slots.Acquire(ctx, a.job)
+	if e := a.stopError(ctx); err != nil && e != nil {
+		return g, e
+	}
+	return g, err
+}
+
+// limitByStop returns a copy of ctx that ends, once the host is stopping, when the stream may not end
+// any more before the host closes its connections. The copy must be cancelled.
+func (a *attempt) limitByStop(ctx context.Context) (context.Context, context.CancelFunc) {
+	if a.mustGoOn() {
+		return context.WithCancel(ctx)
+	}
+	return a.Stop.Limit(ctx, a.Clock.Now(), a.latestStep)
+}
+
+// stopError returns a NotRunError if ctx, which limitByStop returned, has ended because of the stop,
+// and nil otherwise.
+func (a *attempt) stopError(ctx context.Context) error {
 	var s *sardineknot.StoppingError
-	if err == nil || !errors.As(context.Cause(ctx), &s) {
-		return g, err
+	if a.ctx.Err() != nil || !errors.As(context.Cause(ctx), &s) {
+		return nil
 	}
-	d, _ := a.timeNeeded("")
-	return g, newStopError(s.EndsAt.Sub(a.Clock.Now()), d)
+	return a.newStopError(s.EndsAt)
 }
 
-// latestGrant returns the time until which the attempt may wait for engines if the host closes its
-// connections at the time endsAt.
-func (a *attempt) latestGrant(endsAt time.Time) time.Time {
+// latestStep returns the time until which the attempt may wait for engines or its prefill if the host
+// closes its connections at the time endsAt.
+func (a *attempt) latestStep(endsAt time.Time) time.Time {
+	if a.deadlineBefore(endsAt) {
+		return a.call.Deadline
+	}
 	n := a.Clock.Now()
-	d, ok := a.timeNeeded("")
+	d, ok := a.timeNeeded(a.decode.Name)
 	if !ok {
 		return n
 	}
-	t := endsAt.Add(-stopMargin - d)
-	if l := n.Add(maxLateWait); a.late && l.Before(t) {
+	t := endsAt.Add(-closeMargin - d)
+	if l := n.Add(maxLateWait); a.late && a.decode.Name == "" && l.Before(t) {
 		return l
 	}
 	return t
 }
-
-// recordStart records the time that the engines took for the first event, which has just been
-// relayed.
-func (a *attempt) recordStart() {
-	a.Paces.RecordStart(a.lastEventAt, a.job.Pool, a.lastEventAt.Sub(a.grantedAt))
-	a.pacedCount, a.pacedAt = a.eventCount, a.lastEventAt
-}
-
-// recordPace records the time that the decode engine took for each event since it was last
-// recorded.
-func (a *attempt) recordPace() {
-	n := a.eventCount - a.pacedCount
-	if n <= 0 {
-		return
-	}
-	a.Paces.RecordPace(a.lastEventAt, a.job.Pool, a.decode.Name, a.lastEventAt.Sub(a.pacedAt)/time.Duration(n))
-	a.pacedCount, a.pacedAt = a.eventCount, a.lastEventAt
-}
--- a/internal/caller/stopping/schedule.go
+++ b/internal/caller/stopping/schedule.go
@@ -18,16 +18,16 @@
 	mu sync.Mutex
 	// stop is nil until Begin.
 	stop *stop
-	// waits holds the contexts of Limit that are not done.
+	// waits holds the functions of AfterFunc that may still be called.
 	waits map[*wait]struct{}
 }
 
-// wait is a context of Limit.
+// wait is a function of AfterFunc.
 type wait struct {
-	cancel context.CancelCauseFunc
-	// latest returns the time at which the context ends, for a stop that ends at the given time.
+	// latest returns the time at which call is called, for a stop that ends at the given time.
 	latest func(endsAt time.Time) time.Time
-	// timer ends the context. It is nil unless the host is stopping.
+	call   func(endsAt time.Time)
+	// timer calls call. It is nil unless the host is stopping.
 	timer *time.Timer
 }
 
@@ -53,16 +53,15 @@
 	}
 }
 
-// Limit returns a copy of ctx for something that can wait until the time that latest returns, once
-// the host is stopping. The context ends then, with a sardineknot.StoppingError as its cause. now is the current
-// time. latest is called at most once, when the host is stopping, with the time at which it closes
-// its connections. The function that Limit returns ends the context, and must be called.
-func (s *Schedule) Limit(ctx context.Context, now time.Time, latest func(endsAt time.Time) time.Time) (context.Context, context.CancelFunc) {
-	ctx, cancel := context.WithCancelCause(ctx)
+// AfterFunc calls call in its own goroutine at the time that latest returns, once the host is
+// stopping. now is the current time. latest is called at most once, when the host is stopping, with
+// the time at which it closes its connections, and must not call s. The function that AfterFunc
+// returns keeps it from calling call, unless it already has, and must be called.
+func (s *Schedule) AfterFunc(now time.Time, latest func(endsAt time.Time) time.Time, call func(endsAt time.Time)) (stop func()) {
 	if s == nil {
-		return ctx, func() { cancel(nil) }
+		return func() {}
 	}
-	w := &wait{cancel: cancel, latest: latest}
+	w := &wait{latest: latest, call: call}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.stop != nil {
@@ -72,15 +71,29 @@
 		s.waits = make(map[*wait]struct{})
 	}
 	s.waits[w] = struct{}{}
-	return ctx, func() { s.remove(w) }
+	return func() { s.remove(w) }
+}
+
+// Limit returns a copy of ctx that ends at the time that latest returns, once the host is stopping.
+// Its cause is a sardineknot.StoppingError then. now and latest are those of AfterFunc. The function
+// that Limit returns ends the context, and must be called.
+func (s *Schedule) Limit(ctx context.Context, now time.Time, latest func(endsAt time.Time) time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := s.AfterFunc(now, latest, func(endsAt time.Time) {
+		cancel(errors.WithStack(&sardineknot.StoppingError{EndsAt: endsAt}))
+	})
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
 }
 
 // start starts the timer of w at time now, for a stop that ends at endsAt.
 func (w *wait) start(now, endsAt time.Time) {
-	w.timer = time.AfterFunc(w.latest(endsAt).Sub(now), func() { w.cancel(errors.WithStack(&sardineknot.StoppingError{EndsAt: endsAt})) })
+	w.timer = time.AfterFunc(w.latest(endsAt).Sub(now), func() { w.call(endsAt) })
 }
 
-// remove ends w.
+// remove removes w.
 func (s *Schedule) remove(w *wait) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -88,7 +101,6 @@
 	if w.timer != nil {
 		w.timer.Stop()
 	}
-	w.cancel(nil)
 }
 
 // EndsAt returns the time at which the host closes its connections. It returns false if the
--- a/internal/policy/streampace/paces.go
+++ b/internal/policy/streampace/paces.go
@@ -24,45 +24,77 @@
 
 // pool is what is known of the engines of one pool.
 type pool struct {
-	// start is the longest time from a grant to the first event.
-	start recent.Maximum
-	// engines holds, for each decode engine, the longest time for an event.
-	engines map[sardineknot.BackendServerName]*recent.Maximum
+	// prefill is the longest time of a prefill, and first that from the request to a decode
+	// engine to its first event.
+	prefill, first recent.Maximum
+	// engines holds the decode engines.
+	engines map[sardineknot.BackendServerName]*engine
 }
 
-// RecordStart records at time now that a stream of the named pool had its first event when
-// duration had passed since its grant.
-func (p *Paces) RecordStart(now time.Time, name sardineknot.PoolName, duration time.Duration) {
+// engine is what is known of one decode engine.
+type engine struct {
+	// perEvent is the longest time for an event.
+	perEvent recent.Maximum
+	// streams holds, for each stream in progress, the function that returns for how long its
+	// next event has been awaited at a time.
+	streams map[*func(now time.Time) time.Duration]struct{}
+}
+
+// RecordPrefill records at time now that a prefill of the named pool has taken duration.
+func (p *Paces) RecordPrefill(now time.Time, name sardineknot.PoolName, duration time.Duration) {
 	if p == nil {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.poolLocked(now, name).start.Record(now, duration)
+	p.poolLocked(now, name).prefill.Record(now, duration)
 }
 
-// RecordPace records at time now that an event of a stream on engine, of the named pool, has
-// taken perEvent on average.
-func (p *Paces) RecordPace(now time.Time, name sardineknot.PoolName, engine sardineknot.BackendServerName, perEvent time.Duration) {
+// RecordFirst records at time now that a stream of the named pool had its first event when
+// duration had passed since its request to the decode engine.
+func (p *Paces) RecordFirst(now time.Time, name sardineknot.PoolName, duration time.Duration) {
 	if p == nil {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := p.poolLocked(now, name)
-	m := l.engines[engine]
-	if m == nil {
-		m = &recent.Maximum{}
-		l.engines[engine] = m
+	p.poolLocked(now, name).first.Record(now, duration)
+}
+
+// RecordPace records at time now that an event of a stream on the named engine, of the pool
+// called name, has taken perEvent on average.
+func (p *Paces) RecordPace(now time.Time, name sardineknot.PoolName, server sardineknot.BackendServerName, perEvent time.Duration) {
+	if p == nil {
+		return
 	}
-	m.Record(now, perEvent)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.poolLocked(now, name).engine(server).perEvent.Record(now, perEvent)
 }
 
-// Bound returns the longest times that a stream of the given number of events takes from its
-// grant to its first event, and from there to its end, unless the pool has become slower. An
-// engine of which nothing is known is as slow as the slowest of its pool. An empty engine means
+// Follow adds a stream in progress on the named engine, of the pool called name. silence returns
+// for how long its next event has been awaited at a time. It must not call p. The function that
+// Follow returns removes the stream.
+func (p *Paces) Follow(now time.Time, name sardineknot.PoolName, server sardineknot.BackendServerName, silence func(now time.Time) time.Duration) func() {
+	if p == nil {
+		return func() {}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	e := p.poolLocked(now, name).engine(server)
+	e.streams[&silence] = struct{}{}
+	return func() {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		delete(e.streams, &silence)
+	}
+}
+
+// Bound returns the longest times that a stream of the given number of events takes for its
+// prefill, and from its request to the decode engine to its end, unless the pool has become slower.
+// A server of which nothing is known is as slow as the slowest of its pool. An empty server means
 // the fastest one. Bound returns false if no stream of the pool was seen lately.
-func (p *Paces) Bound(now time.Time, name sardineknot.PoolName, engine sardineknot.BackendServerName, events int) (start, rest time.Duration, ok bool) {
+func (p *Paces) Bound(now time.Time, name sardineknot.PoolName, server sardineknot.BackendServerName, events int) (prefill, decode time.Duration, ok bool) {
 	if p == nil {
 		return 0, 0, false
 	}
@@ -72,22 +104,18 @@
 	if l == nil {
 		return 0, 0, false
 	}
-	f, k := l.start.Value(now)
-	d, ok := l.perEvent(now, engine)
-	return f, time.Duration(events) * d, ok && k
+	prefill, _ = l.prefill.Value(now) // zero where decode engines prefill themselves
+	f, ok := l.first.Value(now)
+	d, k := l.perEvent(now, server)
+	return prefill, f + time.Duration(events)*d, ok && k
 }
 
-// perEvent returns the longest recent time for an event on engine, as Bound does.
-func (l *pool) perEvent(now time.Time, engine sardineknot.BackendServerName) (time.Duration, bool) {
-	if m := l.engines[engine]; m != nil {
-		if d, ok := m.Value(now); ok {
-			return d, true
-		}
-	}
+// perEvent returns the longest recent time for an event on the named engine, as Bound does.
+func (l *pool) perEvent(now time.Time, server sardineknot.BackendServerName) (time.Duration, bool) {
 	var fastest, slowest time.Duration
 	n := 0
-	for _, m := range l.engines {
-		d, ok := m.Value(now)
+	for _, e := range l.engines {
+		d, ok := e.slowest(now)
 		if !ok {
 			continue
 		}
@@ -97,10 +125,43 @@
 		slowest = max(slowest, d)
 		n++
 	}
-	if engine == "" {
+	if server == "" {
 		return fastest, n > 0
 	}
-	return slowest, n > 0
+	e := l.engines[server]
+	if e == nil {
+		return slowest, n > 0
+	}
+	if d, ok := e.slowest(now); ok {
+		return d, true
+	}
+	return max(slowest, e.silence(now)), n > 0
+}
+
+// slowest returns the longest recent time for an event on e, or false if none was seen. The
+// events that are awaited count as well.
+func (e *engine) slowest(now time.Time) (time.Duration, bool) {
+	d, ok := e.perEvent.Value(now)
+	return max(d, e.silence(now)), ok
+}
+
+// silence returns the longest time for which an event of e is awaited.
+func (e *engine) silence(now time.Time) time.Duration {
+	var d time.Duration
+	for f := range e.streams {
+		d = max(d, (*f)(now))
+	}
+	return d
+}
+
+// engine returns the named engine of l, which it adds if it is missing.
+func (l *pool) engine(name sardineknot.BackendServerName) *engine {
+	e := l.engines[name]
+	if e == nil {
+		e = &engine{streams: make(map[*func(now time.Time) time.Duration]struct{})}
+		l.engines[name] = e
+	}
+	return e
 }
 
 // poolLocked returns the named pool, which it adds if it is missing.
@@ -108,7 +169,7 @@
 	p.sweepLocked(now)
 	l := p.pools[name]
 	if l == nil {
-		l = &pool{engines: make(map[sardineknot.BackendServerName]*recent.Maximum)}
+		l = &pool{engines: make(map[sardineknot.BackendServerName]*engine)}
 		p.pools[name] = l
 	}
 	return l
@@ -126,7 +187,7 @@
 	p.sweptAt = now
 	for n, l := range p.pools {
 		l.removeOutdated(now)
-		if _, ok := l.start.Value(now); !ok && len(l.engines) == 0 {
+		if _, ok := l.first.Value(now); !ok && len(l.engines) == 0 {
 			delete(p.pools, n)
 		}
 	}
@@ -134,8 +195,8 @@
 
 // removeOutdated removes the engines without recent streams.
 func (l *pool) removeOutdated(now time.Time) {
-	for n, m := range l.engines {
-		if _, ok := m.Value(now); !ok {
+	for n, e := range l.engines {
+		if _, ok := e.perEvent.Value(now); !ok && len(e.streams) == 0 {
 			delete(l.engines, n)
 		}
 	}
