caller/gateway: a call without an answer gets a status before the host closes

Cause: a call whose answer has not begun when a stopping host closes its connections got nothing at all: a decode engine that sends no header, or a stream that waits for another engine after the first one broke off before its first event.

Change: 0.1 s before the close, a call whose header has not been sent ends: as not run (503) if nothing ran it, with 502 otherwise. Answers that have begun go on until the close.

Test: TestStatusInStop. Its first case got no status before.

--- a/internal/caller/gateway/answer.go
+++ b/internal/caller/gateway/answer.go
@@ -29,6 +29,8 @@
 	// code that was sent with it, or zero.
 	started bool
 	status  int
+	// onHeader is called before the header is sent, unless it is nil.
+	onHeader func()
 	// unfinished ends an answer that the end of its connection would complete.
 	unfinished unfinished
 }
@@ -62,6 +64,9 @@
 
 // SendHeader implements sardineknot.AnswerWriter.
 func (a *answerWriter) SendHeader(status int, header http.Header) {
+	if a.onHeader != nil {
+		a.onHeader()
+	}
 	h := a.writer.Header()
 	for k, v := range header {
 		h[k] = v
--- a/internal/caller/gateway/handler.go
+++ b/internal/caller/gateway/handler.go
@@ -221,6 +221,8 @@
 func (h *Handler) run(writer *answerWriter, call *sardineknot.Call) {
 	ctx, cancel := context.WithDeadline(writer.request.Context(), call.Deadline)
 	defer cancel()
+	ctx, stop := h.limitUntilHeader(ctx, writer)
+	defer stop()
 	err := h.runWithinLimit(ctx, writer, call)
 	b := writer.started
 	if err != nil && !b {
--- a/internal/caller/gateway/stop.go
+++ b/internal/caller/gateway/stop.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/pkg/errors"
@@ -26,6 +27,21 @@
 	return errors.WithStack(&sardineknot.NotRunError{Reason: "the host stops before the call may end"})
 }
 
+// limitUntilHeader returns a copy of ctx that ends answerMargin before the host closes its
+// connections, unless the header of the answer has been sent by writer, so that the caller gets an
+// error status at least. The function that it returns ends the context, and must be called.
+func (h *Handler) limitUntilHeader(ctx context.Context, writer *answerWriter) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	t := func(endsAt time.Time) time.Time { return endsAt.Add(-answerMargin) }
+	writer.onHeader = h.Stop.AfterFunc(h.Clock.Now(), t, func(endsAt time.Time) {
+		cancel(errors.WithStack(&sardineknot.StoppingError{EndsAt: endsAt}))
+	})
+	return ctx, func() {
+		writer.onHeader()
+		cancel(nil)
+	}
+}
+
 // logStop returns a function that adds the time from the begin of the host's stop to now to a
 // log line. It adds nothing if the host is not stopping.
 func (h *Handler) logStop(now time.Time) func(*zerolog.Event) {
--- a/internal/caller/gateway/stop_test.go
+++ b/internal/caller/gateway/stop_test.go
@@ -40,17 +40,24 @@
 	}}
 }
 
-// timedRunner is a fake sardineknot.CallRunner whose calls take the given time.
+// timedRunner is a fake sardineknot.CallRunner whose calls take the given time. Their answers begin
+// at once if early is set.
 type timedRunner struct {
 	duration time.Duration
+	early    bool
 	runs     int
 }
 
 func (r *timedRunner) Run(ctx context.Context, _ *sardineknot.Call, w sardineknot.AnswerWriter) error {
 	r.runs++
+	if r.early {
+		w.SendHeader(http.StatusOK, http.Header{})
+	}
 	select {
 	case <-time.After(r.duration):
-		w.SendHeader(http.StatusOK, http.Header{})
+		if !r.early {
+			w.SendHeader(http.StatusOK, http.Header{})
+		}
 		return nil
 	case <-ctx.Done():
 		return ctx.Err()
@@ -139,6 +146,29 @@
 	})
 }
 
+// TestStatusInStop guards against a call without any answer when its host closes its connections,
+// and against one that is cut before, although its answer has begun.
+func TestStatusInStop(t *testing.T) {
+	runStop(t, "no answer has begun", 12*time.Second, func(t *testing.T, h *stoppable) {
+		b := time.Now()
+		time.AfterFunc(time.Second, func() { h.leave(0) })
+		p := h.call("/stream/a", strings.NewReader(""))
+		is := is.New(t)
+		is.Equal(p.StatusCode, http.StatusBadGateway)
+		is.Equal(time.Since(b), time.Second+stopTime-100*time.Millisecond)
+		is.Equal(p.Header.Get("Connection"), "close")
+	})
+	runStop(t, "an answer has begun", 12*time.Second, func(t *testing.T, h *stoppable) {
+		h.runner.early = true
+		time.AfterFunc(time.Second, func() { h.leave(0) })
+		is.New(t).Equal(h.call("/stream/a", strings.NewReader("")).StatusCode, http.StatusOK)
+	})
+	runStop(t, "a deadline that comes before", 12*time.Second, func(t *testing.T, h *stoppable) {
+		h.leave(0)
+		is.New(t).Equal(h.call("/call/a", strings.NewReader("")).StatusCode, http.StatusGatewayTimeout)
+	})
+}
+
 // TestStopDuringBody guards against a call that could have ended in time when its header
 // arrived, and cannot when its body has, because the host has begun to stop meanwhile.
 func TestStopDuringBody(t *testing.T) {
