--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -223,8 +223,10 @@
 		p.stop(l)
 	case <-w.Done():
 	}
+	l[0].server.Close()
+	p.awaitCalls()
 	cancel()
-	for _, s := range l {
+	for _, s := range l[1:] {
 		s.server.Close()
 	}
 	err := g.Wait()
--- a/internal/host/gateway/stop.go
+++ b/internal/host/gateway/stop.go
@@ -22,6 +22,10 @@
 	// other servers may go on after the last call of a caller. It is part of
 	// stopMargin. Calls of hosts that wait for changes are cut after it.
 	shutdownTime = 200 * time.Millisecond
+	// callEndTime is the time for which calls may end after their connections were closed. It is
+	// part of stopMargin as well. callCheckInterval is the interval at which that is checked.
+	callEndTime       = 100 * time.Millisecond
+	callCheckInterval = 5 * time.Millisecond
 )
 
 // stop stops the host gracefully. It marks the host as leaving, so that other
@@ -49,6 +53,14 @@
 	p.Log.Info().Stringer("event", sardineknot.LogDrained).Int("calls", p.handler.Active()).Dur("took_ms", p.clock.Now().Sub(n)).Err(err).Send()
 }
 
+// awaitCalls waits until the calls whose connections were closed have ended and are logged, for at
+// most callEndTime.
+func (p *Process) awaitCalls() {
+	for e := p.clock.Now().Add(callEndTime); p.handler.Active() > 0 && p.clock.Now().Before(e); {
+		time.Sleep(callCheckInterval)
+	}
+}
+
 // logRepeatedStops logs the signals that request a stop while the process is stopping, until
 // ctx is done. It always returns nil.
 func (p *Process) logRepeatedStops(ctx context.Context) error {
