backend/completion: answers that end with their connection are read ahead of slow callers

Cause: the end of such an answer is confirmed by a query once the host has read it. The host read only as far as the caller did, so a server that stopped after a whole answer was no longer there when a slow caller reached its end, and the answer broke off. A run with ss shows that it had not: 2.8 MB and the FIN were in the server's kernel, since the host's receive buffer of 0.4 MB was full.

Ruled out: POLLRDHUP without reading. Tried, the test still failed (no end arrived in 0.9 s of checks, every 20 ms).

Change: a body whose caller has not read for 20 ms is read ahead, up to 4 MiB, and 8 MiB for all answers of a host beyond 16 KiB of each; its end is confirmed at once. A failed confirmation is repeated when the caller reads the end, unless the server was gone. So a server that was killed has no proof even if another process has its address by then. http1's body may be closed during a read.

TestCloseDuringRead reports a data race on the old code. One query for each sound answer, as before (TestSlowCaller). Race detector on completion: clean. FuzzResponse of http1 has a data race under -race, also on untouched code (in the test).

--- a/internal/backend/completion/forwarder.go
+++ b/internal/backend/completion/forwarder.go
@@ -4,7 +4,10 @@
 // An answer with neither a length nor chunks ends with its connection. The kernel ends the
 // connections of a process that was killed in the same way. Such an answer is complete only
 // if the process is still running after it: the server is queried, and if it does not answer,
-// the end of the answer is an error.
+// the end of the answer is an error. The server may stop before a slow caller has taken its
+// answer: such an answer is read ahead within a memory budget, and the query goes out once this
+// host has read the end. Beyond the budget, the answer of a server that has stopped counts as
+// broken off.
 //
 // A stream resumes only on the process that the server's entry describes: one that started
 // again under the same name may have another software version.
@@ -12,7 +15,6 @@
 
 import (
 	"context"
-	"io"
 	"strconv"
 	"time"
 
@@ -21,6 +23,7 @@
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/backend/memory"
 	"sardineknot.example/sardineknot/internal/backend/tcp"
 )
 
@@ -48,6 +51,8 @@
 	Dialer   sardineknot.ServerDialer
 	// Source provides the services.
 	Source sardineknot.ConfigurationSource
+	// Memory bounds the bytes of answers that were read ahead of slow callers.
+	Memory *memory.Budget
 	// Log receives an event for each end that is not confirmed.
 	Log zerolog.Logger
 	// Metrics receives the number of ends, by whether they were confirmed.
@@ -65,14 +70,13 @@
 	if err != nil || p.Framing != sardineknot.FramingConnection {
 		return p, err
 	}
-	p.Body = &body{ReadCloser: p.Body, forwarder: f, ctx: ctx, server: server, call: call}
+	p.Body = newBody(ctx, f, server, call, p)
 	return p, nil
 }
 
-// confirm fails with an UnavailableError, whose cause is an UnconfirmedEndError, unless
-// server is running.
-func (f *Forwarder) confirm(ctx context.Context, server sardineknot.BackendServer, call *sardineknot.Call) error {
-	err := f.awaitProof(ctx, server, timeout(call))
+// end records err, the result of the confirmation of the end of call, and returns an
+// UnavailableError whose cause it is, or nil.
+func (f *Forwarder) end(ctx context.Context, server sardineknot.BackendServer, call *sardineknot.Call, err *sardineknot.UnconfirmedEndError) error {
 	if ctx.Err() == nil {
 		f.record(server, call.ID, err)
 	}
@@ -178,30 +182,3 @@
 	}
 	return sardineknot.Service{}
 }
-
-// body is the body of a response that ends with its connection.
-type body struct {
-	io.ReadCloser
-	forwarder *Forwarder
-	ctx       context.Context
-	server    sardineknot.BackendServer
-	call      *sardineknot.Call
-	// err is what Read returns once the connection has ended.
-	err error
-}
-
-// Read implements io.Reader.
-func (b *body) Read(buffer []byte) (int, error) {
-	if b.err != nil {
-		return 0, b.err
-	}
-	n, err := b.ReadCloser.Read(buffer)
-	if !errors.Is(err, io.EOF) {
-		return n, err
-	}
-	b.err = b.forwarder.confirm(b.ctx, b.server, b.call)
-	if b.err == nil {
-		b.err = io.EOF
-	}
-	return n, b.err
-}
--- a/internal/backend/completion/forwarder_test.go
+++ b/internal/backend/completion/forwarder_test.go
@@ -17,6 +17,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/backend/completion"
+	"sardineknot.example/sardineknot/internal/backend/memory"
 )
 
 // server is a fake backend server: a forwarder that gets its answers, and a prober of it.
@@ -60,7 +61,7 @@
 
 // forwarder returns a forwarder before s.
 func (s *server) forwarder() *completion.Forwarder {
-	f := &completion.Forwarder{Forwarder: s, Prober: s, Dialer: s, Source: s, Metrics: metrics.NewRegistry()}
+	f := &completion.Forwarder{Forwarder: s, Prober: s, Dialer: s, Source: s, Metrics: metrics.NewRegistry(), Memory: &memory.Budget{}}
 	f.MayQuery = func(sardineknot.BackendServer) bool { return !s.limited }
 	return f
 }
--- a/internal/backend/completion/replaced_test.go
+++ b/internal/backend/completion/replaced_test.go
@@ -14,6 +14,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/backend/completion"
+	"sardineknot.example/sardineknot/internal/backend/memory"
 )
 
 // endingDialer is a ServerDialer to a server whose process is ending: the kernel accepts one
@@ -38,7 +39,7 @@
 // a killed process accepted just before it closed the listener: it resets that connection.
 func TestEndingServer(t *testing.T) {
 	s, d := &server{framing: sardineknot.FramingConnection}, &endingDialer{}
-	f := &completion.Forwarder{Forwarder: s, Prober: s, Dialer: d, Source: s, Metrics: metrics.NewRegistry()}
+	f := &completion.Forwarder{Forwarder: s, Prober: s, Dialer: d, Source: s, Metrics: metrics.NewRegistry(), Memory: &memory.Budget{}}
 	f.MayQuery = func(sardineknot.BackendServer) bool { return false }
 	p, err := f.Forward(t.Context(), sardineknot.BackendServer{Name: "s"}, safeCall(), sardineknot.ForwardOptions{})
 	is.New(t).NoErr(err)
@@ -63,7 +64,7 @@
 func TestRestartedServer(t *testing.T) {
 	for _, limited := range []bool{false, true} {
 		s := &server{framing: sardineknot.FramingConnection, limited: limited}
-		f := &completion.Forwarder{Forwarder: s, Prober: s, Dialer: s, Source: restarted{s}, Metrics: metrics.NewRegistry()}
+		f := &completion.Forwarder{Forwarder: s, Prober: s, Dialer: s, Source: restarted{s}, Metrics: metrics.NewRegistry(), Memory: &memory.Budget{}}
 		f.MayQuery = func(sardineknot.BackendServer) bool { return !limited }
 		p, err := f.Forward(t.Context(), sardineknot.BackendServer{Name: "s", Born: 1}, safeCall(), sardineknot.ForwardOptions{})
 		is.New(t).NoErr(err)
--- a/internal/backend/http1/body.go
+++ b/internal/backend/http1/body.go
@@ -4,18 +4,23 @@
 	"context"
 	"io"
 	"net/http"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
 )
 
 // body is the body of a response. When a read reaches the end of the body, the
-// connection returns to the idle connections of the client.
+// connection returns to the idle connections of the client. Close may be called during a
+// read, which then fails.
 type body struct {
 	conn     *conn
 	response *http.Response
 	stop     func() bool
 	context  context.Context
+
+	// mu guards the fields below.
+	mu sync.Mutex
 	// done is set when the connection was returned or closed, and err is what Read
 	// returns then.
 	done bool
@@ -24,25 +29,33 @@
 
 // Read implements io.Reader.
 func (b *body) Read(buffer []byte) (int, error) {
-	if b.done {
-		return 0, b.err
+	b.mu.Lock()
+	d, err := b.done, b.err
+	b.mu.Unlock()
+	if d {
+		return 0, err
 	}
 	n, err := b.response.Body.Read(buffer)
-	switch {
-	case err == nil:
+	if err == nil {
 		return n, nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case b.done:
 	case errors.Is(err, io.EOF):
 		b.finish()
-		return n, io.EOF
 	default:
 		b.abort(errors.WithStack(b.conn.unavailable(cause(b.context, err))))
-		return n, b.err
 	}
+	return n, b.err
 }
 
 // Close implements io.Closer. It closes the connection if the response was not
 // read to its end.
 func (b *body) Close() error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	if !b.done {
 		b.abort(errors.WithStack(errClosed))
 	}
@@ -51,7 +64,7 @@
 
 // finish returns the connection to the idle connections of the client if the
 // request and the response are complete and no further bytes were received.
-// Otherwise it closes the connection.
+// Otherwise it closes the connection. The caller must hold mu.
 func (b *body) finish() {
 	b.done, b.err = true, io.EOF
 	s := b.stop()
@@ -82,7 +95,7 @@
 // errClosed is what Read returns after Close, if the body was not read to its end.
 var errClosed = errors.New("the body is closed")
 
-// abort closes the connection. Read returns err from now on.
+// abort closes the connection. Read returns err from now on. The caller must hold mu.
 func (b *body) abort(err error) {
 	b.done, b.err = true, err
 	b.stop()
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -63,6 +63,8 @@
 	// cost nothing.
 	bodyMemoryParts = 6
 	freeBodyBytes   = 8 << 10
+	// freeAheadBytes cost nothing of what is read ahead of each slow caller.
+	freeAheadBytes = 16 << 10
 	// gcPercent is the growth of the heap, in percent, that triggers the next
 	// garbage collection. It is below the default of 100 because memory is
 	// scarcer than processor time.
@@ -346,6 +348,7 @@
 	m := &servermemory.Budget{}
 	f := &completion.Forwarder{
 		Forwarder: p.calls, Prober: p.Prober, MayQuery: p.mayQuery, Dialer: p.dialer, Source: p.source, Log: p.Log, Metrics: p.Metrics,
+		Memory: &servermemory.Budget{Free: freeAheadBytes},
 	}
 	n := uint64(self.Incarnation)
 	p.handler = &caller.Handler{
