backend/completion: an answer is read ahead again after its caller has kept up

Cause: found by reading. The read ahead of a slow caller ends once the caller has taken all that was read. If the caller then read no more, nothing began it again, and a server that stopped left the answer broken off though it was whole.

Change: such an end makes the next check due.

Test: TestReadAhead, "again once a caller that kept up reads no more"; it failed before.

--- a/internal/backend/completion/body.go
+++ b/internal/backend/completion/body.go
@@ -158,14 +158,17 @@
 		return
 	}
 	b.pumping = true
-	b.pumpLocked()
+	k := b.pumpLocked()
 	b.pumping = false
 	b.changed.Broadcast()
+	if k {
+		b.watchLocked()
+	}
 }
 
 // pumpLocked reads ahead until the connection ends, the memory is used up or the caller has
-// taken all that was read.
-func (b *body) pumpLocked() {
+// taken all that was read, in which case it returns true.
+func (b *body) pumpLocked() bool {
 	l := make([]byte, aheadReadBytes)
 	for i := 0; b.growLocked(); i++ {
 		b.mu.Unlock()
@@ -173,19 +176,20 @@
 		b.mu.Lock()
 		if b.closed {
 			b.endErr = errors.WithStack(errClosed)
-			return
+			return false
 		}
 		c := i > 0 && len(b.ahead) == 0
 		b.addLocked(l[:n])
 		if err != nil {
 			b.endErr = err
 			b.beginProofLocked()
-			return
+			return false
 		}
 		if c {
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // addLocked adds bytes to what was read ahead.
