--- a/errors.go
+++ b/errors.go
@@ -23,6 +23,15 @@
 	return fmt.Sprintf("not run: %s (retry after %v)", e.Reason, e.RetryAfter)
 }
 
+// StoppingError reports that something was given up because this host is stopping.
+type StoppingError struct {
+	// EndsAt is the time at which the host closes its connections.
+	EndsAt time.Time
+}
+
+// Error implements error.
+func (e *StoppingError) Error() string { return "the host is stopping" }
+
 // UnauthorizedError reports that a request has no key, or one that belongs to no
 // client account. The request did not run.
 type UnauthorizedError struct{}
@@ -145,10 +154,14 @@
 func (e *UnavailableError) Unwrap() error { return e.Cause }
 
 // ServerMayHaveEnded reports whether the cause may be that the process of the server
-// has ended. It is not if the server was silent, or if the host Through may have ended
-// instead.
+// has ended. It is not if the server was silent, if another process of it has answered, or if
+// the host Through may have ended instead.
 func (e *UnavailableError) ServerMayHaveEnded() bool {
 	c := e.Cause
+	var i *UnconfirmedInstanceError
+	if errors.As(c, &i) {
+		return false
+	}
 	var u *UnconfirmedEndError
 	if errors.As(c, &u) {
 		c = u.Cause
--- a/internal/backend/completion/forwarder_test.go
+++ b/internal/backend/completion/forwarder_test.go
@@ -17,6 +17,7 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/backend/completion"
+	"sardineknot.example/sardineknot/internal/backend/memory"
 )
 
 // server is a fake backend server: a forwarder that gets its answers, and a prober of it.
@@ -29,6 +30,8 @@
 	dials    int
 	// queryErr is the result of Probe alone.
 	queryErr error
+	// unidentified is set if answers to queries do not identify the process.
+	unidentified bool
 	// limited is set if the server must not be queried.
 	limited bool
 	// healthPath is that of the service.
@@ -39,9 +42,9 @@
 	return &sardineknot.Response{Status: 200, Framing: s.framing, Body: io.NopCloser(strings.NewReader("text"))}, nil
 }
 
-func (s *server) Probe(context.Context, sardineknot.BackendServer, sardineknot.Service) error {
+func (s *server) Probe(context.Context, sardineknot.BackendServer, sardineknot.Service) (identified bool, err error) {
 	s.probes++
-	return cmp.Or(s.queryErr, s.probeErr)
+	return !s.unidentified, cmp.Or(s.queryErr, s.probeErr)
 }
 
 func (s *server) Dial(context.Context, netip.AddrPort) (net.Conn, error) {
@@ -60,7 +63,7 @@
 
 // forwarder returns a forwarder before s.
 func (s *server) forwarder() *completion.Forwarder {
-	f := &completion.Forwarder{Forwarder: s, Prober: s, Dialer: s, Source: s, Metrics: metrics.NewRegistry()}
+	f := &completion.Forwarder{Forwarder: s, Prober: s, Dialer: s, Source: s, Metrics: metrics.NewRegistry(), Memory: &memory.Budget{}}
 	f.MayQuery = func(sardineknot.BackendServer) bool { return !s.limited }
 	return f
 }
--- a/internal/caller/stopping/schedule.go
+++ b/internal/caller/stopping/schedule.go
@@ -3,15 +3,32 @@
 package stopping
 
 import (
-	"sync/atomic"
+	"context"
+	"sync"
 	"time"
+
+	"github.com/pkg/errors"
+
+	"sardineknot.example/sardineknot"
 )
 
 // Schedule is the schedule of the planned stop of a host. The zero value, like nil, is that of
 // a host that is not stopping. It is safe for concurrent use.
 type Schedule struct {
+	mu sync.Mutex
 	// stop is nil until Begin.
-	stop atomic.Pointer[stop]
+	stop *stop
+	// waits holds the functions of AfterFunc that may still be called.
+	waits map[*wait]struct{}
+}
+
+// wait is a function of AfterFunc.
+type wait struct {
+	// latest returns the time at which call is called, for a stop that ends at the given time.
+	latest func(endsAt time.Time) time.Time
+	call   func(endsAt time.Time)
+	// timer calls call. It is nil unless the host is stopping.
+	timer *time.Timer
 }
 
 // stop is a planned stop.
@@ -25,7 +42,65 @@
 // Begin records at time now that the host was asked to stop, and that it closes its
 // connections at the time endsAt. Later calls have no effect.
 func (s *Schedule) Begin(now, endsAt time.Time) {
-	s.stop.CompareAndSwap(nil, &stop{begunAt: now, endsAt: endsAt})
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stop != nil {
+		return
+	}
+	s.stop = &stop{begunAt: now, endsAt: endsAt}
+	for w := range s.waits {
+		w.start(now, endsAt)
+	}
+}
+
+// AfterFunc calls call in its own goroutine at the time that latest returns, once the host is
+// stopping. now is the current time. latest is called at most once, when the host is stopping, with
+// the time at which it closes its connections, and must not call s. The function that AfterFunc
+// returns keeps it from calling call, unless it already has, and must be called.
+func (s *Schedule) AfterFunc(now time.Time, latest func(endsAt time.Time) time.Time, call func(endsAt time.Time)) (stop func()) {
+	if s == nil {
+		return func() {}
+	}
+	w := &wait{latest: latest, call: call}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stop != nil {
+		w.start(now, s.stop.endsAt)
+	}
+	if s.waits == nil {
+		s.waits = make(map[*wait]struct{})
+	}
+	s.waits[w] = struct{}{}
+	return func() { s.remove(w) }
+}
+
+// Limit returns a copy of ctx that ends at the time that latest returns, once the host is stopping.
+// Its cause is a sardineknot.StoppingError then. now and latest are those of AfterFunc. The function
+// that Limit returns ends the context, and must be called.
+func (s *Schedule) Limit(ctx context.Context, now time.Time, latest func(endsAt time.Time) time.Time) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := s.AfterFunc(now, latest, func(endsAt time.Time) {
+		cancel(errors.WithStack(&sardineknot.StoppingError{EndsAt: endsAt}))
+	})
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
+// start starts the timer of w at time now, for a stop that ends at endsAt.
+func (w *wait) start(now, endsAt time.Time) {
+	w.timer = time.AfterFunc(w.latest(endsAt).Sub(now), func() { w.call(endsAt) })
+}
+
+// remove removes w.
+func (s *Schedule) remove(w *wait) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.waits, w)
+	if w.timer != nil {
+		w.timer.Stop()
+	}
 }
 
 // EndsAt returns the time at which the host closes its connections. It returns false if the
@@ -48,9 +123,12 @@
 	return now.Sub(p.begunAt), true
 }
 
+// current returns the stop in progress, or nil.
 func (s *Schedule) current() *stop {
 	if s == nil {
 		return nil
 	}
-	return s.stop.Load()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stop
 }
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -48,6 +48,7 @@
 	"sardineknot.example/sardineknot/internal/platform/mirror"
 	feed "sardineknot.example/sardineknot/internal/platform/twirp"
 	"sardineknot.example/sardineknot/internal/policy/memory"
+	"sardineknot.example/sardineknot/internal/policy/streampace"
 	quarantinestore "sardineknot.example/sardineknot/internal/quarantine/store"
 	quarantine "sardineknot.example/sardineknot/internal/quarantine/twirp"
 	serverlimits "sardineknot.example/sardineknot/internal/serverlimits/twirp"
@@ -63,6 +64,8 @@
 	// cost nothing.
 	bodyMemoryParts = 6
 	freeBodyBytes   = 8 << 10
+	// freeAheadBytes cost nothing of what is read ahead of each slow caller.
+	freeAheadBytes = 16 << 10
 	// gcPercent is the growth of the heap, in percent, that triggers the next
 	// garbage collection. It is below the default of 100 because memory is
 	// scarcer than processor time.
@@ -222,11 +225,12 @@
 		p.stop(l)
 	case <-w.Done():
 	}
+	l[0].server.Close()
+	p.awaitCalls()
 	cancel()
-	for _, s := range l {
+	for _, s := range l[1:] {
 		s.server.Close()
 	}
-	p.awaitCut()
 	err := g.Wait()
 	p.Log.Info().Stringer("event", sardineknot.LogStopped).Err(err).Send()
 	return err
@@ -350,6 +354,7 @@
 	m := &servermemory.Budget{}
 	f := &completion.Forwarder{
 		Forwarder: p.calls, Prober: p.Prober, MayQuery: p.mayQuery, Dialer: p.dialer, Source: p.source, Log: p.Log, Metrics: p.Metrics,
+		Memory: &servermemory.Budget{Free: freeAheadBytes}, Refresh: p.mirror.Refresh,
 	}
 	n := uint64(self.Incarnation)
 	p.handler = &caller.Handler{
@@ -361,7 +366,7 @@
 		},
 		Stream: &events.Runner{
 			Source: p.source, Forwarder: f, Slots: p.slots, Backoffs: p.backoffs, Guard: p.guard,
-			Budget: b, Memory: m, Versions: p.versions, Self: self, Clock: p.clock, Log: p.Log,
+			Budget: b, Memory: m, Versions: p.versions, Stop: &p.stopping, Paces: &streampace.Paces{}, Self: self, Clock: p.clock, Log: p.Log,
 		},
 		Limiter:  p.accountLimiter,
 		Memory:   p.bodyMemory(),
