backend/completion: a stream begins only on the process that the host knows

Cause: an engine starts again under its name with another software version. A host whose view is older grants it to a new stream, which the next process accepts, and records the version of the one before. A caller that comes back at another host is then given an engine of that version.

Ruled out: keeping the birth with the version and comparing it when the stream resumes. It cannot tell which of the two processes sent the first part, and would refuse all streams that a release in place breaks off.

Change: the process that begins a stream that may resume is queried, as for streams that resume, for at most 0.1 s: only another process is rejected, and a server that does not answer begins the stream without the check. The host then waits up to 0.3 s for the latest changes of the store before the next try. UnconfirmedInstanceError is no evidence that a request ends servers (ServerMayHaveEnded).

By reading: an answer of the next process, taken for one of the process before, refuted its crash within minRestartTime (1 s, "the time after its end before which no server is back"); such answers are rejected now.

--- a/internal/backend/completion/forwarder.go
+++ b/internal/backend/completion/forwarder.go
@@ -9,8 +9,8 @@
 // host has read the end. Beyond the budget, the answer of a server that has stopped counts as
 // broken off.
 //
-// A stream resumes only on the process that the server's entry describes: one that started
-// again under the same name may have another software version.
+// A stream begins and resumes only on the process that the server's entry describes: one that
+// started again under the same name may have another software version.
 package completion
 
 import (
@@ -49,8 +49,10 @@
 	// to the others, since a connection is no request.
 	MayQuery func(server sardineknot.BackendServer) bool
 	Dialer   sardineknot.ServerDialer
-	// Source provides the services.
-	Source sardineknot.ConfigurationSource
+	// Source provides the services. Refresh waits until it has the changes that were made
+	// before the call.
+	Source  sardineknot.ConfigurationSource
+	Refresh func(context.Context) error
 	// Memory bounds the bytes of answers that were read ahead of slow callers.
 	Memory *memory.Budget
 	// Log receives an event for each end that is not confirmed.
@@ -64,8 +66,8 @@
 // Forward implements sardineknot.Forwarder.
 func (f *Forwarder) Forward(ctx context.Context, server sardineknot.BackendServer, call *sardineknot.Call, options sardineknot.ForwardOptions) (*sardineknot.Response, error) {
 	p, err := f.Forwarder.Forward(ctx, server, call, options)
-	if err == nil && options.ResumeAfter > 0 && server.Born != 0 {
-		p, err = f.confirmInstance(ctx, server, p)
+	if err == nil {
+		p, err = f.confirmInstance(ctx, server, call, options, p)
 	}
 	if err != nil || p.Framing != sardineknot.FramingConnection {
 		return p, err
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -348,7 +348,7 @@
 	m := &servermemory.Budget{}
 	f := &completion.Forwarder{
 		Forwarder: p.calls, Prober: p.Prober, MayQuery: p.mayQuery, Dialer: p.dialer, Source: p.source, Log: p.Log, Metrics: p.Metrics,
-		Memory: &servermemory.Budget{Free: freeAheadBytes},
+		Memory: &servermemory.Budget{Free: freeAheadBytes}, Refresh: p.mirror.Refresh,
 	}
 	n := uint64(self.Incarnation)
 	p.handler = &caller.Handler{
--- a/unconfirmed_test.go
+++ b/unconfirmed_test.go
@@ -19,3 +19,10 @@
 		is.New(t).Equal(e.ServerMayHaveEnded(), ended)
 	}
 }
+
+// TestAnotherInstance guards against a request that counts as one that has ended its server,
+// because the next process under the name of the server has answered it.
+func TestAnotherInstance(t *testing.T) {
+	e := &sardineknot.UnavailableError{Peer: "a", Cause: &sardineknot.UnconfirmedInstanceError{Server: "a", Cause: io.EOF}}
+	is.New(t).True(!e.ServerMayHaveEnded())
+}
