backend/completion: the next process of an engine does not confirm the end of the one before

Cause: a stream without a length ends with its connection, and a query confirms that end. An engine that starts again within 20 ms, under its name and address, answers the query before the host has read its new entry. If its report does not name its birth, or it accepts no queries, the host took the entry of the process before as proof that there was no other one, and the part of the stream as whole. Reports with a birth were told apart already.

Change: Probe reports whether the answer identifies the process. If not, the end of an engine's stream is checked against a configuration with the changes of the store up to then, within 0.3 s; if the store does not answer, against the present one.

Not mended: a process that answers before its entry is in the store and names no birth, and plain servers, whose health names no process.

--- a/internal/backend/completion/body_test.go
+++ b/internal/backend/completion/body_test.go
@@ -53,8 +53,8 @@
 	return &sardineknot.Response{Status: 200, Framing: sardineknot.FramingConnection, Body: s}, nil
 }
 
-func (s *wholeServer) Probe(context.Context, sardineknot.BackendServer, sardineknot.Service) error {
-	return s.answer(s.queries.Add(1))
+func (s *wholeServer) Probe(context.Context, sardineknot.BackendServer, sardineknot.Service) (identified bool, err error) {
+	return true, s.answer(s.queries.Add(1))
 }
 
 func (s *wholeServer) Read(buffer []byte) (int, error) {
--- a/internal/backend/completion/forwarder.go
+++ b/internal/backend/completion/forwarder.go
@@ -110,9 +110,9 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for {
-		err := f.probe(ctx, server)
+		d, err := f.probe(ctx, server)
 		if err == nil {
-			err = f.checkInstance(server)
+			err = f.checkAnswered(ctx, server, d)
 		}
 		if err == nil {
 			return nil
@@ -124,20 +124,21 @@
 	}
 }
 
-// probe fails unless the process of server is shown to be running. Where it accepts no query,
-// or does not answer one in time, its address must accept connections.
-func (f *Forwarder) probe(ctx context.Context, server sardineknot.BackendServer) error {
+// probe fails unless a process under the name of server is shown to be running. Where it accepts
+// no query, or does not answer one in time, its address must accept connections. identified
+// reports whether it was the process that server describes.
+func (f *Forwarder) probe(ctx context.Context, server sardineknot.BackendServer) (identified bool, err error) {
 	s := f.service(server)
 	if (s.Engine != nil || s.HealthPath != "") && f.MayQuery(server) {
-		err := f.query(ctx, server, s)
+		d, err := f.query(ctx, server, s)
 		if !errors.Is(err, context.DeadlineExceeded) {
-			return err
+			return d, err
 		}
 	}
-	return f.connect(ctx, server)
+	return false, f.connect(ctx, server)
 }
 
-func (f *Forwarder) query(ctx context.Context, server sardineknot.BackendServer, service sardineknot.Service) error {
+func (f *Forwarder) query(ctx context.Context, server sardineknot.BackendServer, service sardineknot.Service) (identified bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	return f.Prober.Probe(ctx, server, service)
@@ -152,6 +153,20 @@
 	return tcp.StaysOpen(ctx, c)
 }
 
+// checkAnswered fails with an InstanceError if a later process of server may have answered a
+// query. Unless the answer has identified the process, an engine goes by a configuration that
+// has the changes up to then: one that has started again within milliseconds answers while
+// this host still has the entry of the process before. If the store does not answer within
+// refreshTimeout, the present configuration counts.
+func (f *Forwarder) checkAnswered(ctx context.Context, server sardineknot.BackendServer, identified bool) error {
+	if !identified && server.Born != 0 && f.service(server).Engine != nil {
+		ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+		defer cancel()
+		_ = f.Refresh(ctx)
+	}
+	return f.checkInstance(server)
+}
+
 // checkInstance fails with an InstanceError if another process has started under the name of
 // server since it got the request. The end of an answer may be read long after it has arrived:
 // the caller may be slow, or this host was paused.
--- a/internal/backend/completion/forwarder_test.go
+++ b/internal/backend/completion/forwarder_test.go
@@ -30,6 +30,8 @@
 	dials    int
 	// queryErr is the result of Probe alone.
 	queryErr error
+	// unidentified is set if answers to queries do not identify the process.
+	unidentified bool
 	// limited is set if the server must not be queried.
 	limited bool
 	// healthPath is that of the service.
@@ -40,9 +42,9 @@
 	return &sardineknot.Response{Status: 200, Framing: s.framing, Body: io.NopCloser(strings.NewReader("text"))}, nil
 }
 
-func (s *server) Probe(context.Context, sardineknot.BackendServer, sardineknot.Service) error {
+func (s *server) Probe(context.Context, sardineknot.BackendServer, sardineknot.Service) (identified bool, err error) {
 	s.probes++
-	return cmp.Or(s.queryErr, s.probeErr)
+	return !s.unidentified, cmp.Or(s.queryErr, s.probeErr)
 }
 
 func (s *server) Dial(context.Context, netip.AddrPort) (net.Conn, error) {
--- a/internal/backend/completion/instance.go
+++ b/internal/backend/completion/instance.go
@@ -70,7 +70,7 @@
 	ctx, cancel := context.WithTimeout(ctx, repeatableTimeout)
 	defer cancel()
 	for {
-		err := f.query(ctx, server, f.service(server))
+		_, err := f.query(ctx, server, f.service(server))
 		var i *sardineknot.InstanceError
 		if err == nil || errors.As(err, &i) || !pause(ctx, retryDelay) {
 			return err
--- a/prober.go
+++ b/prober.go
@@ -11,11 +11,13 @@
 // ServerProber queries backend servers for signs of life. Implementations are safe for
 // concurrent use.
 type ServerProber interface {
-	// Probe returns nil once the process that server describes has answered a query, and so
+	// Probe returns nil once a process under the name of server has answered a query, and so
 	// was running after the call of Probe. It fails with an InstanceError if another process
-	// answers, and with another error if none does. service is that of server. If it is a
-	// plain one, it has a health path.
-	Probe(ctx context.Context, server BackendServer, service Service) error
+	// than the one that server describes is known to have answered, and with another error
+	// if none has. identified reports whether the answer shows that it was that process, and
+	// not a later one under the same name. service is that of server. If it is a plain one,
+	// it has a health path.
+	Probe(ctx context.Context, server BackendServer, service Service) (identified bool, err error)
 }
 
 // InstanceError reports that the address of a backend server belongs to another process.
