caller/intake: requests on their way are not broken off, and calls beyond all connections are refused

Causes: a connection whose next request was being read counted as incomplete, as those that stop do, and was closed first; a connection that had just been accepted was closed for the next one; and if all connections ran calls, a new one was closed without an answer.

A connection on which a request may be on its way is closed after all others. Up to 64 connections beyond the limit are accepted, and their calls are refused with status 503, which is true: they do not run.

The check of "no call is broken off" that a connection beyond the limit ends is replaced by a stricter one: it gets the refusal first, and then ends. The other tests of connections use a clock that the test advances, since a connection is closed for another one only some time after its last request.

--- a/internal/caller/intake/conn.go
+++ b/internal/caller/intake/conn.go
@@ -20,6 +20,8 @@
 	calls, bodies int
 	// served is set once a call has begun.
 	served bool
+	// refused is set if there was no room for the connection. It does not change.
+	refused bool
 	// since is the time of the last begin or end of a call or a body.
 	since time.Time
 	// head is about the memory of the head that is read, in bytes, and held the part of
@@ -125,6 +127,16 @@
 // request that is not complete.
 func (c *conn) isClosableWithHead() bool { return c.held > 0 && c.isIncomplete() && c.isClosable() }
 
+// mayBeSending reports whether the rest of a request, or the next one, may be on its way at the
+// time now. A usual request is whole soon after its first byte.
+func (c *conn) mayBeSending(now time.Time) bool {
+	d := headTime
+	if c.served && !c.isIncomplete() {
+		d = pauseTime
+	}
+	return now.Sub(c.since) < d
+}
+
 // comesBefore reports whether c is closed before other.
 func (c *conn) comesBefore(other *conn) bool {
 	if c.isIncomplete() != other.isIncomplete() {
--- a/internal/caller/intake/guard.go
+++ b/internal/caller/intake/guard.go
@@ -7,7 +7,8 @@
 // share. If that is used up, or if there are too many connections, those whose requests
 // are not complete are closed, the oldest first. Usual requests are complete within
 // milliseconds, so that their connections stay open. No connection is closed while a call
-// runs whose body was read.
+// runs whose body was read. If all connections run calls, some more are accepted, whose calls
+// are refused with status 503.
 package intake
 
 import (
@@ -17,6 +18,7 @@
 	"net/http"
 	"sync"
 	"syscall"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
@@ -48,6 +50,15 @@
 	byteFactor = 2
 	// freeHeadBytes is the memory of a head that is not counted. Nearly all need less.
 	freeHeadBytes = 8 << 10
+	// headTime is the time from the start of a connection in which the head of its first
+	// request usually arrives. Connections that are closed before it are closed without an
+	// answer, although their callers have just sent a request.
+	headTime = 20 * time.Millisecond
+	// pauseTime is the time between two calls on a connection that is in use. If it is closed
+	// within that time, the next request may be on its way.
+	pauseTime = 100 * time.Millisecond
+	// refusedRetryAfter is the Retry-After time of calls that are refused, in seconds.
+	refusedRetryAfter = "0.500"
 )
 
 // Guard bounds the connections of one server. It is safe for concurrent use. The exported
@@ -56,6 +67,10 @@
 	// Connections is the maximum number of open connections. Zero means that they are not
 	// bounded.
 	Connections int
+	// Refusals is the maximum number of open connections beyond Connections, whose calls are
+	// refused. They must not be those of HTTP/2, which carry many calls. Zero means that
+	// connections without room are closed.
+	Refusals int
 	// HeadBytes is the memory of all heads together, beyond the usual size of each, in
 	// bytes. Zero means that heads are not counted.
 	HeadBytes int64
@@ -63,6 +78,8 @@
 	Clock sardineknot.Clock
 	// Closed counts the connections that were closed for others. Nil counts none.
 	Closed metrics.Counter
+	// Refused counts the calls that were refused. Nil counts none.
+	Refused metrics.Counter
 
 	mu sync.Mutex
 	// open holds the open connections.
@@ -131,6 +148,10 @@
 		q := &request{conn: c, body: r.Body != nil && r.Body != http.NoBody}
 		c.begin(q)
 		defer c.end(q)
+		if c.refused {
+			g.refuse(w)
+			return
+		}
 		if q.body {
 			r = r.WithContext(r.Context()) // the server keeps its own
 			r.Body = &body{ReadCloser: r.Body, request: q}
@@ -139,6 +160,17 @@
 	})
 }
 
+// refuse answers a call that is not run, and ends its connection.
+func (g *Guard) refuse(w http.ResponseWriter) {
+	if g.Refused != nil {
+		g.Refused.Inc(1)
+	}
+	w.Header().Set("Retry-After", refusedRetryAfter)
+	w.Header().Set("Connection", "close")
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
 // request is a request whose head is complete.
 type request struct {
 	conn *conn
@@ -185,22 +217,37 @@
 	return c
 }
 
-// add adds c to the open connections. If there are too many, it closes another one, or
-// returns false if all others run calls.
+// add adds c to the open connections. If there are too many, it closes another one, refuses
+// the calls of c, or returns false if there is no room for that either.
 func (g *Guard) add(c *conn) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.open == nil {
 		g.open = make(map[*conn]struct{})
 	}
-	if g.Connections > 0 && len(g.open) >= g.Connections && !g.closeOldestLocked(nil, (*conn).isClosable) {
+	c.since = g.Clock.Now()
+	if g.Connections > 0 && len(g.open) >= g.Connections && !g.makeRoomLocked(c) {
 		return false
 	}
-	c.since = g.Clock.Now()
 	g.open[c] = struct{}{}
 	return true
 }
 
+// makeRoomLocked makes room for c, or returns false if there is none.
+func (g *Guard) makeRoomLocked(c *conn) bool {
+	if g.Refusals == 0 {
+		return g.closeOldestLocked(nil, (*conn).isClosable)
+	}
+	if g.closeOldestLocked(nil, func(o *conn) bool { return o.isClosable() && !o.refused && !o.mayBeSending(c.since) }) {
+		return true
+	}
+	if len(g.open) < g.Connections+g.Refusals || g.closeOldestLocked(nil, func(o *conn) bool { return o.isClosable() && o.refused }) {
+		c.refused = true
+		return true
+	}
+	return g.closeOldestLocked(nil, (*conn).isClosable)
+}
+
 // closeOldestLocked closes one of the connections for which in returns true, but not except:
 // the one whose request has been incomplete for the longest time or, if there is none, the
 // one that has been idle for the longest time. It returns false if there is neither.
--- a/internal/caller/intake/guard_test.go
+++ b/internal/caller/intake/guard_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -22,9 +23,18 @@
 // waitTime bounds the wait for what happens within milliseconds.
 const waitTime = 20 * time.Second
 
+// testClock is a clock that a test advances. Each call of Now returns a later time.
+type testClock struct{ nanoseconds atomic.Int64 }
+
+func (c *testClock) Now() time.Time { return time.Unix(1000, c.nanoseconds.Add(1)) }
+
+// pass lets the time pass in which the next request of a connection may be on its way.
+func (c *testClock) pass() { c.nanoseconds.Add(int64(pauseTime)) }
+
 // server is a server whose connections a Guard bounds.
 type server struct {
 	*Guard
+	clock   *testClock
 	address string
 	// blocked is closed to end the calls of /block.
 	blocked chan struct{}
@@ -32,8 +42,12 @@
 
 // start starts a server with the given limits. It reads bodies, and answers.
 func start(t *testing.T, connections int, headBytes int64) *server {
+	k := &testClock{}
 	s := &server{
-		Guard:   &Guard{Connections: connections, HeadBytes: headBytes, Clock: clock.System{}, Closed: metrics.NewCounter()},
+		Guard: &Guard{
+			Connections: connections, Refusals: 2, HeadBytes: headBytes, Clock: k, Closed: metrics.NewCounter(), Refused: metrics.NewCounter(),
+		},
+		clock:   k,
 		blocked: make(chan struct{}),
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -74,16 +88,41 @@
 
 // waitUsed waits until heads hold the given number of bytes.
 func (s *server) waitUsed(t *testing.T, bytes int64) {
+	t.Helper()
+	s.wait(t, func() bool { return s.used >= bytes })
+}
+
+// waitOpen waits until the given number of connections is open.
+func (s *server) waitOpen(t *testing.T, count int) {
+	t.Helper()
+	s.wait(t, func() bool { return len(s.open) == count })
+}
+
+// waitBody waits until the body of a request is being read.
+func (s *server) waitBody(t *testing.T) {
+	t.Helper()
+	s.wait(t, func() bool {
+		for c := range s.open {
+			if c.bodies > 0 {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// wait waits until condition is true, which is called with mu held.
+func (s *server) wait(t *testing.T, condition func() bool) {
 	t.Helper()
 	for b := time.Now(); time.Since(b) < waitTime; time.Sleep(time.Millisecond) {
 		s.mu.Lock()
-		n := s.used
+		k := condition()
 		s.mu.Unlock()
-		if n >= bytes {
+		if k {
 			return
 		}
 	}
-	t.Errorf("heads do not hold %d bytes", bytes)
+	t.Error("the connections are not in the expected state")
 }
 
 // send sends text.
@@ -134,6 +173,14 @@
 			idle := s.dial(t).send(call)
 			idle.assertServed()
 			incomplete := s.dial(t).send(text)
+			s.wait(t, func() bool {
+				n := int64(0)
+				for c := range s.open {
+					n += c.head
+				}
+				return len(s.open) == 2 && (n > 0 || text == "")
+			})
+			s.clock.pass()
 			s.dial(t).send(call).assertServed()
 			incomplete.assertEnds()
 			idle.send(call).assertServed()
@@ -145,27 +192,98 @@
 		a, b := s.dial(t).send(call), s.dial(t).send(call)
 		a.assertServed()
 		b.assertServed()
+		s.clock.pass()
 		b.send(call).assertServed()
 		s.dial(t).send(call).assertServed()
 		a.assertEnds()
 		b.send(call).assertServed()
 	})
+	t.Run("a body that stops", func(t *testing.T) {
+		s := start(t, 1, 1<<20)
+		a := s.dial(t).send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n1")
+		s.waitBody(t)
+		s.clock.pass()
+		s.dial(t).send(call).assertServed()
+		a.assertEnds()
+	})
+}
+
+// TestFullOfCalls guards against callers without an answer because all connections run calls.
+func TestFullOfCalls(t *testing.T) {
 	t.Run("no call is broken off", func(t *testing.T) {
 		s := start(t, 2, 1<<20)
 		a, b := s.dial(t).send(block), s.dial(t).send(block)
 		a.assertServed()
 		b.assertServed()
-		s.dial(t).send(call).assertEnds()
+		c := s.dial(t).send(call)
+		is.New(t).Equal(c.status(), http.StatusServiceUnavailable)
+		c.assertEnds()
+		is.New(t).Equal(s.Refused.Count(), int64(1))
 		close(s.blocked)
 		a.send(call)
 		_, err := io.CopyN(io.Discard, a.reader, 1)
 		is.New(t).NoErr(err)
 	})
-	t.Run("a body that stops", func(t *testing.T) {
+	t.Run("connections beyond those that are refused", func(t *testing.T) {
 		s := start(t, 1, 1<<20)
-		a := s.dial(t).send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n1")
-		s.dial(t).send(call).assertServed()
+		s.dial(t).send(block).assertServed()
+		a, b := s.dial(t), s.dial(t)
+		s.waitOpen(t, 3)
+		c := s.dial(t)
 		a.assertEnds()
+		for _, r := range []*client{b, c} {
+			is.New(t).Equal(r.send(call).status(), http.StatusServiceUnavailable)
+		}
+		close(s.blocked)
+	})
+	t.Run("a server that refuses no calls ends connections", func(t *testing.T) {
+		s := start(t, 1, 1<<20)
+		s.Refusals = 0
+		s.dial(t).send(block).assertServed()
+		s.dial(t).send(call).assertEnds()
+		close(s.blocked)
+	})
+}
+
+// TestRequestsOnTheirWay guards against requests that are broken off because their connections
+// are closed for others while they arrive.
+func TestRequestsOnTheirWay(t *testing.T) {
+	t.Run("a request on its way is not broken off for another connection", func(t *testing.T) {
+		s := start(t, 2, 1<<20)
+		idle := s.dial(t).send(call)
+		idle.assertServed()
+		s.clock.pass()
+		a := s.dial(t)
+		s.waitOpen(t, 2)
+		s.dial(t).send(call).assertServed()
+		idle.assertEnds()
+		a.send(call).assertServed()
+	})
+	t.Run("a head or a body on its way is not broken off for another connection", func(t *testing.T) {
+		for _, part := range []string{part, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\n"} {
+			s := start(t, 1, 1<<20)
+			a := s.dial(t).send(call)
+			a.assertServed()
+			a.send(part)
+			s.wait(t, func() bool {
+				for c := range s.open {
+					return c.head > 0 || c.bodies > 0
+				}
+				return false
+			})
+			is.New(t).Equal(s.dial(t).send(call).status(), http.StatusServiceUnavailable)
+			a.send("\r\n").assertServed()
+		}
+	})
+	t.Run("a connection in use is not closed for another one", func(t *testing.T) {
+		s := start(t, 2, 1<<20)
+		s.dial(t).send(block).assertServed()
+		a := s.dial(t).send(call)
+		a.assertServed()
+		s.clock.nanoseconds.Add(int64(pauseTime / 2))
+		is.New(t).Equal(s.dial(t).send(call).status(), http.StatusServiceUnavailable)
+		a.send(call).assertServed()
+		close(s.blocked)
 	})
 }
 
--- a/internal/host/gateway/intake.go
+++ b/internal/host/gateway/intake.go
@@ -11,6 +11,9 @@
 	// readiness checks and metrics, and peerConnections that of other hosts.
 	otherConnections = 128
 	peerConnections  = 600
+	// refusedConnections is the maximum number of connections of callers whose calls are
+	// refused, beyond those whose calls run. A refusal takes some milliseconds.
+	refusedConnections = 64
 )
 
 // newGuard returns a guard of a server for at most the given number of connections.
--- a/internal/host/gateway/servers.go
+++ b/internal/host/gateway/servers.go
@@ -7,6 +7,7 @@
 	"net/netip"
 
 	"github.com/pkg/errors"
+	"github.com/rcrowley/go-metrics"
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/caller/intake"
@@ -36,6 +37,7 @@
 	m.Handle(p.places.Handler())
 	m.Handle(tunnel.Path, p.tunnels)
 	c := p.newGuard(intake.CallerConnections(p.Settings.MemoryMegabytes, p.Settings.MaxDescriptors))
+	c.Refusals, c.Refused = refusedConnections, metrics.GetOrRegisterCounter("callers.refused_connections", p.Metrics)
 	h := p.newGuard(peerConnections)
 	h.HeadBytes = 0 // HTTP/2 bounds the header blocks of a connection
 	return []endpoint{
