--- a/internal/backend/reach/dialer.go
+++ b/internal/backend/reach/dialer.go
@@ -60,6 +60,8 @@
 	reachedAt time.Time
 	// probe is the probe in progress, or nil.
 	probe *probe
+	// later is set while a probe is due after a connection that has failed.
+	later bool
 	// asideUntil holds the times until which hosts get no requests for tunnels, because
 	// they have refused one.
 	asideUntil map[sardineknot.EntryHostID]time.Time
@@ -80,7 +82,11 @@
 	}
 	a := d.start(ctx, address)
 	if a.connectsSoon() || ctx.Err() != nil || d.reaches(ctx, address) {
-		return a.wait()
+		c, err := a.wait()
+		if err != nil {
+			d.probeLater()
+		}
+		return c, err
 	}
 	c, err := d.dialThrough(ctx, address)
 	if err != nil {
--- a/internal/backend/reach/dialer_test.go
+++ b/internal/backend/reach/dialer_test.go
@@ -131,6 +131,7 @@
 		time.Sleep(time.Minute)
 		test(t, w, d)
 		cancel()
+		time.Sleep(2 * time.Second) // probes that are due or in progress end
 		synctest.Wait()
 	})
 }
@@ -186,6 +187,25 @@
 	})
 }
 
+// TestCutAfterFailures guards against a host that does not notice that it is cut because the
+// first calls fail while its last connections still count, and open the circuits of all servers,
+// so that no further call connects.
+func TestCutAfterFailures(t *testing.T) {
+	run(t, func(t *testing.T, w *world, d *reach.Dialer) {
+		is := is.New(t)
+		_, _, err := dial(t, d, w.server(0))
+		is.NoErr(err)
+		w.cut(false, w.servers...)
+		_, _, err = dial(t, d, w.server(0))
+		is.True(err != nil) // the server may be at fault
+		time.Sleep(600 * time.Millisecond)
+		is.Equal(w.changes, 1)
+		_, n, err := dial(t, d, w.server(0))
+		is.NoErr(err)
+		is.True(n <= 5*time.Millisecond)
+	})
+}
+
 // TestConnectionsWhileCut checks connections of a host that is cut.
 func TestConnectionsWhileCut(t *testing.T) {
 	t.Run("silence of open connections", func(t *testing.T) {
@@ -278,6 +298,22 @@
 	})
 }
 
+// TestRefusingServer guards against connections that are opened to look for a cut while the
+// host connects to other servers than the one that fails.
+func TestRefusingServer(t *testing.T) {
+	run(t, func(t *testing.T, w *world, d *reach.Dialer) {
+		_, _, err := dial(t, d, w.server(1))
+		is.New(t).NoErr(err)
+		w.dead[w.server(0)] = true
+		for n := range 40 {
+			_, _, _ = dial(t, d, w.server(n%8))
+			time.Sleep(50 * time.Millisecond)
+		}
+		noCut(t, w)
+		is.New(t).Equal(w.dials, 41)
+	})
+}
+
 // TestHelpers checks through which hosts a host that is cut connects.
 func TestHelpers(t *testing.T) {
 	t.Run("one of its zone first", func(t *testing.T) {
--- a/internal/backend/reach/probe.go
+++ b/internal/backend/reach/probe.go
@@ -65,6 +65,24 @@
 	return d.probe, true
 }
 
+// probeLater looks whether the host is cut as soon as connections that it has opened before do
+// not count any more. Otherwise no call might notice the cut: those that fail before that time
+// make their servers be left alone.
+func (d *Dialer) probeLater() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.later {
+		return
+	}
+	d.later = true
+	time.AfterFunc(max(0, reachedTime-d.Clock.Now().Sub(d.reachedAt)), func() {
+		d.mu.Lock()
+		d.later = false
+		d.mu.Unlock()
+		d.ReportSilence()
+	})
+}
+
 // expired reports whether the probe has ended and does not count any more.
 func (p *probe) expired(now time.Time) bool {
 	select {
--- a/internal/host/gateway/process.go
+++ b/internal/host/gateway/process.go
@@ -143,6 +143,8 @@
 	source    *configuration.Source
 	// backoffs records which backend servers want no requests from this host.
 	backoffs *backoff.Set
+	// circuits are those of plain servers.
+	circuits *breaker.Set
 	mirror   *mirror.Mirror
 	// exchange queries other hosts for their configuration. committed is set once entries
 	// were committed, and committedEra is the era of the last ones. Only the mirror uses both.
@@ -259,7 +261,7 @@
 	p.mirror.OnChange, p.mirror.OnBatch, p.mirror.OnRestore = p.applyEntry, p.commitEntries, p.registry.BeginEra
 	n := uint64(h.Incarnation)
 	p.exchange = &inforce.Exchange{Source: p.source, Members: p.registry, Client: p.peers.Client(), Random: rand.New(rand.NewPCG(n, n+5)), Log: p.Log}
-	p.backoffs = backoff.NewSet(rand.NewPCG(n, n+2))
+	p.backoffs, p.circuits = backoff.NewSet(rand.NewPCG(n, n+2)), breaker.NewSet(rand.NewPCG(n, n+1))
 	p.addSlots()
 	p.addOrders()
 	p.addVersions()
@@ -347,12 +349,11 @@
 	f := &completion.Forwarder{
 		Forwarder: p.calls, Prober: p.Prober, MayQuery: p.mayQuery, Dialer: p.dialer, Source: p.source, Log: p.Log, Metrics: p.Metrics,
 	}
-	n := uint64(self.Incarnation)
 	p.handler = &caller.Handler{
 		Source:  p.source,
 		Decoder: p.RequestDecoder,
 		Plain: &plain.Runner{
-			Source: p.source, Forwarder: f, Circuits: breaker.NewSet(rand.NewPCG(n, n+1)), Backoffs: p.backoffs, Guard: p.guard,
+			Source: p.source, Forwarder: f, Circuits: p.circuits, Backoffs: p.backoffs, Guard: p.guard,
 			Places: p.places, Budget: b, Memory: m, Clock: p.clock, Log: p.Log,
 		},
 		Stream: &events.Runner{
