--- a/internal/backend/completion/forwarder.go
+++ b/internal/backend/completion/forwarder.go
@@ -4,15 +4,17 @@
 // An answer with neither a length nor chunks ends with its connection. The kernel ends the
 // connections of a process that was killed in the same way. Such an answer is complete only
 // if the process is still running after it: the server is queried, and if it does not answer,
-// the end of the answer is an error.
+// the end of the answer is an error. The server may stop before a slow caller has taken its
+// answer: such an answer is read ahead within a memory budget, and the query goes out once this
+// host has read the end. Beyond the budget, the answer of a server that has stopped counts as
+// broken off.
 //
-// A stream resumes only on the process that the server's entry describes: one that started
-// again under the same name may have another software version.
+// A stream begins and resumes only on the process that the server's entry describes: one that
+// started again under the same name may have another software version.
 package completion
 
 import (
 	"context"
-	"io"
 	"strconv"
 	"time"
 
@@ -21,6 +23,7 @@
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/backend/memory"
 	"sardineknot.example/sardineknot/internal/backend/tcp"
 )
 
@@ -46,8 +49,12 @@
 	// to the others, since a connection is no request.
 	MayQuery func(server sardineknot.BackendServer) bool
 	Dialer   sardineknot.ServerDialer
-	// Source provides the services.
-	Source sardineknot.ConfigurationSource
+	// Source provides the services. Refresh waits until it has the changes that were made
+	// before the call.
+	Source  sardineknot.ConfigurationSource
+	Refresh func(context.Context) error
+	// Memory bounds the bytes of answers that were read ahead of slow callers.
+	Memory *memory.Budget
 	// Log receives an event for each end that is not confirmed.
 	Log zerolog.Logger
 	// Metrics receives the number of ends, by whether they were confirmed.
@@ -59,20 +66,19 @@
 // Forward implements sardineknot.Forwarder.
 func (f *Forwarder) Forward(ctx context.Context, server sardineknot.BackendServer, call *sardineknot.Call, options sardineknot.ForwardOptions) (*sardineknot.Response, error) {
 	p, err := f.Forwarder.Forward(ctx, server, call, options)
-	if err == nil && options.ResumeAfter > 0 && server.Born != 0 {
-		p, err = f.confirmInstance(ctx, server, p)
+	if err == nil {
+		p, err = f.confirmInstance(ctx, server, call, options, p)
 	}
 	if err != nil || p.Framing != sardineknot.FramingConnection {
 		return p, err
 	}
-	p.Body = &body{ReadCloser: p.Body, forwarder: f, ctx: ctx, server: server, call: call}
+	p.Body = newBody(ctx, f, server, call, p)
 	return p, nil
 }
 
-// confirm fails with an UnavailableError, whose cause is an UnconfirmedEndError, unless
-// server is running.
-func (f *Forwarder) confirm(ctx context.Context, server sardineknot.BackendServer, call *sardineknot.Call) error {
-	err := f.awaitProof(ctx, server, timeout(call))
+// end records err, the result of the confirmation of the end of call, and returns an
+// UnavailableError whose cause it is, or nil.
+func (f *Forwarder) end(ctx context.Context, server sardineknot.BackendServer, call *sardineknot.Call, err *sardineknot.UnconfirmedEndError) error {
 	if ctx.Err() == nil {
 		f.record(server, call.ID, err)
 	}
@@ -104,9 +110,9 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for {
-		err := f.probe(ctx, server)
+		d, err := f.probe(ctx, server)
 		if err == nil {
-			err = f.checkInstance(server)
+			err = f.checkAnswered(ctx, server, d)
 		}
 		if err == nil {
 			return nil
@@ -118,20 +124,21 @@
 	}
 }
 
-// probe fails unless the process of server is shown to be running. Where it accepts no query,
-// or does not answer one in time, its address must accept connections.
-func (f *Forwarder) probe(ctx context.Context, server sardineknot.BackendServer) error {
+// probe fails unless a process under the name of server is shown to be running. Where it accepts
+// no query, or does not answer one in time, its address must accept connections. identified
+// reports whether it was the process that server describes.
+func (f *Forwarder) probe(ctx context.Context, server sardineknot.BackendServer) (identified bool, err error) {
 	s := f.service(server)
 	if (s.Engine != nil || s.HealthPath != "") && f.MayQuery(server) {
-		err := f.query(ctx, server, s)
+		d, err := f.query(ctx, server, s)
 		if !errors.Is(err, context.DeadlineExceeded) {
-			return err
+			return d, err
 		}
 	}
-	return f.connect(ctx, server)
+	return false, f.connect(ctx, server)
 }
 
-func (f *Forwarder) query(ctx context.Context, server sardineknot.BackendServer, service sardineknot.Service) error {
+func (f *Forwarder) query(ctx context.Context, server sardineknot.BackendServer, service sardineknot.Service) (identified bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
 	return f.Prober.Probe(ctx, server, service)
@@ -146,6 +153,20 @@
 	return tcp.StaysOpen(ctx, c)
 }
 
+// checkAnswered fails with an InstanceError if a later process of server may have answered a
+// query. Unless the answer has identified the process, an engine goes by a configuration that
+// has the changes up to then: one that has started again within milliseconds answers while
+// this host still has the entry of the process before. If the store does not answer within
+// refreshTimeout, the present configuration counts.
+func (f *Forwarder) checkAnswered(ctx context.Context, server sardineknot.BackendServer, identified bool) error {
+	if !identified && server.Born != 0 && f.service(server).Engine != nil {
+		ctx, cancel := context.WithTimeout(ctx, refreshTimeout)
+		defer cancel()
+		_ = f.Refresh(ctx)
+	}
+	return f.checkInstance(server)
+}
+
 // checkInstance fails with an InstanceError if another process has started under the name of
 // server since it got the request. The end of an answer may be read long after it has arrived:
 // the caller may be slow, or this host was paused.
@@ -178,30 +199,3 @@
 	}
 	return sardineknot.Service{}
 }
-
-// body is the body of a response that ends with its connection.
-type body struct {
-	io.ReadCloser
-	forwarder *Forwarder
-	ctx       context.Context
-	server    sardineknot.BackendServer
-	call      *sardineknot.Call
-	// err is what Read returns once the connection has ended.
-	err error
-}
-
-// Read implements io.Reader.
-func (b *body) Read(buffer []byte) (int, error) {
-	if b.err != nil {
-		return 0, b.err
-	}
-	n, err := b.ReadCloser.Read(buffer)
-	if !errors.Is(err, io.EOF) {
-		return n, err
-	}
-	b.err = b.forwarder.confirm(b.ctx, b.server, b.call)
-	if b.err == nil {
-		b.err = io.EOF
-	}
-	return n, b.err
-}
