backend/reach: tests read what their fake counts under its lock

A probe that is due after a failed connection runs beside the test, and the race detector reported reads of the fake's counters. No expectation changes.

--- a/internal/backend/reach/dialer_test.go
+++ b/internal/backend/reach/dialer_test.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -36,7 +37,7 @@
 	// the calls of Changed. asked holds the hosts from which it has requested tunnels.
 	dials   int
 	asked   []sardineknot.EntryHostID
-	changes int
+	changes atomic.Int64
 }
 
 // tunnelConn is a fake connection through another host.
@@ -92,6 +93,13 @@
 	return &tunnelConn{host: h.ID}, nil
 }
 
+// dialled returns dials.
+func (w *world) dialled() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.dials
+}
+
 // cut makes this host reach none of servers.
 func (w *world) cut(silent bool, servers ...sardineknot.BackendServer) {
 	w.mu.Lock()
@@ -125,7 +133,7 @@
 		}
 		d := reach.NewDialer()
 		d.Self, d.Members, d.Tunnels, d.Source, d.Clock, d.Direct = "h0", w, w, w, clock.System{}, w.direct
-		d.Random, d.Changed, d.Log, d.Metrics = rand.New(rand.NewPCG(1, 1)), func() { w.changes++ }, zerolog.Nop(), metrics.NewRegistry()
+		d.Random, d.Changed, d.Log, d.Metrics = rand.New(rand.NewPCG(1, 1)), func() { w.changes.Add(1) }, zerolog.Nop(), metrics.NewRegistry()
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() { _ = d.Run(ctx) }()
 		time.Sleep(time.Minute)
@@ -163,7 +171,7 @@
 				_, n, err = dial(t, d, w.server(5))
 				is.NoErr(err)
 				is.True(n <= 5*time.Millisecond)
-				is.Equal(w.changes, 1)
+				is.Equal(w.changes.Load(), int64(1))
 			})
 		})
 	}
@@ -182,7 +190,7 @@
 				is.New(t).Equal(h, sardineknot.EntryHostID(""))
 				time.Sleep(time.Second)
 			}
-			is.New(t).Equal(w.changes, 4)
+			is.New(t).Equal(w.changes.Load(), int64(4))
 		})
 	})
 }
@@ -199,7 +207,7 @@
 		_, _, err = dial(t, d, w.server(0))
 		is.True(err != nil) // the server may be at fault
 		time.Sleep(600 * time.Millisecond)
-		is.Equal(w.changes, 1)
+		is.Equal(w.changes.Load(), int64(1))
 		_, n, err := dial(t, d, w.server(0))
 		is.NoErr(err)
 		is.True(n <= 5*time.Millisecond)
@@ -243,7 +251,9 @@
 // noCut checks that the host detected no cut and requested no tunnel.
 func noCut(t *testing.T, w *world) {
 	t.Helper()
-	is.New(t).Equal(w.changes, 0)
+	is.New(t).Equal(w.changes.Load(), int64(0))
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	is.New(t).Equal(len(w.asked), 0)
 }
 
@@ -269,7 +279,7 @@
 				time.Sleep(50 * time.Millisecond)
 			}
 			noCut(t, w)
-			is.New(t).True(w.dials <= 40+3*5) // a probe each half second at most, of three servers
+			is.New(t).True(w.dialled() <= 40+3*5) // a probe each half second at most, of three servers
 		})
 	})
 	t.Run("all servers are gone", func(t *testing.T) {
@@ -280,7 +290,7 @@
 			_, n, err := dial(t, d, w.server(0))
 			is.New(t).True(err != nil)
 			is.New(t).True(n <= 300*time.Millisecond)
-			is.New(t).Equal(w.changes, 0)
+			is.New(t).Equal(w.changes.Load(), int64(0))
 		})
 	})
 	t.Run("nothing is sent while nothing fails", func(t *testing.T) {
@@ -292,7 +302,7 @@
 				time.Sleep(time.Second)
 			}
 			time.Sleep(time.Minute)
-			is.New(t).Equal(w.dials, 20)
+			is.New(t).Equal(w.dialled(), 20)
 			noCut(t, w)
 		})
 	})
@@ -310,7 +320,7 @@
 			time.Sleep(50 * time.Millisecond)
 		}
 		noCut(t, w)
-		is.New(t).Equal(w.dials, 41)
+		is.New(t).Equal(w.dialled(), 41)
 	})
 }
 
