--- a/errors.go
+++ b/errors.go
@@ -23,7 +23,7 @@
 	return fmt.Sprintf("not run: %s (retry after %v)", e.Reason, e.RetryAfter)
 }
 
-// StoppingError reports that something was given up because this host is stopping.
+// StoppingError reports that an operation was cancelled because this host is stopping.
 type StoppingError struct {
 	// EndsAt is the time at which the host closes its connections.
 	EndsAt time.Time
--- a/internal/answer/events/pace.go
+++ b/internal/answer/events/pace.go
@@ -6,7 +6,7 @@
 )
 
 // writeParts bounds the time in which the caller takes events: from a block of which it takes more
-// than 1/writeParts, the pace of the engine cannot be told.
+// than 1/writeParts, the pace of the engine does not follow.
 const writeParts = 4
 
 // pace observes the pace at which an engine sends the events of one attempt.
--- a/internal/answer/events/stop.go
+++ b/internal/answer/events/stop.go
@@ -8,12 +8,10 @@
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/caller/stopping"
 )
 
 const (
-	// closeMargin is the time before the host closes its connections at which a stream must have
-	// ended, so that the rest of its answer can be sent.
-	closeMargin = 100 * time.Millisecond
 	// lateFactor is how much slower than lately a decode engine may become before a stream that was
 	// admitted during the stop of its host is cut. Such a stream can run elsewhere at once.
 	lateFactor = 2
@@ -33,7 +31,7 @@
 	}
 	n := a.Clock.Now()
 	d, ok := a.timeNeeded(engine)
-	if ok && !n.Add(d+closeMargin).After(e) {
+	if ok && !n.Add(d+stopping.AnswerMargin).After(e) {
 		return nil
 	}
 	return a.newStopError(e)
@@ -63,7 +61,7 @@
 // deadlineBefore reports whether the deadline of the call comes before the host closes its
 // connections at the time endsAt.
 func (a *attempt) deadlineBefore(endsAt time.Time) bool {
-	return !a.call.Deadline.After(endsAt.Add(-closeMargin))
+	return !a.call.Deadline.After(endsAt.Add(-stopping.AnswerMargin))
 }
 
 // timeNeeded returns the time that the stream needs from now on, by its own length and the pace that
@@ -141,7 +139,7 @@
 	if !ok {
 		return n
 	}
-	t := endsAt.Add(-closeMargin - d)
+	t := endsAt.Add(-stopping.AnswerMargin - d)
 	if l := n.Add(maxLateWait); a.late && a.decode.Name == "" && l.Before(t) {
 		return l
 	}
--- a/internal/answer/events/stop_steps_test.go
+++ b/internal/answer/events/stop_steps_test.go
@@ -216,7 +216,7 @@
 }
 
 // TestGoesOnInStop guards against a stream that its caller has a part of, or that an engine may have
-// run, and that is given up by the rules for streams that have not begun.
+// run, and that is refused by the rules for streams that have not begun.
 func TestGoesOnInStop(t *testing.T) {
 	runStopCase(t, "no time is left for an admission", func(t *testing.T) {
 		c := newStopCase("d", true)
--- a/internal/answer/events/stop_test.go
+++ b/internal/answer/events/stop_test.go
@@ -75,7 +75,7 @@
 }
 
 // refuses checks that the call is refused after the given time, that no engine has run it, and
-// that its caller may come back to another host at once.
+// that its caller may retry at another host at once.
 func (c *stopCase) refuses(t *testing.T, after time.Duration) {
 	t.Helper()
 	is := is.New(t)
--- a/internal/caller/gateway/stop.go
+++ b/internal/caller/gateway/stop.go
@@ -8,31 +8,28 @@
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/caller/stopping"
 )
 
-// answerMargin is the time before the host closes its connections at which a call
-// must have ended, so that the rest of its answer can be sent.
-const answerMargin = 100 * time.Millisecond
-
 // checkTime fails with a NotRunError if the host is stopping and call may not end before it
 // closes its connections. A call ends at its deadline at the latest. Streams, which mostly end
-// much sooner, are admitted here: their runner knows how long they are, and refuses those that
+// much sooner, are admitted here: their runner has their lengths, and refuses those that
 // may not end in time.
 func (h *Handler) checkTime(call *sardineknot.Call) error {
 	e, ok := h.Stop.EndsAt()
-	if !ok || call.Generation != nil || !call.Deadline.After(e.Add(-answerMargin)) {
+	if !ok || call.Generation != nil || !call.Deadline.After(e.Add(-stopping.AnswerMargin)) {
 		return nil
 	}
 	// Other hosts can run it at once.
 	return errors.WithStack(&sardineknot.NotRunError{Reason: "the host stops before the call may end"})
 }
 
-// limitUntilHeader returns a copy of ctx that ends answerMargin before the host closes its
+// limitUntilHeader returns a copy of ctx that ends stopping.AnswerMargin before the host closes its
 // connections, unless the header of the answer has been sent by writer, so that the caller gets an
 // error status at least. The function that it returns ends the context, and must be called.
 func (h *Handler) limitUntilHeader(ctx context.Context, writer *answerWriter) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	t := func(endsAt time.Time) time.Time { return endsAt.Add(-answerMargin) }
+	t := func(endsAt time.Time) time.Time { return endsAt.Add(-stopping.AnswerMargin) }
 	writer.onHeader = h.Stop.AfterFunc(h.Clock.Now(), t, func(endsAt time.Time) {
 		cancel(errors.WithStack(&sardineknot.StoppingError{EndsAt: endsAt}))
 	})
--- a/internal/caller/intake/guard_test.go
+++ b/internal/caller/intake/guard_test.go
@@ -125,7 +125,7 @@
 	t.Error("the connections are not in the expected state")
 }
 
-// waitWritten waits until the server knows that all answers were written, which is after
+// waitWritten waits until the server has recorded that all answers were written, which is after
 // their callers have read them.
 func (s *server) waitWritten(t *testing.T) {
 	t.Helper()
--- a/internal/caller/stopping/schedule.go
+++ b/internal/caller/stopping/schedule.go
@@ -1,5 +1,5 @@
-// Package stopping holds the schedule of a planned stop of an entry host: when the host was
-// asked to stop, and by when its calls must have ended.
+// Package stopping holds the schedule of a planned stop of an entry host: when the stop
+// began, and by when its calls must have ended.
 package stopping
 
 import (
@@ -12,6 +12,10 @@
 	"sardineknot.example/sardineknot"
 )
 
+// AnswerMargin is the time before the host closes its connections at which a call must have
+// ended, so that the rest of its answer can be sent.
+const AnswerMargin = 100 * time.Millisecond
+
 // Schedule is the schedule of the planned stop of a host. The zero value, like nil, is that of
 // a host that is not stopping. It is safe for concurrent use.
 type Schedule struct {
@@ -33,13 +37,13 @@
 
 // stop is a planned stop.
 type stop struct {
-	// begunAt is the time at which the host was asked to stop.
+	// begunAt is the time at which the stop began.
 	begunAt time.Time
 	// endsAt is the time at which the host closes its connections. It is not before begunAt.
 	endsAt time.Time
 }
 
-// Begin records at time now that the host was asked to stop, and that it closes its
+// Begin records that the stop of the host begins at the time now, and that it closes its
 // connections at the time endsAt. Later calls have no effect.
 func (s *Schedule) Begin(now, endsAt time.Time) {
 	s.mu.Lock()
--- a/internal/serverlimits/table/table.go
+++ b/internal/serverlimits/table/table.go
@@ -23,8 +23,8 @@
 	// burstTime is the time whose permits the owner may issue at once.
 	burstTime = 500 * time.Millisecond
 	// minBurst is the least number of permits that the owner may issue at once. With one, each
-	// permit that no host asks for before the next one is due would be lost in part, and hosts
-	// ask some tens of milliseconds late.
+	// permit that no host requests before the next one is due would be lost in part, and hosts
+	// request them some tens of milliseconds late.
 	minBurst = 2
 	// minWait is the least time until the next permit. The time that a bucket returns
 	// may be rounded to zero.
--- a/internal/serverlimits/table/table_test.go
+++ b/internal/serverlimits/table/table_test.go
@@ -141,9 +141,9 @@
 	})
 }
 
-// TestLatePermits guards against permits that are lost because hosts ask late for them.
+// TestLatePermits guards against permits that are lost because hosts request them late.
 func TestLatePermits(t *testing.T) {
-	// late counts the permits that are taken in ten seconds by hosts that ask late after each
+	// late counts the permits that are taken in ten seconds by hosts that request them late after each
 	// wait, as they do when calls, processors or messages between hosts are late.
 	late := func(b *table.Table, lateness time.Duration) (n int) {
 		for at := time.Duration(0); at < 10*time.Second; {
--- a/logevent.go
+++ b/logevent.go
@@ -23,7 +23,7 @@
 	LogConfirmed LogEvent = "confirmed"
 	// LogLeaving reports that the process was asked to stop and begins to drain.
 	LogLeaving LogEvent = "leaving"
-	// LogStopRepeated reports that a stopping process was asked to stop again, which has no
+	// LogStopRepeated reports a further stop signal to a stopping process, which has no
 	// effect, with the number of calls that still run.
 	LogStopRepeated LogEvent = "stop_repeated"
 	// LogDrained reports that a stopping process has finished draining, with
