quarantine/twirp, answer/events: a process that was replaced at once has not crashed

Cause: a process that answers within a second of its end was not ended by a request, since none is back so soon. Until the answer of the next process showed that, as it was taken for one of the process before. It is rejected now, and showed nothing.

Change: such a rejection is reported to the guard, and refutes the crash.

--- a/internal/answer/events/crash.go
+++ b/internal/answer/events/crash.go
@@ -21,6 +21,10 @@
 // engine broke it off with err before or soon after the first event. An exchange
 // that this host has ended is no evidence against the engine.
 func (a *attempt) reportCrash(err error, n sardineknot.BackendServerName) {
+	if isReplaced(err) {
+		a.Guard.ReportReplaced(a.decode.Process(), a.Clock.Now())
+		return
+	}
 	if a.ctx.Err() != nil || !isBrokenOff(err) {
 		return
 	}
@@ -34,6 +38,14 @@
 	a.Guard.ReportCrash(b.Process(), a.call, a.sentAt)
 }
 
+// isReplaced reports whether err means that another process has answered under the name of the
+// engine.
+func isReplaced(err error) bool {
+	var u *sardineknot.UnconfirmedInstanceError
+	var i *sardineknot.InstanceError
+	return errors.As(err, &u) && errors.As(u.Cause, &i)
+}
+
 // isBrokenOff reports whether err means that an engine broke off a request that it
 // may have begun.
 func isBrokenOff(err error) bool {
--- a/internal/answer/events/crash_test.go
+++ b/internal/answer/events/crash_test.go
@@ -144,3 +144,14 @@
 		is.Equal(g.crashes[0], sardineknot.BackendServerName("p"))
 	})
 }
+
+// TestReplacedEngine guards against a request that counts as what ended its engine, although the
+// next process of the engine has answered it.
+func TestReplacedEngine(t *testing.T) {
+	replaced := &sardineknot.UnavailableError{Peer: "d", Cause: &sardineknot.UnconfirmedInstanceError{Server: "d", Cause: &sardineknot.InstanceError{Server: "d"}}}
+	_, g, err := runGuarded(t, asIs, answer{err: replaced}, answer{status: 200, body: one})
+	is := is.New(t)
+	is.NoErr(err)
+	is.Equal(g.replaced, []sardineknot.BackendServerName{"d"})
+	is.Equal(len(g.crashes), 0)
+}
--- a/internal/answer/events/fake_test.go
+++ b/internal/answer/events/fake_test.go
@@ -254,7 +254,9 @@
 	mu      sync.Mutex
 	barred  bool
 	crashes []sardineknot.BackendServerName
-	sound   int
+	// replaced lists the processes that were replaced.
+	replaced []sardineknot.BackendServerName
+	sound    int
 }
 
 func (g *guard) Check(*sardineknot.Call) error {
@@ -278,6 +280,12 @@
 	g.sound++
 }
 
+func (g *guard) ReportReplaced(p sardineknot.ServerProcess, _ time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.replaced = append(g.replaced, p.Name)
+}
+
 // bar makes g bar all requests.
 func (g *guard) bar() {
 	g.mu.Lock()
--- a/internal/answer/plain/crash_test.go
+++ b/internal/answer/plain/crash_test.go
@@ -43,6 +43,8 @@
 	g.sound = append(g.sound, p.Name)
 }
 
+func (g *guard) ReportReplaced(sardineknot.ServerProcess, time.Time) {}
+
 // runGuarded runs a call of a safe route with servers that answer with l in turn.
 func runGuarded(ctx context.Context, g *guard, l ...answer) (*servers, error) {
 	c := sardineknot.Configuration{Revision: 1}
--- a/internal/answer/plain/runner_test.go
+++ b/internal/answer/plain/runner_test.go
@@ -93,6 +93,7 @@
 func (openGuard) Check(*sardineknot.Call) error                                       { return nil }
 func (openGuard) ReportCrash(sardineknot.ServerProcess, *sardineknot.Call, time.Time) {}
 func (openGuard) ReportSound(sardineknot.ServerProcess, *sardineknot.Call, time.Time) {}
+func (openGuard) ReportReplaced(sardineknot.ServerProcess, time.Time)                 {}
 
 // run runs a call on a route of kind k, with a budget of the given number of
 // retries and servers that answer with l in turn. It returns the response to
--- a/internal/places/twirp/fleet_test.go
+++ b/internal/places/twirp/fleet_test.go
@@ -168,6 +168,7 @@
 func (unlimited) Check(*sardineknot.Call) error                                       { return nil }
 func (unlimited) ReportCrash(sardineknot.ServerProcess, *sardineknot.Call, time.Time) {}
 func (unlimited) ReportSound(sardineknot.ServerProcess, *sardineknot.Call, time.Time) {}
+func (unlimited) ReportReplaced(sardineknot.ServerProcess, time.Time)                 {}
 
 // discard is a fake sardineknot.AnswerWriter.
 type discard struct{}
--- a/internal/quarantine/twirp/guard.go
+++ b/internal/quarantine/twirp/guard.go
@@ -147,9 +147,20 @@
 	for _, r := range t.Whole() {
 		g.evidence.AddAnswered(r, begun)
 	}
-	r := sardineknot.RunningServer{Process: process, At: begun}
-	if g.evidence.AddRunning(r) && len(g.pending.Running) < maxPending {
-		g.pending.Running = append(g.pending.Running, r)
+	g.addRunningLocked(sardineknot.RunningServer{Process: process, At: begun})
+}
+
+// ReportReplaced implements sardineknot.CrashGuard.
+func (g *Guard) ReportReplaced(process sardineknot.ServerProcess, at time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.addRunningLocked(sardineknot.RunningServer{Process: process, At: at})
+}
+
+// addRunningLocked records that server has answered, and what that refutes for other hosts.
+func (g *Guard) addRunningLocked(server sardineknot.RunningServer) {
+	if g.evidence.AddRunning(server) && len(g.pending.Running) < maxPending {
+		g.pending.Running = append(g.pending.Running, server)
 	}
 }
 
--- a/internal/quarantine/twirp/guard_test.go
+++ b/internal/quarantine/twirp/guard_test.go
@@ -231,3 +231,27 @@
 		is.True(f.bytes <= 16*int64(f.calls))
 	})
 }
+
+// TestReplacedProcesses guards against a part of prompts that is put into quarantine because all
+// engines were replaced at once while they ran requests with it.
+func TestReplacedProcesses(t *testing.T) {
+	shared := sardineknot.TraitList{7}
+	for _, replaced := range []bool{true, false} {
+		t.Run(fmt.Sprint("the next processes answer: ", replaced), func(t *testing.T) {
+			run(t, 3, func(t *testing.T, f *fleet) {
+				for i := range 10 {
+					p := sardineknot.ServerProcess{Name: sardineknot.BackendServerName(fmt.Sprint("i-", i)), Born: 1}
+					f.guards[i%3].ReportCrash(p, call(fmt.Sprint("c", i), shared), time.Now().Add(-time.Millisecond))
+					time.Sleep(60 * time.Millisecond)
+					if replaced {
+						f.guards[(i+1)%3].ReportReplaced(p, time.Now())
+					}
+				}
+				time.Sleep(5 * time.Second)
+				for _, g := range f.guards {
+					is.New(t).Equal(g.Check(call("next", shared)) == nil, replaced)
+				}
+			})
+		})
+	}
+}
--- a/quarantine.go
+++ b/quarantine.go
@@ -119,4 +119,8 @@
 	// ReportSound records that process has answered call, or has written a stream
 	// for some time, which began at the time begun.
 	ReportSound(process ServerProcess, call *Call, begun time.Time)
+	// ReportReplaced records that another process has answered under the name of process by
+	// the time at. One that follows at once shows that process was replaced, and that no
+	// request has ended it.
+	ReportReplaced(process ServerProcess, at time.Time)
 }
