answer/events: TestFirstEventInStop has a case that needs the factor

TestFirstEventInStop passed without the factor of two: none of its cases had a time in which the factor decides.

Change: a case whose first event is later than others lately, in less time.

--- a/internal/answer/events/stop_steps_test.go
+++ b/internal/answer/events/stop_steps_test.go
@@ -198,10 +198,12 @@
 // TestFirstEventInStop guards against a stream that is cut because its first event comes later than
 // those of others lately did, by less than the factor of two.
 func TestFirstEventInStop(t *testing.T) {
-	for name, c := range map[string]struct{ prefill, first time.Duration }{
-		"a long prefill":        {2 * time.Second, 800 * time.Millisecond},
-		"a late first event":    {prefillTime, 1900 * time.Millisecond},
-		"both are as they were": {prefillTime, 800 * time.Millisecond},
+	const whole = prefillTime + 2*(time.Second+2*quickPace) + closeMargin
+	for name, c := range map[string]struct{ prefill, first, stop time.Duration }{
+		"a long prefill":         {2 * time.Second, 800 * time.Millisecond, whole},
+		"a late first event":     {prefillTime, 1900 * time.Millisecond, whole},
+		"no time for a late one": {prefillTime, 1900 * time.Millisecond, whole - 900*time.Millisecond},
+		"both are as they were":  {prefillTime, 800 * time.Millisecond, whole},
 	} {
 		runStopCase(t, name, func(t *testing.T) {
 			k := newStopCase("d", false)
@@ -209,7 +211,7 @@
 			k.runner.Paces.RecordFirst(time.Now(), sardineknot.ServicePoolName("llm", "m"), time.Second)
 			k.runner.Forwarder = &enginesWithHook{engines: k.engines, onPrefill: func() { time.Sleep(c.prefill) }}
 			k.engines.answers = []answer{{status: 200, body: one + two, delay: c.first}}
-			in, _ := k.runUntilClose(t, prefillTime+2*(time.Second+2*quickPace)+closeMargin)
+			in, _ := k.runUntilClose(t, c.stop)
 			is.New(t).True(in)
 		})
 	}
