review: streams joined from two software versions after a drill (case 7)

All hosts are killed, and the store comes back from a copy of the time before a newer model runner that has left meanwhile. Streams that it began go on at a runner of the old version.

--- a/review/harness2/store_test.go
+++ b/review/harness2/store_test.go
@@ -34,6 +34,9 @@
 	leases   map[int64]*storeLease
 	last     int64
 	changed  chan struct{}
+	// era counts the drills, and away is set during one.
+	era  int
+	away bool
 	// cut is closed when the waiting watches are cut.
 	cut chan struct{}
 }
@@ -110,6 +113,44 @@
 	}
 }
 
+// storeCopy is a copy of a store.
+type storeCopy struct {
+	items    map[string]storeItem
+	events   []storeItem
+	revision int64
+	at       time.Time
+}
+
+// copy copies the store. Leases are not copied, and their keys lapse with a drill.
+func (s *store) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := storeCopy{items: make(map[string]storeItem), events: append([]storeItem(nil), s.events...), revision: s.revision, at: time.Now()}
+	for k, i := range s.items {
+		if i.Lease == 0 {
+			c.items[k] = i
+		}
+	}
+	return c
+}
+
+// leave makes the store go away.
+func (s *store) leave() {
+	s.cutWatches()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = true
+}
+
+// restore has the store come back from a copy, in the next era.
+func (s *store) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.items, s.events, s.revision, s.leases = c.items, c.events, c.revision, make(map[int64]*storeLease)
+	s.era++
+	s.away = false
+}
+
 // cutWatches cuts the watches that wait.
 func (s *store) cutWatches() {
 	s.mu.Lock()
@@ -120,6 +161,15 @@
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	e, a := s.era, s.away
+	s.mu.Unlock()
+	if a {
+		panic(http.ErrAbortHandler)
+	}
+	if e > 0 {
+		w.Header().Set("Store-Era", strconv.Itoa(e))
+	}
 	switch p := r.URL.Path; {
 	case p == "/v1/kv-key":
 		s.serveKey(w, r)
