--- a/review/harness2/engine_test.go
+++ b/review/harness2/engine_test.go
@@ -25,10 +25,12 @@
 // engine is a stand-in of a model runner.
 type engine struct {
 	id, version string
-	store       *store
-	server      *http.Server
-	address     string
-	born        int64
+	// service is the service of the engine. A plain runner of app has no stage and no model.
+	service string
+	store   *store
+	server  *http.Server
+	address string
+	born    int64
 
 	mu      sync.Mutex
 	stage   string
@@ -39,18 +41,23 @@
 	count   int
 	gone    bool
 	// poison is a part of a prompt that ends each engine which begins to write an answer on it,
-	// and onCrash is called then.
+	// or the path of a request that ends each plain runner. onCrash is called then.
 	poison  string
 	onCrash func(e *engine, id string)
 }
 
 // addEngine starts an engine and registers it.
 func (w *world) addEngine(id, version, stage string) (*engine, error) {
+	return w.addServer(id, version, stage, "llm")
+}
+
+// addServer starts an engine or a plain runner, and registers it.
+func (w *world) addServer(id, version, stage, service string) (*engine, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{id: id, version: version, store: w.store, address: l.Addr().String(), born: time.Now().UnixMilli(), stage: stage, state: "ready"}
+	e := &engine{id: id, version: version, service: service, store: w.store, address: l.Addr().String(), born: time.Now().UnixMilli(), stage: stage, state: "ready"}
 	e.server = &http.Server{Handler: e}
 	go func() { _ = e.server.Serve(l) }()
 	go e.beat()
@@ -81,10 +88,14 @@
 		return false
 	}
 	e.count++
-	b, _ := json.Marshal(map[string]any{
-		"service": "llm", "addr": e.address, "zone": "reykjavik-a", "version": e.version, "slots": 24, "state": e.state, "coldLeftMs": 0,
-		"stage": e.stage, "models": []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}, "sequence": e.count, "born": e.born,
-	})
+	v := map[string]any{
+		"service": e.service, "addr": e.address, "zone": "reykjavik-a", "version": e.version, "slots": 24, "state": e.state, "coldLeftMs": 0,
+		"sequence": e.count, "born": e.born,
+	}
+	if e.service == "llm" {
+		v["stage"], v["models"] = e.stage, []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}
+	}
+	b, _ := json.Marshal(v)
 	e.store.mu.Lock()
 	a := e.store.away
 	e.store.mu.Unlock()
@@ -159,6 +170,12 @@
 	case r.URL.Path == "/v1/order":
 		e.order(w)
 	case strings.HasPrefix(r.URL.Path, "/v1/"):
+	case e.service != "llm" && r.URL.Path == e.poison:
+		e.onCrash(e, n)
+		e.crash()
+	case e.service != "llm":
+		w.Header().Set("Server-Stamp", e.id+"."+n)
+		_, _ = io.WriteString(w, answerOf(n))
 	case b:
 		w.Header().Set("Not-Executed", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
