--- a/review/harness2/world_test.go
+++ b/review/harness2/world_test.go
@@ -15,6 +15,7 @@
 	"os/signal"
 	"path/filepath"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -146,14 +147,29 @@
 	w.store.put("op/config", b)
 }
 
+const (
+	// firstPort is the first of the ports that cases listen at, below those that the kernel gives
+	// to clients. Each process of a case tries a part of portPart ports, one of portParts.
+	firstPort = 20000
+	portPart  = 100
+	portParts = 110
+)
+
+// ports counts the ports that this process has tried.
+var ports atomic.Int64
+
 // freeAddress returns a loopback address with a free port.
 func freeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "127.0.0.1:0"
+	for range portPart {
+		n := ports.Add(1) - 1
+		a := fmt.Sprintf("127.0.0.1:%d", firstPort+os.Getpid()%portParts*portPart+int(n)%portPart)
+		l, err := net.Listen("tcp", a)
+		if err == nil {
+			l.Close()
+			return a
+		}
 	}
-	defer l.Close()
-	return l.Addr().String()
+	return "127.0.0.1:0"
 }
 
 // host is a process of the program, as the deploy file starts it.
