--- a/review/harness2/engine_test.go
+++ b/review/harness2/engine_test.go
@@ -92,7 +92,7 @@
 		"service": e.service, "addr": e.address, "zone": "reykjavik-a", "version": e.version, "slots": 24, "state": e.state, "coldLeftMs": 0,
 		"sequence": e.count, "born": e.born,
 	}
-	if e.service == "llm" {
+	if e.service != "app" {
 		v["stage"], v["models"] = e.stage, []any{map[string]any{"name": "m", "version": 1, "adapters": []string{}}}
 	}
 	b, _ := json.Marshal(v)
@@ -170,10 +170,10 @@
 	case r.URL.Path == "/v1/order":
 		e.order(w)
 	case strings.HasPrefix(r.URL.Path, "/v1/"):
-	case e.service != "llm" && r.URL.Path == e.poison:
+	case e.service == "app" && r.URL.Path == e.poison:
 		e.onCrash(e, n)
 		e.crash()
-	case e.service != "llm":
+	case e.service == "app":
 		w.Header().Set("Server-Stamp", e.id+"."+n)
 		_, _ = io.WriteString(w, answerOf(n))
 	case b:
--- a/review/harness2/streamclient_test.go
+++ b/review/harness2/streamclient_test.go
@@ -33,6 +33,8 @@
 	// versions holds the versions of the events, each where it begins: number and version.
 	versions []string
 	version  string
+	// unnamed is set if the client does not name the attempt that brought the first event.
+	unnamed bool
 	// statuses holds the status of each attempt. Zero means no answer.
 	statuses []int
 	whole    bool
@@ -69,7 +71,10 @@
 	_ = k.SetDeadline(c.ends)
 	x := ""
 	if c.last > 0 {
-		x = fmt.Sprintf("Last-Event-Id: %d\r\nResumes: %s\r\n", c.last, c.origin)
+		x = fmt.Sprintf("Last-Event-Id: %d\r\n", c.last)
+	}
+	if c.last > 0 && !c.unnamed {
+		x += fmt.Sprintf("Resumes: %s\r\n", c.origin)
 	}
 	fmt.Fprintf(k, "POST /summary/2f HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nModel: m\r\nToken-Counts: 700,8760\r\nPrompt-Prefix: 5c%s:200,9b%s:500\r\n%sContent-Length: 6\r\n\r\nprompt",
 		hostName, id, time.Until(c.ends).Milliseconds(), c.name, c.name, x)
