--- a/review/harness2/split_test.go
+++ b/review/harness2/split_test.go
@@ -9,8 +9,9 @@
 )
 
 func init() {
-	cases["split"] = func(w *world) (bool, error) { return playSplit(w, splitRoute, nil) }
-	cases["moved"] = func(w *world) (bool, error) { return playSplit(w, routeTo("llm"), routeTo("llm-b")) }
+	cases["split"] = func(w *world) (bool, error) { return playSplit(w, splitRoute, nil, w.killFirst) }
+	cases["moved"] = func(w *world) (bool, error) { return playSplit(w, routeTo("llm"), routeTo("llm-b"), w.killFirst) }
+	cases["replaced"] = func(w *world) (bool, error) { return playSplit(w, routeTo("llm"), routeTo("llm-b"), w.retireFirst) }
 }
 
 const (
@@ -19,10 +20,12 @@
 	splitInterval = 20 * time.Millisecond
 	// splitDeadline is the deadline of each stream, that of the sheets.
 	splitDeadline = 14 * time.Second
-	// splitKill is the time from the last begin to the kill of a host, and splitDown the time for
-	// which its process is down.
-	splitKill = 2 * time.Second
-	splitDown = time.Second
+	// splitWait is the time from the last begin to the disruption, splitDown the time for which the
+	// process of a host is down, and splitDrain that for which a runner serves after it has said that it
+	// is leaving.
+	splitWait  = 2 * time.Second
+	splitDown  = time.Second
+	splitDrain = 2200 * time.Millisecond
 )
 
 // splitRoute is a streaming route that is split between two services.
@@ -53,15 +56,41 @@
 	return m
 }
 
+// killFirst kills the first host, which starts again.
+func (w *world) killFirst([]*engine) error {
+	h := w.hosts[0]
+	h.kill()
+	w.record("%s is killed", h.name)
+	time.Sleep(splitDown)
+	return h.start()
+}
+
+// retireFirst empties the runners of the first service and takes them away.
+func (w *world) retireFirst(runners []*engine) error {
+	for _, e := range runners {
+		e.drain()
+	}
+	w.record("the runners of llm are leaving")
+	time.Sleep(splitDrain)
+	for _, e := range runners {
+		e.leave()
+	}
+	w.record("the runners of llm have left")
+	return nil
+}
+
 // playSplit runs streams on a route to two services, whose runners have different software versions: it
-// is split between them, or moves from one to the other if after is not nil. One host is killed, and its clients take their
-// streams up at the others.
-func playSplit(w *world, before, after any) (bool, error) {
+// is split between them, or moves from one to the other if after is not nil. Then disturb, which gets the
+// runners of the first service, breaks streams off, and the clients take them up.
+func playSplit(w *world, before, after any, disturb func([]*engine) error) (bool, error) {
+	r := make(map[string][]*engine)
 	for _, s := range []struct{ service, version string }{{"llm", "v1"}, {"llm-b", "v2"}} {
 		for i, g := range []string{"prefill", "decode", "decode"} {
-			if _, err := w.addServer(fmt.Sprintf("i-%s-%d", s.service, i), s.version, g, s.service); err != nil {
+			e, err := w.addServer(fmt.Sprintf("i-%s-%d", s.service, i), s.version, g, s.service)
+			if err != nil {
 				return false, err
 			}
+			r[s.service] = append(r[s.service], e)
 		}
 	}
 	v := []any{splitService("llm"), splitService("llm-b")}
@@ -86,13 +115,9 @@
 	if after != nil {
 		w.configure([]any{after}, v)
 	}
-	time.Sleep(splitKill)
+	time.Sleep(splitWait)
 	if w.trouble {
-		h := w.hosts[0]
-		h.kill()
-		w.record("%s is killed", h.name)
-		time.Sleep(splitDown)
-		if err := h.start(); err != nil {
+		if err := disturb(r["llm"]); err != nil {
 			return false, err
 		}
 	}
