--- a/internal/backend/tcp/dialer.go
+++ b/internal/backend/tcp/dialer.go
@@ -20,11 +20,15 @@
 
 var _ sardineknot.ServerDialer = Dialer{}
 
-// Dial implements sardineknot.ServerDialer.
+// Dial implements sardineknot.ServerDialer. A read of the connection reports a reset also if a
+// write has been the first to notice it.
 func (Dialer) Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error) {
 	d := net.Dialer{Timeout: connectTimeout}
 	c, err := d.DialContext(ctx, "tcp", address.String())
-	return c, errors.WithStack(err)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	return newConn(c), nil
 }
 
 // Usable implements sardineknot.ServerDialer.
--- /dev/null
+++ b/internal/standin/brokenanswer/answer.go
@@ -0,0 +1,57 @@
+// Package brokenanswer lists the answers that a backend server in trouble sends, and odd ones
+// that are sound. Tests, fuzz targets and soaks share the lists, so that each of them plays
+// every case.
+//
+// A client must take a broken answer for an error: never for an answer of the server, with the
+// whole body or a part of it.
+package brokenanswer
+
+import (
+	"io"
+	"net"
+	"time"
+)
+
+const (
+	// Part is the body of a broken answer, or the part of it that the server sends.
+	Part = "part"
+	// Whole is the body of a sound answer.
+	Whole = "whole"
+)
+
+// Answer is an answer to one request.
+type Answer struct {
+	// Name describes the answer. It is unique in its list.
+	Name string
+	// Text is all that the server sends.
+	Text string
+	// Early is set if the server answers before it has read the body of the request.
+	Early bool
+	// Reset is set if the server resets the connection after Text. Otherwise it ends the
+	// connection in an orderly way.
+	Reset bool
+	// Wait is the time between Text and the end of the connection.
+	Wait time.Duration
+}
+
+// Send sends a on connection and ends it. The peer must be a TCP connection. The server has
+// read the body of the request unless a is early.
+func (a Answer) Send(connection net.Conn) {
+	defer connection.Close()
+	// The peer may have ended the connection, which is no concern of the server.
+	_, _ = io.WriteString(connection, a.Text)
+	time.Sleep(a.Wait)
+	t, ok := connection.(*net.TCPConn)
+	switch {
+	case !ok:
+	case a.Reset:
+		_ = t.SetLinger(0)
+	case a.Early:
+		// Closing a connection with unread bytes would reset it.
+		_ = t.CloseWrite()
+		_, _ = io.Copy(io.Discard, t)
+	}
+}
+
+// form is the text of an answer, which does not depend on when and how the server sends it.
+type form struct{ name, text string }
