peer/tunnel: what a server has sent before a reset is not dropped

What callers saw: a whole answer (with a length or chunks) to a long upload, after which the server resets the connection, reaches a caller directly and is lost through another host: the caller of an unsafe request gets 502, a safe request runs again.

Cause: at the host that helps, the copy that writes to the server closed the connection when its write failed. Bytes that had arrived and were not read yet were dropped with it.

Change: the copy ends without closing the connection. If the other host ends the tunnel, the context of its request closes the connection as before.

--- a/internal/peer/tunnel/tunnels.go
+++ b/internal/peer/tunnel/tunnels.go
@@ -46,7 +46,8 @@
 	// Client calls other entry hosts.
 	Client *http.Client
 	// Dial connects to a backend server without a tunnel. It fails with a CutError if
-	// this host reaches no server.
+	// this host reaches no server. A read of the connection must report a reset also if a
+	// write has been the first to notice it.
 	Dial func(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// Source provides the backend servers. Tunnels lead to no other address.
 	Source sardineknot.ConfigurationSource
@@ -183,12 +184,11 @@
 	}
 }
 
-// send passes the bytes of body to connection, and closes it if that fails.
+// send passes the bytes of body to connection until that fails. It does not close connection:
+// what the server has sent before it reset the connection is still to be read. If body fails,
+// the other host has ended the tunnel, and so has the context of its request.
 func send(connection net.Conn, body io.Reader) {
 	// io.CopyBuffer would let a TCP connection use a larger buffer of its own.
 	w := struct{ io.Writer }{connection}
-	_, err := io.CopyBuffer(w, body, make([]byte, bufferBytes))
-	if err != nil {
-		connection.Close()
-	}
+	_, _ = io.CopyBuffer(w, body, make([]byte, bufferBytes))
 }
--- a/internal/peer/tunnel/tunnels_test.go
+++ b/internal/peer/tunnel/tunnels_test.go
@@ -6,20 +6,29 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"syscall"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 	"github.com/rcrowley/go-metrics"
+	"golang.org/x/sys/unix"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/backend/tcp"
 	"sardineknot.example/sardineknot/internal/peer/h2c"
 	"sardineknot.example/sardineknot/internal/peer/tunnel"
 )
 
-// socketBytes is the size of the buffers of sockets.
-const socketBytes = 64 << 10
+const (
+	// socketBytes is the size of the buffers of sockets.
+	socketBytes = 64 << 10
+	// pieceBytes is what a server writes at a time to fill the tunnel.
+	pieceBytes = 4 << 10
+	// arrivalTime is the time after which bytes or a reset have arrived at the helper.
+	arrivalTime = 50 * time.Millisecond
+)
 
 // source is a fake configuration source with one backend server.
 type source struct{ server netip.AddrPort }
@@ -98,6 +107,28 @@
 	is.New(t).Equal(string(b), text)
 }
 
+// fill writes to connection until its peer receives no more, and returns the number of bytes
+// that the peer has received.
+func fill(t *testing.T, connection *net.TCPConn) int {
+	t.Helper()
+	r, err := connection.SyscallConn()
+	is.New(t).NoErr(err)
+	n, left := 0, 0
+	for e := time.Now().Add(arrivalTime); time.Now().Before(e); {
+		is.New(t).NoErr(r.Control(func(fd uintptr) { left, err = unix.IoctlGetInt(int(fd), unix.SIOCOUTQ) }))
+		is.New(t).NoErr(err)
+		if left > 0 {
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		m, err := connection.Write(make([]byte, pieceBytes))
+		is.New(t).NoErr(err)
+		n += m
+		e = time.Now().Add(arrivalTime)
+	}
+	return n - left
+}
+
 // TestTunnel guards against bytes that are lost or held back on their way through
 // another host.
 func TestTunnel(t *testing.T) {
@@ -151,6 +182,21 @@
 		is.New(t).True(err != nil)
 		is.New(t).True(c.(sardineknot.TunnelConn).ServerEnded())
 	})
+	t.Run("what the server has sent before a reset arrives while the host still writes", func(t *testing.T) {
+		h := newHelper(t)
+		h.served.Dial = tcp.Dialer{}.Dial
+		c, s := h.open(t)
+		go func() { _, _ = c.Write(make([]byte, 8<<20)) }()
+		_, _ = s.Read(make([]byte, 1))
+		n := fill(t, s.(*net.TCPConn))
+		_ = s.(*net.TCPConn).SetLinger(0)
+		s.Close()
+		time.Sleep(arrivalTime)
+		b, err := io.ReadAll(c)
+		is.New(t).True(errors.Is(err, syscall.ECONNRESET))
+		is.New(t).Equal(len(b), n)
+		is.New(t).True(c.(sardineknot.TunnelConn).ServerEnded())
+	})
 	t.Run("the end of the helper is neither an end nor that of the server", func(t *testing.T) {
 		h := newHelper(t)
 		c, _ := h.open(t)
--- a/internal/standin/brokenanswer/sound.go
+++ b/internal/standin/brokenanswer/sound.go
@@ -40,7 +40,7 @@
 		{"a length", "HTTP/1.1 200 OK\r\n" + fields + n + "\r\n" + Whole},
 		{"chunks", "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n5\r\n" + Whole + "\r\n0\r\n\r\n"},
 	} {
-		for _, w := range []time.Duration{resetWait} {
+		for _, w := range []time.Duration{0, resetWait} {
 			for _, e := range []bool{false, true} {
 				l = append(l, Answer{Name: fmt.Sprintf("%s, reset after %v, early: %t", f.name, w, e), Text: f.text, Early: e, Reset: true, Wait: w})
 			}
