peer/responsehead: a status that is none is no answer, and no interim one

What callers saw: statuses 600 to 999 of a server in trouble reached callers as they were. A status from 000 to 099, or 101, made the response an interim one: the bytes after its head were read as the response.

Cause: http1 skips all that net/http parses with a status below 200, and net/http accepts each number of three characters, "+20" and "-00" included.

Change: one place judges the heads of responses, between the socket and net/http. A read fails before the end of a head that is malformed, so that no reader ever has a complete one. Interim are 100 and 102 to 199; they may have no body (RFC 9110, 8.6 and 15.2; RFC 9112, 6.1). 101 and all outside 100 to 599 are errors of unknown outcome: a safe call runs at another server, an unsafe one gets 502. RFC 9110, section 15, asks for 5xx there. The bound of the size of a head moves there as well.

--- a/errors.go
+++ b/errors.go
@@ -210,6 +210,18 @@
 	return fmt.Sprintf("%s refused the request without running it, status %d", e.Server, e.Status)
 }
 
+// MalformedHeadError reports a response whose head breaks the grammar of HTTP/1.1. Neither its
+// status nor its fields are known.
+type MalformedHeadError struct {
+	// Reason is a short phrase that says what is wrong. It has no bytes of the head.
+	Reason string
+}
+
+// Error implements error.
+func (e *MalformedHeadError) Error() string {
+	return "the head of the response is malformed: " + e.Reason
+}
+
 // LeavingError reports that a request was not sent to a backend server because
 // the server is leaving.
 type LeavingError struct {
--- a/internal/backend/http1/brokenanswer_test.go
+++ b/internal/backend/http1/brokenanswer_test.go
@@ -150,3 +150,17 @@
 		}
 	}
 }
+
+// TestBrokenAnswers guards against answers that break the grammar of HTTP and count as answers
+// of the server.
+func TestBrokenAnswers(t *testing.T) {
+	for _, a := range brokenanswer.Broken(echoFields) {
+		for _, k := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, kept connection: %t", a.Name, k), func(t *testing.T) {
+				t.Parallel()
+				b, err := play(t, startAnswering(t, a), k, 1)
+				assertBroken(t, b, err)
+			})
+		}
+	}
+}
--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/peer/responsehead"
 )
 
 const (
@@ -40,8 +41,9 @@
 	server netip.AddrPort
 	// through is the entry host through which the connection goes, or empty.
 	through sardineknot.EntryHostID
-	head    *headReader
-	reader  *bufio.Reader
+	// head checks the heads of responses, and reader reads from it.
+	head   *responsehead.Conn
+	reader *bufio.Reader
 	// echoed holds the echoed values of the last maxEchoed exchanges.
 	echoed []string
 	// idleSince is the time at which the connection became idle, and
@@ -55,7 +57,7 @@
 }
 
 func newConn(owner *Client, address netip.AddrPort, socket net.Conn) *conn {
-	h := &headReader{Conn: socket, left: -1}
+	h := responsehead.NewConn(socket)
 	k := &conn{Conn: socket, client: owner, server: address, head: h, reader: bufio.NewReaderSize(h, bufferBytes), idleTimeout: maxIdleTime}
 	if t, ok := socket.(sardineknot.TunnelConn); ok {
 		k.through = t.Host()
@@ -144,11 +146,9 @@
 func (k *conn) readResponse(exchange sardineknot.ExchangeRequest) (*http.Response, error) {
 	r := &http.Request{Method: exchange.Method}
 	for range maxStrayResponses {
-		k.head.begin()
-		p, err := http.ReadResponse(k.reader, r)
-		k.head.end()
+		p, err := k.readHead(r)
 		if err != nil {
-			return nil, errors.WithStack(err)
+			return nil, err
 		}
 		if p.StatusCode < http.StatusOK {
 			continue
@@ -163,6 +163,19 @@
 	return nil, errors.New("too many responses to other requests")
 }
 
+// readHead reads the head of a response to request.
+func (k *conn) readHead(request *http.Request) (*http.Response, error) {
+	b, err := k.reader.Peek(k.reader.Buffered())
+	if err == nil {
+		err = k.head.Begin(b)
+	}
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	p, err := http.ReadResponse(k.reader, request)
+	return p, errors.WithStack(err)
+}
+
 // discardBody reads and drops the body of a late response to an earlier request,
 // so that the next response on the connection can be read. It fails if the
 // server closes the connection after the late response, or if the body is longer
--- a/internal/standin/brokenanswer/broken.go
+++ b/internal/standin/brokenanswer/broken.go
@@ -10,6 +10,7 @@
 // its line end.
 func Broken(fields string) []Answer {
 	l := Resets(fields, Part)
+	l = append(l, Heads(fields)...)
 	return append(l, chunks(fields)...)
 }
 
--- /dev/null
+++ b/internal/standin/brokenanswer/heads.go
@@ -0,0 +1,53 @@
+package brokenanswer
+
+import (
+	"fmt"
+	"strconv"
+)
+
+// Heads returns answers whose heads break the grammar of HTTP/1.1, or leave open how the body
+// ends.
+func Heads(fields string) []Answer {
+	var l []Answer
+	for _, s := range statusLines() {
+		l = append(l, Answer{Name: strconv.Quote(s), Text: s + "\r\n" + fields + "Content-Length: 4\r\n\r\n" + Part})
+	}
+	e := embedded(fields)
+	return append(
+		l,
+		Answer{Name: "an empty line first", Text: "\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\n\r\n" + Part},
+		Answer{Name: "an answer after status 000", Text: "HTTP/1.1 000 None\r\n" + fields + "\r\n" + e},
+		Answer{Name: "an answer as the body of status 000", Text: "HTTP/1.1 000 None\r\n" + fields + "Content-Length: " + strconv.Itoa(len(e)) + "\r\n\r\n" + e},
+		Answer{Name: "an answer as the body of an interim one", Text: "HTTP/1.1 103 Early Hints\r\nContent-Length: " + strconv.Itoa(len(e)) + "\r\n\r\n" + e},
+		Answer{Name: "an answer in the chunk of an interim one", Text: "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + e},
+		Answer{Name: "an answer after a change of protocols", Text: "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + e},
+	)
+}
+
+// statusLines returns lines that are no status line of HTTP/1.x with a status of a final answer.
+func statusLines() []string {
+	l := []string{
+		"HTTP/1.1 20 OK", "HTTP/1.1 2000 OK", "HTTP/1.1 2x0 OK", "HTTP/1.1 +20 OK", "HTTP/1.1 -20 OK", "HTTP/1.1  200 OK",
+		"HTTP/1.1\t200 OK", "HTTP/1.1 200\tOK", " HTTP/1.1 200 OK", "http/1.1 200 OK", "HTTP/2.0 200 OK", "HTTP/0.9 200 OK",
+		"HTTP/1.10 200 OK", "HTTP/1 200 OK", "HTTP/01.1 200 OK", "HTTP/1.1200 OK", "HTTP/1.1", "HTTP/1.1 ", "ICY 200 OK", "200 OK",
+	}
+	for _, s := range []int{0, 1, 99, 101, 600, 999} {
+		l = append(l, fmt.Sprintf("HTTP/1.1 %03d None", s))
+	}
+	return l
+}
+
+// embedded returns a body that looks like an answer, for a client that takes the bytes after a
+// head for one.
+func embedded(fields string) string {
+	return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\n\r\n" + Part
+}
+
+// Status returns the answer with the given status, and the one in which the head alone precedes
+// a sound answer.
+func Status(fields string, status int) (single, before Answer) {
+	h := fmt.Sprintf("HTTP/1.1 %03d Status\r\n", status)
+	single = Answer{Name: fmt.Sprintf("status %03d", status), Text: h + fields + "Content-Length: 4\r\n\r\n" + Part}
+	before = Answer{Name: fmt.Sprintf("status %03d before an answer", status), Text: h + "\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 5\r\n\r\n" + Whole}
+	return single, before
+}
--- a/internal/standin/brokenanswer/sound.go
+++ b/internal/standin/brokenanswer/sound.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 )
 
@@ -27,7 +28,7 @@
 		{"bytes above 127", "HTTP/1.1 200 \xc3\xa9\r\n" + fields + "A: \xe9\r\n" + n + "\r\n" + Whole},
 		{"blanks around a value", "HTTP/1.1 200 OK\r\n" + fields + "Content-Length:\t 5 \t\r\nA:\r\nB:  \r\nC: d\te \r\n\r\n" + Whole},
 		{"all bytes of names", "HTTP/1.1 200 OK\r\n" + fields + "!#$%&'*+-.^_`|~09azAZ: :;\r\n" + n + "\r\n" + Whole},
-		{"lines that end by LF", "HTTP/1.1 200 OK\n" + fields + "A: b\n" + "Content-Length: 5\n\n" + Whole},
+		{"lines that end by LF", "HTTP/1.1 200 OK\n" + strings.ReplaceAll(fields, "\r\n", "\n") + "A: b\n" + "Content-Length: 5\n\n" + Whole},
 		{"interim answers", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early Hints\r\nA: b\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + n + "\r\n" + Whole},
 		{"an unknown interim", "HTTP/1.1 199 Later\r\n\r\nHTTP/1.1 200 OK\r\n" + fields + n + "\r\n" + Whole},
 	} {
