--- a/internal/backend/http1/everyhead_test.go
+++ b/internal/backend/http1/everyhead_test.go
@@ -1,8 +1,10 @@
 package http1_test
 
 import (
+	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"github.com/matryer/is"
@@ -11,6 +13,9 @@
 	"sardineknot.example/sardineknot/internal/standin/brokenanswer"
 )
 
+// tokenBytes holds all bytes that may be in the name of a field.
+const tokenBytes = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
 // isFinal reports whether status is that of a final response.
 func isFinal(status int) bool { return status >= http.StatusOK && status < 600 }
 
@@ -57,3 +62,24 @@
 		})
 	}
 }
+
+// TestEveryByteOfNames guards against names of fields with bytes that may not be in one. A colon
+// ends a name, so that the rest of it belongs to the value.
+func TestEveryByteOfNames(t *testing.T) {
+	for i := range 256 {
+		c := string([]byte{byte(i)})
+		for n, sound := range map[string]bool{c + "A": c != ":", "A" + c + "B": true, "A" + c: true, c: c != ":"} {
+			a := brokenanswer.FieldName(echoFields, n)
+			t.Run(fmt.Sprintf("%q", n), func(t *testing.T) {
+				t.Parallel()
+				b, err := play(t, startAnswering(t, a), false, 1)
+				if sound && (c == ":" || strings.Contains(tokenBytes, c)) {
+					is.New(t).NoErr(err)
+					is.New(t).Equal(b, brokenanswer.Whole)
+					return
+				}
+				assertBroken(t, b, err)
+			})
+		}
+	}
+}
--- a/internal/peer/responsehead/head.go
+++ b/internal/peer/responsehead/head.go
@@ -20,6 +20,8 @@
 	size int
 	// line is the part of the current line that was read.
 	line []byte
+	// lf is set if the first line ends with LF alone, as all others must then.
+	lf bool
 	// status is that of the status line, which is the first line.
 	status status
 	// framing is what the fields say of the body.
@@ -63,7 +65,14 @@
 		return nil
 	}
 	h.line = h.line[:0]
-	return h.endLine(bytes.TrimSuffix(l, []byte("\r")))
+	l, c := bytes.CutSuffix(l, []byte("\r"))
+	if h.status.code == 0 {
+		h.lf = !c
+	}
+	if h.lf == c {
+		return malformed("its lines end in different ways")
+	}
+	return h.endLine(l)
 }
 
 // endLine checks the line l, which is given without its end.
--- a/internal/standin/brokenanswer/heads.go
+++ b/internal/standin/brokenanswer/heads.go
@@ -12,6 +12,12 @@
 	for _, s := range statusLines() {
 		l = append(l, Answer{Name: strconv.Quote(s), Text: s + "\r\n" + fields + "Content-Length: 4\r\n\r\n" + Part})
 	}
+	for _, f := range fieldLines() {
+		l = append(l, Answer{Name: "a line " + strconv.Quote(f), Text: "HTTP/1.1 200 OK\r\n" + fields + f + "\r\n" + "Content-Length: 4\r\n\r\n" + Part})
+	}
+	for _, f := range splitFramings() {
+		l = append(l, Answer{Name: "framing " + strconv.Quote(f), Text: "HTTP/1.1 200 OK\r\n" + fields + f + "\r\n\r\n" + "4\r\n" + Part + "\r\n0\r\n\r\n"})
+	}
 	e := embedded(fields)
 	return append(
 		l,
@@ -20,6 +26,7 @@
 		Answer{Name: "an answer as the body of status 000", Text: "HTTP/1.1 000 None\r\n" + fields + "Content-Length: " + strconv.Itoa(len(e)) + "\r\n\r\n" + e},
 		Answer{Name: "an answer as the body of an interim one", Text: "HTTP/1.1 103 Early Hints\r\nContent-Length: " + strconv.Itoa(len(e)) + "\r\n\r\n" + e},
 		Answer{Name: "an answer in the chunk of an interim one", Text: "HTTP/1.1 103 Early Hints\r\nTransfer-Encoding: chunked\r\n\r\n" + e},
+		Answer{Name: "an interim answer with a control byte", Text: "HTTP/1.1 103 Early Hints\r\nA\x01: b\r\n\r\n" + e},
 		Answer{Name: "an answer after a change of protocols", Text: "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n" + e},
 	)
 }
@@ -43,6 +50,31 @@
 	return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\n\r\n" + Part
 }
 
+// fieldLines returns lines that are no field lines.
+func fieldLines() []string {
+	return []string{
+		"A b: c", "A : b", "A\t: b", " A: b", "\tA: b", "A\x00b: c", "A\x01: b", "\x7fA: b", "A\rb: c", "A(b): c", "A,b: c", "A\xe9: b", ": a", ":", "A", "A;b",
+		"Content-Length : 1", "Content-Length\t: 1", " Content-Length: 1", "\tContent-Length: 1", "Content Length: 1",
+		"Transfer-Encoding : chunked", "Transfer-Encoding\t: chunked", " Transfer-Encoding: chunked", "\x0bTransfer-Encoding: chunked",
+		"A: b\r\n c", " ", "\r",
+		"A\nb: c", "\nA: b", "A: b\n", "A: b\nC: d", "\n",
+	}
+}
+
+// splitFramings returns field lines that would frame the body if their names were tokens.
+func splitFramings() []string {
+	return []string{
+		"Content-Length : 14", "Content-Length\t: 14", "Content Length: 14", "Transfer-Encoding : chunked", "Transfer-Encoding\t: chunked",
+		"A: b\r\n Content-Length: 14", "A: b\r\n\tTransfer-Encoding: chunked", "Content-Length:\r\n 14", "Transfer-Encoding:\r\n chunked",
+	}
+}
+
+// FieldName returns the answer whose head has a field with the given name, and that is sound
+// otherwise.
+func FieldName(fields, name string) Answer {
+	return Answer{Name: strconv.Quote(name), Text: "HTTP/1.1 200 OK\r\n" + fields + name + ": c\r\nContent-Length: 5\r\n\r\n" + Whole}
+}
+
 // Status returns the answer with the given status, and the one in which the head alone precedes
 // a sound answer.
 func Status(fields string, status int) (single, before Answer) {
