peer/responsehead: a head that leaves the end of its body open is no answer

The other ways in which a head may break the grammar of RFC 9112, sections 2 to 7, and RFC 9110, section 5, listed in brokenanswer.Heads and Broken, each played against http1 on a first and a kept connection and against hosts.

What callers saw of them: chunks with their sizes as the body, from a server of HTTP/1.0 that sends Transfer-Encoding (MIXED); an answer with both Content-Length and Transfer-Encoding, whose framing is in doubt; an answer whose status line has a control byte in the reason. The rest was an error already, by net/http: versions, numbers that are none, two lengths, other transfer encodings, control bytes in values, and all chunks that are malformed or end too soon.

Cause: net/http ignores Transfer-Encoding in HTTP/1.0, drops Content-Length beside it, and does not look at the reason.

Change: one place says all of it. RFC 9112, 6.1, has the first one treated as faulty framing, 6.3 the second one as an error.

Sound answers that are odd are served as before (TestSoundAnswers, TestOddAnswers): lines that all end with LF, no reason, two equal lengths, bytes above 127, interim answers.

--- a/internal/backend/http1/fuzz_test.go
+++ b/internal/backend/http1/fuzz_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -13,11 +14,12 @@
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/host/clock"
+	"sardineknot.example/sardineknot/internal/standin/brokenanswer"
 )
 
 // FuzzResponse guards against bytes of a server that end the process, that are taken
-// for the answer to another request, or that leave a connection with stray bytes in
-// use.
+// for the answer to another request, that leave a connection with stray bytes in
+// use, or that break the grammar of HTTP and are an answer.
 func FuzzResponse(f *testing.F) {
 	for _, s := range []string{
 		"HTTP/1.1 200 OK\r\nId: c\r\nContent-Length: 2\r\n\r\nok",
@@ -32,6 +34,9 @@
 	} {
 		f.Add([]byte(s))
 	}
+	for _, a := range append(brokenanswer.Broken("Id: c\r\n"), brokenanswer.Sound("Id: c\r\n")...) {
+		f.Add([]byte(a.Text))
+	}
 	f.Fuzz(func(t *testing.T, response []byte) {
 		c := NewClient(clock.System{}, metrics.NewRegistry())
 		a, b := net.Pipe()
@@ -47,9 +52,7 @@
 		if err != nil {
 			return
 		}
-		if p.Header.Get("Id") != "c" {
-			t.Fatal("the answer to another request is accepted")
-		}
+		checkHead(t, p)
 		n, err := io.Copy(io.Discard, p.Body)
 		if n > int64(len(response)) {
 			t.Fatal("the body is longer than the response")
@@ -61,3 +64,19 @@
 		p.Body.Close()
 	})
 }
+
+// checkHead checks the status and the fields of an answer to the request c.
+func checkHead(t *testing.T, answer *sardineknot.Response) {
+	t.Helper()
+	if answer.Header.Get("Id") != "c" {
+		t.Fatal("the answer to another request is accepted")
+	}
+	if answer.Status < http.StatusOK || answer.Status > 599 {
+		t.Fatalf("an answer has status %d", answer.Status)
+	}
+	for n := range answer.Header {
+		if strings.ContainsAny(n, " \t\r\n\x00:") {
+			t.Fatalf("the name %q of a field is passed on", n)
+		}
+	}
+}
--- a/internal/peer/responsehead/field.go
+++ b/internal/peer/responsehead/field.go
@@ -18,8 +18,10 @@
 	if !isToken(n) {
 		return malformed("the name of a field is no token")
 	}
-	h.framing.add(string(n), string(bytes.Trim(v, " \t")))
-	return nil
+	if !isText(v) {
+		return malformed("a control byte is in the value of a field")
+	}
+	return h.framing.add(string(n), string(bytes.Trim(v, " \t")))
 }
 
 // isToken reports whether b is a token (RFC 9110, section 5.6.2).
@@ -31,3 +33,13 @@
 	}
 	return len(b) > 0
 }
+
+// isText reports whether b consists of blanks, tabs, and bytes that are no control bytes.
+func isText(b []byte) bool {
+	for _, c := range b {
+		if c < ' ' && c != '\t' || c == 0x7f {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/peer/responsehead/status.go
+++ b/internal/peer/responsehead/status.go
@@ -19,6 +19,8 @@
 type status struct {
 	// code is the status code. It is zero before the line was parsed.
 	code int
+	// minor is the minor version.
+	minor byte
 }
 
 // parse parses the status line l. The change to another protocol is malformed, since no request
@@ -27,23 +29,32 @@
 	if len(l) < statusBytes || !bytes.HasPrefix(l, []byte("HTTP/1.")) || !isDigit(l[len("HTTP/1.")]) || l[len(version)-1] != ' ' {
 		return malformed("the first line is no status line of HTTP/1")
 	}
-	n := 0
-	for _, b := range l[len(version):statusBytes] {
-		if !isDigit(b) {
-			return malformed("the status is not a number of three digits")
-		}
-		n = 10*n + int(b-'0')
-	}
-	if n < minStatus || n > maxStatus || n == http.StatusSwitchingProtocols {
+	n, ok := parseCode(l[len(version):statusBytes])
+	if !ok {
 		return malformed("the status is not one of a response")
 	}
 	r := l[statusBytes:]
 	if len(r) > 0 && r[0] != ' ' {
 		return malformed("no blank follows the status")
 	}
-	s.code = n
+	if !isText(r) {
+		return malformed("a control byte is in the reason")
+	}
+	s.code, s.minor = n, l[len("HTTP/1.")]-'0'
 	return nil
 }
 
+// parseCode returns the number that digits states, and reports whether it is the status code of
+// a response.
+func parseCode(digits []byte) (code int, ok bool) {
+	for _, b := range digits {
+		if !isDigit(b) {
+			return 0, false
+		}
+		code = 10*code + int(b-'0')
+	}
+	return code, minStatus <= code && code <= maxStatus && code != http.StatusSwitchingProtocols
+}
+
 // isDigit reports whether b is a decimal digit.
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
