--- a/internal/backend/http1/brokenanswer_test.go
+++ b/internal/backend/http1/brokenanswer_test.go
@@ -1,7 +1,6 @@
 package http1_test
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -38,39 +37,15 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go answerOn(c, answer)
+	go answer.Serve(l, func(q *http.Request) string {
+		if q.Header.Get("Id") != "1" {
+			return ""
 		}
-	}()
+		return ok("1", "a")
+	})
 	return netip.MustParseAddrPort(l.Addr().String())
 }
 
-// answerOn answers the requests on connection as startAnswering says.
-func answerOn(connection net.Conn, answer brokenanswer.Answer) {
-	defer connection.Close()
-	r := bufio.NewReader(connection)
-	for {
-		q, err := http.ReadRequest(r)
-		if err != nil {
-			return
-		}
-		k := q.Header.Get("Id") == "1"
-		if k || !answer.Early {
-			_, _ = io.Copy(io.Discard, q.Body)
-		}
-		if !k {
-			answer.Send(connection)
-			return
-		}
-		_, _ = io.WriteString(connection, ok("1", "a"))
-	}
-}
-
 // play makes the exchange that a server of startAnswering answers with its answer, with a body
 // of size bytes, on a kept connection if kept is set and the connection was kept. It returns the
 // whole body.
--- a/internal/backend/openai/client.go
+++ b/internal/backend/openai/client.go
@@ -16,6 +16,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/peer/nethttp"
 	api "sardineknot.example/sardineknot/internal/rpc/openai"
 )
 
@@ -35,7 +36,7 @@
 	// progressTimeout is the time without an event after which a stream reports
 	// a silence. It is positive.
 	progressTimeout time.Duration
-	transport       *http.Transport
+	transport       *nethttp.Transport
 }
 
 var _ sardineknot.EngineClient = (*Client)(nil)
@@ -50,7 +51,7 @@
 	if progress == 0 {
 		progress = defaultProgressTimeout
 	}
-	return &Client{progressTimeout: progress, transport: &http.Transport{MaxIdleConnsPerHost: 32}}
+	return &Client{progressTimeout: progress, transport: nethttp.NewTransport(&http.Transport{MaxIdleConnsPerHost: 32})}
 }
 
 // Prefill implements sardineknot.EngineClient. It has no timeout other than
--- a/internal/backend/orders/client.go
+++ b/internal/backend/orders/client.go
@@ -14,6 +14,7 @@
 	"google.golang.org/protobuf/encoding/protojson"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/peer/nethttp"
 	api "sardineknot.example/sardineknot/internal/rpc/openai"
 )
 
@@ -25,7 +26,7 @@
 // Client is a sardineknot.EngineOrderClient. It is safe for concurrent use.
 type Client struct {
 	clock     sardineknot.Clock
-	transport *http.Transport
+	transport *nethttp.Transport
 }
 
 var _ sardineknot.EngineOrderClient = (*Client)(nil)
@@ -34,7 +35,7 @@
 // an order has not passed. It opens a connection for each request, so that the
 // transport never sends an order twice.
 func NewClient(c sardineknot.Clock) *Client {
-	return &Client{clock: c, transport: &http.Transport{DisableKeepAlives: true}}
+	return &Client{clock: c, transport: nethttp.NewTransport(&http.Transport{DisableKeepAlives: true})}
 }
 
 // State implements sardineknot.EngineOrderClient.
--- a/internal/backend/plainhttp/client.go
+++ b/internal/backend/plainhttp/client.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/peer/nethttp"
 )
 
 // maxResponseBytes bounds the body of a response.
@@ -27,11 +28,11 @@
 // Client is a sardineknot.PlainServiceClient. It is safe for concurrent use.
 type Client struct {
 	// pooled reuses connections. It is used for calls that may be repeated.
-	pooled *http.Transport
+	pooled *nethttp.Transport
 	// unpooled opens a connection for each call. It is used for unrepeatable
 	// calls, since net/http may send a request again if a reused connection
 	// fails.
-	unpooled *http.Transport
+	unpooled *nethttp.Transport
 }
 
 var _ sardineknot.PlainServiceClient = (*Client)(nil)
@@ -39,8 +40,8 @@
 // NewClient returns a client without open connections.
 func NewClient() *Client {
 	return &Client{
-		pooled:   &http.Transport{MaxIdleConnsPerHost: 32},
-		unpooled: &http.Transport{DisableKeepAlives: true},
+		pooled:   nethttp.NewTransport(&http.Transport{MaxIdleConnsPerHost: 32}),
+		unpooled: nethttp.NewTransport(&http.Transport{DisableKeepAlives: true}),
 	}
 }
 
@@ -90,7 +91,7 @@
 }
 
 // transport returns the transport for call.
-func (c *Client) transport(call sardineknot.ServiceCall) *http.Transport {
+func (c *Client) transport(call sardineknot.ServiceCall) *nethttp.Transport {
 	if call.Work.Unrepeatable {
 		return c.unpooled
 	}
--- a/internal/command/burn/command.go
+++ b/internal/command/burn/command.go
@@ -20,6 +20,7 @@
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/command/usage"
 	"sardineknot.example/sardineknot/internal/operator/options"
+	"sardineknot.example/sardineknot/internal/peer/nethttp"
 	"sardineknot.example/sardineknot/internal/report/burn"
 )
 
@@ -136,7 +137,7 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	p, err := http.DefaultTransport.RoundTrip(h)
+	p, err := nethttp.NewTransport(&http.Transport{DisableKeepAlives: true}).RoundTrip(h)
 	if err != nil {
 		return nil, errors.WithStack(&sardineknot.UnavailableError{Peer: address.String(), Cause: err})
 	}
--- a/internal/operator/admin/client.go
+++ b/internal/operator/admin/client.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/peer/nethttp"
 )
 
 const (
@@ -60,7 +61,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p, err := http.DefaultTransport.RoundTrip(q)
+	p, err := nethttp.NewTransport(&http.Transport{DisableKeepAlives: true}).RoundTrip(q)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/responsehead/conn_test.go
+++ b/internal/peer/responsehead/conn_test.go
@@ -41,7 +41,7 @@
 // TestPieces guards against heads whose check depends on how the bytes arrive, and against the
 // end of a malformed head that reaches the reader.
 func TestPieces(t *testing.T) {
-	for _, a := range brokenanswer.Heads("") {
+	for _, a := range brokenanswer.Heads("", brokenanswer.Part) {
 		t.Run(a.Name, func(t *testing.T) {
 			whole, err := readAll(t, strings.NewReader(a.Text))
 			is.New(t).True(isMalformed(err))
--- a/internal/platform/etcd/client.go
+++ b/internal/platform/etcd/client.go
@@ -13,6 +13,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/peer/nethttp"
 	api "sardineknot.example/sardineknot/internal/rpc/etcd"
 )
 
@@ -29,7 +30,7 @@
 	base string
 	// timeout bounds every call except Watch. It is positive.
 	timeout   time.Duration
-	transport *http.Transport
+	transport *nethttp.Transport
 }
 
 var _ sardineknot.WatchableStore = (*Client)(nil)
@@ -46,7 +47,7 @@
 	return &Client{
 		base:      "http://" + a.String(),
 		timeout:   timeout,
-		transport: &http.Transport{MaxIdleConnsPerHost: 8},
+		transport: nethttp.NewTransport(&http.Transport{MaxIdleConnsPerHost: 8}),
 	}
 }
 
--- a/internal/platform/httpsd/client.go
+++ b/internal/platform/httpsd/client.go
@@ -17,6 +17,7 @@
 	"github.com/pkg/errors"
 
 	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/peer/nethttp"
 )
 
 const (
@@ -41,7 +42,7 @@
 // Client implements sardineknot.HostList. It is safe for concurrent use.
 type Client struct {
 	url       string
-	transport *http.Transport
+	transport *nethttp.Transport
 }
 
 var _ sardineknot.HostList = (*Client)(nil)
@@ -52,7 +53,7 @@
 	if !a.IsValid() {
 		panic(&sardineknot.InvalidError{What: "address", Got: a.String(), Expected: "a valid address"})
 	}
-	return &Client{url: "http://" + a.String() + "/hosts", transport: &http.Transport{}}
+	return &Client{url: "http://" + a.String() + "/hosts", transport: nethttp.NewTransport(&http.Transport{})}
 }
 
 // Fetch implements sardineknot.HostList.
--- a/internal/standin/brokenanswer/answer.go
+++ b/internal/standin/brokenanswer/answer.go
@@ -7,8 +7,10 @@
 package brokenanswer
 
 import (
+	"bufio"
 	"io"
 	"net"
+	"net/http"
 	"time"
 )
 
@@ -53,5 +55,38 @@
 	}
 }
 
+// Serve answers the requests on all connections of listener until it is closed: with the text
+// that sound returns, which keeps the connection, or with a if that is empty.
+func (a Answer) Serve(listener net.Listener, sound func(*http.Request) string) {
+	for {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go a.serveConn(c, sound)
+	}
+}
+
+// serveConn answers the requests on connection.
+func (a Answer) serveConn(connection net.Conn, sound func(*http.Request) string) {
+	defer connection.Close()
+	r := bufio.NewReader(connection)
+	for {
+		q, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		s := sound(q)
+		if s != "" || !a.Early {
+			_, _ = io.Copy(io.Discard, q.Body)
+		}
+		if s == "" {
+			a.Send(connection)
+			return
+		}
+		_, _ = io.WriteString(connection, s)
+	}
+}
+
 // form is the text of an answer, which does not depend on when and how the server sends it.
 type form struct{ name, text string }
--- a/internal/standin/brokenanswer/broken.go
+++ b/internal/standin/brokenanswer/broken.go
@@ -10,7 +10,7 @@
 // its line end.
 func Broken(fields string) []Answer {
 	l := Resets(fields, Part)
-	l = append(l, Heads(fields)...)
+	l = append(l, Heads(fields, Part)...)
 	return append(l, chunks(fields)...)
 }
 
--- a/internal/standin/brokenanswer/heads.go
+++ b/internal/standin/brokenanswer/heads.go
@@ -6,23 +6,24 @@
 )
 
 // Heads returns answers whose heads break the grammar of HTTP/1.1, or leave open how the body
-// ends.
-func Heads(fields string) []Answer {
+// ends. part is their body.
+func Heads(fields, part string) []Answer {
 	var l []Answer
+	n, c := length(part), chunked(part)
 	for _, s := range statusLines() {
-		l = append(l, Answer{Name: strconv.Quote(s), Text: s + "\r\n" + fields + "Content-Length: 4\r\n\r\n" + Part})
+		l = append(l, Answer{Name: strconv.Quote(s), Text: s + "\r\n" + fields + n + "\r\n" + part})
 	}
 	for _, f := range fieldLines() {
-		l = append(l, Answer{Name: "a line " + strconv.Quote(f), Text: "HTTP/1.1 200 OK\r\n" + fields + f + "\r\n" + "Content-Length: 4\r\n\r\n" + Part})
+		l = append(l, Answer{Name: "a line " + strconv.Quote(f), Text: "HTTP/1.1 200 OK\r\n" + fields + f + "\r\n" + n + "\r\n" + part})
 	}
 	for _, f := range framings() {
-		l = append(l, Answer{Name: "framing " + strconv.Quote(f), Text: "HTTP/1.1 200 OK\r\n" + fields + f + "\r\n\r\n" + "4\r\n" + Part + "\r\n0\r\n\r\n"})
+		l = append(l, Answer{Name: "framing " + strconv.Quote(f), Text: "HTTP/1.1 200 OK\r\n" + fields + f + "\r\n\r\n" + c})
 	}
-	e := embedded(fields)
+	e := "HTTP/1.1 200 OK\r\n" + fields + n + "\r\n" + part // a client may take it for the answer
 	return append(
 		l,
-		Answer{Name: "an empty line first", Text: "\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\n\r\n" + Part},
-		Answer{Name: "chunks in HTTP/1.0", Text: "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n4\r\n" + Part + "\r\n0\r\n\r\n"},
+		Answer{Name: "an empty line first", Text: "\r\nHTTP/1.1 200 OK\r\n" + fields + n + "\r\n" + part},
+		Answer{Name: "chunks in HTTP/1.0", Text: "HTTP/1.0 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + c},
 		Answer{Name: "an answer after status 000", Text: "HTTP/1.1 000 None\r\n" + fields + "\r\n" + e},
 		Answer{Name: "an answer as the body of status 000", Text: "HTTP/1.1 000 None\r\n" + fields + "Content-Length: " + strconv.Itoa(len(e)) + "\r\n\r\n" + e},
 		Answer{Name: "an answer as the body of an interim one", Text: "HTTP/1.1 103 Early Hints\r\nContent-Length: " + strconv.Itoa(len(e)) + "\r\n\r\n" + e},
@@ -71,23 +72,23 @@
 	}
 }
 
-// embedded returns a body that looks like an answer, for a client that takes the bytes after a
-// head for one.
-func embedded(fields string) string {
-	return "HTTP/1.1 200 OK\r\n" + fields + "Content-Length: 4\r\n\r\n" + Part
-}
+// length returns the header line that states the length of body.
+func length(body string) string { return "Content-Length: " + strconv.Itoa(len(body)) + "\r\n" }
+
+// chunked returns body as one chunk and the end of the chunks.
+func chunked(body string) string { return fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body) }
 
 // FieldName returns the answer whose head has a field with the given name, and that is sound
 // otherwise.
 func FieldName(fields, name string) Answer {
-	return Answer{Name: strconv.Quote(name), Text: "HTTP/1.1 200 OK\r\n" + fields + name + ": c\r\nContent-Length: 5\r\n\r\n" + Whole}
+	return Answer{Name: strconv.Quote(name), Text: "HTTP/1.1 200 OK\r\n" + fields + name + ": c\r\n" + length(Whole) + "\r\n" + Whole}
 }
 
 // Status returns the answer with the given status, and the one in which the head alone precedes
 // a sound answer.
 func Status(fields string, status int) (single, before Answer) {
 	h := fmt.Sprintf("HTTP/1.1 %03d Status\r\n", status)
-	single = Answer{Name: fmt.Sprintf("status %03d", status), Text: h + fields + "Content-Length: 4\r\n\r\n" + Part}
-	before = Answer{Name: fmt.Sprintf("status %03d before an answer", status), Text: h + "\r\nHTTP/1.1 200 OK\r\n" + fields + "Content-Length: 5\r\n\r\n" + Whole}
+	single = Answer{Name: fmt.Sprintf("status %03d", status), Text: h + fields + length(Part) + "\r\n" + Part}
+	before = Answer{Name: fmt.Sprintf("status %03d before an answer", status), Text: h + "\r\nHTTP/1.1 200 OK\r\n" + fields + length(Whole) + "\r\n" + Whole}
 	return single, before
 }
--- a/internal/standin/brokenanswer/sound.go
+++ b/internal/standin/brokenanswer/sound.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"strconv"
 	"strings"
 	"time"
 )
@@ -14,7 +13,7 @@
 // has the same meaning as for Broken.
 func Sound(fields string) []Answer {
 	var l []Answer
-	n := "Content-Length: " + strconv.Itoa(len(Whole)) + "\r\n"
+	n := length(Whole)
 	for _, f := range []form{
 		{"no length", "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + Whole},
 		{"HTTP/1.0", "HTTP/1.0 200 OK\r\n" + fields + "\r\n" + Whole},
@@ -39,7 +38,7 @@
 	// The framing shows that these are whole, also if the connection is reset after them.
 	for _, f := range []form{
 		{"a length", "HTTP/1.1 200 OK\r\n" + fields + n + "\r\n" + Whole},
-		{"chunks", "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n5\r\n" + Whole + "\r\n0\r\n\r\n"},
+		{"chunks", "HTTP/1.1 200 OK\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + chunked(Whole)},
 	} {
 		for _, w := range []time.Duration{0, resetWait} {
 			for _, e := range []bool{false, true} {
