platform/httpsd, command/burn: an answer is read to its end

The same code reads the burn windows of hosts.

Cause: a json.Decoder stops after the value and does not read the end of the body, so that an error there is never seen. The list was whole in these cases; a value that happens to end where the response breaks off would not be.

Change: the body is read to its end and then decoded. Bytes after the value are an error now, too.

--- a/internal/command/burn/command.go
+++ b/internal/command/burn/command.go
@@ -142,7 +142,12 @@
 		return nil, errors.WithStack(&sardineknot.UnavailableError{Peer: address.String(), Cause: err})
 	}
 	defer p.Body.Close()
+	// A decoder would not read the end, and miss that the response broke off.
+	b, err := io.ReadAll(io.LimitReader(p.Body, maxResponseBytes))
+	if err != nil {
+		return nil, errors.WithStack(&sardineknot.UnavailableError{Peer: address.String(), Cause: err})
+	}
 	var w []sardineknot.BurnWindows
-	err = json.NewDecoder(io.LimitReader(p.Body, maxResponseBytes)).Decode(&w)
+	err = json.Unmarshal(b, &w)
 	return w, errors.WithStack(err)
 }
--- a/internal/peer/nethttp/readers_test.go
+++ b/internal/peer/nethttp/readers_test.go
@@ -16,6 +16,7 @@
 	"sardineknot.example/sardineknot/internal/host/clock"
 	"sardineknot.example/sardineknot/internal/operator/admin"
 	"sardineknot.example/sardineknot/internal/platform/etcd"
+	"sardineknot.example/sardineknot/internal/platform/httpsd"
 	"sardineknot.example/sardineknot/internal/standin/brokenanswer"
 )
 
@@ -87,6 +88,10 @@
 			_, err := etcd.NewClient(a, 0).Get(ctx, "k")
 			return err
 		}},
+		{"the list of hosts", "[]", func(ctx context.Context, a netip.AddrPort) error {
+			_, err := httpsd.NewClient(a).Fetch(ctx)
+			return err
+		}},
 		{"the revision of a host", `{"Host":"h","Incarnation":1,"Revision":1}`, func(ctx context.Context, a netip.AddrPort) error {
 			_, err := (&admin.Client{}).Revision(ctx, a)
 			return err
--- a/internal/platform/httpsd/client.go
+++ b/internal/platform/httpsd/client.go
@@ -87,8 +87,13 @@
 	if p.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("unexpected status %d", p.StatusCode)
 	}
+	// A decoder would not read the end, and miss that the response broke off.
+	b, err := io.ReadAll(io.LimitReader(p.Body, maxResponseBytes))
+	if err != nil {
+		return nil, err
+	}
 	var l []group
-	err = json.NewDecoder(io.LimitReader(p.Body, maxResponseBytes)).Decode(&l)
+	err = json.Unmarshal(b, &l)
 	return l, err
 }
 
