--- a/errors.go
+++ b/errors.go
@@ -154,12 +154,13 @@
 func (e *UnavailableError) Unwrap() error { return e.Cause }
 
 // ServerMayHaveEnded reports whether the cause may be that the process of the server
-// has ended. It is not if the server was silent, if another process of it has answered, or if
-// the host Through may have ended instead.
+// has ended. It is not if the server was silent or sent a malformed head, if another process of
+// it has answered, or if the host Through may have ended instead.
 func (e *UnavailableError) ServerMayHaveEnded() bool {
 	c := e.Cause
 	var i *UnconfirmedInstanceError
-	if errors.As(c, &i) {
+	var m *MalformedHeadError
+	if errors.As(c, &i) || errors.As(c, &m) {
 		return false
 	}
 	var u *UnconfirmedEndError
--- a/unconfirmed_test.go
+++ b/unconfirmed_test.go
@@ -26,3 +26,10 @@
 	e := &sardineknot.UnavailableError{Peer: "a", Cause: &sardineknot.UnconfirmedInstanceError{Server: "a", Cause: io.EOF}}
 	is.New(t).True(!e.ServerMayHaveEnded())
 }
+
+// TestMalformedHead guards against a request that counts as one that has ended its server,
+// because the server has sent a malformed head.
+func TestMalformedHead(t *testing.T) {
+	e := &sardineknot.UnavailableError{Peer: "a", Cause: &sardineknot.MalformedHeadError{Reason: "a line has no colon"}}
+	is.New(t).True(!e.ServerMayHaveEnded())
+}
