--- a/internal/backend/plainhttp/client.go
+++ b/internal/backend/plainhttp/client.go
@@ -4,8 +4,9 @@
 // not run a call responds with status 503 or 429.
 //
 // The end of the connection may be the end of an answer that has neither a length
-// nor chunks. Such an answer is complete only if the service still accepts
-// connections after it; otherwise the outcome of the call is unknown.
+// nor chunks. Such an answer is complete only if the connection was not reset, and the
+// service still accepts connections after it; otherwise the outcome of the call is
+// unknown.
 package plainhttp
 
 import (
--- a/tunnel.go
+++ b/tunnel.go
@@ -30,7 +30,9 @@
 // use.
 type ServerDialer interface {
 	// Dial connects to the backend server at address. The result is a TunnelConn if
-	// the connection goes through another entry host.
+	// the connection goes through another entry host. A read of the connection fails
+	// with io.EOF only if the server has closed it in an orderly way: the kernel reports
+	// a reset once, possibly to a write.
 	Dial(ctx context.Context, address netip.AddrPort) (net.Conn, error)
 	// Usable reports whether a connection of Dial that has been idle may be used for
 	// another request.
