--- a/errors.go
+++ b/errors.go
@@ -214,7 +214,7 @@
 // MalformedHeadError reports a response whose head breaks the grammar of HTTP/1.1. Neither its
 // status nor its fields are known.
 type MalformedHeadError struct {
-	// Reason is a short phrase that says what is wrong. It has no bytes of the head.
+	// Reason is a short phrase that names the violated rule. It contains no bytes of the head.
 	Reason string
 }
 
--- a/internal/backend/tcp/conn.go
+++ b/internal/backend/tcp/conn.go
@@ -10,9 +10,9 @@
 	"golang.org/x/sys/unix"
 )
 
-// conn is a TCP connection whose reads report that it broke off also if a write was the first
-// to notice. The kernel returns the error of a socket once, to the call that comes first, and
-// a read after a failed write sees an end as after an orderly close.
+// conn is a TCP connection whose reads report a broken connection even if a write detected it
+// first. The kernel reports the error of a socket only once, to whichever call comes first. A
+// read that follows a failed write therefore returns an end of file, as after an orderly close.
 type conn struct {
 	net.Conn
 
@@ -60,9 +60,10 @@
 	return n, err
 }
 
-// endError returns the error of a read that has seen the end of the connection. If the
-// connection is closed in both directions, a write in progress may have got the error of the
-// socket and not returned yet. It ends soon then, since the kernel lets no write wait.
+// endError returns the error for a read that has reached the end of the connection. If the
+// connection is closed in both directions, a write in progress may have received the error of
+// the socket without having returned yet. endError waits for that write, which the kernel does
+// not block any more.
 func (c *conn) endError() error {
 	d := c.disconnected()
 	c.mu.Lock()
@@ -71,16 +72,16 @@
 		c.ended.Wait()
 	}
 	var n syscall.Errno
-	// The kernel returns EPIPE if the end of the peer's bytes came before the reset, which is
-	// then only the answer to what was written after it.
+	// The kernel returns EPIPE if the peer had closed its direction before the reset. The
+	// peer's data are complete then: the reset only rejects data that was written later.
 	if errors.As(c.err, &n) && n != syscall.EPIPE {
 		return c.err
 	}
 	return io.EOF
 }
 
-// disconnected reports whether the kernel has closed the connection in both directions, as it
-// does after a reset. A connection whose peer has only ended its own bytes is not.
+// disconnected reports whether the connection is closed in both directions, as after a reset.
+// It is not if the peer has only closed its own direction.
 func (c *conn) disconnected() bool {
 	s, ok := c.Conn.(syscall.Conn)
 	if !ok {
--- a/internal/peer/nethttp/readers_test.go
+++ b/internal/peer/nethttp/readers_test.go
@@ -22,7 +22,7 @@
 
 // reader is a client that reads answers.
 type reader struct {
-	// name says what it reads, and body is the body of a whole answer.
+	// name describes what is read, and body is the body of a whole answer.
 	name, body string
 	// read reads an answer. It returns nil if the answer counts as whole.
 	read func(ctx context.Context, address netip.AddrPort) error
--- a/internal/peer/nethttp/transport.go
+++ b/internal/peer/nethttp/transport.go
@@ -1,6 +1,6 @@
-// Package nethttp makes HTTP/1.1 calls with net/http to peers that may be in trouble. A response
-// with a malformed head, or one that a reset broke off, is an error whichever way its body is
-// framed.
+// Package nethttp makes HTTP/1.1 calls with net/http to peers whose responses may be broken. A
+// response with a malformed head, or one that a reset broke off, is an error whichever way its
+// body is framed.
 package nethttp
 
 import (
--- a/internal/peer/nethttp/transport_test.go
+++ b/internal/peer/nethttp/transport_test.go
@@ -88,8 +88,7 @@
 	}
 }
 
-// TestBrokenAnswers guards against answers of servers in trouble that net/http takes for whole
-// ones.
+// TestBrokenAnswers guards against broken answers that net/http takes for whole ones.
 func TestBrokenAnswers(t *testing.T) {
 	eachPlay(t, brokenanswer.Broken(""), func(t *testing.T, body string, err error) {
 		if err == nil {
--- a/internal/peer/responsehead/framing.go
+++ b/internal/peer/responsehead/framing.go
@@ -9,11 +9,11 @@
 // lengthBits is the size of the largest length of a body.
 const lengthBits = 63
 
-// framing is what the fields of a head say about the end of the body.
+// framing is how the fields of a head delimit the body.
 type framing struct {
 	// length is the value of Content-Length, or empty if there is none.
 	length string
-	// chunked is set if Transfer-Encoding says that the body is sent in chunks.
+	// chunked is set if Transfer-Encoding is chunked.
 	chunked bool
 }
 
--- a/internal/peer/responsehead/head.go
+++ b/internal/peer/responsehead/head.go
@@ -22,9 +22,9 @@
 	line []byte
 	// lf is set if the first line ends with LF alone, as all others must then.
 	lf bool
-	// status is that of the status line, which is the first line.
+	// status is the content of the first line. Its code is zero until that was read.
 	status status
-	// framing is what the fields say of the body.
+	// framing is how the fields read so far delimit the body.
 	framing framing
 	// err is the error of the head, or nil.
 	err error
--- a/internal/peer/responsehead/status.go
+++ b/internal/peer/responsehead/status.go
@@ -15,7 +15,7 @@
 	statusBytes = len(version) + 3
 )
 
-// status is what a status line says.
+// status is the content of a status line.
 type status struct {
 	// code is the status code. It is zero before the line was parsed.
 	code int
@@ -23,8 +23,8 @@
 	minor byte
 }
 
-// parse parses the status line l. The change to another protocol is malformed, since no request
-// asks for one.
+// parse parses the status line l. A switch to another protocol is malformed, since no request
+// offers one.
 func (s *status) parse(l []byte) error {
 	if len(l) < statusBytes || !bytes.HasPrefix(l, []byte("HTTP/1.")) || !isDigit(l[len("HTTP/1.")]) || l[len(version)-1] != ' ' {
 		return malformed("the first line is no status line of HTTP/1")
--- a/internal/standin/brokenanswer/answer.go
+++ b/internal/standin/brokenanswer/answer.go
@@ -1,9 +1,9 @@
-// Package brokenanswer lists the answers that a backend server in trouble sends, and odd ones
-// that are sound. Tests, fuzz targets and soaks share the lists, so that each of them plays
-// every case.
+// Package brokenanswer lists broken answers that a faulty backend server may send, and unusual
+// answers that are sound. Tests, fuzz targets and soaks share the lists, so that each of them
+// covers every case.
 //
-// A client must take a broken answer for an error: never for an answer of the server, with the
-// whole body or a part of it.
+// A client must report a broken answer as an error, and never pass on any part of its body as a
+// complete one.
 package brokenanswer
 
 import (
@@ -36,11 +36,11 @@
 	Wait time.Duration
 }
 
-// Send sends a on connection and ends it. The peer must be a TCP connection. The server has
-// read the body of the request unless a is early.
+// Send sends a on connection, which should be a TCP connection, and closes it. Unless a is early,
+// the body of the request must have been read.
 func (a Answer) Send(connection net.Conn) {
 	defer connection.Close()
-	// The peer may have ended the connection, which is no concern of the server.
+	// The write fails if the client has already closed the connection.
 	_, _ = io.WriteString(connection, a.Text)
 	time.Sleep(a.Wait)
 	t, ok := connection.(*net.TCPConn)
