platform: a log is complete up to the revision that it names

Cause: a follower committed its log up to revision N although a large value at or before N was still on its way from another host, and recorded the value later under the same N. A reader that had reached N never got it. All rested on turning readers away meanwhile, which Next did before its wait, and after it only if there were no changes. The reader was told the age of the changes, not of what is complete, so that its view counted as current.

Change: while a large value is missing, nothing is committed to the log, so that no answer, copy or patch can hold a part. Answers give the age of what the log holds, and say that they are refreshed only if it is. A call that waits is refused at once when its follower turns to another host.

--- /dev/null
+++ b/internal/platform/changelog/complete_test.go
@@ -0,0 +1,50 @@
+package changelog_test
+
+import (
+	"testing"
+
+	"sardineknot.example/sardineknot"
+	"sardineknot.example/sardineknot/internal/platform/changelog"
+)
+
+// record records a change of key at a revision of the first era, without a commit.
+func record(l *changelog.Log, number int64, key string) {
+	l.Record(sardineknot.StoreEntry{Key: key, Revision: at(number)})
+}
+
+// TestHold guards against changes that are handed on before one of an earlier revision is
+// there, and against changes that are kept without limit meanwhile.
+func TestHold(t *testing.T) {
+	t.Run("changes that are held back wait for a commit", func(t *testing.T) {
+		l := changelog.NewLog()
+		put(l, 10, "a")
+		record(l, 21, "b")
+		l.Hold()
+		checkNext(t, l, 10, "", 10)
+		checkSnapshot(t, l, "a@10", at(10))
+		record(l, 20, "large")
+		l.Commit(at(25))
+		checkNext(t, l, 10, "b@21 large@20", 25)
+	})
+	t.Run("the last change of a key is kept", func(t *testing.T) {
+		l := changelog.NewLog()
+		put(l, 10, "a")
+		for i := range 1000 {
+			record(l, int64(11+i), "b")
+			record(l, int64(11+i), "c")
+			l.Hold()
+		}
+		record(l, 0, "c")
+		l.Hold()
+		l.Commit(at(2000))
+		checkNext(t, l, 10, "b@1010 c@0", 2000)
+	})
+	t.Run("changes that were held back in the era before are dropped", func(t *testing.T) {
+		l := changelog.NewLog()
+		put(l, 10, "a")
+		record(l, 21, "b")
+		l.Hold()
+		putEra(l, 1, 20, "c")
+		checkSnapshot(t, l, "c@20", sardineknot.StoreRevision{Era: 1, Number: 20})
+	})
+}
--- a/internal/platform/changelog/log.go
+++ b/internal/platform/changelog/log.go
@@ -12,15 +12,9 @@
 	"sardineknot.example/sardineknot"
 )
 
-const (
-	// maxChanges is the number of changes that are kept besides the current
-	// entries. Readers that are further behind read all entries again.
-	maxChanges = 4096
-	// maxVersions and maxVersionBytes bound the versions of a large value that are kept,
-	// the current one included, which is kept in any case.
-	maxVersions     = 4
-	maxVersionBytes = 2 * sardineknot.MaxStoreValueBytes
-)
+// maxChanges is the number of changes that are kept besides the current
+// entries. Readers that are further behind read all entries again.
+const maxChanges = 4096
 
 // Log holds the current entries and the recent changes. It is safe for
 // concurrent use. Use NewLog to create one.
@@ -40,8 +34,8 @@
 	// changes is the number of changes in batches.
 	changes int
 	// start is the revision after which batches is complete. end is the
-	// revision up to which the log is complete. Both are zero before the first
-	// Commit.
+	// revision up to which the log is complete: every change up to it is in entries and, if it
+	// was made after start, in batches. Both are zero before the first Commit.
 	start, end sardineknot.StoreRevision
 	// grown is closed and replaced when a batch is added or an era begins.
 	grown chan struct{}
@@ -79,9 +73,29 @@
 	return l.end.Era < era
 }
 
+// Hold keeps the recorded changes for a later Commit, because one up to the same
+// revision is missing. Only the last change of each key is kept, so that they do not
+// take more memory than the entries.
+func (l *Log) Hold() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := make(map[string]int, len(l.pending))
+	for i, e := range l.pending {
+		m[e.Key] = i
+	}
+	var k []sardineknot.StoreEntry
+	for i, e := range l.pending {
+		if m[e.Key] == i {
+			k = append(k, e)
+		}
+	}
+	l.pending = k
+}
+
 // Commit makes the recorded changes visible to readers. The log is then
-// complete up to revision. If a new era begins, the recorded changes replace all
-// entries. Changes of an earlier era are discarded.
+// complete up to revision, so no change up to it may be missing among them. If a new
+// era begins, the recorded changes replace all entries. Changes of an earlier era are
+// discarded.
 func (l *Log) Commit(revision sardineknot.StoreRevision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -110,6 +124,9 @@
 func (l *Log) beginLocked(revision sardineknot.StoreRevision) {
 	clear(l.entries)
 	clear(l.versions)
+	l.pending = slices.DeleteFunc(l.pending, func(e sardineknot.StoreEntry) bool {
+		return !e.Revision.Absent() && e.Revision.Era < revision.Era
+	})
 	l.applyLocked()
 	l.pending, l.batches, l.changes = nil, nil, 0
 	l.start, l.end = revision, revision
@@ -135,55 +152,6 @@
 	})
 }
 
-// dropReplacedLocked removes the changes of key from the batches.
-func (l *Log) dropReplacedLocked(key string) {
-	for i := range l.batches {
-		b := &l.batches[i]
-		n := len(b.changes)
-		b.changes = slices.DeleteFunc(b.changes, func(e sardineknot.StoreEntry) bool { return e.Key == key })
-		l.changes -= n - len(b.changes)
-	}
-	l.batches = slices.DeleteFunc(l.batches, func(b batch) bool { return len(b.changes) == 0 })
-}
-
-// addVersionLocked records e as the current version of its key. Only large values have
-// versions.
-func (l *Log) addVersionLocked(e sardineknot.StoreEntry) {
-	if !e.Large() {
-		delete(l.versions, e.Key)
-		return
-	}
-	v := append(slices.Clip(l.versions[e.Key]), e)
-	n := 0
-	for _, o := range v {
-		n += len(o.Value)
-	}
-	for len(v) > maxVersions || len(v) > 1 && n > maxVersionBytes {
-		n -= len(v[0].Value)
-		v = v[1:]
-	}
-	l.versions[e.Key] = v
-}
-
-// Versions returns the last versions of the large value of key in the order of their
-// revisions, or nothing if its value is not large. The last one is the current one.
-func (l *Log) Versions(key string) []sardineknot.StoreEntry {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.versions[key]
-}
-
-// Large returns the current entries with large values, in no particular order.
-func (l *Log) Large() []sardineknot.StoreEntry {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	r := make([]sardineknot.StoreEntry, 0, len(l.versions))
-	for _, v := range l.versions {
-		r = append(r, v[len(v)-1])
-	}
-	return r
-}
-
 // notifyLocked wakes the readers that wait.
 func (l *Log) notifyLocked() {
 	close(l.grown)
--- a/internal/platform/twirp/age.go
+++ b/internal/platform/twirp/age.go
@@ -7,15 +7,20 @@
 )
 
 // Commit makes the entries that were recorded visible to other hosts. They are complete
-// up to revision and reflect the last answer.
+// up to revision and reflect the last answer. While a large value among them is still being
+// read, they are held back: what other hosts get is always complete up to its revision.
 func (f *Feed) Commit(revision sardineknot.StoreRevision) {
-	f.Entries.Commit(revision)
-	p := f.transfers.pending()
+	c := !f.transfers.pending()
+	if c {
+		f.Entries.Commit(revision)
+	} else {
+		f.Entries.Hold()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.currentAsOf = f.readAsOf
-	if !p {
-		f.completeAsOf = f.currentAsOf
+	if c {
+		f.completeAsOf = f.readAsOf
 	}
 }
 
@@ -86,11 +91,11 @@
 		Dur("took_ms", f.Clock.Now().Sub(begin)).Dur("view_ms", f.ageLocked()).Int64("received_bytes", received).Err(err).Send()
 }
 
-// currentSince returns the time from begin until the view of this host was last known to
-// be current, in microseconds. It is negative if that was before begin.
+// currentSince returns the time from begin until Entries were last known to be current, in
+// microseconds. It is negative if that was before begin.
 func (f *Feed) currentSince(begin time.Time) *int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	d := f.currentAsOf.Sub(begin).Microseconds()
+	d := f.completeAsOf.Sub(begin).Microseconds()
 	return &d
 }
--- a/internal/platform/twirp/feed.go
+++ b/internal/platform/twirp/feed.go
@@ -49,7 +49,8 @@
 type Feed struct {
 	// Store reads from the service.
 	Store sardineknot.ChangeFeed
-	// Entries holds what this host has read.
+	// Entries holds what this host has read. It is complete up to its revision, large values
+	// included.
 	Entries *changelog.Log
 	// Selector selects the followers.
 	Selector sardineknot.FollowerSelector
@@ -105,6 +106,8 @@
 	// source is the follower that answered last. It is empty if the service
 	// itself did.
 	source sardineknot.EntryHostID
+	// turned is closed when source becomes a follower. It is nil if nothing waits for that.
+	turned chan struct{}
 	// storeAskedAt is the time of the last call to the service, and storeFailedAt that of
 	// the last one that failed.
 	storeAskedAt, storeFailedAt time.Time
@@ -112,8 +115,9 @@
 	startedAt time.Time
 	answered  bool
 	// readAsOf is the time for which the last answer shows the service. currentAsOf is the
-	// same for what Commit has made visible, but for large values that are being read, and
-	// completeAsOf the same with them. All are zero before the first answer.
+	// same for what was passed to Commit, but for large values that are being read, and
+	// completeAsOf the same for what Commit has made visible, which lacks none. All are zero
+	// before the first answer.
 	readAsOf, currentAsOf, completeAsOf time.Time
 	// readTo is the latest revision up to which this host has read the entries.
 	readTo sardineknot.StoreRevision
--- a/internal/platform/twirp/service.go
+++ b/internal/platform/twirp/service.go
@@ -50,34 +50,20 @@
 // Next implements rpc.Changes.
 func (s *service) Next(ctx context.Context, request *rpc.NextRequest) (*rpc.NextResponse, error) {
 	b := s.feed.Clock.Now()
-	err := s.check()
+	err := s.refresh(ctx, request)
 	if err != nil {
 		return nil, err
 	}
-	if request.GetRefresh() {
-		err = s.feed.Refresh(ctx)
-	}
-	if err != nil {
-		return nil, twirp.Unavailable.Error(err.Error())
-	}
 	w := micros.Duration(request.GetWaitMicros())
-	r := sardineknot.StoreRevision{Era: sardineknot.StoreEra(request.GetEra()), Number: request.GetRevision()}
-	l, n, c, err := s.feed.changesAfter(ctx, r, min(w, maxPeerWait), b)
+	l, n, c, err := s.feed.changesAfter(ctx, revisionOf(request), min(w, maxPeerWait), b)
 	var d *sardineknot.CompactedError
 	if errors.As(err, &d) {
 		return &rpc.NextResponse{Compacted: true, Refreshed: request.GetRefresh()}, nil
 	}
-	var o *sardineknot.StaleEraError
-	if errors.As(err, &o) {
-		return nil, twirp.FailedPrecondition.Error(err.Error())
-	}
-	if err != nil {
-		return nil, twirp.Canceled.Error(err.Error())
-	}
-	if len(l) == 0 {
-		// The service may have failed during the wait.
-		err = s.check()
+	if err == nil && request.GetRefresh() && *c < 0 {
+		return nil, twirp.Unavailable.Error("this host does not have all changes of the service yet")
 	}
+	err = s.checkAfterWait(err, len(l))
 	if err != nil {
 		return nil, err
 	}
@@ -89,10 +75,51 @@
 	return a, nil
 }
 
-// changesAfter waits for changes after revision, for at most wait. current is the result
-// of currentSince for begin.
+// revisionOf returns the revision after which request asks for changes.
+func revisionOf(request *rpc.NextRequest) sardineknot.StoreRevision {
+	return sardineknot.StoreRevision{Era: sardineknot.StoreEra(request.GetEra()), Number: request.GetRevision()}
+}
+
+// refresh fails if this host serves no changes. It reads what there is in the key-value
+// service first if request needs that.
+func (s *service) refresh(ctx context.Context, request *rpc.NextRequest) error {
+	err := s.check()
+	if err != nil || !request.GetRefresh() {
+		return err
+	}
+	err = s.feed.Refresh(ctx)
+	if err != nil {
+		return twirp.Unavailable.Error(err.Error())
+	}
+	return nil
+}
+
+// checkAfterWait returns the error to answer with after a wait that ended with err and the
+// given number of changes. Without changes, the service may have failed during the wait, or
+// has begun to refuse this host.
+func (s *service) checkAfterWait(err error, changes int) error {
+	var o *sardineknot.StaleEraError
+	if errors.As(err, &o) {
+		return twirp.FailedPrecondition.Error(err.Error())
+	}
+	if changes == 0 {
+		e := s.check()
+		if e != nil {
+			return e
+		}
+	}
+	if err != nil {
+		return twirp.Canceled.Error(err.Error())
+	}
+	return nil
+}
+
+// changesAfter waits for changes after revision, for at most wait and while this host reads
+// from the service. current is the result of currentSince for begin.
 func (f *Feed) changesAfter(ctx context.Context, revision sardineknot.StoreRevision, wait time.Duration, begin time.Time) (changes []sardineknot.StoreEntry, next sardineknot.StoreRevision, current *int64, err error) {
-	_, _, err = f.Entries.Next(ctx, revision, wait)
+	w, cancel := f.whileDirect(ctx)
+	defer cancel()
+	_, _, err = f.Entries.Next(w, revision, wait)
 	if err != nil {
 		return nil, revision, nil, err
 	}
@@ -117,6 +144,3 @@
 	}
 	return nil
 }
-
-// followsDirectly reports whether the last answer came from the service.
-func (f *Feed) followsDirectly() bool { return f.currentSource() == "" }
--- a/internal/platform/twirp/sources.go
+++ b/internal/platform/twirp/sources.go
@@ -1,6 +1,7 @@
 package twirp
 
 import (
+	"context"
 	"slices"
 
 	"sardineknot.example/sardineknot"
@@ -61,6 +62,10 @@
 		return
 	}
 	f.source = peer
+	if peer != "" && f.turned != nil {
+		close(f.turned)
+		f.turned = nil
+	}
 	f.Log.Info().Stringer("event", sardineknot.LogStoreSource).Str("peer", string(peer)).Bool("direct", peer == "").Dur("view_ms", f.ageLocked()).Send()
 }
 
@@ -71,3 +76,30 @@
 	defer f.mu.Unlock()
 	return f.source
 }
+
+// followsDirectly reports whether the last answer came from the service.
+func (f *Feed) followsDirectly() bool { return f.currentSource() == "" }
+
+// whileDirect returns a context that is done with ctx or as soon as this host reads from
+// a follower.
+func (f *Feed) whileDirect(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.source != "" {
+		cancel()
+		return ctx, cancel
+	}
+	if f.turned == nil {
+		f.turned = make(chan struct{})
+	}
+	t := f.turned
+	go func() {
+		select {
+		case <-t:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
