changelog: a change read ahead of the log is handed on again when the log reaches it

Change: such a change stays in the log at once, and is part of the batch that reaches its revision as well, if it is still current.

TestChangeAheadOfCommit failed before in 2 of 4 cases.

--- a/internal/platform/changelog/complete_test.go
+++ b/internal/platform/changelog/complete_test.go
@@ -48,3 +48,43 @@
 		checkSnapshot(t, l, "c@20", sardineknot.StoreRevision{Era: 1, Number: 20})
 	})
 }
+
+// TestChangeAheadOfCommit guards against a change that the log holds early, and that a reader
+// never gets which reached the end of the log at another host.
+func TestChangeAheadOfCommit(t *testing.T) {
+	// newLog returns a log that is complete up to 20 and holds a change made at 25.
+	newLog := func() *changelog.Log {
+		l := changelog.NewLog()
+		put(l, 10, "a")
+		record(l, 25, "b")
+		l.Commit(at(20))
+		return l
+	}
+	t.Run("a reader before the end gets it at once", func(t *testing.T) {
+		checkNext(t, newLog(), 10, "b@25", 20)
+	})
+	t.Run("a reader at the end gets it when the log has reached it", func(t *testing.T) {
+		l := newLog()
+		checkNext(t, l, 20, "", 20)
+		put(l, 24, "c")
+		checkNext(t, l, 20, "c@24", 24)
+		l.Commit(at(25))
+		checkNext(t, l, 24, "b@25", 25)
+	})
+	t.Run("one among the first entries", func(t *testing.T) {
+		l := changelog.NewLog()
+		record(l, 25, "b")
+		l.Commit(at(20))
+		put(l, 30, "c")
+		checkNext(t, l, 20, "b@25 c@30", 30)
+	})
+	t.Run("one that was replaced or removed meanwhile", func(t *testing.T) {
+		l := newLog()
+		put(l, 26, "b")
+		checkNext(t, l, 20, "b@26", 26)
+		l = newLog()
+		record(l, 0, "b")
+		l.Commit(at(26))
+		checkNext(t, l, 20, "b@0", 26)
+	})
+}
--- a/internal/platform/changelog/log.go
+++ b/internal/platform/changelog/log.go
@@ -24,6 +24,10 @@
 	entries map[string]sardineknot.StoreEntry
 	// pending holds the changes recorded since the last Commit.
 	pending []sardineknot.StoreEntry
+	// ahead holds the changes in entries whose revisions are after end. A reader may have
+	// got to end at another host, without them, so that the batch that reaches the revision
+	// of one of them includes it once more.
+	ahead []sardineknot.StoreEntry
 	// batches holds the kept batches in the order of their revisions. None is
 	// empty. A large value that was replaced since is left out: with thousands of changes,
 	// all its versions would take more memory than a host has.
@@ -34,8 +38,9 @@
 	// changes is the number of changes in batches.
 	changes int
 	// start is the revision after which batches is complete. end is the
-	// revision up to which the log is complete: every change up to it is in entries and, if it
-	// was made after start, in batches. Both are zero before the first Commit.
+	// revision up to which the log is complete: every change up to it is in entries, and a
+	// change after start in a batch that ends at its revision or later. Both are zero before
+	// the first Commit.
 	start, end sardineknot.StoreRevision
 	// grown is closed and replaced when a batch is added or an era begins.
 	grown chan struct{}
@@ -109,12 +114,12 @@
 	}
 	l.applyLocked()
 	l.end = l.end.Later(revision)
-	if len(l.pending) == 0 {
+	c := append(l.takeReachedLocked(), l.takePendingLocked()...)
+	if len(c) == 0 {
 		return
 	}
-	l.batches = append(l.batches, batch{end: l.end, changes: l.pending})
-	l.changes += len(l.pending)
-	l.pending = nil
+	l.batches = append(l.batches, batch{end: l.end, changes: c})
+	l.changes += len(c)
 	l.trimLocked()
 	l.notifyLocked()
 }
@@ -128,11 +133,41 @@
 		return !e.Revision.Absent() && e.Revision.Era < revision.Era
 	})
 	l.applyLocked()
-	l.pending, l.batches, l.changes = nil, nil, 0
+	l.ahead, l.batches, l.changes = nil, nil, 0
 	l.start, l.end = revision, revision
+	_ = l.takePendingLocked()
 	l.notifyLocked()
 }
 
+// takeReachedLocked returns the changes that were ahead of end, are not any more, and are
+// still current.
+func (l *Log) takeReachedLocked() []sardineknot.StoreEntry {
+	var r []sardineknot.StoreEntry
+	l.ahead = slices.DeleteFunc(l.ahead, func(e sardineknot.StoreEntry) bool {
+		if l.entries[e.Key].Revision != e.Revision {
+			return true
+		}
+		if e.Revision.Compare(l.end) > 0 {
+			return false
+		}
+		r = append(r, e)
+		return true
+	})
+	return r
+}
+
+// takePendingLocked returns the recorded changes. Those after end are ahead as well.
+func (l *Log) takePendingLocked() []sardineknot.StoreEntry {
+	p := l.pending
+	l.pending = nil
+	for _, e := range p {
+		if e.Revision.Compare(l.end) > 0 {
+			l.ahead = append(l.ahead, e)
+		}
+	}
+	return p
+}
+
 // applyLocked applies the recorded changes to the entries.
 func (l *Log) applyLocked() {
 	for _, e := range l.pending {
--- a/internal/platform/twirp/cluster_test.go
+++ b/internal/platform/twirp/cluster_test.go
@@ -21,6 +21,7 @@
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/host/clock"
 	"sardineknot.example/sardineknot/internal/membership/followers"
+	"sardineknot.example/sardineknot/internal/peer/progress"
 	"sardineknot.example/sardineknot/internal/platform/changelog"
 	"sardineknot.example/sardineknot/internal/platform/mirror"
 	"sardineknot.example/sardineknot/internal/platform/twirp"
@@ -110,8 +111,13 @@
 	return l, n, f.arrive(ctx, l)
 }
 
+// getTimeout bounds the time without progress in get.
+const getTimeout = 800 * time.Millisecond
+
 // get reads the entry of key.
 func (f *hostFeed) get(ctx context.Context, key string) (sardineknot.StoreEntry, error) {
+	ctx, cancel := progress.WithTimeout(ctx, getTimeout, getTimeout)
+	defer cancel()
 	l, _, err := f.Snapshot(ctx)
 	for _, e := range l {
 		if e.Key == key {
