platform/twirp: a large value of a new era stays out of the log of the era before

Cause, found by TestLogsAreComplete: a large value that is late is read from the store by itself. After a return of the store from an older copy, this read may be the first answer of the new era. The value was recorded and committed in the log of the era before, and ignored as known when all entries of the new era were read. So the log of that era lacked it: for a configuration, a host that started from this follower had none, until the next change.

Change: such an answer counts as one after lost history; the value comes with all entries of its era.

TestValueOfNewEra failed before.

--- a/internal/platform/twirp/complete_test.go
+++ b/internal/platform/twirp/complete_test.go
@@ -21,8 +21,9 @@
 type interleaving struct {
 	cluster *cluster
 	random  *rand.Rand
-	// writes holds the writes of each key.
+	// writes holds the writes of each key in the present era of the service, and era that era.
 	writes map[string][]write
+	era    sardineknot.StoreEra
 }
 
 // interleavedKeys are the keys that are written. The first ones have large values.
@@ -67,6 +68,14 @@
 
 func (p *interleaving) record(key string, w write) { p.writes[key] = append(p.writes[key], w) }
 
+// restore makes the service come back from an older copy that holds a small configuration.
+func (p *interleaving) restore() {
+	s := p.cluster.service
+	s.restore(max(1, s.revision.Number-3), map[string]string{"config": "restored"})
+	p.era = s.revision.Era
+	p.writes = map[string][]write{"config": {{number: s.revision.Number}}}
+}
+
 // step makes a random change or fault.
 func (p *interleaving) step() {
 	h := p.cluster.hosts[p.random.IntN(len(p.cluster.hosts))]
@@ -88,6 +97,8 @@
 		h.lossy.Store(!h.lossy.Load())
 	case n < 32 && h.paused.Load() == nil:
 		pause(time.Duration(p.random.IntN(2000)) * time.Millisecond)(h)
+	case n < 33:
+		p.restore()
 	}
 }
 
@@ -97,7 +108,7 @@
 	t.Helper()
 	for _, h := range p.cluster.hosts {
 		l, end := h.feed.Entries.Snapshot()
-		if end.Absent() {
+		if end.Absent() || end.Era != p.era {
 			continue
 		}
 		known := make(map[string]int64)
--- a/internal/platform/twirp/parts.go
+++ b/internal/platform/twirp/parts.go
@@ -184,7 +184,8 @@
 }
 
 // readWhole reads the value of t from the service. The service is not called again soon
-// after a call for a large value.
+// after a call for a large value. It fails with a CompactedError if the service is in another
+// era than the value that was announced: all entries of an era are read together.
 func (f *Feed) readWhole(ctx context.Context, t *transfer) error {
 	n := f.Clock.Now()
 	if n.Sub(f.valueAskedAt) < storeInterval {
@@ -200,6 +201,10 @@
 		f.StoreFailures.Inc(1)
 		return err
 	}
+	r, _ := f.transfers.target(t)
+	if e.Revision.Era != r.Era {
+		return errors.WithStack(&sardineknot.CompactedError{After: r})
+	}
 	f.finishTransfer(t, e, len(e.Value), "")
 	return nil
 }
--- a/internal/platform/twirp/parts_test.go
+++ b/internal/platform/twirp/parts_test.go
@@ -142,6 +142,22 @@
 	})
 }
 
+// TestValueOfNewEra guards against a log that lacks a large value for the whole of an era,
+// because the value was read from the service before the other entries of the era, put into
+// the log of the era before, and ignored when it came with the others.
+func TestValueOfNewEra(t *testing.T) {
+	is := is.New(t)
+	f, r := newReader(5)
+	f.StoreCalls, f.StoreFailures = metrics.NewCounter(), metrics.NewCounter()
+	f.ReadEntry = func(context.Context, string) (sardineknot.StoreEntry, error) {
+		return sardineknot.StoreEntry{Key: "config", Revision: sardineknot.StoreRevision{Era: 1, Number: 3}}, nil
+	}
+	err := f.readWhole(t.Context(), r)
+	var c *sardineknot.CompactedError
+	is.True(errors.As(err, &c))
+	is.Equal(len(f.transfers.take()), 0)
+}
+
 // TestMalformedParts guards against answers that take memory without limit, or make a wrong
 // value.
 func TestMalformedParts(t *testing.T) {
