changelog: a reader between a lost history and its replacement reads everything again

Cause, found by TestLogsAreComplete: a follower for which the store has discarded changes reads all entries, and hands on the differences to what it knew. A key that was written and removed in between is not among them, as the follower has never known it. A reader that had read the write at another host goes on from a revision in between, never reads the removal, and keeps the key until its next change: a server that has left, for one.

Change: the log remembers the last span that was skipped so. A reader whose revision lies within it is told that the changes are not kept. Readers before and after it go on as before, so that a lost history still costs the fleet no copies.

--- a/internal/platform/changelog/complete_test.go
+++ b/internal/platform/changelog/complete_test.go
@@ -88,3 +88,45 @@
 		checkNext(t, l, 20, "b@0", 26)
 	})
 }
+
+// TestCommitSnapshot guards against a reader that keeps an entry for good, because the host
+// that it reads from never knew of it: it was written and removed while that host had no
+// answer of the service, which then had discarded these changes.
+func TestCommitSnapshot(t *testing.T) {
+	newLog := func() *changelog.Log {
+		l := changelog.NewLog()
+		put(l, 10, "a")
+		record(l, 90, "b")
+		l.CommitSnapshot(at(100))
+		return l
+	}
+	t.Run("a reader between the two reads all entries again", func(t *testing.T) {
+		l := newLog()
+		checkCompacted(t, l, 11)
+		checkCompacted(t, l, 99)
+	})
+	t.Run("readers before and after go on", func(t *testing.T) {
+		l := newLog()
+		checkNext(t, l, 10, "b@90", 100)
+		put(l, 101, "c")
+		checkNext(t, l, 10, "b@90 c@101", 101)
+		checkNext(t, l, 100, "c@101", 101)
+	})
+	t.Run("only the last one is remembered", func(t *testing.T) {
+		l := newLog()
+		record(l, 190, "c")
+		l.CommitSnapshot(at(200))
+		checkCompacted(t, l, 10)
+		checkCompacted(t, l, 50)
+		checkNext(t, l, 100, "c@190", 200)
+		checkCompacted(t, l, 150)
+		checkNext(t, l, 200, "", 200)
+	})
+	t.Run("without changes in between", func(t *testing.T) {
+		l := changelog.NewLog()
+		put(l, 10, "a")
+		l.CommitSnapshot(at(10))
+		checkNext(t, l, 10, "", 10)
+		checkCompacted(t, l, 9)
+	})
+}
--- a/internal/platform/changelog/log.go
+++ b/internal/platform/changelog/log.go
@@ -42,6 +42,9 @@
 	// change after start in a batch that ends at its revision or later. Both are zero before
 	// the first Commit.
 	start, end sardineknot.StoreRevision
+	// skipped is the last span of revisions that CommitSnapshot has skipped. It is empty if
+	// there is none after start.
+	skipped span
 	// grown is closed and replaced when a batch is added or an era begins.
 	grown chan struct{}
 }
@@ -53,6 +56,15 @@
 	changes []sardineknot.StoreEntry
 }
 
+// span is a span of revisions between two others, which are not part of it.
+type span struct {
+	after, before sardineknot.StoreRevision
+}
+
+func (s span) contains(revision sardineknot.StoreRevision) bool {
+	return revision.Compare(s.after) > 0 && revision.Compare(s.before) < 0
+}
+
 // NewLog returns an empty log.
 func NewLog() *Log {
 	return &Log{
@@ -104,6 +116,24 @@
 func (l *Log) Commit(revision sardineknot.StoreRevision) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.commitLocked(revision)
+}
+
+// CommitSnapshot is Commit for changes that were found by a comparison with all entries at
+// revision, because the changes since the last Commit are not known. An entry that was
+// written and removed since is not among them. A reader that knows of it reads all
+// entries again.
+func (l *Log) CommitSnapshot(revision sardineknot.StoreRevision) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if revision.Era == l.end.Era && revision.Compare(l.end) > 0 {
+		l.discardLocked(l.skipped.before)
+		l.skipped = span{after: l.end, before: revision}
+	}
+	l.commitLocked(revision)
+}
+
+func (l *Log) commitLocked(revision sardineknot.StoreRevision) {
 	switch {
 	case revision.Era < l.end.Era:
 		l.pending = nil
@@ -134,7 +164,7 @@
 	})
 	l.applyLocked()
 	l.ahead, l.batches, l.changes = nil, nil, 0
-	l.start, l.end = revision, revision
+	l.start, l.end, l.skipped = revision, revision, span{}
 	_ = l.takePendingLocked()
 	l.notifyLocked()
 }
@@ -196,13 +226,28 @@
 // trimLocked discards the oldest batches until at most maxChanges changes are
 // left.
 func (l *Log) trimLocked() {
-	n := 0
-	for l.changes > maxChanges {
-		l.changes -= len(l.batches[n].changes)
-		l.start = l.batches[n].end
-		n++
+	n := l.changes
+	for i := 0; n > maxChanges; i++ {
+		n -= len(l.batches[i].changes)
+		l.start = l.batches[i].end
+	}
+	l.discardLocked(l.start)
+}
+
+// discardLocked discards the batches that end at revision or before. It has no effect if
+// revision is before start.
+func (l *Log) discardLocked(revision sardineknot.StoreRevision) {
+	l.start = l.start.Later(revision)
+	l.batches = slices.DeleteFunc(l.batches, func(b batch) bool {
+		d := b.end.Compare(l.start) <= 0
+		if d {
+			l.changes -= len(b.changes)
+		}
+		return d
+	})
+	if l.skipped.before.Compare(l.start) <= 0 {
+		l.skipped = span{}
 	}
-	l.batches = slices.Delete(l.batches, 0, n)
 }
 
 // Snapshot returns the current entries, in no particular order, and the
@@ -250,7 +295,7 @@
 	if revision.Era > l.end.Era {
 		return nil, revision, nil, errors.WithStack(&sardineknot.StaleEraError{Got: l.end.Era, Latest: revision.Era})
 	}
-	if revision.Compare(l.start) < 0 || l.end.Absent() {
+	if revision.Compare(l.start) < 0 || l.end.Absent() || l.skipped.contains(revision) {
 		return nil, revision, nil, errors.WithStack(&sardineknot.CompactedError{After: revision})
 	}
 	i := sort.Search(len(l.batches), func(i int) bool { return l.batches[i].end.Compare(revision) > 0 })
--- a/internal/platform/twirp/age.go
+++ b/internal/platform/twirp/age.go
@@ -11,10 +11,14 @@
 // read, they are held back: what other hosts get is always complete up to its revision.
 func (f *Feed) Commit(revision sardineknot.StoreRevision) {
 	c := !f.transfers.pending()
-	if c {
-		f.Entries.Commit(revision)
-	} else {
+	switch {
+	case !c:
 		f.Entries.Hold()
+	case f.snapshot:
+		f.Entries.CommitSnapshot(revision)
+		f.snapshot = false
+	default:
+		f.Entries.Commit(revision)
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/platform/twirp/complete_test.go
+++ b/internal/platform/twirp/complete_test.go
@@ -98,6 +98,8 @@
 	case n < 32 && h.paused.Load() == nil:
 		pause(time.Duration(p.random.IntN(2000)) * time.Millisecond)(h)
 	case n < 33:
+		p.cluster.service.forget()
+	case n < 34:
 		p.restore()
 	}
 }
@@ -160,7 +162,7 @@
 // order of large changes, removals, sources that turn a host away, and hosts that fail: who
 // goes on from there never reads that change.
 func TestLogsAreComplete(t *testing.T) {
-	const seeds, rounds, steps = 48, 4, 60
+	const seeds, rounds, steps = 240, 4, 60
 	sites := []site{
 		{hosts: 7, zones: 4, bound: 2 * time.Second, reportInterval: 80 * time.Millisecond},
 		{hosts: 9, zones: 2, bound: 2 * time.Second, reportInterval: 700 * time.Millisecond},
--- a/internal/platform/twirp/feed.go
+++ b/internal/platform/twirp/feed.go
@@ -95,6 +95,9 @@
 	valueAskedAt time.Time
 	// answers reports whether the last call of Next was answered. Only Next uses it.
 	answers bool
+	// snapshot reports whether all entries were read since the last Commit that was not held
+	// back. Only Snapshot and Commit use it.
+	snapshot bool
 	// latest is the latest era of an answer.
 	latest era.Latest
 
@@ -160,6 +163,7 @@
 	f.recordRead(a, revision, err)
 	if err == nil {
 		f.transfers.clear()
+		f.snapshot = true
 	}
 	return entries, revision, err
 }
