platform/twirp: a transfer ends when the store does not have the value any more

Change: the answer was given after the announcement, so that a key which it lacks was removed. The transfer ends with the removal.

The case in TestEndOfTransfer failed before.

--- a/internal/platform/twirp/parts_test.go
+++ b/internal/platform/twirp/parts_test.go
@@ -135,6 +135,15 @@
 		is.Equal(n.announced.Number, int64(2))
 		is.True(f.transfers.pending())
 	})
+	t.Run("a value that the service does not have any more", func(t *testing.T) {
+		is := is.New(t)
+		f, r := newReader(7)
+		f.finishTransfer(r, sardineknot.StoreEntry{Key: "config"}, 0, "")
+		l := f.transfers.take()
+		is.Equal(len(l), 1)
+		is.True(l[0].Revision.Absent())
+		is.True(!f.transfers.pending())
+	})
 	t.Run("a removed value ends the transfer", func(t *testing.T) {
 		f, _ := newReader(1)
 		f.transfers.end([]sardineknot.StoreEntry{{Key: "config"}})
--- a/internal/platform/twirp/transfers.go
+++ b/internal/platform/twirp/transfers.go
@@ -102,7 +102,8 @@
 }
 
 // finish ends t with the entry that was read. If a later value was announced meanwhile, its
-// transfer begins. finish reports whether t was still running.
+// transfer begins, unless the key is absent: it was removed since. finish reports whether t
+// was still running.
 func (s *transfers) finish(t *transfer, entry sardineknot.StoreEntry, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -110,7 +111,7 @@
 		return false
 	}
 	delete(s.running, t.key)
-	if t.announced.Compare(entry.Revision) > 0 {
+	if !entry.Revision.Absent() && t.announced.Compare(entry.Revision) > 0 {
 		s.startLocked(&transfer{key: t.key, announced: t.announced, source: t.source, beganAt: now})
 	}
 	s.arrived = append(s.arrived, entry)
