platform/twirp: a host notices that it has skipped a large value, and reads it

Change: a follower describes in each answer the large values (key, revision, digest) up to the reader's revision that the reader does not name among those that it has. The reader begins to read those which it has neither received nor is reading, logs large_value_skipped and counts store.skipped_values. A host that reads from the store as a follower compares itself with another follower each 4 s, in turn, by a request that is answered without changes. Both are new fields: builds before ignore them, and send none. Weighed and left out: reading the keys again from the store, which costs calls in proportion to followers, and a digest of all entries, since hosts do not hold the same reports of servers.

Figures: no bytes more in an answer while nothing is missing; a comparison has some hundred.

--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -63,6 +63,10 @@
 		PeerBytes:      metrics.GetOrRegisterCounter("store.peer_bytes", p.Metrics),
 		DiscardedBytes: metrics.GetOrRegisterCounter("store.discarded_peer_bytes", p.Metrics),
 		ServedBytes:    metrics.GetOrRegisterCounter("store.served_bytes", p.Metrics),
+		SkippedValues:  metrics.GetOrRegisterCounter("store.skipped_values", p.Metrics),
+		Comparisons:    metrics.GetOrRegisterCounter("store.comparisons", p.Metrics),
+
+		FailedComparisons: metrics.GetOrRegisterCounter("store.failed_comparisons", p.Metrics),
 	}
 	p.mirror.Feed, p.feed.Refresh = p.feed, p.mirror.Refresh
 	p.mirror.List, p.mirror.Prefix, p.mirror.OnList = p.listHosts, membership.KeyPrefix, p.beginWithHosts
--- a/internal/platform/changelog/complete_test.go
+++ b/internal/platform/changelog/complete_test.go
@@ -1,8 +1,11 @@
 package changelog_test
 
 import (
+	"strings"
 	"testing"
 
+	"github.com/matryer/is"
+
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/platform/changelog"
 )
@@ -130,3 +133,29 @@
 		checkCompacted(t, l, 9)
 	})
 }
+
+// TestLargeUpTo guards against a comparison with a reader that is further than the log, or in
+// another era: what it lacks may have been removed.
+func TestLargeUpTo(t *testing.T) {
+	l := changelog.NewLog()
+	put(l, 10, "a")
+	for i, k := range []string{"b", "c"} {
+		r := at(int64(20 + i*10))
+		l.Record(sardineknot.StoreEntry{Key: k, Value: []byte(strings.Repeat("v", 8<<10)), Revision: r})
+		l.Commit(r)
+	}
+	for _, c := range []struct {
+		name     string
+		revision sardineknot.StoreRevision
+		want     string
+	}{
+		{"before both", at(19), ""},
+		{"between", at(20), "b@20"},
+		{"beyond the log", at(31), ""},
+		{"another era", sardineknot.StoreRevision{Era: 1, Number: 5}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			is.New(t).Equal(describe(l.LargeUpTo(c.revision)), c.want)
+		})
+	}
+}
--- a/internal/platform/changelog/log.go
+++ b/internal/platform/changelog/log.go
@@ -250,6 +250,14 @@
 	}
 }
 
+// End returns the revision up to which the log is complete. It is zero before the first
+// Commit.
+func (l *Log) End() sardineknot.StoreRevision {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.end
+}
+
 // Snapshot returns the current entries, in no particular order, and the
 // revision up to which they are complete. The revision is zero before the first
 // Commit.
--- a/internal/platform/changelog/versions.go
+++ b/internal/platform/changelog/versions.go
@@ -61,3 +61,22 @@
 	}
 	return r
 }
+
+// LargeUpTo returns the current entries with large values that were written up to revision,
+// in no particular order. It returns none if the log does not reach revision: some of them
+// may have been replaced or removed since.
+func (l *Log) LargeUpTo(revision sardineknot.StoreRevision) []sardineknot.StoreEntry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.end.Era != revision.Era || l.end.Compare(revision) < 0 {
+		return nil
+	}
+	var r []sardineknot.StoreEntry
+	for _, v := range l.versions {
+		e := v[len(v)-1]
+		if e.Revision.Compare(revision) <= 0 {
+			r = append(r, e)
+		}
+	}
+	return r
+}
--- a/internal/platform/twirp/cluster_test.go
+++ b/internal/platform/twirp/cluster_test.go
@@ -288,6 +288,7 @@
 		Log: zerolog.Nop(), Bound: func() time.Duration { return c.bound }, StoreCalls: metrics.NewCounter(), PeerCalls: metrics.NewCounter(),
 		StoreFailures: metrics.NewCounter(), PeerFailures: metrics.NewCounter(),
 		PeerBytes: metrics.NewCounter(), DiscardedBytes: metrics.NewCounter(), ServedBytes: metrics.NewCounter(),
+		SkippedValues: metrics.NewCounter(), Comparisons: metrics.NewCounter(), FailedComparisons: metrics.NewCounter(),
 	}
 	_, h.handler = h.feed.Handler()
 	h.mirror = &mirror.Mirror{
--- a/internal/platform/twirp/complete_test.go
+++ b/internal/platform/twirp/complete_test.go
@@ -140,7 +140,8 @@
 	return known == 0
 }
 
-// checkConverged checks that all hosts have read the present state of the service.
+// checkConverged checks that all hosts have read the present state of the service, without
+// having skipped anything before.
 func (p *interleaving) checkConverged(t *testing.T) {
 	t.Helper()
 	l, _ := p.cluster.service.log.Load().Snapshot()
@@ -149,6 +150,9 @@
 		want[e.Key] = string(e.Value)
 	}
 	for _, h := range p.cluster.hosts {
+		if n := h.feed.SkippedValues.Count(); n > 0 {
+			t.Errorf("%s has skipped %d values", h.entry.ID, n)
+		}
 		for _, k := range interleavedKeys {
 			v, _ := h.get(k)
 			if v != want[k] {
--- a/internal/platform/twirp/feed.go
+++ b/internal/platform/twirp/feed.go
@@ -79,6 +79,12 @@
 	// PeerBytes counts the bytes of the answers of followers, and DiscardedBytes those of
 	// answers that were broken off. ServedBytes counts the bytes of answers to other hosts.
 	PeerBytes, DiscardedBytes, ServedBytes metrics.Counter
+	// SkippedValues counts the large values that this host lacked although it had read the
+	// changes up to their revisions. Each is a fault, and is read then.
+	SkippedValues metrics.Counter
+	// Comparisons counts the comparisons of large values with those of another follower, and
+	// FailedComparisons those of them that were not answered.
+	Comparisons, FailedComparisons metrics.Counter
 	// FirstStoreWait returns the time after the first call for which a host that is not
 	// a follower leaves the service alone and only queries followers, if nothing was
 	// answered yet. It is to differ between hosts, which may all have started together:
@@ -162,7 +168,7 @@
 	err = f.read(ctx, maxPeerWait, q)
 	f.recordRead(a, revision, err)
 	if err == nil {
-		f.transfers.clear()
+		f.transfers.reset(entries)
 		f.snapshot = true
 	}
 	return entries, revision, err
@@ -216,6 +222,7 @@
 	}
 	f.transfers.end(a.changes)
 	f.transfers.begin(a.deferred, f.currentSource(), f.Clock.Now())
+	f.readSkipped(a.missing, revision, f.currentSource())
 	return a.changes, a.next, nil
 }
 
--- a/internal/platform/twirp/parts.go
+++ b/internal/platform/twirp/parts.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"sardineknot.example/sardineknot"
 	"sardineknot.example/sardineknot/internal/peer/progress"
@@ -59,8 +60,20 @@
 	return &rpc.ReadPatchResponse{Revision: e.Revision.Number, Patch: m, Offset: o, FrameBytes: n, FrameDigest: p.DataDigest}, nil
 }
 
-// Run reads large values until ctx is done. It always returns nil.
+// Run reads large values, and compares them with those of other followers, until ctx is done.
+// It always returns nil.
 func (f *Feed) Run(ctx context.Context) error {
+	var g errgroup.Group
+	g.Go(func() error {
+		f.compareValues(ctx)
+		return nil
+	})
+	f.readLargeValues(ctx)
+	return g.Wait()
+}
+
+// readLargeValues reads large values until ctx is done.
+func (f *Feed) readLargeValues(ctx context.Context) {
 	for ctx.Err() == nil {
 		t := f.transfers.wait(ctx)
 		if t == nil {
@@ -75,7 +88,6 @@
 			_ = f.Sleep(ctx, partRetryDelay)
 		}
 	}
-	return nil
 }
 
 // advance reads the next part of t from a follower or, if followers fail or are too slow for
--- a/internal/platform/twirp/peer.go
+++ b/internal/platform/twirp/peer.go
@@ -57,6 +57,8 @@
 	changes []sardineknot.StoreEntry
 	// deferred holds the changed entries, without values, whose values are to be read apart.
 	deferred []sardineknot.StoreEntry
+	// missing describes the large values that the follower has and this host lacks.
+	missing []*rpc.Base
 	// next is the revision to pass to the next request.
 	next sardineknot.StoreRevision
 	// current is the time, counted from the call, at which a follower's answer was complete
@@ -97,7 +99,7 @@
 		return answer{}, err
 	}
 	return answer{
-		changes: c, deferred: d, next: sardineknot.StoreRevision{Era: e, Number: a.GetRevision()},
+		changes: c, deferred: d, missing: a.GetMissing(), next: sardineknot.StoreRevision{Era: e, Number: a.GetRevision()},
 		current: micros.Duration(a.GetCurrentMicros()),
 	}, nil
 }
--- a/internal/platform/twirp/service.go
+++ b/internal/platform/twirp/service.go
@@ -67,7 +67,10 @@
 	if err != nil {
 		return nil, err
 	}
-	a := &rpc.NextResponse{Era: int64(n.Era), Revision: n.Number, Refreshed: request.GetRefresh(), CurrentMicros: c}
+	a := &rpc.NextResponse{Era: int64(n.Era), Revision: n.Number, Refreshed: request.GetRefresh(), CurrentMicros: c, Missing: s.feed.missing(request)}
+	if request.GetCompareOnly() {
+		return a, nil
+	}
 	err = s.feed.setChanges(a, l, request)
 	if err != nil {
 		return nil, twirp.InternalErrorWith(err)
--- a/internal/platform/twirp/transfers.go
+++ b/internal/platform/twirp/transfers.go
@@ -17,6 +17,9 @@
 	running map[string]*transfer
 	// arrived holds the entries that were read and not yet taken.
 	arrived []sardineknot.StoreEntry
+	// latest holds the latest revision that has arrived of each key whose value is or was
+	// large, in whatever way it was read.
+	latest map[string]sardineknot.StoreRevision
 	// begun is closed when a transfer begins. It is nil if nothing waits for that.
 	begun chan struct{}
 	// interrupt ends the present wait for changes. It is nil if there is none.
@@ -66,6 +69,7 @@
 			s.startLocked(t)
 		}
 		t.announced, t.source = t.announced.Later(e.Revision), source
+		s.setLatestLocked(e.Key, sardineknot.StoreRevision{})
 	}
 }
 
@@ -81,11 +85,13 @@
 	}
 }
 
-// end ends the transfers of values that entries hold or remove.
+// end ends the transfers of values that entries, which were read with other changes, hold or
+// remove.
 func (s *transfers) end(entries []sardineknot.StoreEntry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, e := range entries {
+		s.recordLocked(e)
 		t := s.running[e.Key]
 		if t != nil && (e.Revision.Absent() || e.Revision.Compare(t.announced) >= 0) {
 			delete(s.running, e.Key)
@@ -93,12 +99,43 @@
 	}
 }
 
-// clear ends all transfers and discards what has arrived.
-func (s *transfers) clear() {
+// reset ends all transfers and discards what has arrived, because entries hold the entries
+// of all keys.
+func (s *transfers) reset(entries []sardineknot.StoreEntry) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	clear(s.running)
+	clear(s.latest)
 	s.arrived = nil
+	for _, e := range entries {
+		s.recordLocked(e)
+	}
+}
+
+// recordLocked records that entry has arrived.
+func (s *transfers) recordLocked(entry sardineknot.StoreEntry) {
+	_, ok := s.latest[entry.Key]
+	if ok || entry.Large() {
+		s.setLatestLocked(entry.Key, entry.Revision)
+	}
+}
+
+// setLatestLocked records that the value of key at revision has arrived, and that it is or was
+// large. An earlier revision has no effect.
+func (s *transfers) setLatestLocked(key string, revision sardineknot.StoreRevision) {
+	if s.latest == nil {
+		s.latest = make(map[string]sardineknot.StoreRevision)
+	}
+	s.latest[key] = s.latest[key].Later(revision)
+}
+
+// lacks reports whether the value of key at revision, or a later one, has neither arrived nor
+// is being read. An earlier value of the key was large, or this one is.
+func (s *transfers) lacks(key string, revision sardineknot.StoreRevision) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	t := s.running[key]
+	return s.latest[key].Compare(revision) < 0 && (t == nil || t.announced.Compare(revision) < 0)
 }
 
 // finish ends t with the entry that was read. If a later value was announced meanwhile, its
@@ -111,9 +148,13 @@
 		return false
 	}
 	delete(s.running, t.key)
-	if !entry.Revision.Absent() && t.announced.Compare(entry.Revision) > 0 {
+	switch {
+	case entry.Revision.Absent():
+		s.setLatestLocked(t.key, t.announced)
+	case t.announced.Compare(entry.Revision) > 0:
 		s.startLocked(&transfer{key: t.key, announced: t.announced, source: t.source, beganAt: now})
 	}
+	s.setLatestLocked(t.key, entry.Revision)
 	s.arrived = append(s.arrived, entry)
 	if s.interrupt != nil {
 		s.interrupt(&arrivedError{})
--- a/logevent.go
+++ b/logevent.go
@@ -76,6 +76,10 @@
 	// LogLargeValueDelayed reports the first failure, since the last part of a large value, of
 	// a call for the next one.
 	LogLargeValueDelayed LogEvent = "large_value_delayed"
+	// LogLargeValueSkipped reports a fault: this host has read the changes of the store up to
+	// a later revision than that of a large value, and lacks the value, which "peer" has. The
+	// host reads it now.
+	LogLargeValueSkipped LogEvent = "large_value_skipped"
 	// LogConfigurationAccepted reports that a new configuration was read from
 	// the store.
 	LogConfigurationAccepted LogEvent = "configuration_accepted"
