gateway: the first entries of an era are handed on as the host acts on them

Cause: the first entries of an era are recorded for other hosts whether they tell something new or not. An entry of the older copy that this host knows to be outdated has no effect on it, but went into its log, and the report that it acts on tells it nothing new and never did. A host that starts believes the log.

Change: the last report that this host has read takes the place of an older one (Source.InForce, in place of Departed). The number of entries is the same.

--- a/internal/configuration/store/source.go
+++ b/internal/configuration/store/source.go
@@ -260,21 +260,26 @@
 	return s.departed.Outdated(b, sequence, era)
 }
 
-// Departed reports whether e is the entry of a server that has left, such as an older copy
-// of the service may hold: the entry of its process was removed, and it has not reported
-// since.
-func (s *Source) Departed(e sardineknot.StoreEntry) bool {
+// InForce returns e as this host acts on it. An older copy of the service may hold an entry of
+// a server that is older than the last report that this host has read: that report then takes
+// the place of the value. ok is false if the server has left: the entry of its process was
+// removed, and it has not reported since.
+func (s *Source) InForce(e sardineknot.StoreEntry) (entry sardineknot.StoreEntry, ok bool) {
 	b, ok, err := s.Decoder.DecodeServer(e)
 	if !ok || err != nil {
-		return false
+		return e, true
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := s.servers[e.Key]
-	if o != nil && o.removedAt.IsZero() {
-		return false
+	if !s.outdatedLocked(e.Key, o, b, b.Sequence, e.Revision.Era) {
+		return e, true
+	}
+	if o == nil || !o.removedAt.IsZero() {
+		return sardineknot.StoreEntry{}, false
 	}
-	return s.outdatedLocked(e.Key, o, b, b.Sequence, e.Revision.Era)
+	e.Value = o.latest
+	return e, true
 }
 
 // sequenceLocked returns the number of the last report of o, the server under key.
--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -120,18 +120,26 @@
 	return min(d, maxPollDelay, p.feed.MaxPollDelay())
 }
 
-// applyEntry applies a changed entry of the store, and records it for other
-// hosts unless it tells nothing new. The first entries of an era are all
-// recorded, except those of servers that have left: other hosts do not get all reports
-// of a server, so that an old one is not recognized there.
+// applyEntry applies a changed entry of the store, and records it for other hosts unless it
+// tells nothing new. The first entries of an era are all recorded, as this host acts on them:
+// other hosts do not get all reports of a server, so that an old one is not recognized there,
+// and the next one may tell this host nothing new.
 func (p *Process) applyEntry(entry sardineknot.StoreEntry) {
 	entry = p.EntryDecoder.Redact(entry)
 	h := p.registry.Apply(entry)
 	s := p.source.Apply(entry)
 	q := p.keeper.Apply(entry)
 	v := p.versions.Apply(entry)
-	if h || s || q || v || p.entries.Precedes(entry.Revision.Era) && !p.source.Departed(entry) {
+	if h || s || q || v {
 		p.entries.Record(entry)
+		return
+	}
+	if !p.entries.Precedes(entry.Revision.Era) {
+		return
+	}
+	e, ok := p.source.InForce(entry)
+	if ok {
+		p.entries.Record(e)
 	}
 }
 
--- a/internal/host/gateway/follow_test.go
+++ b/internal/host/gateway/follow_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"strconv"
@@ -9,6 +10,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"sardineknot.example/sardineknot"
@@ -113,6 +115,87 @@
 	checkPassedOn(t, p, 1, sardineknot.StoreRevision{Era: 1, Number: 3})
 }
 
+// serverDecoder decodes entries whose values are servers as JSON, and a configuration with
+// two services of engines.
+type serverDecoder struct{ decoder }
+
+func (serverDecoder) DecodeConfiguration(entry sardineknot.StoreEntry) (*sardineknot.Configuration, bool, error) {
+	e := &sardineknot.EngineLimits{Slots: 24, MemoryTokens: 1000}
+	c := &sardineknot.Configuration{Revision: 1, Services: []sardineknot.Service{{Name: "s", Engine: e}, {Name: "other", Engine: e}}}
+	return c, entry.Key == "configuration", nil
+}
+
+func (serverDecoder) DecodeServer(entry sardineknot.StoreEntry) (sardineknot.BackendServer, bool, error) {
+	var b sardineknot.BackendServer
+	err := json.Unmarshal(entry.Value, &b)
+	return b, true, errors.WithStack(err)
+}
+
+// newServerProcess returns a process that has read the configuration of serverDecoder.
+func newServerProcess() *Process {
+	p := newTestProcess()
+	p.source.Decoder = serverDecoder{}
+	p.source.Apply(sardineknot.StoreEntry{Key: "configuration", Revision: sardineknot.StoreRevision{Number: 1}})
+	return p
+}
+
+// report applies a report of the server "one" and commits it.
+func (p *Process) report(t *testing.T, revision sardineknot.StoreRevision, server sardineknot.BackendServer) {
+	t.Helper()
+	v, err := json.Marshal(server)
+	is.New(t).NoErr(err)
+	p.applyEntry(sardineknot.StoreEntry{Key: "one", Value: v, Revision: revision})
+	p.commitEntries(revision)
+}
+
+// serverReportChanges lists changes of a server between two reports.
+var serverReportChanges = []struct {
+	name   string
+	change func(b *sardineknot.BackendServer)
+}{
+	{"it is leaving", func(b *sardineknot.BackendServer) { b.State = sardineknot.BackendLeaving }},
+	{"it has another role", func(b *sardineknot.BackendServer) { b.Role = sardineknot.RoleDecode }},
+	{"it has fewer slots", func(b *sardineknot.BackendServer) { b.Slots = 1 }},
+	{"it has less memory", func(b *sardineknot.BackendServer) { b.MemoryPieces = 1 }},
+	{"it offers another service", func(b *sardineknot.BackendServer) { b.Service = "other" }},
+	{"it serves another model", func(b *sardineknot.BackendServer) { b.Model, b.Version = "other", "2" }},
+	{"it checks fencing tokens", func(b *sardineknot.BackendServer) { b.ChecksFencing = true }},
+	{"it is the next process, with other software", func(b *sardineknot.BackendServer) { b.Born, b.SoftwareVersion, b.Sequence = 2, "v2", 1 }},
+}
+
+// TestServerOfOlderCopy guards against a host that starts after the store was restored from
+// an older copy, and acts on what a server reported before: it sends requests to one that is
+// leaving, for one. The hosts that it reads from act on the later report, which the store has
+// again, but handed on the entry of the copy.
+func TestServerOfOlderCopy(t *testing.T) {
+	earlier := sardineknot.BackendServer{
+		Name: "one", Role: sardineknot.RolePrefill, Service: "s", Model: "m", Version: "1", Slots: 24, MemoryPieces: 9,
+		Born: 1, Sequence: 4, SoftwareVersion: "v1", State: sardineknot.BackendJoining,
+	}
+	for _, c := range serverReportChanges {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			later := earlier
+			later.Sequence++
+			c.change(&later)
+			p := newServerProcess()
+			p.report(t, sardineknot.StoreRevision{Number: 4}, earlier)
+			p.report(t, sardineknot.StoreRevision{Number: 5}, later)
+			p.report(t, sardineknot.StoreRevision{Era: 1, Number: 4}, earlier) // the older copy
+			later.Sequence++
+			p.report(t, sardineknot.StoreRevision{Era: 1, Number: 5}, later) // contains nothing new
+			q := newServerProcess()
+			l, n := p.entries.Snapshot()
+			for _, e := range l {
+				q.applyEntry(e)
+			}
+			q.commitEntries(n)
+			is.Equal(len(p.source.Current().BackendServers), 1)
+			is.Equal(q.source.Current().BackendServers, p.source.Current().BackendServers)
+		})
+	}
+}
+
 // TestBeginWithHosts guards against a host that reads all keys of the store although
 // others could give it theirs, because it has seen none when it selects the followers.
 func TestBeginWithHosts(t *testing.T) {
