platform/twirp: the tests' fake service is locked, and hosts lose values by flags

The two tests of skipped values fail without the comparison (checked by switching it off). No check is changed.

--- a/internal/platform/twirp/cluster_test.go
+++ b/internal/platform/twirp/cluster_test.go
@@ -29,50 +29,6 @@
 
 var errCut = errors.New("cut off")
 
-// service is a fake key-value service. log holds all entries and the history.
-type service struct {
-	log  atomic.Pointer[changelog.Log]
-	down atomic.Bool
-	// calls counts the calls, including those that fail.
-	calls atomic.Int64
-	// revision is the revision of the last write.
-	revision sardineknot.StoreRevision
-	// link carries the answers to hosts that have links.
-	link *link
-}
-
-// put writes an entry.
-func (s *service) put(key, value string) {
-	s.revision.Number++
-	l := s.log.Load()
-	l.Record(sardineknot.StoreEntry{Key: key, Value: []byte(value), Revision: s.revision})
-	l.Commit(s.revision)
-}
-
-// forget makes the service discard its history.
-func (s *service) forget() {
-	l, _ := s.log.Load().Snapshot()
-	n := changelog.NewLog()
-	for _, e := range l {
-		n.Record(e)
-	}
-	s.revision.Number += 100
-	n.Commit(s.revision)
-	s.log.Store(n)
-}
-
-// restore makes the service come back from a copy that holds the given entries:
-// it begins an era and gives out revisions from the number of the copy on.
-func (s *service) restore(number int64, entries map[string]string) {
-	s.revision = sardineknot.StoreRevision{Era: s.revision.Era + 1, Number: number}
-	n := changelog.NewLog()
-	for k, v := range entries {
-		n.Record(sardineknot.StoreEntry{Key: k, Value: []byte(v), Revision: s.revision})
-	}
-	n.Commit(s.revision)
-	s.log.Store(n)
-}
-
 // hostFeed is the access of one host to the service.
 type hostFeed struct {
 	service *service
--- a/internal/platform/twirp/complete_test.go
+++ b/internal/platform/twirp/complete_test.go
@@ -52,18 +52,14 @@
 	if large {
 		v += randomText(8<<10+p.random.IntN(64<<10), p.random.Uint64())
 	}
-	p.cluster.service.put(key, v)
-	p.record(key, write{number: p.cluster.service.revision.Number})
+	r := p.cluster.service.put(key, v)
+	p.record(key, write{number: r.Number})
 }
 
 // remove removes key.
 func (p *interleaving) remove(key string) {
-	s := p.cluster.service
-	s.revision.Number++
-	l := s.log.Load()
-	l.Record(sardineknot.StoreEntry{Key: key, Revision: sardineknot.StoreRevision{Era: s.revision.Era}})
-	l.Commit(s.revision)
-	p.record(key, write{number: s.revision.Number, removed: true})
+	r := p.cluster.service.remove(key)
+	p.record(key, write{number: r.Number, removed: true})
 }
 
 func (p *interleaving) record(key string, w write) { p.writes[key] = append(p.writes[key], w) }
@@ -71,9 +67,10 @@
 // restore makes the service come back from an older copy that holds a small configuration.
 func (p *interleaving) restore() {
 	s := p.cluster.service
-	s.restore(max(1, s.revision.Number-3), map[string]string{"config": "restored"})
-	p.era = s.revision.Era
-	p.writes = map[string][]write{"config": {{number: s.revision.Number}}}
+	n := max(1, s.lastRevision().Number-3)
+	s.restore(n, map[string]string{"config": "restored"})
+	p.era++
+	p.writes = map[string][]write{"config": {{number: n}}}
 }
 
 // step makes a random change or fault.
--- a/internal/platform/twirp/refusal_test.go
+++ b/internal/platform/twirp/refusal_test.go
@@ -51,7 +51,7 @@
 	name string
 	in   func(i int, h *host) bool
 }{
-	{"none is refused", func(int, *host) bool { return false }},
+	{"none is refused", none},
 	{"one follower of each zone is refused", even},
 	{"both followers of a zone are refused", inZone0},
 	{"all but those of a zone are refused", outside},
--- a/internal/platform/twirp/skipped_test.go
+++ b/internal/platform/twirp/skipped_test.go
@@ -62,6 +62,50 @@
 	return a, err
 }
 
+// forgetfulCluster is a cluster of twelve hosts in two zones, of which some lose the
+// configuration.
+type forgetfulCluster struct {
+	*cluster
+
+	// stores makes hosts lose it from what they read from the service, and services from what
+	// they send to others.
+	stores, services map[*host]*atomic.Bool
+}
+
+// startForgetful starts a cluster of which no host loses anything yet. The followers for
+// which isBefore returns true, by their position, are of the build before.
+func startForgetful(t *testing.T, isBefore func(i int, h *host) bool) forgetfulCluster {
+	c := forgetfulCluster{stores: make(map[*host]*atomic.Bool), services: make(map[*host]*atomic.Bool)}
+	n := 0
+	c.cluster = startSiteWith(t, site{hosts: 12, zones: 2, bound: siteBound, reportInterval: time.Minute}, func(h *host, _ int) {
+		c.stores[h], c.services[h] = &atomic.Bool{}, &atomic.Bool{}
+		h.feed.Store = forgetfulFeed{h.feed.Store, c.stores[h]}
+		h.useService(func(s rpc.Changes) rpc.Changes { return forgetful{s, c.services[h]} })
+		if h.feed.Selector.FollowsStore() {
+			if isBefore(n, h) {
+				h.useService(func(s rpc.Changes) rpc.Changes { return before{s} })
+			}
+			n++
+		}
+	})
+	return c
+}
+
+// lose writes the configuration text while the hosts in flags lose it, and checks that the
+// hosts for which in returns true do not have it then.
+func (c forgetfulCluster) lose(t *testing.T, text string, flags []*atomic.Bool, in func(*host) bool) {
+	t.Helper()
+	for _, b := range flags {
+		b.Store(true)
+	}
+	c.service.put("config", text)
+	advance(2 * time.Second)
+	c.checkConfiguration(t, text, false, in)
+	for _, b := range flags {
+		b.Store(false)
+	}
+}
+
 // skipped returns the number of large values that the hosts for which in returns true have
 // skipped.
 func (c *cluster) skipped(in func(*host) bool) int {
@@ -86,6 +130,8 @@
 	}
 }
 
+func none(int, *host) bool { return false }
+
 // TestSkippedValue guards against a host that does without a large value until it changes
 // again, after a fault that made it skip the value, and against a fault that shows nowhere.
 func TestSkippedValue(t *testing.T) {
@@ -93,17 +139,12 @@
 	isReader := func(h *host) bool { return !h.feed.Selector.FollowsStore() }
 	run(t, "readers whose followers have left it out", func(t *testing.T) {
 		is := is.New(t)
-		c := start(t, 12, 2)
-		var b atomic.Bool
+		c := startForgetful(t, none)
+		var l []*atomic.Bool
 		for _, h := range c.followers() {
-			h.useService(func(s rpc.Changes) rpc.Changes { return forgetful{s, &b} })
+			l = append(l, c.services[h])
 		}
-		advance(2 * time.Second) // calls that wait end
-		b.Store(true)
-		c.service.put("config", text)
-		advance(2 * time.Second)
-		c.checkConfiguration(t, text, false, isReader)
-		b.Store(false)
+		c.lose(t, text, l, isReader)
 		advance(2 * time.Second)
 		c.checkConfiguration(t, text, true, everyHost)
 		is.Equal(c.skipped(everyHost), len(c.readers()))
@@ -116,47 +157,29 @@
 	text := randomText(40<<10, 7)
 	run(t, "a follower that has lost it, and its readers", func(t *testing.T) {
 		is := is.New(t)
-		c := start(t, 12, 2)
-		var b atomic.Bool
-		f := c.followers()
-		f[0].feed.Store = forgetfulFeed{f[0].feed.Store, &b}
-		b.Store(true)
-		c.service.put("config", text)
-		advance(2 * time.Second)
-		b.Store(false)
-		c.checkConfiguration(t, text, false, func(h *host) bool { return h == f[0] })
+		c := startForgetful(t, none)
+		f := c.followers()[0]
+		c.lose(t, text, []*atomic.Bool{c.stores[f]}, func(h *host) bool { return h == f })
 		advance(6 * time.Second)
 		c.checkConfiguration(t, text, true, everyHost)
 		is.True(c.skipped(everyHost) >= 1)
 	})
 	run(t, "other followers are of the build before, but for one", func(t *testing.T) {
-		c := start(t, 12, 2)
-		var b atomic.Bool
-		f := c.followers()
-		f[0].feed.Store = forgetfulFeed{f[0].feed.Store, &b}
-		for _, h := range f[1 : len(f)-1] {
-			h.useService(func(s rpc.Changes) rpc.Changes { return before{s} })
-		}
-		b.Store(true)
-		c.service.put("config", text)
-		advance(2 * time.Second)
-		b.Store(false)
-		c.checkConfiguration(t, text, false, func(h *host) bool { return h == f[0] })
+		c := startForgetful(t, func(i int, _ *host) bool { return i == 1 || i == 2 })
+		f := c.followers()[0]
+		c.lose(t, text, []*atomic.Bool{c.stores[f]}, func(h *host) bool { return h == f })
 		advance(16 * time.Second) // each of the others is compared in turn
 		c.checkConfiguration(t, text, true, everyHost)
 	})
 	run(t, "all followers of a zone have lost it", func(t *testing.T) {
-		c := start(t, 12, 2)
-		var b atomic.Bool
+		c := startForgetful(t, none)
+		var l []*atomic.Bool
 		for _, h := range c.followers() {
 			if h.entry.Zone == "zone-0" {
-				h.feed.Store = forgetfulFeed{h.feed.Store, &b}
+				l = append(l, c.stores[h])
 			}
 		}
-		b.Store(true)
-		c.service.put("config", text)
-		advance(2 * time.Second)
-		b.Store(false)
+		c.lose(t, text, l, func(h *host) bool { return h.entry.Zone == "zone-0" })
 		advance(16 * time.Second) // the other follower of the zone is compared first
 		c.checkConfiguration(t, text, true, everyHost)
 	})
@@ -199,7 +222,7 @@
 		a, err := p.Next(t.Context(), &rpc.NextRequest{Revision: 1, AcceptsPatches: true, CompareOnly: true})
 		is.NoErr(err)
 		is.Equal(len(a.GetEntries()), 0)
-		a, err = p.Next(t.Context(), &rpc.NextRequest{Revision: c.service.revision.Number, AcceptsPatches: true, CompareOnly: true})
+		a, err = p.Next(t.Context(), &rpc.NextRequest{Revision: c.service.lastRevision().Number, AcceptsPatches: true, CompareOnly: true})
 		is.NoErr(err)
 		is.Equal(len(a.GetMissing()), 1)
 	})
@@ -209,7 +232,7 @@
 		c.service.put("config", randomText(40<<10, 1))
 		advance(2 * time.Second)
 		p := rpc.NewChangesProtobufClient("http://x", handlerClient{c.followers()[0].handler})
-		a, err := p.Next(t.Context(), &rpc.NextRequest{Revision: c.service.revision.Number})
+		a, err := p.Next(t.Context(), &rpc.NextRequest{Revision: c.service.lastRevision().Number})
 		is.NoErr(err)
 		is.Equal(len(a.GetMissing()), 0)
 	})
