--- a/internal/host/gateway/follow.go
+++ b/internal/host/gateway/follow.go
@@ -121,9 +121,9 @@
 }
 
 // applyEntry applies a changed entry of the store, and records it for other hosts unless it
-// tells nothing new. The first entries of an era are all recorded, as this host acts on them:
-// other hosts do not get all reports of a server, so that an old one is not recognized there,
-// and the next one may tell this host nothing new.
+// contains nothing new. The first entries of an era are all recorded, as this host acts on
+// them: other hosts do not get all reports of a server, so that an old one is not recognized
+// there, and the next one may contain nothing new for this host.
 func (p *Process) applyEntry(entry sardineknot.StoreEntry) {
 	entry = p.EntryDecoder.Redact(entry)
 	h := p.registry.Apply(entry)
--- a/internal/platform/changelog/complete_test.go
+++ b/internal/platform/changelog/complete_test.go
@@ -93,7 +93,7 @@
 }
 
 // TestCommitSnapshot guards against a reader that keeps an entry for good, because the host
-// that it reads from never knew of it: it was written and removed while that host had no
+// that it reads from never read it: it was written and removed while that host had no
 // answer of the service, which then had discarded these changes.
 func TestCommitSnapshot(t *testing.T) {
 	newLog := func() *changelog.Log {
--- a/internal/platform/changelog/log.go
+++ b/internal/platform/changelog/log.go
@@ -121,7 +121,7 @@
 
 // CommitSnapshot is Commit for changes that were found by a comparison with all entries at
 // revision, because the changes since the last Commit are not known. An entry that was
-// written and removed since is not among them. A reader that knows of it reads all
+// written and removed since is not among them. A reader that has read it reads all
 // entries again.
 func (l *Log) CommitSnapshot(revision sardineknot.StoreRevision) {
 	l.mu.Lock()
--- a/internal/platform/twirp/service.go
+++ b/internal/platform/twirp/service.go
@@ -78,7 +78,7 @@
 	return a, nil
 }
 
-// revisionOf returns the revision after which request asks for changes.
+// revisionOf returns the revision after which the changes are requested.
 func revisionOf(request *rpc.NextRequest) sardineknot.StoreRevision {
 	return sardineknot.StoreRevision{Era: sardineknot.StoreEra(request.GetEra()), Number: request.GetRevision()}
 }
