backend/http1: a call that may run once gets a connection that has carried nothing

Cause: such a call was sent on a kept connection if that had been idle for less than 700 ms. A server may close a kept connection at any time, and if it does while the request is on its way, no one knows whether the call has run.

All five exchanges of unsafe calls that failed were on reused connections, idle for 0.7 to 12 ms, and ended without a byte of a response. Of the three without a tunnel, one had its end waiting to be read before the request was sent, two had not: a better check before the request would not do.

Ruled out: an early answer whose upload is still in progress (calls before had read their bodies, too), and timeouts (the exchanges ended after 0.06 to 31 ms).

Change: ForwardOptions.NewConnection takes the place of FreshConnection and maxFreshIdleTime. backend/plainhttp does so for its unrepeatable calls already. The cost is a connection for each call that may run once.

--- a/call.go
+++ b/call.go
@@ -128,9 +128,10 @@
 	// ResumeAfter is the identifier of the event after which a stream resumes.
 	// Zero starts the stream from its beginning.
 	ResumeAfter int
-	// FreshConnection requests a connection that the server is unlikely to have
-	// closed: a new one, or one that was idle only briefly.
-	FreshConnection bool
+	// NewConnection requests a connection that has carried no other exchange. A
+	// server may close a kept one while it receives the request, and whether the
+	// call has run is then unknown.
+	NewConnection bool
 }
 
 // KVCacheReference identifies a KV cache on an engine.
@@ -236,8 +237,8 @@
 	EchoHeader string
 	// EchoValue is the required value of the header field EchoHeader.
 	EchoValue string
-	// FreshConnection requests a connection that has not been idle for long.
-	FreshConnection bool
+	// NewConnection requests a connection that has carried no other exchange.
+	NewConnection bool
 	// KeptConnection permits a request without EchoHeader to use a kept connection. A
 	// late copy of another response may then be taken for the response: the sender must
 	// be able to recognize it, or to bear it.
--- a/internal/backend/http1/close_test.go
+++ b/internal/backend/http1/close_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"testing"
 	"time"
 
@@ -30,3 +31,20 @@
 		t.Fatal("the read does not end")
 	}
 }
+
+// TestCloseOfKeptConnection guards against a request whose outcome is unknown because its server
+// closes, while it receives the request, the connection that it kept after the one before.
+func TestCloseOfKeptConnection(t *testing.T) {
+	is := is.New(t)
+	s := serve(t, []string{ok("1", "a"), ""}, []string{ok("2", "b")})
+	c := newClient()
+	_, err := exchange(c, s, "1")
+	is.NoErr(err)
+	p, err := c.Exchange(t.Context(), s.address, sardineknot.ExchangeRequest{
+		Method: http.MethodPost, Target: "/", Host: "h", EchoHeader: "Id", EchoValue: "2", NewConnection: true,
+	})
+	is.NoErr(err)
+	b, err := io.ReadAll(p.Body)
+	is.NoErr(err)
+	is.Equal(string(b), "b")
+}
