demo/deployment: entry hosts listen on ports that are held until they run

Cause: the demo took free ports for its entry hosts and released them until the hosts listened. If another process had taken one, the host ended with an error, which the start did not see: it waited for the host until the time limit of the whole demo.

Change: the deployment opens the listeners when it chooses the addresses, and hands them to the hosts (Process.Listen). A host that ends while others start ends the start with its error.

--- a/internal/demo/deployment/deployment.go
+++ b/internal/demo/deployment/deployment.go
@@ -61,18 +61,21 @@
 	// Records holds the event record of each backend server, by server name.
 	Records map[sardineknot.BackendServerName]*record.Recorder
 
-	log     zerolog.Logger
-	store   netip.AddrPort
-	servers []*http.Server
-	stop    context.CancelFunc
-	group   errgroup.Group
+	log   zerolog.Logger
+	store netip.AddrPort
+	// listeners holds the listener of each address of an entry host. It is open before the
+	// host runs, so that no other process takes the port.
+	listeners map[netip.AddrPort]net.Listener
+	servers   []*http.Server
+	stop      context.CancelFunc
+	group     errgroup.Group
 }
 
 // Start starts the example whose declarations are in the directory called name
 // of fsys, with the given number of entry hosts, which log to logger. It
 // returns when all of them admit requests under these declarations.
 func Start(ctx context.Context, fsys fs.FS, name string, hosts int, logger zerolog.Logger) (*Deployment, error) {
-	d := &Deployment{Name: name, log: logger, Records: make(map[sardineknot.BackendServerName]*record.Recorder)}
+	d := &Deployment{Name: name, log: logger, Records: make(map[sardineknot.BackendServerName]*record.Recorder), listeners: make(map[netip.AddrPort]net.Listener)}
 	s, err := fs.Sub(fsys, name+"/declarations")
 	if err != nil {
 		return nil, errors.WithStack(err)
@@ -162,8 +165,7 @@
 	return writer.NewWriter(etcd.NewClient(d.store, 0)).Write(ctx, d.Configuration, h, sardineknot.StoreRevision{})
 }
 
-// startEntryHosts starts count entry hosts and waits until all of them are
-// ready. The zones of the hosts are the To zones of the declared links, in
+// startEntryHosts publishes and runs count entry hosts. The zones of the hosts are the To zones of the declared links, in
 // turn.
 func (d *Deployment) startEntryHosts(ctx context.Context, count int) error {
 	var l []sardineknot.Settings
@@ -178,13 +180,18 @@
 	if err != nil {
 		return err
 	}
+	return d.run(ctx, l)
+}
+
+// run runs an entry host with each of the given settings and waits until all of them are ready.
+// It fails if one of them ends.
+func (d *Deployment) run(ctx context.Context, hosts []sardineknot.Settings) error {
 	c, cancel := context.WithCancel(context.Background())
 	d.stop = cancel
-	for _, s := range l {
-		d.CallerAddresses = append(d.CallerAddresses, s.CallerAddress)
-		d.AdminAddresses = append(d.AdminAddresses, s.AdminAddress)
-		p := process.NewProcess(s, d.log)
-		d.group.Go(func() error { return p.Run(c) })
+	ctx, f := context.WithCancelCause(ctx)
+	defer f(nil)
+	for _, s := range hosts {
+		d.runEntryHost(c, s, f)
 	}
 	for _, a := range d.AdminAddresses {
 		err := awaitReady(ctx, a)
@@ -195,6 +202,20 @@
 	return nil
 }
 
+// runEntryHost runs an entry host with settings until ctx is done. It calls fail with the
+// error with which the host ends, or nil.
+func (d *Deployment) runEntryHost(ctx context.Context, settings sardineknot.Settings, fail context.CancelCauseFunc) {
+	d.CallerAddresses = append(d.CallerAddresses, settings.CallerAddress)
+	d.AdminAddresses = append(d.AdminAddresses, settings.AdminAddress)
+	p := process.NewProcess(settings, d.log)
+	p.Listen = func(a netip.AddrPort) (net.Listener, error) { return d.listeners[a], nil }
+	d.group.Go(func() error {
+		err := p.Run(ctx)
+		fail(err)
+		return err
+	})
+}
+
 // settings returns the settings of the entry host at index.
 func (d *Deployment) settings(index int) (sardineknot.Settings, error) {
 	l := d.Configuration.Links
@@ -208,7 +229,7 @@
 	}
 	var err error
 	for _, a := range []*netip.AddrPort{&s.CallerAddress, &s.PeerAddress, &s.AdminAddress} {
-		*a, err = freeAddress()
+		*a, err = d.reserveAddress()
 		if err != nil {
 			return s, err
 		}
@@ -265,19 +286,19 @@
 	return netip.ParseAddrPort(l.Addr().String())
 }
 
-// freeAddress returns a loopback address with a free port. Another process may
-// take the port before the caller listens on it.
-func freeAddress() (netip.AddrPort, error) {
+// reserveAddress listens on a free loopback address and returns it.
+func (d *Deployment) reserveAddress() (netip.AddrPort, error) {
 	l, err := net.Listen("tcp", ephemeralAddress)
 	if err != nil {
 		return netip.AddrPort{}, errors.WithStack(err)
 	}
-	defer l.Close()
-	return netip.ParseAddrPort(l.Addr().String())
+	a, err := netip.ParseAddrPort(l.Addr().String())
+	d.listeners[a] = l
+	return a, errors.WithStack(err)
 }
 
 // awaitReady waits until the entry host with the given admin address admits
-// requests. It fails if ctx is done first.
+// requests. It fails with the cause of ctx if that is done first.
 func awaitReady(ctx context.Context, address netip.AddrPort) error {
 	for {
 		h, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address.String()+"/readyz", nil)
@@ -293,7 +314,7 @@
 		}
 		err = clock.System{}.Sleep(ctx, readyPollInterval)
 		if err != nil {
-			return err
+			return errors.WithStack(context.Cause(ctx))
 		}
 	}
 }
--- a/internal/host/process/process.go
+++ b/internal/host/process/process.go
@@ -42,6 +42,10 @@
 
 // Process runs one entry host. Create it with NewProcess.
 type Process struct {
+	// Listen returns a listener of the given TCP address. NewProcess sets one that opens it. It
+	// must not be modified once Run was called.
+	Listen func(address netip.AddrPort) (net.Listener, error)
+
 	settings sardineknot.Settings
 	log      zerolog.Logger
 	clock    clock.System
@@ -93,6 +97,7 @@
 	e := self(s, c.Now())
 	r := metrics.NewRegistry()
 	p := &Process{
+		Listen:    listenTCP,
 		settings:  s,
 		log:       l.With().Str("host", string(e.ID)).Logger(),
 		clock:     c,
@@ -169,10 +174,17 @@
 	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
 
-func (p *Process) listen(address netip.AddrPort) (net.Listener, error) {
+// listenTCP opens a listener of address.
+func listenTCP(address netip.AddrPort) (net.Listener, error) {
 	l, err := net.Listen("tcp", address.String())
+	return l, errors.WithStack(err)
+}
+
+// listen returns a listener of address and logs it.
+func (p *Process) listen(address netip.AddrPort) (net.Listener, error) {
+	l, err := p.Listen(address)
 	if err != nil {
-		return nil, errors.WithStack(err)
+		return nil, err
 	}
 	p.log.Info().Stringer("event", sardineknot.LogListening).Str("address", l.Addr().String()).Send()
 	return l, nil
