intake: the test of a request on its way waits until the answer before is written

Cause: the case needs an idle connection that may be closed for a new one. A connection counts as idle once the server has recorded that its answer was written, which is after its caller has read it. The case went on without waiting for that. If the server's goroutine was late, the connection was still in use, and the new one was refused: a true answer, and the right one. The case next to it waits (waitWritten).

Ruled out: another connection that is closed in its place (the status was a refusal).

Change: the case waits; its checks are the same.

--- a/internal/caller/intake/guard_test.go
+++ b/internal/caller/intake/guard_test.go
@@ -273,6 +273,7 @@
 		s := start(t, 2, 1<<20)
 		idle := s.dial(t).send(call)
 		idle.assertServed()
+		s.waitWritten(t)
 		s.clock.pass()
 		a := s.dial(t)
 		s.waitOpen(t, 2)
