platform, command/serve: a host serves on when the reader of its log has gone

Cause: the Go runtime ends a process for a failed write to the standard output or error unless the signal is handled.

--- a/internal/command/serve/command.go
+++ b/internal/command/serve/command.go
@@ -6,6 +6,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/google/subcommands"
 	"github.com/rs/zerolog"
@@ -52,6 +54,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return subcommands.ExitUsageError
 	}
+	signal.Ignore(syscall.SIGPIPE) // the host serves on if the reader of its log has gone
 	return usage.ExitStatus(process.NewProcess(s, logline.NewLogger(os.Stderr, v)).Run(ctx))
 }
 
