backend/http1: a connection that was just used carries no call that may run once

Change: NewConnection is FreshConnection again, with a shortest idle time beside the longest one: 20 ms, or 100 ms through another host. Within it the end of a connection arrives that its server closes after its response.

--- a/call.go
+++ b/call.go
@@ -128,10 +128,10 @@
 	// ResumeAfter is the identifier of the event after which a stream resumes.
 	// Zero starts the stream from its beginning.
 	ResumeAfter int
-	// NewConnection requests a connection that has carried no other exchange. A
-	// server may close a kept one while it receives the request, and whether the
-	// call has run is then unknown.
-	NewConnection bool
+	// FreshConnection requests a connection that the server is unlikely to close
+	// while it receives the request: a new one, or one whose idle time is neither so
+	// short that its end may still arrive nor long.
+	FreshConnection bool
 }
 
 // KVCacheReference identifies a KV cache on an engine.
@@ -237,8 +237,8 @@
 	EchoHeader string
 	// EchoValue is the required value of the header field EchoHeader.
 	EchoValue string
-	// NewConnection requests a connection that has carried no other exchange.
-	NewConnection bool
+	// FreshConnection has the same meaning as in ForwardOptions.
+	FreshConnection bool
 	// KeptConnection permits a request without EchoHeader to use a kept connection. A
 	// late copy of another response may then be taken for the response: the sender must
 	// be able to recognize it, or to bear it.
--- a/internal/answer/events/attempt.go
+++ b/internal/answer/events/attempt.go
@@ -296,7 +296,7 @@
 }
 
 func (a *attempt) forward(k sardineknot.KVCacheReference) (*sardineknot.Response, error) {
-	o := sardineknot.ForwardOptions{Deadline: a.call.Deadline, Cache: k, ResumeAfter: a.resumeAfter, NewConnection: !a.call.Route.Repeatable()}
+	o := sardineknot.ForwardOptions{Deadline: a.call.Deadline, Cache: k, ResumeAfter: a.resumeAfter, FreshConnection: !a.call.Route.Repeatable()}
 	a.sentAt = a.Clock.Now()
 	return a.Forwarder.Forward(a.ctx, a.decode, a.call, o)
 }
--- a/internal/answer/plain/runner.go
+++ b/internal/answer/plain/runner.go
@@ -208,7 +208,7 @@
 func (r *Runner) send(ctx context.Context, a assignment, c *sardineknot.Call) outcome {
 	n, s := r.Clock.Now(), a.server
 	a = r.begin(a)
-	p, err := r.Forwarder.Forward(ctx, s, c, sardineknot.ForwardOptions{Deadline: c.Deadline, NewConnection: !c.Route.Repeatable()})
+	p, err := r.Forwarder.Forward(ctx, s, c, sardineknot.ForwardOptions{Deadline: c.Deadline, FreshConnection: !c.Route.Repeatable()})
 	var b answer
 	if err == nil {
 		b, err = r.readAnswer(s, p)
--- a/internal/backend/http1/client.go
+++ b/internal/backend/http1/client.go
@@ -19,6 +19,13 @@
 	// maxIdleTime is the longest time for which an idle connection is kept
 	// open.
 	maxIdleTime = 4 * time.Second
+	// minFreshIdleTime and maxFreshIdleTime are the shortest and the longest idle time of a
+	// connection that is reused for an exchange with FreshConnection set, which must not fail
+	// because the server closes the connection. If it does so after a response, its end
+	// arrives within the shorter time, or within minFreshTunnelIdleTime through another host.
+	minFreshIdleTime       = 20 * time.Millisecond
+	minFreshTunnelIdleTime = 100 * time.Millisecond
+	maxFreshIdleTime       = 700 * time.Millisecond
 	// maxIdleConns bounds the idle connections to each server.
 	maxIdleConns = 16
 )
@@ -96,10 +103,12 @@
 	return k.roundTrip(ctx, exchange)
 }
 
-// connection returns an idle connection to address that exchange may use, or a new one.
+// connection returns an idle connection to address for exchange, or a new one. A late
+// copy of an earlier response is distinguished from the response to exchange by the echoed value.
+// An exchange without one gets a new connection, unless it permits a kept one.
 func (c *Client) connection(ctx context.Context, address netip.AddrPort, exchange sardineknot.ExchangeRequest) (*conn, error) {
-	for permitsKept(exchange) {
-		k := c.takeIdle(address, exchange.EchoValue)
+	for exchange.EchoHeader != "" || exchange.KeptConnection {
+		k := c.takeIdle(address, exchange)
 		if k == nil {
 			break
 		}
@@ -117,24 +126,17 @@
 	return newConn(c, address, n), nil
 }
 
-// permitsKept reports whether exchange may use a kept connection. A late copy of an earlier
-// response is distinguished from the response to exchange by the echoed value, so that an
-// exchange without one must permit a kept connection itself.
-func permitsKept(exchange sardineknot.ExchangeRequest) bool {
-	return !exchange.NewConnection && (exchange.EchoHeader != "" || exchange.KeptConnection)
-}
-
 // takeIdle removes and returns the connection to address that has been idle for the
-// shortest time and has carried no exchange with the value echoed, or nil if there is none.
-// It closes the connections that have been idle for too long.
-func (c *Client) takeIdle(address netip.AddrPort, echoed string) *conn {
+// shortest time of those that suit exchange, or nil if there is none. It closes the
+// connections that have been idle for too long.
+func (c *Client) takeIdle(address netip.AddrPort, exchange sardineknot.ExchangeRequest) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.expireLocked(address)
 	l := c.idle[address]
 	for i := len(l) - 1; i >= 0; i-- {
 		k := l[i]
-		if !slices.Contains(k.echoed, echoed) {
+		if k.suits(exchange, c.clock.Now()) {
 			c.idle[address] = slices.Delete(l, i, i+1)
 			return k
 		}
--- a/internal/backend/http1/conn.go
+++ b/internal/backend/http1/conn.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -65,6 +66,24 @@
 	return k
 }
 
+// suits reports whether k, which is idle, may carry exchange at the time now: it has carried none
+// with the same echoed value and, with FreshConnection set, its idle time is within bounds.
+func (k *conn) suits(exchange sardineknot.ExchangeRequest, now time.Time) bool {
+	if slices.Contains(k.echoed, exchange.EchoValue) {
+		return false
+	}
+	return !exchange.FreshConnection || k.isFresh(now.Sub(k.idleSince))
+}
+
+// isFresh reports whether k may carry an exchange with FreshConnection set after the time idle.
+func (k *conn) isFresh(idle time.Duration) bool {
+	d := minFreshIdleTime
+	if k.through != "" {
+		d = minFreshTunnelIdleTime
+	}
+	return d <= idle && idle <= maxFreshIdleTime
+}
+
 // startIdleRead starts a read on the idle connection, which detects that the
 // server closes the connection or sends unexpected bytes.
 func (k *conn) startIdleRead() {
--- a/internal/backend/http1/doc.go
+++ b/internal/backend/http1/doc.go
@@ -6,6 +6,5 @@
 // echoes the identifier of the request, since a faulty server may send the
 // response to an earlier request late, and only if its head follows the grammar of
 // HTTP/1.1. A connection is reused only after an exchange in which both sides sent
-// exactly one complete message, and not for a request that asks for a new one: a server may
-// close a kept connection at any time, and whether it runs a request on its way is then unknown.
+// exactly one complete message.
 package http1
