--- a/internal/demo/deployment/deployment.go
+++ b/internal/demo/deployment/deployment.go
@@ -165,8 +165,8 @@
 	return writer.NewWriter(etcd.NewClient(d.store, 0)).Write(ctx, d.Configuration, h, sardineknot.StoreRevision{})
 }
 
-// startEntryHosts publishes and runs count entry hosts. The zones of the hosts are the To zones of the declared links, in
-// turn.
+// startEntryHosts publishes and runs count entry hosts. Their zones are the To zones of the
+// declared links, in turn.
 func (d *Deployment) startEntryHosts(ctx context.Context, count int) error {
 	var l []sardineknot.Settings
 	for i := range count {
